--- /dev/null
+++ b/springrock/asking.py
@@ -0,0 +1,75 @@
+"""The operator's side of the operators' door: sends a statement and shows the answer."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import msgspec
+import urllib3
+
+from springrock.errors import StatementError
+from springrock.ids import new_id
+from springrock.wire.operator import STATEMENTS_PATH, StatementAnswer, StatementRequest
+
+_TIMEOUT_S = 30.0
+_TRIES = 3
+
+
+def ask_box(box: str, statement: str, *, key: str, as_json: bool, wait_s: float) -> int:
+    """Send a statement, print the answer, and return the exit code.
+
+    The command's id stays the same when the statement is sent again after a lost answer, so
+    that a change is made once.
+    """
+    request = StatementRequest(statement=statement, command_id=new_id(), wait_s=wait_s)
+    try:
+        answer = send_statement(box, request, key=key or os.environ.get("SPRINGROCK_KEY", ""))
+    except StatementError as error:
+        print(error, file=sys.stderr)
+        return 1
+    print(msgspec.json.encode(answer).decode() if as_json else as_table(answer))
+    return 0
+
+
+def send_statement(box: str, request: StatementRequest, *, key: str) -> StatementAnswer:
+    """Send a statement to a box.
+
+    Raises:
+        StatementError: If it was refused, or the box cannot be reached.
+    """
+    pool = urllib3.PoolManager(retries=False)
+    headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+    for left in reversed(range(_TRIES)):
+        try:
+            response = pool.request(
+                "POST",
+                f"http://{box}{STATEMENTS_PATH}",
+                body=msgspec.json.encode(request),
+                headers=headers,
+                timeout=_TIMEOUT_S + request.wait_s,
+            )
+            break
+        except urllib3.exceptions.HTTPError as error:
+            if not left:
+                raise StatementError(f"{box} cannot be reached: {error}") from None
+    if response.status != 200:
+        raise StatementError(response.data.decode(errors="replace").strip())
+    return msgspec.json.decode(response.data, type=StatementAnswer)
+
+
+def as_table(answer: StatementAnswer) -> str:
+    """Lay an answer out as text columns."""
+    lines = [answer.text] if answer.text else []
+    if answer.columns:
+        lines += _columns([answer.columns, *answer.rows])
+    return "\n".join(lines)
+
+
+def _columns(rows: list[list[str]]) -> list[str]:
+    widths = [max(len(row[index]) for row in rows) for index in range(len(rows[0]))]
+    lines = []
+    for row in rows:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        lines.append("  ".join(cells).rstrip())
+    return lines
--- /dev/null
+++ b/springrock/box.py
@@ -0,0 +1,321 @@
+"""An entry box: all parts of one process, put together, started and stopped."""
+
+from __future__ import annotations
+
+import gevent
+from gevent.event import Event
+
+from springrock.clock import Deadline
+from springrock.coordination.catalog import Catalog
+from springrock.coordination.claims import Claims
+from springrock.coordination.feed import Feed
+from springrock.coordination.listing import LeavingList
+from springrock.coordination.members import Members
+from springrock.coordination.ownership import Ownership, Upstream
+from springrock.coordination.peers import Link, Peers
+from springrock.coordination.permits import HeldBook
+from springrock.coordination.relayed import RelayedPlatform
+from springrock.coordination.session import Session
+from springrock.coordination.standalone import Standalone
+from springrock.coordination.steward import Steward
+from springrock.drivers.engine import EngineDriver
+from springrock.kernel import Part, load_plugins
+from springrock.log import Journal, Log
+from springrock.metrics import Metrics
+from springrock.plugins import doors, platforms
+from springrock.policies import routings
+from springrock.serving.admission import Admission
+from springrock.serving.limits import Limits
+from springrock.serving.owner import Owner
+from springrock.serving.relay import Relay
+from springrock.serving.router import Router
+from springrock.serving.services import Services
+from springrock.serving.view import RoutingView
+from springrock.settings import BoxSettings
+from springrock.wire import peer as wire
+
+
+class OpenRequests:
+    """Counts the requests that are in the box."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._none = Event()
+        self._none.set()
+        self.count = 0
+
+    def enter(self) -> None:
+        """Count a request in."""
+        self.count += 1
+        self._none.clear()
+        self._metrics.open_requests.set(self.count)
+
+    def leave(self) -> None:
+        """Count a request out."""
+        self.count -= 1
+        self._metrics.open_requests.set(self.count)
+        if not self.count:
+            self._none.set()
+
+    def wait_for_none(self, deadline: Deadline) -> bool:
+        """Wait until none is left; return whether that came in time."""
+        return bool(self._none.wait(timeout=deadline.left_s))
+
+
+class Box:
+    """One entry box.
+
+    Args:
+        settings: All its settings.
+    """
+
+    def __init__(self, settings: BoxSettings) -> None:
+        load_plugins()
+        self.settings = settings
+        self.name = settings.box.name
+        self.zone = settings.box.availability_zone
+        self.journal = Journal()
+        self.metrics = Metrics()
+        self.open_requests = OpenRequests(self.metrics)
+        self.refusing = False
+        self.stopping = False
+        self.stopped = Event()
+        self._log = self.log("box")
+        self._build_coordination()
+        self._build_serving()
+        self.doors: dict[str, Part] = {name: make(self) for name, make in doors}
+
+    def log(self, part: str) -> Log:
+        """Return the log of one part."""
+        return Log(part, self.name, self.journal)
+
+    @property
+    def catalog(self) -> Catalog:
+        """The configuration in force here."""
+        return self.feed.catalog
+
+    @property
+    def serving(self) -> bool:
+        """Whether requests are served."""
+        return self.feed.current
+
+    def why_not_ready(self) -> str:
+        """Return why the balancer should send nothing here, or an empty text."""
+        if self.stopping:
+            return "stopping"
+        if not self.feed.loaded:
+            return "no configuration yet"
+        if not self.feed.current:
+            return "a newer configuration is known and not here yet"
+        return ""
+
+    # Building.
+
+    def _build_coordination(self) -> None:
+        settings = self.settings
+        direct = platforms.get(settings.platform.driver)(settings.platform)
+        self.platform = RelayedPlatform(direct, zone=self.zone, metrics=self.metrics)
+        self.members = Members(self.platform, settings.lease, log=self.log("members"))
+        self.peers = Peers(
+            settings.peers,
+            hello=self._hello,
+            members=self.members,
+            log=self.log("peers"),
+            metrics=self.metrics,
+        )
+        self.platform.use_peers(self.peers)
+        self.peers.handle(wire.StatusQuery, lambda _, query: self.status(query.number))
+        self.peers.handle(wire.StopBox, self._on_stop)
+        self.session = Session(
+            self.platform,
+            settings.lease,
+            box=self.name,
+            zone=self.zone,
+            log=self.log("session"),
+            on_lost=lambda: self.ownership.session_lost(),
+        )
+        self.held = HeldBook()
+        self.standalone = Standalone(
+            self.session,
+            self.peers,
+            self.held,
+            zone=self.zone,
+            owned=lambda: self.ownership.owned,
+            log=self.log("standalone"),
+        )
+        self.feed = Feed(
+            self.platform,
+            settings.configuration,
+            box=self.name,
+            zone=self.zone,
+            members=self.members,
+            peers=self.peers,
+            log=self.log("configuration"),
+            metrics=self.metrics,
+            on_change=lambda: self.owner.review_service(),
+        )
+        self.listing = LeavingList(
+            self.platform,
+            poll_s=settings.platform.list_poll_s,
+            log=self.log("list"),
+            on_change=lambda leaving: self.owner.note_leaving(leaving),
+        )
+        self.claims = Claims(self.platform, box=self.name)
+        self.steward = Steward(
+            box=self.name,
+            zone=self.zone,
+            loads_per_s=settings.policy.loads_per_s,
+            members=self.members,
+            peers=self.peers,
+            log=self.log("steward"),
+        )
+
+    def _build_serving(self) -> None:
+        settings = self.settings
+        self.view = RoutingView(box=self.name, zone=self.zone, pools=settings.pools)
+        self.view.leaving = self.out_of_service
+        self.owner = Owner(
+            box=self.name,
+            policy=settings.policy,
+            may_act=self.standalone.may_act,
+            members=self.members,
+            peers=self.peers,
+            held=self.held,
+            steward=self.steward,
+            view=self.view,
+            catalog=lambda: self.catalog,
+            log=self.log("owner"),
+            metrics=self.metrics,
+        )
+        self.ownership = Ownership(
+            self.session,
+            self.members,
+            self.peers,
+            platform=self.platform,
+            upstreams=self._own_zone_upstreams(),
+            lease=settings.lease,
+            listener=self.owner,
+            log=self.log("ownership"),
+        )
+        self.router = Router(
+            box=self.name,
+            view=self.view,
+            owner=self.owner,
+            peers=self.peers,
+            held=self.held,
+            routing=routings.get(settings.policy.routing),
+            log=self.log("router"),
+        )
+        self._drivers = {
+            upstream.name: EngineDriver(upstream)
+            for pool in settings.pools
+            if pool.driver == "engine"
+            for upstream in pool.replicas
+        }
+        self.relay = Relay(
+            router=self.router,
+            claims=self.claims,
+            driver_for=self._drivers.__getitem__,
+            log=self.log("relay"),
+            metrics=self.metrics,
+        )
+        self.limits = Limits(
+            box=self.name, catalog=lambda: self.catalog, members=self.members, peers=self.peers
+        )
+        self.admission = Admission(catalog=lambda: self.catalog, view=self.view, limits=self.limits)
+        self.services = Services(
+            zone=self.zone,
+            pools=settings.pools,
+            claims=self.claims,
+            out_of_service=self.out_of_service,
+            log=self.log("services"),
+        )
+
+    def _own_zone_upstreams(self) -> list[Upstream]:
+        return [
+            Upstream(replica, pool)
+            for pool in self.settings.pools
+            if pool.driver == "engine"
+            for replica in pool.replicas
+            if replica.availability_zone == self.zone
+        ]
+
+    def _hello(self) -> wire.Hello:
+        return wire.Hello(
+            self.name, self.zone, self.session.incarnation, self.feed.catalog.revision
+        )
+
+    def status(self, number: int = 0) -> wire.Status:
+        """Return how this box is."""
+        return wire.Status(
+            number=number,
+            box=self.name,
+            zone=self.zone,
+            revision=self.catalog.revision,
+            ready=not self.why_not_ready(),
+            open_requests=self.open_requests.count,
+            lease_held=self.session.held,
+            owned=sorted(self.ownership.owned),
+        )
+
+    def _on_stop(self, _: Link, question: wire.StopBox) -> wire.Status:
+        self._log.say("An operator stops this box.", who=question.who)
+        gevent.spawn(self.stop)
+        return self.status(question.number)
+
+    def out_of_service(self, replica: str) -> bool:
+        """Whether a replica must get no new work."""
+        return replica in self.listing.leaving or self.catalog.drained(replica)
+
+    # Starting and stopping.
+
+    def start(self) -> None:
+        """Start every part and return."""
+        self._log.say("Start.", zone=self.zone)
+        self.peers.start()
+        self.session.start(peer_address=self.peers.address)
+        for part in self._parts():
+            part.start()
+        for door in self.doors.values():
+            door.start()
+
+    def _parts(self) -> list[Part]:
+        return [
+            self.members,
+            self.feed,
+            self.listing,
+            self.standalone,
+            self.claims,
+            self.limits,
+            self.owner,
+            self.ownership,
+        ]
+
+    def stop(self) -> None:
+        """Stop as planned: hand over, finish every open request, then end."""
+        if self.stopping:
+            return
+        self.stopping = True
+        deadline = Deadline(self.settings.box.stop_within_s)
+        self._log.say("Planned stop begins.", open_requests=self.open_requests.count)
+        self.session.announce_stopping()
+        self.ownership.hand_over_all()
+        gevent.sleep(self.settings.box.stop_notice_s)
+        self.refusing = True
+        whole = self.open_requests.wait_for_none(deadline)
+        self._log.say("Planned stop ends.", all_finished=whole)
+        self._end()
+
+    def kill(self) -> None:
+        """End at once, as a crash would; for tests and the demo in one process."""
+        self.stopping = True
+        self._end()
+
+    def _end(self) -> None:
+        for door in self.doors.values():
+            door.stop()
+        for part in reversed(self._parts()):
+            part.stop()
+        self.session.stop()
+        self.peers.stop()
+        self.stopped.set()
--- /dev/null
+++ b/springrock/cli.py
@@ -0,0 +1,94 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+import defopt
+import gevent
+
+from springrock import __version__
+from springrock.errors import SettingsError, SpringrockError
+from springrock.log import log_to
+from springrock.settings import BoxSettings, read
+
+_USAGE_EXIT = 2
+
+
+def serve(settings: str) -> int:
+    """Run an entry box until it is told to stop (SIGTERM or SIGINT).
+
+    :param settings: The settings file, JSON with comments.
+    """
+    from springrock.box import Box
+
+    box = Box(read(settings, BoxSettings))
+    log_to(sys.stderr)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, lambda: gevent.spawn(box.stop))
+    box.start()
+    box.stopped.wait()
+    return 0
+
+
+def check(settings: str) -> int:
+    """Check a settings file; print every error with its line and key.
+
+    :param settings: The settings file, JSON with comments.
+    """
+    read(settings, BoxSettings)
+    return 0
+
+
+def standin(kind: str, settings: str) -> int:
+    """Run a stand-in of an outside system: platform, engine, service or proxy.
+
+    :param kind: Which one.
+    :param settings: Its settings file, JSON with comments.
+    """
+    from springrock.emulator import make_standin
+    from springrock.emulator.platform import serve_forever
+
+    gevent.signal_handler(signal.SIGTERM, sys.exit, 0)
+    serve_forever(make_standin(kind, settings))
+    return 0
+
+
+def demo(*, seconds: float = 15.0, seed: int = 1) -> int:
+    """Serve a scripted load with everything in one process; fail if a promise broke.
+
+    :param seconds: How long to load.
+    :param seed: The seed of the load.
+    """
+    from springrock.demo import run_demo
+
+    return run_demo(seconds=seconds, seed=seed)
+
+
+def ask(box: str, statement: str, *, key: str = "", json: bool = False, wait_s: float = 0.0) -> int:
+    """Ask a box a statement of the operators' language.
+
+    :param box: The address of the box's operator door, HOST:PORT.
+    :param statement: The statement; "help" lists all.
+    :param key: The operator's key; else taken from SPRINGROCK_KEY.
+    :param json: Print JSON in place of a table.
+    :param wait_s: After a change, wait this long for it to be in force on every box.
+    """
+    from springrock.asking import ask_box
+
+    return ask_box(box, statement, key=key, as_json=json, wait_s=wait_s)
+
+
+def main() -> None:
+    """Run the command line."""
+    commands = [serve, check, standin, demo, ask]
+    try:
+        code = defopt.run(commands, version=f"springrock {__version__}", cli_options="has_default")
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        code = _USAGE_EXIT
+    except SpringrockError as error:
+        print(f"{type(error).__name__}: {error}", file=sys.stderr)
+        code = 1
+    sys.exit(code)
--- /dev/null
+++ b/springrock/coordination/listing.py
@@ -0,0 +1,68 @@
+"""The platform's lagging list: which boxes and upstreams are leaving."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from springrock.errors import PlatformUnavailable
+from springrock.log import Log
+from springrock.plugins import Platform
+
+
+class LeavingList:
+    """Polls the list; keeps the last one while the platform is out.
+
+    Args:
+        platform: The platform client.
+        poll_s: How often to poll.
+        log: The log to write to.
+        on_change: Called with the names that are leaving.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        *,
+        poll_s: float,
+        log: Log,
+        on_change: Callable[[set[str]], None],
+    ) -> None:
+        self._platform = platform
+        self._poll_s = poll_s
+        self._log = log
+        self._on_change = on_change
+        self._task: gevent.Greenlet[..., Any] | None = None
+        self.leaving: set[str] = set()
+
+    def start(self) -> None:
+        """Begin polling in the background."""
+        self._task = gevent.spawn(self._poll_forever)
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.kill()
+
+    def poll(self) -> None:
+        """Read the list once.
+
+        Raises:
+            PlatformUnavailable: If it cannot be read.
+        """
+        entries = self._platform.listing().entries
+        leaving = {entry.name for entry in entries if entry.state == "leaving"}
+        if leaving != self.leaving:
+            self.leaving = leaving
+            self._log.say("The platform's list changed.", leaving=sorted(leaving))
+            self._on_change(leaving)
+
+    def _poll_forever(self) -> None:
+        while True:
+            try:
+                self.poll()
+            except PlatformUnavailable as error:
+                self._log.say("Could not read the list.", error=str(error))
+            gevent.sleep(self._poll_s)
--- /dev/null
+++ b/springrock/coordination/peers.py
@@ -0,0 +1,399 @@
+"""Links to the other boxes: one websocket a pair, one task a link, questions and notices.
+
+Within a zone the box whose name sorts lower dials; links to other zones are few and dialed by
+either side when first needed.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult
+from gevent.socket import create_connection
+from gevent.socket import socket as Socket
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import ClientConnection, connect
+from websockets.sync.server import Server, ServerConnection, serve
+
+from springrock.clock import monotonic
+from springrock.coordination.members import Member, Members
+from springrock.errors import PeerRejected, PeerUnreachable
+from springrock.ids import rendezvous_order
+from springrock.log import Log
+from springrock.metrics import Metrics
+from springrock.settings import PeersSection, split_address
+from springrock.wire import peer as wire
+
+A = TypeVar("A", bound=msgspec.Struct)
+Handler = Callable[["Link", Any], "wire.Answer | None"]
+
+_DIAL_TIMEOUT_S = 2.0
+_PING_EVERY_S = 2.0
+_PING_TIMEOUT_S = 3.0
+_DIAL_EVERY_S = 0.5
+_SOCKET_FAILURES = (OSError, WebSocketException, EOFError, TimeoutError)
+
+
+class Link:
+    """One open link.
+
+    Attributes:
+        box: The box at the other end.
+        zone: Its availability zone.
+    """
+
+    def __init__(
+        self, connection: ClientConnection | ServerConnection, hello: wire.Hello, metrics: Metrics
+    ) -> None:
+        self._connection = connection
+        self._metrics = metrics
+        self._pending: dict[int, AsyncResult[Any]] = {}
+        self._numbers = 0
+        self.box = hello.box
+        self.zone = hello.zone
+        self.incarnation = hello.incarnation
+        self.opened_at = monotonic()
+        self.open = True
+
+    def ask(self, question: wire.Question, kind: type[A], *, timeout_s: float) -> A:
+        """Send a question and wait for its answer.
+
+        Args:
+            question: The question; its number is set here.
+            kind: The expected kind of answer.
+            timeout_s: How long to wait.
+
+        Raises:
+            PeerUnreachable: If no such answer came.
+        """
+        number, result = self.begin(question)
+        return self.finish(number, result, kind, timeout_s=timeout_s)
+
+    def begin(self, question: wire.Question) -> tuple[int, AsyncResult[Any]]:
+        """Send a question and return its number and where the answer will appear."""
+        self._numbers += 1
+        number = self._numbers
+        result: AsyncResult[Any] = AsyncResult()
+        self._pending[number] = result
+        try:
+            self.tell(msgspec.structs.replace(question, number=number))
+        except PeerUnreachable:
+            del self._pending[number]
+            raise
+        return number, result
+
+    def finish(
+        self, number: int, result: AsyncResult[Any], kind: type[A], *, timeout_s: float
+    ) -> A:
+        """Wait for the answer to a question that was begun."""
+        try:
+            answer = result.get(timeout=timeout_s)
+        except gevent.Timeout:
+            raise PeerUnreachable(f"{self.box} did not answer within {timeout_s:.1f} s") from None
+        finally:
+            self._pending.pop(number, None)
+        if not isinstance(answer, kind):
+            raise PeerUnreachable(f"{self.box} answered with {type(answer).__name__}")
+        return answer
+
+    def withdraw(self, number: int) -> None:
+        """Tell the other end that a question needs no answer any more."""
+        self._pending.pop(number, None)
+        try:
+            self.tell(wire.Withdraw(number))
+        except PeerUnreachable:
+            return
+
+    def tell(self, message: wire.PeerMessage) -> None:
+        """Send a message without waiting.
+
+        Raises:
+            PeerUnreachable: If the link is broken.
+        """
+        frame = wire.encode(message)
+        try:
+            self._connection.send(frame)
+        except _SOCKET_FAILURES as error:
+            raise PeerUnreachable(f"{self.box}: {error}") from None
+        self._metrics.peer_bytes.labels("sent").inc(len(frame))
+        self._metrics.peer_messages.labels("sent").inc()
+
+    def receive(self) -> wire.PeerMessage:
+        """Wait for the next message.
+
+        Raises:
+            PeerRejected: If it is malformed.
+        """
+        frame = self._connection.recv()
+        self._metrics.peer_bytes.labels("received").inc(len(frame))
+        self._metrics.peer_messages.labels("received").inc()
+        return wire.decode(frame)
+
+    def settle(self, answer: wire.Answer) -> None:
+        """Hand an answer to its question, if that still waits."""
+        result = self._pending.pop(answer.number, None)
+        if result is not None:
+            result.set(answer)
+        elif isinstance(answer, wire.Grant):
+            self.decline(answer)
+
+    def decline(self, grant: wire.Grant) -> None:
+        """Return a permit that nobody waits for any more."""
+        try:
+            self.tell(wire.Return(grant.replica, grant.permit, grant.fence, 0))
+        except PeerUnreachable:
+            return
+
+    def close(self) -> None:
+        """Close the link and fail what waits on it."""
+        self.open = False
+        for result in list(self._pending.values()):
+            result.set_exception(PeerUnreachable(f"the link to {self.box} closed"))
+        self._pending.clear()
+        self._connection.close()
+
+
+class Peers:
+    """All links of one box.
+
+    Args:
+        settings: Address, shared key and limits.
+        hello: Makes this box's first message.
+        members: Tells which boxes there are and where they listen.
+        log: The log to write to.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(
+        self,
+        settings: PeersSection,
+        *,
+        hello: Callable[[], wire.Hello],
+        members: Members,
+        log: Log,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._hello = hello
+        self._members = members
+        self._log = log
+        self._metrics = metrics
+        self._handlers: dict[type[Any], Handler] = {}
+        self._links: dict[str, Link] = {}
+        self._dialing: set[str] = set()
+        self._server: Server | None = None
+        self._tasks: list[gevent.Greenlet[..., Any]] = []
+        self.on_link: list[Callable[[Link], None]] = []
+
+    def handle(self, kind: type[Any], handler: Handler) -> None:
+        """Have a kind of message handled.
+
+        A handler of questions runs in a task of its own and may wait; its return value is the
+        answer. Handlers of notices run in the link's task and must not wait.
+        """
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """Listen, and keep dialing the boxes that this one should dial."""
+        host, port = split_address(self._settings.address)
+        self._server = serve(
+            self._serve_link,
+            host,
+            port,
+            process_request=self._check_key,
+            compression=None,
+            max_size=self._settings.frame_limit_bytes,
+            ping_interval=_PING_EVERY_S,
+            ping_timeout=_PING_TIMEOUT_S,
+        )
+        self._tasks.append(gevent.spawn(self._server.serve_forever))
+        self._tasks.append(gevent.spawn(self._dial_forever))
+
+    @property
+    def address(self) -> str:
+        """The bound address."""
+        assert self._server is not None
+        host, port = self._server.socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Close every link."""
+        for task in self._tasks[1:]:
+            task.kill()
+        if self._server is not None:
+            self._server.shutdown()
+        for link in list(self._links.values()):
+            link.close()
+
+    def links(self, zone: str | None = None) -> list[Link]:
+        """Return the open links, of one zone or of all."""
+        return [link for link in self._links.values() if zone in (None, link.zone)]
+
+    def link_to(self, box: str) -> Link:
+        """Return the link to a box, dialing it if there is none.
+
+        Raises:
+            PeerUnreachable: If it cannot be dialed.
+        """
+        link = self._links.get(box)
+        if link is not None and link.open:
+            return link
+        member = self._members.find(box)
+        if member is None:
+            raise PeerUnreachable(f"{box} is not known")
+        return self._dial(member)
+
+    def link_to_member(self, member: Member) -> Link:
+        """Return a link to one incarnation of a box, lapsed or not.
+
+        Raises:
+            PeerUnreachable: If it cannot be dialed, or another incarnation answers.
+        """
+        link = self._links.get(member.box)
+        if link is None or not link.open:
+            link = self._dial(member)
+        if link.incarnation != member.value.incarnation:
+            raise PeerUnreachable(f"{member.box} was restarted")
+        return link
+
+    def tell_all(self, message: wire.PeerMessage) -> None:
+        """Send a message on every open link; broken ones are passed over."""
+        for link in self.links():
+            try:
+                link.tell(message)
+            except PeerUnreachable:
+                continue
+
+    # Dialing.
+
+    def _dial_forever(self) -> None:
+        while True:
+            for member in self._wanted():
+                if member.box not in self._links and member.box not in self._dialing:
+                    gevent.spawn(self._dial_quietly, member)
+            gevent.sleep(_DIAL_EVERY_S)
+
+    def _wanted(self) -> list[Member]:
+        me = self._hello()
+        wanted = [member for member in self._members.live(me.zone) if me.box < member.box]
+        zones = {member.zone for member in self._members.live()} - {me.zone}
+        for zone in sorted(zones):
+            by_box = {member.box: member for member in self._members.live(zone)}
+            order = rendezvous_order(me.box, by_box)
+            wanted += [by_box[box] for box in order[: self._settings.remote_zone_links]]
+        return wanted
+
+    def _dial_quietly(self, member: Member) -> None:
+        try:
+            self._dial(member)
+        except PeerUnreachable as error:
+            self._log.say("Could not dial a peer.", peer=member.box, error=str(error))
+
+    def _dial(self, member: Member) -> Link:
+        self._dialing.add(member.box)
+        try:
+            connection = self._connect(member)
+            link = self._shake_hands(connection)
+        except (*_SOCKET_FAILURES, PeerRejected) as error:
+            raise PeerUnreachable(f"{member.box}: {error}") from None
+        finally:
+            self._dialing.discard(member.box)
+        if link.box != member.box:
+            link.close()
+            raise PeerUnreachable(f"{member.box} answered as {link.box}")
+        gevent.spawn(self._read_link, link)
+        return link
+
+    def _connect(self, member: Member) -> ClientConnection:
+        address = self._settings.reached_at.get(member.box, member.value.peer_address)
+        plain: Socket = create_connection(split_address(address), timeout=_DIAL_TIMEOUT_S)
+        plain.settimeout(None)
+        return connect(
+            f"ws://{address}/",
+            sock=plain,
+            additional_headers={"Authorization": f"Bearer {self._settings.shared_key}"},
+            compression=None,
+            proxy=None,
+            max_size=self._settings.frame_limit_bytes,
+            open_timeout=_DIAL_TIMEOUT_S,
+            ping_interval=_PING_EVERY_S,
+            ping_timeout=_PING_TIMEOUT_S,
+        )
+
+    def _check_key(self, connection: ServerConnection, request: Any) -> Any:
+        shown = request.headers.get("Authorization", "")
+        expected = f"Bearer {self._settings.shared_key}"
+        if hmac.compare_digest(shown.encode(), expected.encode()):
+            return None
+        self._log.say("Rejected a stranger.")
+        return connection.respond(401, "wrong key\n")
+
+    # Links.
+
+    def _serve_link(self, connection: ServerConnection) -> None:
+        try:
+            link = self._shake_hands(connection)
+        except (*_SOCKET_FAILURES, PeerRejected) as error:
+            self._log.say("Rejected a link.", error=str(error))
+            connection.close()
+            return
+        self._read_link(link)
+
+    def _shake_hands(self, connection: ClientConnection | ServerConnection) -> Link:
+        connection.send(wire.encode(self._hello()))
+        hello = wire.decode(connection.recv(timeout=_DIAL_TIMEOUT_S))
+        if not isinstance(hello, wire.Hello):
+            raise PeerRejected("the first message is not a hello")
+        link = Link(connection, hello, self._metrics)
+        self._join(link)
+        return link
+
+    def _join(self, link: Link) -> None:
+        self._links[link.box] = link
+        self._metrics.peer_links.set(len(self._links))
+        self._log.say("Linked with a peer.", peer=link.box)
+        for hook in self.on_link:
+            gevent.spawn(hook, link)
+
+    def _leave(self, link: Link) -> None:
+        if self._links.get(link.box) is link:
+            del self._links[link.box]
+            self._log.say("Lost the link to a peer.", peer=link.box)
+        self._metrics.peer_links.set(len(self._links))
+        link.close()
+
+    def _read_link(self, link: Link) -> None:
+        try:
+            while True:
+                self._take(link, link.receive())
+        except _SOCKET_FAILURES:
+            pass
+        except PeerRejected as error:
+            self._log.say("Cut a peer that broke the protocol.", peer=link.box, error=str(error))
+        finally:
+            self._leave(link)
+
+    def _take(self, link: Link, message: wire.PeerMessage) -> None:
+        if isinstance(message, wire.Answer):
+            link.settle(message)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise PeerRejected(f"an unexpected {type(message).__name__}")
+        if isinstance(message, wire.Question):
+            gevent.spawn(self._answer, link, handler, message)
+        else:
+            handler(link, message)
+
+    def _answer(self, link: Link, handler: Handler, question: wire.Question) -> None:
+        answer = handler(link, question)
+        if answer is None:
+            return
+        try:
+            link.tell(answer)
+        except PeerUnreachable as error:
+            self._log.say("Could not answer a peer.", peer=link.box, error=str(error))
--- /dev/null
+++ b/springrock/coordination/relayed.py
@@ -0,0 +1,127 @@
+"""The platform as a box sees it: by its own calls, or through a peer that still reaches it."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from springrock.clock import monotonic
+from springrock.coordination.peers import Link, Peers
+from springrock.errors import PeerUnreachable, PlatformUnavailable
+from springrock.metrics import Metrics
+from springrock.plugins import Platform
+from springrock.wire import peer as peer_wire
+from springrock.wire import platform as wire
+
+T = TypeVar("T")
+
+_RELAY_TIMEOUT_S = 1.5
+_RELAYS_TRIED = 3
+_DIRECT_AGAIN_AFTER_S = 1.0
+
+
+class RelayedPlatform:
+    """Calls the platform directly, and its table through zone peers when that fails.
+
+    A relayed transaction may take effect twice only if its checks allow it; all of this
+    package's transactions check what they write.
+
+    Args:
+        direct: The client that calls from this box.
+        zone: This box's availability zone.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(self, direct: Platform, *, zone: str, metrics: Metrics) -> None:
+        self._direct = direct
+        self._zone = zone
+        self._metrics = metrics
+        self._peers: Peers | None = None
+        self._skip_direct_until = 0.0
+
+    def use_peers(self, peers: Peers) -> None:
+        """Relay through these peers, and carry their calls."""
+        self._peers = peers
+        peers.handle(peer_wire.RelayCall, self._on_call)
+
+    def transact(self, transaction: wire.Transaction) -> wire.TransactionAnswer:
+        """Carry out a table transaction.
+
+        Raises:
+            PlatformUnavailable: If no answer came; the writes may have taken effect.
+        """
+        if self._direct_allowed():
+            try:
+                answer = self._direct.transact(transaction)
+                self._count("transact", "done")
+                return answer
+            except PlatformUnavailable:
+                self._note_failure("transact")
+        call = peer_wire.RelayCall(0, "", msgspec.json.encode(transaction))
+        return self._relay(call, wire.TransactionAnswer)
+
+    def rows(self, prefix: str) -> list[wire.Row]:
+        """Read the rows under a prefix.
+
+        Raises:
+            PlatformUnavailable: If no answer came.
+        """
+        if self._direct_allowed():
+            try:
+                rows = self._direct.rows(prefix)
+                self._count("read", "done")
+                return rows
+            except PlatformUnavailable:
+                self._note_failure("read")
+        return self._relay(peer_wire.RelayCall(0, prefix, b""), wire.Rows).rows
+
+    def get_object(self, name: str) -> bytes | None:
+        """Read an object, or None if there is none."""
+        return self._direct.get_object(name)
+
+    def put_object(self, name: str, data: bytes) -> None:
+        """Write an object."""
+        self._direct.put_object(name, data)
+
+    def listing(self) -> wire.Listing:
+        """Read the lagging list of boxes and upstreams."""
+        return self._direct.listing()
+
+    def _direct_allowed(self) -> bool:
+        return monotonic() >= self._skip_direct_until
+
+    def _note_failure(self, kind: str) -> None:
+        self._count(kind, "failed")
+        self._skip_direct_until = monotonic() + _DIRECT_AGAIN_AFTER_S
+
+    def _count(self, kind: str, result: str) -> None:
+        self._metrics.table_requests.labels(kind, result).inc()
+
+    def _relay(self, call: peer_wire.RelayCall, kind: type[T]) -> T:
+        links = self._peers.links(self._zone) if self._peers is not None else []
+        for link in links[:_RELAYS_TRIED]:
+            try:
+                answer = link.ask(call, peer_wire.RelayAnswer, timeout_s=_RELAY_TIMEOUT_S)
+            except PeerUnreachable:
+                continue
+            if answer.body:
+                self._count("relayed", "done")
+                return msgspec.json.decode(answer.body, type=kind)
+        raise PlatformUnavailable("neither this box nor its peers reach the table")
+
+    def _on_call(self, _: Link, call: peer_wire.RelayCall) -> peer_wire.RelayAnswer:
+        """Carry a peer's call directly; never through another peer."""
+        if not self._direct_allowed():
+            return peer_wire.RelayAnswer(call.number, b"")
+        try:
+            body = self._carry(call)
+        except (PlatformUnavailable, msgspec.MsgspecError):
+            body = b""
+        return peer_wire.RelayAnswer(call.number, body)
+
+    def _carry(self, call: peer_wire.RelayCall) -> bytes:
+        if not call.transaction:
+            return msgspec.json.encode(wire.Rows(rows=self._direct.rows(call.prefix)))
+        transaction = msgspec.json.decode(call.transaction, type=wire.Transaction)
+        return msgspec.json.encode(self._direct.transact(transaction))
--- /dev/null
+++ b/springrock/coordination/session.py
@@ -0,0 +1,190 @@
+"""A box's session: a row in the table service, renewed while the box lives.
+
+The holder counts its lease from before it *sent* a renewal, a challenger from when it *first
+saw* the last renewal, plus a margin; both on their own monotonic clock. So a holder's lease is
+over before any challenger may act, whatever the delays and pauses.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+from gevent.event import Event
+from gevent.lock import RLock
+
+from springrock.clock import monotonic
+from springrock.errors import PlatformUnavailable, TransactionConflict
+from springrock.ids import new_id
+from springrock.log import Log
+from springrock.plugins import Platform
+from springrock.settings import LeaseSection
+from springrock.wire.platform import ABSENT, Check, Put, Row, Transaction
+
+SESSION_PREFIX = "session/"
+
+
+class SessionValue(msgspec.Struct, frozen=True, array_like=True):
+    """What a session row says of its box."""
+
+    box: str
+    zone: str
+    incarnation: str
+    peer_address: str
+    renewal: int
+    stopping: bool = False
+
+
+def key_of(value: SessionValue) -> str:
+    """Return the key of a session's row."""
+    return f"{SESSION_PREFIX}{value.zone}/{value.box}/{value.incarnation}"
+
+
+class Session:
+    """Holds and renews this box's session.
+
+    Args:
+        platform: The platform client.
+        lease: How often to renew and when the lease lapses.
+        box: The name of this box.
+        zone: Its availability zone.
+        log: The log to write to.
+        on_lost: Called when another box broke the session; all ownership is gone then.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        lease: LeaseSection,
+        *,
+        box: str,
+        zone: str,
+        log: Log,
+        on_lost: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._platform = platform
+        self._lease = lease
+        self._log = log
+        self._on_lost = on_lost
+        self._lock = RLock()
+        self._version = ABSENT
+        self._held_until = 0.0
+        self._loop: gevent.Greenlet[..., Any] | None = None
+        self._stop_asked = Event()
+        self.renewed_at = 0.0
+        self.box = box
+        self.value = SessionValue(box, zone, new_id(), "", 0)
+
+    @property
+    def key(self) -> str:
+        """The key of the session's row; each incarnation has its own, which lapses by itself."""
+        return key_of(self.value)
+
+    @property
+    def incarnation(self) -> str:
+        """Changes whenever the session was lost and begun again."""
+        return self.value.incarnation
+
+    @property
+    def held(self) -> bool:
+        """Whether the lease is certainly not lapsed for any challenger."""
+        return monotonic() < self._held_until
+
+    @property
+    def table_seen_s(self) -> float:
+        """Seconds since the last renewal that the table confirmed."""
+        return monotonic() - self.renewed_at
+
+    def start(self, *, peer_address: str) -> None:
+        """Begin renewing in the background."""
+        self.value = msgspec.structs.replace(self.value, peer_address=peer_address)
+        self._loop = gevent.spawn(self._renew_forever)
+
+    def stop(self) -> None:
+        """Stop renewing and delete the row if the table can be reached."""
+        self._stop_asked.set()
+        if self._loop is not None:
+            self._loop.kill()
+        self._held_until = 0.0
+        with self._lock:
+            try:
+                self._platform.transact(
+                    Transaction(checks=[Check(self.key, self._version)], deletes=[self.key])
+                )
+            except PlatformUnavailable:
+                self._log.say("Left the session row to lapse.")
+
+    def announce_stopping(self) -> None:
+        """Tell the others that this box is about to stop."""
+        self.value = msgspec.structs.replace(self.value, stopping=True)
+        self.renew()
+
+    def renew(self) -> bool:
+        """Renew once; return whether the table confirmed."""
+        with self._lock:
+            try:
+                self.commit(Transaction())
+            except (PlatformUnavailable, TransactionConflict) as error:
+                self._log.say("Could not renew the session.", error=str(error))
+                return False
+            return True
+
+    def commit(self, transaction: Transaction) -> int:
+        """Carry out a transaction that holds only while this session stands, and renew with it.
+
+        Returns:
+            The version of the rows written.
+
+        Raises:
+            TransactionConflict: If a check failed, the session's own included.
+            PlatformUnavailable: If the outcome is not known.
+        """
+        with self._lock:
+            sent_at = monotonic()
+            value = msgspec.structs.replace(self.value, renewal=self.value.renewal + 1)
+            own = Put(self.key, msgspec.json.encode(value))
+            answer = self._platform.transact(
+                Transaction(
+                    checks=[Check(self.key, self._version), *transaction.checks],
+                    puts=[own, *transaction.puts],
+                    deletes=transaction.deletes,
+                )
+            )
+            if not answer.committed:
+                self._settle(answer.failed)
+                raise TransactionConflict(tuple(row.key for row in answer.failed))
+            self._confirm(value, answer.version, sent_at)
+            return answer.version
+
+    def _confirm(self, value: SessionValue, version: int, sent_at: float) -> None:
+        self.value = value
+        self._version = version
+        self._held_until = sent_at + self._lease.lapse_after_s
+        self.renewed_at = sent_at
+
+    def _settle(self, failed: list[Row]) -> None:
+        """Learn from a failed check whether an earlier write of ours took effect."""
+        for row in failed:
+            if row.key != self.key:
+                continue
+            if row.version == ABSENT:
+                self._begin_again()
+                return
+            standing = msgspec.json.decode(row.value, type=SessionValue)
+            self._version = row.version
+            self.value = msgspec.structs.replace(self.value, renewal=standing.renewal)
+
+    def _begin_again(self) -> None:
+        self._version = ABSENT
+        self._held_until = 0.0
+        self.value = msgspec.structs.replace(self.value, incarnation=new_id(), renewal=0)
+        self._log.say("Lost the session; began a new one.")
+        self._on_lost()
+
+    def _renew_forever(self) -> None:
+        while not self._stop_asked.is_set():
+            renewed = self.renew()
+            pause = self._lease.renew_every_s if renewed else self._lease.renew_every_s / 3
+            self._stop_asked.wait(timeout=pause)
--- /dev/null
+++ b/springrock/doors/caller.py
@@ -0,0 +1,320 @@
+"""The callers' door: OpenAI-style completions, plain services, models, health and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import bottle
+from expression import Error, Result
+
+from springrock.box import Box
+from springrock.doors._watch import CallerWatch
+from springrock.errors import CallerGone, Cause, Refusal, RequestRefused, RunState
+from springrock.httpd import SOCKET_KEY, HttpServer, json_response, new_app, read_body
+from springrock.ids import new_id
+from springrock.plugins import doors
+from springrock.serving.relay import Answer
+from springrock.serving.request import ServingRequest
+from springrock.wire import caller as wire
+
+_SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "DELETE"]
+_REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
+_MODELS_LISTED = 1_000
+
+
+@doors.register("caller")
+class CallerDoor:
+    """Serves callers over HTTP.
+
+    Args:
+        box: The box that it is a door of.
+    """
+
+    def __init__(self, box: Box) -> None:
+        self._box = box
+        self._settings = box.settings.caller_door
+        self._workload_by_key = {
+            f"Bearer {item.key}": item.workload for item in self._settings.workload_keys
+        }
+        self._log = box.log("caller")
+        self._server = HttpServer(
+            self._build_app(),
+            self._settings.address,
+            send_timeout_s=self._settings.send_timeout_s,
+        )
+
+    def start(self) -> None:
+        """Begin listening."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening and close idle connections."""
+        self._server.stop()
+
+    @property
+    def address(self) -> str:
+        """The bound address."""
+        return self._server.address
+
+    def _build_app(self) -> Any:
+        app = new_app()
+        app.post("/v1/completions")(lambda: self._completion(chat=False))
+        app.post("/v1/chat/completions")(lambda: self._completion(chat=True))
+        app.get("/v1/models")(self._models)
+        app.get("/healthz")(lambda: b"ok\n")
+        app.get("/readyz")(self._readyz)
+        app.get("/metrics")(self._metrics)
+        app.route("/services/<pool>/<path:path>", method=_SERVICE_METHODS)(self._service)
+        app.default_error_handler = self._error_page
+        return app
+
+    # Small pages.
+
+    def _models(self) -> Any:
+        box = self._box
+        names = [pool.base_model for pool in box.settings.pools if pool.base_model]
+        for adapter in box.catalog.adapters():
+            if len(names) >= _MODELS_LISTED:
+                break
+            names.append(adapter.name)
+        return json_response(wire.model_list(names))
+
+    def _readyz(self) -> Any:
+        why_not = self._box.why_not_ready()
+        if why_not:
+            return bottle.HTTPResponse(f"{why_not}\n".encode(), status=503)
+        return b"ready\n"
+
+    def _metrics(self) -> Any:
+        bottle.response.content_type = "text/plain; version=0.0.4"
+        return self._box.metrics.render()
+
+    def _error_page(self, error: Any) -> Any:
+        if error.status_code == 500:
+            self._log.say("An internal fault.", error=repr(error.exception))
+        cause = Cause.INTERNAL_FAULT if error.status_code == 500 else Cause.MALFORMED_REQUEST
+        refusal = Refusal(
+            cause,
+            str(error.body),
+            RunState.UNKNOWN if error.status_code == 500 else RunState.NOT_RUN,
+        )
+        bottle.response.content_type = "application/json"
+        return wire.error_body(refusal, "")
+
+    # Completions.
+
+    def _completion(self, *, chat: bool) -> Any:
+        watch = CallerWatch(bottle.request.environ[SOCKET_KEY])
+        opened = self._box.open_requests
+        opened.enter()
+        streaming = False
+        try:
+            # The body is read before the watch may read the same socket.
+            admitted = self._admit(chat=chat)
+            if admitted.is_error():
+                return self._refuse(admitted.error)
+            request = admitted.ok
+            watch.start()
+            answered = self._box.relay.open(request)
+            if answered.is_error():
+                return self._refuse(answered.error, request.request_id)
+            if not request.body.stream:
+                return self._whole(request, answered.ok)
+            streaming = True
+            bottle.response.headers["Cache-Control"] = "no-store"
+            bottle.response.headers["Content-Type"] = "text/event-stream"
+            bottle.response.headers.update(self._headers(request, answered.ok))
+            return self._stream(request, answered.ok, watch)
+        except CallerGone:
+            self._count(RunState.CUT, Cause.CALLER_GONE)
+            return bottle.HTTPResponse(b"", status=499)
+        finally:
+            if not streaming:
+                watch.stop()
+                opened.leave()
+
+    def _admit(self, *, chat: bool) -> Result[ServingRequest, Refusal]:
+        raw = read_body(self._settings.body_limit_bytes)
+        if raw is None:
+            limit = self._settings.body_limit_bytes
+            return Error(wire.refuse(Cause.BODY_TOO_LARGE, f"the body is over {limit} bytes"))
+        closed = self._closed()
+        if closed is not None:
+            return Error(closed)
+        body = wire.parse_body(raw, chat=chat)
+        if body.is_error():
+            return Error(body.error)
+        terms = self._terms(repeatable=True)
+        if terms.is_error():
+            return Error(terms.error)
+        return self._box.admission.admit(body.ok, terms.ok, chat=chat)
+
+    def _closed(self) -> Refusal | None:
+        """Return why nothing is taken now, if so."""
+        box = self._box
+        if box.refusing:
+            return Refusal(Cause.BOX_STOPPING, "this box is stopping", retry_after_s=1.0)
+        if not box.serving:
+            return Refusal(Cause.BOX_STARTING, box.why_not_ready(), retry_after_s=1.0)
+        if box.open_requests.count > self._settings.open_requests_limit:
+            return Refusal(Cause.QUEUE_FULL, "this box has too many requests", retry_after_s=1.0)
+        return None
+
+    def _terms(self, *, repeatable: bool) -> Result[wire.Terms, Refusal]:
+        headers = bottle.request.headers
+        workload = ""
+        if self._workload_by_key:
+            workload = self._workload_by_key.get(headers.get("Authorization", ""), "")
+            if not workload:
+                return Error(wire.refuse(Cause.BAD_CREDENTIAL, "the credential is not known"))
+        return wire.parse_terms(
+            headers,
+            workload=workload,
+            default_deadline_s=self._settings.default_deadline_s,
+            longest_deadline_s=self._settings.longest_deadline_s,
+            repeatable=repeatable,
+        )
+
+    def _headers(self, request: ServingRequest, answer: Answer) -> dict[str, str]:
+        permitted = answer.permitted
+        return {
+            wire.REQUEST_ID_HEADER: request.request_id,
+            wire.MODEL_HEADER: str(request.model),
+            wire.BOX_HEADER: self._box.name,
+            wire.REPLICA_HEADER: permitted.upstream.name,
+            wire.LOAD_STALL_HEADER: f"{permitted.stall_s * 1000:.0f}",
+        }
+
+    def _stream(
+        self, request: ServingRequest, answer: Answer, watch: CallerWatch
+    ) -> Iterator[bytes]:
+        try:
+            for event in answer:
+                yield event.raw
+            self._count(RunState.ANSWERED)
+        except RequestRefused as error:
+            self._note_cut(request, error.refusal)
+            yield wire.error_event(error.refusal, request.request_id)
+        except (CallerGone, GeneratorExit):
+            self._log.say(f"The caller of {request.request_id} left.", request=request.request_id)
+            self._count(RunState.CUT, Cause.CALLER_GONE)
+        finally:
+            watch.stop()
+            answer.close()
+            self._box.open_requests.leave()
+
+    def _whole(self, request: ServingRequest, answer: Answer) -> Any:
+        pieces: list[str] = []
+        finish_reason = ""
+        try:
+            for event in answer:
+                if event.chunk is not None:
+                    choice = event.chunk.choices[0]
+                    pieces.append(choice.piece)
+                    finish_reason = choice.finish_reason or finish_reason
+        except RequestRefused as error:
+            self._note_cut(request, error.refusal)
+            return self._refuse(error.refusal, request.request_id, counted=True)
+        finally:
+            answer.close()
+        self._count(RunState.ANSWERED)
+        body = wire.whole_answer(
+            request_id=request.request_id,
+            model=str(request.model),
+            text="".join(pieces),
+            tokens=answer.tokens,
+            finish_reason=finish_reason,
+            chat=request.chat,
+        )
+        headers = self._headers(request, answer)
+        headers[wire.RUN_STATE_HEADER] = RunState.ANSWERED
+        return json_response(body, headers=headers)
+
+    # Services.
+
+    def _service(self, pool: str, path: str) -> Any:
+        watch = CallerWatch(bottle.request.environ[SOCKET_KEY])
+        request = bottle.request
+        self._box.open_requests.enter()
+        try:
+            raw = read_body(self._settings.body_limit_bytes)
+            if raw is None:
+                limit = self._settings.body_limit_bytes
+                return self._refuse(
+                    wire.refuse(Cause.BODY_TOO_LARGE, f"the body is over {limit} bytes")
+                )
+            closed = self._closed()
+            if closed is not None:
+                return self._refuse(closed)
+            terms = self._terms(repeatable=request.method in _REPEATABLE_METHODS)
+            if terms.is_error():
+                return self._refuse(terms.error)
+            limited = self._box.admission.limit(terms.ok.workload)
+            if limited is not None:
+                return self._refuse(limited, terms.ok.request_id)
+            watch.start()
+            return self._call_service(pool, path, raw, terms.ok)
+        except CallerGone:
+            self._count(RunState.UNKNOWN, Cause.CALLER_GONE)
+            return bottle.HTTPResponse(b"", status=499)
+        finally:
+            watch.stop()
+            self._box.open_requests.leave()
+
+    def _call_service(self, pool: str, path: str, raw: bytes, terms: wire.Terms) -> Any:
+        request = bottle.request
+        request_id = terms.request_id or new_id()
+        query = f"?{request.query_string}" if request.query_string else ""
+        result = self._box.services.call(
+            pool,
+            request.method,
+            f"/{path}{query}",
+            body=raw,
+            content_type=request.content_type or "application/octet-stream",
+            request_id=request_id,
+            terms=terms,
+        )
+        match result:
+            case Result(tag="ok", ok=answer):
+                self._count(RunState.ANSWERED)
+                headers = {
+                    "Content-Type": answer.content_type,
+                    wire.REQUEST_ID_HEADER: request_id,
+                    wire.BOX_HEADER: self._box.name,
+                    wire.RUN_STATE_HEADER: RunState.ANSWERED,
+                }
+                return bottle.HTTPResponse(answer.body, status=answer.status, headers=headers)
+            case Result(error=refusal):
+                return self._refuse(refusal, request_id)
+
+    # Endings.
+
+    def _refuse(self, refusal: Refusal, request_id: str = "", *, counted: bool = False) -> Any:
+        if not counted:
+            self._count(refusal.run_state, refusal.cause)
+            self._log.say(
+                f"Refused {request_id or 'a request'}: {refusal.cause}.",
+                request=request_id,
+                cause=refusal.cause,
+                run_state=refusal.run_state,
+                retry_after_s=refusal.retry_after_s,
+            )
+        headers = {wire.RUN_STATE_HEADER: refusal.run_state, wire.BOX_HEADER: self._box.name}
+        if refusal.retry_after_s > 0:
+            headers["Retry-After"] = wire.retry_after_header(refusal)
+        body = wire.error_body(refusal, request_id)
+        return json_response(body, status=wire.status_of(refusal), headers=headers)
+
+    def _note_cut(self, request: ServingRequest, refusal: Refusal) -> None:
+        self._log.say(
+            f"Cut {request.request_id}: {refusal.cause}.",
+            request=request.request_id,
+            cause=refusal.cause,
+        )
+        self._count(refusal.run_state, refusal.cause)
+
+    def _count(self, run_state: RunState, cause: Cause | None = None) -> None:
+        self._box.metrics.requests.labels(run_state).inc()
+        if cause is not None:
+            self._box.metrics.refusals.labels(cause).inc()
--- /dev/null
+++ b/springrock/doors/operator.py
@@ -0,0 +1,96 @@
+"""The operators' door: statements of the query and command language, under a credential."""
+
+from __future__ import annotations
+
+import hmac
+from typing import Any
+
+import bottle
+import msgspec
+
+from springrock.box import Box
+from springrock.errors import PlatformUnavailable, SpringrockError, StatementError
+from springrock.httpd import HttpServer, json_response, new_app, read_body
+from springrock.language import parse
+from springrock.plugins import doors
+from springrock.statements import Asker
+from springrock.wire.operator import (
+    STATEMENTS_PATH,
+    StatementAnswer,
+    StatementFailure,
+    StatementRequest,
+)
+
+_BODY_LIMIT_BYTES = 65_536
+
+
+@doors.register("operator")
+class OperatorDoor:
+    """Serves operators over HTTP.
+
+    Args:
+        box: The box that it is a door of.
+    """
+
+    def __init__(self, box: Box) -> None:
+        self._box = box
+        self._credentials = box.settings.operator_door.credentials
+        self._log = box.log("operator")
+        app = new_app()
+        app.post(STATEMENTS_PATH)(self._statement)
+        self._server = HttpServer(app, box.settings.operator_door.address)
+
+    def start(self) -> None:
+        """Begin listening."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop()
+
+    @property
+    def address(self) -> str:
+        """The bound address."""
+        return self._server.address
+
+    def _statement(self) -> Any:
+        who = self._who(bottle.request.headers.get("Authorization", ""))
+        if who is None:
+            self._log.say("Rejected a credential.")
+            return _failure(401, "BadCredential", "the key is not known")
+        raw = read_body(_BODY_LIMIT_BYTES)
+        try:
+            request = msgspec.json.decode(raw or b"", type=StatementRequest)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return _failure(400, "MalformedRequest", str(error))
+        self._log.say(f"{who} asks: {request.statement}", who=who, command=request.command_id)
+        return self._run(who, request)
+
+    def _run(self, who: str, request: StatementRequest) -> Any:
+        try:
+            statement, words = parse(request.statement)
+            asker = Asker(who, request.command_id, request.wait_s)
+            answer: StatementAnswer = statement.run(self._box, words, asker)
+        except StatementError as error:
+            return self._refused(409, who, error)
+        except PlatformUnavailable as error:
+            return self._refused(503, who, error)
+        return json_response(msgspec.json.encode(answer))
+
+    def _refused(self, status: int, who: str, error: SpringrockError) -> Any:
+        self._log.say(f"Refused {who}.", who=who, error=str(error))
+        return _failure(status, type(error).__name__, str(error))
+
+    def _who(self, shown: str) -> str | None:
+        """Return whose key was shown; every key is compared, so that time tells nothing."""
+        found = None
+        for credential in self._credentials:
+            expected = f"Bearer {credential.key}".encode()
+            if hmac.compare_digest(shown.encode(), expected):
+                found = credential.name
+        return found
+
+
+def _failure(status: int, error: str, message: str) -> Any:
+    failure = StatementFailure(error=error, message=message)
+    return json_response(msgspec.json.encode(failure), status=status)
--- /dev/null
+++ b/springrock/drivers/__init__.py
@@ -0,0 +1,1 @@
+"""Upstream drivers. Modules here register themselves."""
--- /dev/null
+++ b/springrock/drivers/service.py
@@ -0,0 +1,72 @@
+"""The driver of plain services: one HTTP call, sent at most once by each `call`."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from springrock.errors import UpstreamBroke, UpstreamSaidNo, UpstreamUnreachable
+from springrock.plugins import drivers
+from springrock.settings import UpstreamSection
+
+_CONNECTIONS = 64
+_CONNECT_TIMEOUT_S = 2.0
+_ANSWER_LIMIT_BYTES = 8_388_608
+
+
+class ServiceAnswer(NamedTuple):
+    """A service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@drivers.register("service")
+class ServiceDriver:
+    """Speaks to one plain service.
+
+    Args:
+        upstream: Which service, and where.
+    """
+
+    def __init__(self, upstream: UpstreamSection) -> None:
+        self._base_url = f"http://{upstream.address}"
+        self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
+
+    def call(
+        self, method: str, path: str, *, body: bytes, headers: dict[str, str], timeout_s: float
+    ) -> ServiceAnswer:
+        """Send one call and return the whole answer.
+
+        Raises:
+            UpstreamUnreachable: If nothing was sent.
+            UpstreamSaidNo: If the service refused before running it (status 503 or 429).
+            UpstreamBroke: If the outcome is not known.
+        """
+        timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        try:
+            response = self._pool.request(
+                method,
+                self._base_url + path,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                preload_content=False,
+                redirect=False,
+            )
+            data = response.read(_ANSWER_LIMIT_BYTES + 1)
+            response.drain_conn()
+            response.release_conn()
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise UpstreamUnreachable(str(error)) from None
+        except (HTTPError, OSError) as error:
+            raise UpstreamBroke(str(error)) from None
+        if len(data) > _ANSWER_LIMIT_BYTES:
+            raise UpstreamBroke("the answer is over the size limit")
+        if response.status in (429, 503):
+            raise UpstreamSaidNo(f"status {response.status}", 1.0)
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return ServiceAnswer(response.status, content_type, data)
--- /dev/null
+++ b/springrock/emulator/__init__.py
@@ -0,0 +1,42 @@
+"""Stand-ins for the outside systems, used by the demo, the tests and the load tool."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from springrock.emulator.settings import (
+    EngineStandinSettings,
+    PlatformStandinSettings,
+    ProxySettings,
+    ServiceStandinSettings,
+)
+from springrock.errors import UnknownPlugin
+from springrock.settings import read
+
+_KINDS = ("engine", "platform", "proxy", "service")
+
+
+def make_standin(kind: str, settings: str) -> Any:
+    """Build a stand-in from its settings file.
+
+    Raises:
+        UnknownPlugin: If there is no such kind.
+        SettingsError: If the file cannot be used.
+    """
+    if kind == "platform":
+        from springrock.emulator.platform import PlatformStandin
+
+        return PlatformStandin(read(settings, PlatformStandinSettings))
+    if kind == "engine":
+        from springrock.emulator.engine import EngineStandin
+
+        return EngineStandin(read(settings, EngineStandinSettings))
+    if kind == "service":
+        from springrock.emulator.service import ServiceStandin
+
+        return ServiceStandin(read(settings, ServiceStandinSettings))
+    if kind == "proxy":
+        from springrock.emulator.proxy import Proxy
+
+        return Proxy(read(settings, ProxySettings))
+    raise UnknownPlugin("stand-in", kind, _KINDS)
--- /dev/null
+++ b/springrock/emulator/deployment.py
@@ -0,0 +1,286 @@
+"""A whole deployment on loopback: the shapes of the users, and the settings of each process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from springrock.coordination.catalog import Adapter, Change, Workload
+from springrock.emulator.ports import free_addresses
+
+SHARED_KEY = "a shared key for loopback only"
+OPERATOR_KEY = "an operator key for loopback only"
+OPERATOR = "operator"
+
+
+@dataclass(frozen=True)
+class Shape:
+    """The shape of a deployment.
+
+    Attributes:
+        name: The name of its language pool and service.
+        zones: The availability zones.
+        boxes_per_zone: Entry boxes in each zone.
+        engines: Replicas of the language pool, spread over the zones.
+        services: Replicas of the plain service, spread over the zones.
+        adapters: How many adapters there are.
+        loads_per_s: The weight store's rate.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    boxes_per_zone: int
+    engines: int
+    services: int
+    adapters: int
+    loads_per_s: float
+    base_model: str
+    service: str
+    adapter_slots: int = 8
+    running_limit: int = 16
+
+    @classmethod
+    def from_vanua_voice(cls, *, boxes_per_zone: int = 3, adapters: int = 3_000) -> Shape:
+        """Return the co-operative's shape."""
+        return cls(
+            name="vanua",
+            zones=("suva-1", "suva-2", "suva-3"),
+            boxes_per_zone=boxes_per_zone,
+            engines=5,
+            services=3,
+            adapters=adapters,
+            loads_per_s=2.0,
+            base_model="minutes-base",
+            service="rosters",
+        )
+
+    @classmethod
+    def from_agency(cls, *, boxes_per_zone: int = 2, adapters: int = 3_000) -> Shape:
+        """Return the archive's shape."""
+        return cls(
+            name="agency",
+            zones=("muehl-1", "muehl-2", "muehl-3", "muehl-4"),
+            boxes_per_zone=boxes_per_zone,
+            engines=9,
+            services=4,
+            adapters=adapters,
+            loads_per_s=4.0,
+            base_model="plates-base",
+            service="catalogue",
+        )
+
+    @classmethod
+    def from_small(cls, *, zones: int = 2, boxes_per_zone: int = 2, engines: int = 2) -> Shape:
+        """Return a small shape for tests."""
+        return cls(
+            name="small",
+            zones=tuple(f"zone-{index + 1}" for index in range(zones)),
+            boxes_per_zone=boxes_per_zone,
+            engines=engines,
+            services=1,
+            adapters=50,
+            loads_per_s=20.0,
+            base_model="base",
+            service="rosters",
+            adapter_slots=3,
+        )
+
+    @property
+    def box_names(self) -> list[str]:
+        """All boxes."""
+        return [f"{zone}-{letter}" for zone in self.zones for letter in self._letters]
+
+    @property
+    def _letters(self) -> str:
+        return "abcdefghijklmnopqrstuvwxyz"[: self.boxes_per_zone]
+
+    def zone_of_box(self, box: str) -> str:
+        """Return the zone of a box."""
+        return box.rpartition("-")[0]
+
+    def spread(self, prefix: str, count: int) -> dict[str, str]:
+        """Return names of upstreams with their zones, round robin."""
+        return {
+            f"{prefix}-{index + 1}": self.zones[index % len(self.zones)] for index in range(count)
+        }
+
+    def adapter_name(self, index: int) -> str:
+        """Return the name of an adapter, without its base model."""
+        return f"style-{index:05d}"
+
+    def model_name(self, index: int) -> str:
+        """Return the model name of an adapter's first version."""
+        return f"{self.base_model}:{self.adapter_name(index)}@1"
+
+    def first_change(self) -> Change:
+        """Return the change that creates all adapters and workloads."""
+        adapters = [
+            Adapter(f"{self.base_model}:{self.adapter_name(index)}", [1, 2], 1)
+            for index in range(self.adapters)
+        ]
+        workloads = [Workload("default"), Workload("minutes", priority=5, stall_weight=0.8)]
+        return Change(
+            revision=1,
+            command_id="first",
+            who="installer",
+            at=0.0,
+            statement="create everything",
+            adapters=adapters,
+            workloads=workloads,
+        )
+
+
+@dataclass
+class Addresses:
+    """The loopback addresses of one deployment."""
+
+    platform: str
+    engines: dict[str, str] = field(default_factory=dict)
+    services: dict[str, str] = field(default_factory=dict)
+    callers: dict[str, str] = field(default_factory=dict)
+    operators: dict[str, str] = field(default_factory=dict)
+    peers: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def for_shape(cls, shape: Shape) -> Addresses:
+        """Choose free addresses for everything."""
+        engines = list(shape.spread(f"{shape.name}-engine", shape.engines))
+        services = list(shape.spread(f"{shape.name}-service", shape.services))
+        boxes = shape.box_names
+        free = iter(free_addresses(1 + len(engines) + len(services) + 3 * len(boxes)))
+        return cls(
+            platform=next(free),
+            engines={name: next(free) for name in engines},
+            services={name: next(free) for name in services},
+            callers={name: next(free) for name in boxes},
+            operators={name: next(free) for name in boxes},
+            peers={name: next(free) for name in boxes},
+        )
+
+
+class SettingsWriter:
+    """Makes the settings of each process of a deployment, as plain data.
+
+    Args:
+        shape: The shape of the deployment.
+        addresses: Where everything listens.
+        policy: Overrides of the policy section.
+        lease: Overrides of the lease section.
+    """
+
+    def __init__(
+        self,
+        shape: Shape,
+        addresses: Addresses,
+        *,
+        policy: dict[str, Any] | None = None,
+        lease: dict[str, Any] | None = None,
+    ) -> None:
+        self.shape = shape
+        self.addresses = addresses
+        self.policy = policy or {}
+        self.lease = lease or {}
+
+    def platform(self) -> dict[str, Any]:
+        """Return the platform stand-in's settings."""
+        names = [*self.addresses.engines, *self.addresses.services]
+        listed = [{"name": name, "kind": "upstream"} for name in names]
+        listed += [{"name": name, "kind": "box"} for name in self.shape.box_names]
+        return {
+            "address": self.addresses.platform,
+            "loads_per_s": self.shape.loads_per_s,
+            "list_lag_s": 0.5,
+            "listed": listed,
+        }
+
+    def engine(self, name: str, *, checks_fence: bool = True) -> dict[str, Any]:
+        """Return an engine stand-in's settings."""
+        return {
+            "name": name,
+            "address": self.addresses.engines[name],
+            "base_model": self.shape.base_model,
+            "weights_address": self.addresses.platform,
+            "adapter_slots": self.shape.adapter_slots,
+            "batch_limit": self.shape.running_limit,
+            "checks_fence": checks_fence,
+        }
+
+    def service(self, name: str) -> dict[str, Any]:
+        """Return a service stand-in's settings."""
+        return {"name": name, "address": self.addresses.services[name]}
+
+    def box(
+        self,
+        name: str,
+        *,
+        platform_address: str = "",
+        upstream_addresses: dict[str, str] | None = None,
+    ) -> dict[str, Any]:
+        """Return a box's settings.
+
+        Args:
+            name: The box.
+            platform_address: Where it finds the platform, if not directly.
+            upstream_addresses: Where it finds upstreams, if not directly.
+        """
+        addresses = self.addresses
+        platform = platform_address or addresses.platform
+        return {
+            "box": {
+                "name": name,
+                "availability_zone": self.shape.zone_of_box(name),
+                "stop_notice_s": 0.2,
+            },
+            "caller_door": {"address": addresses.callers[name]},
+            "operator_door": {
+                "address": addresses.operators[name],
+                "credentials": [{"name": OPERATOR, "key": OPERATOR_KEY}],
+            },
+            "peers": {"address": addresses.peers[name], "shared_key": SHARED_KEY},
+            "platform": {
+                "table_address": platform,
+                "objects_address": platform,
+                "list_address": platform,
+                "list_poll_s": 0.5,
+            },
+            "lease": self.lease,
+            "pools": [
+                self._language_pool(upstream_addresses or {}),
+                self._service_pool(upstream_addresses or {}),
+            ],
+            "policy": {"loads_per_s": self.shape.loads_per_s, **self.policy},
+        }
+
+    def _language_pool(self, elsewhere: dict[str, str]) -> dict[str, Any]:
+        shape = self.shape
+        zones = shape.spread(f"{shape.name}-engine", shape.engines)
+        return {
+            "name": "language",
+            "driver": "engine",
+            "base_model": shape.base_model,
+            "adapter_slots": shape.adapter_slots,
+            "running_limit": shape.running_limit,
+            "load_s": 1 / shape.loads_per_s,
+            "replicas": self._replicas(zones, self.addresses.engines, elsewhere),
+        }
+
+    def _service_pool(self, elsewhere: dict[str, str]) -> dict[str, Any]:
+        shape = self.shape
+        zones = shape.spread(f"{shape.name}-service", shape.services)
+        return {
+            "name": shape.service,
+            "driver": "service",
+            "replicas": self._replicas(zones, self.addresses.services, elsewhere),
+        }
+
+    def _replicas(
+        self, zones: dict[str, str], addresses: dict[str, str], elsewhere: dict[str, str]
+    ) -> list[dict[str, Any]]:
+        return [
+            {
+                "name": name,
+                "availability_zone": zone,
+                "address": elsewhere.get(name, addresses[name]),
+            }
+            for name, zone in zones.items()
+        ]
--- /dev/null
+++ b/springrock/emulator/engine.py
@@ -0,0 +1,409 @@
+"""The stand-in for a model engine.
+
+It batches continuously in steps, holds a few adapters, loads them through the weight store,
+takes fenced orders, resumes and cancels streams, and counts broken promises by itself.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from hashlib import blake2b
+from typing import Any
+
+import bottle
+import gevent
+import msgspec
+import urllib3
+from gevent.event import Event
+
+from springrock.clock import monotonic
+from springrock.emulator.settings import EngineStandinSettings
+from springrock.httpd import HttpServer, json_response, new_app
+from springrock.ids import new_id
+from springrock.wire import engine as wire
+
+_RUN_LOG_LIMIT = 200_000
+_WORDS = ("bay", "coral", "dawn", "ebb", "fern", "gale", "heath", "isle", "jetty", "kelp")
+
+
+class EngineFault(msgspec.Struct, frozen=True, kw_only=True):
+    """Faults of an engine; each stays until the next request replaces all of them.
+
+    Attributes:
+        fail_loads: So many loads fail halfway; -1 fails all.
+        cut_streams_at: Streams break off after this many chunks; 0 never.
+        wrong_model: Chunks name another adapter.
+        garbage: Streams carry text that is no chunk.
+        repeat_chunk: The chunk at this position is sent twice; 0 never.
+        refuse: New requests are refused before they run.
+        frozen: Steps stop.
+    """
+
+    fail_loads: int = 0
+    cut_streams_at: int = 0
+    wrong_model: bool = False
+    garbage: bool = False
+    repeat_chunk: int = 0
+    refuse: bool = False
+    frozen: bool = False
+
+
+class RunRecord(msgspec.Struct, frozen=True):
+    """One start of a request."""
+
+    request_id: str
+    model: str
+    repeatable: bool
+
+
+def token_of(model: str, prompt: str, position: int) -> str:
+    """Return the token that any honest engine generates at a position."""
+    digest = blake2b(f"{model}\0{prompt}\0{position}".encode(), digest_size=2).digest()
+    return f"{_WORDS[digest[0] % len(_WORDS)]}{digest[1]} "
+
+
+def prompt_of(request: wire.EngineRequest) -> str:
+    """Return the text that an answer depends on."""
+    if request.messages is not None:
+        return "\n".join(message["content"] for message in request.messages)
+    return request.prompt or ""
+
+
+def expected_text(model: str, prompt: str, tokens: int) -> str:
+    """Return the whole answer of an honest engine."""
+    return "".join(token_of(model, prompt, position) for position in range(tokens))
+
+
+class Generation:
+    """One request being run."""
+
+    def __init__(self, request: wire.EngineRequest) -> None:
+        self.request = request
+        self.prompt = prompt_of(request)
+        self.produced = 0
+        self.cancelled = False
+        self.ended_at: float | None = None
+        self.progress = Event()
+
+    @property
+    def finished(self) -> bool:
+        """Whether all tokens were generated."""
+        return self.produced >= self.request.max_tokens
+
+    def step(self) -> None:
+        """Generate one token."""
+        self.produced += 1
+        if self.finished:
+            self.ended_at = monotonic()
+        self.progress.set()
+
+
+class EngineStandin:
+    """One engine as an HTTP server."""
+
+    def __init__(self, settings: EngineStandinSettings) -> None:
+        self.settings = settings
+        self.fault = EngineFault()
+        self.violations: Counter[str] = Counter()
+        self.run_log: list[RunRecord] = []
+        self.steps = 0
+        self.tokens = 0
+        self.loads = 0
+        self.wasted_loads = 0
+        self.server = HttpServer(self._build_app(), settings.address)
+        self._pool = urllib3.PoolManager(retries=False)
+        self._stepper: gevent.Greenlet[..., Any] | None = None
+        self.restart()
+
+    def start(self) -> None:
+        """Begin serving and stepping."""
+        self.server.start()
+        self._stepper = gevent.spawn(self._step_forever)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.server.stop(finish_within_s=0)
+        if self._stepper is not None:
+            self._stepper.kill()
+
+    def restart(self) -> None:
+        """Lose all adapters, streams and prefixes, as a restarted engine does."""
+        self.boot_id = new_id()
+        self.fence = 0
+        self.ready: dict[str, int] = {}
+        self.loading: set[str] = set()
+        self.generations: dict[str, Generation] = {}
+        self.queue: list[Generation] = []
+        self._work = Event()
+        self._reports: list[tuple[float, wire.EngineState]] = []
+
+    @property
+    def batch_fill(self) -> float:
+        """The mean share of a step's places that did useful work."""
+        places = self.steps * self.settings.batch_limit
+        return self.tokens / places if places else 0.0
+
+    def counters(self) -> dict[str, Any]:
+        """Return everything that was counted."""
+        return {
+            "violations": dict(self.violations),
+            "steps": self.steps,
+            "tokens": self.tokens,
+            "batch_fill": self.batch_fill,
+            "loads": self.loads,
+            "wasted_loads": self.wasted_loads,
+            "runs": len(self.run_log),
+            "open_streams": len(self.queue),
+            "ready": sorted(self.ready),
+        }
+
+    def _build_app(self) -> Any:
+        app = new_app()
+        app.post(wire.COMPLETIONS_PATH)(self._completions)
+        app.post(wire.CHAT_PATH)(self._completions)
+        app.post(wire.ORDERS_PATH)(self._orders)
+        app.get(wire.ADAPTERS_PATH)(self._adapters)
+        app.get(wire.STATE_PATH)(self._state)
+        app.post(wire.CANCEL_PATH)(self._cancel)
+        app.post("/standin/faults")(self._post_fault)
+        app.post("/standin/restart")(self._post_restart)
+        app.get("/standin/counters")(self._get_counters)
+        app.get("/standin/runs")(self._get_runs)
+        return app
+
+    # Steps.
+
+    def _step_forever(self) -> None:
+        while True:
+            if not self.queue or self.fault.frozen:
+                self._work.clear()
+                self._work.wait(timeout=0.05)
+                continue
+            batch = self.queue[: self.settings.batch_limit]
+            gevent.sleep(self._step_s(batch))
+            self._finish_step(batch)
+
+    def _step_s(self, batch: list[Generation]) -> float:
+        settings = self.settings
+        adapters = len({generation.request.model for generation in batch})
+        step_ms = settings.step_ms + settings.step_ms_per_request * len(batch)
+        return (step_ms + settings.step_ms_per_adapter * adapters) / 1000
+
+    def _finish_step(self, batch: list[Generation]) -> None:
+        self.steps += 1
+        for generation in batch:
+            if generation.cancelled:
+                continue
+            generation.step()
+            self.tokens += 1
+        self.queue = [item for item in self.queue if not (item.finished or item.cancelled)]
+
+    # Requests.
+
+    def _completions(self) -> Any:
+        request = msgspec.json.decode(bottle.request.body.read(), type=wire.EngineRequest)
+        if self.fault.refuse:
+            return json_response(b'{"reason":"busy"}', status=503, headers={"Retry-After": "1"})
+        if request.resume_from != wire.NEW:
+            return self._resume(request)
+        if not self._holds(request.model):
+            return json_response(b'{"reason":"adapter not loaded"}', status=404)
+        generation = self._begin(request)
+        bottle.response.content_type = "text/event-stream"
+        return self._stream(generation, 0)
+
+    def _holds(self, model: str) -> bool:
+        base, colon, adapter = model.partition(":")
+        return base == self.settings.base_model and (not colon or adapter in self.ready)
+
+    def _begin(self, request: wire.EngineRequest) -> Generation:
+        self._forget_old()
+        self._log_run(request)
+        adapter = request.model.partition(":")[2]
+        if adapter:
+            self.ready[adapter] += 1
+        generation = Generation(request)
+        self.generations[request.request_id] = generation
+        self.queue.append(generation)
+        self._work.set()
+        return generation
+
+    def _log_run(self, request: wire.EngineRequest) -> None:
+        ran_before = (
+            any(record.request_id == request.request_id for record in self.run_log)
+            if not request.repeatable
+            else False
+        )
+        if ran_before:
+            self.violations["second_run"] += 1
+        if len(self.run_log) < _RUN_LOG_LIMIT:
+            record = RunRecord(request.request_id, request.model, request.repeatable)
+            self.run_log.append(record)
+
+    def _resume(self, request: wire.EngineRequest) -> Any:
+        generation = self.generations.get(request.request_id)
+        if generation is None or generation.request.model != request.model:
+            return json_response(b'{"reason":"nothing to resume"}', status=410)
+        bottle.response.content_type = "text/event-stream"
+        return self._stream(generation, request.resume_from)
+
+    def _forget_old(self) -> None:
+        horizon = monotonic() - self.settings.retain_s
+        ended = [
+            request_id
+            for request_id, generation in self.generations.items()
+            if generation.ended_at is not None and generation.ended_at < horizon
+        ]
+        for request_id in ended:
+            del self.generations[request_id]
+
+    def _stream(self, generation: Generation, position: int) -> Iterator[bytes]:
+        sent = 0
+        while position < generation.request.max_tokens:
+            while position >= generation.produced:
+                if generation.cancelled:
+                    return
+                generation.progress.clear()
+                generation.progress.wait()
+            yield self._event(generation, position)
+            sent += 1
+            if self.fault.repeat_chunk and position == self.fault.repeat_chunk:
+                yield self._event(generation, position)
+            if self.fault.cut_streams_at and sent >= self.fault.cut_streams_at:
+                return
+            position += 1
+        yield wire.encode_event(wire.DONE)
+
+    def _event(self, generation: Generation, position: int) -> bytes:
+        if self.fault.garbage:
+            return wire.encode_event(b"{not a chunk")
+        request = generation.request
+        model = f"{request.model}x" if self.fault.wrong_model else request.model
+        text = token_of(request.model, generation.prompt, position)
+        last = position + 1 == request.max_tokens
+        finish_reason = "length" if last else None
+        if request.messages is not None:
+            choice = wire.Choice(delta=wire.Delta(text), finish_reason=finish_reason)
+        else:
+            choice = wire.Choice(text=text, finish_reason=finish_reason)
+        chunk = wire.Chunk(request.request_id, model, position, [choice])
+        return wire.encode_event(msgspec.json.encode(chunk))
+
+    def _cancel(self) -> Any:
+        request_id = msgspec.json.decode(bottle.request.body.read())["request_id"]
+        generation = self.generations.get(request_id)
+        if generation is not None and not generation.finished:
+            generation.cancelled = True
+            generation.ended_at = monotonic()
+            generation.progress.set()
+        return json_response(b"{}")
+
+    # Orders.
+
+    def _orders(self) -> Any:
+        order = msgspec.json.decode(bottle.request.body.read(), type=wire.Order)
+        if order.fence < self.fence:
+            if self.settings.checks_fence:
+                return self._order_answer(409, done=False, reason="stale fence")
+            self.violations["stale_order_taken"] += 1
+        self.fence = max(self.fence, order.fence)
+        if order.kind == "load_adapter":
+            return self._load(order.adapter)
+        if order.kind == "unload_adapter":
+            return self._unload(order.adapter)
+        return self._order_answer(200, done=True)
+
+    def _load(self, adapter: str) -> Any:
+        if adapter in self.ready:
+            return self._order_answer(200, done=True)
+        if adapter in self.loading:
+            return self._order_answer(409, done=False, reason="loading already")
+        if len(self.ready) + len(self.loading) >= self.settings.adapter_slots:
+            return self._order_answer(409, done=False, reason="no free slot")
+        boot_id = self.boot_id
+        self.loading.add(adapter)
+        loaded = self._fetch(adapter)
+        if self.boot_id != boot_id:
+            return self._order_answer(503, done=False, reason="restarted")
+        self.loading.discard(adapter)
+        if not loaded:
+            return self._order_answer(502, done=False, reason="load failed partway")
+        self.ready[adapter] = 0
+        self.loads += 1
+        return self._order_answer(200, done=True)
+
+    def _fetch(self, adapter: str) -> bool:
+        url = f"http://{self.settings.weights_address}/weights/{adapter}"
+        try:
+            response = self._pool.request("GET", url, timeout=30.0)
+        except urllib3.exceptions.HTTPError:
+            return False
+        if self.fault.fail_loads:
+            left = self.fault.fail_loads - 1 if self.fault.fail_loads > 0 else -1
+            self.fault = msgspec.structs.replace(self.fault, fail_loads=left)
+            return False
+        return response.status == 200
+
+    def _unload(self, adapter: str) -> Any:
+        users = [item for item in self.queue if item.request.model.endswith(f":{adapter}")]
+        if users:
+            self.violations["unload_in_use"] += 1
+        for generation in users:
+            generation.cancelled = True
+            generation.progress.set()
+        uses = self.ready.pop(adapter, None)
+        if uses == 0:
+            self.wasted_loads += 1
+        return self._order_answer(200, done=True)
+
+    def _order_answer(self, status: int, *, done: bool, reason: str = "") -> Any:
+        answer = wire.OrderAnswer(done=done, reason=reason, fence=self.fence)
+        return json_response(msgspec.json.encode(answer), status=status)
+
+    # Reports.
+
+    def _adapters(self) -> Any:
+        answer = wire.LoadedAdapters(
+            boot_id=self.boot_id,
+            fence=self.fence,
+            adapters=sorted(self.ready),
+            loading=sorted(self.loading),
+        )
+        return json_response(msgspec.json.encode(answer))
+
+    def _state(self) -> Any:
+        now = monotonic()
+        current = wire.EngineState(
+            boot_id=self.boot_id,
+            running=min(len(self.queue), self.settings.batch_limit),
+            queued=max(0, len(self.queue) - self.settings.batch_limit),
+            batch_fill=self.batch_fill,
+            step_ms=self._step_s(self.queue[: self.settings.batch_limit]) * 1000,
+            cached_prefixes=0,
+        )
+        self._reports.append((now, current))
+        seen_at = now - self.settings.report_lag_s
+        while len(self._reports) > 1 and self._reports[1][0] <= seen_at:
+            self._reports.pop(0)
+        return json_response(msgspec.json.encode(self._reports[0][1]))
+
+    # Faults.
+
+    def _post_fault(self) -> Any:
+        self.fault = msgspec.json.decode(bottle.request.body.read(), type=EngineFault)
+        self._work.set()
+        return b""
+
+    def _post_restart(self) -> Any:
+        for generation in self.queue:
+            generation.cancelled = True
+            generation.progress.set()
+        self.restart()
+        return b""
+
+    def _get_counters(self) -> Any:
+        return json_response(msgspec.json.encode(self.counters()))
+
+    def _get_runs(self) -> Any:
+        return json_response(msgspec.json.encode(self.run_log))
--- /dev/null
+++ b/springrock/emulator/proxy.py
@@ -0,0 +1,132 @@
+"""A small TCP proxy that injects faults on named routes, for tests and experiments."""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+import bottle
+import gevent
+import msgspec
+from gevent.server import StreamServer
+from gevent.socket import create_connection
+
+from springrock.emulator.settings import ProxySettings, RouteSettings
+from springrock.httpd import HttpServer, new_app
+from springrock.settings import split_address
+
+Direction = Literal["to_target", "to_caller"]
+_BLOCK_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 2.0
+_STUCK_LOOK_S = 0.05
+
+
+class RouteFault(msgspec.Struct, frozen=True, kw_only=True):
+    """The faults of some routes; defaults heal them.
+
+    Attributes:
+        routes: The routes' names.
+        cut: Open connections are closed and new ones refused.
+        black_hole: Nothing passes, either way, and nothing is closed.
+        one_way: Nothing passes in this direction.
+        delay_s: Every block of bytes waits this long, in each direction.
+        half_answer_bytes: After so many bytes to the caller the connection is closed; 0 never.
+    """
+
+    routes: list[str]
+    cut: bool = False
+    black_hole: bool = False
+    one_way: Direction | None = None
+    delay_s: float = 0.0
+    half_answer_bytes: int = 0
+
+
+class _Route:
+    """One listening address, its target, and its present fault."""
+
+    def __init__(self, settings: RouteSettings) -> None:
+        self._target = split_address(settings.target_address)
+        self._open: set[Any] = set()
+        self.fault = RouteFault(routes=[])
+        self.server = StreamServer(split_address(settings.address), self._serve)
+
+    def set_fault(self, fault: RouteFault) -> None:
+        self.fault = fault
+        if fault.cut:
+            for connection in list(self._open):
+                connection.close()
+
+    def _serve(self, caller: Any, _: Any) -> None:
+        if self.fault.cut:
+            caller.close()
+            return
+        try:
+            target = create_connection(self._target, timeout=_CONNECT_TIMEOUT_S)
+        except OSError:
+            caller.close()
+            return
+        target.settimeout(None)
+        self._open |= {caller, target}
+        tasks = [
+            gevent.spawn(self._pump, caller, target, "to_target"),
+            gevent.spawn(self._pump, target, caller, "to_caller"),
+        ]
+        gevent.joinall(tasks, count=1)
+        caller.close()
+        target.close()
+        self._open -= {caller, target}
+        gevent.killall(tasks)
+
+    def _pump(self, source: Any, sink: Any, direction: Direction) -> None:
+        passed = 0
+        try:
+            while block := source.recv(_BLOCK_BYTES):
+                if self.fault.delay_s:
+                    gevent.sleep(self.fault.delay_s)
+                while self._stuck(direction):
+                    gevent.sleep(_STUCK_LOOK_S)
+                limit = self.fault.half_answer_bytes
+                if direction == "to_caller" and limit and passed + len(block) >= limit:
+                    sink.sendall(block[: max(0, limit - passed)])
+                    return
+                sink.sendall(block)
+                passed += len(block)
+        except OSError:
+            return
+
+    def _stuck(self, direction: Direction) -> bool:
+        return self.fault.black_hole or self.fault.one_way == direction
+
+
+class Proxy:
+    """All routes of one proxy process.
+
+    Args:
+        settings: The routes.
+    """
+
+    def __init__(self, settings: ProxySettings) -> None:
+        self._routes = {route.name: _Route(route) for route in settings.routes}
+        app = new_app()
+        app.post("/standin/faults")(self._post_fault)
+        self.server = HttpServer(app, settings.address)
+
+    def start(self) -> None:
+        """Begin passing bytes."""
+        for route in self._routes.values():
+            route.server.start()
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        for route in self._routes.values():
+            route.server.stop(timeout=0)
+        self.server.stop(finish_within_s=0)
+
+    def set_fault(self, fault: RouteFault) -> None:
+        """Switch the faults of some routes."""
+        for name in fault.routes:
+            self._routes[name].set_fault(fault)
+
+    def _post_fault(self) -> Any:
+        self.set_fault(msgspec.json.decode(bottle.request.body.read(), type=RouteFault))
+        return b""
--- /dev/null
+++ b/springrock/emulator/service.py
@@ -0,0 +1,78 @@
+"""The stand-in for a plain service: answers any path, logs each run, counts second runs."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import bottle
+import gevent
+import msgspec
+
+from springrock.emulator.settings import ServiceStandinSettings
+from springrock.httpd import HttpServer, json_response, new_app
+from springrock.wire.caller import REPEATABLE_HEADER, REQUEST_ID_HEADER
+
+
+class ServiceFault(msgspec.Struct, frozen=True, kw_only=True):
+    """Faults of a service.
+
+    Attributes:
+        refuse: Requests are refused before they run.
+        lose_answers: So many answers are lost after the run; -1 loses all.
+    """
+
+    refuse: bool = False
+    lose_answers: int = 0
+
+
+class ServiceStandin:
+    """One plain service as an HTTP server."""
+
+    def __init__(self, settings: ServiceStandinSettings) -> None:
+        self.settings = settings
+        self.fault = ServiceFault()
+        self.runs: Counter[str] = Counter()
+        self.violations: Counter[str] = Counter()
+        self.server = HttpServer(self._build_app(), settings.address)
+
+    def start(self) -> None:
+        """Begin serving."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.server.stop(finish_within_s=0)
+
+    def _build_app(self) -> Any:
+        app = new_app()
+        app.post("/standin/faults")(self._post_fault)
+        app.get("/standin/counters")(self._get_counters)
+        app.route("/<path:path>", method=["GET", "POST", "PUT", "DELETE"])(self._run)
+        return app
+
+    def _run(self, path: str) -> Any:
+        if self.fault.refuse:
+            return json_response(b'{"reason":"busy"}', status=503, headers={"Retry-After": "1"})
+        request = bottle.request
+        request_id = request.get_header(REQUEST_ID_HEADER, "")
+        body = request.body.read()
+        gevent.sleep(self.settings.work_ms / 1000)
+        self.runs[request_id] += 1
+        if request.get_header(REPEATABLE_HEADER) == "no" and self.runs[request_id] > 1:
+            self.violations["second_run"] += 1
+        if self.fault.lose_answers:
+            left = self.fault.lose_answers - 1 if self.fault.lose_answers > 0 else -1
+            self.fault = msgspec.structs.replace(self.fault, lose_answers=left)
+            request.environ["springrock.socket"].close()
+            raise ConnectionResetError("answer lost")
+        answer = {"path": f"/{path}", "method": request.method, "length": len(body)}
+        return json_response(msgspec.json.encode({**answer, "request_id": request_id}))
+
+    def _post_fault(self) -> Any:
+        self.fault = msgspec.json.decode(bottle.request.body.read(), type=ServiceFault)
+        return b""
+
+    def _get_counters(self) -> Any:
+        counters = {"violations": dict(self.violations), "runs": dict(self.runs)}
+        return json_response(msgspec.json.encode(counters))
--- /dev/null
+++ b/springrock/emulator/settings.py
@@ -0,0 +1,84 @@
+"""Typed settings of the stand-ins."""
+
+from __future__ import annotations
+
+from msgspec import field
+
+from springrock.settings import Section
+from springrock.wire.platform import Listed
+
+
+class PlatformStandinSettings(Section, frozen=True, kw_only=True):
+    """The stand-in for the platform: table, objects, list and weight store.
+
+    Attributes:
+        address: Where it listens.
+        loads_per_s: Adapter loads a second when one runs alone.
+        crowding: The share of that rate which is left when several loads run at once.
+        list_lag_s: How late a change of the list is seen by readers.
+        listed: The list at the start.
+    """
+
+    address: str
+    loads_per_s: float = 2.0
+    crowding: float = 0.7
+    list_lag_s: float = 1.0
+    listed: list[Listed] = field(default_factory=list)
+
+
+class EngineStandinSettings(Section, frozen=True, kw_only=True):
+    """The stand-in for a model engine.
+
+    Attributes:
+        step_ms: A step's length with nothing in it.
+        step_ms_per_request: What each request in the batch adds.
+        step_ms_per_adapter: What each distinct adapter in the batch adds.
+        report_lag_s: How old the reported load is.
+        retain_s: How long a finished or broken stream can be resumed.
+    """
+
+    name: str
+    address: str
+    base_model: str
+    weights_address: str
+    adapter_slots: int = 8
+    batch_limit: int = 16
+    step_ms: float = 10.0
+    step_ms_per_request: float = 0.1
+    step_ms_per_adapter: float = 0.2
+    report_lag_s: float = 1.0
+    retain_s: float = 30.0
+    checks_fence: bool = True
+
+
+class ServiceStandinSettings(Section, frozen=True, kw_only=True):
+    """The stand-in for a plain service: roster and catalogue calls by path."""
+
+    name: str
+    address: str
+    work_ms: float = 5.0
+
+
+class RouteSettings(Section, frozen=True, kw_only=True):
+    """One route of the fault-injecting proxy.
+
+    Attributes:
+        name: The route, as faults name it.
+        address: Where the proxy listens.
+        target_address: Where it connects to.
+    """
+
+    name: str
+    address: str
+    target_address: str
+
+
+class ProxySettings(Section, frozen=True, kw_only=True):
+    """The fault-injecting TCP proxy.
+
+    Attributes:
+        address: Where faults are posted.
+    """
+
+    address: str
+    routes: list[RouteSettings]
--- /dev/null
+++ b/springrock/httpd.py
@@ -0,0 +1,86 @@
+"""A bottle application behind gevent's HTTP server, started on an address and stopped gently."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import bottle
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from springrock.settings import split_address
+
+SOCKET_KEY = "springrock.socket"
+"""Where the WSGI environment holds the caller's socket."""
+
+
+class _Server(WSGIServer):
+    """Knows how long a client may take no bytes."""
+
+    def __init__(self, address: tuple[str, int], app: Any, *, send_timeout_s: float) -> None:
+        super().__init__(address, app, handler_class=_Handler, log=None, error_log=None)
+        self.send_timeout_s = send_timeout_s
+
+
+class _Handler(WSGIHandler):
+    """Hands the connection to the application, so that it can notice a caller who left."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ: dict[str, Any] = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        assert isinstance(self.server, _Server)
+        self.socket.settimeout(self.server.send_timeout_s)
+        return environ
+
+
+class HttpServer:
+    """Serves one application on one address.
+
+    Args:
+        app: The bottle application.
+        address: ``HOST:PORT``; port 0 takes a free one.
+        send_timeout_s: A client that takes no bytes for this long is cut.
+    """
+
+    def __init__(self, app: Any, address: str, *, send_timeout_s: float = 20.0) -> None:
+        self._server = _Server(split_address(address), app, send_timeout_s=send_timeout_s)
+
+    def start(self) -> None:
+        """Bind and serve in the background."""
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """The bound ``HOST:PORT``."""
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def stop(self, *, finish_within_s: float = 1.0) -> None:
+        """Stop accepting, let open requests finish for a while, then cut the rest."""
+        self._server.stop(timeout=finish_within_s)
+
+
+def new_app() -> Any:
+    """Return a bottle application that lets exceptions of the server through."""
+    app = bottle.Bottle()
+    app.catchall = True
+    return app
+
+
+def json_response(body: bytes, *, status: int = 200, headers: dict[str, str] | None = None) -> Any:
+    """Return a JSON response."""
+    return bottle.HTTPResponse(
+        body, status=status, headers={"Content-Type": "application/json", **(headers or {})}
+    )
+
+
+def read_body(limit_bytes: int) -> bytes | None:
+    """Return the current request's body, or None if it is over the limit.
+
+    The stated length is checked before anything is read, so that bottle never spools it.
+    """
+    request = bottle.request
+    if request.content_length > limit_bytes:
+        return None
+    body: bytes = request.environ["wsgi.input"].read(limit_bytes + 1)
+    if len(body) > limit_bytes:
+        return None
+    return body
--- /dev/null
+++ b/springrock/log.py
@@ -0,0 +1,74 @@
+"""Structured logs: eliot messages whose text is a short sentence after its part's prefix."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections import deque
+from typing import NamedTuple, TextIO
+
+import eliot
+
+_JOURNAL_LINES = 4_000
+
+
+class Line(NamedTuple):
+    """One line of the log.
+
+    Attributes:
+        at: When, in seconds since the epoch.
+        text: The sentence with its prefix.
+        fields: Values for machines.
+    """
+
+    at: float
+    text: str
+    fields: dict[str, object]
+
+
+class Journal:
+    """The newest lines of one box, so that an operator can ask why."""
+
+    def __init__(self) -> None:
+        self._lines: deque[Line] = deque(maxlen=_JOURNAL_LINES)
+
+    def add(self, line: Line) -> None:
+        """Keep a line."""
+        self._lines.append(line)
+
+    def about(self, field: str, value: str) -> list[Line]:
+        """Return the kept lines that have a field of a value, the oldest first."""
+        return [line for line in self._lines if line.fields.get(field) == value]
+
+
+class Log:
+    """Writes the lines of one part of one box.
+
+    Args:
+        part: The prefix, such as ``router``.
+        box: The name of the process in the log.
+        journal: Keeps the newest lines in memory as well.
+    """
+
+    def __init__(self, part: str, box: str, journal: Journal | None = None) -> None:
+        self.part = part
+        self.box = box
+        self._journal = journal
+        self._message_type = f"springrock:{part}"
+
+    def say(self, sentence: str, **fields: object) -> None:
+        """Write one line.
+
+        Args:
+            sentence: A short sentence without the prefix.
+            **fields: Values for machines; nothing secret and no caller's text.
+        """
+        text = f"{self.part}: {sentence}"
+        if self._journal is not None:
+            self._journal.add(Line(time.time(), text, fields))
+        eliot.log_message(self._message_type, text=text, box=self.box, **fields)
+
+
+def log_to(stream: TextIO = sys.stderr) -> None:
+    """Send every log line to a stream as one JSON object a line."""
+    eliot.to_file(stream)
--- /dev/null
+++ b/springrock/metrics.py
@@ -0,0 +1,75 @@
+"""Prometheus metrics of one box: units in the names, labels from closed sets."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.94, 2, 5, 10, 30, 60)
+
+
+class Metrics:
+    """All metrics of one box, in a registry of its own."""
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self.registry = registry
+        self.requests = Counter(
+            "springrock_requests", "Requests by how they ended.", ["run_state"], registry=registry
+        )
+        self.refusals = Counter(
+            "springrock_refusals", "Refusals and failures by cause.", ["cause"], registry=registry
+        )
+        self.open_requests = Gauge(
+            "springrock_open_requests", "Requests now in this box.", registry=registry
+        )
+        self.chunks = Counter(
+            "springrock_relayed_chunks", "Streamed chunks relayed.", registry=registry
+        )
+        self.stall_seconds = Histogram(
+            "springrock_load_stall_seconds",
+            "Time that a request waited because its adapter was not loaded.",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.first_token_seconds = Histogram(
+            "springrock_first_token_seconds",
+            "Time from arrival to the first token.",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.loads = Counter(
+            "springrock_adapter_loads", "Adapter loads ordered.", ["result"], registry=registry
+        )
+        self.unloads = Counter("springrock_adapter_unloads", "Unloads ordered.", registry=registry)
+        self.permits = Counter(
+            "springrock_permits", "Permits asked of this box.", ["result"], registry=registry
+        )
+        self.permits_outstanding = Gauge(
+            "springrock_permits_outstanding", "Permits granted and not returned.", registry=registry
+        )
+        self.owned_replicas = Gauge(
+            "springrock_owned_replicas", "Replicas that this box owns.", registry=registry
+        )
+        self.revision = Gauge(
+            "springrock_configuration_revision", "The revision in force here.", registry=registry
+        )
+        self.peer_links = Gauge("springrock_peer_links", "Open peer links.", registry=registry)
+        self.peer_bytes = Counter(
+            "springrock_peer_bytes", "Bytes of peer messages.", ["direction"], registry=registry
+        )
+        self.peer_messages = Counter(
+            "springrock_peer_messages", "Peer messages.", ["direction"], registry=registry
+        )
+        self.table_requests = Counter(
+            "springrock_table_requests",
+            "Requests to the platform's table.",
+            ["kind", "result"],
+            registry=registry,
+        )
+        self.lease_held = Gauge(
+            "springrock_lease_held", "1 while this box may act as an owner.", registry=registry
+        )
+
+    def render(self) -> bytes:
+        """Return the text that Prometheus scrapes."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/springrock/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""Platform clients. Modules here register themselves."""
--- /dev/null
+++ b/springrock/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serving parts: admission, routing, placement and relaying of requests."""
--- /dev/null
+++ b/springrock/serving/admission.py
@@ -0,0 +1,93 @@
+"""Admission: what a request asks for is checked against the catalog, and its version pinned."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from springrock.clock import Deadline, monotonic
+from springrock.coordination.catalog import Adapter, Catalog
+from springrock.errors import Cause, Refusal, RunState
+from springrock.ids import new_id
+from springrock.serving.limits import Limits
+from springrock.serving.request import ServingRequest
+from springrock.serving.view import RoutingView
+from springrock.wire.caller import CompletionBody, Terms, refuse
+from springrock.wire.model_name import ModelName
+
+
+class Admission:
+    """Turns what a caller sent into a request that can be served, or refuses it.
+
+    Args:
+        catalog: Returns the catalog in force.
+        view: Knows the pools.
+        limits: The workloads' limits.
+    """
+
+    def __init__(
+        self, *, catalog: Callable[[], Catalog], view: RoutingView, limits: Limits
+    ) -> None:
+        self._catalog = catalog
+        self._view = view
+        self._limits = limits
+
+    def admit(
+        self, body: CompletionBody, terms: Terms, *, chat: bool
+    ) -> Result[ServingRequest, Refusal]:
+        """Check a completion request and pin its version."""
+        arrived_at = monotonic()
+        name = ModelName.from_text(body.model)
+        if name is None:
+            return Error(refuse(Cause.UNKNOWN_MODEL, f"{body.model!r} is not a model name"))
+        pool = self._view.pool_for_model(name.base)
+        if pool is None:
+            return Error(refuse(Cause.UNKNOWN_MODEL, f"there is no base model {name.base!r}"))
+        pinned = self._pin(name, terms.workload)
+        if pinned.is_error():
+            return Error(pinned.error)
+        limited = self.limit(terms.workload)
+        if limited is not None:
+            return Error(limited)
+        workload = self._catalog().workload(terms.workload)
+        return Ok(
+            ServingRequest(
+                request_id=terms.request_id or new_id(),
+                model=pinned.ok,
+                terms=terms,
+                priority=terms.priority + (workload.priority if workload else 0),
+                body=body,
+                pool=pool,
+                deadline=Deadline(terms.deadline_s),
+                arrived_at=arrived_at,
+                chat=chat,
+            )
+        )
+
+    def limit(self, workload: str) -> Refusal | None:
+        """Count a request against its workload's limit."""
+        retry_after_s = self._limits.admit(workload)
+        if not retry_after_s:
+            return None
+        detail = f"workload {workload!r} is over its limit"
+        return Refusal(Cause.RATE_LIMITED, detail, RunState.NOT_RUN, retry_after_s)
+
+    def _pin(self, name: ModelName, workload: str) -> Result[ModelName, Refusal]:
+        if not name.adapter:
+            return Ok(name)
+        adapter = self._catalog().adapter(f"{name.base}:{name.adapter}")
+        if adapter is None:
+            return Error(refuse(Cause.UNKNOWN_ADAPTER, f"there is no adapter {name.adapter!r}"))
+        if adapter.workloads and workload not in adapter.workloads:
+            detail = f"workload {workload!r} may not use adapter {name.adapter!r}"
+            return Error(refuse(Cause.ADAPTER_NOT_ALLOWED, detail))
+        return _pin_version(name, adapter)
+
+
+def _pin_version(name: ModelName, adapter: Adapter) -> Result[ModelName, Refusal]:
+    version = name.version or adapter.current
+    if version not in adapter.versions:
+        detail = f"adapter {name.adapter!r} has no version {version}"
+        return Error(refuse(Cause.UNKNOWN_VERSION, detail))
+    return Ok(name._replace(version=version))
--- /dev/null
+++ b/springrock/serving/limits.py
@@ -0,0 +1,128 @@
+"""Request limits per workload over all boxes, without a central counter.
+
+Each box takes the part of a workload's limit that its demand has in the demand of all boxes, as
+far as they have told it. Before anything is heard, the parts are equal.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from springrock.clock import monotonic
+from springrock.coordination.catalog import Catalog, Workload
+from springrock.coordination.members import Members
+from springrock.coordination.peers import Link, Peers
+from springrock.wire import peer as wire
+
+_TELL_EVERY_S = 2.0
+_DEMAND_LIFE_S = 10.0
+_DEMAND_WEIGHT = 0.5
+_BURST_S = 1.0
+_LEAST_PART = 0.02
+
+
+class _Bucket:
+    """A token bucket whose rate may change."""
+
+    def __init__(self) -> None:
+        self._tokens: float | None = None
+        self._at = monotonic()
+
+    def take(self, rate: float) -> float:
+        """Take a token; return 0, or the seconds until there is one."""
+        now = monotonic()
+        depth = max(1.0, rate * _BURST_S)
+        tokens = depth if self._tokens is None else self._tokens
+        tokens = min(depth, tokens + (now - self._at) * rate)
+        self._at = now
+        if tokens >= 1.0:
+            self._tokens = tokens - 1.0
+            return 0.0
+        self._tokens = tokens
+        return (1.0 - tokens) / rate
+
+
+class Limits:
+    """The limits of one box.
+
+    Args:
+        box: The name of this box.
+        catalog: Returns the catalog in force.
+        members: Tells how many boxes share a limit.
+        peers: Carries the demand of each box to the others.
+    """
+
+    def __init__(
+        self,
+        *,
+        box: str,
+        catalog: Callable[[], Catalog],
+        members: Members,
+        peers: Peers,
+    ) -> None:
+        self._box = box
+        self._catalog = catalog
+        self._members = members
+        self._peers = peers
+        self._buckets: dict[str, _Bucket] = {}
+        self._counts: dict[str, int] = {}
+        self._demand: dict[str, float] = {}
+        self._heard: dict[str, tuple[float, dict[str, float]]] = {}
+        self._task: gevent.Greenlet[..., Any] | None = None
+        peers.handle(wire.Demand, self._on_demand)
+
+    def start(self) -> None:
+        """Begin telling this box's demand."""
+        self._task = gevent.spawn(self._tell_forever)
+
+    def stop(self) -> None:
+        """Stop telling."""
+        if self._task is not None:
+            self._task.kill()
+
+    def admit(self, name: str) -> float:
+        """Count a request of a workload; return 0, or the seconds after which to come back."""
+        workload = self._catalog().workload(name)
+        if workload is None or not workload.requests_per_s:
+            return 0.0
+        self._counts[name] = self._counts.get(name, 0) + 1
+        rate = workload.requests_per_s * self.part(workload)
+        return self._buckets.setdefault(name, _Bucket()).take(rate)
+
+    def part(self, workload: Workload) -> float:
+        """Return this box's part of a workload's limit."""
+        boxes = max(1, len(self._members.live()))
+        horizon = monotonic() - _DEMAND_LIFE_S
+        heard = [demand for at, demand in self._heard.values() if at > horizon]
+        mine = self._demand.get(workload.name, 0.0)
+        total = mine + sum(demand.get(workload.name, 0.0) for demand in heard)
+        if total <= 0 or not heard:
+            return 1.0 / boxes
+        return min(1.0, max(_LEAST_PART / boxes, mine / total))
+
+    def _tell_forever(self) -> None:
+        while True:
+            gevent.sleep(_TELL_EVERY_S)
+            self._measure()
+            if self._demand:
+                names = sorted(self._demand)
+                rates = [round(self._demand[name], 2) for name in names]
+                self._peers.tell_all(wire.Demand(names, rates))
+
+    def _measure(self) -> None:
+        counts, self._counts = self._counts, {}
+        for name in set(counts) | set(self._demand):
+            rate = counts.get(name, 0) / _TELL_EVERY_S
+            before = self._demand.get(name, rate)
+            smoothed = before + _DEMAND_WEIGHT * (rate - before)
+            if smoothed < 0.01:
+                self._demand.pop(name, None)
+            else:
+                self._demand[name] = smoothed
+
+    def _on_demand(self, link: Link, demand: wire.Demand) -> None:
+        rates = dict(zip(demand.workloads, demand.requests_per_s, strict=False))
+        self._heard[link.box] = (monotonic(), rates)
--- /dev/null
+++ b/springrock/serving/loader.py
@@ -0,0 +1,189 @@
+"""The load loop of one owned replica: one load for all who wait, the most worth in time first."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import gevent
+
+from springrock.clock import monotonic
+from springrock.coordination.steward import Steward
+from springrock.errors import (
+    Cause,
+    OrderFailed,
+    Refusal,
+    RunState,
+    UpstreamBroke,
+    UpstreamUnreachable,
+)
+from springrock.policies import Resident, Want
+from springrock.serving.owned_replica import OwnedReplica
+
+_LOAD_TRIES = 3
+_IDLE_WAIT_S = 1.0
+_NO_VICTIM_WAIT_S = 0.05
+_FAILURES = (OrderFailed, UpstreamUnreachable, UpstreamBroke)
+
+
+class Loader:
+    """Loads what one replica should hold.
+
+    Args:
+        replica: The replica.
+        steward: Gives turns on the weight store.
+    """
+
+    def __init__(self, replica: OwnedReplica, steward: Steward) -> None:
+        self._replica = replica
+        self._steward = steward
+        self._failed_tries: Counter[str] = Counter()
+        self._task: gevent.Greenlet[..., Any] | None = None
+
+    def start(self) -> None:
+        """Begin loading."""
+        self._task = gevent.spawn(self._load_forever)
+
+    def stop(self) -> None:
+        """Stop loading."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def _load_forever(self) -> None:
+        replica = self._replica
+        while True:
+            replica.load_wanted.wait(timeout=_IDLE_WAIT_S)
+            replica.load_wanted.clear()
+            while replica.accepting and self._choose() is not None:
+                if not self._has_room():
+                    replica.place_freed.clear()
+                    replica.place_freed.wait(timeout=_NO_VICTIM_WAIT_S)
+                    continue
+                self._take_turn()
+
+    def _take_turn(self) -> None:
+        want = self._choose()
+        if want is None:
+            return
+        began_at = monotonic()
+        self._steward.wait_for_turn(self._replica.name, want.adapter, want.worth_in_time)
+        try:
+            # The best may have changed while the turn was awaited.
+            want = self._choose()
+            if want is not None and self._make_room(want):
+                self._load(want, began_at)
+        finally:
+            self._steward.end_turn(self._replica.name)
+
+    def _choose(self) -> Want | None:
+        replica = self._replica
+        wants = replica.waiting.wants(
+            replica.residency.ready,
+            load_s=replica.pool.load_s,
+            token_s=replica.estimate.token_s,
+        )
+        if wants:
+            return replica.load_order.next(wants, now=monotonic())
+        return self._missing_pin()
+
+    def _missing_pin(self) -> Want | None:
+        now = monotonic()
+        for adapter in self._replica.pinned():
+            if not self._replica.residency.ready(adapter):
+                return Want(adapter, 0, 0.0, now, now, 0)
+        return None
+
+    # Making room.
+
+    def _has_room(self) -> bool:
+        return self._replica.residency.free_slots > 0 or bool(self._evictable())
+
+    def _evictable(self) -> list[Resident]:
+        """Return the adapters that nobody uses, waits for or pinned."""
+        replica = self._replica
+        if monotonic() < replica.unload_after:
+            return []
+        pinned = set(replica.pinned())
+        return [
+            resident
+            for resident in replica.residency.residents()
+            if not replica.in_use(resident.adapter) and resident.adapter not in pinned
+        ]
+
+    def _make_room(self, want: Want) -> bool:
+        replica = self._replica
+        if replica.residency.free_slots > 0:
+            return True
+        residents = self._evictable()
+        if not residents:
+            return False
+        victim = replica.eviction.victim(residents, now=monotonic())
+        return self._unload(victim, want)
+
+    def _unload(self, victim: Resident, want: Want) -> bool:
+        replica = self._replica
+        replica.residency.unloading = victim.adapter
+        replica.log.say(
+            f"Unload {victim.adapter} from {replica.name} for {want.adapter}.",
+            replica=replica.name,
+            adapter=victim.adapter,
+            rate=round(victim.rate, 3),
+            uses=victim.uses,
+            idle_s=round(monotonic() - victim.used_at, 3),
+        )
+        try:
+            replica.order("unload_adapter", victim.adapter)
+        except _FAILURES as error:
+            replica.residency.unloading = ""
+            replica.log.say("An unload failed.", replica=replica.name, error=str(error))
+            self._resync()
+            return False
+        replica.residency.unloaded(victim.adapter)
+        replica.metrics.unloads.inc()
+        return True
+
+    # Loading.
+
+    def _load(self, want: Want, began_at: float) -> None:
+        replica = self._replica
+        replica.residency.loading = want.adapter
+        replica.log.say(
+            f"Load {want.adapter} on {replica.name} for {want.waiting} waiting.",
+            replica=replica.name,
+            adapter=want.adapter,
+            waiting=want.waiting,
+            worth_in_time=round(want.worth_in_time, 3),
+            waited_s=round(monotonic() - want.oldest_at, 3),
+        )
+        try:
+            replica.order("load_adapter", want.adapter)
+        except _FAILURES as error:
+            self._note_failed(want, str(error))
+            return
+        self._failed_tries.pop(want.adapter, None)
+        replica.estimate.note_load(monotonic() - began_at)
+        replica.metrics.loads.labels("done").inc()
+        replica.adapter_ready(want.adapter)
+
+    def _note_failed(self, want: Want, detail: str) -> None:
+        replica = self._replica
+        replica.residency.loading = ""
+        replica.metrics.loads.labels("failed").inc()
+        replica.log.say("A load failed.", replica=replica.name, adapter=want.adapter, error=detail)
+        self._failed_tries[want.adapter] += 1
+        if self._failed_tries[want.adapter] >= _LOAD_TRIES:
+            del self._failed_tries[want.adapter]
+            retry_after_s = replica.estimate.load_s
+            refusal = Refusal(Cause.LOAD_FAILED, detail, RunState.NOT_RUN, retry_after_s)
+            replica.refuse_waiting_for(want.adapter, refusal)
+        self._resync()
+
+    def _resync(self) -> None:
+        """After an order of unknown outcome, take the engine's own list."""
+        try:
+            loaded = self._replica.driver.loaded()
+        except (UpstreamUnreachable, UpstreamBroke):
+            gevent.sleep(_NO_VICTIM_WAIT_S)
+            return
+        self._replica.residency.replace(loaded.adapters)
+        self._replica.grant_ready()
--- /dev/null
+++ b/springrock/serving/owned_replica.py
@@ -0,0 +1,476 @@
+"""The owner's side of one replica: who may run on it, and what it should hold.
+
+Only the owner grants permits and orders loads and unloads, so it knows exactly which adapters
+are in use. One task watches the engine, one loads; every question waits in a task of its own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import gevent
+from expression import Error, Result
+from gevent.event import Event
+
+from springrock.clock import monotonic
+from springrock.coordination.permits import Outstanding, PermitBook
+from springrock.errors import (
+    Cause,
+    OrderFailed,
+    Refusal,
+    RunState,
+    StaleFence,
+    UpstreamBroke,
+    UpstreamUnreachable,
+)
+from springrock.log import Log
+from springrock.metrics import Metrics
+from springrock.policies import Eviction, LoadOrder
+from springrock.serving.estimate import Estimate
+from springrock.serving.residency import Residency
+from springrock.serving.waiting import Waiter, WaitingRoom
+from springrock.settings import PolicySection, PoolSection, UpstreamSection
+from springrock.wire import engine as engine_wire
+from springrock.wire import peer as wire
+
+_WATCH_EVERY_S = 0.5
+_REVIEW_EVERY_S = 0.1
+_EJECT_AFTER_FAILURES = 3
+_PERMIT_SLACK_S = 2.0
+_MOVED_RETRY_S = 1.0
+_CANCEL_EVERY_S = 1.0
+
+
+class OrderedEngine(Protocol):
+    """The part of an engine driver that an owner uses."""
+
+    def order(self, order: engine_wire.Order) -> None:
+        """Give an order and wait until it is carried out."""
+
+    def loaded(self) -> engine_wire.LoadedAdapters:
+        """Return the exact list of what the engine holds."""
+
+    def cancel(self, request_id: str) -> bool:
+        """Have a request cancelled."""
+
+
+class OwnedReplica:
+    """One replica that this box owns.
+
+    Args:
+        upstream: Which replica.
+        pool: Its pool's settings.
+        policy: Limits of queues and permits.
+        fence: The fence of this ownership.
+        driver: Speaks to the engine.
+        may_act: Whether this box may act as an owner at this moment.
+        eviction: Chooses victims.
+        load_order: Chooses loads.
+        log: The log to write to.
+        metrics: The metrics to count in.
+        on_change: Called when routing should hear of a change.
+        on_lost: Called when the engine knows a newer fence.
+    """
+
+    def __init__(
+        self,
+        upstream: UpstreamSection,
+        pool: PoolSection,
+        policy: PolicySection,
+        *,
+        fence: int,
+        driver: OrderedEngine,
+        may_act: Callable[[], bool],
+        eviction: Eviction,
+        load_order: LoadOrder,
+        log: Log,
+        metrics: Metrics,
+        on_change: Callable[[OwnedReplica], None] = lambda _: None,
+        on_lost: Callable[[OwnedReplica], None] = lambda _: None,
+    ) -> None:
+        self.upstream = upstream
+        self.pool = pool
+        self.policy = policy
+        self.fence = fence
+        self.driver = driver
+        self.may_act = may_act
+        self.eviction = eviction
+        self.load_order = load_order
+        self.log = log
+        self.metrics = metrics
+        self.permits = PermitBook()
+        self.waiting = WaitingRoom()
+        self.residency = Residency(pool.adapter_slots)
+        self.estimate = Estimate(step_ms=pool.step_ms, load_s=pool.load_s)
+        self.load_wanted = Event()
+        self.place_freed = Event()
+        self.ordering = False
+        self.unload_after = monotonic() + policy.longest_permit_s
+        self.busy_until: dict[str, float] = {}
+        self.pinned: Callable[[], list[str]] = list
+        self._on_change = on_change
+        self._on_lost = on_lost
+        self._boot_id = ""
+        self._failures = 0
+        self._admitted = 0
+        self._closing = False
+        self._drained = False
+        self._tasks: list[gevent.Greenlet[..., Any]] = []
+
+    @property
+    def name(self) -> str:
+        """The replica's name."""
+        return self.upstream.name
+
+    def start(self) -> None:
+        """Begin watching the engine."""
+        self._tasks = [gevent.spawn(self._watch_forever), gevent.spawn(self._review_forever)]
+
+    def stop(self) -> None:
+        """Stop watching and refuse everyone who waits."""
+        self._closing = True
+        for task in self._tasks:
+            task.kill(block=False)
+        for waiter in self.waiting:
+            self._refuse(waiter, self._moved())
+
+    # Asking.
+
+    @property
+    def accepting(self) -> bool:
+        """Whether new requests may come."""
+        return bool(self._boot_id) and not (self._closing or self._drained) and self.may_act()
+
+    @property
+    def running_limit(self) -> int:
+        """How many requests may run now; grows again after the engine was out."""
+        return min(self.pool.running_limit, self._admitted)
+
+    def set_drained(self, drained: bool) -> None:
+        """Take the replica out of service, or back in."""
+        if drained == self._drained:
+            return
+        self._drained = drained
+        self.log.say("Drain begins." if drained else "Drain ends.", replica=self.name)
+        if drained:
+            for waiter in self.waiting:
+                self._refuse(waiter, self._leaving())
+        self._on_change(self)
+
+    def close(self) -> None:
+        """Grant nothing more; who waits is told that the replica moves."""
+        self._closing = True
+        for waiter in self.waiting:
+            self._refuse(waiter, self._moved())
+        self._on_change(self)
+
+    def ask(self, ask: wire.Ask, holder: str) -> Waiter | Result[wire.Grant, Refusal]:
+        """Take a question: either it waits, or it is decided at once."""
+        refusal = self._admission(ask)
+        if refusal is not None:
+            self.metrics.permits.labels("refused").inc()
+            return Error(refusal)
+        ready = self.residency.ready(ask.adapter)
+        if ask.adapter:
+            self.residency.note_want(ask.adapter)
+        waiter = Waiter(ask, holder, stalled=not ready)
+        self.waiting.add(waiter)
+        self.grant_ready()
+        if not ready:
+            self.load_wanted.set()
+            self._on_change(self)
+        return waiter
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Let a waiter go whose asker no longer wants an answer."""
+        if self.waiting.remove(waiter):
+            waiter.refuse(Refusal(Cause.CALLER_GONE, "withdrawn by the asker"))
+        elif waiter.permit is not None:
+            self.give_back(waiter.permit, 0)
+
+    def give_back(self, number: int, tokens: int) -> None:
+        """Take a permit back."""
+        permit = self.permits.end(number)
+        if permit is None:
+            return
+        if tokens > 0:
+            self.estimate.note_service(monotonic() - permit.granted_at, tokens)
+        if tokens == wire.NOT_LOADED:
+            self.log.say("The engine lost an adapter.", replica=self.name, adapter=permit.adapter)
+            self.residency.unloaded(permit.adapter)
+        self._after_end(permit)
+
+    def _after_end(self, permit: Outstanding) -> None:
+        if permit.adapter:
+            self.residency.note_use(permit.adapter)
+        self.metrics.permits_outstanding.dec()
+        self.place_freed.set()
+        self.grant_ready()
+        self._on_change(self)
+
+    def _admission(self, ask: wire.Ask) -> Refusal | None:
+        if not self.may_act() or self._closing:
+            return self._moved()
+        if not self.accepting:
+            return self._leaving()
+        if len(self.waiting) >= self.policy.queue_limit:
+            wait_s = self.estimate.service_s
+            return Refusal(Cause.QUEUE_FULL, "the queue is full", RunState.NOT_RUN, wait_s)
+        wait_s = self.start_estimate_s(ask)
+        return self._too_late(wait_s, ask)
+
+    def _too_late(self, wait_s: float, ask: wire.Ask) -> Refusal | None:
+        need_s = wait_s + ask.max_tokens * self.estimate.token_s
+        if need_s <= ask.deadline_s:
+            return None
+        detail = f"needs {need_s:.2f} s and has {ask.deadline_s:.2f} s"
+        retry_after_s = max(wait_s, self.estimate.load_s)
+        return Refusal(Cause.CANNOT_FINISH, detail, RunState.NOT_RUN, retry_after_s)
+
+    def start_estimate_s(self, ask: wire.Ask) -> float:
+        """Return the expected wait of a question asked now."""
+        place_s = self._place_wait_s()
+        if self.residency.ready(ask.adapter):
+            return place_s
+        return max(place_s, self._load_wait_s(ask))
+
+    def _place_wait_s(self) -> float:
+        limit = max(1, self.running_limit)
+        over = len(self.permits) + self._ready_waiting() - limit + 1
+        return max(0, over) / limit * self.estimate.service_s
+
+    def _ready_waiting(self) -> int:
+        return sum(self.residency.ready(waiter.ask.adapter) for waiter in self.waiting)
+
+    def _load_wait_s(self, ask: wire.Ask) -> float:
+        if ask.adapter == self.residency.loading:
+            return self.estimate.load_s / 2
+        wants = self.waiting.wants(
+            self.residency.ready, load_s=self.estimate.load_s, token_s=self.estimate.token_s
+        )
+        mine = sum(want.worth_in_time for want in wants if want.adapter == ask.adapter) + ask.worth
+        ahead = sum(want.worth_in_time >= mine for want in wants if want.adapter != ask.adapter)
+        return (ahead + 1) * self.estimate.load_s
+
+    # Granting.
+
+    def grant_ready(self) -> None:
+        """Grant to those who wait and can begin now, the highest priority first."""
+        if not self.accepting:
+            return
+        room = self.running_limit - len(self.permits)
+        if room <= 0 or not len(self.waiting):
+            return
+        able = [waiter for waiter in self.waiting if self.residency.ready(waiter.ask.adapter)]
+        able.sort(key=lambda waiter: (-waiter.ask.priority, waiter.arrived_at))
+        for waiter in able[:room]:
+            self._grant(waiter)
+
+    def _grant(self, waiter: Waiter) -> None:
+        self.waiting.remove(waiter)
+        ask = waiter.ask
+        life_s = min(waiter.deadline.left_s, self.policy.longest_permit_s - _PERMIT_SLACK_S)
+        permit = self.permits.grant(ask, holder=waiter.holder, life_s=life_s + _PERMIT_SLACK_S)
+        if ask.adapter:
+            self.residency.note_use(ask.adapter)
+        waited_s = monotonic() - waiter.arrived_at
+        stall_s = max(0.0, waiter.ready_at - waiter.arrived_at) if waiter.stalled else 0.0
+        self.metrics.permits.labels("granted").inc()
+        self.metrics.permits_outstanding.inc()
+        if ask.adapter:
+            self.metrics.stall_seconds.observe(stall_s)
+        waiter.grant(
+            wire.Grant(
+                number=ask.number,
+                permit=permit.number,
+                replica=self.name,
+                adapter=ask.adapter,
+                fence=self.fence,
+                start_within_s=round(self.policy.start_window_s + waited_s, 3),
+                end_within_s=round(life_s, 3),
+                waited_s=round(waited_s, 4),
+                stall_s=round(stall_s, 4),
+            )
+        )
+
+    def _refuse(self, waiter: Waiter, refusal: Refusal) -> None:
+        if self.waiting.remove(waiter):
+            self.metrics.permits.labels("refused").inc()
+            waiter.refuse(refusal)
+
+    def refuse_waiting_for(self, adapter: str, refusal: Refusal) -> None:
+        """Refuse everyone who waits for an adapter."""
+        for waiter in self.waiting:
+            if waiter.ask.adapter == adapter:
+                self._refuse(waiter, refusal)
+
+    def _moved(self) -> Refusal:
+        return Refusal(
+            Cause.NOT_OWNER, f"{self.name} is owned elsewhere now", RunState.NOT_RUN, _MOVED_RETRY_S
+        )
+
+    def _leaving(self) -> Refusal:
+        return Refusal(
+            Cause.UPSTREAM_LEAVING,
+            f"{self.name} takes no new work",
+            RunState.NOT_RUN,
+            _MOVED_RETRY_S,
+        )
+
+    # Orders.
+
+    def order(self, kind: engine_wire.OrderKind, adapter: str = "") -> None:
+        """Give the engine an order under this ownership's fence.
+
+        Raises:
+            OrderFailed: If it was not carried out.
+            UpstreamUnreachable, UpstreamBroke: If it may not have been.
+        """
+        if not self.may_act():
+            raise OrderFailed("the lease is not held")
+        order = engine_wire.Order(kind=kind, fence=self.fence, adapter=adapter)
+        self.ordering = True
+        try:
+            self.driver.order(order)
+        except StaleFence:
+            self.log.say("The engine knows a newer owner.", replica=self.name, fence=self.fence)
+            self._closing = True
+            self._on_lost(self)
+            raise OrderFailed("a newer owner exists") from None
+        finally:
+            self.ordering = False
+
+    def adapter_ready(self, adapter: str) -> None:
+        """Note that a load is done, and let its waiters go."""
+        self.residency.loaded(adapter)
+        now = monotonic()
+        for waiter in self.waiting:
+            if waiter.ask.adapter == adapter:
+                waiter.ready_at = now
+        self.grant_ready()
+        self._on_change(self)
+
+    def report(self, owner: str) -> wire.ReplicaReport:
+        """Return what routing should know."""
+        expected = set(self.waiting.adapters) - set(self.residency.ready_adapters)
+        if self.residency.loading:
+            expected.add(self.residency.loading)
+        return wire.ReplicaReport(
+            replica=self.name,
+            owner=owner,
+            fence=self.fence,
+            accepting=self.accepting,
+            running=len(self.permits),
+            waiting=len(self.waiting),
+            room=self._room(),
+            load_ms=round(self.estimate.load_s * 1000),
+            service_ms=round(self.estimate.service_s * 1000),
+            ready=self.residency.ready_adapters,
+            expected=sorted(expected),
+        )
+
+    def _room(self) -> int:
+        if self.residency.free_slots > 0:
+            return self.residency.free_slots
+        return 0 if monotonic() >= self.unload_after else -1
+
+    def in_use(self, adapter: str) -> bool:
+        """Whether a request may be running on an adapter, by this owner's permit or another's."""
+        if self.permits.using(adapter) or self.waiting.waiting_for(adapter):
+            return True
+        return self.busy_until.get(adapter, 0.0) > monotonic()
+
+    # Watching.
+
+    def _review_forever(self) -> None:
+        while True:
+            gevent.sleep(_REVIEW_EVERY_S)
+            self.review()
+
+    def review(self) -> None:
+        """Refuse who can no longer finish, and end the permits whose time is over."""
+        now = monotonic()
+        for waiter in self.waiting:
+            if waiter.last_start_at(self.estimate.token_s) < now + self._least_wait_s(waiter):
+                detail = "waited until it could no longer finish in time"
+                retry_after_s = self.estimate.load_s
+                refusal = Refusal(Cause.CANNOT_FINISH, detail, RunState.NOT_RUN, retry_after_s)
+                self._refuse(waiter, refusal)
+        for permit in self.permits.overdue():
+            self.log.say("A permit ran out.", replica=self.name, request=permit.request_id)
+            gevent.spawn(self._cancel_surely, permit)
+        self.grant_ready()
+
+    def _cancel_surely(self, permit: Outstanding) -> None:
+        """Have an overdue request cancelled; its adapter is in use until the engine confirms."""
+        while not self._closing and not self.driver.cancel(permit.request_id):
+            gevent.sleep(_CANCEL_EVERY_S)
+        self.give_back(permit.number, 0)
+
+    def _least_wait_s(self, waiter: Waiter) -> float:
+        """Return the least time that a waiter has still to wait."""
+        adapter = waiter.ask.adapter
+        if self.residency.ready(adapter) or adapter == self.residency.loading:
+            return 0.0
+        return self.pool.load_s
+
+    def _watch_forever(self) -> None:
+        while True:
+            self._watch()
+            gevent.sleep(_WATCH_EVERY_S)
+
+    def _watch(self) -> None:
+        if self.ordering:
+            return
+        try:
+            if not self._boot_id:
+                self.order("set_role")
+            loaded = self.driver.loaded()
+        except (UpstreamUnreachable, UpstreamBroke, OrderFailed) as error:
+            self._note_failure(str(error))
+            return
+        if self.ordering:
+            return
+        self._note_alive(loaded)
+
+    def _note_failure(self, detail: str) -> None:
+        self._failures += 1
+        if self._failures == _EJECT_AFTER_FAILURES and self._boot_id:
+            self.log.say("Took an upstream out.", replica=self.name, why=detail)
+            self._boot_id = ""
+            self._admitted = 0
+            for waiter in self.waiting:
+                self._refuse(waiter, self._leaving())
+            self._on_change(self)
+
+    def _note_alive(self, loaded: engine_wire.LoadedAdapters) -> None:
+        self._failures = 0
+        if self._boot_id and loaded.boot_id != self._boot_id:
+            # A restarted engine knows no fence: the next round tells it before anything else.
+            self.log.say("An engine restarted.", replica=self.name)
+            self._boot_id = ""
+            self.residency.replace([])
+            return
+        if not self._boot_id:
+            self._begin_with(loaded)
+            return
+        if self._admitted < self.pool.running_limit:
+            self._admitted = min(self.pool.running_limit, max(1, self._admitted * 2))
+            self.grant_ready()
+        if set(loaded.adapters) != set(self.residency.ready_adapters):
+            self.residency.replace(loaded.adapters)
+            self._on_change(self)
+
+    def _begin_with(self, loaded: engine_wire.LoadedAdapters) -> None:
+        self.log.say(
+            "Took an upstream in.", replica=self.name, boot=loaded.boot_id, holds=loaded.adapters
+        )
+        self._boot_id = loaded.boot_id
+        self._admitted = max(1, self.pool.running_limit // 4)
+        self.residency.loading = ""
+        self.residency.unloading = ""
+        self.residency.replace(loaded.adapters)
+        self.load_wanted.set()
+        self.grant_ready()
+        self._on_change(self)
--- /dev/null
+++ b/springrock/serving/owner.py
@@ -0,0 +1,318 @@
+"""The owner's door for peers: questions, returns and withdrawals for the replicas owned here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from expression import Error, Result
+from gevent.event import Event
+
+from springrock.clock import monotonic
+from springrock.coordination.catalog import Catalog
+from springrock.coordination.members import Members
+from springrock.coordination.ownership import Upstream
+from springrock.coordination.peers import Link, Peers
+from springrock.coordination.permits import HeldBook
+from springrock.coordination.steward import Steward
+from springrock.errors import Cause, PeerUnreachable, Refusal, RunState
+from springrock.log import Log
+from springrock.metrics import Metrics
+from springrock.plugins import drivers
+from springrock.policies import evictions, load_orders
+from springrock.serving.loader import Loader
+from springrock.serving.owned_replica import OwnedReplica
+from springrock.serving.view import RoutingView
+from springrock.serving.waiting import Waiter
+from springrock.settings import PolicySection
+from springrock.wire import peer as wire
+
+_REPORT_EVERY_S = 0.1
+_FULL_REPORT_EVERY_S = 5.0
+_NOTICE_TIMEOUT_S = 2.0
+
+
+class Owner:
+    """All replicas that this box owns, and the peers' questions about them.
+
+    Args:
+        box: The name of this box.
+        policy: The choice of policies and the limits.
+        may_act: Whether this box may act as an owner at this moment.
+        members: Tells which boxes may hold permits.
+        peers: The links to the other boxes.
+        held: This box's own book of held permits.
+        steward: Gives turns on the weight store.
+        view: Takes this box's own reports.
+        catalog: Returns the catalog in force.
+        log: The log to write to.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(
+        self,
+        *,
+        box: str,
+        policy: PolicySection,
+        may_act: Callable[[], bool],
+        members: Members,
+        peers: Peers,
+        held: HeldBook,
+        steward: Steward,
+        view: RoutingView,
+        catalog: Callable[[], Catalog],
+        log: Log,
+        metrics: Metrics,
+    ) -> None:
+        self._box = box
+        self._policy = policy
+        self._may_act = may_act
+        self._members = members
+        self._peers = peers
+        self._held = held
+        self._steward = steward
+        self._view = view
+        self._catalog = catalog
+        self._log = log
+        self._metrics = metrics
+        self._replicas: dict[str, OwnedReplica] = {}
+        self._loaders: dict[str, Loader] = {}
+        self._waiters: dict[tuple[str, int], tuple[OwnedReplica, Waiter]] = {}
+        self._leaving: set[str] = set()
+        self._changed: set[str] = set()
+        self._change = Event()
+        self._tasks: list[gevent.Greenlet[..., Any]] = []
+        peers.handle(wire.Ask, self._on_ask)
+        peers.handle(wire.Return, self._on_return)
+        peers.handle(wire.Withdraw, self._on_withdraw)
+        peers.handle(wire.FenceNotice, self._on_fence_notice)
+        peers.on_link.append(self._greet)
+
+    def start(self) -> None:
+        """Begin reporting to the peers."""
+        self._tasks = [gevent.spawn(self._report_forever), gevent.spawn(self._refresh_forever)]
+
+    def stop(self) -> None:
+        """Stop reporting."""
+        for task in self._tasks:
+            task.kill()
+        for name in list(self._replicas):
+            self.lost(name)
+
+    @property
+    def replicas(self) -> list[OwnedReplica]:
+        """The replicas owned here, sorted by name."""
+        return [self._replicas[name] for name in sorted(self._replicas)]
+
+    # Ownership.
+
+    def gained(self, upstream: Upstream, fence: int, *, previous: str) -> None:
+        """Begin to act as the owner of a replica."""
+        settings = upstream.settings
+        replica = OwnedReplica(
+            settings,
+            upstream.pool,
+            self._policy,
+            fence=fence,
+            driver=drivers.get(upstream.pool.driver)(settings),
+            may_act=self._may_act,
+            eviction=evictions.get(self._policy.eviction),
+            load_order=load_orders.get(self._policy.load_order),
+            log=self._log,
+            metrics=self._metrics,
+            on_change=self._note_change,
+            on_lost=self._lose_soon,
+        )
+        replica.pinned = lambda: [pin.adapter for pin in self._catalog().pins(settings.name)]
+        replica.set_drained(self._out_of_service(settings.name))
+        self._replicas[settings.name] = replica
+        self._loaders[settings.name] = Loader(replica, self._steward)
+        self._metrics.owned_replicas.set(len(self._replicas))
+        gevent.spawn(self._learn_permits, replica)
+        replica.start()
+        self._loaders[settings.name].start()
+
+    def closed(self, replica: str) -> None:
+        """Grant nothing more on a replica that is about to move."""
+        self._replicas[replica].close()
+
+    def lost(self, replica: str) -> None:
+        """Stop acting as the owner of a replica."""
+        owned = self._replicas.pop(replica, None)
+        if owned is None:
+            return
+        owned.stop()
+        self._loaders.pop(replica).stop()
+        self._metrics.owned_replicas.set(len(self._replicas))
+        self._metrics.permits_outstanding.dec(len(owned.permits))
+
+    def _lose_soon(self, replica: OwnedReplica) -> None:
+        gevent.spawn(self.lost, replica.name)
+
+    def note_leaving(self, leaving: set[str]) -> None:
+        """Take the platform's list of leaving upstreams."""
+        self._leaving = leaving
+        self.review_service()
+
+    def review_service(self) -> None:
+        """Take replicas out of service, or back in, by the list and the catalog."""
+        for replica in self.replicas:
+            replica.set_drained(self._out_of_service(replica.name))
+
+    def _out_of_service(self, replica: str) -> bool:
+        return replica in self._leaving or self._catalog().drained(replica)
+
+    def _learn_permits(self, replica: OwnedReplica) -> None:
+        """Ask every box which permits it holds under older fences; unload nothing in use.
+
+        Until every box that may hold one has answered, nothing at all is unloaded.
+        """
+        began_at = monotonic()
+        self._take_held(replica, self._held.notice_fence(replica.name, replica.fence))
+        others = [member for member in self._members.all() if member.box != self._box]
+        tasks = [gevent.spawn(self._ask_held, replica, member.box) for member in others]
+        gevent.joinall(tasks)
+        if all(task.value for task in tasks):
+            replica.unload_after = began_at
+            self._log.say("All boxes told their permits.", replica=replica.name)
+        else:
+            self._log.say("Some boxes did not tell their permits.", replica=replica.name)
+        self._note_change(replica)
+
+    def _ask_held(self, replica: OwnedReplica, box: str) -> bool:
+        notice = wire.FenceNotice(0, replica.name, replica.fence)
+        asked_at = monotonic()
+        try:
+            link = self._peers.link_to(box)
+            answer = link.ask(notice, wire.HeldPermits, timeout_s=_NOTICE_TIMEOUT_S)
+        except PeerUnreachable:
+            return False
+        for adapter, seconds_left in zip(answer.adapters, answer.seconds_left, strict=False):
+            self._note_busy(replica, adapter, monotonic() + seconds_left)
+        return asked_at > 0
+
+    def _take_held(self, replica: OwnedReplica, held: list[Any]) -> None:
+        for permit in held:
+            self._note_busy(replica, permit.adapter, permit.ends_at)
+
+    def _note_busy(self, replica: OwnedReplica, adapter: str, until: float) -> None:
+        replica.busy_until[adapter] = max(until, replica.busy_until.get(adapter, 0.0))
+
+    # Asking.
+
+    def ask(self, ask: wire.Ask) -> Result[wire.Grant, Refusal]:
+        """Ask on behalf of this box itself; waits for the decision."""
+        replica = self._replicas.get(ask.replica)
+        if replica is None:
+            return Error(_not_owner(ask.replica))
+        answer = replica.ask(ask, self._box)
+        if not isinstance(answer, Waiter):
+            return answer
+        try:
+            return answer.wait()
+        except BaseException:
+            replica.withdraw(answer)
+            raise
+
+    def give_back(self, notice: wire.Return) -> None:
+        """Take a permit back."""
+        replica = self._replicas.get(notice.replica)
+        if replica is not None and replica.fence == notice.fence:
+            replica.give_back(notice.permit, notice.tokens)
+
+    def _on_ask(self, link: Link, ask: wire.Ask) -> wire.Answer:
+        replica = self._replicas.get(ask.replica)
+        if replica is None:
+            return wire.Deny(ask.number, _not_owner(ask.replica))
+        answer = replica.ask(ask, link.box)
+        if isinstance(answer, Waiter):
+            key = (link.box, ask.number)
+            self._waiters[key] = (replica, answer)
+            try:
+                answer = answer.wait()
+            finally:
+                self._waiters.pop(key, None)
+        match answer:
+            case Result(tag="ok", ok=grant):
+                return grant
+            case Result(error=refusal):
+                return wire.Deny(ask.number, refusal)
+
+    def _on_return(self, _: Link, notice: wire.Return) -> None:
+        self.give_back(notice)
+
+    def _on_withdraw(self, link: Link, notice: wire.Withdraw) -> None:
+        found = self._waiters.get((link.box, notice.number))
+        if found is not None:
+            replica, waiter = found
+            replica.withdraw(waiter)
+
+    def _on_fence_notice(self, _: Link, notice: wire.FenceNotice) -> wire.HeldPermits:
+        now = monotonic()
+        held = self._held.notice_fence(notice.replica, notice.fence)
+        return wire.HeldPermits(
+            notice.number,
+            [permit.adapter for permit in held],
+            [round(max(0.0, permit.ends_at - now), 2) for permit in held],
+        )
+
+    # Reporting.
+
+    def _note_change(self, replica: OwnedReplica) -> None:
+        if self._replicas.get(replica.name) is not replica:
+            return
+        self._view.take(replica.report(self._box))
+        self._changed.add(replica.name)
+        self._change.set()
+
+    def _report_forever(self) -> None:
+        sent: dict[str, wire.ReplicaReport] = {}
+        while True:
+            self._change.wait()
+            gevent.sleep(_REPORT_EVERY_S)
+            self._change.clear()
+            names, self._changed = self._changed, set()
+            for name in sorted(names):
+                replica = self._replicas.get(name)
+                if replica is None:
+                    continue
+                report = replica.report(self._box)
+                if _differs(sent.get(name), report):
+                    sent[name] = report
+                    self._peers.tell_all(report)
+
+    def _refresh_forever(self) -> None:
+        """Tell everything again now and then, so that a lost report costs seconds."""
+        while True:
+            gevent.sleep(_FULL_REPORT_EVERY_S)
+            for replica in self.replicas:
+                report = replica.report(self._box)
+                self._view.take(report)
+                self._peers.tell_all(report)
+
+    def _greet(self, link: Link) -> None:
+        for replica in self.replicas:
+            try:
+                link.tell(replica.report(self._box))
+            except PeerUnreachable:
+                return
+
+
+def _differs(before: wire.ReplicaReport | None, after: wire.ReplicaReport) -> bool:
+    """Whether a report says something that routing should hear before the next full one."""
+    if before is None:
+        return True
+    if (before.owner, before.accepting, before.ready, before.expected) != (
+        after.owner,
+        after.accepting,
+        after.ready,
+        after.expected,
+    ):
+        return True
+    change = abs(before.running + before.waiting - after.running - after.waiting)
+    return change >= max(2, (before.running + before.waiting) // 4)
+
+
+def _not_owner(replica: str) -> Refusal:
+    return Refusal(Cause.NOT_OWNER, f"{replica} is not owned here", RunState.NOT_RUN, 1.0)
--- /dev/null
+++ b/springrock/serving/relay.py
@@ -0,0 +1,390 @@
+"""The relay: sends a permitted request to its engine and hands the verified answer on.
+
+A stream that breaks is resumed on the same engine at the exact position; a request that was
+certainly not run is tried elsewhere; one that may have run is run again only if it is repeatable
+and nothing reached the caller. Everything else ends with a typed refusal.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import gevent
+from expression import Error, Ok, Result
+
+from springrock.clock import monotonic
+from springrock.coordination.claims import Claims
+from springrock.drivers.engine import EngineDriver, EngineStream, Event
+from springrock.errors import (
+    Cause,
+    Refusal,
+    RequestRefused,
+    RunState,
+    UpstreamBroke,
+    UpstreamGarbage,
+    UpstreamSaidNo,
+    UpstreamUnreachable,
+    WrongAnswer,
+)
+from springrock.log import Log
+from springrock.metrics import Metrics
+from springrock.serving.request import ServingRequest
+from springrock.serving.retry_budget import RetryBudget
+from springrock.serving.router import Permitted, Router
+from springrock.wire.engine import EngineRequest
+from springrock.wire.peer import NOT_LOADED
+
+_RESUMES = 3
+_RESUME_PAUSE_S = 0.05
+_CANCEL_EVERY_S = 0.5
+_BROKEN_RETRY_AFTER_S = 1.0
+
+
+class Answer:
+    """One answer on its way: iterate for its events, and close it always.
+
+    Args:
+        request: The request as sent.
+        permitted: The permit that it runs under.
+        driver: Speaks to the engine.
+        stream: The begun stream.
+        give_back: Returns the permit, with the number of tokens of a whole answer.
+        log: The log to write to.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(
+        self,
+        request: EngineRequest,
+        permitted: Permitted,
+        driver: EngineDriver,
+        stream: EngineStream,
+        *,
+        give_back: Callable[[int], None],
+        log: Log,
+        metrics: Metrics,
+    ) -> None:
+        self._request = request
+        self._driver = driver
+        self._stream = stream
+        self._give_back = give_back
+        self._log = log
+        self._metrics = metrics
+        self._closed = False
+        self._resumes_left = _RESUMES
+        self._events = iter(stream)
+        self._first: Event | None = None
+        self._ends_at = permitted.held.ends_at
+        self._timer = gevent.spawn_later(max(0.0, self._ends_at - monotonic()), self._abort)
+        self.permitted = permitted
+
+    @property
+    def tokens(self) -> int:
+        """How many tokens have come."""
+        return self._stream.position
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer is whole."""
+        return self._stream.whole
+
+    def pull_first(self) -> None:
+        """Wait for the first event.
+
+        Raises:
+            UpstreamBroke: If it cannot be had from this engine.
+        """
+        self._first = self._next()
+
+    def __iter__(self) -> Iterator[Event]:
+        """Yield the events.
+
+        Raises:
+            RequestRefused: If the answer cannot become whole.
+        """
+        count = self._metrics.chunks.inc
+        if self._first is not None:
+            event, self._first = self._first, None
+            count()
+            yield event
+        while not self._stream.whole:
+            try:
+                event = self._next()
+            except UpstreamBroke as error:
+                raise RequestRefused(self._cut(error)) from None
+            count()
+            yield event
+
+    def close(self) -> None:
+        """Give the permit back; have the engine cancel an answer that is not whole."""
+        if self._closed:
+            return
+        self._closed = True
+        self._timer.kill(block=False)
+        whole = self._stream.whole
+        self._stream.close()
+        if whole:
+            self._give_back(self._stream.position)
+        else:
+            gevent.spawn(self._cancel_surely)
+
+    def _cancel_surely(self) -> None:
+        """Return the permit only when the engine has confirmed that the request is over."""
+        while monotonic() < self._ends_at:
+            if self._driver.cancel(self._request.request_id):
+                self._give_back(0)
+                return
+            gevent.sleep(_CANCEL_EVERY_S)
+
+    def _abort(self) -> None:
+        self._stream.abort()
+
+    def _next(self) -> Event:
+        while True:
+            try:
+                return next(self._events)
+            except (WrongAnswer, UpstreamGarbage):
+                raise
+            except UpstreamBroke as error:
+                self._resume(error)
+            except StopIteration:
+                raise UpstreamBroke("the stream ended") from None
+
+    def _resume(self, broke: UpstreamBroke) -> None:
+        """Go on at the exact position, if the engine still has the stream."""
+        if not self._resumes_left or monotonic() >= self._ends_at:
+            raise broke
+        self._resumes_left -= 1
+        position = self._stream.position
+        self._stream.close()
+        gevent.sleep(_RESUME_PAUSE_S)
+        try:
+            stream = self._driver.resume(self._request, position)
+        except (UpstreamUnreachable, UpstreamSaidNo) as error:
+            raise UpstreamBroke(f"{broke}; {error}") from None
+        self._log.say(
+            f"Resumed {self._request.request_id} at {position}.",
+            request=self._request.request_id,
+            position=position,
+        )
+        self._stream = stream
+        self._events = iter(stream)
+
+    def _cut(self, error: UpstreamBroke) -> Refusal:
+        if monotonic() >= self._ends_at:
+            return Refusal(Cause.DEADLINE_PASSED, "the deadline passed", RunState.CUT)
+        return Refusal(_cause_of(error), str(error), RunState.CUT, _BROKEN_RETRY_AFTER_S)
+
+
+class Relay:
+    """Runs requests under permits.
+
+    Args:
+        router: Gets the permits.
+        claims: Claims what is not repeatable.
+        driver_for: Returns the driver of a replica.
+        log: The log to write to.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(
+        self,
+        *,
+        router: Router,
+        claims: Claims,
+        driver_for: Callable[[str], EngineDriver],
+        log: Log,
+        metrics: Metrics,
+    ) -> None:
+        self._router = router
+        self._claims = claims
+        self._driver_for = driver_for
+        self._log = log
+        self._metrics = metrics
+        self._budget = RetryBudget()
+
+    def open(self, request: ServingRequest) -> Result[Answer, Refusal]:
+        """Get a permit, send the request and wait for the first token.
+
+        Returns:
+            The answer, which the caller must close; or why there is none.
+        """
+        self._budget.earn()
+        claim = _Claim(self._claims, request)
+        avoid: frozenset[str] = frozenset()
+        try:
+            while True:
+                permit = self._router.permit(request, avoid=avoid)
+                if permit.is_error():
+                    claim.release()
+                    return Error(permit.error)
+                permitted = permit.ok
+                tried = self._try(request, permitted, claim)
+                if tried.is_ok():
+                    return tried
+                refusal = tried.error
+                if not self._may_retry(request, refusal):
+                    if refusal.run_state is RunState.NOT_RUN:
+                        claim.release()
+                    return tried
+                avoid |= {permitted.upstream.name}
+                self._log.say(
+                    f"Try {request.request_id} again: {refusal.cause}.",
+                    request=request.request_id,
+                    cause=refusal.cause,
+                )
+        except BaseException:
+            claim.release_if_unsent()
+            raise
+
+    def _may_retry(self, request: ServingRequest, refusal: Refusal) -> bool:
+        if request.deadline.passed or refusal.cause is Cause.ALREADY_CLAIMED:
+            return False
+        safe = refusal.run_state is RunState.NOT_RUN or request.terms.repeatable
+        return safe and self._budget.spend()
+
+    def _try(
+        self, request: ServingRequest, permitted: Permitted, claim: _Claim
+    ) -> Result[Answer, Refusal]:
+        """Run a request once under a permit; the permit is given back unless an answer comes."""
+        give_back = _once(lambda tokens: self._router.give_back(permitted, tokens))
+        try:
+            claimed = claim.take()
+        except BaseException:
+            give_back(0)
+            raise
+        if claimed.is_error():
+            give_back(0)
+            return Error(claimed.error)
+        if monotonic() >= permitted.start_before:
+            give_back(0)
+            return Error(
+                Refusal(Cause.PERMIT_EXPIRED, "the permit came too late", retry_after_s=1.0)
+            )
+        driver = self._driver_for(permitted.upstream.name)
+        return self._send(request, permitted, claim, driver, give_back)
+
+    def _send(
+        self,
+        request: ServingRequest,
+        permitted: Permitted,
+        claim: _Claim,
+        driver: EngineDriver,
+        give_back: Callable[[int], None],
+    ) -> Result[Answer, Refusal]:
+        sent = request.to_engine()
+        claim.sent = True
+        try:
+            stream = driver.begin(sent)
+        except UpstreamUnreachable as error:
+            claim.sent = False
+            give_back(0)
+            return Error(_not_run(Cause.NO_UPSTREAM, str(error), _BROKEN_RETRY_AFTER_S))
+        except UpstreamSaidNo as error:
+            claim.sent = False
+            give_back(NOT_LOADED if "not loaded" in error.reason else 0)
+            return Error(_not_run(Cause.UPSTREAM_REFUSED, error.reason, error.retry_after_s or 1.0))
+        except UpstreamBroke as error:
+            self._cancel_later(permitted, driver, sent, give_back)
+            return Error(_unknown(error))
+        except BaseException:
+            self._cancel_later(permitted, driver, sent, give_back)
+            raise
+        answer = Answer(
+            sent,
+            permitted,
+            driver,
+            stream,
+            give_back=give_back,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        return self._first_token(request, answer)
+
+    def _first_token(self, request: ServingRequest, answer: Answer) -> Result[Answer, Refusal]:
+        try:
+            answer.pull_first()
+        except UpstreamBroke as error:
+            answer.close()
+            return Error(_unknown(error))
+        except BaseException:
+            answer.close()
+            raise
+        self._metrics.first_token_seconds.observe(monotonic() - request.arrived_at)
+        return Ok(answer)
+
+    def _cancel_later(
+        self,
+        permitted: Permitted,
+        driver: EngineDriver,
+        sent: EngineRequest,
+        give_back: Callable[[int], None],
+    ) -> None:
+        """Return the permit when the engine has confirmed that the request is over."""
+
+        def _cancel() -> None:
+            while monotonic() < permitted.held.ends_at:
+                if driver.cancel(sent.request_id):
+                    break
+                gevent.sleep(_CANCEL_EVERY_S)
+            give_back(0)
+
+        gevent.spawn(_cancel)
+
+
+class _Claim:
+    """The claim of one request, if it needs one.
+
+    Attributes:
+        sent: Whether the request may have reached an engine.
+    """
+
+    def __init__(self, claims: Claims, request: ServingRequest) -> None:
+        terms = request.terms
+        self._claims = claims
+        self._request_id = "" if terms.repeatable else terms.request_id
+        self._taken = False
+        self.sent = False
+
+    def take(self) -> Result[None, Refusal]:
+        if not self._request_id or self._taken:
+            return Ok(None)
+        result = self._claims.claim(self._request_id)
+        self._taken = result.is_ok()
+        return result
+
+    def release(self) -> None:
+        if self._taken:
+            self._taken = False
+            gevent.spawn(self._claims.release, self._request_id)
+
+    def release_if_unsent(self) -> None:
+        if not self.sent:
+            self.release()
+
+
+def _once(give_back: Callable[[int], None]) -> Callable[[int], None]:
+    """Return a function that gives a permit back the first time it is called."""
+    left = [give_back]
+
+    def _give_back(tokens: int) -> None:
+        if left:
+            left.pop()(tokens)
+
+    return _give_back
+
+
+def _cause_of(error: UpstreamBroke) -> Cause:
+    if isinstance(error, WrongAnswer):
+        return Cause.WRONG_ADAPTER
+    if isinstance(error, UpstreamGarbage):
+        return Cause.UPSTREAM_GARBAGE
+    return Cause.UPSTREAM_FAILED
+
+
+def _not_run(cause: Cause, detail: str, retry_after_s: float) -> Refusal:
+    return Refusal(cause, detail, RunState.NOT_RUN, retry_after_s)
+
+
+def _unknown(error: UpstreamBroke) -> Refusal:
+    return Refusal(_cause_of(error), str(error), RunState.UNKNOWN, _BROKEN_RETRY_AFTER_S)
--- /dev/null
+++ b/springrock/serving/router.py
@@ -0,0 +1,219 @@
+"""The router: chooses replicas for a request and gets a permit from the owner of one."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import gevent
+from expression import Error, Ok, Result
+
+from springrock.clock import monotonic
+from springrock.coordination.peers import Peers
+from springrock.coordination.permits import Held, HeldBook
+from springrock.errors import Cause, PeerUnreachable, Refusal, RunState
+from springrock.log import Log
+from springrock.policies import Routing, Scored
+from springrock.serving.owner import Owner
+from springrock.serving.request import ServingRequest
+from springrock.serving.view import RoutingView
+from springrock.settings import UpstreamSection
+from springrock.wire import peer as wire
+
+_TRIES = 4
+_ANSWER_GRACE_S = 1.0
+_NO_UPSTREAM_RETRY_AFTER_S = 2.0
+_TRY_ELSEWHERE = frozenset(
+    {
+        Cause.NOT_OWNER,
+        Cause.OWNER_UNREACHABLE,
+        Cause.UPSTREAM_LEAVING,
+        Cause.QUEUE_FULL,
+        Cause.PERMIT_EXPIRED,
+        Cause.LOAD_FAILED,
+    }
+)
+
+
+class Permitted(NamedTuple):
+    """A permit to run a request on a replica.
+
+    Attributes:
+        start_before: The request must be sent before this time on the local monotonic clock.
+    """
+
+    upstream: UpstreamSection
+    owner: str
+    held: Held
+    start_before: float
+    waited_s: float
+    stall_s: float
+
+
+class Router:
+    """Finds a place for each request.
+
+    Args:
+        box: The name of this box.
+        view: What is believed of the replicas.
+        owner: Answers for the replicas owned here.
+        peers: The links to the other owners.
+        held: This box's book of held permits.
+        routing: Orders the candidates.
+        log: The log to write to.
+    """
+
+    def __init__(
+        self,
+        *,
+        box: str,
+        view: RoutingView,
+        owner: Owner,
+        peers: Peers,
+        held: HeldBook,
+        routing: Routing,
+        log: Log,
+    ) -> None:
+        self._box = box
+        self._view = view
+        self._owner = owner
+        self._peers = peers
+        self._held = held
+        self._routing = routing
+        self._log = log
+        peers.handle(wire.ReplicaReport, lambda _, report: view.take(report))
+
+    def permit(
+        self, request: ServingRequest, *, avoid: frozenset[str]
+    ) -> Result[Permitted, Refusal]:
+        """Get a permit for a request, trying further owners where that makes sense.
+
+        Args:
+            request: The request.
+            avoid: Replicas that failed it before.
+        """
+        refusal = _no_upstream(request)
+        tried = set(avoid)
+        for _ in range(_TRIES):
+            chosen = self._choose(request, tried)
+            if chosen is None:
+                break
+            replica = chosen.candidate.replica
+            answer = self._ask(request, replica)
+            if answer.is_ok():
+                return answer
+            refusal = answer.error
+            self._log.say(
+                f"{replica} refused {request.request_id}: {refusal.cause}.",
+                request=request.request_id,
+                replica=replica,
+                cause=refusal.cause,
+            )
+            if refusal.cause not in _TRY_ELSEWHERE or request.deadline.passed:
+                break
+            tried.add(replica)
+        return Error(refusal)
+
+    def give_back(self, permitted: Permitted, tokens: int) -> None:
+        """Return a permit to the owner that gave it."""
+        held = permitted.held
+        self._held.release(held)
+        notice = wire.Return(held.replica, held.number, held.fence, tokens)
+        if permitted.owner == self._box:
+            self._owner.give_back(notice)
+            return
+        try:
+            self._peers.link_to(permitted.owner).tell(notice)
+        except PeerUnreachable:
+            return
+
+    def _choose(self, request: ServingRequest, tried: set[str]) -> Scored | None:
+        candidates = self._view.candidates(request.pool, request.model.adapter_key)
+        untried = [item for item in candidates if item.replica not in tried]
+        if not untried:
+            return None
+        ranked = self._routing.rank(untried)
+        best = ranked[0]
+        self._log.say(
+            f"Route {request.request_id} to {best.candidate.replica}: {best.reason}.",
+            request=request.request_id,
+            model=str(request.model),
+            scores={item.candidate.replica: round(item.score, 4) for item in ranked},
+        )
+        return best
+
+    def _ask(self, request: ServingRequest, replica: str) -> Result[Permitted, Refusal]:
+        report = self._view.report(replica)
+        assert report is not None
+        self._view.note_sent(replica)
+        asked_at = monotonic()
+        ask = wire.Ask(
+            number=0,
+            request_id=request.request_id,
+            replica=replica,
+            adapter=request.model.adapter_key,
+            workload=request.terms.workload,
+            worth=request.terms.worth,
+            priority=request.priority,
+            max_tokens=request.body.max_tokens,
+            deadline_s=round(request.deadline.left_s, 3),
+        )
+        answer = (
+            self._owner.ask(ask) if report.owner == self._box else self._ask_peer(ask, report.owner)
+        )
+        if answer.is_error():
+            return Error(answer.error)
+        return self._take(answer.ok, report.owner, asked_at)
+
+    def _ask_peer(self, ask: wire.Ask, owner: str) -> Result[wire.Grant, Refusal]:
+        try:
+            link = self._peers.link_to(owner)
+            number, result = link.begin(ask)
+        except PeerUnreachable as error:
+            return self._unreachable(ask, str(error))
+        try:
+            answer = result.get(timeout=ask.deadline_s + _ANSWER_GRACE_S)
+        except (PeerUnreachable, gevent.Timeout) as error:
+            link.withdraw(number)
+            return self._unreachable(ask, str(error))
+        except BaseException:
+            link.withdraw(number)
+            if result.ready() and isinstance(result.value, wire.Grant):
+                link.decline(result.value)
+            raise
+        if isinstance(answer, wire.Deny):
+            return Error(answer.refusal)
+        if not isinstance(answer, wire.Grant):
+            return self._unreachable(ask, "an answer of another kind")
+        return Ok(answer)
+
+    def _unreachable(self, ask: wire.Ask, detail: str) -> Result[wire.Grant, Refusal]:
+        self._view.avoid(ask.replica)
+        return Error(Refusal(Cause.OWNER_UNREACHABLE, detail, RunState.NOT_RUN, 1.0))
+
+    def _take(self, grant: wire.Grant, owner: str, asked_at: float) -> Result[Permitted, Refusal]:
+        """Enter a grant, unless it came too late or under an old fence."""
+        ends_at = asked_at + grant.waited_s + grant.end_within_s
+        held = self._held.take(grant, ends_at=ends_at)
+        if held is None:
+            return Error(_expired("a newer owner of the replica is known"))
+        permitted = Permitted(
+            upstream=self._view.upstream(grant.replica),
+            owner=owner,
+            held=held,
+            start_before=asked_at + grant.start_within_s,
+            waited_s=grant.waited_s,
+            stall_s=grant.stall_s,
+        )
+        if monotonic() >= permitted.start_before:
+            self.give_back(permitted, 0)
+            return Error(_expired("the permit came too late to be used"))
+        return Ok(permitted)
+
+
+def _no_upstream(request: ServingRequest) -> Refusal:
+    detail = f"no replica of {request.pool.name} takes work now"
+    return Refusal(Cause.NO_UPSTREAM, detail, RunState.NOT_RUN, _NO_UPSTREAM_RETRY_AFTER_S)
+
+
+def _expired(detail: str) -> Refusal:
+    return Refusal(Cause.PERMIT_EXPIRED, detail, RunState.NOT_RUN, 1.0)
--- /dev/null
+++ b/springrock/settings.py
@@ -0,0 +1,311 @@
+"""Typed settings of an entry box, read from JSON with comments.
+
+Every address and the availability zone come from here. Units stand in the key names: ``_s``
+seconds, ``_ms`` milliseconds, ``_bytes`` bytes. Unknown keys are refused.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path as FilePath
+from types import UnionType
+from typing import Any, NamedTuple, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+from msgspec import Struct, field
+
+from springrock.errors import SettingsError
+from springrock.jsonc import Document, JsoncError, Path, parse
+
+S = TypeVar("S", bound=Struct)
+
+
+class Section(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The base of all settings sections."""
+
+
+class BoxSection(Section, frozen=True, kw_only=True):
+    """Who this box is.
+
+    Attributes:
+        name: The name of the box, unique in the deployment.
+        availability_zone: Where it stands.
+        stop_notice_s: How long a planned stop goes on taking requests, so that the balancer
+            can see that the box is not ready.
+        stop_within_s: How long a planned stop waits for open requests.
+    """
+
+    name: str
+    availability_zone: str
+    stop_notice_s: float = 2.0
+    stop_within_s: float = 330.0
+
+
+class WorkloadKey(Section, frozen=True, kw_only=True):
+    """A caller's credential and the workload that it stands for."""
+
+    workload: str
+    key: str
+
+
+class CallerDoorSection(Section, frozen=True, kw_only=True):
+    """The HTTP door for callers."""
+
+    address: str
+    body_limit_bytes: int = 1_048_576
+    send_timeout_s: float = 20.0
+    default_deadline_s: float = 60.0
+    longest_deadline_s: float = 300.0
+    open_requests_limit: int = 2_000
+    workload_keys: list[WorkloadKey] = field(default_factory=list)
+
+
+class OperatorCredential(Section, frozen=True, kw_only=True):
+    """An operator's name and key."""
+
+    name: str
+    key: str
+
+
+class OperatorDoorSection(Section, frozen=True, kw_only=True):
+    """The HTTP door for operators."""
+
+    address: str
+    credentials: list[OperatorCredential]
+
+
+class PeersSection(Section, frozen=True, kw_only=True):
+    """Links to the other boxes.
+
+    Attributes:
+        reached_at: Where this box reaches some other boxes, by name, if not at the address that
+            they announce (through a tunnel, say).
+    """
+
+    address: str
+    shared_key: str
+    frame_limit_bytes: int = 1_048_576
+    answer_timeout_s: float = 3.0
+    remote_zone_links: int = 2
+    reached_at: dict[str, str] = field(default_factory=dict)
+
+
+class PlatformSection(Section, frozen=True, kw_only=True):
+    """The platform's services."""
+
+    table_address: str
+    objects_address: str
+    list_address: str
+    request_timeout_s: float = 2.0
+    list_poll_s: float = 1.0
+    driver: str = "http"
+
+
+class LeaseSection(Section, frozen=True, kw_only=True):
+    """How long a box holds what it holds without a sign of life in the table."""
+
+    renew_every_s: float = 3.0
+    lapse_after_s: float = 10.0
+    margin_s: float = 2.0
+    scan_every_s: float = 1.0
+
+
+class ConfigurationSection(Section, frozen=True, kw_only=True):
+    """How configuration is followed."""
+
+    head_poll_s: float = 1.0
+    slow_poll_s: float = 5.0
+
+
+class UpstreamSection(Section, frozen=True, kw_only=True):
+    """One replica of a pool."""
+
+    name: str
+    availability_zone: str
+    address: str
+    checks_fence: bool = True
+
+
+class PoolSection(Section, frozen=True, kw_only=True):
+    """Replicas that serve the same thing.
+
+    Attributes:
+        name: The pool's name; for plain services also the path segment that selects it.
+        driver: The upstream driver: ``engine`` or ``service``.
+        base_model: The base model of an engine pool.
+        adapter_slots: How many adapters one replica holds.
+        running_limit: How many requests one replica runs at once.
+        step_ms: An engine step's usual length, for estimates until one is measured.
+        load_s: A load's usual length, for estimates until one is measured.
+    """
+
+    name: str
+    replicas: list[UpstreamSection]
+    driver: str = "engine"
+    base_model: str = ""
+    adapter_slots: int = 8
+    running_limit: int = 16
+    step_ms: float = 12.0
+    load_s: float = 0.5
+
+
+class PolicySection(Section, frozen=True, kw_only=True):
+    """The choice and the weights of the decision policies."""
+
+    eviction: str = "value"
+    load_order: str = "worth"
+    routing: str = "residency"
+    queue_limit: int = 512
+    longest_permit_s: float = 330.0
+    start_window_s: float = 2.0
+    loads_per_s: float = 2.0
+
+
+class BoxSettings(Section, frozen=True, kw_only=True):
+    """All settings of one entry box."""
+
+    box: BoxSection
+    caller_door: CallerDoorSection
+    operator_door: OperatorDoorSection
+    peers: PeersSection
+    platform: PlatformSection
+    pools: list[PoolSection]
+    lease: LeaseSection = field(default_factory=LeaseSection)
+    configuration: ConfigurationSection = field(default_factory=ConfigurationSection)
+    policy: PolicySection = field(default_factory=PolicySection)
+
+
+class Problem(NamedTuple):
+    """One thing wrong with a settings file."""
+
+    line: int
+    key: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"line {self.line}: {self.key or 'file'}: {self.detail}"
+
+
+def read(path: str | FilePath, kind: type[S]) -> S:
+    """Read a settings file.
+
+    Raises:
+        SettingsError: With every problem of the file.
+    """
+    try:
+        text = FilePath(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError((Problem(0, "", f"cannot be read: {error}"),)) from None
+    return from_text(text, kind)
+
+
+def from_text(text: str, kind: type[S]) -> S:
+    """Build settings from JSON with comments.
+
+    Raises:
+        SettingsError: With every problem of the text.
+    """
+    try:
+        document = parse(text)
+    except JsoncError as error:
+        raise SettingsError((Problem(error.line, "", error.detail),)) from None
+    problems = tuple(_problems_of(document, document.data, kind, ()))
+    if problems:
+        raise SettingsError(problems)
+    settings = msgspec.convert(document.data, kind)
+    problems = tuple(_semantic_problems(document, settings))
+    if problems:
+        raise SettingsError(problems)
+    return settings
+
+
+def _problems_of(document: Document, data: Any, kind: Any, path: Path) -> list[Problem]:
+    if get_origin(kind) is list and isinstance(data, list):
+        (item_kind,) = get_args(kind)
+        return [
+            problem
+            for index, item in enumerate(data)
+            for problem in _problems_of(document, item, item_kind, (*path, index))
+        ]
+    if isinstance(kind, type) and issubclass(kind, Struct) and isinstance(data, dict):
+        return _section_problems(document, data, kind, path)
+    return _leaf_problems(document, data, kind, path)
+
+
+def _section_problems(
+    document: Document, data: dict[str, Any], kind: type[Struct], path: Path
+) -> list[Problem]:
+    problems: list[Problem] = []
+    hints = get_type_hints(kind)
+    for key, value in data.items():
+        if key in hints:
+            problems += _problems_of(document, value, _required_kind(hints[key]), (*path, key))
+        else:
+            problems.append(_problem(document, (*path, key), "unknown key"))
+    for info in msgspec.structs.fields(kind):
+        if info.required and info.name not in data:
+            problems.append(_problem(document, path, f"key {info.name!r} is missing"))
+    return problems
+
+
+def _required_kind(kind: Any) -> Any:
+    if get_origin(kind) in (Union, UnionType):
+        return next(arg for arg in get_args(kind) if arg is not type(None))
+    return kind
+
+
+def _leaf_problems(document: Document, data: Any, kind: Any, path: Path) -> list[Problem]:
+    try:
+        msgspec.convert(data, kind)
+    except msgspec.ValidationError as error:
+        return [_problem(document, path, str(error))]
+    if isinstance(data, int | float) and not isinstance(data, bool) and data < 0:
+        return [_problem(document, path, "must not be negative")]
+    last = path[-1] if path else ""
+    if last == "address" or str(last).endswith("_address"):
+        return _address_problems(document, str(data), path)
+    return []
+
+
+def _address_problems(document: Document, address: str, path: Path) -> list[Problem]:
+    host, colon, port = address.rpartition(":")
+    if colon and host and port.isdigit() and int(port) < 65_536:
+        return []
+    return [_problem(document, path, f"{address!r} is not HOST:PORT")]
+
+
+def _semantic_problems(document: Document, settings: Struct) -> list[Problem]:
+    if not isinstance(settings, BoxSettings):
+        return []
+    problems: list[Problem] = []
+    names: set[str] = set()
+    for pool_index, pool in enumerate(settings.pools):
+        for index, replica in enumerate(pool.replicas):
+            if replica.name in names:
+                name_path: Path = ("pools", pool_index, "replicas", index, "name")
+                problems.append(_problem(document, name_path, f"{replica.name!r} stands twice"))
+            names.add(replica.name)
+        if pool.driver == "engine" and not pool.base_model:
+            pool_path: Path = ("pools", pool_index)
+            problems.append(_problem(document, pool_path, "an engine pool needs a base_model"))
+    lease = settings.lease
+    if lease.lapse_after_s <= 2 * lease.renew_every_s:
+        path = ("lease", "lapse_after_s")
+        problems.append(_problem(document, path, "must be over twice renew_every_s"))
+    return problems
+
+
+def _problem(document: Document, path: Path, detail: str) -> Problem:
+    return Problem(document.line_of(path), _dotted(path), detail)
+
+
+def _dotted(path: Path) -> str:
+    text = ""
+    for step in path:
+        text += f"[{step}]" if isinstance(step, int) else f".{step}"
+    return text.lstrip(".")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``HOST:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/springrock/statements/adapters.py
@@ -0,0 +1,135 @@
+"""Statements that create, change and retire adapters and their versions."""
+
+from __future__ import annotations
+
+import msgspec
+
+from springrock.box import Box
+from springrock.coordination.catalog import Adapter, Catalog, Change
+from springrock.errors import StatementError
+from springrock.statements import Asker, Statement, Words, statements
+from springrock.statements._change import IF_REVISION, IF_REVISION_HELP, commit, delete, put
+from springrock.wire.operator import StatementAnswer
+
+
+def _key(words: Words) -> str:
+    return f"adapter/{words.get('adapter')}"
+
+
+def _existing(catalog: Catalog, words: Words) -> Adapter:
+    adapter = catalog.adapter(words.get("adapter"))
+    if adapter is None:
+        raise StatementError(f"there is no adapter {words.get('adapter')}")
+    return adapter
+
+
+def _create(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+    def _build(catalog: Catalog, change: Change) -> Change:
+        name = words.get("adapter")
+        base = name.partition(":")[0]
+        if catalog.adapter(name) is not None:
+            raise StatementError(f"adapter {name} exists already")
+        if box.view.pool_for_model(base) is None:
+            raise StatementError(f"there is no base model {base}")
+        versions = sorted(set(words.integers("version")))
+        workloads = sorted(set(words.lists.get("workload", [])))
+        return put(change, Adapter(name, versions, versions[-1], workloads))
+
+    return commit(box, words, asker, _key(words), _build)
+
+
+def _add_version(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+    def _build(catalog: Catalog, change: Change) -> Change:
+        adapter = _existing(catalog, words)
+        versions = sorted({*adapter.versions, *words.integers("version")})
+        return put(change, msgspec.structs.replace(adapter, versions=versions))
+
+    return commit(box, words, asker, _key(words), _build)
+
+
+def _use_version(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+    def _build(catalog: Catalog, change: Change) -> Change:
+        adapter = _existing(catalog, words)
+        version = words.integers("version")[0]
+        if version not in adapter.versions:
+            raise StatementError(f"adapter {adapter.name} has no version {version}")
+        return put(change, msgspec.structs.replace(adapter, current=version))
+
+    return commit(box, words, asker, _key(words), _build)
+
+
+def _retire_version(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+    def _build(catalog: Catalog, change: Change) -> Change:
+        adapter = _existing(catalog, words)
+        version = words.integers("version")[0]
+        if version == adapter.current:
+            raise StatementError(f"version {version} is in use as the current one")
+        if version not in adapter.versions:
+            raise StatementError(f"adapter {adapter.name} has no version {version}")
+        versions = [item for item in adapter.versions if item != version]
+        return put(change, msgspec.structs.replace(adapter, versions=versions))
+
+    return commit(box, words, asker, _key(words), _build)
+
+
+def _allow(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+    def _build(catalog: Catalog, change: Change) -> Change:
+        workloads = sorted(set(words.lists.get("workload", [])))
+        return put(change, msgspec.structs.replace(_existing(catalog, words), workloads=workloads))
+
+    return commit(box, words, asker, _key(words), _build)
+
+
+def _retire(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+    def _build(catalog: Catalog, change: Change) -> Change:
+        return delete(change, catalog, _key(words), f"adapter {words.get('adapter')}")
+
+    return commit(box, words, asker, _key(words), _build)
+
+
+_VERSIONS = 'VERSION ("," VERSION)*'
+_WORKLOADS = 'WORKLOAD ("," WORKLOAD)*'
+
+statements.register("create_adapter")(
+    Statement(
+        f'"create"i "adapter"i ADAPTER "version"i {_VERSIONS} '
+        f'("for"i "workload"i {_WORKLOADS})? {IF_REVISION}',
+        f"create adapter BASE:NAME version N[,N] [for workload W[,W]] {IF_REVISION_HELP}",
+        _create,
+    ),
+)
+statements.register("add_version")(
+    Statement(
+        f'"add"i "version"i {_VERSIONS} "to"i "adapter"i ADAPTER {IF_REVISION}',
+        f"add version N[,N] to adapter BASE:NAME {IF_REVISION_HELP}",
+        _add_version,
+    ),
+)
+statements.register("use_version")(
+    Statement(
+        f'"use"i "version"i VERSION "of"i "adapter"i ADAPTER {IF_REVISION}',
+        f"use version N of adapter BASE:NAME {IF_REVISION_HELP}",
+        _use_version,
+    ),
+)
+statements.register("retire_version")(
+    Statement(
+        f'"retire"i "version"i VERSION "of"i "adapter"i ADAPTER {IF_REVISION}',
+        f"retire version N of adapter BASE:NAME {IF_REVISION_HELP}",
+        _retire_version,
+    ),
+)
+statements.register("allow_adapter")(
+    Statement(
+        f'"allow"i "adapter"i ADAPTER "for"i ("all"i | "workload"i {_WORKLOADS}) {IF_REVISION}',
+        f"allow adapter BASE:NAME for all | workload W[,W] {IF_REVISION_HELP}",
+        _allow,
+    ),
+)
+statements.register("retire_adapter")(
+    Statement(
+        f'"retire"i "adapter"i ADAPTER {IF_REVISION}',
+        f"retire adapter BASE:NAME {IF_REVISION_HELP}",
+        _retire,
+    ),
+)
