--- /dev/null
+++ b/springrock/statements/show.py
@@ -0,0 +1,166 @@
+"""Statements that show what there is: boxes, replicas, adapters, workloads, changes."""
+
+from __future__ import annotations
+
+import fnmatch
+import time
+from collections.abc import Callable
+
+import gevent
+
+from springrock.box import Box
+from springrock.coordination.catalog import Adapter
+from springrock.errors import PeerUnreachable
+from springrock.statements import Asker, Statement, Words, statements
+from springrock.wire import peer as wire
+from springrock.wire.operator import StatementAnswer
+
+_STATUS_TIMEOUT_S = 2.0
+_ROWS = 50
+
+
+def statuses(box: Box) -> list[wire.Status | str]:
+    """Return the status of every box, or its name where it did not answer."""
+    names = sorted({member.box for member in box.members.all()} | {box.name})
+    tasks = [gevent.spawn(_status_of, box, name) for name in names]
+    gevent.joinall(tasks)
+    return [task.value for task in tasks if task.value is not None]
+
+
+def _status_of(box: Box, name: str) -> wire.Status | str:
+    if name == box.name:
+        return box.status()
+    try:
+        link = box.peers.link_to(name)
+        return link.ask(wire.StatusQuery(0), wire.Status, timeout_s=_STATUS_TIMEOUT_S)
+    except PeerUnreachable:
+        return name
+
+
+def _boxes(box: Box, _: Words, __: Asker) -> StatementAnswer:
+    rows = []
+    for status in statuses(box):
+        if isinstance(status, str):
+            rows.append([status, "", "unreachable", "", "", "", ""])
+            continue
+        state = "ready" if status.ready else "not ready"
+        lease = "held" if status.lease_held else "not held"
+        owned = " ".join(status.owned)
+        counts = [str(status.revision), str(status.open_requests)]
+        rows.append([status.box, status.zone, state, *counts, lease, owned])
+    columns = ["box", "zone", "state", "revision", "open requests", "lease", "owns"]
+    return StatementAnswer(columns=columns, rows=rows)
+
+
+def _replicas(box: Box, _: Words, __: Asker) -> StatementAnswer:
+    rows = []
+    for pool in box.settings.pools:
+        for upstream in pool.replicas:
+            report = box.view.report(upstream.name)
+            state = "out of service" if box.out_of_service(upstream.name) else "in service"
+            row = [upstream.name, pool.name, upstream.availability_zone, state]
+            if report is None:
+                rows.append([*row, "", "", "", "", ""])
+                continue
+            if not report.accepting and state == "in service":
+                row[3] = "not accepting"
+            counts = [str(report.fence), str(report.running), str(report.waiting)]
+            rows.append([*row, report.owner, *counts, " ".join(report.ready)])
+    columns = ["replica", "pool", "zone", "state", "owner", "fence", "running", "waiting", "loaded"]
+    return StatementAnswer(columns=columns, rows=rows)
+
+
+def _matching(pattern: str) -> Callable[[Adapter], bool]:
+    if not pattern:
+        return lambda _: True
+    return lambda adapter: fnmatch.fnmatchcase(adapter.name, pattern)
+
+
+def _adapters(box: Box, words: Words, _: Asker) -> StatementAnswer:
+    matches = _matching(words.get("pattern"))
+    limit = int(words.number("count", _ROWS))
+    found = sorted((item for item in box.catalog.adapters() if matches(item)), key=_name_of)
+    rows = [
+        [
+            adapter.name,
+            ",".join(map(str, adapter.versions)),
+            str(adapter.current),
+            ",".join(adapter.workloads) or "all",
+            " ".join(_holders(box, adapter)),
+        ]
+        for adapter in found[:limit]
+    ]
+    columns = ["adapter", "versions", "current", "workloads", "loaded on"]
+    return StatementAnswer(
+        text=f"{len(found)} adapters, {len(rows)} shown", columns=columns, rows=rows
+    )
+
+
+def _name_of(adapter: Adapter) -> str:
+    return adapter.name
+
+
+def _holders(box: Box, adapter: Adapter) -> list[str]:
+    name = adapter.name.partition(":")[2]
+    holders = []
+    for pool in box.settings.pools:
+        for upstream in pool.replicas:
+            report = box.view.report(upstream.name)
+            ready = report.ready if report else []
+            holders += [f"{upstream.name}@{v}" for v in adapter.versions if f"{name}@{v}" in ready]
+    return holders
+
+
+def _workloads(box: Box, _: Words, __: Asker) -> StatementAnswer:
+    rows = [
+        [
+            workload.name,
+            str(workload.priority),
+            f"{workload.share:g}",
+            f"{workload.requests_per_s:g}" if workload.requests_per_s else "none",
+            f"{workload.stall_weight:g}",
+        ]
+        for workload in box.catalog.workloads()
+    ]
+    columns = ["workload", "priority", "share", "limit a second", "stall weight"]
+    return StatementAnswer(columns=columns, rows=rows)
+
+
+def _changes(box: Box, words: Words, _: Asker) -> StatementAnswer:
+    limit = int(words.number("count", _ROWS))
+    rows = [
+        [
+            str(change.revision),
+            time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.at)),
+            change.who,
+            change.statement,
+        ]
+        for change in list(box.feed.recent)[-limit:]
+    ]
+    return StatementAnswer(columns=["revision", "at (UTC)", "who", "statement"], rows=rows)
+
+
+def _help(_: Box, __: Words, ___: Asker) -> StatementAnswer:
+    return StatementAnswer(rows=[[item.help] for _, item in statements], columns=["statements"])
+
+
+statements.register("show_boxes")(
+    Statement('"show"i "boxes"i', "show boxes", _boxes),
+)
+statements.register("show_replicas")(
+    Statement('"show"i "replicas"i', "show replicas", _replicas),
+)
+statements.register("show_adapters")(
+    Statement(
+        '"show"i "adapters"i ("like"i PATTERN)? ("first"i COUNT)?',
+        'show adapters [like "PATTERN"] [first N]',
+        _adapters,
+    ),
+)
+statements.register("show_workloads")(
+    Statement('"show"i "workloads"i', "show workloads", _workloads),
+)
+statements.register("show_changes")(
+    Statement('"show"i "changes"i ("last"i COUNT)?', "show changes [last N]", _changes),
+)
+statements.register("help")(Statement('"help"i', "help", _help))
--- /dev/null
+++ b/springrock/statements/why.py
@@ -0,0 +1,61 @@
+"""Statements that ask why: the decisions about a request, an adapter or a replica."""
+
+from __future__ import annotations
+
+import time
+
+from springrock.box import Box
+from springrock.log import Line
+from springrock.statements import Asker, Statement, Words, statements
+from springrock.wire.operator import StatementAnswer
+
+_HIDDEN = frozenset({"request", "replica"})
+
+
+def _answer(box: Box, lines: list[Line], about: str) -> StatementAnswer:
+    if not lines:
+        return StatementAnswer(text=f"box {box.name} remembers no decision about {about}")
+    rows = [
+        [time.strftime("%H:%M:%S", time.gmtime(line.at)), line.text, _details(line)]
+        for line in lines
+    ]
+    return StatementAnswer(columns=["at (UTC)", "decision", "details"], rows=rows)
+
+
+def _details(line: Line) -> str:
+    return " ".join(f"{key}={value}" for key, value in line.fields.items() if key not in _HIDDEN)
+
+
+def _why_request(box: Box, words: Words, _: Asker) -> StatementAnswer:
+    request = words.get("request")
+    return _answer(box, box.journal.about("request", request), f"request {request}")
+
+
+def _why_adapter(box: Box, words: Words, _: Asker) -> StatementAnswer:
+    adapter = words.get("loaded")
+    holders = []
+    for pool in box.settings.pools:
+        for upstream in pool.replicas:
+            report = box.view.report(upstream.name)
+            if report is not None and adapter in report.ready:
+                holders.append(f"{upstream.name} (owner {report.owner})")
+    answer = _answer(box, box.journal.about("adapter", adapter), f"adapter {adapter}")
+    where = ", ".join(holders) or "nowhere"
+    text = f"{adapter} is loaded on: {where}. {answer.text}".strip()
+    return StatementAnswer(text=text, columns=answer.columns, rows=answer.rows)
+
+
+def _why_replica(box: Box, words: Words, _: Asker) -> StatementAnswer:
+    replica = words.get("replica")
+    return _answer(box, box.journal.about("replica", replica), f"replica {replica}")
+
+
+statements.register("why_request")(
+    Statement('"why"i "request"i REQUEST', "why request ID", _why_request),
+)
+statements.register("why_adapter")(
+    Statement('"why"i "adapter"i LOADED', "why adapter NAME@VERSION", _why_adapter),
+)
+statements.register("why_replica")(
+    Statement('"why"i "replica"i REPLICA', "why replica NAME", _why_replica),
+)
--- /dev/null
+++ b/springrock/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats: one module for each protocol spoken with an outside party."""
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,404 @@
+"""A deployment of real processes on loopback, with faults that tests switch."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import urllib3
+
+from springrock.asking import send_statement
+from springrock.emulator.deployment import OPERATOR_KEY, Addresses, SettingsWriter, Shape
+from springrock.emulator.embedded import first_configuration
+from springrock.emulator.engine import RunRecord, expected_text
+from springrock.emulator.ports import free_addresses
+from springrock.errors import PlatformUnavailable
+from springrock.platforms.http import HttpPlatform
+from springrock.settings import PlatformSection
+from springrock.wire.operator import StatementAnswer, StatementRequest
+
+FAST_LEASE = {"renew_every_s": 0.5, "lapse_after_s": 2.0, "margin_s": 0.5, "scan_every_s": 0.3}
+START_WITHIN_S = 30.0
+
+
+def wait_until(condition: Callable[[], Any], *, within_s: float = 20.0, what: str = "") -> Any:
+    """Return the condition's first true value; fail with its name if none comes."""
+    deadline = time.monotonic() + within_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise AssertionError(f"did not come about within {within_s} s: {what or condition}")
+        time.sleep(0.05)
+
+
+class Reply:
+    """What a caller got."""
+
+    def __init__(self, status: int, headers: Any, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """The typed error, of an answer or of a stream's last event."""
+        if self.body.startswith(b"{"):
+            return self.json["error"]
+        event = self.body.rpartition(b"event: error\ndata: ")[2]
+        return json.loads(event)["error"]
+
+    @property
+    def text(self) -> str:
+        """The text of a whole answer."""
+        return self.json["choices"][0]["text"]
+
+    @property
+    def streamed(self) -> str:
+        """The text of a stream."""
+        pieces = []
+        for event in self.body.split(b"\n\n"):
+            if event.startswith(b"data: {"):
+                pieces.append(json.loads(event[6:])["choices"][0]["text"])
+        return "".join(pieces)
+
+    @property
+    def whole(self) -> bool:
+        """Whether a stream was closed as whole."""
+        return self.body.endswith(b"data: [DONE]\n\n")
+
+
+class Cluster:
+    """Processes of one deployment: platform, engines, services, boxes and a fault proxy."""
+
+    def __init__(
+        self,
+        folder: Path,
+        shape: Shape,
+        *,
+        policy: dict[str, Any] | None = None,
+        lease: dict[str, Any] | None = None,
+        proxied: bool = False,
+        engine_settings: dict[str, Any] | None = None,
+        box_settings: dict[str, Any] | None = None,
+    ) -> None:
+        self.folder = folder
+        self.shape = shape
+        self.addresses = Addresses.for_shape(shape)
+        self.writer = SettingsWriter(
+            shape, self.addresses, policy=policy, lease={**FAST_LEASE, **(lease or {})}
+        )
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.pool = urllib3.PoolManager(retries=False, maxsize=64)
+        self.threads = ThreadPoolExecutor(max_workers=64)
+        self._engine_settings = engine_settings or {}
+        self._box_settings = box_settings or {}
+        self._routes: dict[str, str] = {}
+        self._proxy_address = ""
+        if proxied:
+            self._plan_routes()
+
+    # Starting and stopping.
+
+    def __enter__(self) -> Cluster:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        self.start_outside()
+        self.install_configuration()
+        for name in self.shape.box_names:
+            self.start_box(name)
+        self.wait_ready()
+
+    def start_outside(self) -> None:
+        self.spawn("platform", ["standin", "platform"], self.writer.platform())
+        for name in self.addresses.engines:
+            self.start_engine(name)
+        for name in self.addresses.services:
+            self.spawn(name, ["standin", "service"], self.writer.service(name))
+        if self._routes:
+            self.spawn("proxy", ["standin", "proxy"], self._proxy_settings())
+
+    def start_engine(self, name: str) -> None:
+        settings = {**self.writer.engine(name), **self._engine_settings}
+        self.spawn(name, ["standin", "engine"], settings)
+
+    def start_box(self, name: str) -> None:
+        settings = self.writer.box(
+            name,
+            platform_address=self._routes.get(f"{name}>platform", ""),
+            upstream_addresses={
+                engine: self._routes.get(f"{name}>{engine}", address)
+                for engine, address in {
+                    **self.addresses.engines,
+                    **self.addresses.services,
+                }.items()
+            },
+        )
+        for section, values in self._box_settings.items():
+            settings[section] = {**settings[section], **values}
+        if self._routes:
+            settings["peers"]["reached_at"] = {
+                other: self._routes[f"{name}>{other}"]
+                for other in self.shape.box_names
+                if other != name
+            }
+        self.spawn(name, ["serve"], settings)
+
+    def spawn(self, name: str, command: list[str], settings: dict[str, Any]) -> None:
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings, indent=1))
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "springrock", *command, str(path)], stdout=log, stderr=log
+        )
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.threads.shutdown(wait=False, cancel_futures=True)
+
+    def install_configuration(self) -> None:
+        platform = self.platform()
+        transaction = first_configuration(self.shape.first_change())
+
+        def _installed() -> bool:
+            try:
+                return platform.transact(transaction) is not None
+            except PlatformUnavailable:
+                return False
+
+        wait_until(_installed, what="the platform takes the first configuration")
+
+    def platform(self) -> HttpPlatform:
+        address = self.addresses.platform
+        return HttpPlatform(
+            PlatformSection(table_address=address, objects_address=address, list_address=address)
+        )
+
+    def wait_ready(self, boxes: list[str] | None = None) -> None:
+        for name in boxes or self.shape.box_names:
+            wait_until(
+                lambda name=name: self.sees_all_replicas(name),
+                within_s=START_WITHIN_S,
+                what=f"{name} is ready and sees every replica",
+            )
+
+    def sees_all_replicas(self, box: str) -> bool:
+        try:
+            if self.get(box, "/readyz").status != 200:
+                return False
+            rows = self.ask(box, "show replicas").rows
+        except (urllib3.exceptions.HTTPError, Exception):
+            return False
+        engines = [row for row in rows if row[0] in self.addresses.engines]
+        return all(row[3] == "in service" and row[4] for row in engines)
+
+    # Signals.
+
+    def kill(self, name: str) -> None:
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def pause(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def wake(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGTERM)
+
+    # Calls.
+
+    def get(self, box: str, path: str) -> Reply:
+        return self._call("GET", f"http://{self.addresses.callers[box]}{path}")
+
+    def complete(
+        self,
+        box: str,
+        adapter: int | str = 0,
+        *,
+        prompt: str = "hello",
+        tokens: int = 5,
+        stream: bool = False,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 60.0,
+    ) -> Reply:
+        model = self.shape.model_name(adapter) if isinstance(adapter, int) else adapter
+        body = {"model": model, "prompt": prompt, "max_tokens": tokens, "stream": stream}
+        url = f"http://{self.addresses.callers[box]}/v1/completions"
+        return self._call("POST", url, json.dumps(body).encode(), headers, timeout_s)
+
+    def service(
+        self, box: str, path: str, *, method: str = "POST", headers: dict[str, str] | None = None
+    ) -> Reply:
+        url = f"http://{self.addresses.callers[box]}/services/{self.shape.service}/{path}"
+        body = b"record" if method == "POST" else None
+        return self._call(method, url, body, headers)
+
+    def expected(self, adapter: int, prompt: str = "hello", tokens: int = 5) -> str:
+        return expected_text(self.shape.model_name(adapter), prompt, tokens)
+
+    def later(self, function: Callable[..., Any], *args: Any, **kwargs: Any) -> Future[Any]:
+        return self.threads.submit(function, *args, **kwargs)
+
+    def ask(
+        self, box: str, statement: str, *, wait_s: float = 0.0, key: str = ""
+    ) -> StatementAnswer:
+        request = StatementRequest(
+            statement=statement, command_id=os.urandom(8).hex(), wait_s=wait_s
+        )
+        return send_statement(self.addresses.operators[box], request, key=key or OPERATOR_KEY)
+
+    def _call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 60.0,
+    ) -> Reply:
+        response = self.pool.request(method, url, body=body, headers=headers, timeout=timeout_s)
+        return Reply(response.status, response.headers, response.data)
+
+    # Stand-ins.
+
+    def fault(self, name: str, **fault: Any) -> None:
+        """Switch the fault of a stand-in or the platform."""
+        self._post(self.standin_address(name), "/standin/faults", fault)
+
+    def cut(self, *routes: str, **fault: Any) -> None:
+        """Switch the fault of proxy routes; without a fault they are healed."""
+        self._post(self._proxy_address, "/standin/faults", {"routes": list(routes), **fault})
+
+    def restart_engine(self, name: str) -> None:
+        self._post(self.standin_address(name), "/standin/restart", {})
+
+    def standin_address(self, name: str) -> str:
+        if name == "platform":
+            return self.addresses.platform
+        return {**self.addresses.engines, **self.addresses.services}[name]
+
+    def counters(self, name: str) -> dict[str, Any]:
+        return self._call("GET", f"http://{self.standin_address(name)}/standin/counters").json
+
+    def runs(self) -> list[RunRecord]:
+        records: list[RunRecord] = []
+        for name in self.addresses.engines:
+            reply = self._call("GET", f"http://{self.standin_address(name)}/standin/runs")
+            records += msgspec.json.decode(reply.body, type=list[RunRecord])
+        return records
+
+    def runs_of(self, request_id: str) -> int:
+        return sum(record.request_id == request_id for record in self.runs())
+
+    def violations(self) -> dict[str, int]:
+        found: dict[str, int] = {}
+        for name in [*self.addresses.engines, *self.addresses.services]:
+            found.update(self.counters(name)["violations"])
+        return found
+
+    def owner_of(self, replica: str) -> str:
+        """The owner that the table names."""
+        rows = self.platform().rows("replica/")
+        for row in rows:
+            if row.key.endswith(f"/{replica}"):
+                return json.loads(row.value)[1]
+        return ""
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        lines = []
+        for line in (self.folder / f"{name}.log").read_text().splitlines():
+            if line.startswith("{"):
+                lines.append(json.loads(line))
+        return lines
+
+    def metric(self, box: str, name: str) -> float:
+        """The sum of a metric over its labels."""
+        total = 0.0
+        for line in self.get(box, "/metrics").body.decode().splitlines():
+            if line.startswith((f"{name} ", f"{name}{{")):
+                total += float(line.rpartition(" ")[2])
+        return total
+
+    def _post(self, address: str, path: str, body: dict[str, Any]) -> None:
+        reply = self._call("POST", f"http://{address}{path}", json.dumps(body).encode())
+        assert reply.status == 200, reply.body
+
+    # The proxy.
+
+    def routes(self, *, sources: list[str], targets: list[str]) -> list[str]:
+        return [
+            f"{source}>{target}"
+            for source in sources
+            for target in targets
+            if f"{source}>{target}" in self._routes
+        ]
+
+    def boxes_in(self, zone: str) -> list[str]:
+        return [name for name in self.shape.box_names if self.shape.zone_of_box(name) == zone]
+
+    def upstreams_in(self, zone: str) -> list[str]:
+        engines = self.shape.spread(f"{self.shape.name}-engine", self.shape.engines)
+        services = self.shape.spread(f"{self.shape.name}-service", self.shape.services)
+        return [name for name, there in {**engines, **services}.items() if there == zone]
+
+    def zone_borders(self, zone: str) -> list[str]:
+        """Every route that crosses the border of a zone, the platform being outside."""
+        inside = [*self.boxes_in(zone), *self.upstreams_in(zone)]
+        borders = []
+        for route in self._routes:
+            source, _, target = route.partition(">")
+            if (source in inside) != (target in inside):
+                borders.append(route)
+        return borders
+
+    def _plan_routes(self) -> None:
+        names = []
+        for box in self.shape.box_names:
+            targets = ["platform", *self.addresses.engines, *self.addresses.services]
+            targets += [other for other in self.shape.box_names if other != box]
+            names += [f"{box}>{target}" for target in targets]
+        addresses = iter(free_addresses(len(names) + 1))
+        self._proxy_address = next(addresses)
+        self._routes = {name: next(addresses) for name in names}
+
+    def _proxy_settings(self) -> dict[str, Any]:
+        targets = {
+            "platform": self.addresses.platform,
+            **self.addresses.engines,
+            **self.addresses.services,
+            **self.addresses.peers,
+        }
+        routes = [
+            {"name": name, "address": address, "target_address": targets[name.partition(">")[2]]}
+            for name, address in self._routes.items()
+        ]
+        return {"address": self._proxy_address, "routes": routes}
