Prove answers and ownership under failure; mend what the tests found

Causes found, each first as a failing test: - A request that may have run and then found no further replica was refused as "not run". The relay now keeps the first unknown outcome and reports that. - A paused peer kept its link for 10 s beyond the ping timeout: the websocket library waits for the other end's close frame. The close timeout is now 0.2 s. - After an outage of the table nobody had renewed, and a challenger counted the outage as lapse. Time in which the table could not be read no longer counts. - A stream that lost only its closing event could not be resumed, and one that broke often used up a fixed number of resumes. Resumes now count only without progress, and the last token's own mark is enough. - An engine that took a request and lost its first answer left the outcome unknown. The relay now asks the engine to resume it from the start.

Ruled out: more retries elsewhere for unknown outcomes (would run twice).

--- a/springrock/coordination/feed.py
+++ b/springrock/coordination/feed.py
@@ -27,7 +27,7 @@
     StatementError,
 )
 from springrock.ids import rendezvous_order
-from springrock.log import Log
+from springrock.log import Condition, Log
 from springrock.metrics import Metrics
 from springrock.plugins import Platform
 from springrock.settings import ConfigurationSection
@@ -89,6 +89,9 @@
         self._log = log
         self._metrics = metrics
         self._on_change = on_change
+        self._unread = Condition(
+            log, begins="Cannot read the configuration.", ends="Read the configuration again."
+        )
         self._lock = RLock()
         self._head_version = ABSENT
         self._head = HeadValue(0, 0)
@@ -273,8 +276,9 @@
             before = self.catalog.revision
             try:
                 self.sync()
+                self._unread.end()
             except PlatformUnavailable as error:
-                self._log.say("Could not read the configuration.", error=str(error))
+                self._unread.begin(error=str(error))
                 self._fetch_from_peers()
             if self.catalog.revision > before:
                 self._peers.tell_all(wire.Head(self.catalog.revision))
--- a/springrock/coordination/listing.py
+++ b/springrock/coordination/listing.py
@@ -8,7 +8,7 @@
 import gevent
 
 from springrock.errors import PlatformUnavailable
-from springrock.log import Log
+from springrock.log import Condition, Log
 from springrock.plugins import Platform
 
 
@@ -34,6 +34,7 @@
         self._poll_s = poll_s
         self._log = log
         self._on_change = on_change
+        self._unread = Condition(log, begins="Cannot read the list.", ends="Read the list again.")
         self._task: gevent.Greenlet[..., Any] | None = None
         self.leaving: set[str] = set()
 
@@ -63,6 +64,7 @@
         while True:
             try:
                 self.poll()
+                self._unread.end()
             except PlatformUnavailable as error:
-                self._log.say("Could not read the list.", error=str(error))
+                self._unread.begin(error=str(error))
             gevent.sleep(self._poll_s)
--- a/springrock/coordination/members.py
+++ b/springrock/coordination/members.py
@@ -11,7 +11,7 @@
 from springrock.clock import monotonic
 from springrock.coordination.session import SESSION_PREFIX, SessionValue
 from springrock.errors import PlatformUnavailable
-from springrock.log import Log
+from springrock.log import Condition, Log
 from springrock.plugins import Platform
 from springrock.settings import LeaseSection
 from springrock.wire.platform import Row
@@ -62,6 +62,9 @@
         self._lease = lease
         self._log = log
         self._on_change = on_change
+        self._unread = Condition(
+            log, begins="Cannot read the sessions.", ends="Read the sessions again."
+        )
         self._members: dict[str, Member] = {}
         self._loop: gevent.Greenlet[..., Any] | None = None
         self.scanned_at = 0.0
@@ -115,13 +118,14 @@
 
     def _take(self, rows: list[Row]) -> None:
         now = monotonic()
+        unread_s = self._unread_s(now)
         before = {(member.box, member.value.incarnation) for member in self.live()}
         members: dict[str, Member] = {}
         for row in rows:
             value = msgspec.json.decode(row.value, type=SessionValue)
             known = self._members.get(value.incarnation)
             fresh = known is None or known.version != row.version
-            first_seen = now if fresh or known is None else known.first_seen
+            first_seen = now if fresh or known is None else known.first_seen + unread_s
             members[value.incarnation] = Member(value, row.version, first_seen)
         self._members = members
         self.scanned_at = now
@@ -130,10 +134,19 @@
             self._log.say("Saw other boxes.", live=sorted(box for box, _ in after))
             self._on_change()
 
+    def _unread_s(self, now: float) -> float:
+        """Return how long the table could not be read before this scan.
+
+        Nobody lapses in that time: the box that could not renew had the same outage.
+        """
+        gap_s = now - self.scanned_at if self.scanned_at else 0.0
+        return gap_s if gap_s > self._lease.scan_every_s + self._lease.margin_s else 0.0
+
     def _scan_forever(self) -> None:
         while True:
             try:
                 self.scan()
+                self._unread.end()
             except PlatformUnavailable as error:
-                self._log.say("Could not read the sessions.", error=str(error))
+                self._unread.begin(error=str(error))
             gevent.sleep(self._lease.scan_every_s)
--- a/springrock/coordination/ownership.py
+++ b/springrock/coordination/ownership.py
@@ -21,14 +21,12 @@
 from springrock.coordination.standalone import PROBE_TIMEOUT_S
 from springrock.errors import PeerUnreachable, PlatformUnavailable, TransactionConflict
 from springrock.ids import rendezvous_order
-from springrock.log import Log
+from springrock.log import Condition, Log
 from springrock.settings import LeaseSection, PoolSection, UpstreamSection
 from springrock.wire import peer as wire
 from springrock.wire.platform import ABSENT, Check, Put, Row, Transaction
 
 REPLICA_PREFIX = "replica/"
-_SETTLE_S = 3.0
-_MOVE_EVERY_S = 2.0
 _HAND_OVER_ROUNDS = 3
 
 
@@ -102,6 +100,9 @@
         self._lease = lease
         self._listener = listener
         self._log = log
+        self._unread = Condition(
+            log, begins="Cannot look at the replicas.", ends="Look at the replicas again."
+        )
         self._owned: dict[str, int] = {}
         self._task: gevent.Greenlet[..., Any] | None = None
         self._looking = RLock()
@@ -176,8 +177,9 @@
         with self._looking:
             try:
                 self.look()
+                self._unread.end()
             except PlatformUnavailable as error:
-                self._log.say("Could not look at the replicas.", error=str(error))
+                self._unread.begin(error=str(error))
 
     def look(self) -> None:
         """Compare the rows with what should be, and act once on each difference.
@@ -239,8 +241,8 @@
         if heir in (None, self._session.box):
             return
         now = monotonic()
-        settled = now - self._boxes_since > _SETTLE_S and now - self._moved_at > _MOVE_EVERY_S
-        if not settled:
+        calm_since = max(self._boxes_since, self._moved_at)
+        if now - calm_since < self._lease.settle_s:
             return
         self._moved_at = now
         self._members.scan()
--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -34,6 +34,7 @@
 _DIAL_TIMEOUT_S = 2.0
 _PING_EVERY_S = 2.0
 _PING_TIMEOUT_S = 3.0
+_CLOSE_TIMEOUT_S = 0.2
 _DIAL_EVERY_S = 0.5
 _SOCKET_FAILURES = (OSError, WebSocketException, EOFError, TimeoutError)
 
@@ -209,6 +210,7 @@
             max_size=self._settings.frame_limit_bytes,
             ping_interval=_PING_EVERY_S,
             ping_timeout=_PING_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
         )
         self._tasks.append(gevent.spawn(self._server.serve_forever))
         self._tasks.append(gevent.spawn(self._dial_forever))
@@ -322,6 +324,7 @@
             open_timeout=_DIAL_TIMEOUT_S,
             ping_interval=_PING_EVERY_S,
             ping_timeout=_PING_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
         )
 
     def _check_key(self, connection: ServerConnection, request: Any) -> Any:
--- a/springrock/coordination/session.py
+++ b/springrock/coordination/session.py
@@ -18,7 +18,7 @@
 from springrock.clock import monotonic
 from springrock.errors import PlatformUnavailable, TransactionConflict
 from springrock.ids import new_id
-from springrock.log import Log
+from springrock.log import Condition, Log
 from springrock.plugins import Platform
 from springrock.settings import LeaseSection
 from springrock.wire.platform import ABSENT, Check, Put, Row, Transaction
@@ -68,6 +68,9 @@
         self._lease = lease
         self._log = log
         self._on_lost = on_lost
+        self._unrenewed = Condition(
+            log, begins="Cannot renew the session.", ends="Renew the session again."
+        )
         self._lock = RLock()
         self._version = ABSENT
         self._held_until = 0.0
@@ -127,8 +130,9 @@
             try:
                 self.commit(Transaction())
             except (PlatformUnavailable, TransactionConflict) as error:
-                self._log.say("Could not renew the session.", error=str(error))
+                self._unrenewed.begin(error=str(error))
                 return False
+            self._unrenewed.end()
             return True
 
     def commit(self, transaction: Transaction) -> int:
--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -56,7 +56,7 @@
 
     Attributes:
         position: The position of the next token.
-        whole: Whether the closing event has come after the last token.
+        whole: Whether the last token has come and the closing event was given on.
     """
 
     def __init__(
@@ -69,23 +69,32 @@
         self.whole = False
 
     def __iter__(self) -> Iterator[Event]:
-        buffer = b""
         try:
-            for data in self._response.stream():
-                buffer += data
-                *raw_events, buffer = buffer.split(_EVENT_END)
-                for raw in raw_events:
-                    event = self._check(raw)
-                    if event is not None:
-                        yield event
-                if self.whole:
-                    return
-                if len(buffer) > _EVENT_LIMIT_BYTES:
-                    raise UpstreamGarbage("an event without end")
+            yield from self._read()
         except (HTTPError, OSError) as error:
-            raise UpstreamBroke(f"the stream broke: {error}") from None
-        if not self.whole:
+            if not self._finished:
+                raise UpstreamBroke(f"the stream broke: {error}") from None
+        if self.whole:
+            return
+        if not self._finished:
             raise UpstreamBroke("the stream ended early")
+        # The last token says that it is the last; only the closing event was lost.
+        self.whole = True
+        yield Event(wire.encode_event(wire.DONE), None)
+
+    def _read(self) -> Iterator[Event]:
+        buffer = b""
+        for data in self._response.stream():
+            buffer += data
+            *raw_events, buffer = buffer.split(_EVENT_END)
+            for raw in raw_events:
+                event = self._check(raw)
+                if event is not None:
+                    yield event
+            if self.whole:
+                return
+            if len(buffer) > _EVENT_LIMIT_BYTES:
+                raise UpstreamGarbage("an event without end")
 
     def abort(self) -> None:
         """End the stream from another task; whoever reads it sees it break."""
--- a/springrock/log.py
+++ b/springrock/log.py
@@ -69,6 +69,34 @@
         eliot.log_message(self._message_type, text=text, box=self.box, **fields)
 
 
+class Condition:
+    """Writes a line when something begins and when it ends, not in between.
+
+    Args:
+        log: The log to write to.
+        begins: The sentence for the beginning.
+        ends: The sentence for the end.
+    """
+
+    def __init__(self, log: Log, *, begins: str, ends: str) -> None:
+        self._log = log
+        self._begins = begins
+        self._ends = ends
+        self._holds = False
+
+    def begin(self, **fields: object) -> None:
+        """Note that it holds."""
+        if not self._holds:
+            self._holds = True
+            self._log.say(self._begins, **fields)
+
+    def end(self, **fields: object) -> None:
+        """Note that it does not hold."""
+        if self._holds:
+            self._holds = False
+            self._log.say(self._ends, **fields)
+
+
 def log_to(stream: TextIO = sys.stderr) -> None:
     """Send every log line to a stream as one JSON object a line."""
     eliot.to_file(stream)
--- a/springrock/serving/owned_replica.py
+++ b/springrock/serving/owned_replica.py
@@ -116,6 +116,7 @@
         self._admitted = 0
         self._closing = False
         self._drained = False
+        self._look_again = Event()
         self._tasks: list[gevent.Greenlet[..., Any]] = []
 
     @property
@@ -199,6 +200,7 @@
         if tokens == wire.NOT_LOADED:
             self.log.say("The engine lost an adapter.", replica=self.name, adapter=permit.adapter)
             self.residency.unloaded(permit.adapter)
+            self._look_again.set()
         self._after_end(permit)
 
     def _after_end(self, permit: Outstanding) -> None:
@@ -225,7 +227,7 @@
         if need_s <= ask.deadline_s:
             return None
         detail = f"needs {need_s:.2f} s and has {ask.deadline_s:.2f} s"
-        retry_after_s = max(wait_s, self.estimate.load_s)
+        retry_after_s = max(wait_s, self.estimate.load_s, self.estimate.service_s)
         return Refusal(Cause.CANNOT_FINISH, detail, RunState.NOT_RUN, retry_after_s)
 
     def start_estimate_s(self, ask: wire.Ask) -> float:
@@ -394,7 +396,7 @@
         for waiter in self.waiting:
             if waiter.last_start_at(self.estimate.token_s) < now + self._least_wait_s(waiter):
                 detail = "waited until it could no longer finish in time"
-                retry_after_s = self.estimate.load_s
+                retry_after_s = self._backlog_s(waiter)
                 refusal = Refusal(Cause.CANNOT_FINISH, detail, RunState.NOT_RUN, retry_after_s)
                 self._refuse(waiter, refusal)
         for permit in self.permits.overdue():
@@ -408,6 +410,14 @@
             gevent.sleep(_CANCEL_EVERY_S)
         self.give_back(permit.number, 0)
 
+    def _backlog_s(self, waiter: Waiter) -> float:
+        """Return after how long what waits here now should be over."""
+        place_s = max(self._place_wait_s(), self.estimate.service_s)
+        if self.residency.ready(waiter.ask.adapter):
+            return place_s
+        loads = len(set(self.waiting.adapters) - set(self.residency.ready_adapters))
+        return max(place_s, loads * self.estimate.load_s)
+
     def _least_wait_s(self, waiter: Waiter) -> float:
         """Return the least time that a waiter has still to wait."""
         adapter = waiter.ask.adapter
@@ -418,7 +428,8 @@
     def _watch_forever(self) -> None:
         while True:
             self._watch()
-            gevent.sleep(_WATCH_EVERY_S)
+            self._look_again.wait(timeout=_WATCH_EVERY_S)
+            self._look_again.clear()
 
     def _watch(self) -> None:
         if self.ordering:
@@ -451,6 +462,7 @@
             self.log.say("An engine restarted.", replica=self.name)
             self._boot_id = ""
             self.residency.replace([])
+            self._look_again.set()
             return
         if not self._boot_id:
             self._begin_with(loaded)
--- a/springrock/serving/relay.py
+++ b/springrock/serving/relay.py
@@ -34,7 +34,7 @@
 from springrock.wire.engine import EngineRequest
 from springrock.wire.peer import NOT_LOADED
 
-_RESUMES = 3
+_RESUMES_WITHOUT_PROGRESS = 3
 _RESUME_PAUSE_S = 0.05
 _CANCEL_EVERY_S = 0.5
 _BROKEN_RETRY_AFTER_S = 1.0
@@ -71,7 +71,7 @@
         self._log = log
         self._metrics = metrics
         self._closed = False
-        self._resumes_left = _RESUMES
+        self._resumes_left = _RESUMES_WITHOUT_PROGRESS
         self._events = iter(stream)
         self._first: Event | None = None
         self._ends_at = permitted.held.ends_at
@@ -142,7 +142,9 @@
     def _next(self) -> Event:
         while True:
             try:
-                return next(self._events)
+                event = next(self._events)
+                self._resumes_left = _RESUMES_WITHOUT_PROGRESS
+                return event
             except (WrongAnswer, UpstreamGarbage):
                 raise
             except UpstreamBroke as error:
@@ -212,21 +214,27 @@
         self._budget.earn()
         claim = _Claim(self._claims, request)
         avoid: frozenset[str] = frozenset()
+        may_have_run: Refusal | None = None
+        refusal: Refusal | None = None
         try:
             while True:
                 permit = self._router.permit(request, avoid=avoid)
                 if permit.is_error():
                     claim.release()
-                    return Error(permit.error)
+                    if refusal is None or permit.error.cause is not Cause.NO_UPSTREAM:
+                        refusal = permit.error
+                    return Error(may_have_run or refusal)
                 permitted = permit.ok
                 tried = self._try(request, permitted, claim)
                 if tried.is_ok():
                     return tried
                 refusal = tried.error
+                if refusal.run_state is not RunState.NOT_RUN:
+                    may_have_run = refusal
                 if not self._may_retry(request, refusal):
-                    if refusal.run_state is RunState.NOT_RUN:
+                    if may_have_run is None:
                         claim.release()
-                    return tried
+                    return Error(may_have_run or refusal)
                 avoid |= {permitted.upstream.name}
                 self._log.say(
                     f"Try {request.request_id} again: {refusal.cause}.",
@@ -285,8 +293,11 @@
             give_back(NOT_LOADED if "not loaded" in error.reason else 0)
             return Error(_not_run(Cause.UPSTREAM_REFUSED, error.reason, error.retry_after_s or 1.0))
         except UpstreamBroke as error:
-            self._cancel_later(permitted, driver, sent, give_back)
-            return Error(_unknown(error))
+            found = _find_begun(driver, sent)
+            if found is None:
+                self._cancel_later(permitted, driver, sent, give_back)
+                return Error(_unknown(error))
+            stream = found
         except BaseException:
             self._cancel_later(permitted, driver, sent, give_back)
             raise
@@ -363,6 +374,18 @@
             self.release()
 
 
+def _find_begun(driver: EngineDriver, sent: EngineRequest) -> EngineStream | None:
+    """Return the stream of a request whose first answer was lost, if the engine has begun it."""
+    for _ in range(_RESUMES_WITHOUT_PROGRESS):
+        try:
+            return driver.resume(sent, 0)
+        except UpstreamBroke:
+            gevent.sleep(_RESUME_PAUSE_S)
+        except (UpstreamUnreachable, UpstreamSaidNo):
+            return None
+    return None
+
+
 def _once(give_back: Callable[[int], None]) -> Callable[[int], None]:
     """Return a function that gives a permit back the first time it is called."""
     left = [give_back]
--- a/springrock/serving/services.py
+++ b/springrock/serving/services.py
@@ -111,6 +111,7 @@
         tried: set[str] = set()
         self._budget.earn()
         refusal = _none_left(pool.name)
+        may_have_run: Refusal | None = None
         for _ in range(_TRIES):
             upstream = self._choose(pool, tried)
             if upstream is None:
@@ -126,10 +127,12 @@
             if result.is_ok():
                 return result
             refusal = result.error
+            if refusal.run_state is not RunState.NOT_RUN:
+                may_have_run = refusal
             safe = refusal.run_state is RunState.NOT_RUN or terms.repeatable
             if not safe or deadline.passed or not self._budget.spend():
                 break
-        return Error(refusal)
+        return Error(may_have_run or refusal)
 
     def _send(
         self,
--- a/springrock/settings.py
+++ b/springrock/settings.py
@@ -37,7 +37,7 @@
     name: str
     availability_zone: str
     stop_notice_s: float = 2.0
-    stop_within_s: float = 330.0
+    stop_within_s: float = 130.0
 
 
 class WorkloadKey(Section, frozen=True, kw_only=True):
@@ -54,7 +54,7 @@
     body_limit_bytes: int = 1_048_576
     send_timeout_s: float = 20.0
     default_deadline_s: float = 60.0
-    longest_deadline_s: float = 300.0
+    longest_deadline_s: float = 120.0
     open_requests_limit: int = 2_000
     workload_keys: list[WorkloadKey] = field(default_factory=list)
 
@@ -101,12 +101,19 @@
 
 
 class LeaseSection(Section, frozen=True, kw_only=True):
-    """How long a box holds what it holds without a sign of life in the table."""
+    """How long a box holds what it holds without a sign of life in the table.
+
+    Attributes:
+        margin_s: What a challenger waits beyond the lapse.
+        scan_every_s: How often the rows are read.
+        settle_s: How long after a change of boxes or a move a replica may be moved for balance.
+    """
 
     renew_every_s: float = 3.0
     lapse_after_s: float = 10.0
     margin_s: float = 2.0
     scan_every_s: float = 1.0
+    settle_s: float = 3.0
 
 
 class ConfigurationSection(Section, frozen=True, kw_only=True):
@@ -155,7 +162,7 @@
     load_order: str = "worth"
     routing: str = "residency"
     queue_limit: int = 512
-    longest_permit_s: float = 330.0
+    longest_permit_s: float = 125.0
     start_window_s: float = 2.0
     loads_per_s: float = 2.0
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -22,11 +22,18 @@
 from springrock.emulator.engine import RunRecord, expected_text
 from springrock.emulator.ports import free_addresses
 from springrock.errors import PlatformUnavailable
+from springrock.ids import rendezvous_order
 from springrock.platforms.http import HttpPlatform
 from springrock.settings import PlatformSection
 from springrock.wire.operator import StatementAnswer, StatementRequest
 
-FAST_LEASE = {"renew_every_s": 0.5, "lapse_after_s": 2.0, "margin_s": 0.5, "scan_every_s": 0.3}
+FAST_LEASE = {
+    "renew_every_s": 0.5,
+    "lapse_after_s": 2.0,
+    "margin_s": 0.5,
+    "scan_every_s": 0.3,
+    "settle_s": 0.5,
+}
 START_WITHIN_S = 30.0
 
 
@@ -131,6 +138,18 @@
         for name in self.shape.box_names:
             self.start_box(name)
         self.wait_ready()
+        self.wait_settled()
+
+    def wait_settled(self) -> None:
+        """Wait until every replica stands where rendezvous puts it."""
+        engines = self.shape.spread(f"{self.shape.name}-engine", self.shape.engines)
+        for engine, zone in engines.items():
+            home = rendezvous_order(engine, self.boxes_in(zone))[0]
+            wait_until(
+                lambda engine=engine, home=home: self.owner_of(engine) == home,
+                what=f"{engine} is owned by {home}",
+            )
+        self.wait_ready()
 
     def start_outside(self) -> None:
         self.spawn("platform", ["standin", "platform"], self.writer.platform())
--- /dev/null
+++ b/tests/faults/test_ownership.py
@@ -0,0 +1,167 @@
+"""Ownership under failure: takeover, pauses, outages, cut zones, restarts of everything."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from springrock.emulator.deployment import Shape
+from tests.cluster import Cluster, wait_until
+from tests.traffic import Traffic
+
+ENGINE = "small-engine-1"
+
+
+@pytest.fixture
+def cluster(tmp_path: Path) -> Iterator[Cluster]:
+    with Cluster(tmp_path, Shape.from_small(), proxied=True) as cluster:
+        yield cluster
+
+
+def other_boxes(cluster: Cluster, box: str) -> list[str]:
+    return [name for name in cluster.shape.box_names if name != box]
+
+
+def test_a_killed_owner_is_replaced(cluster: Cluster) -> None:
+    owner = cluster.owner_of(ENGINE)
+    with Traffic(cluster, boxes=other_boxes(cluster, owner)) as traffic:
+        wait_until(lambda: traffic.answered > 20, what="traffic flows")
+        cluster.kill(owner)
+        wait_until(lambda: cluster.owner_of(ENGINE) != owner, what="a takeover")
+        before = traffic.answered
+        wait_until(lambda: traffic.answered > before + 50, what="traffic flows again")
+    assert traffic.dishonest == []
+    assert cluster.violations() == {}
+
+
+def test_a_paused_owner_wakes_and_does_no_harm(cluster: Cluster) -> None:
+    owner = cluster.owner_of(ENGINE)
+    others = other_boxes(cluster, owner)
+    with Traffic(cluster, boxes=others, adapters=8) as traffic:
+        wait_until(lambda: traffic.answered > 20, what="traffic flows")
+        cluster.pause(owner)
+        wait_until(lambda: cluster.owner_of(ENGINE) != owner, what="a takeover")
+        before = traffic.answered
+        wait_until(lambda: traffic.answered > before + 30, what="traffic flows again")
+        cluster.wake(owner)
+        before = traffic.answered
+        wait_until(lambda: traffic.answered > before + 100, what="traffic flows on")
+    assert traffic.dishonest == []
+    assert cluster.violations() == {}
+    woken = cluster.complete(owner, 1)
+    assert woken.status == 200, woken.body
+
+
+def test_a_platform_outage_longer_than_the_lease_stops_nothing(cluster: Cluster) -> None:
+    owners = {name: cluster.owner_of(name) for name in cluster.addresses.engines}
+    with Traffic(cluster, adapters=4) as traffic:
+        wait_until(lambda: traffic.answered > 20, what="traffic flows")
+        cluster.fault("platform", part="table", down=True)
+        began = time.monotonic()
+        # Over three leases: everybody's lease has lapsed by then.
+        wait_until(lambda: time.monotonic() - began > 7.0, what="the outage lasts")
+        before = traffic.answered
+        wait_until(lambda: traffic.answered > before + 50, what="traffic flows in the outage")
+        cluster.fault("platform", part="table")
+        before = traffic.answered
+        wait_until(lambda: traffic.answered > before + 50, what="traffic flows after it")
+    assert traffic.dishonest == []
+    refused_in_outage = [item for item in traffic.failed if item.at > began + 5.0]
+    assert refused_in_outage == []
+    assert {name: cluster.owner_of(name) for name in owners} == owners
+    assert cluster.violations() == {}
+
+
+def test_lost_answers_of_the_table_confuse_nobody(cluster: Cluster) -> None:
+    with Traffic(cluster) as traffic:
+        wait_until(lambda: traffic.answered > 20, what="traffic flows")
+        for _ in range(5):
+            cluster.fault("platform", part="table", lose_answers=10)
+            before = traffic.answered
+            wait_until(lambda b=before: traffic.answered > b + 10, what="traffic flows")
+        cluster.fault("platform", part="table")
+    assert traffic.dishonest == []
+    assert cluster.violations() == {}
+    cluster.wait_ready()
+
+
+def test_a_zone_cut_off_from_everything_serves_what_it_can(cluster: Cluster) -> None:
+    zone = "zone-2"
+    borders = cluster.zone_borders(zone)
+    inside = cluster.boxes_in(zone)
+    for adapter in range(2):
+        assert cluster.complete(inside[0], adapter).status == 200
+    cluster.cut(*borders, cut=True)
+    began = time.monotonic()
+    wait_until(lambda: time.monotonic() - began > 6.0, what="the zone's leases lapse")
+    for box in inside:
+        wait_until(
+            lambda box=box: cluster.complete(box, 0).status == 200, what=f"{box} serves alone"
+        )
+    assert cluster.complete(inside[0], 1).text == cluster.expected(1)
+    outside = cluster.boxes_in("zone-1")[0]
+    assert cluster.complete(outside, 0).status == 200
+    cluster.cut(*borders)
+    cluster.wait_ready()
+    assert cluster.violations() == {}
+
+
+def test_a_box_that_alone_cannot_reach_the_table_keeps_its_replicas(cluster: Cluster) -> None:
+    owner = cluster.owner_of(ENGINE)
+    cluster.cut(f"{owner}>platform", cut=True)
+    began = time.monotonic()
+    wait_until(lambda: time.monotonic() - began > 6.0, what="several leases pass")
+    assert cluster.owner_of(ENGINE) == owner
+    assert cluster.complete(owner, 1).status == 200
+    assert cluster.metric(owner, "springrock_table_requests_total") > 0
+    cluster.cut(f"{owner}>platform")
+    assert cluster.violations() == {}
+
+
+def test_a_restarted_engine_is_filled_again_and_nobody_is_lied_to(cluster: Cluster) -> None:
+    with Traffic(cluster, tokens=30) as traffic:
+        wait_until(lambda: traffic.answered > 20, what="traffic flows")
+        for _ in range(3):
+            cluster.restart_engine(ENGINE)
+            before = traffic.answered
+            wait_until(lambda b=before: traffic.answered > b + 40, what="traffic flows again")
+    assert traffic.dishonest == []
+    assert cluster.violations() == {}
+
+
+def test_a_load_that_fails_partway_is_tried_again(cluster: Cluster) -> None:
+    for name in cluster.addresses.engines:
+        cluster.fault(name, fail_loads=1)
+    reply = cluster.complete("zone-1-a", 9)
+    assert reply.status == 200, reply.body
+    assert reply.text == cluster.expected(9)
+
+
+def test_loads_that_always_fail_end_as_not_run(cluster: Cluster) -> None:
+    for name in cluster.addresses.engines:
+        cluster.fault(name, fail_loads=-1)
+    reply = cluster.complete("zone-1-a", 9, headers={"Springrock-Request-Id": "never"})
+    assert reply.status == 503
+    assert reply.error["type"] == "load_failed"
+    assert reply.error["run_state"] == "not_run"
+    assert int(reply.headers["Retry-After"]) >= 1
+    assert cluster.runs_of("never") == 0
+
+
+def test_two_faults_at_once_owner_killed_in_an_outage(cluster: Cluster) -> None:
+    owner = cluster.owner_of(ENGINE)
+    with Traffic(cluster, boxes=other_boxes(cluster, owner)) as traffic:
+        wait_until(lambda: traffic.answered > 20, what="traffic flows")
+        cluster.fault("platform", part="table", down=True)
+        cluster.kill(owner)
+        before = traffic.answered
+        wait_until(lambda: traffic.answered > before + 30, what="the other replica serves")
+        cluster.fault("platform", part="table")
+        wait_until(lambda: cluster.owner_of(ENGINE) != owner, what="a takeover after the outage")
+        before = traffic.answered
+        wait_until(lambda: traffic.answered > before + 30, what="traffic flows again")
+    assert traffic.dishonest == []
+    assert cluster.violations() == {}
