Read the platform only for what changed; find other zones' boxes at once

Cause: worked out at the size to design for, reading all session rows (350) and replica rows (183 a zone) each second would cost a box some 57 KB/s against a budget of 8 KB/s for all control, and the full replica reports every 5 s 5 KB/s.

Ruled out: a push from the table (its protocol has none); one reader for each zone for everything (a role more, for what HTTP's conditional reads give).

Change: conditional reads (ETag); sessions of the zone are read fast only while something is wrong there, those of all zones every 30 s; a box that is dialed by one that it does not know looks at once. Lapsed sessions that own nothing are swept. Reports of load go out on a change of a quarter of the limit.

Failed try: without the look on an unknown box, boxes of other zones stayed unknown for up to 30 s; the configuration and ownership tests failed at setup.

--- a/springrock/box.py
+++ b/springrock/box.py
@@ -114,8 +114,19 @@
     def _build_coordination(self) -> None:
         settings = self.settings
         direct = platforms.get(settings.platform.driver)(settings.platform)
-        self.platform = RelayedPlatform(direct, zone=self.zone, metrics=self.metrics)
-        self.members = Members(self.platform, settings.lease, log=self.log("members"))
+        self.platform = RelayedPlatform(
+            direct,
+            zone=self.zone,
+            metrics=self.metrics,
+            on_failure=lambda: self.members.note_outage(),
+        )
+        self.members = Members(
+            self.platform,
+            settings.lease,
+            zone=self.zone,
+            hurry=self._zone_in_trouble,
+            log=self.log("members"),
+        )
         self.peers = Peers(
             settings.peers,
             hello=self._hello,
@@ -126,6 +137,8 @@
         self.platform.use_peers(self.peers)
         self.peers.handle(wire.StatusQuery, lambda _, query: self.status(query.number))
         self.peers.handle(wire.StopBox, self._on_stop)
+        self.peers.on_link.append(self._look_for_unknown)
+        self.peers.on_lost.append(lambda _: self.members.look_soon())
         self.session = Session(
             self.platform,
             settings.lease,
@@ -240,6 +253,16 @@
             if replica.availability_zone == self.zone
         ]
 
+    def _look_for_unknown(self, link: Link) -> None:
+        if self.members.holder(link.incarnation) is None:
+            self.members.look_soon(all_zones=True)
+
+    def _zone_in_trouble(self) -> bool:
+        """Whether the zone's rows should be read fast: a box is not linked, or all is new."""
+        linked = {link.box for link in self.peers.links(self.zone)} | {self.name}
+        known = {member.box for member in self.members.all() if member.zone == self.zone}
+        return not known <= linked or not self.ownership.calm
+
     def _hello(self) -> wire.Hello:
         return wire.Hello(
             self.name, self.zone, self.session.incarnation, self.feed.catalog.revision
--- a/springrock/coordination/members.py
+++ b/springrock/coordination/members.py
@@ -7,6 +7,7 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 from springrock.clock import monotonic
 from springrock.coordination.session import SESSION_PREFIX, SessionValue
@@ -47,7 +48,11 @@
         platform: The platform client.
         lease: When a session that is not renewed has lapsed.
         log: The log to write to.
+        zone: This box's availability zone, which is read more often.
+        hurry: Tells whether something is wrong in the zone, so that its rows are read fast.
         on_change: Called when a box came, went or changed.
+
+    While all is calm a box reads little: what it needs at once, its links tell it.
     """
 
     def __init__(
@@ -55,11 +60,18 @@
         platform: Platform,
         lease: LeaseSection,
         *,
+        zone: str,
+        hurry: Callable[[], bool] = lambda: True,
         log: Log,
         on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._platform = platform
         self._lease = lease
+        self._zone = zone
+        self._hurry = hurry
+        self._outage = False
+        self._all_scanned_at = 0.0
+        self._whole_wanted = True
         self._log = log
         self._on_change = on_change
         self._unread = Condition(
@@ -67,6 +79,7 @@
         )
         self._members: dict[str, Member] = {}
         self._loop: gevent.Greenlet[..., Any] | None = None
+        self._wake = Event()
         self.scanned_at = 0.0
 
     def start(self) -> None:
@@ -79,13 +92,19 @@
             self._loop.kill()
 
     def scan(self) -> None:
-        """Read the rows once.
+        """Read the rows of the zone once, and those of all zones if that is due.
 
         Raises:
             PlatformUnavailable: If the table cannot be read.
         """
-        rows = self._platform.rows(SESSION_PREFIX)
-        self._take(rows)
+        unread_s = monotonic() - self._all_scanned_at
+        due = self._whole_wanted or unread_s >= self._lease.all_zones_scan_every_s
+        prefix = SESSION_PREFIX if due else f"{SESSION_PREFIX}{self._zone}/"
+        self._take(self._platform.rows(prefix), whole=due)
+
+    def note_outage(self) -> None:
+        """Note that the table did not answer this box at some call."""
+        self._outage = True
 
     def find(self, box: str) -> Member | None:
         """Return a live box's newest member."""
@@ -113,34 +132,40 @@
 
     def lapsed(self, member: Member) -> bool:
         """Whether a challenger may take a box's session for lapsed."""
-        unrenewed_s = self.scanned_at - member.first_seen
+        seen_at = self.scanned_at if member.zone == self._zone else self._all_scanned_at
+        unrenewed_s = seen_at - member.first_seen
         return unrenewed_s > self._lease.lapse_after_s + self._lease.margin_s
 
-    def _take(self, rows: list[Row]) -> None:
+    def _take(self, rows: list[Row], *, whole: bool) -> None:
         now = monotonic()
-        unread_s = self._unread_s(now)
         before = {(member.box, member.value.incarnation) for member in self.live()}
-        members: dict[str, Member] = {}
+        members = {
+            incarnation: member
+            for incarnation, member in self._members.items()
+            if not whole and member.zone != self._zone
+        }
         for row in rows:
-            value = msgspec.json.decode(row.value, type=SessionValue)
-            known = self._members.get(value.incarnation)
-            fresh = known is None or known.version != row.version
-            first_seen = now if fresh or known is None else known.first_seen + unread_s
-            members[value.incarnation] = Member(value, row.version, first_seen)
+            member = self._member_of(row, now)
+            members[member.value.incarnation] = member
         self._members = members
         self.scanned_at = now
+        if whole:
+            self._all_scanned_at = now
+            self._whole_wanted = False
+        self._outage = False
         after = {(member.box, member.value.incarnation) for member in self.live()}
         if after != before:
             self._log.say("Saw other boxes.", live=sorted(box for box, _ in after))
             self._on_change()
 
-    def _unread_s(self, now: float) -> float:
-        """Return how long the table could not be read before this scan.
-
-        Nobody lapses in that time: the box that could not renew had the same outage.
-        """
-        gap_s = now - self.scanned_at if self.scanned_at else 0.0
-        return gap_s if gap_s > self._lease.scan_every_s + self._lease.margin_s else 0.0
+    def _member_of(self, row: Row, now: float) -> Member:
+        value = msgspec.json.decode(row.value, type=SessionValue)
+        known = self._members.get(value.incarnation)
+        if known is None or known.version != row.version:
+            return Member(value, row.version, now)
+        # Nobody lapses in an outage: the box that could not renew had the same one.
+        first_seen = now if self._outage else known.first_seen
+        return Member(value, row.version, first_seen)
 
     def _scan_forever(self) -> None:
         while True:
@@ -148,5 +173,15 @@
                 self.scan()
                 self._unread.end()
             except PlatformUnavailable as error:
+                self._outage = True
                 self._unread.begin(error=str(error))
-            gevent.sleep(self._lease.scan_every_s)
+            self._wake.wait(timeout=self._pause_s())
+            self._wake.clear()
+
+    def _pause_s(self) -> float:
+        return self._lease.scan_every_s if self._hurry() else self._lease.calm_scan_every_s
+
+    def look_soon(self, *, all_zones: bool = False) -> None:
+        """Scan at once, as when a link was lost or an unknown box has dialed."""
+        self._whole_wanted = self._whole_wanted or all_zones
+        self._wake.set()
--- a/springrock/coordination/ownership.py
+++ b/springrock/coordination/ownership.py
@@ -118,6 +118,12 @@
         """The replicas that this box owns, with their fences."""
         return dict(self._owned)
 
+    @property
+    def calm(self) -> bool:
+        """Whether boxes and replicas have stood as they are for a while."""
+        still_s = monotonic() - max(self._boxes_since, self._moved_at)
+        return still_s > self._lease.settle_s + self._lease.lapse_after_s
+
     def start(self) -> None:
         """Begin looking in the background."""
         self._task = gevent.spawn(self._look_forever)
@@ -193,6 +199,27 @@
         self._note_boxes()
         for name, upstream in self._upstreams.items():
             self._look_at(upstream, rows.get(name, Row(_key(self.zone, name), ABSENT, b"")))
+        self._sweep(rows)
+
+    def _sweep(self, rows: dict[str, Row]) -> None:
+        """Delete the lapsed sessions of the zone that own nothing; one box does it."""
+        if self._desired("session sweep") != self._session.box:
+            return
+        owners = {
+            msgspec.json.decode(row.value, type=ReplicaValue).incarnation for row in rows.values()
+        }
+        for member in self._members.all():
+            unused = member.value.incarnation not in owners
+            if member.zone == self.zone and unused and self._members.lapsed(member):
+                self._delete_session(member)
+
+    def _delete_session(self, member: Member) -> None:
+        key = key_of(member.value)
+        try:
+            self._session.commit(Transaction(checks=[Check(key, member.version)], deletes=[key]))
+        except TransactionConflict:
+            return
+        self._log.say(f"Swept the lapsed session of {member.box}.", member=member.box)
 
     def _read(self) -> dict[str, Row]:
         rows = self._platform.rows(f"{REPLICA_PREFIX}{self.zone}/")
--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -33,7 +33,7 @@
 Handler = Callable[["Link", Any], "wire.Answer | None"]
 
 _DIAL_TIMEOUT_S = 2.0
-_PING_EVERY_S = 2.0
+_PING_EVERY_S = 4.0
 _PING_TIMEOUT_S = 3.0
 _CLOSE_TIMEOUT_S = 0.2
 _DIAL_EVERY_S = 0.5
@@ -190,6 +190,7 @@
         self._server: Server | None = None
         self._tasks: list[gevent.Greenlet[..., Any]] = []
         self.on_link: list[Callable[[Link], None]] = []
+        self.on_lost: list[Callable[[Link], None]] = []
 
     def handle(self, kind: type[Any], handler: Handler) -> None:
         """Have a kind of message handled.
@@ -377,6 +378,8 @@
         if self._links.get(link.box) is link:
             del self._links[link.box]
             self._log.say("Lost the link to a peer.", peer=link.box)
+            for hook in self.on_lost:
+                hook(link)
         self._metrics.peer_links.set(len(self._links))
         link.close()
 
--- a/springrock/coordination/relayed.py
+++ b/springrock/coordination/relayed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
@@ -31,9 +32,18 @@
         direct: The client that calls from this box.
         zone: This box's availability zone.
         metrics: The metrics to count in.
+        on_failure: Called when the table did not answer this box.
     """
 
-    def __init__(self, direct: Platform, *, zone: str, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        direct: Platform,
+        *,
+        zone: str,
+        metrics: Metrics,
+        on_failure: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._on_failure = on_failure
         self._direct = direct
         self._zone = zone
         self._metrics = metrics
@@ -93,6 +103,7 @@
 
     def _note_failure(self, kind: str) -> None:
         self._count(kind, "failed")
+        self._on_failure()
         self._skip_direct_until = monotonic() + _DIRECT_AGAIN_AFTER_S
 
     def _count(self, kind: str, result: str) -> None:
--- a/springrock/emulator/platform.py
+++ b/springrock/emulator/platform.py
@@ -116,11 +116,16 @@
         newest = self._history[-1][1]
         self._history.append((monotonic(), {**newest, entry.name: entry}))
 
+    @property
+    def seen_version(self) -> int:
+        """How many changes readers see."""
+        seen_at = monotonic() - self._lag_s
+        return sum(at <= seen_at for at, _ in self._history) - 1
+
     def read(self) -> wire.Listing:
         """Return the list as it was one lag ago."""
-        seen_at = monotonic() - self._lag_s
-        visible = [entries for at, entries in self._history if at <= seen_at or at == 0.0]
-        return wire.Listing(entries=list(visible[-1].values()))
+        _, entries = self._history[self.seen_version]
+        return wire.Listing(entries=list(entries.values()))
 
 
 class PlatformStandin:
@@ -133,6 +138,8 @@
         self.list = LaggingList(settings.listed, settings.list_lag_s)
         self._faults: dict[str, Fault] = {}
         self._losses_left: dict[str, int] = {}
+        self.not_modified = 0
+        self.body_bytes = 0
         self.server = HttpServer(self._build_app(), settings.address)
 
     def start(self) -> None:
@@ -189,7 +196,8 @@
         self._enter("table")
         rows = self.table.read(bottle.request.query.prefix)
         self._leave("table")
-        return msgspec.json.encode(rows)
+        newest = max((row.version for row in rows.rows), default=0)
+        return self._conditional(f'"{newest}-{len(rows.rows)}"', rows)
 
     def _get_object(self, name: str) -> Any:
         self._enter("objects")
@@ -205,7 +213,16 @@
 
     def _list(self) -> Any:
         self._enter("list")
-        return msgspec.json.encode(self.list.read())
+        return self._conditional(f'"{self.list.seen_version}"', self.list.read())
+
+    def _conditional(self, etag: str, answer: msgspec.Struct) -> Any:
+        """Answer 304 to a reader that has the newest already."""
+        if bottle.request.headers.get("If-None-Match") == etag:
+            self.not_modified += 1
+            raise bottle.HTTPResponse(status=304, headers={"ETag": etag})
+        body = msgspec.json.encode(answer)
+        self.body_bytes += len(body)
+        return json_response(body, headers={"ETag": etag})
 
     def _put_listed(self) -> Any:
         self.list.put(msgspec.json.decode(bottle.request.body.read(), type=wire.Listed))
@@ -227,6 +244,8 @@
             "reads": self.table.reads,
             "rows": len(self.table.rows),
             "loads": self.weights.loads,
+            "not_modified": self.not_modified,
+            "body_bytes": self.body_bytes,
         }
         return json_response(msgspec.json.encode(counters))
 
--- a/springrock/platforms/http.py
+++ b/springrock/platforms/http.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from collections import OrderedDict
+from typing import NamedTuple, TypeVar
+from urllib.parse import quote
 
 import msgspec
 import urllib3
@@ -14,6 +16,14 @@
 
 T = TypeVar("T")
 _CONNECTIONS = 8
+_PAGES_KNOWN = 8
+
+
+class _Known(NamedTuple):
+    """A page as read before, and its mark."""
+
+    etag: str
+    page: object
 
 
 @platforms.register("http")
@@ -23,6 +33,7 @@
     def __init__(self, settings: PlatformSection) -> None:
         self._settings = settings
         self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
+        self._known: OrderedDict[str, _Known] = OrderedDict()
 
     def transact(self, transaction: wire.Transaction) -> wire.TransactionAnswer:
         """Carry out a table transaction.
@@ -36,9 +47,8 @@
 
     def rows(self, prefix: str) -> list[wire.Row]:
         """Read the rows under a prefix, sorted by key."""
-        url = f"http://{self._settings.table_address}{wire.ROWS_PATH}"
-        body = self._call("GET", url, fields={"prefix": prefix})
-        return _decode(body, wire.Rows).rows
+        url = f"http://{self._settings.table_address}{wire.ROWS_PATH}?prefix={quote(prefix)}"
+        return self._read_changed(url, wire.Rows).rows
 
     def get_object(self, name: str) -> bytes | None:
         """Read an object, or None if there is none."""
@@ -52,20 +62,33 @@
     def listing(self) -> wire.Listing:
         """Read the lagging list of boxes and upstreams."""
         url = f"http://{self._settings.list_address}{wire.LIST_PATH}"
-        return _decode(self._call("GET", url), wire.Listing)
+        return self._read_changed(url, wire.Listing)
+
+    def _read_changed(self, url: str, kind: type[T]) -> T:
+        """Read a page, or take the one read before if it has not changed."""
+        known = self._known.get(url)
+        headers = {"If-None-Match": known.etag} if known else {}
+        response = self._request("GET", url, headers=headers)
+        if response.status == 304 and known:
+            self._known.move_to_end(url)
+            return known.page  # type: ignore[return-value]
+        page = _decode(_checked(response), kind)
+        self._remember(url, response.headers.get("ETag", ""), page)
+        return page
+
+    def _remember(self, url: str, etag: str, page: object) -> None:
+        if not etag:
+            return
+        self._known[url] = _Known(etag, page)
+        self._known.move_to_end(url)
+        if len(self._known) > _PAGES_KNOWN:
+            self._known.popitem(last=False)
 
     def _object_url(self, name: str) -> str:
         return f"http://{self._settings.objects_address}{wire.OBJECTS_PATH}{name}"
 
-    def _call(
-        self,
-        method: str,
-        url: str,
-        *,
-        body: bytes | None = None,
-        fields: dict[str, str] | None = None,
-    ) -> bytes:
-        return _checked(self._request(method, url, body=body, fields=fields))
+    def _call(self, method: str, url: str, *, body: bytes) -> bytes:
+        return _checked(self._request(method, url, body=body))
 
     def _request(
         self,
@@ -73,12 +96,11 @@
         url: str,
         *,
         body: bytes | None = None,
-        fields: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
     ) -> urllib3.BaseHTTPResponse:
+        timeout = self._settings.request_timeout_s
         try:
-            return self._pool.request(
-                method, url, body=body, fields=fields, timeout=self._settings.request_timeout_s
-            )
+            return self._pool.request(method, url, body=body, headers=headers, timeout=timeout)
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailable(f"{url}: {error}") from None
 
--- a/springrock/serving/limits.py
+++ b/springrock/serving/limits.py
@@ -17,8 +17,8 @@
 from springrock.coordination.peers import Link, Peers
 from springrock.wire import peer as wire
 
-_TELL_EVERY_S = 2.0
-_DEMAND_LIFE_S = 10.0
+_TELL_EVERY_S = 4.0
+_DEMAND_LIFE_S = 20.0
 _DEMAND_WEIGHT = 0.5
 _BURST_S = 1.0
 _LEAST_PART = 0.02
--- a/springrock/serving/owner.py
+++ b/springrock/serving/owner.py
@@ -29,7 +29,7 @@
 from springrock.wire import peer as wire
 
 _REPORT_EVERY_S = 0.1
-_FULL_REPORT_EVERY_S = 5.0
+_FULL_REPORT_EVERY_S = 30.0
 _NOTICE_TIMEOUT_S = 2.0
 
 
@@ -271,7 +271,7 @@
                 if replica is None:
                     continue
                 report = replica.report(self._box)
-                if _differs(sent.get(name), report):
+                if _differs(sent.get(name), report, replica.pool.running_limit):
                     sent[name] = report
                     self._peers.tell_all(report)
 
@@ -292,8 +292,11 @@
                 return
 
 
-def _differs(before: wire.ReplicaReport | None, after: wire.ReplicaReport) -> bool:
-    """Whether a report says something that routing should hear before the next full one."""
+def _differs(before: wire.ReplicaReport | None, after: wire.ReplicaReport, limit: int) -> bool:
+    """Whether a report says something that routing should hear before the next full one.
+
+    The load alone is told only when it moves from one quarter of the limit to another.
+    """
     if before is None:
         return True
     if (before.owner, before.accepting, before.ready, before.expected) != (
@@ -304,7 +307,7 @@
     ):
         return True
     change = abs(before.running + before.waiting - after.running - after.waiting)
-    return change >= max(2, (before.running + before.waiting) // 4)
+    return change >= max(2, limit // 4)
 
 
 def _not_owner(replica: str) -> Refusal:
--- a/springrock/serving/view.py
+++ b/springrock/serving/view.py
@@ -13,7 +13,7 @@
 
 _FULL_SCORE = float(2**64)
 _AVOID_S = 2.0
-_REPORT_LIFE_S = 20.0
+_REPORT_LIFE_S = 95.0
 _NO_ROOM_LOAD_FACTOR = 20.0
 
 
--- a/springrock/settings.py
+++ b/springrock/settings.py
@@ -77,6 +77,8 @@
     """Links to the other boxes.
 
     Attributes:
+        remote_zone_links: How many boxes of each other zone this one dials; with as many as a
+            zone has boxes, everybody hears everybody.
         reached_at: Where this box reaches some other boxes, by name, if not at the address that
             they announce (through a tunnel, say).
     """
@@ -85,7 +87,7 @@
     shared_key: str
     frame_limit_bytes: int = 1_048_576
     answer_timeout_s: float = 3.0
-    remote_zone_links: int = 2
+    remote_zone_links: int = 4
     reached_at: dict[str, str] = field(default_factory=dict)
 
 
@@ -105,7 +107,9 @@
 
     Attributes:
         margin_s: What a challenger waits beyond the lapse.
-        scan_every_s: How often the rows are read.
+        scan_every_s: How often the zone's rows are read while something is wrong there.
+        calm_scan_every_s: How often while nothing is.
+        all_zones_scan_every_s: How often the rows of all zones are read.
         settle_s: How long after a change of boxes or a move a replica may be moved for balance.
     """
 
@@ -113,6 +117,8 @@
     lapse_after_s: float = 10.0
     margin_s: float = 2.0
     scan_every_s: float = 1.0
+    calm_scan_every_s: float = 10.0
+    all_zones_scan_every_s: float = 30.0
     settle_s: float = 3.0
 
 
--- a/springrock/wire/platform.py
+++ b/springrock/wire/platform.py
@@ -1,4 +1,8 @@
-"""The platform's wire format: table transactions and reads, objects, the list of boxes."""
+"""The platform's wire format: table transactions and reads, objects, the list of boxes.
+
+Reads of rows and of the list are conditional in the usual way of HTTP: an answer carries an
+``ETag``, and one asked for with ``If-None-Match`` is 304 without a body while nothing changed.
+"""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/test_jsonc.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from springrock.jsonc import JsoncError, parse
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+@given(JSON)
+def test_all_json_is_understood(data: object) -> None:
+    assert parse(json.dumps(data)).data == data
+
+
+def test_comments_and_trailing_commas_are_passed_over() -> None:
+    document = parse('{ // one\n "a": 1, /* two\n lines */ "b": [1, 2,],\n}')
+    assert document.data == {"a": 1, "b": [1, 2]}
+
+
+def test_every_key_knows_its_line() -> None:
+    document = parse('{\n "a": {\n  "b": 1\n }\n}')
+    assert document.line_of(("a",)) == 2
+    assert document.line_of(("a", "b")) == 3
+    assert document.line_of(("a", "missing")) == 2
+
+
+@pytest.mark.parametrize(
+    ("text", "line"), [("{", 1), ('{"a": }', 1), ('{\n"a": 1\n"b": 2}', 3), ("", 1), ("[1,,2]", 1)]
+)
+def test_a_mistake_is_told_with_its_line(text: str, line: int) -> None:
+    with pytest.raises(JsoncError) as caught:
+        parse(text)
+    assert caught.value.line == line
+
+
+def test_a_key_that_stands_twice_is_refused() -> None:
+    with pytest.raises(JsoncError, match="stands twice"):
+        parse('{"a": 1,\n "a": 2}')
--- /dev/null
+++ b/tests/wire/test_model_name.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import pytest
+
+from springrock.wire.model_name import ModelName
+
+
+@pytest.mark.parametrize(
+    ("text", "name"),
+    [
+        ("base", ModelName("base")),
+        ("base:harvest", ModelName("base", "harvest")),
+        ("base:harvest@3", ModelName("base", "harvest", 3)),
+        ("org/base-7b:a.b_c@12", ModelName("org/base-7b", "a.b_c", 12)),
+    ],
+)
+def test_names_are_parsed_and_written_the_same(text: str, name: ModelName) -> None:
+    assert ModelName.from_text(text) == name
+    assert str(name) == text
+
+
+@pytest.mark.parametrize(
+    "text", ["", ":", "a:", ":b", "a:b@", "a:b@x", "a b", "a:b:c", "a@1", "-a"]
+)
+def test_what_is_no_name_is_none(text: str) -> None:
+    assert ModelName.from_text(text) is None
+
+
+def test_the_adapter_key_names_the_version() -> None:
+    assert ModelName("base", "harvest", 3).adapter_key == "harvest@3"
+    assert ModelName("base").adapter_key == ""
