--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,414 @@
+"""The slopes behind docs/CAPACITY.md, taken with real processes; rewrites the page's table.
+
+Run: python -m bench.slopes [--quick]
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+from bench import hop
+from bench.meter import Slope, cpu_s, resident_mb
+from springrock.coordination.catalog import Adapter, Catalog, Change, Workload
+from springrock.coordination.feed import HEAD_KEY, SNAPSHOT_NAME, HeadValue
+from springrock.emulator.deployment import Shape
+from springrock.wire.platform import Put, Transaction
+from tests.cluster import Cluster, wait_until
+
+PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+BEGIN = "<!-- slopes begin -->"
+END = "<!-- slopes end -->"
+
+_WATCH_S = 30.0
+_FRAME_BYTES = 46
+"""Websocket, TCP and IP headers of one small message."""
+_PRODUCTION_LEASE = {
+    "renew_every_s": 3.0,
+    "lapse_after_s": 10.0,
+    "margin_s": 2.0,
+    "scan_every_s": 1.0,
+    "settle_s": 3.0,
+}
+
+
+class Row(NamedTuple):
+    """One measured slope.
+
+    Attributes:
+        what: What was measured.
+        points: The points, as text.
+        slope: What one more unit adds, as text.
+    """
+
+    what: str
+    points: str
+    slope: str
+
+
+def zone_of(boxes: int, *, engines: int = 2) -> Shape:
+    """Return one zone with so many boxes."""
+    return Shape.from_small(zones=1, boxes_per_zone=boxes, engines=engines)
+
+
+class _Zone(Cluster):
+    """A zone with the leases that are used in production."""
+
+    def __init__(self, folder: Path, shape: Shape, **more: Any) -> None:
+        super().__init__(folder, shape, lease=_PRODUCTION_LEASE, **more)
+
+
+def in_zone(shape: Shape, measure: Callable[[Cluster], Any], **more: Any) -> Any:
+    """Run a measurement in a zone of real processes."""
+    with tempfile.TemporaryDirectory() as folder, _Zone(Path(folder), shape, **more) as cluster:
+        return measure(cluster)
+
+
+# Idle boxes against the number of peers.
+
+
+class Idle(NamedTuple):
+    """What one idle box of a zone uses, and what the platform sees of all."""
+
+    boxes: int
+    cpu_share: float
+    peer_bytes_per_s: float
+    peer_messages_per_s: float
+    platform_bytes_per_s: float
+    table_writes_per_s: float
+    table_reads_per_s: float
+    resident_mb: float
+    spread_s: float
+    takeover_s: float
+
+
+def idle(boxes: int) -> Idle:
+    """Measure a zone of idle boxes, then the spread of a change, then a takeover."""
+    return in_zone(zone_of(boxes, engines=6), _measure_idle)
+
+
+def _measure_idle(cluster: Cluster) -> Idle:
+    names = cluster.shape.box_names
+    time.sleep(_PRODUCTION_LEASE["lapse_after_s"] + 8.0)
+    before = _totals(cluster)
+    time.sleep(_WATCH_S)
+    after = _totals(cluster)
+    used = {key: (after[key] - before[key]) / _WATCH_S for key in after}
+    boxes = len(names)
+    return Idle(
+        boxes=boxes,
+        cpu_share=used["cpu"] / boxes,
+        peer_bytes_per_s=used["bytes"] / boxes,
+        peer_messages_per_s=used["messages"] / boxes,
+        platform_bytes_per_s=used["body_bytes"] / boxes,
+        table_writes_per_s=used["commits"] / boxes,
+        table_reads_per_s=used["reads"] / boxes,
+        resident_mb=sum(resident_mb(cluster.processes[name].pid) for name in names) / boxes,
+        spread_s=_spread_s(cluster),
+        takeover_s=_takeover_s(cluster),
+    )
+
+
+def _totals(cluster: Cluster) -> dict[str, float]:
+    names = cluster.shape.box_names
+    counters = cluster.counters("platform")
+    return {
+        "cpu": sum(cpu_s(cluster.processes[name].pid) for name in names),
+        "bytes": sum(_sent(cluster, name, "bytes") for name in names),
+        "messages": sum(_sent(cluster, name, "messages") for name in names),
+        "commits": counters["commits"],
+        "reads": counters["reads"],
+        "body_bytes": counters["body_bytes"],
+    }
+
+
+def _sent(cluster: Cluster, box: str, unit: str) -> float:
+    for line in cluster.get(box, "/metrics").body.decode().splitlines():
+        if line.startswith(f'springrock_peer_{unit}_total{{direction="sent"}}'):
+            return float(line.rpartition(" ")[2])
+    return 0.0
+
+
+def _spread_s(cluster: Cluster) -> float:
+    """Return the worst of five changes, until every box runs it."""
+    worst = 0.0
+    for number in range(5):
+        began = time.monotonic()
+        box = cluster.shape.box_names[number % len(cluster.shape.box_names)]
+        answer = cluster.ask(box, f"set workload minutes priority {number}", wait_s=20.0)
+        assert "in force on every box" in answer.text, answer.text
+        worst = max(worst, time.monotonic() - began)
+    return worst
+
+
+def _takeover_s(cluster: Cluster) -> float:
+    """Kill the box that owns the most; return when all that it owned is owned again."""
+    owners = {engine: cluster.owner_of(engine) for engine in cluster.addresses.engines}
+    victim = max(set(owners.values()), key=list(owners.values()).count)
+    lost = [engine for engine, owner in owners.items() if owner == victim]
+    if len(cluster.shape.box_names) < 2:
+        return 0.0
+    began = time.monotonic()
+    cluster.kill(victim)
+    wait_until(
+        lambda: all(cluster.owner_of(engine) != victim for engine in lost),
+        within_s=60.0,
+        what="a takeover",
+    )
+    return time.monotonic() - began
+
+
+# Memory against adapters and streams.
+
+
+def adapters_mb(count: int) -> float:
+    """Return the resident memory of a box with so many adapters in its catalog."""
+    return in_zone(zone_of(1, engines=1), lambda cluster: _with_adapters(cluster, count))
+
+
+def _with_adapters(cluster: Cluster, count: int) -> float:
+    adapters = [
+        Adapter(f"base:community-{number:06d}", [1, 2, 3], 3, ["minutes"])
+        for number in range(count)
+    ]
+    catalog = Catalog()
+    catalog.apply(_change(1, adapters))
+    platform = cluster.platform()
+    platform.put_object(SNAPSHOT_NAME.format(revision=catalog.revision), catalog.snapshot())
+    head = HeadValue(catalog.revision, catalog.revision)
+    platform.transact(Transaction(puts=[Put(HEAD_KEY, msgspec.json.encode(head))]))
+    box = cluster.shape.box_names[0]
+    cluster.kill(box)
+    cluster.start_box(box)
+    cluster.wait_ready()
+    shown = cluster.ask(box, "show adapters first 1").text
+    assert shown.startswith(f"{count} adapters"), shown
+    cluster.kill(box)
+    cluster.start_box(box)
+    cluster.wait_ready()
+    return resident_mb(cluster.processes[box].pid)
+
+
+def _change(revision: int, adapters: list[Adapter]) -> Change:
+    return Change(
+        revision=revision,
+        command_id=str(revision),
+        who="bench",
+        at=0.0,
+        statement="",
+        adapters=adapters,
+        workloads=[Workload("minutes")],
+    )
+
+
+def streams_mb(counts: list[int]) -> list[tuple[float, float]]:
+    """Return the resident memory of a box against its open streams."""
+    shape = replace(zone_of(1, engines=1), running_limit=1_000)
+    return in_zone(shape, lambda cluster: _with_streams(cluster, counts))
+
+
+def _with_streams(cluster: Cluster, counts: list[int]) -> list[tuple[float, float]]:
+    box = cluster.shape.box_names[0]
+    engine = next(iter(cluster.addresses.engines))
+    headers = {"Springrock-Deadline-Ms": "120000"}
+    points = []
+    for count in counts:
+        cluster.fault(engine, frozen=False)
+        threads = [
+            threading.Thread(
+                target=lambda: cluster.complete(box, "base", tokens=40, headers=headers)
+            )
+            for _ in range(count)
+        ]
+        cluster.fault(engine, frozen=True)
+        for thread in threads:
+            thread.start()
+        wait_until(
+            lambda count=count: cluster.metric(box, "springrock_permits_outstanding") >= count,
+            within_s=60.0,
+            what=f"{count} open streams",
+        )
+        points.append((float(count), resident_mb(cluster.processes[box].pid)))
+        cluster.fault(engine, frozen=False)
+        for thread in threads:
+            thread.join()
+    return points
+
+
+# Permits between boxes.
+
+
+class PermitCost(NamedTuple):
+    """What one permit from another box costs, on top of one from the own box."""
+
+    bytes_sent: float
+    messages_sent: float
+    both_ends_us: float
+
+
+def permit() -> PermitCost:
+    """Measure requests through a box that does not own the replica."""
+    return in_zone(zone_of(2, engines=1), _measure_permit)
+
+
+def _measure_permit(cluster: Cluster) -> PermitCost:
+    owner = cluster.owner_of("small-engine-1")
+    other = next(name for name in cluster.shape.box_names if name != owner)
+    own_us = _request_us(cluster, owner)
+    before = {
+        name: (_sent(cluster, name, "bytes"), _sent(cluster, name, "messages"))
+        for name in (owner, other)
+    }
+    requests = 1_000
+    through_us = _request_us(cluster, other, requests)
+    sent_bytes = sum(_sent(cluster, name, "bytes") - before[name][0] for name in before)
+    sent_messages = sum(_sent(cluster, name, "messages") - before[name][1] for name in before)
+    return PermitCost(sent_bytes / requests, sent_messages / requests, through_us - own_us)
+
+
+def _request_us(cluster: Cluster, box: str, requests: int = 1_000) -> float:
+    """Return the processor time that all boxes spend for one short request."""
+    pids = [cluster.processes[name].pid for name in cluster.shape.box_names]
+    left = iter(range(requests))
+    lock = threading.Lock()
+
+    def _send() -> None:
+        while True:
+            with lock:
+                number = next(left, None)
+            if number is None:
+                return
+            assert cluster.complete(box, 0, tokens=1, stream=True).whole
+
+    cluster.complete(box, 0, tokens=1)
+    threads = [threading.Thread(target=_send) for _ in range(8)]
+    before = sum(map(cpu_s, pids))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return (sum(map(cpu_s, pids)) - before) / requests * 1e6
+
+
+# The table of the page.
+
+
+def rows(*, quick: bool) -> list[Row]:
+    """Take all slopes."""
+    counts = [2, 5, 10] if quick else [2, 5, 10, 20, 30]
+    zones = [idle(count) for count in counts]
+    adapter_counts = [1_000, 50_000, 190_000]
+    memory = [(float(count), adapters_mb(count)) for count in adapter_counts]
+    streams = streams_mb([50, 200, 400])
+    one_permit = permit()
+    one_hop = hop.measure()
+    return [
+        *_zone_rows(zones),
+        _row("MB resident against adapters", memory, "B for an adapter", 1e6, "{:.1f}"),
+        _row("MB resident against open streams", streams, "KB for a stream", 1e3, "{:.1f}"),
+        Row(
+            "permit from another box",
+            f"{one_permit.messages_sent:.2f} messages, {one_permit.bytes_sent:.0f} B, with "
+            f"headers {one_permit.bytes_sent + one_permit.messages_sent * _FRAME_BYTES:.0f} B",
+            f"{one_permit.both_ends_us:.0f} us at both ends together",
+        ),
+        Row(
+            "entry hop",
+            f"idle {one_hop.idle_mb:.1f} MB",
+            f"{one_hop.chunk_us:.0f} us a chunk, {one_hop.request_us:.0f} us a request",
+        ),
+    ]
+
+
+def _zone_rows(zones: list[Idle]) -> list[Row]:
+    def _points(field: str) -> list[tuple[float, float]]:
+        return [(float(zone.boxes), float(getattr(zone, field))) for zone in zones]
+
+    with_headers = [
+        (float(zone.boxes), zone.peer_bytes_per_s + zone.peer_messages_per_s * _FRAME_BYTES)
+        for zone in zones
+    ]
+    return [
+        _row(
+            "peer B/s sent by an idle box, with headers",
+            with_headers,
+            "B/s for a peer",
+            1,
+            "{:.0f}",
+        ),
+        _row(
+            "peer messages/s sent by an idle box",
+            _points("peer_messages_per_s"),
+            "/s for a peer",
+            1,
+            "{:.2f}",
+        ),
+        _row(
+            "platform B/s read by an idle box",
+            _points("platform_bytes_per_s"),
+            "B/s for a box",
+            1,
+            "{:.0f}",
+        ),
+        _row(
+            "table writes/s of a box",
+            _points("table_writes_per_s"),
+            "/s for a box more",
+            1,
+            "{:.3f}",
+        ),
+        _row(
+            "table reads/s of a box", _points("table_reads_per_s"), "/s for a box more", 1, "{:.2f}"
+        ),
+        _row(
+            "% of a core used by an idle box", _points("cpu_share"), "% for a peer", 100, "{:.2%}"
+        ),
+        _row("MB resident of an idle box", _points("resident_mb"), "KB for a peer", 1e3, "{:.1f}"),
+        _row(
+            "s until a change is in force on all (worst of 5)",
+            _points("spread_s"),
+            "s for a box",
+            1,
+            "{:.2f}",
+        ),
+        _row(
+            "s until a killed owner's replicas are owned again",
+            _points("takeover_s"),
+            "s for a box",
+            1,
+            "{:.1f}",
+        ),
+    ]
+
+
+def _row(what: str, points: list[tuple[float, float]], unit: str, scale: float, form: str) -> Row:
+    slope = Slope.from_points(points)
+    text = ", ".join(f"{x:.0f}: {form.format(y)}" for x, y in points)
+    return Row(what, text, f"{slope.per_unit * scale:.3g} {unit}")
+
+
+def main(arguments: list[str]) -> int:
+    """Take the slopes and rewrite the table of the page."""
+    taken = rows(quick="--quick" in arguments)
+    lines = ["| what | points | slope |", "|---|---|---|"]
+    lines += [f"| {row.what} | {row.points} | {row.slope} |" for row in taken]
+    table = "\n".join(lines)
+    print(table)
+    if PAGE.exists():
+        page = PAGE.read_text()
+        head, _, rest = page.partition(BEGIN)
+        _, _, tail = rest.partition(END)
+        PAGE.write_text(f"{head}{BEGIN}\n\n{table}\n\n{END}{tail}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/springrock/coordination/feed.py
+++ b/springrock/coordination/feed.py
@@ -173,6 +173,7 @@
                 change = msgspec.structs.replace(change, revision=revision, at=time.time())
                 if self._try_commit(change):
                     self.sync()
+                    self._peers.tell_all(wire.Head(self.catalog.revision))
                     return revision
             gevent.sleep(_BACKOFF_S)
         raise StatementError("too many other changes at this moment; repeat the statement")
--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -20,14 +20,14 @@
     WrongAnswer,
 )
 from springrock.plugins import drivers
-from springrock.settings import UpstreamSection
+from springrock.settings import UpstreamSection, split_address
 from springrock.wire import engine as wire
 
 T = TypeVar("T")
 
 _CONNECTIONS = 64
 _CONNECT_TIMEOUT_S = 2.0
-_SILENCE_LIMIT_S = 15.0
+_FIRST_ANSWER_LIMIT_S = 15.0
 _REPORT_TIMEOUT_S = 2.0
 _LOAD_TIMEOUT_S = 30.0
 _EVENT_LIMIT_BYTES = 1_048_576
@@ -146,8 +146,8 @@
     """
 
     def __init__(self, upstream: UpstreamSection) -> None:
-        self._base_url = f"http://{upstream.address}"
-        self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
+        host, port = split_address(upstream.address)
+        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=_CONNECTIONS, retries=False)
 
     def begin(self, request: wire.EngineRequest) -> EngineStream:
         """Send a request and return its answer's stream.
@@ -159,7 +159,7 @@
         """
         path = wire.COMPLETIONS_PATH if request.messages is None else wire.CHAT_PATH
         headers = _JSON_HEADERS if request.repeatable else _FRESH_CONNECTION
-        timeout = urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=_SILENCE_LIMIT_S)
+        timeout = urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=_FIRST_ANSWER_LIMIT_S)
         response = self._send(
             "POST", path, body=msgspec.json.encode(request), headers=headers, timeout=timeout
         )
@@ -236,18 +236,34 @@
     ) -> urllib3.BaseHTTPResponse:
         stream = path in (wire.COMPLETIONS_PATH, wire.CHAT_PATH)
         try:
-            return self._pool.request(
+            response = self._pool.urlopen(
                 method,
-                self._base_url + path,
+                path,
                 body=body,
                 headers=headers or _JSON_HEADERS,
                 timeout=timeout,
+                retries=False,
+                redirect=False,
                 preload_content=not stream,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise UpstreamUnreachable(str(error)) from None
         except (HTTPError, OSError) as error:
             raise UpstreamBroke(str(error)) from None
+        if stream:
+            _wait_without_timeout(response)
+        return response
+
+
+def _wait_without_timeout(response: urllib3.BaseHTTPResponse) -> None:
+    """Take the timeout off a stream's socket: a timer for each read is a tenth of a chunk's cost.
+
+    Whoever reads the stream watches its progress instead.
+    """
+    connection = response.connection
+    plain = getattr(connection, "sock", None)
+    if plain is not None:
+        plain.settimeout(None)
 
 
 def _decode(response: urllib3.BaseHTTPResponse, kind: type[T]) -> T:
--- a/springrock/serving/relay.py
+++ b/springrock/serving/relay.py
@@ -37,6 +37,8 @@
 _RESUMES_WITHOUT_PROGRESS = 3
 _RESUME_PAUSE_S = 0.05
 _CANCEL_EVERY_S = 0.5
+_LOOK_EVERY_S = 5.0
+_SILENCE_LIMIT_S = 15.0
 _BROKEN_RETRY_AFTER_S = 1.0
 
 
@@ -75,7 +77,9 @@
         self._events = iter(stream)
         self._first: Event | None = None
         self._ends_at = permitted.held.ends_at
-        self._timer = gevent.spawn_later(max(0.0, self._ends_at - monotonic()), self._abort)
+        self._seen_position = -1
+        self._seen_at = monotonic()
+        self._watch = gevent.spawn_later(self._next_look_s, self._look)
         self.permitted = permitted
 
     @property
@@ -102,17 +106,14 @@
         Raises:
             RequestRefused: If the answer cannot become whole.
         """
-        count = self._metrics.chunks.inc
         if self._first is not None:
             event, self._first = self._first, None
-            count()
             yield event
         while not self._stream.whole:
             try:
                 event = self._next()
             except UpstreamBroke as error:
                 raise RequestRefused(self._cut(error)) from None
-            count()
             yield event
 
     def close(self) -> None:
@@ -120,7 +121,8 @@
         if self._closed:
             return
         self._closed = True
-        self._timer.kill(block=False)
+        self._metrics.chunks.inc(self._stream.position)
+        self._watch.kill(block=False)
         whole = self._stream.whole
         self._stream.close()
         if whole:
@@ -136,8 +138,25 @@
                 return
             gevent.sleep(_CANCEL_EVERY_S)
 
-    def _abort(self) -> None:
-        self._stream.abort()
+    @property
+    def _next_look_s(self) -> float:
+        return min(_LOOK_EVERY_S, max(0.0, self._ends_at - monotonic()))
+
+    def _look(self) -> None:
+        """Break the stream at the permit's end, or when the engine has long been silent."""
+        while True:
+            now = monotonic()
+            if self._stream.position != self._seen_position:
+                self._seen_position = self._stream.position
+                self._seen_at = now
+            if now >= self._ends_at:
+                self._stream.abort()
+                return
+            if now - self._seen_at > _SILENCE_LIMIT_S:
+                # The reader may resume the stream, which is then watched anew.
+                self._seen_at = now
+                self._stream.abort()
+            gevent.sleep(self._next_look_s)
 
     def _next(self) -> Event:
         while True:
