--- a/springrock/cli.py
+++ b/springrock/cli.py
@@ -66,6 +66,27 @@
     return run_demo(seconds=seconds, seed=seed)
 
 
+def load(settings: str, *, out: str = "") -> int:
+    """Send a seeded load to boxes, check every answer, and print a report.
+
+    :param settings: The load's settings file, JSON with comments.
+    :param out: Write every outcome to this file as JSON.
+    """
+    from springrock.emulator.experiment import run_load
+
+    return run_load(settings, out=out)
+
+
+def report(*outcomes: str) -> int:
+    """Print a table of one or more runs.
+
+    :param outcomes: Files that springrock load wrote with --out.
+    """
+    from springrock.emulator.experiment import print_reports
+
+    return print_reports(list(outcomes))
+
+
 def ask(box: str, statement: str, *, key: str = "", json: bool = False, wait_s: float = 0.0) -> int:
     """Ask a box a statement of the operators' language.
 
@@ -82,7 +103,7 @@
 
 def main() -> None:
     """Run the command line."""
-    commands = [serve, check, standin, demo, ask]
+    commands = [serve, check, standin, demo, load, report, ask]
     try:
         code = defopt.run(commands, version=f"springrock {__version__}", cli_options="has_default")
     except SettingsError as error:
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,7 @@
+from __future__ import annotations
+
+from bench import settings_page
+
+
+def test_the_settings_page_is_the_one_that_the_settings_make() -> None:
+    assert settings_page.PAGE.read_text() == settings_page.page()
