Split what had grown: links, answers, the watch of an engine

Change: coordination/link.py out of peers.py, serving/answer.py out of relay.py, serving/engine_watch.py out of owned_replica.py. A list of loaded adapters that an order has overtaken is passed over now (it could name an adapter that was just unloaded; the engine refused such a request as not run, so no promise broke, but the request lost time). A zone of a test deployment may have more than 26 boxes; slopes asked for 30 and silently got 26.

--- a/springrock/box.py
+++ b/springrock/box.py
@@ -9,10 +9,11 @@
 from springrock.coordination.catalog import Catalog
 from springrock.coordination.claims import Claims
 from springrock.coordination.feed import Feed
+from springrock.coordination.link import Link
 from springrock.coordination.listing import LeavingList
 from springrock.coordination.members import Members
 from springrock.coordination.ownership import Ownership, Upstream
-from springrock.coordination.peers import Link, Peers
+from springrock.coordination.peers import Peers
 from springrock.coordination.permits import HeldBook
 from springrock.coordination.relayed import RelayedPlatform
 from springrock.coordination.session import Session
--- a/springrock/coordination/feed.py
+++ b/springrock/coordination/feed.py
@@ -18,8 +18,9 @@
 
 from springrock.clock import monotonic
 from springrock.coordination.catalog import Catalog, Change
+from springrock.coordination.link import Link
 from springrock.coordination.members import Members
-from springrock.coordination.peers import Link, Peers
+from springrock.coordination.peers import Peers
 from springrock.errors import (
     ConfigurationConflict,
     PeerUnreachable,
--- /dev/null
+++ b/springrock/coordination/link.py
@@ -0,0 +1,141 @@
+"""One open link to another box: questions that wait for answers, and notices."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import ClientConnection
+from websockets.sync.server import ServerConnection
+
+from springrock.clock import monotonic
+from springrock.errors import PeerUnreachable
+from springrock.metrics import Metrics
+from springrock.wire import peer as wire
+
+A = TypeVar("A", bound=msgspec.Struct)
+
+SOCKET_FAILURES = (OSError, WebSocketException, EOFError, TimeoutError)
+"""What sending and receiving raise when a link is broken."""
+
+
+class Link:
+    """One open link.
+
+    Attributes:
+        box: The box at the other end.
+        zone: Its availability zone.
+    """
+
+    def __init__(
+        self, connection: ClientConnection | ServerConnection, hello: wire.Hello, metrics: Metrics
+    ) -> None:
+        self._connection = connection
+        self._metrics = metrics
+        self._pending: dict[int, AsyncResult[Any]] = {}
+        self._numbers = 0
+        self.box = hello.box
+        self.zone = hello.zone
+        self.incarnation = hello.incarnation
+        self.opened_at = monotonic()
+        self.open = True
+
+    def ask(self, question: wire.Question, kind: type[A], *, timeout_s: float) -> A:
+        """Send a question and wait for its answer.
+
+        Args:
+            question: The question; its number is set here.
+            kind: The expected kind of answer.
+            timeout_s: How long to wait.
+
+        Raises:
+            PeerUnreachable: If no such answer came.
+        """
+        number, result = self.begin(question)
+        return self.finish(number, result, kind, timeout_s=timeout_s)
+
+    def begin(self, question: wire.Question) -> tuple[int, AsyncResult[Any]]:
+        """Send a question and return its number and where the answer will appear."""
+        self._numbers += 1
+        number = self._numbers
+        result: AsyncResult[Any] = AsyncResult()
+        self._pending[number] = result
+        try:
+            self.tell(msgspec.structs.replace(question, number=number))
+        except PeerUnreachable:
+            del self._pending[number]
+            raise
+        return number, result
+
+    def finish(
+        self, number: int, result: AsyncResult[Any], kind: type[A], *, timeout_s: float
+    ) -> A:
+        """Wait for the answer to a question that was begun."""
+        try:
+            answer = result.get(timeout=timeout_s)
+        except gevent.Timeout:
+            raise PeerUnreachable(f"{self.box} did not answer within {timeout_s:.1f} s") from None
+        finally:
+            self._pending.pop(number, None)
+        if not isinstance(answer, kind):
+            raise PeerUnreachable(f"{self.box} answered with {type(answer).__name__}")
+        return answer
+
+    def withdraw(self, number: int) -> None:
+        """Tell the other end that a question needs no answer any more."""
+        self._pending.pop(number, None)
+        try:
+            self.tell(wire.Withdraw(number))
+        except PeerUnreachable:
+            return
+
+    def tell(self, message: wire.PeerMessage) -> None:
+        """Send a message without waiting.
+
+        Raises:
+            PeerUnreachable: If the link is broken.
+        """
+        frame = wire.encode(message)
+        try:
+            self._connection.send(frame)
+        except SOCKET_FAILURES as error:
+            raise PeerUnreachable(f"{self.box}: {error}") from None
+        self._metrics.peer_bytes.labels("sent").inc(len(frame))
+        self._metrics.peer_messages.labels("sent").inc()
+
+    def receive(self) -> wire.PeerMessage:
+        """Wait for the next message.
+
+        Raises:
+            PeerRejected: If it is malformed.
+        """
+        frame = self._connection.recv()
+        self._metrics.peer_bytes.labels("received").inc(len(frame))
+        self._metrics.peer_messages.labels("received").inc()
+        return wire.decode(frame)
+
+    def settle(self, answer: wire.Answer) -> None:
+        """Hand an answer to its question, if that still waits."""
+        result = self._pending.pop(answer.number, None)
+        if result is not None:
+            result.set(answer)
+        elif isinstance(answer, wire.Grant):
+            self.decline(answer)
+
+    def decline(self, grant: wire.Grant) -> None:
+        """Return a permit that nobody waits for any more."""
+        try:
+            self.tell(wire.Return(grant.replica, grant.permit, grant.fence, 0))
+        except PeerUnreachable:
+            return
+
+    def close(self) -> None:
+        """Close the link and fail what waits on it."""
+        self.open = False
+        for result in list(self._pending.values()):
+            result.set_exception(PeerUnreachable(f"the link to {self.box} closed"))
+        self._pending.clear()
+        self._connection.close()
--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -9,18 +9,16 @@
 import hmac
 from collections.abc import Callable
 from contextlib import AbstractContextManager
-from typing import Any, TypeVar
+from typing import Any
 
 import gevent
-import msgspec
 from gevent.event import AsyncResult
 from gevent.socket import create_connection
 from gevent.socket import socket as Socket
-from websockets.exceptions import WebSocketException
 from websockets.sync.client import ClientConnection, connect
 from websockets.sync.server import Server, ServerConnection, serve
 
-from springrock.clock import monotonic
+from springrock.coordination.link import SOCKET_FAILURES, Link
 from springrock.coordination.members import Member, Members
 from springrock.errors import PeerRejected, PeerUnreachable
 from springrock.ids import rendezvous_order
@@ -29,134 +27,13 @@
 from springrock.settings import PeersSection, split_address
 from springrock.wire import peer as wire
 
-A = TypeVar("A", bound=msgspec.Struct)
-Handler = Callable[["Link", Any], "wire.Answer | None"]
+Handler = Callable[[Link, Any], "wire.Answer | None"]
 
 _DIAL_TIMEOUT_S = 2.0
 _PING_EVERY_S = 4.0
 _PING_TIMEOUT_S = 3.0
 _CLOSE_TIMEOUT_S = 0.2
 _DIAL_EVERY_S = 0.5
-_SOCKET_FAILURES = (OSError, WebSocketException, EOFError, TimeoutError)
-
-
-class Link:
-    """One open link.
-
-    Attributes:
-        box: The box at the other end.
-        zone: Its availability zone.
-    """
-
-    def __init__(
-        self, connection: ClientConnection | ServerConnection, hello: wire.Hello, metrics: Metrics
-    ) -> None:
-        self._connection = connection
-        self._metrics = metrics
-        self._pending: dict[int, AsyncResult[Any]] = {}
-        self._numbers = 0
-        self.box = hello.box
-        self.zone = hello.zone
-        self.incarnation = hello.incarnation
-        self.opened_at = monotonic()
-        self.open = True
-
-    def ask(self, question: wire.Question, kind: type[A], *, timeout_s: float) -> A:
-        """Send a question and wait for its answer.
-
-        Args:
-            question: The question; its number is set here.
-            kind: The expected kind of answer.
-            timeout_s: How long to wait.
-
-        Raises:
-            PeerUnreachable: If no such answer came.
-        """
-        number, result = self.begin(question)
-        return self.finish(number, result, kind, timeout_s=timeout_s)
-
-    def begin(self, question: wire.Question) -> tuple[int, AsyncResult[Any]]:
-        """Send a question and return its number and where the answer will appear."""
-        self._numbers += 1
-        number = self._numbers
-        result: AsyncResult[Any] = AsyncResult()
-        self._pending[number] = result
-        try:
-            self.tell(msgspec.structs.replace(question, number=number))
-        except PeerUnreachable:
-            del self._pending[number]
-            raise
-        return number, result
-
-    def finish(
-        self, number: int, result: AsyncResult[Any], kind: type[A], *, timeout_s: float
-    ) -> A:
-        """Wait for the answer to a question that was begun."""
-        try:
-            answer = result.get(timeout=timeout_s)
-        except gevent.Timeout:
-            raise PeerUnreachable(f"{self.box} did not answer within {timeout_s:.1f} s") from None
-        finally:
-            self._pending.pop(number, None)
-        if not isinstance(answer, kind):
-            raise PeerUnreachable(f"{self.box} answered with {type(answer).__name__}")
-        return answer
-
-    def withdraw(self, number: int) -> None:
-        """Tell the other end that a question needs no answer any more."""
-        self._pending.pop(number, None)
-        try:
-            self.tell(wire.Withdraw(number))
-        except PeerUnreachable:
-            return
-
-    def tell(self, message: wire.PeerMessage) -> None:
-        """Send a message without waiting.
-
-        Raises:
-            PeerUnreachable: If the link is broken.
-        """
-        frame = wire.encode(message)
-        try:
-            self._connection.send(frame)
-        except _SOCKET_FAILURES as error:
-            raise PeerUnreachable(f"{self.box}: {error}") from None
-        self._metrics.peer_bytes.labels("sent").inc(len(frame))
-        self._metrics.peer_messages.labels("sent").inc()
-
-    def receive(self) -> wire.PeerMessage:
-        """Wait for the next message.
-
-        Raises:
-            PeerRejected: If it is malformed.
-        """
-        frame = self._connection.recv()
-        self._metrics.peer_bytes.labels("received").inc(len(frame))
-        self._metrics.peer_messages.labels("received").inc()
-        return wire.decode(frame)
-
-    def settle(self, answer: wire.Answer) -> None:
-        """Hand an answer to its question, if that still waits."""
-        result = self._pending.pop(answer.number, None)
-        if result is not None:
-            result.set(answer)
-        elif isinstance(answer, wire.Grant):
-            self.decline(answer)
-
-    def decline(self, grant: wire.Grant) -> None:
-        """Return a permit that nobody waits for any more."""
-        try:
-            self.tell(wire.Return(grant.replica, grant.permit, grant.fence, 0))
-        except PeerUnreachable:
-            return
-
-    def close(self) -> None:
-        """Close the link and fail what waits on it."""
-        self.open = False
-        for result in list(self._pending.values()):
-            result.set_exception(PeerUnreachable(f"the link to {self.box} closed"))
-        self._pending.clear()
-        self._connection.close()
 
 
 class Peers:
@@ -318,7 +195,7 @@
                     raise PeerRejected(f"answered as {link.box}")
                 ready.set(link)
                 self._read_link(link)
-        except (*_SOCKET_FAILURES, PeerRejected) as error:
+        except (*SOCKET_FAILURES, PeerRejected) as error:
             if not ready.ready():
                 ready.set_exception(PeerUnreachable(f"{member.box}: {error}"))
 
@@ -352,7 +229,7 @@
     def _serve_link(self, connection: ServerConnection) -> None:
         try:
             link = self._shake_hands(connection)
-        except (*_SOCKET_FAILURES, PeerRejected) as error:
+        except (*SOCKET_FAILURES, PeerRejected) as error:
             self._log.say("Rejected a link.", error=str(error))
             connection.close()
             return
@@ -387,7 +264,7 @@
         try:
             while True:
                 self._take(link, link.receive())
-        except _SOCKET_FAILURES:
+        except SOCKET_FAILURES:
             pass
         except PeerRejected as error:
             self._log.say("Cut a peer that broke the protocol.", peer=link.box, error=str(error))
--- a/springrock/coordination/relayed.py
+++ b/springrock/coordination/relayed.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from springrock.clock import monotonic
-from springrock.coordination.peers import Link, Peers
+from springrock.coordination.link import Link
+from springrock.coordination.peers import Peers
 from springrock.errors import PeerUnreachable, PlatformUnavailable
 from springrock.metrics import Metrics
 from springrock.plugins import Platform
--- a/springrock/coordination/standalone.py
+++ b/springrock/coordination/standalone.py
@@ -14,7 +14,8 @@
 import gevent
 
 from springrock.clock import monotonic
-from springrock.coordination.peers import Link, Peers
+from springrock.coordination.link import Link
+from springrock.coordination.peers import Peers
 from springrock.coordination.permits import HeldBook
 from springrock.coordination.session import Session
 from springrock.errors import PeerUnreachable
--- a/springrock/coordination/steward.py
+++ b/springrock/coordination/steward.py
@@ -13,8 +13,9 @@
 from gevent.event import Event
 
 from springrock.clock import monotonic
+from springrock.coordination.link import Link
 from springrock.coordination.members import Members
-from springrock.coordination.peers import Link, Peers
+from springrock.coordination.peers import Peers
 from springrock.errors import PeerUnreachable
 from springrock.ids import rendezvous_order
 from springrock.log import Log
--- a/springrock/doors/caller.py
+++ b/springrock/doors/caller.py
@@ -14,7 +14,7 @@
 from springrock.httpd import SOCKET_KEY, HttpServer, json_response, new_app, read_body
 from springrock.ids import new_id
 from springrock.plugins import doors
-from springrock.serving.relay import Answer
+from springrock.serving.answer import Answer
 from springrock.serving.request import ServingRequest
 from springrock.wire import caller as wire
 
--- a/springrock/emulator/deployment.py
+++ b/springrock/emulator/deployment.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass, field
+from string import ascii_lowercase
 from typing import Any
 
 from springrock.coordination.catalog import Adapter, Change, Workload
@@ -88,11 +90,13 @@
     @property
     def box_names(self) -> list[str]:
         """All boxes."""
-        return [f"{zone}-{letter}" for zone in self.zones for letter in self._letters]
+        return [f"{zone}-{letters}" for zone in self.zones for letters in self._letters]
 
     @property
-    def _letters(self) -> str:
-        return "abcdefghijklmnopqrstuvwxyz"[: self.boxes_per_zone]
+    def _letters(self) -> list[str]:
+        """One letter for each box of a zone, then two."""
+        pairs = map("".join, itertools.product(ascii_lowercase, repeat=2))
+        return list(itertools.islice(itertools.chain(ascii_lowercase, pairs), self.boxes_per_zone))
 
     def zone_of_box(self, box: str) -> str:
         """Return the zone of a box."""
--- /dev/null
+++ b/springrock/serving/answer.py
@@ -0,0 +1,196 @@
+"""One answer on its way: verified events, resumed at the exact position when a stream breaks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import gevent
+
+from springrock.clock import monotonic
+from springrock.drivers.engine import EngineDriver, EngineStream, Event
+from springrock.errors import (
+    Cause,
+    Refusal,
+    RequestRefused,
+    RunState,
+    UpstreamBroke,
+    UpstreamGarbage,
+    UpstreamSaidNo,
+    UpstreamUnreachable,
+    WrongAnswer,
+)
+from springrock.log import Log
+from springrock.metrics import Metrics
+from springrock.serving.router import Permitted
+from springrock.wire.engine import EngineRequest
+
+RESUMES_WITHOUT_PROGRESS = 3
+RESUME_PAUSE_S = 0.05
+CANCEL_EVERY_S = 0.5
+BROKEN_RETRY_AFTER_S = 1.0
+_LOOK_EVERY_S = 5.0
+_SILENCE_LIMIT_S = 15.0
+
+
+class Answer:
+    """One answer on its way: iterate for its events, and close it always.
+
+    Args:
+        request: The request as sent.
+        permitted: The permit that it runs under.
+        driver: Speaks to the engine.
+        stream: The begun stream.
+        give_back: Returns the permit, with the number of tokens of a whole answer.
+        log: The log to write to.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(
+        self,
+        request: EngineRequest,
+        permitted: Permitted,
+        driver: EngineDriver,
+        stream: EngineStream,
+        *,
+        give_back: Callable[[int], None],
+        log: Log,
+        metrics: Metrics,
+    ) -> None:
+        self._request = request
+        self._driver = driver
+        self._stream = stream
+        self._give_back = give_back
+        self._log = log
+        self._metrics = metrics
+        self._closed = False
+        self._resumes_left = RESUMES_WITHOUT_PROGRESS
+        self._events = iter(stream)
+        self._first: Event | None = None
+        self._ends_at = permitted.held.ends_at
+        self._seen_position = -1
+        self._seen_at = monotonic()
+        self._watch = gevent.spawn_later(self._next_look_s, self._look)
+        self.permitted = permitted
+
+    @property
+    def tokens(self) -> int:
+        """How many tokens have come."""
+        return self._stream.position
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer is whole."""
+        return self._stream.whole
+
+    def pull_first(self) -> None:
+        """Wait for the first event.
+
+        Raises:
+            UpstreamBroke: If it cannot be had from this engine.
+        """
+        self._first = self._next()
+
+    def __iter__(self) -> Iterator[Event]:
+        """Yield the events.
+
+        Raises:
+            RequestRefused: If the answer cannot become whole.
+        """
+        if self._first is not None:
+            event, self._first = self._first, None
+            yield event
+        while not self._stream.whole:
+            try:
+                event = self._next()
+            except UpstreamBroke as error:
+                raise RequestRefused(self._cut(error)) from None
+            yield event
+
+    def close(self) -> None:
+        """Give the permit back; have the engine cancel an answer that is not whole."""
+        if self._closed:
+            return
+        self._closed = True
+        self._metrics.chunks.inc(self._stream.position)
+        self._watch.kill(block=False)
+        whole = self._stream.whole
+        self._stream.close()
+        if whole:
+            self._give_back(self._stream.position)
+        else:
+            gevent.spawn(self._cancel_surely)
+
+    def _cancel_surely(self) -> None:
+        """Return the permit only when the engine has confirmed that the request is over."""
+        while monotonic() < self._ends_at:
+            if self._driver.cancel(self._request.request_id):
+                self._give_back(0)
+                return
+            gevent.sleep(CANCEL_EVERY_S)
+
+    @property
+    def _next_look_s(self) -> float:
+        return min(_LOOK_EVERY_S, max(0.0, self._ends_at - monotonic()))
+
+    def _look(self) -> None:
+        """Break the stream at the permit's end, or when the engine has long been silent."""
+        while True:
+            now = monotonic()
+            if self._stream.position != self._seen_position:
+                self._seen_position = self._stream.position
+                self._seen_at = now
+            if now >= self._ends_at:
+                self._stream.abort()
+                return
+            if now - self._seen_at > _SILENCE_LIMIT_S:
+                # The reader may resume the stream, which is then watched anew.
+                self._seen_at = now
+                self._stream.abort()
+            gevent.sleep(self._next_look_s)
+
+    def _next(self) -> Event:
+        while True:
+            try:
+                event = next(self._events)
+                self._resumes_left = RESUMES_WITHOUT_PROGRESS
+                return event
+            except (WrongAnswer, UpstreamGarbage):
+                raise
+            except UpstreamBroke as error:
+                self._resume(error)
+            except StopIteration:
+                raise UpstreamBroke("the stream ended") from None
+
+    def _resume(self, broke: UpstreamBroke) -> None:
+        """Go on at the exact position, if the engine still has the stream."""
+        if not self._resumes_left or monotonic() >= self._ends_at:
+            raise broke
+        self._resumes_left -= 1
+        position = self._stream.position
+        self._stream.close()
+        gevent.sleep(RESUME_PAUSE_S)
+        try:
+            stream = self._driver.resume(self._request, position)
+        except (UpstreamUnreachable, UpstreamSaidNo) as error:
+            raise UpstreamBroke(f"{broke}; {error}") from None
+        self._log.say(
+            f"Resumed {self._request.request_id} at {position}.",
+            request=self._request.request_id,
+            position=position,
+        )
+        self._stream = stream
+        self._events = iter(stream)
+
+    def _cut(self, error: UpstreamBroke) -> Refusal:
+        if monotonic() >= self._ends_at:
+            return Refusal(Cause.DEADLINE_PASSED, "the deadline passed", RunState.CUT)
+        return Refusal(cause_of(error), str(error), RunState.CUT, BROKEN_RETRY_AFTER_S)
+
+
+def cause_of(error: UpstreamBroke) -> Cause:
+    """Return the cause that callers are told."""
+    if isinstance(error, WrongAnswer):
+        return Cause.WRONG_ADAPTER
+    if isinstance(error, UpstreamGarbage):
+        return Cause.UPSTREAM_GARBAGE
+    return Cause.UPSTREAM_FAILED
--- a/springrock/serving/limits.py
+++ b/springrock/serving/limits.py
@@ -13,8 +13,9 @@
 
 from springrock.clock import monotonic
 from springrock.coordination.catalog import Catalog, Workload
+from springrock.coordination.link import Link
 from springrock.coordination.members import Members
-from springrock.coordination.peers import Link, Peers
+from springrock.coordination.peers import Peers
 from springrock.wire import peer as wire
 
 _TELL_EVERY_S = 4.0
--- a/springrock/serving/owned_replica.py
+++ b/springrock/serving/owned_replica.py
@@ -1,7 +1,8 @@
 """The owner's side of one replica: who may run on it, and what it should hold.
 
 Only the owner grants permits and orders loads and unloads, so it knows exactly which adapters
-are in use. One task watches the engine, one loads; every question waits in a task of its own.
+are in use. One task watches the engine (`engine_watch`), one loads (`loader`), one reviews who
+waits; every question waits in a task of its own.
 """
 
 from __future__ import annotations
@@ -21,12 +22,11 @@
     Refusal,
     RunState,
     StaleFence,
-    UpstreamBroke,
-    UpstreamUnreachable,
 )
 from springrock.log import Log
 from springrock.metrics import Metrics
 from springrock.policies import Eviction, LoadOrder
+from springrock.serving.engine_watch import EngineWatch
 from springrock.serving.estimate import Estimate
 from springrock.serving.residency import Residency
 from springrock.serving.waiting import Waiter, WaitingRoom, run_estimate_s
@@ -34,9 +34,7 @@
 from springrock.wire import engine as engine_wire
 from springrock.wire import peer as wire
 
-_WATCH_EVERY_S = 0.5
 _REVIEW_EVERY_S = 0.1
-_EJECT_AFTER_FAILURES = 3
 _PERMIT_SLACK_S = 2.0
 _MOVED_RETRY_S = 1.0
 _CANCEL_EVERY_S = 1.0
@@ -106,17 +104,15 @@
         self.load_wanted = Event()
         self.place_freed = Event()
         self.ordering = False
+        self.orders_given = 0
         self.unload_after = monotonic() + policy.longest_permit_s
         self.inherited = InheritedBook()
         self.pinned: Callable[[], list[str]] = list
         self._on_change = on_change
         self._on_lost = on_lost
-        self._boot_id = ""
-        self._failures = 0
-        self._admitted = 0
+        self.watch = EngineWatch(self)
         self._closing = False
         self._drained = False
-        self._look_again = Event()
         self._tasks: list[gevent.Greenlet[..., Any]] = []
 
     @property
@@ -126,11 +122,13 @@
 
     def start(self) -> None:
         """Begin watching the engine."""
-        self._tasks = [gevent.spawn(self._watch_forever), gevent.spawn(self._review_forever)]
+        self.watch.start()
+        self._tasks = [gevent.spawn(self._review_forever)]
 
     def stop(self) -> None:
         """Stop watching and refuse everyone who waits."""
         self._closing = True
+        self.watch.stop()
         for task in self._tasks:
             task.kill(block=False)
         for waiter in self.waiting:
@@ -141,12 +139,13 @@
     @property
     def accepting(self) -> bool:
         """Whether new requests may come."""
-        return bool(self._boot_id) and not (self._closing or self._drained) and self.may_act()
+        open_here = self.watch.healthy and not (self._closing or self._drained)
+        return open_here and self.may_act()
 
     @property
     def running_limit(self) -> int:
         """How many requests may run now; grows again after the engine was out."""
-        return min(self.pool.running_limit, self._admitted)
+        return min(self.pool.running_limit, self.watch.admitted)
 
     def set_drained(self, drained: bool) -> None:
         """Take the replica out of service, or back in."""
@@ -200,7 +199,7 @@
         if tokens == wire.NOT_LOADED:
             self.log.say("The engine lost an adapter.", replica=self.name, adapter=permit.adapter)
             self.residency.unloaded(permit.adapter)
-            self._look_again.set()
+            self.watch.look_soon()
         self._after_end(permit)
 
     def give_back_inherited(self, fence: int, number: int) -> None:
@@ -312,6 +311,25 @@
             self.metrics.permits.labels("refused").inc()
             waiter.refuse(refusal)
 
+    def taken_out(self) -> None:
+        """Refuse everyone who waits: the engine does not answer."""
+        for waiter in self.waiting:
+            self._refuse(waiter, self._leaving())
+        self._on_change(self)
+
+    def taken_in(self, adapters: list[str]) -> None:
+        """Begin with what an engine holds that is new or was out."""
+        self.residency.loading = ""
+        self.residency.unloading = ""
+        self.load_wanted.set()
+        self.holds(adapters)
+
+    def holds(self, adapters: list[str]) -> None:
+        """Take the engine's own list of what it holds."""
+        self.residency.replace(adapters)
+        self.grant_ready()
+        self._on_change(self)
+
     def refuse_waiting_for(self, adapter: str, refusal: Refusal) -> None:
         """Refuse everyone who waits for an adapter."""
         for waiter in self.waiting:
@@ -344,6 +362,7 @@
             raise OrderFailed("the lease is not held")
         order = engine_wire.Order(kind=kind, fence=self.fence, adapter=adapter)
         self.ordering = True
+        self.orders_given += 1
         try:
             self.driver.order(order)
         except StaleFence:
@@ -435,65 +454,3 @@
         if self.residency.ready(adapter) or adapter == self.residency.loading:
             return 0.0
         return self.pool.load_s
-
-    def _watch_forever(self) -> None:
-        while True:
-            self._watch()
-            self._look_again.wait(timeout=_WATCH_EVERY_S)
-            self._look_again.clear()
-
-    def _watch(self) -> None:
-        if self.ordering:
-            return
-        try:
-            if not self._boot_id:
-                self.order("set_role")
-            loaded = self.driver.loaded()
-        except (UpstreamUnreachable, UpstreamBroke, OrderFailed) as error:
-            self._note_failure(str(error))
-            return
-        if self.ordering:
-            return
-        self._note_alive(loaded)
-
-    def _note_failure(self, detail: str) -> None:
-        self._failures += 1
-        if self._failures == _EJECT_AFTER_FAILURES and self._boot_id:
-            self.log.say("Took an upstream out.", replica=self.name, why=detail)
-            self._boot_id = ""
-            self._admitted = 0
-            for waiter in self.waiting:
-                self._refuse(waiter, self._leaving())
-            self._on_change(self)
-
-    def _note_alive(self, loaded: engine_wire.LoadedAdapters) -> None:
-        self._failures = 0
-        if self._boot_id and loaded.boot_id != self._boot_id:
-            # A restarted engine knows no fence: the next round tells it before anything else.
-            self.log.say("An engine restarted.", replica=self.name)
-            self._boot_id = ""
-            self.residency.replace([])
-            self._look_again.set()
-            return
-        if not self._boot_id:
-            self._begin_with(loaded)
-            return
-        if self._admitted < self.pool.running_limit:
-            self._admitted = min(self.pool.running_limit, max(1, self._admitted * 2))
-            self.grant_ready()
-        if set(loaded.adapters) != set(self.residency.ready_adapters):
-            self.residency.replace(loaded.adapters)
-            self._on_change(self)
-
-    def _begin_with(self, loaded: engine_wire.LoadedAdapters) -> None:
-        self.log.say(
-            "Took an upstream in.", replica=self.name, boot=loaded.boot_id, holds=loaded.adapters
-        )
-        self._boot_id = loaded.boot_id
-        self._admitted = max(1, self.pool.running_limit // 4)
-        self.residency.loading = ""
-        self.residency.unloading = ""
-        self.residency.replace(loaded.adapters)
-        self.load_wanted.set()
-        self.grant_ready()
-        self._on_change(self)
--- a/springrock/serving/owner.py
+++ b/springrock/serving/owner.py
@@ -11,9 +11,10 @@
 
 from springrock.clock import monotonic
 from springrock.coordination.catalog import Catalog
+from springrock.coordination.link import Link
 from springrock.coordination.members import Members
 from springrock.coordination.ownership import Upstream
-from springrock.coordination.peers import Link, Peers
+from springrock.coordination.peers import Peers
 from springrock.coordination.permits import HeldBook
 from springrock.coordination.steward import Steward
 from springrock.errors import Cause, PeerUnreachable, Refusal, RunState
