Leave no gap between the lease and the zone's agreement in an outage

The table counted as out only after a fixed 4 s without it, while the tests' lease lapses after 2 s; with production's 10 s there was no gap, but settings with a short lease had one.

Ruled out: the length of the agreement (2 s, asked anew every 0.5 s).

Change: the table counts as out after half the lease. The test now allows no refusal from the first moment of the outage on, where it allowed 5 s before.

--- a/springrock/box.py
+++ b/springrock/box.py
@@ -153,6 +153,7 @@
             self.session,
             self.peers,
             self.held,
+            table_out_after_s=settings.lease.lapse_after_s / 2,
             zone=self.zone,
             owned=lambda: self.ownership.owned,
             log=self.log("standalone"),
--- a/springrock/coordination/standalone.py
+++ b/springrock/coordination/standalone.py
@@ -26,7 +26,6 @@
 PROBE_TIMEOUT_S = 3.0
 _ASK_EVERY_S = 0.5
 _ASK_TIMEOUT_S = 1.0
-_TABLE_OUT_AFTER_S = 4.0
 
 
 class Standalone:
@@ -36,6 +35,8 @@
         session: This box's session.
         peers: The links to the other boxes.
         held: Knows the highest fences.
+        table_out_after_s: The table counts as out when it was not seen for this long; must be
+            well under the lease, so that there is no gap between lease and agreement.
         zone: This box's availability zone.
         owned: Returns the replicas that this box owns, with their fences.
         log: The log to write to.
@@ -47,6 +48,7 @@
         peers: Peers,
         held: HeldBook,
         *,
+        table_out_after_s: float,
         zone: str,
         owned: Callable[[], dict[str, int]],
         log: Log,
@@ -54,6 +56,7 @@
         self._session = session
         self._peers = peers
         self._held = held
+        self._table_out_after_s = table_out_after_s
         self._zone = zone
         self._owned = owned
         self._log = log
@@ -83,7 +86,7 @@
     def _ask_forever(self) -> None:
         while True:
             gevent.sleep(_ASK_EVERY_S)
-            if self._session.renewed_at and self._session.table_seen_s > _TABLE_OUT_AFTER_S:
+            if self._session.renewed_at and self._session.table_seen_s > self._table_out_after_s:
                 self._ask_zone()
 
     def _ask_zone(self) -> None:
@@ -107,7 +110,7 @@
             return True
         known = dict(zip(names, answer.fences, strict=False))
         no_newer = all(known.get(name, 0) <= fence for name, fence in owned.items())
-        return answer.table_seen_s > _TABLE_OUT_AFTER_S and no_newer
+        return answer.table_seen_s > self._table_out_after_s and no_newer
 
     def _on_probe(self, _: Link, probe: wire.Probe) -> wire.ProbeAnswer:
         fences = [self._held.fence_of(name) for name in probe.replicas]
--- a/tests/faults/test_ownership.py
+++ b/tests/faults/test_ownership.py
@@ -69,7 +69,7 @@
         before = traffic.answered
         wait_until(lambda: traffic.answered > before + 50, what="traffic flows after it")
     assert traffic.dishonest == []
-    refused_in_outage = [item for item in traffic.failed if item.at > began + 5.0]
+    refused_in_outage = [item for item in traffic.failed if item.at > began]
     assert refused_in_outage == []
     assert {name: cluster.owner_of(name) for name in owners} == owners
     assert cluster.violations() == {}
