Publish cache events late and with gaps; the demo in both shapes; bad input

Cause: the engine stand-in published no cache events, the demo had only the co-operative's shape, and the callers' door had no tests of bad bodies and keys.

Nothing in the boxes reads cache events yet.

--- a/springrock/cli.py
+++ b/springrock/cli.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+from typing import Literal
 
 import defopt
 import gevent
@@ -55,15 +56,18 @@
     return 0
 
 
-def demo(*, seconds: float = 15.0, seed: int = 1) -> int:
+def demo(
+    *, seconds: float = 15.0, seed: int = 1, shape: Literal["vanua", "agency"] = "vanua"
+) -> int:
     """Serve a scripted load with everything in one process; fail if a promise broke.
 
     :param seconds: How long to load.
     :param seed: The seed of the load.
+    :param shape: Whose deployment: the co-operative's or the archive's.
     """
     from springrock.demo import run_demo
 
-    return run_demo(seconds=seconds, seed=seed)
+    return run_demo(seconds=seconds, seed=seed, shape=shape)
 
 
 def load(settings: str, *, out: str = "") -> int:
--- a/springrock/demo.py
+++ b/springrock/demo.py
@@ -4,6 +4,7 @@
 
 import sys
 from collections import Counter
+from typing import Any
 
 import gevent
 
@@ -17,38 +18,24 @@
     "  time   answered  in flight  refused    stall p50   stall max   loads   batch fill   model"
 )
 
-WORKLOADS = [
-    WorkloadPlan(name="call-summaries", share=4, kind="chat", worth=2.0, tokens=40),
-    WorkloadPlan(name="minutes", share=2, kind="completion", worth=3.0, tokens=60),
-    WorkloadPlan(
-        name="roster-joins",
-        share=2,
-        kind="service",
-        repeatable=False,
-        pool="rosters",
-        path="join",
-        deadline_s=5.0,
-    ),
-    WorkloadPlan(
-        name="catalogue-lookups",
-        share=2,
-        kind="service",
-        method="GET",
-        pool="rosters",
-        path="plates/1887",
-        deadline_s=5.0,
-    ),
-    WorkloadPlan(
-        name="annotation-writes",
-        share=1,
-        kind="service",
-        repeatable=False,
-        pool="rosters",
-        path="annotations",
-        deadline_s=5.0,
-    ),
-]
-"""The scripted work of both users: summaries and minutes, joins, lookups and annotations."""
+SHAPES = {"vanua": Shape.from_vanua_voice, "agency": Shape.from_agency}
+
+
+def workloads_of(service: str) -> list[WorkloadPlan]:
+    """Return the scripted work of both users, with the calls sent to one service pool."""
+
+    def _call(name: str, path: str, **more: Any) -> WorkloadPlan:
+        return WorkloadPlan(
+            name=name, kind="service", pool=service, path=path, deadline_s=5.0, **more
+        )
+
+    return [
+        WorkloadPlan(name="call-summaries", share=4, kind="chat", worth=2.0, tokens=40),
+        WorkloadPlan(name="minutes", share=2, kind="completion", worth=3.0, tokens=60),
+        _call("roster-joins", "join", share=2, repeatable=False),
+        _call("catalogue-lookups", "plates/1887", share=2, method="GET"),
+        _call("annotation-writes", "annotations", share=1, repeatable=False),
+    ]
 
 
 class _Summary:
@@ -94,15 +81,14 @@
     return broken
 
 
-def run_demo(*, seconds: float, seed: int) -> int:
+def run_demo(*, seconds: float, seed: int, shape: str) -> int:
     """Run the demo; return 0 only if every promise held."""
     with open("springrock-demo.log", "w", encoding="utf-8") as stream:
         log_to(stream)
-        return _run(seconds, seed)
+        return _run(seconds, seed, SHAPES[shape](boxes_per_zone=2, adapters=300))
 
 
-def _run(seconds: float, seed: int) -> int:
-    shape = Shape.from_vanua_voice(boxes_per_zone=2, adapters=300)
+def _run(seconds: float, seed: int, shape: Shape) -> int:
     deployment = EmbeddedDeployment(shape)
     print(
         f"springrock demo: {len(deployment.boxes)} boxes in {len(shape.zones)} availability zones, "
@@ -114,7 +100,7 @@
         boxes=list(deployment.addresses.callers.values()),
         base_model=shape.base_model,
         adapters=shape.adapters,
-        workloads=WORKLOADS,
+        workloads=workloads_of(shape.service),
         seed=seed,
         seconds=seconds,
         requests_per_s=12.0,
--- a/springrock/emulator/engine.py
+++ b/springrock/emulator/engine.py
@@ -18,6 +18,7 @@
 from gevent.event import Event
 
 from springrock.clock import monotonic
+from springrock.emulator.prefix_cache import PrefixCache
 from springrock.emulator.settings import EngineStandinSettings
 from springrock.httpd import HttpServer, json_response, new_app
 from springrock.ids import new_id
@@ -135,6 +136,11 @@
         self.loading: set[str] = set()
         self.generations: dict[str, Generation] = {}
         self.queue: list[Generation] = []
+        self.prefixes = PrefixCache(
+            limit=self.settings.cached_prefixes,
+            lag_s=self.settings.cache_event_lag_s,
+            lose_every=self.settings.lose_every_cache_event,
+        )
         self._work = Event()
         self._reports: list[tuple[float, wire.EngineState]] = []
 
@@ -166,6 +172,7 @@
         app.get(wire.ADAPTERS_PATH)(self._adapters)
         app.get(wire.STATE_PATH)(self._state)
         app.post(wire.CANCEL_PATH)(self._cancel)
+        app.get(wire.CACHE_EVENTS_PATH)(self._cache_events)
         app.post("/standin/faults")(self._post_fault)
         app.post("/standin/restart")(self._post_restart)
         app.get("/standin/counters")(self._get_counters)
@@ -224,6 +231,7 @@
         if adapter:
             self.ready[adapter] += 1
         generation = Generation(request)
+        self.prefixes.use(request.model, generation.prompt)
         self.generations[request.request_id] = generation
         self.queue.append(generation)
         self._work.set()
@@ -380,7 +388,7 @@
             queued=max(0, len(self.queue) - self.settings.batch_limit),
             batch_fill=self.batch_fill,
             step_ms=self._step_s(self.queue[: self.settings.batch_limit]) * 1000,
-            cached_prefixes=0,
+            cached_prefixes=len(self.prefixes),
         )
         self._reports.append((now, current))
         seen_at = now - self.settings.report_lag_s
@@ -388,6 +396,10 @@
             self._reports.pop(0)
         return json_response(msgspec.json.encode(self._reports[0][1]))
 
+    def _cache_events(self) -> Any:
+        after = int(bottle.request.query.after or 0)
+        return json_response(msgspec.json.encode(self.prefixes.events(after)))
+
     # Faults.
 
     def _post_fault(self) -> Any:
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -35,6 +35,7 @@
         step_ms_per_adapter: What each distinct adapter in the batch adds.
         report_lag_s: How old the reported load is.
         retain_s: How long a finished or broken stream can be resumed.
+        lose_every_cache_event: Every so many-th cache event is lost; 0 loses none.
     """
 
     name: str
@@ -49,6 +50,9 @@
     report_lag_s: float = 1.0
     retain_s: float = 30.0
     checks_fence: bool = True
+    cached_prefixes: int = 64
+    cache_event_lag_s: float = 1.0
+    lose_every_cache_event: int = 10
 
 
 class ServiceStandinSettings(Section, frozen=True, kw_only=True):
--- a/springrock/wire/engine.py
+++ b/springrock/wire/engine.py
@@ -56,6 +56,19 @@
     cached_prefixes: int
 
 
+class CacheEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """A change of an engine's prefix cache; published late, and some never.
+
+    Attributes:
+        number: Rises by one with each change; a jump is a gap.
+        prefix: A hash of the model and the prompt's beginning.
+    """
+
+    number: int
+    kind: Literal["stored", "removed"]
+    prefix: str
+
+
 class EngineRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A completion as sent to an engine.
 
--- /dev/null
+++ b/tests/doors/test_caller.py
@@ -0,0 +1,74 @@
+"""Bad input at the callers' door: each a typed error, nothing leaked."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from springrock.emulator.deployment import Shape
+from tests.cluster import Cluster, Reply
+
+BOX = "zone-1-a"
+KEYS = {"workload_keys": [{"workload": "minutes", "key": "minutes-key"}], "body_limit_bytes": 2000}
+KNOWN = {"Authorization": "Bearer minutes-key"}
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    folder: Path = tmp_path_factory.mktemp("caller")
+    shape = Shape.from_small(zones=1, boxes_per_zone=1, engines=1)
+    with Cluster(folder, shape, box_settings={"caller_door": KEYS}) as cluster:
+        yield cluster
+        assert cluster.metric(BOX, "springrock_open_requests") == 0
+        assert cluster.metric(BOX, "springrock_permits_outstanding") == 0
+        assert cluster.violations() == {}
+
+
+def post(cluster: Cluster, body: bytes, path: str = "/v1/completions") -> Reply:
+    url = f"http://{cluster.addresses.callers[BOX]}{path}"
+    response = cluster.pool.request("POST", url, body=body, headers=KNOWN)
+    return Reply(response.status, response.headers, response.data)
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "cause"),
+    [
+        (b"", 400, "malformed_request"),
+        (b"{", 400, "malformed_request"),
+        (b"\xff\xfe", 400, "malformed_request"),
+        (b'{"model": 5, "prompt": "x"}', 400, "malformed_request"),
+        (b'{"model": "base"}', 400, "malformed_request"),
+        (b'{"model": "b a d", "prompt": "x"}', 404, "unknown_model"),
+        (b'{"model": "other", "prompt": "x"}', 404, "unknown_model"),
+        (b'{"model": "base:none", "prompt": "x"}', 404, "unknown_adapter"),
+        (b'{"model": "base:style-00001@77", "prompt": "x"}', 404, "unknown_version"),
+        (b'{"prompt": "' + b"x" * 3000 + b'"}', 413, "body_too_large"),
+    ],
+)
+def test_bad_bodies_are_typed_errors(
+    cluster: Cluster, body: bytes, status: int, cause: str
+) -> None:
+    reply = post(cluster, body)
+    assert (reply.status, reply.error["type"]) == (status, cause)
+    assert reply.error["run_state"] == "not_run"
+
+
+def test_an_oversized_service_body_is_refused_too(cluster: Cluster) -> None:
+    reply = post(cluster, b"x" * 3000, "/services/rosters/join")
+    assert (reply.status, reply.error["type"]) == (413, "body_too_large")
+
+
+def test_an_unknown_credential_is_refused_and_a_known_one_names_the_workload(
+    cluster: Cluster,
+) -> None:
+    assert cluster.complete(BOX, 1).error["type"] == "bad_credential"
+    cluster.ask(BOX, "allow adapter base:style-00001 for workload minutes", wait_s=5.0)
+    assert cluster.complete(BOX, 1, headers=KNOWN).status == 200
+
+
+def test_an_unknown_page_is_a_typed_error(cluster: Cluster) -> None:
+    reply = cluster.get(BOX, "/nowhere")
+    assert reply.status == 404
+    assert reply.error["type"] == "malformed_request"
