Let the measurements share one way to make many calls

Cause: the hop and the slopes each had their own threads and counter.

Change: bench.meter.call_many serves both.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -7,12 +7,11 @@
 
 import sys
 import tempfile
-import threading
 import time
 from pathlib import Path
 from typing import NamedTuple
 
-from bench.meter import cpu_s, resident_mb
+from bench.meter import call_many, cpu_s, resident_mb
 from springrock.emulator.deployment import Shape
 from tests.cluster import Cluster
 
@@ -59,25 +58,14 @@
     cluster: Cluster, pid: int, requests: int, tokens: int, idle_cpu_share: float
 ) -> float:
     """Return the processor seconds of one request of so many tokens."""
-    left = iter(range(requests))
-    lock = threading.Lock()
 
     def _send() -> None:
-        while True:
-            with lock:
-                number = next(left, None)
-            if number is None:
-                return
-            headers = {"Springrock-Deadline-Ms": "120000"}
-            reply = cluster.complete(BOX, 0, tokens=tokens, stream=True, headers=headers)
-            assert reply.whole, reply.body[-200:]
-
-    threads = [threading.Thread(target=_send) for _ in range(_STREAMS)]
+        headers = {"Springrock-Deadline-Ms": "120000"}
+        reply = cluster.complete(BOX, 0, tokens=tokens, stream=True, headers=headers)
+        assert reply.whole, reply.body[-200:]
+
     before, began = cpu_s(pid), time.monotonic()
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    call_many(_send, times=requests, threads=_STREAMS)
     used = cpu_s(pid) - before - idle_cpu_share * (time.monotonic() - began)
     return used / requests
 
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -4,6 +4,8 @@
 
 import os
 import statistics
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
 
@@ -25,6 +27,13 @@
     return pages * _PAGE_BYTES / 1e6
 
 
+def call_many(call: Callable[[], None], *, times: int, threads: int) -> None:
+    """Make so many calls, several at once, and wait for all."""
+    with ThreadPoolExecutor(threads) as pool:
+        for done in [pool.submit(call) for _ in range(times)]:
+            done.result()
+
+
 class Slope(NamedTuple):
     """A straight line through measured points.
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from bench import hop
-from bench.meter import Slope, cpu_s, resident_mb
+from bench.meter import Slope, call_many, cpu_s, resident_mb
 from springrock.coordination.catalog import Adapter, Catalog, Change, Workload
 from springrock.coordination.feed import HEAD_KEY, SNAPSHOT_NAME, HeadValue
 from springrock.emulator.deployment import Shape
@@ -277,24 +277,13 @@
 def _request_us(cluster: Cluster, box: str, requests: int = 1_000) -> float:
     """Return the processor time that all boxes spend for one short request."""
     pids = [cluster.processes[name].pid for name in cluster.shape.box_names]
-    left = iter(range(requests))
-    lock = threading.Lock()
 
     def _send() -> None:
-        while True:
-            with lock:
-                number = next(left, None)
-            if number is None:
-                return
-            assert cluster.complete(box, 0, tokens=1, stream=True).whole
+        assert cluster.complete(box, 0, tokens=1, stream=True).whole
 
     cluster.complete(box, 0, tokens=1)
-    threads = [threading.Thread(target=_send) for _ in range(8)]
     before = sum(map(cpu_s, pids))
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    call_many(_send, times=requests, threads=8)
     return (sum(map(cpu_s, pids)) - before) / requests * 1e6
 
 
