Return no unconfirmed permit; set the lease metric; drop what nothing calls

Found on reading the whole change: - Two loops had a request cancelled until the engine confirms. The one of a request without an answer gave the permit back at its end even unconfirmed, which let the owner take the adapter for unused while the engine might still run. Both now call cancel_surely, which leaves such a permit to the owner, who goes on asking.

--- a/springrock/box.py
+++ b/springrock/box.py
@@ -158,6 +158,7 @@
             owned=lambda: self.ownership.owned,
             log=self.log("standalone"),
         )
+        self.metrics.lease_held.set_function(lambda: float(self.standalone.may_act()))
         self.feed = Feed(
             self.platform,
             settings.configuration,
--- a/springrock/coordination/link.py
+++ b/springrock/coordination/link.py
@@ -11,7 +11,6 @@
 from websockets.sync.client import ClientConnection
 from websockets.sync.server import ServerConnection
 
-from springrock.clock import monotonic
 from springrock.errors import PeerUnreachable
 from springrock.metrics import Metrics
 from springrock.wire import peer as wire
@@ -40,7 +39,6 @@
         self.box = hello.box
         self.zone = hello.zone
         self.incarnation = hello.incarnation
-        self.opened_at = monotonic()
         self.open = True
 
     def ask(self, question: wire.Question, kind: type[A], *, timeout_s: float) -> A:
--- a/springrock/coordination/permits.py
+++ b/springrock/coordination/permits.py
@@ -84,23 +84,9 @@
         """Return how many permits use an adapter."""
         return self._by_adapter[adapter]
 
-    def find(self, request_id: str) -> Outstanding | None:
-        """Return the permit of a request."""
-        permits = self._outstanding.values()
-        return next((permit for permit in permits if permit.request_id == request_id), None)
-
-    @property
-    def adapters(self) -> dict[str, int]:
-        """The adapters in use, with the number of their permits."""
-        return dict(self._by_adapter)
-
     def __len__(self) -> int:
         return len(self._outstanding)
 
-    def of_workload(self, workload: str) -> int:
-        """Return how many permits a workload has."""
-        return sum(permit.workload == workload for permit in self._outstanding.values())
-
 
 class InheritedBook:
     """Permits that earlier owners of a replica granted and that may still be in use."""
--- a/springrock/serving/answer.py
+++ b/springrock/serving/answer.py
@@ -26,7 +26,7 @@
 
 RESUMES_WITHOUT_PROGRESS = 3
 RESUME_PAUSE_S = 0.05
-CANCEL_EVERY_S = 0.5
+_CANCEL_EVERY_S = 0.5
 BROKEN_RETRY_AFTER_S = 1.0
 _LOOK_EVERY_S = 5.0
 _SILENCE_LIMIT_S = 15.0
@@ -77,11 +77,6 @@
         """How many tokens have come."""
         return self._stream.position
 
-    @property
-    def whole(self) -> bool:
-        """Whether the answer is whole."""
-        return self._stream.whole
-
     def pull_first(self) -> None:
         """Wait for the first event.
 
@@ -118,15 +113,8 @@
         if whole:
             self._give_back(self._stream.position)
         else:
-            gevent.spawn(self._cancel_surely)
-
-    def _cancel_surely(self) -> None:
-        """Return the permit only when the engine has confirmed that the request is over."""
-        while monotonic() < self._ends_at:
-            if self._driver.cancel(self._request.request_id):
-                self._give_back(0)
-                return
-            gevent.sleep(CANCEL_EVERY_S)
+            request_id = self._request.request_id
+            gevent.spawn(cancel_surely, self._driver, request_id, self._ends_at, self._give_back)
 
     @property
     def _next_look_s(self) -> float:
@@ -187,6 +175,20 @@
         return Refusal(cause_of(error), str(error), RunState.CUT, BROKEN_RETRY_AFTER_S)
 
 
+def cancel_surely(
+    driver: EngineDriver, request_id: str, ends_at: float, give_back: Callable[[int], None]
+) -> None:
+    """Return a permit only when the engine has confirmed that the request is over.
+
+    Without that the permit runs out at its owner, who keeps the adapter in use and goes on asking.
+    """
+    while monotonic() < ends_at:
+        if driver.cancel(request_id):
+            give_back(0)
+            return
+        gevent.sleep(_CANCEL_EVERY_S)
+
+
 def cause_of(error: UpstreamBroke) -> Cause:
     """Return the cause that callers are told."""
     if isinstance(error, WrongAnswer):
--- a/springrock/serving/relay.py
+++ b/springrock/serving/relay.py
@@ -26,10 +26,10 @@
 from springrock.metrics import Metrics
 from springrock.serving.answer import (
     BROKEN_RETRY_AFTER_S,
-    CANCEL_EVERY_S,
     RESUME_PAUSE_S,
     RESUMES_WITHOUT_PROGRESS,
     Answer,
+    cancel_surely,
     cause_of,
 )
 from springrock.serving.request import ServingRequest
@@ -156,11 +156,13 @@
         except UpstreamBroke as error:
             found = _find_begun(driver, sent)
             if found is None:
-                self._cancel_later(permitted, driver, sent, give_back)
+                gevent.spawn(
+                    cancel_surely, driver, sent.request_id, permitted.held.ends_at, give_back
+                )
                 return Error(_unknown(error))
             stream = found
         except BaseException:
-            self._cancel_later(permitted, driver, sent, give_back)
+            gevent.spawn(cancel_surely, driver, sent.request_id, permitted.held.ends_at, give_back)
             raise
         answer = Answer(
             sent,
@@ -185,24 +187,6 @@
         self._metrics.first_token_seconds.observe(monotonic() - request.arrived_at)
         return Ok(answer)
 
-    def _cancel_later(
-        self,
-        permitted: Permitted,
-        driver: EngineDriver,
-        sent: EngineRequest,
-        give_back: Callable[[int], None],
-    ) -> None:
-        """Return the permit when the engine has confirmed that the request is over."""
-
-        def _cancel() -> None:
-            while monotonic() < permitted.held.ends_at:
-                if driver.cancel(sent.request_id):
-                    break
-                gevent.sleep(CANCEL_EVERY_S)
-            give_back(0)
-
-        gevent.spawn(_cancel)
-
 
 class _Claim:
     """The claim of one request, if it needs one.
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -81,3 +81,8 @@
     ]
     assert len(loads) == 1
     assert cluster.violations() == {}
+
+
+def test_the_metric_says_that_every_box_holds_its_lease(cluster: Cluster) -> None:
+    for box in cluster.shape.box_names:
+        assert cluster.metric(box, "springrock_lease_held") == 1
