--- a/springrock/cli.py
+++ b/springrock/cli.py
@@ -33,12 +33,25 @@
     return 0
 
 
-def check(settings: str) -> int:
+def entry(settings: str = "") -> int:
+    """Run a box that forwards routed requests on the users' platform, until SIGTERM or SIGINT.
+
+    :param settings: The settings file, JSON with comments; else the one that the platform names.
+    """
+    from springrock.entry_process import run_entry
+
+    return run_entry(settings)
+
+
+def check(settings: str, *, kind: Literal["box", "entry"] = "box") -> int:
     """Check a settings file; print every error with its line and key.
 
     :param settings: The settings file, JSON with comments.
+    :param kind: Whose settings: of `springrock serve` or of `springrock entry`.
     """
-    read(settings, BoxSettings)
+    from springrock.entry_settings import EntrySettings
+
+    read(settings, BoxSettings if kind == "box" else EntrySettings)
     return 0
 
 
@@ -107,7 +120,7 @@
 
 def main() -> None:
     """Run the command line."""
-    commands = [serve, check, standin, demo, load, report, ask]
+    commands = [serve, entry, check, standin, demo, load, report, ask]
     try:
         code = defopt.run(commands, version=f"springrock {__version__}", cli_options="has_default")
     except SettingsError as error:
--- /dev/null
+++ b/springrock/entry.py
@@ -0,0 +1,214 @@
+"""A box that forwards routed requests on the users' platform: its parts put together."""
+
+from __future__ import annotations
+
+import random
+
+import gevent
+from gevent.event import Event
+
+from springrock.clock import Deadline
+from springrock.entry_settings import EntrySettings
+from springrock.forwarding.balancing import Balancer
+from springrock.forwarding.budget import RetryBudget
+from springrock.forwarding.choosing import ReplicaChooser
+from springrock.forwarding.configuration import Configuration, RouteTable
+from springrock.forwarding.directory import Directory
+from springrock.forwarding.door import ForwardingDoor
+from springrock.forwarding.forwarder import Forwarder
+from springrock.forwarding.pages import MetricsPage, ReadinessPage
+from springrock.forwarding.sending import Sender
+from springrock.forwarding.streaming import StreamRelay
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+from springrock.placement.placement import Placement, PlacementSettings
+from springrock.placement.residency import Versions
+from springrock.platform import names
+from springrock.platform.dialect import PlatformDialect
+from springrock.platform.engine import PlatformEngines
+from springrock.platform.store import PlatformStore
+from springrock.platform.tables import OperatorTable, ReplicaTable
+from springrock.rows import TableFollower
+
+_QUIET_S = 0.3
+_END_MARGIN_S = 0.5
+"""How long before it would be killed a stopping box ends by itself."""
+
+_CEILING_SLACK = 2.9
+"""Loads in a window that are allowed beyond the rate, a little under the rule's three."""
+
+
+class EntryBox:
+    """One box that forwards routed requests.
+
+    Args:
+        settings: All its settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.metrics = ForwardingMetrics()
+        self.stopped = Event()
+        self._stopping = False
+        self._log = self._log_of("box")
+        self._routes = RouteTable(Configuration())
+        self._budgets: dict[str, RetryBudget] = {}
+        self.directory = Directory(self._log_of("directory"))
+        self._versions = Versions()
+        self._store = PlatformStore(settings.store.address)
+        self._build_followers()
+        self._build_serving()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send clients here."""
+        known = self._routes.configuration.version > 0 and self.directory.count > 0
+        return known and not self._stopping
+
+    def start(self) -> None:
+        """Start every part and return."""
+        place = self.settings.box
+        self._log.say("Start.", zone=place.availability_zone)
+        for follower in self._followers:
+            follower.start()
+        self._placement.start()
+        self._door.start()
+        self._readiness.start()
+        self._metrics_page.start()
+
+    def stop(self) -> None:
+        """Stop as planned: no new clients, every open request finished, then end."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self._door.closing = True
+        deadline = Deadline(self.settings.stop.within_s - _END_MARGIN_S)
+        self._log.say("Planned stop begins.", open_requests=self._door.open_requests)
+        self._placement.hand_over()
+        gevent.sleep(self.settings.stop.notice_s)
+        while not deadline.passed and not self._quiet():
+            continue
+        self._log.say("Planned stop ends.", open_requests=self._door.open_requests)
+        self._end()
+
+    def reload(self, settings: EntrySettings) -> None:
+        """Take changed settings; addresses stay until the next start."""
+        self._log.say("Reload.")
+        self.settings = settings
+        self._budgets.clear()
+
+    def _quiet(self) -> bool:
+        """Wait a little; return whether no request was open all the while."""
+        if self._door.open_requests:
+            gevent.sleep(_QUIET_S / 3)
+            return False
+        gevent.sleep(_QUIET_S)
+        return not self._door.open_requests
+
+    def _end(self) -> None:
+        self._door.stop()
+        self._readiness.stop()
+        self._metrics_page.stop()
+        self._placement.stop()
+        for follower in self._followers:
+            follower.stop()
+        self.stopped.set()
+
+    def _log_of(self, part: str) -> Log:
+        return Log(part, self.settings.box.name)
+
+    def _build_followers(self) -> None:
+        operator = OperatorTable(
+            on_configuration=self._take_configuration,
+            on_version=self._versions.note,
+            log=self._log_of("configuration"),
+        )
+        replicas = ReplicaTable(self.directory, log=self._log_of("directory"))
+        self._followers = [
+            TableFollower(
+                self._store, names.OPERATOR_TABLE, operator, log=self._log_of("configuration")
+            ),
+            TableFollower(
+                self._store, names.REPLICA_TABLE, replicas, log=self._log_of("directory")
+            ),
+        ]
+        for table, follower in zip(("configuration", "replicas"), self._followers, strict=True):
+            self._show_age(table, follower)
+        self.metrics.replicas.set_function(lambda: float(self.directory.count))
+
+    def _show_age(self, table: str, follower: TableFollower) -> None:
+        self.metrics.table_age_seconds.labels(table).set_function(lambda: follower.age_s)
+
+    def _build_serving(self) -> None:
+        settings = self.settings
+        dialect = PlatformDialect()
+        self._placement = Placement(
+            PlacementSettings(
+                box=settings.box.name,
+                address=settings.listen.boxes_address,
+                lease_s=settings.placement.lease_s,
+                checks_fence=settings.placement.checks_fence,
+                ceiling_ratio=settings.placement.ceiling_ratio,
+                ceiling_burst=_CEILING_SLACK,
+            ),
+            store=self._store,
+            configuration=lambda: self._routes.configuration,
+            directory=self.directory,
+            versions=self._versions,
+            control=PlatformEngines(),
+            log_of=self._log_of,
+            metrics=self.metrics,
+        )
+        chooser = ReplicaChooser(
+            configuration=lambda: self._routes.configuration,
+            directory=self.directory,
+            balancer=Balancer(zone=settings.box.availability_zone, chance=random.Random()),
+            adapters=self._placement,
+            budget_of=self._budget_of,
+        )
+        log = self._log_of("forwarder")
+        sender = Sender(dialect=dialect, adapters=self._placement, log=log)
+        forwarder = Forwarder(
+            routes=lambda: self._routes,
+            chooser=chooser,
+            sender=sender,
+            relay=StreamRelay(chooser=chooser, sender=sender, log=log),
+            log=log,
+        )
+        self._door = ForwardingDoor(
+            settings.listen.clients_address,
+            forwarder=forwarder,
+            dialect=dialect,
+            body_limit_bytes=lambda: self._routes.configuration.limits.body_bytes,
+            log=self._log_of("door"),
+            metrics=self.metrics,
+        )
+        self.metrics.open_requests.set_function(lambda: float(self._door.open_requests))
+        self._readiness = ReadinessPage(
+            settings.listen.readiness_address, names.READINESS_PATH, ready=lambda: self.ready
+        )
+        self._metrics_page = MetricsPage(settings.listen.metrics_address, self.metrics)
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force; an older one than that in force is passed over."""
+        if configuration.version <= self._routes.configuration.version:
+            return
+        self._routes = RouteTable(configuration)
+        self.metrics.configuration.set(configuration.version)
+        self._log.say(
+            "A configuration is in force.",
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+
+    def _budget_of(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            retries = self.settings.retries
+            budget = RetryBudget(
+                ratio=retries.ratio,
+                allowance=retries.allowance / retries.boxes,
+                window_s=retries.window_s,
+            )
+            self._budgets[service] = budget
+        return budget
--- /dev/null
+++ b/springrock/entry_process.py
@@ -0,0 +1,76 @@
+"""The process of a forwarding box: settings, signals, log, start and stop."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+import gevent
+
+from springrock.entry import EntryBox
+from springrock.entry_settings import EntrySettings
+from springrock.errors import SettingsError
+from springrock.log import BoundedLines, Log, log_to
+from springrock.platform.names import SETTINGS_VARIABLE
+from springrock.settings import read
+
+_LOOK_AT_SETTINGS_S = 1.0
+
+
+def run_entry(settings_path: str = "") -> int:
+    """Run a forwarding box until it is told to stop.
+
+    Args:
+        settings_path: The settings file; if empty, the one that the platform names.
+
+    Raises:
+        SettingsError: If the settings cannot be used.
+    """
+    path = settings_path or os.environ.get(SETTINGS_VARIABLE, "")
+    settings = read(path, EntrySettings)
+    lines = BoundedLines(sys.stdout.fileno())
+    log_to(lines)
+    box = EntryBox(settings)
+    box.metrics.dropped_lines.set_function(lambda: float(lines.dropped))
+    watch = _SettingsWatch(path, box)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, lambda: gevent.spawn(box.stop))
+    gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(watch.reload))
+    box.start()
+    gevent.spawn(watch.run)
+    box.stopped.wait()
+    lines.flush()
+    return 0
+
+
+class _SettingsWatch:
+    """Has the settings read again when the file changes or a signal says so."""
+
+    def __init__(self, path: str, box: EntryBox) -> None:
+        self._path = Path(path)
+        self._box = box
+        self._log = Log("settings", box.settings.box.name)
+        self._seen = self._modified_at()
+
+    def run(self) -> None:
+        """Look at the file again and again."""
+        while True:
+            gevent.sleep(_LOOK_AT_SETTINGS_S)
+            if self._modified_at() != self._seen:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file and hand it to the box; a bad one changes nothing."""
+        self._seen = self._modified_at()
+        try:
+            self._box.reload(read(self._path, EntrySettings))
+        except SettingsError as error:
+            self._log.say("Kept the old settings.", error=str(error))
+
+    def _modified_at(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError:
+            return 0
--- /dev/null
+++ b/springrock/entry_settings.py
@@ -0,0 +1,96 @@
+"""Typed settings of a box that forwards routed requests; units stand in the key names."""
+
+from __future__ import annotations
+
+from msgspec import field
+
+from springrock.settings import Section
+
+
+class PlaceSection(Section, frozen=True, kw_only=True):
+    """Who this box is.
+
+    Attributes:
+        name: The name of the box, unique in the deployment.
+        availability_zone: Where it stands.
+    """
+
+    name: str
+    availability_zone: str
+
+
+class ListenSection(Section, frozen=True, kw_only=True):
+    """Where the box listens.
+
+    Attributes:
+        clients_address: For clients.
+        readiness_address: For the balancer's question whether to send clients here.
+        boxes_address: For the other boxes.
+        metrics_address: For Prometheus.
+    """
+
+    clients_address: str
+    readiness_address: str
+    boxes_address: str
+    metrics_address: str
+
+
+class StoreSection(Section, frozen=True, kw_only=True):
+    """The platform's metadata store."""
+
+    address: str
+
+
+class RetrySection(Section, frozen=True, kw_only=True):
+    """The budget of retries, shared by all boxes.
+
+    Attributes:
+        ratio: Retries allowed for each request.
+        allowance: Retries allowed in a window beside that, for all boxes together.
+        window_s: The length of the window.
+        boxes: How many boxes are reckoned to share the allowance.
+    """
+
+    ratio: float = 0.2
+    allowance: float = 50.0
+    window_s: float = 10.0
+    boxes: int = 12
+
+
+class PlacementSection(Section, frozen=True, kw_only=True):
+    """The placement of adapters.
+
+    Attributes:
+        lease_s: How long the placer's lease lasts without a renewal.
+        checks_fence: Whether engines refuse orders under an older fence.
+        ceiling_window_s: The window in which loads from the weight store are counted.
+        ceiling_ratio: How far they may exceed the rate that the configuration states.
+    """
+
+    lease_s: float = 3.0
+    checks_fence: bool = True
+    ceiling_window_s: float = 5.0
+    ceiling_ratio: float = 1.1
+
+
+class StopSection(Section, frozen=True, kw_only=True):
+    """A planned stop.
+
+    Attributes:
+        within_s: When the process is killed, from when it is told to stop.
+        notice_s: How long clients are still taken, until the balancer has seen it.
+    """
+
+    within_s: float = 8.0
+    notice_s: float = 2.5
+
+
+class EntrySettings(Section, frozen=True, kw_only=True):
+    """All settings of one box that forwards routed requests."""
+
+    box: PlaceSection
+    listen: ListenSection
+    store: StoreSection
+    retries: RetrySection = field(default_factory=RetrySection)
+    placement: PlacementSection = field(default_factory=PlacementSection)
+    stop: StopSection = field(default_factory=StopSection)
--- a/springrock/errors.py
+++ b/springrock/errors.py
@@ -162,6 +162,14 @@
     """An order that an upstream took and could not carry out."""
 
 
+class BadRequest(SpringrockError):
+    """A client's request that breaks the protocol; it was not run."""
+
+
+class AnswerCut(SpringrockError):
+    """An answer that broke off after its head was sent; the connection must show it."""
+
+
 class CallerGone(SpringrockError):
     """The caller closed its connection before the answer was whole."""
 
--- /dev/null
+++ b/springrock/forwarding/choosing.py
@@ -0,0 +1,122 @@
+"""Which replica a request is tried at next, and whether it may be tried at all."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from springrock.clock import monotonic
+from springrock.forwarding.adapters import Adapters
+from springrock.forwarding.balancing import Balancer
+from springrock.forwarding.budget import RetryBudget
+from springrock.forwarding.configuration import Configuration, Route
+from springrock.forwarding.directory import Directory, Replica
+from springrock.forwarding.errors import NoReplica
+from springrock.forwarding.journey import Journey
+
+SHORTEST_SEND_S = 0.02
+"""With less time left a request is not sent any more."""
+
+RETRY_AFTER_S = 0.5
+_ARRIVALS_AT_MOST = 3
+_WORTH_OF_FIRST_PRIORITY = 4.0
+
+
+class ReplicaChooser:
+    """Chooses replicas for requests, within the rules of retries.
+
+    Args:
+        configuration: Returns the configuration in force.
+        directory: The known replicas.
+        balancer: Chooses among them.
+        adapters: Where adapters stand.
+        budget_of: Returns the retry budget of a service.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Callable[[], Configuration],
+        directory: Directory,
+        balancer: Balancer,
+        adapters: Adapters,
+        budget_of: Callable[[str], RetryBudget],
+    ) -> None:
+        self._configuration = configuration
+        self._directory = directory
+        self._balancer = balancer
+        self._adapters = adapters
+        self._budget_of = budget_of
+
+    def note_request(self, journey: Journey) -> None:
+        """Count a new request."""
+        self._budget_of(journey.service).note_request()
+        key = journey.request.adapter_key
+        if key is not None:
+            self._adapters.note_hit(key)
+
+    def next_replica(self, journey: Journey, *, until: float) -> Replica:
+        """Return the replica to try next, after a wait for its adapter if need be.
+
+        Args:
+            journey: The request and what was tried for it.
+            until: How long a wait makes sense, on the local monotonic clock.
+
+        Raises:
+            NoReplica: If there is none, or no more may be tried.
+        """
+        if journey.left_s < SHORTEST_SEND_S:
+            raise NoReplica("out_of_time", RETRY_AFTER_S)
+        if not journey.may_run_again:
+            raise NoReplica("may_have_run", RETRY_AFTER_S)
+        if journey.arrivals >= _ARRIVALS_AT_MOST:
+            raise NoReplica("tried_enough", RETRY_AFTER_S)
+        replica = self._find(journey, until=until)
+        if journey.arrivals and not self._budget_of(journey.service).spend():
+            raise NoReplica("retry_budget", RETRY_AFTER_S)
+        return replica
+
+    def _find(self, journey: Journey, *, until: float) -> Replica:
+        key = journey.request.adapter_key
+        replica = self._choose(journey)
+        if replica is None and key is not None and self._serves_adapters(journey.service):
+            self._adapters.wait_for(
+                key,
+                there=lambda: self._choose(journey) is not None,
+                worth=_worth_of(journey.route),
+                target_at=journey.target_at,
+                until=until,
+            )
+            replica = self._choose(journey)
+        if replica is None:
+            raise NoReplica("no_replica", RETRY_AFTER_S)
+        return replica
+
+    def _choose(self, journey: Journey) -> Replica | None:
+        request = journey.request
+        key = request.adapter_key
+
+        def _fits(replica: Replica) -> bool:
+            if key is not None and replica.record.models:
+                return self._adapters.holds(replica, key)
+            return not request.model or request.model in replica.record.models
+
+        # For an adapter on a resting replica, a load elsewhere is better than to try that one.
+        return self._balancer.choose(
+            self._directory.of_service(journey.service),
+            tried=journey.tried,
+            fits=_fits,
+            even_resting=key is None,
+        )
+
+    def _serves_adapters(self, service: str) -> bool:
+        return service in self._configuration().engine_services
+
+
+def reaction_s(journey: Journey) -> float:
+    """Return the seconds until the client of a stream gives up waiting for its first event."""
+    return max(SHORTEST_SEND_S, journey.first_event_by - monotonic())
+
+
+def _worth_of(route: Route) -> float:
+    """Return what a request of a route is worth beside others; the more urgent the more."""
+    return _WORTH_OF_FIRST_PRIORITY / (1 + max(0, route.priority))
--- /dev/null
+++ b/springrock/forwarding/configuration.py
@@ -0,0 +1,166 @@
+"""The configuration of routes and services, as one immutable value."""
+
+from __future__ import annotations
+
+import random
+from enum import StrEnum
+from typing import NamedTuple
+
+from msgspec import Struct
+
+
+class RouteKind(StrEnum):
+    """What may be done with a request of a route after it was sent once."""
+
+    SAFE = "safe"
+    """It may run more than once."""
+    UNSAFE = "unsafe"
+    """It runs at most once for each try of a client."""
+    STREAMING = "streaming"
+    """It answers with events; it counts as unsafe unless the route is resumable."""
+
+
+class Share(NamedTuple):
+    """A service of a route and its weight in the split of the traffic."""
+
+    service: str
+    weight: float
+
+
+class Route(Struct, frozen=True, kw_only=True):
+    """Where requests of a host and a path prefix go.
+
+    Attributes:
+        name: Its name, for logs.
+        host: The host it belongs to, in lower case.
+        path_prefix: Begins and ends with a slash.
+        kind: What may be repeated.
+        shares: The services, with the weights of the split.
+        timeout_s: The longest that a request is held; None for no bound of the operator's.
+        target_s: The time within which an answer is worth most.
+        priority: The rank, 0 the highest.
+        attempts: The most replicas that one request may be run on.
+        resumable: Whether a stream may be taken up elsewhere after its last event.
+        gap_s: The longest pause between events of an answer in time; 0 for no such bound.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[Share, ...]
+    timeout_s: float | None = None
+    target_s: float = 1.0
+    priority: int = 5
+    attempts: int = 1
+    resumable: bool = False
+    gap_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may be run again after it may have run."""
+        if self.kind is RouteKind.STREAMING:
+            return self.resumable
+        return self.kind is RouteKind.SAFE
+
+    def pick_service(self, chance: random.Random) -> str:
+        """Return one of the services, by the weights of the split."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return chance.choices(self.shares, weights=weights)[0].service
+
+
+class BaseModel(Struct, frozen=True, kw_only=True):
+    """A base model that engines of a service may hold."""
+
+    name: str
+    adapters: int = 0
+
+
+class Engine(Struct, frozen=True, kw_only=True):
+    """What all model engines of a service have in common.
+
+    Attributes:
+        running_limit: How many requests one engine runs at once.
+        adapter_slots: How many adapters one engine holds.
+        loads_per_s: Loads from the weight store allowed a second, for all engines together.
+        models: The base models.
+    """
+
+    running_limit: int
+    adapter_slots: int
+    loads_per_s: float
+    models: tuple[BaseModel, ...] = ()
+
+
+class Service(Struct, frozen=True, kw_only=True):
+    """A pool of replicas that serve the same thing.
+
+    Attributes:
+        connection_limit: Connections that one replica accepts from all boxes together.
+        engine: What is common to its model engines; None for a plain service.
+    """
+
+    name: str
+    health_path: str = "/"
+    connection_limit: int = 100
+    engine: Engine | None = None
+
+
+class ClientLimits(Struct, frozen=True, kw_only=True):
+    """What a client may send and how long it may rest."""
+
+    body_bytes: int = 4_194_304
+    idle_s: float = 15.0
+
+
+class Configuration(Struct, frozen=True, kw_only=True):
+    """One version of the whole configuration.
+
+    Attributes:
+        version: Rises with each change; 0 for none yet.
+    """
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    services: dict[str, Service] = {}
+    limits: ClientLimits = ClientLimits()
+
+    @property
+    def engine_services(self) -> dict[str, Engine]:
+        """The services of model engines, by name."""
+        return {
+            name: service.engine
+            for name, service in self.services.items()
+            if service.engine is not None
+        }
+
+
+class RouteTable:
+    """Finds the route of a request; built once for each configuration.
+
+    Args:
+        configuration: The configuration whose routes it holds.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, if there is one."""
+        routes = self._by_host.get(_plain_host(host), ())
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+
+def _plain_host(host: str) -> str:
+    """Return a host header without its port, in lower case."""
+    name, colon, port = host.strip().rpartition(":")
+    if colon and port.isdigit():
+        host = name
+    return host.strip().lower()
--- /dev/null
+++ b/springrock/forwarding/dialect.py
@@ -0,0 +1,54 @@
+"""What forwarding needs of the protocol spoken by clients and replicas.
+
+The names of headers and fields belong to the platform that clients and replicas live on; an
+implementation translates and decides nothing.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+from springrock.forwarding.message import AnswerHead, ClientRequest, Headers
+
+
+class SendTerms(NamedTuple):
+    """What a request to one replica carries beside what the client sent.
+
+    Attributes:
+        instance: The incarnation that alone may run it.
+        left_s: The time that the replica may take.
+        adapter_version: The version of the adapter that alone may run it; 0 for any.
+        priority: The rank at the replica, 0 first; None for the default.
+        after_event: The event after which a stream goes on; empty for the client's own wish.
+    """
+
+    instance: str
+    left_s: float
+    adapter_version: int = 0
+    priority: int | None = None
+    after_event: str = ""
+
+
+class Dialect(Protocol):
+    """Reads requests of clients and writes requests to replicas."""
+
+    def read_request(
+        self, *, method: str, target: str, headers: Headers, body: bytes, received_at: float
+    ) -> ClientRequest:
+        """Return a client's request.
+
+        Raises:
+            BadRequest: If a field that the box must understand is malformed.
+        """
+
+    def request_headers(self, request: ClientRequest, terms: SendTerms) -> Headers:
+        """Return the headers of the request to a replica."""
+
+    def answers(self, head: AnswerHead, request_id: str) -> bool:
+        """Whether an answer carries the id of a request."""
+
+    def not_run(self, head: AnswerHead) -> bool:
+        """Whether an answer promises that the replica did not run the request."""
+
+    def wrong_replica(self, head: AnswerHead) -> bool:
+        """Whether an answer says that this replica is not the one, or lacks what was asked."""
--- /dev/null
+++ b/springrock/forwarding/door.py
@@ -0,0 +1,148 @@
+"""The clients' door: reads whole requests, writes replies as they come, notices who leaves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from springrock.clock import monotonic
+from springrock.doors._watch import CallerWatch
+from springrock.errors import AnswerCut, BadRequest, CallerGone
+from springrock.forwarding.dialect import Dialect
+from springrock.forwarding.forwarder import Forwarder
+from springrock.forwarding.message import Headers
+from springrock.forwarding.reply import Reply, own_ending
+from springrock.httpd import HEADERS_KEY, SOCKET_KEY, TARGET_KEY, HttpServer
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+
+_SEND_TIMEOUT_S = 20.0
+
+
+class ForwardingDoor:
+    """Serves clients over HTTP.
+
+    Args:
+        address: Where to listen, ``HOST:PORT``.
+        forwarder: Forwards the requests.
+        dialect: How clients write them.
+        body_limit_bytes: Returns the longest body taken.
+        log: The log to write to.
+        metrics: The metrics to count in.
+
+    Attributes:
+        open_requests: Requests that are now in the box.
+        closing: Whether each answer asks its client for a new connection.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        forwarder: Forwarder,
+        dialect: Dialect,
+        body_limit_bytes: Callable[[], int],
+        log: Log,
+        metrics: ForwardingMetrics,
+    ) -> None:
+        self._forwarder = forwarder
+        self._dialect = dialect
+        self._body_limit_bytes = body_limit_bytes
+        self._log = log
+        self._metrics = metrics
+        self._server = HttpServer(self._serve, address, send_timeout_s=_SEND_TIMEOUT_S)
+        self.open_requests = 0
+        self.closing = False
+
+    def start(self) -> None:
+        """Begin listening."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening and close what rests."""
+        self._server.stop(finish_within_s=0.2)
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        received_at = monotonic()
+        self.open_requests += 1
+        watch = CallerWatch(environ[SOCKET_KEY])
+        finish = _Finish(self, watch, received_at)
+        try:
+            body = environ["wsgi.input"].read(self._body_limit_bytes() + 1)
+            # From here on nobody else reads the socket.
+            watch.start()
+            reply = self._reply(environ, body, received_at)
+            headers = list(reply.head.headers)
+            if self.closing:
+                headers.append(("Connection", "close"))  # type: ignore[arg-type]
+            start_response(f"{reply.head.status} {reply.head.reason}", headers)
+        except CallerGone:
+            self._note_gone(environ)
+            finish.run("gone")
+            raise
+        except BaseException:
+            finish.run("fault")
+            raise
+        outcome = reply.reason or str(reply.head.status)
+        if isinstance(reply.body, list):
+            finish.run(outcome)
+            return reply.body
+        return self._body(environ, reply, finish)
+
+    def _reply(self, environ: dict[str, Any], body: bytes, received_at: float) -> Reply:
+        if len(body) > self._body_limit_bytes():
+            return own_ending(413, "body_too_large")
+        try:
+            request = self._dialect.read_request(
+                method=environ["REQUEST_METHOD"],
+                target=environ[TARGET_KEY],
+                headers=Headers.from_pairs(environ[HEADERS_KEY]),
+                body=body,
+                received_at=received_at,
+            )
+        except BadRequest as error:
+            self._log.say("Refused a malformed request.", error=str(error))
+            return own_ending(400, "malformed_request")
+        return self._forwarder.forward(request)
+
+    def _body(self, environ: dict[str, Any], reply: Reply, finish: _Finish) -> Iterator[bytes]:
+        outcome = "cut"
+        try:
+            yield from reply.body
+            outcome = str(reply.head.status)
+        except (CallerGone, GeneratorExit):
+            outcome = "gone"
+            self._note_gone(environ)
+            raise
+        except AnswerCut:
+            raise
+        finally:
+            close = getattr(reply.body, "close", None)
+            if close is not None:
+                close()
+            finish.run(outcome)
+
+    def _note_gone(self, environ: dict[str, Any]) -> None:
+        self._log.say("A client left.", target=environ[TARGET_KEY])
+
+    def finished(self, outcome: str, seconds: float) -> None:
+        """Count a request out."""
+        self.open_requests -= 1
+        self._metrics.requests.labels(outcome).inc()
+        self._metrics.request_seconds.observe(seconds)
+
+
+class _Finish:
+    """What happens once at the end of a request, wherever that is."""
+
+    def __init__(self, door: ForwardingDoor, watch: CallerWatch, received_at: float) -> None:
+        self._door = door
+        self._watch = watch
+        self._received_at = received_at
+
+    def run(self, outcome: str) -> None:
+        """End the watch and count the request out."""
+        self._watch.stop()
+        self._door.finished(outcome, monotonic() - self._received_at)
--- /dev/null
+++ b/springrock/forwarding/events.py
@@ -0,0 +1,44 @@
+"""Splitting of a stream of server-sent events, so that only whole events are passed on."""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+
+
+class Event(NamedTuple):
+    """One whole event.
+
+    Attributes:
+        raw: Its bytes as sent, the blank line included.
+        event_id: Its id, or empty if it has none.
+    """
+
+    raw: bytes
+    event_id: str
+
+
+class EventSplitter:
+    """Collects bytes and gives out whole events."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take bytes and return the events that they complete."""
+        self._rest += data
+        events: list[Event] = []
+        while match := _EVENT_END.search(self._rest):
+            raw = self._rest[: match.end()]
+            self._rest = self._rest[match.end() :]
+            found = _ID_LINE.search(raw)
+            events.append(Event(raw, found.group(1).decode("latin-1") if found else ""))
+        return events
+
+    def take_rest(self) -> bytes:
+        """Return the bytes of an event that is not whole, at the end of the stream."""
+        rest, self._rest = self._rest, b""
+        return rest
--- /dev/null
+++ b/springrock/forwarding/exchange.py
@@ -0,0 +1,141 @@
+"""One request to one replica: sent, its own answer found, and read without trusting the framing."""
+
+from __future__ import annotations
+
+from springrock.clock import Deadline
+from springrock.forwarding.connection import Connection, ConnectionPool
+from springrock.forwarding.dialect import Dialect, SendTerms
+from springrock.forwarding.errors import (
+    AnswerBroken,
+    ForeignAnswer,
+    ReplicaChanged,
+    ReplicaFull,
+)
+from springrock.forwarding.message import AnswerHead, ClientRequest
+
+_SURPLUS_ANSWERS = 2
+"""How many answers to earlier requests are read past on one connection."""
+
+_SURPLUS_WITHIN_S = 0.5
+
+
+class Answer:
+    """An answer whose head came and was found to belong to the request.
+
+    Attributes:
+        head: Its head, as the replica sent it.
+    """
+
+    def __init__(self, head: AnswerHead, connection: Connection, pool: ConnectionPool) -> None:
+        self.head = head
+        self._connection = connection
+        self._pool = pool
+        self._whole = False
+
+    @property
+    def content_length(self) -> int | None:
+        """The stated length of the body; None if it has none."""
+        return self._connection.content_length
+
+    def read(self, *, within_s: float) -> bytes:
+        """Return the next bytes of the body; empty at its whole end.
+
+        Raises:
+            AnswerBroken: If the body ended early.
+            AnswerSilent: If nothing came in time.
+        """
+        if self._whole:
+            return b""
+        data = self._connection.read(within_s=within_s)
+        self._whole = not data
+        return data
+
+    def read_all(self, *, deadline: Deadline) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            AnswerBroken: If the body ended early.
+            AnswerSilent: If it was not whole in time.
+        """
+        pieces: list[bytes] = []
+        while True:
+            data = self.read(within_s=deadline.left_s)
+            if not data:
+                return b"".join(pieces)
+            pieces.append(data)
+
+    def close(self) -> None:
+        """Keep the connection if the answer was read whole, else close it."""
+        if self._whole:
+            self._pool.give_back(self._connection)
+        else:
+            self._connection.close()
+
+
+def exchange(
+    request: ClientRequest,
+    *,
+    pool: ConnectionPool,
+    terms: SendTerms,
+    dialect: Dialect,
+    repeatable: bool,
+    head_within_s: float,
+) -> Answer:
+    """Send a request to a replica and return its answer, to be closed by the caller.
+
+    Args:
+        request: The client's request.
+        pool: The connections to the replica.
+        terms: What the request carries beside.
+        dialect: Writes the request and reads the answer.
+        repeatable: Whether the request may run again.
+        head_within_s: How long the head of the answer may take.
+
+    Raises:
+        ReplicaUnreachable: If nothing was sent.
+        ReplicaFull: If the replica did not run it.
+        ReplicaChanged: If the replica is another one or lacks what the request needs.
+        OutcomeUnknown: If it may have run and no answer came.
+    """
+    connection = pool.take(careful=not repeatable, within_s=head_within_s)
+    try:
+        connection.send(
+            method=request.method,
+            target=request.target,
+            headers=dialect.request_headers(request, terms),
+            body=request.body,
+            within_s=head_within_s,
+        )
+        head = _find_own_answer(connection, request, dialect, Deadline(head_within_s))
+        answer = Answer(head, connection, pool)
+        if dialect.not_run(head):
+            answer.read_all(deadline=Deadline(_SURPLUS_WITHIN_S))
+    except BaseException:
+        connection.close()
+        raise
+    if not dialect.not_run(head):
+        return answer
+    answer.close()
+    if dialect.wrong_replica(head):
+        raise ReplicaChanged(f"answered {head.status}")
+    raise ReplicaFull(f"answered {head.status}")
+
+
+def _find_own_answer(
+    connection: Connection, request: ClientRequest, dialect: Dialect, deadline: Deadline
+) -> AnswerHead:
+    for _ in range(_SURPLUS_ANSWERS + 1):
+        head = connection.receive_head(within_s=deadline.left_s)
+        if dialect.answers(head, request.request_id):
+            return head
+        _read_past(connection)
+    raise ForeignAnswer("only answers to other requests came")
+
+
+def _read_past(connection: Connection) -> None:
+    """Read a surplus answer to its end, after which the own answer may follow."""
+    deadline = Deadline(_SURPLUS_WITHIN_S)
+    while connection.read(within_s=deadline.left_s):
+        continue
+    if not connection.reusable:
+        raise AnswerBroken("the connection ends after a surplus answer")
--- /dev/null
+++ b/springrock/forwarding/forwarder.py
@@ -0,0 +1,141 @@
+"""Forwards one request over its route, and ends it honestly."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from springrock.clock import Deadline
+from springrock.forwarding.choosing import RETRY_AFTER_S, SHORTEST_SEND_S, ReplicaChooser
+from springrock.forwarding.configuration import RouteTable
+from springrock.forwarding.directory import Replica
+from springrock.forwarding.errors import ExchangeError, NoReplica, OutcomeUnknown
+from springrock.forwarding.journey import Journey
+from springrock.forwarding.message import AnswerHead, ClientRequest
+from springrock.forwarding.reply import Reply, own_ending, pass_on
+from springrock.forwarding.sending import Sender
+from springrock.forwarding.streaming import StreamRelay, StreamRun
+from springrock.log import Log
+
+
+class Forwarder:
+    """Forwards requests of all routes.
+
+    Args:
+        routes: Returns the routes in force.
+        chooser: Chooses replicas.
+        sender: Sends requests to them.
+        relay: Relays streams.
+        log: The log to write to.
+    """
+
+    def __init__(
+        self,
+        *,
+        routes: Callable[[], RouteTable],
+        chooser: ReplicaChooser,
+        sender: Sender,
+        relay: StreamRelay,
+        log: Log,
+    ) -> None:
+        self._routes = routes
+        self._chooser = chooser
+        self._sender = sender
+        self._relay = relay
+        self._log = log
+        self._chance = random.Random()
+
+    def forward(self, request: ClientRequest) -> Reply:
+        """Return the reply to a request; its body may still be coming."""
+        table = self._routes()
+        if not table.configuration.version:
+            return own_ending(503, "no_configuration", retry_after_s=RETRY_AFTER_S)
+        route = table.find(request.host, request.path)
+        if route is None:
+            return own_ending(404, "no_route")
+        journey = Journey(request, route, route.pick_service(self._chance))
+        self._chooser.note_request(journey)
+        reply = self._stream(journey) if journey.streaming else self._call(journey)
+        self._say_ending(journey, reply, table.configuration.version)
+        return reply
+
+    # Plain requests.
+
+    def _call(self, journey: Journey) -> Reply:
+        failed: Reply | None = None
+        while True:
+            try:
+                replica = self._chooser.next_replica(journey, until=journey.ends_at)
+                reply = self._call_once(journey, replica)
+            except NoReplica as refusal:
+                return failed or _ending_without_answer(journey, refusal)
+            except ExchangeError:
+                continue
+            if reply.head.status < 500 or not journey.may_run_again:
+                return reply
+            failed = reply
+
+    def _call_once(self, journey: Journey, replica: Replica) -> Reply:
+        attempt = self._sender.begin(journey, replica)
+        try:
+            answer = self._sender.send(journey, replica, head_within_s=journey.left_s)
+            try:
+                body = answer.read_all(deadline=Deadline(journey.left_s))
+            finally:
+                answer.close()
+        except ExchangeError as error:
+            self._sender.note_failure(journey, replica, attempt, error)
+            raise
+        finally:
+            self._sender.end(replica)
+        self._sender.note_answer(replica, attempt, answer.head.status)
+        return pass_on(answer.head, [body])
+
+    # Streams.
+
+    def _stream(self, journey: Journey) -> Reply:
+        failed: Reply | None = None
+        while True:
+            try:
+                head, run = self._relay.open(journey, until=journey.first_event_by)
+            except NoReplica as refusal:
+                return failed or _ending_without_answer(journey, refusal)
+            except ExchangeError:
+                continue
+            if head.status < 500 or not journey.may_run_again:
+                return pass_on(head, self._relay.relay(journey, run))
+            failed = _failed_stream(head, run)
+
+    def _say_ending(self, journey: Journey, reply: Reply, version: int) -> None:
+        self._log.say(
+            "Refused a request." if reply.reason else "Answered a request.",
+            request=journey.request.request_id,
+            route=journey.route.name,
+            service=journey.service,
+            configuration=version,
+            adapter=str(journey.request.adapter_key or ""),
+            status=reply.head.status,
+            reason=reply.reason,
+            retry_after=reply.head.headers.get("retry-after") if reply.reason else None,
+            age_ms=round(journey.age_s * 1000),
+            attempts=journey.trail(),
+        )
+
+
+def _ending_without_answer(journey: Journey, refusal: NoReplica) -> Reply:
+    """Return the ending of a request that no replica answered."""
+    if not journey.runs:
+        return own_ending(503, refusal.reason, retry_after_s=refusal.retry_after_s)
+    if journey.left_s < SHORTEST_SEND_S:
+        return own_ending(504, "outcome_unknown")
+    return own_ending(502, "outcome_unknown")
+
+
+def _failed_stream(head: AnswerHead, run: StreamRun) -> Reply | None:
+    """Return a replica's own failure, to be passed on if nothing better comes."""
+    try:
+        return pass_on(head, [b"".join(run)])
+    except OutcomeUnknown:
+        return None
+    finally:
+        run.close()
--- /dev/null
+++ b/springrock/forwarding/journey.py
@@ -0,0 +1,166 @@
+"""The way of one request through this box: its time bounds, and what was tried for it."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+from springrock.clock import monotonic
+from springrock.forwarding.configuration import Route, RouteKind
+from springrock.forwarding.message import ClientRequest
+
+_DEFAULT_DEADLINE_S = 60.0
+_SHORTEST_PATIENCE_S = 2.0
+_TARGETS_OF_PATIENCE = 4
+_GAPS_OF_PATIENCE = 8
+
+
+class AttemptOutcome(StrEnum):
+    """How one attempt at one replica ended."""
+
+    UNDER_WAY = "under_way"
+    ANSWERED = "answered"
+    FAILED = "failed"
+    """The replica answered that it failed."""
+    UNREACHABLE = "unreachable"
+    FULL = "full"
+    CHANGED = "changed"
+    BROKEN = "broken"
+    SILENT = "silent"
+
+    @property
+    def arrived(self) -> bool:
+        """Whether the replica got the request."""
+        return self is not AttemptOutcome.UNREACHABLE
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the replica may have run the request."""
+        return self not in (
+            AttemptOutcome.UNREACHABLE,
+            AttemptOutcome.FULL,
+            AttemptOutcome.CHANGED,
+        )
+
+
+class Attempt(Struct, kw_only=True):
+    """One attempt at one replica."""
+
+    instance: str
+    began_s: float
+    record_age_s: float
+    outcome: AttemptOutcome = AttemptOutcome.UNDER_WAY
+
+
+class Journey:
+    """One request on its way.
+
+    Args:
+        request: The client's request.
+        route: Its route.
+        service: The service picked for it.
+
+    Attributes:
+        attempts: What was tried, in order.
+        ends_at: When it must have its final answer, on the local monotonic clock.
+        first_event_by: When the client gives up a stream that has not begun.
+        last_event_id: The last event that the client has, or is about to have.
+        resuming: Whether events of this box's own have gone to the client.
+    """
+
+    def __init__(self, request: ClientRequest, route: Route, service: str) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.attempts: list[Attempt] = []
+        received_at = request.received_at
+        bounds = [_DEFAULT_DEADLINE_S if request.deadline_s is None else request.deadline_s]
+        if route.timeout_s is not None:
+            bounds.append(route.timeout_s)
+        self.ends_at = received_at + min(bounds)
+        self.first_event_by = min(self.ends_at, received_at + self.patience_s)
+        self.last_event_id = request.last_event_id
+        self.resuming = False
+
+    @property
+    def streaming(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.route.kind is RouteKind.STREAMING
+
+    @property
+    def patience_s(self) -> float:
+        """How long a client of a stream waits for the next event."""
+        if not self.streaming:
+            return _DEFAULT_DEADLINE_S
+        return max(
+            _SHORTEST_PATIENCE_S,
+            _TARGETS_OF_PATIENCE * self.route.target_s,
+            _GAPS_OF_PATIENCE * self.route.gap_s,
+        )
+
+    @property
+    def left_s(self) -> float:
+        """Seconds until the final answer is due."""
+        return self.ends_at - monotonic()
+
+    @property
+    def target_at(self) -> float:
+        """When the answer is late."""
+        return self.request.received_at + self.route.target_s
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the request was received."""
+        return monotonic() - self.request.received_at
+
+    def begin(self, instance: str, *, record_age_s: float) -> Attempt:
+        """Note a new attempt."""
+        attempt = Attempt(
+            instance=instance, began_s=round(self.age_s, 4), record_age_s=round(record_age_s, 3)
+        )
+        self.attempts.append(attempt)
+        return attempt
+
+    def note_event(self, event_id: str) -> None:
+        """Note that an event goes to the client."""
+        self.last_event_id = event_id
+        self.resuming = True
+
+    def trail(self) -> list[str]:
+        """Return what was tried, for logs."""
+        return [
+            f"{item.instance} {item.outcome} at {item.began_s} s, record of {item.record_age_s} s"
+            for item in self.attempts
+        ]
+
+    @property
+    def tried(self) -> frozenset[str]:
+        """The replicas that it must not be tried at again.
+
+        One that lacked the adapter may be tried again, once it is said to hold it.
+        """
+        return frozenset(
+            attempt.instance
+            for attempt in self.attempts
+            if attempt.outcome.may_have_run
+            or attempt.outcome is AttemptOutcome.UNREACHABLE
+            or not self.request.adapter
+        )
+
+    @property
+    def arrivals(self) -> int:
+        """How many replicas got it."""
+        return sum(attempt.outcome.arrived for attempt in self.attempts)
+
+    @property
+    def runs(self) -> int:
+        """How many replicas may have run it."""
+        return sum(attempt.outcome.may_have_run for attempt in self.attempts)
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another replica may run it, after what was tried."""
+        if self.runs == 0:
+            return True
+        return self.route.repeatable and self.runs < self.route.attempts
--- /dev/null
+++ b/springrock/forwarding/reply.py
@@ -0,0 +1,54 @@
+"""Replies to clients: a replica's answer passed on, or an ending of this box's own."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgspec
+
+from springrock.forwarding.message import AnswerHead, Header, Headers
+
+_REASONS = {
+    400: "Bad Request",
+    404: "Not Found",
+    413: "Content Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Reply(NamedTuple):
+    """What goes to the client.
+
+    Attributes:
+        body: The body; a list if it is whole, else as it comes.
+        reason: For an ending of this box's own, one word for logs.
+    """
+
+    head: AnswerHead
+    body: Iterable[bytes]
+    reason: str = ""
+
+
+def own_ending(status: int, reason: str, *, retry_after_s: float | None = None) -> Reply:
+    """Return an ending of this box's own.
+
+    Args:
+        status: 503 promises that the request did not and will not run; 502 and 504 do not.
+        reason: One word for the client and the log.
+        retry_after_s: When to come back, if that makes sense.
+    """
+    headers = [Header("Content-Type", "application/json")]
+    if retry_after_s is not None:
+        headers.append(Header("Retry-After", f"{max(0.0, retry_after_s):.2f}"))
+    body = msgspec.json.encode({"error": reason})
+    head = AnswerHead(status, _REASONS[status], Headers(headers))
+    return Reply(head, [body], reason)
+
+
+def pass_on(head: AnswerHead, body: Iterable[bytes]) -> Reply:
+    """Return a replica's answer with the headers that travel on."""
+    kept = head.headers.end_to_end().without(("content-length",))
+    return Reply(head._replace(headers=kept), body)
--- /dev/null
+++ b/springrock/forwarding/sending.py
@@ -0,0 +1,126 @@
+"""One attempt at one replica: sent, and what it shows noted about the replica."""
+
+from __future__ import annotations
+
+from contextlib import AbstractContextManager, nullcontext
+
+from springrock.clock import monotonic
+from springrock.forwarding.adapters import Adapters
+from springrock.forwarding.dialect import Dialect, SendTerms
+from springrock.forwarding.directory import Replica
+from springrock.forwarding.errors import (
+    AnswerSilent,
+    ExchangeError,
+    OutcomeUnknown,
+    ReplicaChanged,
+    ReplicaFull,
+    ReplicaUnreachable,
+)
+from springrock.forwarding.exchange import Answer, exchange
+from springrock.forwarding.journey import Attempt, AttemptOutcome, Journey
+from springrock.log import Log
+
+_OUTCOMES: tuple[tuple[type[ExchangeError], AttemptOutcome], ...] = (
+    (ReplicaUnreachable, AttemptOutcome.UNREACHABLE),
+    (ReplicaFull, AttemptOutcome.FULL),
+    (ReplicaChanged, AttemptOutcome.CHANGED),
+    (AnswerSilent, AttemptOutcome.SILENT),
+    (OutcomeUnknown, AttemptOutcome.BROKEN),
+)
+
+
+class Sender:
+    """Sends requests to replicas.
+
+    Args:
+        dialect: How requests to replicas are written.
+        adapters: Learns what is used where, and what is not there.
+        log: The log to write to.
+    """
+
+    def __init__(self, *, dialect: Dialect, adapters: Adapters, log: Log) -> None:
+        self._dialect = dialect
+        self._adapters = adapters
+        self._log = log
+
+    def begin(self, journey: Journey, replica: Replica) -> Attempt:
+        """Note a new attempt; `end` must follow."""
+        replica.running += 1
+        return journey.begin(replica.instance, record_age_s=monotonic() - replica.recorded_at)
+
+    def end(self, replica: Replica) -> None:
+        """Note that an attempt occupies its replica no longer."""
+        replica.running -= 1
+
+    def using(self, journey: Journey, replica: Replica) -> AbstractContextManager[None]:
+        """Count the request as running with its adapter at a replica."""
+        key = journey.request.adapter_key
+        return nullcontext() if key is None else self._adapters.using(replica.instance, key)
+
+    def send(
+        self, journey: Journey, replica: Replica, *, head_within_s: float, after_event: str = ""
+    ) -> Answer:
+        """Send the request and return the answer, to be closed by the caller.
+
+        Args:
+            journey: The request.
+            replica: Where to.
+            head_within_s: How long the head of the answer may take.
+            after_event: The event after which a stream goes on.
+
+        Raises:
+            ExchangeError: If there is no answer for the client.
+        """
+        key = journey.request.adapter_key
+        terms = SendTerms(
+            instance=replica.instance,
+            left_s=journey.left_s,
+            adapter_version=0 if key is None else self._adapters.newest(key),
+            priority=journey.route.priority if journey.streaming else None,
+            after_event=after_event,
+        )
+        return exchange(
+            journey.request,
+            pool=replica.pool,
+            terms=terms,
+            dialect=self._dialect,
+            repeatable=journey.route.repeatable,
+            head_within_s=head_within_s,
+        )
+
+    def note_answer(self, replica: Replica, attempt: Attempt, status: int) -> None:
+        """Learn from an answer's status."""
+        if status >= 500:
+            attempt.outcome = AttemptOutcome.FAILED
+            replica.health.note_failure()
+        else:
+            attempt.outcome = AttemptOutcome.ANSWERED
+            replica.health.note_success()
+
+    def note_failure(
+        self, journey: Journey, replica: Replica, attempt: Attempt, error: ExchangeError
+    ) -> None:
+        """Learn from an exchange without an answer."""
+        attempt.outcome = next(outcome for kind, outcome in _OUTCOMES if isinstance(error, kind))
+        self._blame(journey, replica, error)
+        self._log.say(
+            "An attempt failed.",
+            request=journey.request.request_id,
+            instance=replica.instance,
+            outcome=attempt.outcome,
+            error=str(error),
+            failure_rate=round(replica.health.failure_rate, 2),
+            rest_s=round(replica.health.rest_left_s, 2),
+            age_ms=round(journey.age_s * 1000),
+        )
+
+    def _blame(self, journey: Journey, replica: Replica, error: ExchangeError) -> None:
+        key = journey.request.adapter_key
+        if isinstance(error, ReplicaUnreachable):
+            replica.health.note_unreachable()
+        elif isinstance(error, OutcomeUnknown):
+            replica.health.note_failure()
+        elif key is not None:
+            self._adapters.deny(replica.instance, key)
+        elif isinstance(error, ReplicaChanged):
+            replica.health.note_failure()
--- /dev/null
+++ b/springrock/forwarding/streaming.py
@@ -0,0 +1,185 @@
+"""Streams of events: passed on whole event by whole event, and taken up elsewhere if allowed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from springrock.clock import Deadline, monotonic
+from springrock.errors import AnswerCut
+from springrock.forwarding.choosing import SHORTEST_SEND_S, ReplicaChooser, reaction_s
+from springrock.forwarding.directory import Replica
+from springrock.forwarding.errors import ExchangeError, NoReplica, OutcomeUnknown
+from springrock.forwarding.events import EventSplitter
+from springrock.forwarding.exchange import Answer
+from springrock.forwarding.journey import Journey
+from springrock.forwarding.message import AnswerHead
+from springrock.forwarding.sending import Sender
+from springrock.log import Log
+
+_SILENCE_TO_RESUME_S = 1.5
+"""A stream that may be resumed is taken for stuck after this pause."""
+
+_RESUME_WITHIN_S = 2.0
+
+
+class StreamRun:
+    """One run of a stream at one replica; yields its whole events, several at once.
+
+    Args:
+        sender: Sends the request.
+        journey: The request.
+        replica: Where it runs.
+    """
+
+    def __init__(self, sender: Sender, journey: Journey, replica: Replica) -> None:
+        self._sender = sender
+        self._journey = journey
+        self._replica = replica
+        self._splitter = EventSplitter()
+        self._first = b""
+        self._use = sender.using(journey, replica)
+        self._attempt = sender.begin(journey, replica)
+        self._use.__enter__()
+        self._closed = False
+        self._answer: Answer | None = None
+
+    def open(self) -> AnswerHead:
+        """Send the request, read up to the first whole event, and return the head.
+
+        Raises:
+            ExchangeError: If there is no answer, or it broke before an event.
+        """
+        try:
+            answer = self._send()
+            self._first = self._read(answer, within_s=self._first_event_within_s())
+        except ExchangeError as error:
+            self.close()
+            self._sender.note_failure(self._journey, self._replica, self._attempt, error)
+            raise
+        except BaseException:
+            self.close()
+            raise
+        self._sender.note_answer(self._replica, self._attempt, answer.head.status)
+        return answer.head
+
+    def __iter__(self) -> Iterator[bytes]:
+        assert self._answer is not None
+        data = self._first
+        while data:
+            yield data
+            data = self._read_next(self._answer)
+
+    def close(self) -> None:
+        """Give the connection back or close it; safe to call again."""
+        if self._closed:
+            return
+        self._closed = True
+        self._sender.end(self._replica)
+        self._use.__exit__(None, None, None)
+        if self._answer is not None:
+            self._answer.close()
+
+    def _send(self) -> Answer:
+        self._answer = self._sender.send(
+            self._journey,
+            self._replica,
+            head_within_s=self._first_event_within_s(),
+            after_event=self._journey.last_event_id,
+        )
+        return self._answer
+
+    def _first_event_within_s(self) -> float:
+        if self._journey.resuming:
+            return min(_RESUME_WITHIN_S, self._journey.left_s)
+        return reaction_s(self._journey)
+
+    def _read_next(self, answer: Answer) -> bytes:
+        journey = self._journey
+        pause_s = _SILENCE_TO_RESUME_S if journey.may_run_again else journey.patience_s
+        try:
+            return self._read(answer, within_s=min(pause_s, journey.left_s))
+        except OutcomeUnknown as error:
+            self._sender.note_failure(journey, self._replica, self._attempt, error)
+            raise
+
+    def _read(self, answer: Answer, *, within_s: float) -> bytes:
+        """Return the next whole events; at the end what is left, which may be nothing."""
+        deadline = Deadline(max(SHORTEST_SEND_S, within_s))
+        while True:
+            data = answer.read(within_s=deadline.left_s)
+            if not data:
+                return self._splitter.take_rest()
+            events = self._splitter.feed(data)
+            for event in events:
+                if event.event_id:
+                    self._journey.note_event(event.event_id)
+            if events:
+                return b"".join(event.raw for event in events)
+
+
+class StreamRelay:
+    """Opens streams and relays them over as many runs as it takes and the rules allow.
+
+    Args:
+        chooser: Chooses replicas.
+        sender: Sends requests to them.
+        log: The log to write to.
+    """
+
+    def __init__(self, *, chooser: ReplicaChooser, sender: Sender, log: Log) -> None:
+        self._chooser = chooser
+        self._sender = sender
+        self._log = log
+
+    def open(self, journey: Journey, *, until: float) -> tuple[AnswerHead, StreamRun]:
+        """Try one replica and return the head of its answer and the run.
+
+        Raises:
+            NoReplica: If there is none to try.
+            ExchangeError: If it gave no answer.
+        """
+        replica = self._chooser.next_replica(journey, until=until)
+        run = StreamRun(self._sender, journey, replica)
+        return run.open(), run
+
+    def relay(self, journey: Journey, run: StreamRun) -> Iterator[bytes]:
+        """Yield whole events.
+
+        Raises:
+            AnswerCut: If the stream broke and cannot be taken up elsewhere.
+        """
+        while True:
+            try:
+                yield from run
+                return
+            except OutcomeUnknown as error:
+                broken = error
+            finally:
+                run.close()
+            run = self._resume(journey, broken)
+
+    def _resume(self, journey: Journey, broken: OutcomeUnknown) -> StreamRun:
+        until = min(journey.ends_at, monotonic() + _RESUME_WITHIN_S)
+        while journey.resuming and journey.may_run_again:
+            try:
+                head, run = self.open(journey, until=until)
+            except NoReplica:
+                break
+            except ExchangeError:
+                continue
+            if head.succeeded:
+                self._say("Resumed a stream.", journey, broken)
+                return run
+            run.close()
+        self._say("Cut a stream.", journey, broken)
+        raise AnswerCut(str(broken))
+
+    def _say(self, sentence: str, journey: Journey, broken: OutcomeUnknown) -> None:
+        self._log.say(
+            sentence,
+            request=journey.request.request_id,
+            after_event=journey.last_event_id,
+            error=str(broken),
+            attempts=journey.trail(),
+            age_ms=round(journey.age_s * 1000),
+        )
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -7,11 +7,18 @@
 import bottle
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from springrock.errors import AnswerCut, CallerGone
 from springrock.settings import split_address
 
 SOCKET_KEY = "springrock.socket"
 """Where the WSGI environment holds the caller's socket."""
 
+TARGET_KEY = "springrock.target"
+"""Where the WSGI environment holds the request's target as sent."""
+
+HEADERS_KEY = "springrock.headers"
+"""Where the WSGI environment holds the request's headers as sent, as pairs."""
+
 
 class _Server(WSGIServer):
     """Knows how long a client may take no bytes."""
@@ -24,13 +31,29 @@
 class _Handler(WSGIHandler):
     """Hands the connection to the application, so that it can notice a caller who left."""
 
+    def handle(self) -> None:
+        """Serve the connection; a caller that leaves between two requests is no fault."""
+        try:
+            super().handle()
+        except CallerGone:
+            return
+
     def get_environ(self) -> dict[str, Any]:
         environ: dict[str, Any] = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        environ[TARGET_KEY] = self.path
+        environ[HEADERS_KEY] = self.headers.items()
         assert isinstance(self.server, _Server)
         self.socket.settimeout(self.server.send_timeout_s)
         return environ
 
+    def handle_error(self, kind: Any, value: Any, traceback: Any) -> None:
+        """Close the connection, without a last chunk, where an answer had to break off."""
+        if isinstance(value, AnswerCut | CallerGone):
+            self.close_connection = True
+            return
+        super().handle_error(kind, value, traceback)
+
 
 class HttpServer:
     """Serves one application on one address.
--- a/springrock/log.py
+++ b/springrock/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import time
 from collections import deque
@@ -97,6 +98,43 @@
             self._log.say(self._ends, **fields)
 
 
-def log_to(stream: TextIO = sys.stderr) -> None:
+class BoundedLines:
+    """Writes lines to a file descriptor without ever waiting for its reader.
+
+    What the reader does not take is kept up to a bound; beyond it lines are dropped and counted.
+
+    Args:
+        descriptor: An open file descriptor; it is made non-blocking.
+        limit_bytes: How much is kept.
+    """
+
+    def __init__(self, descriptor: int, *, limit_bytes: int = 1_048_576) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._limit_bytes = limit_bytes
+        self._pending = bytearray()
+        self.dropped = 0
+
+    def write(self, line: str | bytes) -> int:
+        """Take a whole line; write what the reader takes now."""
+        data = line.encode() if isinstance(line, str) else line
+        if len(self._pending) + len(data) > self._limit_bytes:
+            self.dropped += 1
+        else:
+            self._pending += data
+        self.flush()
+        return len(line)
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._pending:
+            try:
+                written = os.write(self._descriptor, self._pending)
+            except (BlockingIOError, OSError):
+                return
+            del self._pending[:written]
+
+
+def log_to(stream: TextIO | BoundedLines = sys.stderr) -> None:
     """Send every log line to a stream as one JSON object a line."""
     eliot.to_file(stream)
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -73,3 +73,56 @@
     def render(self) -> bytes:
         """Return the text that Prometheus scrapes."""
         return generate_latest(self.registry)
+
+
+class ForwardingMetrics:
+    """Metrics of a box that forwards routed requests, in a registry of its own."""
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self.registry = registry
+        self.requests = Counter(
+            "springrock_forwarded_requests",
+            "Requests by status, or by this box's own reason for its ending.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.request_seconds = Histogram(
+            "springrock_forwarded_request_seconds",
+            "Time from a request's head to the end of its answer.",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.open_requests = Gauge(
+            "springrock_forwarding_open_requests", "Requests now in this box.", registry=registry
+        )
+        self.configuration = Gauge(
+            "springrock_forwarding_configuration_version",
+            "The configuration in force here.",
+            registry=registry,
+        )
+        self.replicas = Gauge(
+            "springrock_forwarding_replicas", "Replicas that may get work.", registry=registry
+        )
+        self.table_age_seconds = Gauge(
+            "springrock_forwarding_table_age_seconds",
+            "Seconds since a table of the store was last read.",
+            ["table"],
+            registry=registry,
+        )
+        self.orders = Counter(
+            "springrock_placement_orders",
+            "Orders given to engines.",
+            ["kind", "answer"],
+            registry=registry,
+        )
+        self.placer = Gauge(
+            "springrock_placement_placer", "1 while this box gives orders.", registry=registry
+        )
+        self.dropped_lines = Gauge(
+            "springrock_log_dropped_lines", "Log lines dropped for want of room.", registry=registry
+        )
+
+    def render(self) -> bytes:
+        """Return the text that Prometheus scrapes."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/springrock/placement/engine_book.py
@@ -0,0 +1,144 @@
+"""What the placer knows of the adapter places of one engine."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from enum import Enum
+
+from msgspec import Struct
+
+from springrock.clock import monotonic
+from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.placement.control import EngineState
+
+_LATELY_KEPT = 24
+"""How many adapters an engine is taken to keep at hand beside those in its places."""
+
+
+class PlaceState(Enum):
+    """How an adapter occupies its place."""
+
+    COMING = "coming"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Place(Struct, kw_only=True):
+    """An occupied place.
+
+    Attributes:
+        since: When it came into its state, on the local monotonic clock.
+    """
+
+    version: int
+    state: PlaceState
+    since: float
+
+
+class EngineBook:
+    """The places of one engine, all orders of this placer included.
+
+    A place is free only once the engine shows it; one that an order has asked for is taken.
+
+    Args:
+        record: What the engine says of itself.
+        slots: How many adapters it holds.
+    """
+
+    def __init__(self, record: ReplicaRecord, *, slots: int) -> None:
+        self.record = record
+        self.slots = slots
+        self.places: dict[AdapterKey, Place] = {}
+        self.assigned: dict[AdapterKey, float] = {}
+        self.sequence: int | None = None
+        self.reachable = False
+        self._lately: OrderedDict[AdapterKey, int] = OrderedDict()
+
+    @property
+    def instance(self) -> str:
+        """The engine's incarnation."""
+        return self.record.instance
+
+    @property
+    def free(self) -> int:
+        """Places that nothing occupies."""
+        return self.slots - len(self.places)
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing is on its way in or out."""
+        return all(place.state is PlaceState.READY for place in self.places.values())
+
+    def ready(self) -> list[HeldAdapter]:
+        """Return the adapters that requests can use."""
+        return [
+            HeldAdapter(key.model, key.adapter, place.version)
+            for key, place in self.places.items()
+            if place.state is PlaceState.READY
+        ]
+
+    def is_ready(self, key: AdapterKey, *, version: int) -> bool:
+        """Whether requests can use an adapter of a version or a newer one."""
+        place = self.places.get(key)
+        return place is not None and place.state is PlaceState.READY and place.version >= version
+
+    def at_hand(self, key: AdapterKey, *, version: int) -> bool:
+        """Whether the engine can load an adapter again without the weight store."""
+        return self._lately.get(key, -1) >= version
+
+    def load_taken(self, key: AdapterKey, *, version: int) -> None:
+        """Note that the engine took an order to load."""
+        self.places[key] = Place(version=version, state=PlaceState.COMING, since=monotonic())
+
+    def unload_taken(self, key: AdapterKey) -> None:
+        """Note that the engine took an order to unload."""
+        place = self.places.get(key)
+        if place is not None:
+            self._remember(key, place.version)
+            place.state = PlaceState.LEAVING
+            place.since = monotonic()
+
+    def loaded(self, key: AdapterKey) -> None:
+        """Note that the engine says that it holds an adapter."""
+        place = self.places.get(key)
+        if place is not None and place.state is PlaceState.COMING:
+            place.state = PlaceState.READY
+            place.since = monotonic()
+            self._remember(key, place.version)
+
+    def unloaded(self, key: AdapterKey) -> None:
+        """Note that the engine says that an adapter is gone."""
+        place = self.places.pop(key, None)
+        if place is not None:
+            self._remember(key, place.version)
+
+    def take_report(self, state: EngineState) -> bool:
+        """Take what the engine reports; return whether the report is new enough to count."""
+        if self.sequence is not None and state.sequence < self.sequence:
+            return False
+        self.sequence = state.sequence
+        self._take_listed(state.adapters, PlaceState.READY)
+        self._take_listed(state.coming, PlaceState.COMING)
+        listed = {held.key for held in (*state.adapters, *state.coming)}
+        for key in [key for key in self.places if key not in listed]:
+            self.unloaded(key)
+        return True
+
+    def _take_listed(self, listed: Iterable[HeldAdapter], state: PlaceState) -> None:
+        for held in listed:
+            place = self.places.get(held.key)
+            if place is None:
+                self.places[held.key] = Place(version=held.version, state=state, since=monotonic())
+            elif place.state is PlaceState.COMING and state is PlaceState.READY:
+                place.version = held.version
+                self.loaded(held.key)
+            if state is PlaceState.READY:
+                self._remember(held.key, held.version)
+
+    def _remember(self, key: AdapterKey, version: int) -> None:
+        self._lately[key] = version
+        self._lately.move_to_end(key)
+        while len(self._lately) > _LATELY_KEPT:
+            self._lately.popitem(last=False)
--- /dev/null
+++ b/springrock/placement/keeper.py
@@ -0,0 +1,220 @@
+"""Carries out the placer's assignments at one engine: one order at a time, each accounted for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from springrock.clock import monotonic
+from springrock.forwarding.directory import ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.log import Condition, Log
+from springrock.metrics import ForwardingMetrics
+from springrock.placement.control import (
+    ControlUnanswered,
+    EngineControl,
+    Order,
+    OrderAnswer,
+    OrderKind,
+)
+from springrock.placement.engine_book import EngineBook
+from springrock.placement.lease import PlacerLease
+from springrock.placement.planner import Planner
+
+_LOOK_S = 0.03
+"""How often an engine is asked while something is on its way."""
+
+_UNREACHABLE_PAUSE_S = 0.4
+_AUDIT_S = 5.0
+"""How often an engine is asked while nothing is on its way."""
+
+_ASSIGNMENT_S = 2.0
+"""How long an assignment is tried before it is given back to the planner."""
+
+
+class Keeper:
+    """Keeps the places of one engine.
+
+    Args:
+        book: What is known of the engine.
+        control: Speaks to it.
+        lease: The lease under whose fence it orders.
+        planner: Chooses what gives way.
+        used: Returns which adapters requests now use, and where.
+        newest: Returns the newest version of an adapter.
+        holder: The name under which it orders.
+        on_change: Called when the adapters that can be used have changed.
+        log: The log to write to.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(
+        self,
+        book: EngineBook,
+        *,
+        control: EngineControl,
+        lease: PlacerLease,
+        planner: Planner,
+        used: Callable[[], Collection[tuple[str, AdapterKey]]],
+        newest: Callable[[AdapterKey], int],
+        holder: str,
+        on_change: Callable[[EngineBook], None],
+        log: Log,
+        metrics: ForwardingMetrics,
+    ) -> None:
+        self.book = book
+        self._control = control
+        self._lease = lease
+        self._planner = planner
+        self._used = used
+        self._newest = newest
+        self._holder = holder
+        self._on_change = on_change
+        self._log = log
+        self._metrics = metrics
+        self._told: frozenset[tuple[AdapterKey, int]] | None = None
+        self._stale = True
+        self._work = Event()
+        self._unreachable = Condition(
+            log,
+            begins=f"Lost the engine {book.instance}.",
+            ends=f"Regained the engine {book.instance}.",
+        )
+        self._task: gevent.Greenlet[..., Any] | None = None
+
+    def start(self) -> None:
+        """Begin keeping."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop; nothing is ordered any more."""
+        if self._task is not None:
+            self._task.kill()
+
+    def wake(self) -> None:
+        """Look at the assignments."""
+        self._work.set()
+
+    def take_record(self, record: ReplicaRecord) -> None:
+        """Learn what the engine newly says of itself."""
+        self.book.record = record
+
+    def _run(self) -> None:
+        while True:
+            if not self._lease.holds:
+                gevent.sleep(_LOOK_S)
+                continue
+            if self._stale and not self._look():
+                gevent.sleep(_UNREACHABLE_PAUSE_S)
+                continue
+            if self._order_next():
+                continue
+            if not self.book.settled:
+                gevent.sleep(_LOOK_S)
+                self._stale = True
+                continue
+            self._work.wait(timeout=_AUDIT_S)
+            self._stale = not self._work.is_set()
+            self._work.clear()
+
+    def _look(self) -> bool:
+        """Read the engine's report; return whether it answered."""
+        book = self.book
+        try:
+            state = self._control.report(book.record.address, instance=book.instance)
+        except ControlUnanswered as error:
+            self._unreachable.begin(error=str(error))
+            book.reachable = False
+            return False
+        self._unreachable.end()
+        book.reachable = True
+        if book.take_report(state):
+            self._stale = False
+        else:
+            gevent.sleep(_LOOK_S)
+        self._settle()
+        return True
+
+    def _settle(self) -> None:
+        """Drop what is done from the assignments, and tell if what can be used has changed."""
+        book = self.book
+        now = monotonic()
+        for key, assigned_at in list(book.assigned.items()):
+            if book.is_ready(key, version=self._newest(key)) or now - assigned_at > _ASSIGNMENT_S:
+                del book.assigned[key]
+        ready = frozenset((held.key, held.version) for held in book.ready())
+        if ready != self._told:
+            self._told = ready
+            self._on_change(book)
+
+    def _order_next(self) -> bool:
+        """Give the next order, if there is one to give; return whether there was."""
+        book = self.book
+        key = next((key for key in book.assigned if key not in book.places), None)
+        if key is None or book.record.leaving:
+            return False
+        if book.free > 0:
+            return self._order(OrderKind.LOAD, key)
+        victim = self._planner.victim(book, used=self._used(), now=monotonic())
+        if victim is None:
+            return False
+        return self._order(OrderKind.UNLOAD, victim)
+
+    def _order(self, kind: OrderKind, key: AdapterKey) -> bool:
+        book = self.book
+        version = self._newest(key) if kind is OrderKind.LOAD else 0
+        order = Order(kind, key, version, book.sequence, self._holder, self._lease.fence)
+        try:
+            answer = self._control.order(book.record.address, instance=book.instance, order=order)
+        except ControlUnanswered as error:
+            self._say(order, "unanswered", error=str(error))
+            self._stale = True
+            gevent.sleep(_LOOK_S)
+            return True
+        self._say(order, answer.value)
+        self._take_answer(order, answer)
+        self._settle()
+        return True
+
+    def _take_answer(self, order: Order, answer: OrderAnswer) -> None:
+        book = self.book
+        if answer in (OrderAnswer.TAKEN, OrderAnswer.DONE):
+            self._note_taken(order, answer)
+            return
+        self._stale = True
+        if answer is OrderAnswer.OLDER_FENCE:
+            self._lease.lose(reason="an engine saw a newer fence")
+        elif answer in (OrderAnswer.REFUSED, OrderAnswer.CHANGED):
+            book.assigned.pop(order.key, None)
+        gevent.sleep(_LOOK_S)
+
+    def _note_taken(self, order: Order, answer: OrderAnswer) -> None:
+        book = self.book
+        if book.sequence is not None:
+            book.sequence += 1
+        if order.kind is OrderKind.UNLOAD:
+            book.unload_taken(order.key)
+            if answer is OrderAnswer.DONE:
+                book.unloaded(order.key)
+            return
+        book.load_taken(order.key, version=order.version)
+        if answer is OrderAnswer.DONE:
+            book.loaded(order.key)
+
+    def _say(self, order: Order, answer: str, **fields: object) -> None:
+        book = self.book
+        self._metrics.orders.labels(order.kind.value, answer).inc()
+        self._log.say(
+            f"Ordered: {order.kind.value}.",
+            instance=book.instance,
+            adapter=str(order.key),
+            version=order.version,
+            sequence=order.expected_sequence,
+            fence=order.fence,
+            answer=answer,
+            places=[f"{key.adapter}:{place.state.value}" for key, place in book.places.items()],
+            **fields,
+        )
--- /dev/null
+++ b/springrock/placement/lease.py
@@ -0,0 +1,216 @@
+"""The lease on the placer's row: who may order, under which fence, and until when.
+
+Only durations on the local monotonic clock are used. The holder counts from before it sent the
+last renewal that the store confirmed; a challenger from when it first saw that renewal, plus a
+margin. Each holder's fence is one above that of the holder before.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+from springrock.clock import monotonic
+from springrock.log import Log
+from springrock.placement.messages import Heartbeat
+from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
+
+TABLE = "springrock"
+_KEY = "placer"
+_MARGIN_S = 0.3
+
+
+class PlacerRow(Struct, frozen=True, kw_only=True):
+    """What the row says.
+
+    Attributes:
+        incarnation: The process that holds the lease; empty when it was given up.
+        address: Where the placer's link is served.
+        fence: The holder's fence.
+        renewal: Counts the holder's renewals, so that each writes something new.
+    """
+
+    box: str
+    incarnation: str
+    address: str
+    fence: int
+    renewal: int = 0
+
+
+class PlacerLease:
+    """Takes, renews and gives up the lease.
+
+    Args:
+        store: The store.
+        box: The name of this box.
+        incarnation: This process.
+        lease_s: How long a lease lasts without a renewal.
+        checks_fence: Whether replicas refuse orders with an older fence, so that a holder that
+            cannot reach the store may go on: a successor's first order stops it.
+        log: The log to write to.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        *,
+        box: str,
+        incarnation: str,
+        lease_s: float,
+        checks_fence: bool,
+        log: Log,
+    ) -> None:
+        self._store = store
+        self._box = box
+        self._incarnation = incarnation
+        self._lease_s = lease_s
+        self._checks_fence = checks_fence
+        self._log = log
+        self._address = ""
+        self._held_until = 0.0
+        self._unanswered_at = 0.0
+        self._own: PlacerRow | None = None
+        self._version = ABSENT_VERSION
+        self._seen_version = -1
+        self._seen_at = 0.0
+
+    def announce(self, address: str) -> None:
+        """Set where this box serves the placer's link."""
+        self._address = address
+
+    @property
+    def fence(self) -> int:
+        """The fence of the own lease."""
+        return self._own.fence if self._own is not None else 0
+
+    @property
+    def holds(self) -> bool:
+        """Whether this box may give orders now."""
+        if self._own is None:
+            return False
+        now = monotonic()
+        if now < self._held_until:
+            return True
+        # A pause of this process is no outage: an attempt must have failed since.
+        return self._checks_fence and now - self._unanswered_at < self._lease_s / 2
+
+    @property
+    def held(self) -> bool:
+        """Whether this box took the lease and does not know it lost."""
+        return self._own is not None
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what the others are told of the own lease."""
+        left_s = max(0.0, self._held_until - monotonic())
+        return Heartbeat(self._version, round(left_s * 1000))
+
+    def note_heartbeat(self, version: int, left_s: float) -> None:
+        """Learn from the holder how long its lease stands; what was sent earlier lapses earlier."""
+        self._seen_version = version
+        self._seen_at = monotonic() + left_s - self._lease_s
+
+    def renew(self) -> bool:
+        """Renew the own lease; return whether it still stands as far as is known."""
+        own = self._own
+        assert own is not None
+        sent_at = monotonic()
+        renewed = msgspec.structs.replace(own, renewal=own.renewal + 1)
+        try:
+            self._version = self._write(renewed, expected=self._version)
+        except RowStoreUnavailable:
+            self._unanswered_at = monotonic()
+            return True
+        except RowConflict as conflict:
+            return self._settle(conflict.row, sent_at)
+        self._own = renewed
+        self._held_until = sent_at + self._lease_s
+        return True
+
+    def lose(self, *, reason: str) -> None:
+        """Stop holding, as after a refusal of an older fence."""
+        if self._own is not None:
+            self._log.say("Lost the placer's lease.", fence=self._own.fence, reason=reason)
+        self._own = None
+        self._held_until = 0.0
+
+    def give_up(self) -> None:
+        """Let another box take the lease at once."""
+        own = self._own
+        self.lose(reason="given up")
+        if own is None:
+            return
+        free = msgspec.structs.replace(own, incarnation="", renewal=own.renewal + 1)
+        try:
+            self._write(free, expected=self._version)
+        except (RowStoreUnavailable, RowConflict):
+            return
+
+    def look(self) -> PlacerRow | None:
+        """Read the row; None if there is none or the store does not answer."""
+        try:
+            rows = self._store.read_all(TABLE).rows
+        except RowStoreUnavailable:
+            return None
+        row = next((row for row in rows if row.key == _KEY), None)
+        if row is None:
+            self._note_seen(ABSENT_VERSION)
+            return None
+        self._note_seen(row.version)
+        return _decode(row)
+
+    def challenge(self, standing: PlacerRow | None) -> bool:
+        """Take the lease if it is free or lapsed; return whether this box has it now.
+
+        Args:
+            standing: The row as `look` has just read it.
+        """
+        if not self._free(standing):
+            return False
+        fence = standing.fence + 1 if standing is not None else 1
+        sent_at = monotonic()
+        own = PlacerRow(
+            box=self._box, incarnation=self._incarnation, address=self._address, fence=fence
+        )
+        try:
+            self._version = self._write(own, expected=self._seen_version)
+        except (RowStoreUnavailable, RowConflict) as error:
+            self._log.say("Did not get the placer's lease.", fence=fence, error=str(error))
+            return False
+        self._own = own
+        self._held_until = sent_at + self._lease_s
+        self._log.say("Took the placer's lease.", fence=fence)
+        return True
+
+    def _free(self, standing: PlacerRow | None) -> bool:
+        if self._seen_version < 0:
+            return False
+        if standing is None:
+            return self._seen_version == ABSENT_VERSION
+        if not standing.incarnation:
+            return True
+        return monotonic() - self._seen_at > self._lease_s + _MARGIN_S
+
+    def _note_seen(self, version: int) -> None:
+        if version != self._seen_version:
+            self._seen_version = version
+            self._seen_at = monotonic()
+
+    def _settle(self, row: Row | None, sent_at: float) -> bool:
+        """Learn from a failed renewal whether an earlier one took effect unanswered."""
+        standing = _decode(row) if row is not None else None
+        if row is None or standing is None or standing.incarnation != self._incarnation:
+            self.lose(reason="another box holds it")
+            return False
+        self._version = row.version
+        self._own = standing
+        return True
+
+    def _write(self, value: PlacerRow, *, expected: int) -> int:
+        return self._store.write(TABLE, _KEY, msgspec.json.encode(value), expected=expected)
+
+
+def _decode(row: Row) -> PlacerRow | None:
+    try:
+        return msgspec.json.decode(row.value, type=PlacerRow)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/springrock/placement/messages.py
@@ -0,0 +1,113 @@
+"""The messages between the placer and the other boxes: CBOR arrays, the first item the kind."""
+
+from __future__ import annotations
+
+import cbor2
+import msgspec
+from msgspec import Struct
+
+from springrock.errors import PeerRejected
+from springrock.forwarding.directory import HeldAdapter
+
+
+class Hello(Struct, frozen=True, array_like=True, tag=1):
+    """The first message of a box to the placer.
+
+    Attributes:
+        incarnation: The placer's incarnation that the box means to speak to.
+    """
+
+    box: str
+    incarnation: str
+
+
+class Want(Struct, frozen=True, array_like=True):
+    """Requests of one box that wait for an adapter, taken together.
+
+    Attributes:
+        worth: The sum of what they are worth.
+        target_left_ms: Until the first of them is late.
+        left_ms: Until the last of them is given up; it may be a client expected back.
+    """
+
+    model: str
+    adapter: str
+    count: int
+    worth: float
+    target_left_ms: int
+    left_ms: int
+
+
+class Use(Struct, frozen=True, array_like=True):
+    """Requests of one box that now run with an adapter at a replica."""
+
+    instance: str
+    model: str
+    adapter: str
+    count: int
+
+
+class Hits(Struct, frozen=True, array_like=True):
+    """How often an adapter was asked for since the last message."""
+
+    model: str
+    adapter: str
+    count: int
+
+
+class Demand(Struct, frozen=True, array_like=True, tag=2):
+    """All that one box waits for and uses now."""
+
+    wants: list[Want]
+    uses: list[Use]
+    hits: list[Hits]
+
+
+class Residents(Struct, frozen=True, array_like=True, tag=3):
+    """The adapters that can be used at a replica now."""
+
+    instance: str
+    adapters: list[HeldAdapter]
+
+
+class Forecast(Struct, frozen=True, array_like=True, tag=4):
+    """When a wanted adapter will be there; negative if no load is planned."""
+
+    model: str
+    adapter: str
+    ready_in_ms: int
+
+
+class Heartbeat(Struct, frozen=True, array_like=True, tag=5):
+    """The placer lives.
+
+    Attributes:
+        row_version: The version of its lease's row.
+        lease_left_ms: How much longer the lease stands, as of sending.
+    """
+
+    row_version: int
+    lease_left_ms: int
+
+
+Message = Hello | Demand | Residents | Forecast | Heartbeat
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message."""
+    return cbor2.dumps(msgspec.to_builtins(message))
+
+
+def decode(frame: str | bytes) -> Message:
+    """Return the message of a frame.
+
+    Raises:
+        PeerRejected: If it is malformed.
+    """
+    if isinstance(frame, str):
+        raise PeerRejected("a text frame")
+    try:
+        message: Message = msgspec.convert(cbor2.loads(frame), Message)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        raise PeerRejected(f"a malformed frame: {error}") from None
+    return message
--- /dev/null
+++ b/springrock/placement/placer.py
@@ -0,0 +1,245 @@
+"""The placer: hears what all boxes want, plans loads, has them ordered, tells what stands where."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from springrock.clock import monotonic
+from springrock.forwarding.configuration import Configuration
+from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+from springrock.placement.control import EngineControl
+from springrock.placement.engine_book import EngineBook
+from springrock.placement.keeper import Keeper
+from springrock.placement.lease import PlacerLease
+from springrock.placement.load_budget import LoadBudget
+from springrock.placement.messages import Demand, Forecast, Message, Residents
+from springrock.placement.planner import CombinedWant, Planner
+from springrock.placement.popularity import Popularity
+from springrock.placement.residency import Versions
+
+_PLAN_EVERY_S = 0.05
+_FORECAST_STEP_S = 0.1
+"""Forecasts that differ by less are not told again."""
+
+
+class Placer:
+    """Places adapters while this box holds the lease.
+
+    Args:
+        configuration: Returns the configuration in force.
+        directory: The known replicas.
+        versions: The newest versions of adapters.
+        control: Speaks to engines.
+        lease: The lease.
+        box: The name under which it orders.
+        ceiling_ratio: How far loads may exceed the rate that the configuration states.
+        ceiling_burst: Loads that may be saved up.
+        tell: Tells all boxes, this one included.
+        log: The log to write to.
+        metrics: The metrics to count in.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Callable[[], Configuration],
+        directory: Directory,
+        versions: Versions,
+        control: EngineControl,
+        lease: PlacerLease,
+        box: str,
+        ceiling_ratio: float,
+        ceiling_burst: float,
+        tell: Callable[[Message], None],
+        log: Log,
+        metrics: ForwardingMetrics,
+    ) -> None:
+        self._configuration = configuration
+        self._directory = directory
+        self._versions = versions
+        self._control = control
+        self._lease = lease
+        self._box = box
+        self._ceiling_ratio = ceiling_ratio
+        self._ceiling_burst = ceiling_burst
+        self._tell = tell
+        self._log = log
+        self._metrics = metrics
+        self._popularity = Popularity()
+        self._planner = Planner(self._popularity, versions.newest)
+        self._demands: dict[str, Demand] = {}
+        self._since: dict[AdapterKey, float] = {}
+        self._told: dict[AdapterKey, float] = {}
+        self._keepers: dict[str, Keeper] = {}
+        self._budgets: dict[str, LoadBudget] = {}
+        self._work = Event()
+        self._task: gevent.Greenlet[..., Any] | None = None
+        directory.on_change.append(self._replica_changed)
+
+    @property
+    def active(self) -> bool:
+        """Whether it works now."""
+        return self._task is not None
+
+    def start(self) -> None:
+        """Begin to place, under the lease just taken."""
+        self._metrics.placer.set(1)
+        self._task = gevent.spawn(self._plan_forever)
+        for service in self._configuration().engine_services:
+            for replica in self._directory.of_service(service):
+                self._keep(replica)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._metrics.placer.set(0)
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+        for keeper in self._keepers.values():
+            keeper.stop()
+        self._keepers.clear()
+        self._budgets.clear()
+        self._demands.clear()
+        self._since.clear()
+        self._told.clear()
+
+    def take_demand(self, box: str, demand: Demand) -> None:
+        """Take all that a box now wants and uses."""
+        self._demands[box] = demand
+        for hits in demand.hits:
+            self._popularity.note(AdapterKey(hits.model, hits.adapter), hits.count)
+        self._work.set()
+
+    def forget_box(self, box: str) -> None:
+        """Drop what a box wanted and used; its requests are gone or will be told anew."""
+        self._demands.pop(box, None)
+
+    def standing(self) -> list[Message]:
+        """Return what a box that has just linked must be told."""
+        return [
+            Residents(keeper.book.instance, keeper.book.ready())
+            for keeper in self._keepers.values()
+            if keeper.book.sequence is not None
+        ]
+
+    # Engines.
+
+    def _replica_changed(self, record: ReplicaRecord | None, instance: str) -> None:
+        if not self.active:
+            return
+        if record is None:
+            keeper = self._keepers.pop(instance, None)
+            if keeper is not None:
+                keeper.stop()
+            return
+        if instance in self._keepers:
+            self._keepers[instance].take_record(record)
+        elif record.service in self._configuration().engine_services:
+            replica = self._directory.find(instance)
+            if replica is not None:
+                self._keep(replica)
+        self._work.set()
+
+    def _keep(self, replica: Replica) -> None:
+        engine = self._configuration().engine_services[replica.record.service]
+        keeper = Keeper(
+            EngineBook(replica.record, slots=engine.adapter_slots),
+            control=self._control,
+            lease=self._lease,
+            planner=self._planner,
+            used=self._used,
+            newest=self._versions.newest,
+            holder=self._box,
+            on_change=self._tell_residents,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._keepers[replica.instance] = keeper
+        keeper.start()
+
+    def _tell_residents(self, book: EngineBook) -> None:
+        self._tell(Residents(book.instance, book.ready()))
+        self._work.set()
+
+    def _used(self) -> set[tuple[str, AdapterKey]]:
+        return {
+            (use.instance, AdapterKey(use.model, use.adapter))
+            for demand in self._demands.values()
+            for use in demand.uses
+        }
+
+    # Planning.
+
+    def _plan_forever(self) -> None:
+        while True:
+            self._work.wait(timeout=_PLAN_EVERY_S if self._since else None)
+            self._work.clear()
+            if self._lease.holds:
+                self._plan()
+
+    def _plan(self) -> None:
+        wants = self._combined_wants()
+        for service, engine in self._configuration().engine_services.items():
+            models = {model.name for model in engine.models}
+            of_service = [want for want in wants if want.key.model in models]
+            books = [
+                keeper.book
+                for keeper in self._keepers.values()
+                if keeper.book.record.service == service
+                and keeper.book.reachable
+                and not keeper.book.record.leaving
+            ]
+            plan = self._planner.plan(
+                of_service,
+                books,
+                used=self._used(),
+                budget=self._budget(service, engine.loads_per_s),
+                now=monotonic(),
+            )
+            for assignment in plan.assignments:
+                self._keepers[assignment.engine.instance].wake()
+            for key, ready_in_s in plan.ready_in_s.items():
+                self._tell_forecast(key, ready_in_s)
+
+    def _budget(self, service: str, loads_per_s: float) -> LoadBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = LoadBudget(per_s=loads_per_s * self._ceiling_ratio, burst=self._ceiling_burst)
+            self._budgets[service] = budget
+        return budget
+
+    def _combined_wants(self) -> list[CombinedWant]:
+        now = monotonic()
+        combined: dict[AdapterKey, CombinedWant] = {}
+        for demand in self._demands.values():
+            for want in demand.wants:
+                key = AdapterKey(want.model, want.adapter)
+                target_at = now + want.target_left_ms / 1000
+                known = combined.get(key)
+                if known is None:
+                    since = self._since.setdefault(key, now)
+                    combined[key] = CombinedWant(
+                        key=key, worth=want.worth, since=since, target_at=target_at
+                    )
+                else:
+                    known.worth += want.worth
+                    known.target_at = min(known.target_at, target_at)
+        for key in [key for key in self._since if key not in combined]:
+            del self._since[key]
+            self._told.pop(key, None)
+        return list(combined.values())
+
+    def _tell_forecast(self, key: AdapterKey, ready_in_s: float) -> None:
+        ready_at = monotonic() + ready_in_s if ready_in_s >= 0 else -1.0
+        told = self._told.get(key)
+        if told is not None and abs(told - ready_at) < _FORECAST_STEP_S:
+            return
+        self._told[key] = ready_at
+        self._tell(Forecast(key.model, key.adapter, round(ready_in_s * 1000)))
--- /dev/null
+++ b/springrock/placement/popularity.py
@@ -0,0 +1,27 @@
+"""How often adapters are asked for, decayed with time."""
+
+from __future__ import annotations
+
+import math
+
+from springrock.clock import monotonic
+from springrock.forwarding.message import AdapterKey
+
+_HALF_LIFE_S = 8.0
+_DECAY = math.log(2) / _HALF_LIFE_S
+
+
+class Popularity:
+    """Decayed counts of requests, by adapter."""
+
+    def __init__(self) -> None:
+        self._counts: dict[AdapterKey, tuple[float, float]] = {}
+
+    def note(self, key: AdapterKey, count: int) -> None:
+        """Count requests."""
+        self._counts[key] = (self.of(key) + count, monotonic())
+
+    def of(self, key: AdapterKey) -> float:
+        """Return the decayed count of an adapter."""
+        count, at = self._counts.get(key, (0.0, 0.0))
+        return count * math.exp(-_DECAY * (monotonic() - at)) if count else 0.0
--- /dev/null
+++ b/springrock/platform/dialect.py
@@ -0,0 +1,103 @@
+"""Requests and answers on the platform: headers read and written."""
+
+from __future__ import annotations
+
+from springrock.errors import BadRequest
+from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.message import AnswerHead, ClientRequest, Header, Headers
+from springrock.platform import names
+
+_SET_BY_THE_BOX = (
+    names.DEADLINE_MS,
+    names.EXPECT_INSTANCE,
+    names.EXPECT_VERSION,
+    names.PRIORITY,
+    "content-length",
+)
+_MISDIRECTED = 421
+_STATUSES_OF_NOT_EXECUTED = frozenset({400, 408, 429, 503})
+
+
+class PlatformDialect:
+    """Implements `springrock.forwarding.dialect.Dialect`."""
+
+    def read_request(
+        self, *, method: str, target: str, headers: Headers, body: bytes, received_at: float
+    ) -> ClientRequest:
+        """Return a client's request.
+
+        Raises:
+            BadRequest: If a number is malformed or the id is missing.
+        """
+        request_id = headers.get(names.REQUEST_ID)
+        if not request_id:
+            raise BadRequest(f"{names.REQUEST_ID} is missing")
+        deadline_ms = headers.get(names.DEADLINE_MS)
+        model, _, adapter = (headers.get(names.MODEL) or "").partition("/")
+        prompt_tokens, answer_tokens = _token_counts(headers.get(names.TOKEN_COUNT))
+        return ClientRequest(
+            request_id=request_id,
+            method=method,
+            target=target,
+            host=headers.get("host") or "",
+            headers=headers,
+            body=body,
+            received_at=received_at,
+            deadline_s=None if deadline_ms is None else _number(deadline_ms) / 1000,
+            model=model,
+            adapter=adapter,
+            prompt_tokens=prompt_tokens,
+            answer_tokens=answer_tokens,
+            last_event_id=headers.get(names.LAST_EVENT_ID) or "",
+        )
+
+    def request_headers(self, request: ClientRequest, terms: SendTerms) -> Headers:
+        """Return the headers of the request to a replica."""
+        kept = request.headers.end_to_end().without(_SET_BY_THE_BOX)
+        if terms.after_event:
+            kept = kept.without((names.LAST_EVENT_ID,))
+        added = [
+            Header(names.DEADLINE_MS, str(max(1, int(terms.left_s * 1000)))),
+            Header(names.EXPECT_INSTANCE, terms.instance),
+        ]
+        if terms.adapter_version:
+            added.append(Header(names.EXPECT_VERSION, str(terms.adapter_version)))
+        if terms.priority is not None:
+            added.append(Header(names.PRIORITY, str(terms.priority)))
+        if terms.after_event:
+            added.append(Header(names.LAST_EVENT_ID, terms.after_event))
+        if request.body or request.method not in ("GET", "HEAD"):
+            added.append(Header("Content-Length", str(len(request.body))))
+        return Headers((*kept, *added))
+
+    def answers(self, head: AnswerHead, request_id: str) -> bool:
+        """Whether an answer carries the id of a request."""
+        return head.headers.get(names.REQUEST_ID) == request_id
+
+    def not_run(self, head: AnswerHead) -> bool:
+        """Whether an answer promises that the replica did not run the request."""
+        if head.status == _MISDIRECTED:
+            return True
+        promised = head.headers.get(names.NOT_EXECUTED) is not None
+        return promised and head.status in _STATUSES_OF_NOT_EXECUTED
+
+    def wrong_replica(self, head: AnswerHead) -> bool:
+        """Whether the replica is not the one meant, or lacks what was asked for."""
+        return head.status == _MISDIRECTED
+
+
+def _token_counts(value: str | None) -> tuple[int, int]:
+    if value is None:
+        return 0, 0
+    prompt, _, answer = value.partition(",")
+    return int(_number(prompt)), int(_number(answer or "0"))
+
+
+def _number(value: str) -> float:
+    try:
+        number = float(value)
+    except ValueError:
+        raise BadRequest(f"{value!r} is not a number") from None
+    if not 0 <= number < float("inf"):
+        raise BadRequest(f"{value!r} is out of range")
+    return number
--- /dev/null
+++ b/springrock/platform/engine.py
@@ -0,0 +1,113 @@
+"""Reports of and orders to the platform's model engines."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+from msgspec import UNSET, Struct, UnsetType, field
+
+from springrock.forwarding.directory import HeldAdapter
+from springrock.placement.control import (
+    ControlUnanswered,
+    EngineState,
+    Order,
+    OrderAnswer,
+)
+from springrock.platform import names
+from springrock.platform.records import HeldModel, held_adapters, split_version
+
+_CONNECT_S = 0.5
+_ANSWER_S = 1.0
+_ANSWERS = {
+    200: OrderAnswer.DONE,
+    202: OrderAnswer.TAKEN,
+    400: OrderAnswer.REFUSED,
+    409: OrderAnswer.CONFLICT,
+    412: OrderAnswer.OLDER_FENCE,
+    421: OrderAnswer.CHANGED,
+}
+
+
+class _Report(Struct, rename="camel"):
+    sequence: int
+    busy: bool = False
+    models: list[HeldModel] = field(default_factory=list)
+    coming: list[str] = field(default_factory=list)
+    running: int = 0
+    queued: int = 0
+
+
+class _Order(Struct, rename="camel"):
+    operation: str
+    model: str
+    adapter: str
+    holder: str
+    fencing_token: int
+    expected: int | UnsetType = UNSET
+    version: int | UnsetType = UNSET
+
+
+class PlatformEngines:
+    """Implements `springrock.placement.control.EngineControl`."""
+
+    def __init__(self) -> None:
+        self._pool = urllib3.PoolManager(retries=False, num_pools=64, maxsize=2)
+
+    def report(self, address: str, *, instance: str) -> EngineState:
+        """Return an engine's state."""
+        response = self._call("GET", address, names.REPORT_PATH, instance=instance)
+        if response.status != 200:
+            raise ControlUnanswered(f"the report was answered with {response.status}")
+        try:
+            report = msgspec.json.decode(response.data, type=_Report)
+        except msgspec.DecodeError as error:
+            raise ControlUnanswered(f"the report cannot be read: {error}") from None
+        return EngineState(
+            sequence=report.sequence,
+            busy=report.busy,
+            adapters=held_adapters(report.models),
+            coming=tuple(_coming_from(text) for text in report.coming),
+            running=report.running,
+            queued=report.queued,
+        )
+
+    def order(self, address: str, *, instance: str, order: Order) -> OrderAnswer:
+        """Give an order."""
+        body = _Order(
+            operation=order.kind.value,
+            model=order.key.model,
+            adapter=order.key.adapter,
+            holder=order.holder,
+            fencing_token=order.fence,
+            expected=UNSET if order.expected_sequence is None else order.expected_sequence,
+            version=order.version or UNSET,
+        )
+        encoded = msgspec.json.encode(body)
+        response = self._call("POST", address, names.ORDER_PATH, instance=instance, body=encoded)
+        answer = _ANSWERS.get(response.status)
+        if answer is None:
+            raise ControlUnanswered(f"the order was answered with {response.status}")
+        return answer
+
+    def _call(
+        self, method: str, address: str, path: str, *, instance: str, body: bytes | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {names.EXPECT_INSTANCE: instance}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            return self._pool.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=_CONNECT_S, read=_ANSWER_S),
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise ControlUnanswered(f"{address}: {error}") from None
+
+
+def _coming_from(text: str) -> HeldAdapter:
+    """Read MODEL/NAME@VERSION."""
+    model, _, adapter = text.partition("/")
+    return HeldAdapter(model, *split_version(adapter))
--- /dev/null
+++ b/springrock/platform/names.py
@@ -0,0 +1,30 @@
+"""Names on the platform's wire: headers and paths."""
+
+from __future__ import annotations
+
+SETTINGS_VARIABLE = "SPRINGROCK_BOOT"
+"""The environment variable that names the settings file."""
+
+REQUEST_ID = "Springrock-Request-Id"
+DEADLINE_MS = "Springrock-Deadline-Ms"
+EXPECT_INSTANCE = "Springrock-Expect-Instance"
+EXPECT_VERSION = "Springrock-Expect-Version"
+NOT_EXECUTED = "Springrock-Not-Executed"
+MODEL = "Springrock-Model"
+TOKEN_COUNT = "Springrock-Token-Count"
+PRIORITY = "Springrock-Request-Priority"
+LAST_EVENT_ID = "Last-Event-Id"
+INSTANCE_ID = "Springrock-Instance-Id"
+
+REPORT_PATH = "/v1/report"
+ORDER_PATH = "/v1/order"
+READINESS_PATH = "/v1/readiness"
+
+ROWS_GET_PATH = "/v1/rows-get"
+ROWS_FEED_PATH = "/v1/rows-feed"
+ROWS_TX_PATH = "/v1/rows-tx"
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+VERSION_KEY_PREFIX = "version/"
+REPLICA_TABLE = "servers"
--- /dev/null
+++ b/springrock/platform/records.py
@@ -0,0 +1,207 @@
+"""Rows of the platform's store, decoded into this package's values."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+from msgspec import Struct, field
+
+from springrock.forwarding import configuration as own
+from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.platform import names
+from springrock.rows import Row
+
+T = TypeVar("T")
+
+
+class MalformedRecord(ValueError):
+    """A row that does not follow the platform's pages."""
+
+
+class _Split(Struct, rename="camel"):
+    service: str
+    weight: float
+
+
+class _Route(Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    service: str = ""
+    traffic_split: list[_Split] = field(default_factory=list)
+    timeout_ms: float | None = None
+    target_latency_ms: float = 1000.0
+    priority: int = 5
+    max_attempts: int = 1
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Model(Struct, rename="camel"):
+    name: str
+    adapters: int = 0
+
+
+class _Engine(Struct, rename="camel"):
+    slots: int
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+    models: list[_Model] = field(default_factory=list)
+
+
+class _Service(Struct, rename="camel"):
+    name: str
+    health_path: str = "/"
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(Struct, rename="camel"):
+    max_body_bytes: int = 4_194_304
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = field(default_factory=_Limits)
+
+
+class HeldModel(Struct, rename="camel"):
+    """A base model that a replica holds, with its adapters as NAME@VERSION."""
+
+    name: str
+    version: int = 0
+    adapters: list[str] = field(default_factory=list)
+
+
+class _Server(Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    models: list[HeldModel] = field(default_factory=list)
+
+
+class _NamedVersion(Struct, rename="camel"):
+    model: str
+    version: int
+    adapter: str = ""
+
+
+def configuration_from(row: Row) -> own.Configuration:
+    """Return the configuration of a row.
+
+    Raises:
+        MalformedRecord: If it is not one.
+    """
+    config = _decode(row, _Configuration)
+    return own.Configuration(
+        version=config.version,
+        routes=tuple(_route_from(route) for route in config.routes),
+        services={service.name: _service_from(service) for service in config.services},
+        limits=own.ClientLimits(
+            body_bytes=config.limits.max_body_bytes,
+            idle_s=config.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def replica_from(row: Row) -> ReplicaRecord:
+    """Return the replica of a row.
+
+    Raises:
+        MalformedRecord: If it is not one.
+    """
+    server = _decode(row, _Server)
+    return ReplicaRecord(
+        instance=row.key,
+        service=server.service,
+        address=server.address,
+        zone=server.zone,
+        running_limit=server.slots,
+        leaving=server.state != "ready",
+        models=frozenset(model.name for model in server.models),
+        adapters=held_adapters(server.models),
+    )
+
+
+def version_from(row: Row) -> tuple[AdapterKey, int]:
+    """Return the adapter and the version that a row names; an empty adapter for the model's own.
+
+    Raises:
+        MalformedRecord: If it is not one.
+    """
+    named = _decode(row, _NamedVersion)
+    return AdapterKey(named.model, named.adapter), named.version
+
+
+def is_version(row: Row) -> bool:
+    """Whether a row of the operator's table names a version."""
+    return row.key.startswith(names.VERSION_KEY_PREFIX)
+
+
+def held_adapters(models: list[HeldModel]) -> tuple[HeldAdapter, ...]:
+    """Return the adapters of held models, which are listed as NAME@VERSION."""
+    return tuple(
+        HeldAdapter(model.name, *split_version(text)) for model in models for text in model.adapters
+    )
+
+
+def split_version(text: str) -> tuple[str, int]:
+    """Split NAME@VERSION; a name alone has version 0."""
+    name, _, version = text.partition("@")
+    return name, int(version) if version.isdigit() else 0
+
+
+def _route_from(route: _Route) -> own.Route:
+    try:
+        kind = own.RouteKind(route.kind)
+    except ValueError:
+        # A kind that these pages do not tell is treated with the most care.
+        kind = own.RouteKind.UNSAFE
+    split = [own.Share(part.service, part.weight) for part in route.traffic_split]
+    return own.Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=kind,
+        shares=tuple(split) or (own.Share(route.service, 1.0),),
+        timeout_s=None if route.timeout_ms is None else route.timeout_ms / 1000,
+        target_s=route.target_latency_ms / 1000,
+        priority=route.priority,
+        attempts=route.max_attempts,
+        resumable=route.resumable,
+        gap_s=route.gap_aim_ms / 1000,
+    )
+
+
+def _service_from(service: _Service) -> own.Service:
+    engine = service.engine
+    return own.Service(
+        name=service.name,
+        health_path=service.health_path,
+        connection_limit=service.max_connections,
+        engine=None
+        if engine is None
+        else own.Engine(
+            running_limit=engine.slots,
+            adapter_slots=engine.adapter_slots,
+            loads_per_s=engine.loads_per_s,
+            models=tuple(
+                own.BaseModel(name=model.name, adapters=model.adapters) for model in engine.models
+            ),
+        ),
+    )
+
+
+def _decode(row: Row, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(row.value, type=kind)
+    except msgspec.DecodeError as error:
+        raise MalformedRecord(f"{row.key}: {error}") from None
--- /dev/null
+++ b/springrock/platform/store.py
@@ -0,0 +1,154 @@
+"""The platform's metadata store over HTTP: rows read, followed and written under a condition."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import TypeVar
+
+import msgspec
+import urllib3
+from msgspec import Struct, field
+
+from springrock.platform import names
+from springrock.rows import (
+    Changes,
+    HistoryGone,
+    Row,
+    RowConflict,
+    RowStoreUnavailable,
+)
+
+T = TypeVar("T")
+
+_CONNECT_S = 0.7
+_ANSWER_S = 1.5
+_CONNECTIONS = 4
+_PAGE = 500
+_OK = 200
+_CONFLICT = 412
+_GONE = 410
+
+
+class _Row(Struct, omit_defaults=True):
+    table: str
+    key: str
+    part: str = ""
+    value: str = ""
+    ver: int = 0
+    gone: bool = False
+
+
+class _Rows(Struct):
+    ver: int
+    rows: list[_Row] = field(default_factory=list)
+    more: bool = False
+
+
+class _Expected(Struct):
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class _Put(Struct):
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class _Transaction(Struct):
+    expected: list[_Expected]
+    put: list[_Put]
+    remove: list[_Expected] = field(default_factory=list)
+
+
+class PlatformStore:
+    """Implements `springrock.rows.RowStore`.
+
+    Args:
+        address: ``HOST:PORT`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}"
+        self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
+        self.calls = 0
+
+    def read_all(self, table: str) -> Changes:
+        """Read all rows of a table; pages after the first may be newer."""
+        rows: list[_Row] = []
+        query = f"table={table}&part=&limit={_PAGE}"
+        page = self._rows(names.ROWS_GET_PATH, query)
+        first = page
+        rows += page.rows
+        while page.more and page.rows:
+            # Keys are read from the one just above the last.
+            page = self._rows(names.ROWS_GET_PATH, f"{query}&from={page.rows[-1].key}%00")
+            rows += page.rows
+        return Changes([_row_from(row) for row in rows], [], first.ver)
+
+    def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
+        """Wait for changes of a table after a version."""
+        query = f"table={table}&after={after}&waitMs={round(wait_s * 1000)}"
+        page = self._rows(names.ROWS_FEED_PATH, query, wait_s=wait_s)
+        return Changes(
+            [_row_from(row) for row in page.rows if not row.gone],
+            [row.key for row in page.rows if row.gone],
+            page.ver,
+        )
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        """Write a row if it has the expected version; return its new one."""
+        transaction = _Transaction(
+            expected=[_Expected(table, "", key, expected)],
+            put=[_Put(table, "", key, base64.b64encode(value).decode())],
+        )
+        response = self._call("POST", names.ROWS_TX_PATH, body=msgspec.json.encode(transaction))
+        if response.status == _CONFLICT:
+            standing = _decoded(response, _Rows).rows
+            row = next((_row_from(row) for row in standing if row.ver and row.key == key), None)
+            raise RowConflict(row)
+        return _decoded(_checked(response), _Rows).ver
+
+    def _rows(self, path: str, query: str, *, wait_s: float = 0.0) -> _Rows:
+        response = self._call("GET", f"{path}?{query}", wait_s=wait_s)
+        if response.status == _GONE:
+            raise HistoryGone("the history asked for is gone")
+        return _decoded(_checked(response), _Rows)
+
+    def _call(
+        self, method: str, path: str, *, body: bytes | None = None, wait_s: float = 0.0
+    ) -> urllib3.BaseHTTPResponse:
+        self.calls += 1
+        timeout = urllib3.Timeout(connect=_CONNECT_S, read=_ANSWER_S + wait_s)
+        headers = {"Content-Type": "application/json"} if body is not None else None
+        try:
+            return self._pool.request(
+                method, f"{self._url}{path}", body=body, headers=headers, timeout=timeout
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise RowStoreUnavailable(f"{path.partition('?')[0]}: {error}") from None
+
+
+def _checked(response: urllib3.BaseHTTPResponse) -> urllib3.BaseHTTPResponse:
+    if response.status != _OK:
+        raise RowStoreUnavailable(f"the store answered {response.status}")
+    return response
+
+
+def _decoded(response: urllib3.BaseHTTPResponse, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(response.data, type=kind)
+    except (msgspec.DecodeError, binascii.Error) as error:
+        raise RowStoreUnavailable(f"the store's answer cannot be read: {error}") from None
+
+
+def _row_from(row: _Row) -> Row:
+    try:
+        value = base64.b64decode(row.value)
+    except binascii.Error as error:
+        raise RowStoreUnavailable(f"{row.key} is no base64: {error}") from None
+    return Row(row.key, value, row.ver)
--- /dev/null
+++ b/springrock/platform/tables.py
@@ -0,0 +1,93 @@
+"""Listeners of the platform's tables, which hand on what the rows say in this package's values."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from springrock.forwarding.configuration import Configuration
+from springrock.forwarding.directory import Directory, ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.log import Log
+from springrock.platform import names
+from springrock.platform.records import (
+    MalformedRecord,
+    configuration_from,
+    is_version,
+    replica_from,
+    version_from,
+)
+from springrock.rows import Row
+
+
+class OperatorTable:
+    """Hands on configurations and named versions.
+
+    Args:
+        on_configuration: Called with each configuration.
+        on_version: Called with each named version of an adapter.
+        log: The log to write to.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_configuration: Callable[[Configuration], None],
+        on_version: Callable[[AdapterKey, int], None],
+        log: Log,
+    ) -> None:
+        self._on_configuration = on_configuration
+        self._on_version = on_version
+        self._log = log
+
+    def replace(self, rows: Sequence[Row]) -> None:
+        """Take the whole table; versions never go, so what is missing means nothing."""
+        for row in rows:
+            self.change(row)
+
+    def change(self, row: Row) -> None:
+        """Take a new or changed row."""
+        try:
+            if row.key == names.CONFIGURATION_KEY:
+                self._on_configuration(configuration_from(row))
+            elif is_version(row):
+                self._on_version(*version_from(row))
+        except MalformedRecord as error:
+            self._log.say("Passed over a malformed row.", error=str(error))
+
+    def remove(self, key: str) -> None:
+        """Nothing of the operator's is taken back by removing a row."""
+
+
+class ReplicaTable:
+    """Hands on what replicas write of themselves.
+
+    Args:
+        directory: Learns of them.
+        log: The log to write to.
+    """
+
+    def __init__(self, directory: Directory, *, log: Log) -> None:
+        self._directory = directory
+        self._log = log
+
+    def replace(self, rows: Sequence[Row]) -> None:
+        """Take the whole table."""
+        records = [self._record(row) for row in rows]
+        self._directory.replace(record for record in records if record is not None)
+
+    def change(self, row: Row) -> None:
+        """Take a new or changed row."""
+        record = self._record(row)
+        if record is not None:
+            self._directory.update(record)
+
+    def remove(self, key: str) -> None:
+        """Learn that a replica is gone."""
+        self._directory.remove(key)
+
+    def _record(self, row: Row) -> ReplicaRecord | None:
+        try:
+            return replica_from(row)
+        except MalformedRecord as error:
+            self._log.say("Passed over a malformed row.", error=str(error))
+            return None
