Pace adapters by how many are on their way; rank loads by worth

Cause: the ceiling of the weight store was applied to adapters, so that 2.3 of them came a second where 5 were newly asked for; loads went to several engines for one adapter, and clients were told to come back for loads that were then put behind. Ruled out: slower loads with many at once (0.48 s each with 1 to 10 on their way, report lag included). The rule CEILING did not count 187 adapters in 34 s; it counts models. Change: at most 10 adapters on their way to a service, 4 to an engine; the ceiling holds for base models, which an engine that came back empty is now ordered to load.

--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from springrock.clock import monotonic
-from springrock.forwarding.adapters import Adapters
+from springrock.forwarding.adapters import Adapters, WaitTerms
 from springrock.forwarding.balancing import Balancer
 from springrock.forwarding.budget import RetryBudget
 from springrock.forwarding.configuration import Configuration, Route
@@ -21,6 +21,31 @@
 _WORTH_OF_FIRST_PRIORITY = 4.0
 
 
+_RETURN_PART = 1 / 3
+"""Of the time that is left to it, a client waits at most this part before it comes back."""
+
+_SHORT_DEADLINE = 0.93
+
+
+class _UsualDeadlines:
+    """The longest deadline seen on each route: a client that has less has tried before."""
+
+    def __init__(self) -> None:
+        self._longest: dict[str, float] = {}
+
+    def note(self, journey: Journey) -> None:
+        """Learn from a request."""
+        deadline_s = journey.request.deadline_s or 0.0
+        name = journey.route.name
+        self._longest[name] = max(self._longest.get(name, 0.0), deadline_s)
+
+    def is_short(self, journey: Journey) -> bool:
+        """Whether a request has less time than others of its route have at first."""
+        deadline_s = journey.request.deadline_s
+        longest_s = self._longest.get(journey.route.name, 0.0)
+        return deadline_s is not None and deadline_s < longest_s * _SHORT_DEADLINE
+
+
 class ReplicaChooser:
     """Chooses replicas for requests, within the rules of retries.
 
@@ -46,10 +71,12 @@
         self._balancer = balancer
         self._adapters = adapters
         self._budget_of = budget_of
+        self._deadlines = _UsualDeadlines()
 
     def note_request(self, journey: Journey) -> None:
         """Count a new request."""
         self._budget_of(journey.service).note_request()
+        self._deadlines.note(journey)
         key = journey.request.adapter_key
         if key is not None:
             self._adapters.note_hit(key)
@@ -81,10 +108,8 @@
         if replica is None and key is not None and self._serves_adapters(journey.service):
             self._adapters.wait_for(
                 key,
+                self._wait_terms(journey, until=until),
                 there=lambda: self._choose(journey) is not None,
-                worth=_worth_of(journey.route),
-                target_at=journey.target_at,
-                until=until,
             )
             replica = self._choose(journey)
         if replica is None:
@@ -108,6 +133,15 @@
             even_resting=key is None,
         )
 
+    def _wait_terms(self, journey: Journey, *, until: float) -> WaitTerms:
+        last_try = journey.resuming or self._deadlines.is_short(journey)
+        return WaitTerms(
+            worth=_worth_of(journey.route),
+            target_at=journey.target_at,
+            until=until,
+            returns_within_s=0.0 if last_try else journey.left_s * _RETURN_PART,
+        )
+
     def _serves_adapters(self, service: str) -> bool:
         return service in self._configuration().engine_services
 
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -28,6 +28,9 @@
     (OutcomeUnknown, AttemptOutcome.BROKEN),
 )
 
+_SHORTEST_SILENCE_S = 0.5
+"""A route may allow less than a sound replica takes; such a silence tells nothing of it."""
+
 
 class Sender:
     """Sends requests to replicas.
@@ -118,6 +121,8 @@
         key = journey.request.adapter_key
         if isinstance(error, ReplicaUnreachable):
             replica.health.note_unreachable()
+        elif isinstance(error, AnswerSilent) and journey.age_s < _SHORTEST_SILENCE_S:
+            return
         elif isinstance(error, OutcomeUnknown):
             replica.health.note_failure()
         elif key is not None:
--- a/springrock/placement/control.py
+++ b/springrock/placement/control.py
@@ -22,6 +22,7 @@
     Attributes:
         sequence: Moves with each order that it takes.
         busy: Whether an order is under way.
+        models: Base models that it holds.
         adapters: Adapters that requests can use.
         coming: Adapters on their way to it.
         at_hand: Adapters whose weights it keeps and can load again fast.
@@ -31,6 +32,7 @@
 
     sequence: int
     busy: bool = False
+    models: frozenset[str] = frozenset()
     adapters: tuple[HeldAdapter, ...] = ()
     coming: tuple[HeldAdapter, ...] = ()
     at_hand: tuple[HeldAdapter, ...] = ()
@@ -49,6 +51,7 @@
     """One order to an engine.
 
     Attributes:
+        key: The adapter, or a base model with an empty adapter.
         version: The version to load; 0 for the newest.
         expected_sequence: The engine's sequence as known; it refuses the order at another one.
         holder: Who orders.
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from springrock.clock import monotonic
+from springrock.forwarding.adapters import WaitTerms
 from springrock.forwarding.errors import NoReplica
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.messages import Demand, Hits, Use, Want
@@ -21,6 +22,7 @@
 
 _RETURN_MARGIN_S = 0.1
 _RETURN_GRACE_S = 0.4
+_TARGET_OF_RETURN_S = 1.0
 _RETURNING_PART = 0.6
 """What a client that was told to come back counts, beside one that waits."""
 
@@ -30,11 +32,10 @@
 class _Waiter:
     """One request that waits for an adapter, or a client that is expected back."""
 
-    def __init__(self, key: AdapterKey, worth: float, target_at: float, until: float) -> None:
+    def __init__(self, key: AdapterKey, terms: WaitTerms) -> None:
         self.key = key
-        self.worth = worth
-        self.target_at = target_at
-        self.until = until
+        self.terms = terms
+        self.began_at = monotonic()
         self.news = Event()
 
 
@@ -74,70 +75,68 @@
                 del self._uses[use]
             self.changed.set()
 
-    def wait_for(
-        self,
-        key: AdapterKey,
-        *,
-        there: Callable[[], bool],
-        worth: float,
-        target_at: float,
-        until: float,
-    ) -> None:
+    def wait_for(self, key: AdapterKey, terms: WaitTerms, *, there: Callable[[], bool]) -> None:
         """Wait until an adapter can be used.
 
         Args:
             key: The adapter.
-            there: Whether it is there now.
-            worth: What the request is worth.
-            target_at: When it is late, on the local monotonic clock.
-            until: When it is given up.
+            terms: How long that is worth while.
+            there: Whether it can be used now.
 
         Raises:
-            NoReplica: As soon as it is clear that it should come back later instead.
+            NoReplica: As soon as it is clear that the request should come back later instead.
         """
-        waiter = _Waiter(key, worth, target_at, until)
-        began_at = monotonic()
+        waiter = _Waiter(key, terms)
         self._waiters.add(waiter)
         self.changed.set()
         try:
             while not there():
-                self._check(waiter, began_at)
-                waiter.news.wait(timeout=max(0.01, self._next_look_s(waiter, began_at)))
+                self._check(waiter)
+                waiter.news.wait(timeout=max(0.01, self._next_look_s(waiter)))
                 waiter.news.clear()
         finally:
             self._waiters.discard(waiter)
             self.changed.set()
 
-    def _check(self, waiter: _Waiter, began_at: float) -> None:
+    def _check(self, waiter: _Waiter) -> None:
         now = monotonic()
-        if now >= waiter.until:
+        if now >= waiter.terms.until:
             raise NoReplica("adapter_not_in_time", _UNPLANNED_RETRY_S)
         ready_at = self._forecasts.get(waiter.key)
         if ready_at is None:
-            if now - began_at >= _SILENCE_S or not self._has_placer():
+            if now - waiter.began_at >= _SILENCE_S or not self._has_placer():
                 raise NoReplica("no_placer_heard", _UNPLANNED_RETRY_S)
             return
         if ready_at < 0:
             raise NoReplica("no_load_planned", _UNPLANNED_RETRY_S)
-        if max(ready_at, now) + _START_S > waiter.target_at:
-            self._expect_back(waiter, ready_at - now + _RETURN_MARGIN_S)
-
-    def _expect_back(self, waiter: _Waiter, ready_in_s: float) -> None:
-        retry_after_s = max(_RETURN_MARGIN_S, ready_in_s)
-        returning = _Waiter(
-            waiter.key,
-            waiter.worth * _RETURNING_PART,
-            monotonic() + retry_after_s + 1.0,
-            monotonic() + retry_after_s + _RETURN_GRACE_S,
-        )
-        self._returning.append(returning)
-        raise NoReplica("load_takes_longer", retry_after_s)
-
-    def _next_look_s(self, waiter: _Waiter, began_at: float) -> float:
+        starts_at = max(ready_at, now) + _START_S
+        if starts_at <= waiter.terms.target_at:
+            return
+        returns_within_s = waiter.terms.returns_within_s
+        if not returns_within_s:
+            if starts_at > waiter.terms.until:
+                raise NoReplica("load_not_in_time", max(0.0, ready_at - now))
+            return
+        self._send_back(waiter, max(0.0, ready_at - now) + _RETURN_MARGIN_S)
+
+    def _send_back(self, waiter: _Waiter, ready_in_s: float) -> None:
+        """Tell a client when to come back; if it can wait so long, the load is kept for it."""
+        if ready_in_s <= waiter.terms.returns_within_s:
+            back_at = monotonic() + ready_in_s
+            returning = waiter.terms._replace(
+                worth=waiter.terms.worth * _RETURNING_PART,
+                target_at=back_at + _TARGET_OF_RETURN_S,
+                until=back_at + _RETURN_GRACE_S,
+            )
+            self._returning.append(_Waiter(waiter.key, returning))
+            raise NoReplica("load_promised", ready_in_s)
+        raise NoReplica("load_takes_longer", ready_in_s)
+
+    def _next_look_s(self, waiter: _Waiter) -> float:
         now = monotonic()
-        looks = [waiter.until, waiter.target_at - _START_S]
+        looks = [waiter.terms.until, waiter.terms.target_at - _START_S]
         if waiter.key not in self._forecasts:
-            looks.append(began_at + _SILENCE_S)
+            looks.append(waiter.began_at + _SILENCE_S)
         return min((at - now for at in looks if at > now), default=0.02)
 
     # What the link to the placer does.
@@ -160,7 +159,7 @@
     def snapshot(self) -> Demand:
         """Return everything now; the counts of hits begin anew."""
         now = monotonic()
-        self._returning = [waiter for waiter in self._returning if waiter.until > now]
+        self._returning = [waiter for waiter in self._returning if waiter.terms.until > now]
         wanted = {waiter.key for waiter in self._waiters}
         for key in [key for key in self._forecasts if key not in wanted]:
             del self._forecasts[key]
@@ -170,7 +169,7 @@
         hits = [Hits(key.model, key.adapter, count) for key, count in self._hits.items()]
         self._hits.clear()
         return Demand(
-            wants=[_want_of(key, waiters, now) for key, waiters in by_key.items()],
+            wants=[self._want_of(key, waiters, now) for key, waiters in by_key.items()],
             uses=[
                 Use(instance, key.model, key.adapter, count)
                 for (instance, key), count in self._uses.items()
@@ -178,13 +177,15 @@
             hits=hits,
         )
 
-
-def _want_of(key: AdapterKey, waiters: list[_Waiter], now: float) -> Want:
-    return Want(
-        model=key.model,
-        adapter=key.adapter,
-        count=len(waiters),
-        worth=round(sum(waiter.worth for waiter in waiters), 2),
-        target_left_ms=round(1000 * min(waiter.target_at - now for waiter in waiters)),
-        left_ms=round(1000 * max(waiter.until - now for waiter in waiters)),
-    )
+    def _want_of(self, key: AdapterKey, waiters: list[_Waiter], now: float) -> Want:
+        terms = [waiter.terms for waiter in waiters]
+        waiting = sum(waiter in self._waiters for waiter in waiters)
+        return Want(
+            model=key.model,
+            adapter=key.adapter,
+            waiting=waiting,
+            promised=len(waiters) - waiting,
+            worth=round(sum(item.worth for item in terms), 2),
+            target_left_ms=round(1000 * min(item.target_at - now for item in terms)),
+            left_ms=round(1000 * max(item.until - now for item in terms)),
+        )
--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from enum import Enum
+from typing import NamedTuple
 
 from msgspec import Struct
 
@@ -37,6 +38,13 @@
     since: float
 
 
+class Arrival(NamedTuple):
+    """An adapter that came, and how long that took."""
+
+    key: AdapterKey
+    seconds: float
+
+
 class EngineBook:
     """The places of one engine, all orders of this placer included.
 
@@ -52,8 +60,11 @@
         self.slots = slots
         self.places: dict[AdapterKey, Place] = {}
         self.assigned: dict[AdapterKey, float] = {}
+        self.arrivals: list[Arrival] = []
         self.sequence: int | None = None
         self.reachable = False
+        self.busy = False
+        self.models = record.models
         self._lately: OrderedDict[AdapterKey, int] = OrderedDict()
 
     @property
@@ -66,6 +77,11 @@
         """Places that nothing occupies."""
         return self.slots - len(self.places)
 
+    @property
+    def coming(self) -> int:
+        """How many adapters are on their way in."""
+        return sum(place.state is PlaceState.COMING for place in self.places.values())
+
     @property
     def settled(self) -> bool:
         """Whether nothing is on its way in or out."""
@@ -104,6 +120,7 @@
         """Note that the engine says that it holds an adapter."""
         place = self.places.get(key)
         if place is not None and place.state is PlaceState.COMING:
+            self.arrivals.append(Arrival(key, monotonic() - place.since))
             place.state = PlaceState.READY
             place.since = monotonic()
             self._remember(key, place.version)
@@ -119,6 +136,8 @@
         if self.sequence is not None and state.sequence < self.sequence:
             return False
         self.sequence = state.sequence
+        self.models = state.models
+        self.busy = state.busy
         self._take_listed(state.adapters, PlaceState.READY)
         self._take_listed(state.coming, PlaceState.COMING)
         listed = {held.key for held in (*state.adapters, *state.coming)}
--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -45,6 +45,7 @@
         planner: Chooses what gives way.
         used: Returns which adapters requests now use, and where.
         newest: Returns the newest version of an adapter.
+        wanted_model: Returns the base model that an empty engine is to load now, if any may be.
         holder: The name under which it orders.
         on_change: Called when the adapters that can be used have changed.
         log: The log to write to.
@@ -60,6 +61,7 @@
         planner: Planner,
         used: Callable[[], Collection[tuple[str, AdapterKey]]],
         newest: Callable[[AdapterKey], int],
+        wanted_model: Callable[[], str | None],
         holder: str,
         on_change: Callable[[EngineBook], None],
         log: Log,
@@ -71,6 +73,7 @@
         self._planner = planner
         self._used = used
         self._newest = newest
+        self._wanted_model = wanted_model
         self._holder = holder
         self._on_change = on_change
         self._log = log
@@ -112,7 +115,7 @@
                 continue
             if self._order_next():
                 continue
-            if not self.book.settled:
+            if not self.book.settled or not self.book.models:
                 gevent.sleep(_LOOK_S)
                 self._stale = True
                 continue
@@ -145,6 +148,14 @@
         for key, assigned_at in list(book.assigned.items()):
             if book.is_ready(key, version=self._newest(key)) or now - assigned_at > _ASSIGNMENT_S:
                 del book.assigned[key]
+        for arrival in book.arrivals:
+            self._log.say(
+                "An adapter came.",
+                instance=book.instance,
+                adapter=str(arrival.key),
+                seconds=round(arrival.seconds, 3),
+            )
+        book.arrivals.clear()
         ready = frozenset((held.key, held.version) for held in book.ready())
         if ready != self._told:
             self._told = ready
@@ -153,8 +164,12 @@
     def _order_next(self) -> bool:
         """Give the next order, if there is one to give; return whether there was."""
         book = self.book
+        if book.record.leaving:
+            return False
+        if not book.models:
+            return self._load_model()
         key = next((key for key in book.assigned if key not in book.places), None)
-        if key is None or book.record.leaving:
+        if key is None:
             return False
         if book.free > 0:
             return self._order(OrderKind.LOAD, key)
@@ -163,6 +178,14 @@
             return False
         return self._order(OrderKind.UNLOAD, victim)
 
+    def _load_model(self) -> bool:
+        """Have an engine that came back empty load a base model."""
+        model = None if self.book.busy else self._wanted_model()
+        if model is None:
+            return False
+        self.book.busy = True
+        return self._order(OrderKind.LOAD, AdapterKey(model, ""))
+
     def _order(self, kind: OrderKind, key: AdapterKey) -> bool:
         book = self.book
         version = self._newest(key) if kind is OrderKind.LOAD else 0
@@ -195,6 +218,9 @@
         book = self.book
         if book.sequence is not None:
             book.sequence += 1
+        if not order.key.adapter:
+            self._stale = True
+            return
         if order.kind is OrderKind.UNLOAD:
             book.unload_taken(order.key)
             if answer is OrderAnswer.DONE:
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -25,6 +25,8 @@
     """Requests of one box that wait for an adapter, taken together.
 
     Attributes:
+        waiting: How many wait now.
+        promised: How many clients were told when to come back for it.
         worth: The sum of what they are worth.
         target_left_ms: Until the first of them is late.
         left_ms: Until the last of them is given up; it may be a client expected back.
@@ -32,7 +34,8 @@
 
     model: str
     adapter: str
-    count: int
+    waiting: int
+    promised: int
     worth: float
     target_left_ms: int
     left_ms: int
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -10,6 +10,7 @@
 import gevent
 
 from springrock.clock import monotonic
+from springrock.forwarding.adapters import WaitTerms
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, Replica
 from springrock.forwarding.message import AdapterKey
@@ -178,17 +179,9 @@
         """Count a request as running with an adapter at a replica."""
         return self._demand.using(instance, key)
 
-    def wait_for(
-        self,
-        key: AdapterKey,
-        *,
-        there: Callable[[], bool],
-        worth: float,
-        target_at: float,
-        until: float,
-    ) -> None:
+    def wait_for(self, key: AdapterKey, terms: WaitTerms, *, there: Callable[[], bool]) -> None:
         """Wait until an adapter can be used."""
-        self._demand.wait_for(key, there=there, worth=worth, target_at=target_at, until=until)
+        self._demand.wait_for(key, terms, there=there)
 
     # The placer's word.
 
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -156,6 +157,7 @@
             planner=self._planner,
             used=self._used,
             newest=self._versions.newest,
+            wanted_model=lambda: self._wanted_model(replica.record.service),
             holder=self._box,
             on_change=self._tell_residents,
             log=self._log,
@@ -164,6 +166,21 @@
         self._keepers[replica.instance] = keeper
         keeper.start()
 
+    def _wanted_model(self, service: str) -> str | None:
+        """Return the base model that an empty engine is to load now, if one may be loaded."""
+        engine = self._configuration().engine_services.get(service)
+        if engine is None or not engine.models:
+            return None
+        if not self._budget(service, engine.loads_per_s).take():
+            return None
+        held = Counter(
+            model
+            for keeper in self._keepers.values()
+            if keeper.book.record.service == service
+            for model in keeper.book.models
+        )
+        return min((model.name for model in engine.models), key=lambda name: held[name])
+
     def _tell_residents(self, book: EngineBook) -> None:
         self._tell(Residents(book.instance, book.ready()))
         self._work.set()
@@ -200,7 +217,6 @@
                 of_service,
                 books,
                 used=self._used(),
-                budget=self._budget(service, engine.loads_per_s),
                 now=monotonic(),
             )
             for assignment in plan.assignments:
@@ -226,9 +242,16 @@
                 if known is None:
                     since = self._since.setdefault(key, now)
                     combined[key] = CombinedWant(
-                        key=key, worth=want.worth, since=since, target_at=target_at
+                        key=key,
+                        waiting=want.waiting,
+                        promised=want.promised,
+                        worth=want.worth,
+                        since=since,
+                        target_at=target_at,
                     )
                 else:
+                    known.waiting += want.waiting
+                    known.promised += want.promised
                     known.worth += want.worth
                     known.target_at = min(known.target_at, target_at)
         for key in [key for key in self._since if key not in combined]:
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -9,19 +9,34 @@
 
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.engine_book import EngineBook, Place, PlaceState
-from springrock.placement.load_budget import LoadBudget
 from springrock.placement.popularity import Popularity
 
 COLD_LOAD_S = 0.35
 """A load from the weight store, about, until the placer knows that it is done."""
 
 WARM_LOAD_S = 0.1
+_COMING_AT_ONCE = 10
+"""How many adapters may be on their way to all engines of a service."""
+
+_COMING_TO_ONE = 4
+"""How many may be on their way to one engine: the platform's bound."""
+
 _UNREACHED_S = 0.15
 """A want that stands this long although the adapter is ready somewhere cannot reach it."""
 
 _GRACE_S = 0.4
 """How long a fresh adapter is kept for those who waited for it."""
 
+_LATE_PART = 0.3
+"""What an answer that comes late is worth of one in time."""
+
+_ASKED_BY_ONE = 1.5
+"""How often one client asks, its coming back included."""
+
+_POPULAR = 2.5
+"""Asked for this often, an adapter is loaded although nobody waits for it now."""
+
+_WORTH_OF_FUTURE = 2.0
 _NO_PLACE = 100.0
 _EVICTION = 1.0
 _COLD = 10.0
@@ -32,11 +47,15 @@
     """What all boxes together wait for of one adapter.
 
     Attributes:
+        waiting: How many requests wait now.
+        promised: How many clients were told when to come back for it.
         since: When the placer first heard of it, on the local monotonic clock.
         target_at: When the first request is late.
     """
 
     key: AdapterKey
+    waiting: int
+    promised: int
     worth: float
     since: float
     target_at: float
@@ -67,6 +86,7 @@
     def __init__(self, popularity: Popularity, newest: Callable[[AdapterKey], int]) -> None:
         self._popularity = popularity
         self._newest = newest
+        self._wanted: frozenset[AdapterKey] = frozenset()
 
     def plan(
         self,
@@ -74,7 +94,6 @@
         engines: Collection[EngineBook],
         *,
         used: Collection[tuple[str, AdapterKey]],
-        budget: LoadBudget,
         now: float,
     ) -> Plan:
         """Return what to order now.
@@ -83,29 +102,33 @@
             wants: What the boxes wait for.
             engines: The engines that may be ordered.
             used: Which adapters requests now use, and where.
-            budget: The loads from the weight store; what the plan needs is taken out.
             now: The time on the local monotonic clock.
         """
         plan = Plan([], {})
+        wants = list(wants)
+        self._wanted = frozenset(want.key for want in wants)
+        wants += self._foreseen(engines, self._wanted, now)
         ranked = sorted(wants, key=lambda want: self._value(want, now), reverse=True)
-        delayed = 0
+        coming = sum(len(engine.assigned) for engine in engines)
         for want in ranked:
             known_s = self._known_ready_in(want, engines, now)
             if known_s is not None:
                 plan.ready_in_s[want.key] = known_s
                 continue
-            engine = self._best_engine(want.key, engines, used, now)
+            engine = self._best_engine(want, engines, used, now)
             if engine is None:
                 plan.ready_in_s[want.key] = -1.0
                 continue
             warm = engine.at_hand(want.key, version=self._version(want.key))
-            if not warm and (delayed or not budget.take()):
-                delayed += 1
-                plan.ready_in_s[want.key] = budget.wait_s(delayed) + COLD_LOAD_S
+            expected_s = WARM_LOAD_S if warm else COLD_LOAD_S
+            coming += 1
+            if coming > _COMING_AT_ONCE:
+                rounds = (coming - 1) // _COMING_AT_ONCE
+                plan.ready_in_s[want.key] = expected_s + rounds * COLD_LOAD_S
                 continue
             engine.assigned[want.key] = now
             plan.assignments.append(Assignment(want.key, engine))
-            plan.ready_in_s[want.key] = WARM_LOAD_S if warm else COLD_LOAD_S
+            plan.ready_in_s[want.key] = expected_s
         return plan
 
     def victim(
@@ -118,6 +141,7 @@
             if place.state is PlaceState.READY
             and (engine.instance, key) not in used
             and key not in engine.assigned
+            and key not in self._wanted
             and now - place.since >= _GRACE_S
         ]
         return min(candidates, key=lambda key: self._keep_value(engine, key), default=None)
@@ -126,9 +150,24 @@
         return self._newest(key)
 
     def _value(self, want: CombinedWant, now: float) -> float:
+        """Return what a load is worth: to those who wait, and to those who will likely ask."""
         in_time = now + COLD_LOAD_S < want.target_at
-        worth = want.worth * (1.0 + min(3.0, self._popularity.of(want.key)))
-        return worth if in_time else worth / 3
+        worth = want.worth if in_time or want.promised else want.worth * _LATE_PART
+        asked_again = max(0.0, self._popularity.of(want.key) - _ASKED_BY_ONE)
+        return worth + _WORTH_OF_FUTURE * asked_again
+
+    def _foreseen(
+        self, engines: Collection[EngineBook], wanted: Collection[AdapterKey], now: float
+    ) -> list[CombinedWant]:
+        """Return popular adapters that stand nowhere, as if they were wanted."""
+        models = {model for engine in engines for model in engine.models}
+        return [
+            CombinedWant(key=key, waiting=0, promised=0, worth=0.0, since=now, target_at=now)
+            for key in self._popularity.above(_POPULAR)
+            if key not in wanted
+            and key.model in models
+            and not any(key in engine.places for engine in engines)
+        ]
 
     def _known_ready_in(
         self, want: CombinedWant, engines: Collection[EngineBook], now: float
@@ -138,7 +177,8 @@
         times: list[float] = []
         for engine in engines:
             if engine.is_ready(key, version=self._version(key)):
-                if now - want.since < _UNREACHED_S:
+                stood_s = now - max(want.since, engine.places[key].since)
+                if not want.waiting or stood_s < _UNREACHED_S:
                     times.append(0.0)
             elif key in engine.assigned:
                 left_s = engine.assigned[key] + COLD_LOAD_S - now
@@ -147,11 +187,13 @@
 
     def _best_engine(
         self,
-        key: AdapterKey,
+        want: CombinedWant,
         engines: Collection[EngineBook],
         used: Collection[tuple[str, AdapterKey]],
         now: float,
     ) -> EngineBook | None:
+        key = want.key
+
         def _cost(engine: EngineBook) -> float:
             cost = _USE * sum(instance == engine.instance for instance, _ in used)
             if not engine.at_hand(key, version=self._version(key)):
@@ -159,20 +201,29 @@
             open_places = engine.free - _not_yet_placed(engine)
             if open_places > 0:
                 return cost - 0.1 * open_places
-            if self.victim(engine, used=used, now=now) is not None:
+            victim = self.victim(engine, used=used, now=now)
+            if victim is not None and self._outweighs(want, victim):
                 return cost + _EVICTION + 0.5 * len(engine.assigned)
             return cost + _NO_PLACE
 
         candidates = [
             engine
             for engine in engines
-            if key.model in engine.record.models and key not in engine.places
+            if key.model in engine.models
+            and key not in engine.places
+            and _not_yet_placed(engine) + engine.coming < _COMING_TO_ONE
         ]
         best = min(candidates, key=_cost, default=None)
         if best is None or _cost(best) >= _NO_PLACE:
             return None
         return best
 
+    def _outweighs(self, want: CombinedWant, victim: AdapterKey) -> bool:
+        """Whether a load may push out an adapter: if it is waited for, or far more popular."""
+        if want.waiting or want.promised:
+            return True
+        return self._popularity.of(want.key) > self._popularity.of(victim) + _POPULAR
+
     def _keep_value(self, engine: EngineBook, key: AdapterKey) -> tuple[bool, float]:
         place: Place = engine.places[key]
         return place.version >= self._version(key), self._popularity.of(key)
--- a/springrock/placement/popularity.py
+++ b/springrock/placement/popularity.py
@@ -8,6 +8,7 @@
 from springrock.forwarding.message import AdapterKey
 
 _HALF_LIFE_S = 8.0
+_FORGOTTEN = 0.01
 _DECAY = math.log(2) / _HALF_LIFE_S
 
 
@@ -21,6 +22,14 @@
         """Count requests."""
         self._counts[key] = (self.of(key) + count, monotonic())
 
+    def above(self, count: float) -> list[AdapterKey]:
+        """Return the adapters that were asked for more often, decayed; forget the rare ones."""
+        now_of = {key: self.of(key) for key in self._counts}
+        self._counts = {
+            key: counted for key, counted in self._counts.items() if now_of[key] >= _FORGOTTEN
+        }
+        return [key for key, now in now_of.items() if now > count]
+
     def of(self, key: AdapterKey) -> float:
         """Return the decayed count of an adapter."""
         count, at = self._counts.get(key, (0.0, 0.0))
--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -40,9 +40,9 @@
 class _Order(Struct, rename="camel"):
     operation: str
     model: str
-    adapter: str
     holder: str
     fencing_token: int
+    adapter: str | UnsetType = UNSET
     expected: int | UnsetType = UNSET
     version: int | UnsetType = UNSET
 
@@ -65,6 +65,7 @@
         return EngineState(
             sequence=report.sequence,
             busy=report.busy,
+            models=frozenset(model.name for model in report.models),
             adapters=held_adapters(report.models),
             coming=tuple(_coming_from(text) for text in report.coming),
             running=report.running,
@@ -76,7 +77,7 @@
         body = _Order(
             operation=order.kind.value,
             model=order.key.model,
-            adapter=order.key.adapter,
+            adapter=order.key.adapter or UNSET,
             holder=order.holder,
             fencing_token=order.fence,
             expected=UNSET if order.expected_sequence is None else order.expected_sequence,
