--- a/springrock/emulator/__init__.py
+++ b/springrock/emulator/__init__.py
@@ -8,12 +8,14 @@
     EngineStandinSettings,
     PlatformStandinSettings,
     ProxySettings,
+    ReplicaStandinSettings,
+    RowStoreStandinSettings,
     ServiceStandinSettings,
 )
 from springrock.errors import UnknownPlugin
 from springrock.settings import read
 
-_KINDS = ("engine", "platform", "proxy", "service")
+_KINDS = ("engine", "platform", "proxy", "replica", "rowstore", "service")
 
 
 def make_standin(kind: str, settings: str) -> Any:
@@ -39,4 +41,12 @@
         from springrock.emulator.proxy import Proxy
 
         return Proxy(read(settings, ProxySettings))
+    if kind == "rowstore":
+        from springrock.emulator.rowstore import RowStoreStandin
+
+        return RowStoreStandin(read(settings, RowStoreStandinSettings))
+    if kind == "replica":
+        from springrock.emulator.replica import ReplicaStandin
+
+        return ReplicaStandin(read(settings, ReplicaStandinSettings))
     raise UnknownPlugin("stand-in", kind, _KINDS)
--- /dev/null
+++ b/springrock/emulator/replica.py
@@ -0,0 +1,226 @@
+"""The stand-in for one of the users' replicas: a plain service, or a model engine with places."""
+
+from __future__ import annotations
+
+import base64
+import secrets
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+import bottle
+import gevent
+import msgspec
+import urllib3
+from msgspec import Struct
+
+from springrock.clock import monotonic
+from springrock.emulator.settings import ReplicaStandinSettings
+from springrock.errors import AnswerCut
+from springrock.httpd import HttpServer, json_response, new_app
+from springrock.platform import names
+
+_SEAL = "Springrock-Response-Seal"
+_RECORD_EVERY_S = 0.3
+_REPORT_LAG_S = 0.1
+_EVENT_PAUSE_S = 0.01
+
+
+class ReplicaFault(Struct, frozen=True, kw_only=True):
+    """Faults of a replica.
+
+    Attributes:
+        refuse: Requests are refused before they run.
+        fail: Requests run and end with 500.
+        cut_after: Streams break after so many events; negative for none. Once only.
+        leaving: Its record says that it leaves.
+    """
+
+    refuse: bool = False
+    fail: bool = False
+    cut_after: int = -1
+    leaving: bool = False
+
+
+class ReplicaStandin:
+    """One replica as an HTTP server that records itself in the store."""
+
+    def __init__(self, settings: ReplicaStandinSettings) -> None:
+        self._settings = settings
+        self._instance = f"i-{secrets.token_hex(4)}"
+        self._fault = ReplicaFault()
+        self._store = urllib3.PoolManager(retries=False)
+        self._adapters: dict[str, int] = {}
+        self._coming: dict[str, float] = {}
+        self._running: Counter[str] = Counter()
+        self._sequence = 0
+        self._fence = 0
+        self._reports: list[tuple[float, dict[str, Any]]] = []
+        self.runs: Counter[str] = Counter()
+        self.violations: Counter[str] = Counter()
+        self.server = HttpServer(self._build_app(), settings.address)
+
+    def start(self) -> None:
+        """Begin serving and recording."""
+        self.server.start()
+        gevent.spawn(self._record_forever)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.server.stop(finish_within_s=0)
+
+    def _build_app(self) -> Any:
+        app = new_app()
+        app.post("/standin/faults")(self._post_fault)
+        app.get("/standin/counters")(self._get_counters)
+        app.get(names.REPORT_PATH)(self._get_report)
+        app.post(names.ORDER_PATH)(self._post_order)
+        app.route("/<path:path>", method=["GET", "POST", "PUT"])(self._run)
+        return app
+
+    # What it says of itself.
+
+    def _record_forever(self) -> None:
+        while True:
+            try:
+                self._record()
+            except urllib3.exceptions.HTTPError:
+                pass
+            gevent.sleep(_RECORD_EVERY_S)
+
+    def _record(self) -> None:
+        settings = self._settings
+        value = {
+            "service": settings.service,
+            "address": settings.address,
+            "zone": settings.availability_zone,
+            "slots": 8,
+            "state": "draining" if self._fault.leaving else "ready",
+            "models": self._models(),
+            "sequence": self._sequence,
+        }
+        encoded = base64.b64encode(msgspec.json.encode(value)).decode()
+        row = {"table": names.REPLICA_TABLE, "key": self._instance, "value": encoded}
+        self._store.request(
+            "POST",
+            f"http://{settings.store_address}/standin/transaction",
+            body=msgspec.json.encode({"put": [row]}),
+        )
+
+    def _models(self) -> list[dict[str, Any]]:
+        if not self._settings.base_model:
+            return []
+        adapters = [f"{name}@{version}" for name, version in self._adapters.items()]
+        return [{"name": self._settings.base_model, "version": 1, "adapters": adapters}]
+
+    def _get_report(self) -> Any:
+        now = monotonic()
+        self._reports.append((now, self._state()))
+        while len(self._reports) > 1 and self._reports[1][0] < now - _REPORT_LAG_S:
+            del self._reports[0]
+        return json_response(msgspec.json.encode(self._reports[0][1]))
+
+    def _state(self) -> dict[str, Any]:
+        model = self._settings.base_model
+        return {
+            "stage": "both",
+            "models": self._models(),
+            "busy": False,
+            "sequence": self._sequence,
+            "coming": [f"{model}/{name}@1" for name in self._coming],
+            "running": sum(self._running.values()),
+            "queued": 0,
+        }
+
+    # Orders.
+
+    def _post_order(self) -> Any:
+        order = msgspec.json.decode(bottle.request.body.read())
+        if bottle.request.get_header(names.EXPECT_INSTANCE, self._instance) != self._instance:
+            return json_response(b"{}", status=421)
+        if order["fencingToken"] < self._fence:
+            return json_response(b"{}", status=412)
+        self._fence = order["fencingToken"]
+        if order.get("expected", self._sequence) != self._sequence:
+            return json_response(b"{}", status=409)
+        adapter = order["adapter"]
+        if order["operation"] == "load":
+            return self._load(adapter)
+        return self._unload(adapter)
+
+    def _load(self, adapter: str) -> Any:
+        if adapter in self._adapters:
+            return json_response(b"{}", status=200)
+        self._sequence += 1
+        if len(self._adapters) + len(self._coming) >= self._settings.adapter_slots:
+            self.violations["too_many_adapters"] += 1
+        self._coming[adapter] = monotonic()
+        gevent.spawn_later(self._settings.load_s, self._arrive, adapter)
+        return json_response(b"{}", status=202)
+
+    def _arrive(self, adapter: str) -> None:
+        if self._coming.pop(adapter, None) is not None:
+            self._adapters[adapter] = 1
+
+    def _unload(self, adapter: str) -> Any:
+        self._sequence += 1
+        if self._running[adapter]:
+            self.violations["unloaded_in_use"] += 1
+        self._adapters.pop(adapter, None)
+        return json_response(b"{}", status=200)
+
+    # Requests.
+
+    def _run(self, path: str) -> Any:
+        request = bottle.request
+        body = request.body.read()
+        request_id = request.get_header(names.REQUEST_ID, "")
+        headers = {names.REQUEST_ID: request_id, names.INSTANCE_ID: self._instance}
+        adapter = request.get_header(names.MODEL, "").partition("/")[2]
+        if request.get_header(names.EXPECT_INSTANCE) != self._instance or (
+            adapter and adapter not in self._adapters
+        ):
+            return json_response(b"", status=421, headers=headers)
+        if self._fault.refuse:
+            return json_response(b"", status=503, headers={**headers, names.NOT_EXECUTED: "1"})
+        self.runs[request_id] += 1
+        headers[_SEAL] = f"seal-of-{request_id}"
+        if self._fault.fail:
+            return json_response(b"failed", status=500, headers=headers)
+        if self._settings.base_model:
+            headers["Content-Type"] = "text/event-stream"
+            first = int(request.get_header(names.LAST_EVENT_ID) or "0") + 1
+            return bottle.HTTPResponse(self._events(adapter, first), headers=headers)
+        gevent.sleep(self._settings.work_ms / 1000)
+        return json_response(f"{request.method} /{path} {len(body)}".encode(), headers=headers)
+
+    def _events(self, adapter: str, first: int) -> Iterator[bytes]:
+        cut_after, self._fault = (
+            self._fault.cut_after,
+            msgspec.structs.replace(self._fault, cut_after=-1),
+        )
+        self._running[adapter] += 1
+        try:
+            for number in range(first, self._settings.events + 1):
+                if number - first == cut_after:
+                    yield b"id: %d\nda" % number
+                    raise AnswerCut("a fault")
+                yield b"id: %d\ndata: token %d\n\n" % (number, number)
+                gevent.sleep(_EVENT_PAUSE_S)
+        finally:
+            self._running[adapter] -= 1
+
+    # Control of the stand-in.
+
+    def _post_fault(self) -> Any:
+        self._fault = msgspec.json.decode(bottle.request.body.read(), type=ReplicaFault)
+        return b""
+
+    def _get_counters(self) -> Any:
+        counters = {
+            "instance": self._instance,
+            "adapters": sorted(self._adapters),
+            "violations": dict(self.violations),
+            "runs": dict(self.runs),
+        }
+        return json_response(msgspec.json.encode(counters))
--- /dev/null
+++ b/springrock/emulator/rowstore.py
@@ -0,0 +1,165 @@
+"""The stand-in for the users' metadata store: rows, transactions, a feed of changes, outages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import bottle
+import gevent
+import msgspec
+from gevent.event import Event
+from msgspec import Struct, field
+
+from springrock.clock import monotonic
+from springrock.emulator.settings import RowStoreStandinSettings
+from springrock.errors import CallerGone
+from springrock.httpd import HttpServer, json_response, new_app
+from springrock.platform import names
+
+_LONGEST_WAIT_S = 30.0
+_STORE_TABLES = frozenset({names.OPERATOR_TABLE, names.REPLICA_TABLE})
+"""Tables that the system itself may not write to."""
+
+
+class RowStoreFault(Struct, frozen=True, kw_only=True):
+    """Faults of the store.
+
+    Attributes:
+        busy: Every call gets 503 and does nothing.
+        lose_answers: So many writes are done and not answered.
+        forget_history: The next read of changes is told that they are gone.
+    """
+
+    busy: bool = False
+    lose_answers: int = 0
+    forget_history: bool = False
+
+
+class StoredRow(Struct):
+    """A row as it lies in the store."""
+
+    table: str
+    key: str
+    part: str = ""
+    value: str = ""
+    ver: int = 0
+    gone: bool = False
+
+
+class _Expected(Struct):
+    table: str
+    key: str
+    part: str = ""
+    ver: int = 0
+
+
+class _Transaction(Struct):
+    expected: list[_Expected] = field(default_factory=list)
+    put: list[StoredRow] = field(default_factory=list)
+    remove: list[_Expected] = field(default_factory=list)
+
+
+class RowStoreStandin:
+    """The store as an HTTP server."""
+
+    def __init__(self, settings: RowStoreStandinSettings) -> None:
+        self._rows: dict[tuple[str, str, str], StoredRow] = {}
+        self._history: list[StoredRow] = []
+        self._version = 0
+        self._changed = Event()
+        self._fault = RowStoreFault()
+        self.server = HttpServer(self._build_app(), settings.address)
+
+    def start(self) -> None:
+        """Begin serving."""
+        self.server.start()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self.server.stop(finish_within_s=0)
+
+    def _build_app(self) -> Any:
+        app = new_app()
+        app.get(names.ROWS_GET_PATH)(self._get_rows)
+        app.get(names.ROWS_FEED_PATH)(self._get_feed)
+        app.post(names.ROWS_TX_PATH)(lambda: self._post_transaction(operator=False))
+        app.post("/standin/transaction")(lambda: self._post_transaction(operator=True))
+        app.post("/standin/faults")(self._post_fault)
+        return app
+
+    # Reading.
+
+    def _get_rows(self) -> Any:
+        if self._fault.busy:
+            return json_response(b"{}", status=503)
+        query = bottle.request.query
+        chosen = [
+            row
+            for (table, part, key), row in sorted(self._rows.items())
+            if table == query.table and part == query.part and key >= query.get("from", "")
+        ]
+        return self._answer(chosen)
+
+    def _get_feed(self) -> Any:
+        if self._fault.busy:
+            return json_response(b"{}", status=503)
+        if self._fault.forget_history:
+            self._fault = msgspec.structs.replace(self._fault, forget_history=False)
+            return json_response(b"{}", status=410)
+        query = bottle.request.query
+        after = int(query.after)
+        ends_at = monotonic() + min(_LONGEST_WAIT_S, int(query.waitMs) / 1000)
+        while True:
+            found = [row for row in self._history if row.ver > after and row.table == query.table]
+            left_s = ends_at - monotonic()
+            if found or left_s <= 0:
+                return self._answer(found)
+            self._changed.wait(timeout=left_s)
+
+    def _answer(self, rows: list[StoredRow]) -> Any:
+        page = {"rows": rows, "more": False, "ver": self._version}
+        return json_response(msgspec.json.encode({**page, "now_ms": round(monotonic() * 1000)}))
+
+    # Writing.
+
+    def _post_transaction(self, *, operator: bool) -> Any:
+        if self._fault.busy and not operator:
+            return json_response(b"{}", status=503)
+        transaction = msgspec.json.decode(bottle.request.body.read(), type=_Transaction)
+        if not operator and any(row.table in _STORE_TABLES for row in transaction.put):
+            return json_response(b"{}", status=403)
+        standing = [self._standing(item) for item in transaction.expected]
+        if any(
+            row.ver != item.ver for row, item in zip(standing, transaction.expected, strict=True)
+        ):
+            body = msgspec.json.encode({"rows": standing, "ver": self._version})
+            return json_response(body, status=412)
+        self._apply(transaction)
+        if self._fault.lose_answers and not operator:
+            left = self._fault.lose_answers - 1
+            self._fault = msgspec.structs.replace(self._fault, lose_answers=left)
+            raise CallerGone("the answer is lost")
+        return self._answer([])
+
+    def _standing(self, item: _Expected) -> StoredRow:
+        absent = StoredRow(table=item.table, part=item.part, key=item.key)
+        return self._rows.get((item.table, item.part, item.key), absent)
+
+    def _apply(self, transaction: _Transaction) -> None:
+        self._version += 1
+        for row in transaction.put:
+            stored = StoredRow(row.table, row.key, row.part, row.value, self._version)
+            self._rows[(row.table, row.part, row.key)] = stored
+            self._history.append(stored)
+        for item in transaction.remove:
+            if self._rows.pop((item.table, item.part, item.key), None) is not None:
+                self._history.append(
+                    StoredRow(item.table, item.key, item.part, "", self._version, gone=True)
+                )
+        self._changed.set()
+        gevent.sleep(0)
+        self._changed.clear()
+
+    def _post_fault(self) -> Any:
+        self._fault = msgspec.json.decode(bottle.request.body.read(), type=RowStoreFault)
+        return b""
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -63,6 +63,36 @@
     work_ms: float = 5.0
 
 
+class RowStoreStandinSettings(Section, frozen=True, kw_only=True):
+    """The stand-in for the users' metadata store."""
+
+    address: str
+
+
+class ReplicaStandinSettings(Section, frozen=True, kw_only=True):
+    """The stand-in for one of the users' replicas.
+
+    Attributes:
+        service: The service that it belongs to.
+        store_address: The store that it records itself in.
+        base_model: The model that it holds; empty for a plain service.
+        adapter_slots: How many adapters it holds.
+        load_s: How long an adapter takes to come.
+        events: How many events an answer has.
+        work_ms: How long a plain request takes.
+    """
+
+    address: str
+    service: str
+    store_address: str
+    availability_zone: str
+    base_model: str = ""
+    adapter_slots: int = 2
+    load_s: float = 0.1
+    events: int = 5
+    work_ms: float = 5.0
+
+
 class RouteSettings(Section, frozen=True, kw_only=True):
     """One route of the fault-injecting proxy.
 
--- /dev/null
+++ b/tests/forwarding/scripted.py
@@ -0,0 +1,79 @@
+"""A replica that sends scripted bytes, whatever it is asked."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from types import TracebackType
+
+Script = Callable[[socket.socket], None]
+
+
+class ScriptedReplica:
+    """Accepts connections one after the other and runs the next script on each."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self._scripts = scripts
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+
+    def __enter__(self) -> ScriptedReplica:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._listener.close()
+
+    def _serve(self) -> None:
+        for script in self._scripts:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with connection:
+                script(connection)
+
+
+def read_request(connection: socket.socket) -> bytes:
+    """Read one request with a stated or no body; empty if the client closed."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = connection.recv(65_536)
+        if not more:
+            return b""
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    while len(body) < length:
+        body += connection.recv(65_536)
+    return data
+
+
+def answer(request_id: str, body: bytes, *headers: str, status: str = "200 OK") -> bytes:
+    """Return the bytes of a whole answer."""
+    lines = [
+        f"HTTP/1.1 {status}",
+        f"Springrock-Request-Id: {request_id}",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def reset(connection: socket.socket) -> None:
+    """Close with a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
--- /dev/null
+++ b/tests/forwarding/test_exchange.py
@@ -0,0 +1,204 @@
+"""Exchanges with replicas that break the framing, mix answers up, or fall silent."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+import pytest
+
+from springrock.clock import Deadline, monotonic
+from springrock.forwarding.connection import ConnectionPool
+from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.errors import (
+    AnswerBroken,
+    AnswerSilent,
+    ForeignAnswer,
+    ReplicaChanged,
+    ReplicaFull,
+    ReplicaUnreachable,
+)
+from springrock.forwarding.exchange import Answer, exchange
+from springrock.forwarding.message import ClientRequest, Headers
+from springrock.platform.dialect import PlatformDialect
+from tests.forwarding.scripted import Script, ScriptedReplica, answer, read_request, reset
+
+TERMS = SendTerms(instance="i-1", left_s=5.0)
+
+
+def request(request_id: str = "r1", *, body: bytes = b"") -> ClientRequest:
+    return ClientRequest(
+        request_id=request_id,
+        method="POST",
+        target="/a/b?c=d",
+        host="calls.example",
+        headers=Headers.from_pairs([("Springrock-Request-Id", request_id)]),
+        body=body,
+        received_at=monotonic(),
+    )
+
+
+def send(pool: ConnectionPool, request_id: str = "r1", *, repeatable: bool = True) -> Answer:
+    return exchange(
+        request(request_id),
+        pool=pool,
+        terms=TERMS,
+        dialect=PlatformDialect(),
+        repeatable=repeatable,
+        head_within_s=2.0,
+    )
+
+
+def body_of(answer: Answer) -> bytes:
+    try:
+        return answer.read_all(deadline=Deadline(2.0))
+    finally:
+        answer.close()
+
+
+def sends(data: bytes) -> Script:
+    def _script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(data)
+
+    return _script
+
+
+def test_a_whole_answer_is_read_and_its_connection_used_again() -> None:
+    def _two(connection: socket.socket) -> None:
+        for request_id in ("r1", "r2"):
+            read_request(connection)
+            connection.sendall(answer(request_id, b"body of " + request_id.encode()))
+        read_request(connection)
+
+    with ScriptedReplica(_two) as replica:
+        pool = ConnectionPool(replica.address)
+        assert body_of(send(pool, "r1")) == b"body of r1"
+        assert body_of(send(pool, "r2")) == b"body of r2"
+        assert pool.opened == 1
+        pool.close()
+
+
+def test_a_surplus_answer_before_the_own_one_is_read_past() -> None:
+    surplus = answer("old", b"of another request")
+    with ScriptedReplica(sends(surplus + answer("r1", b"own"))) as replica:
+        assert body_of(send(ConnectionPool(replica.address))) == b"own"
+
+
+def test_a_connection_with_surplus_bytes_is_not_used_again() -> None:
+    surplus = answer("r1", b"own") + answer("r1", b"again")
+    with ScriptedReplica(sends(surplus), sends(answer("r2", b"second"))) as replica:
+        pool = ConnectionPool(replica.address)
+        assert body_of(send(pool, "r1")) == b"own"
+        assert body_of(send(pool, "r2")) == b"second"
+        assert pool.opened == 2
+
+
+def test_only_answers_to_others_are_no_answer() -> None:
+    foreign = b"".join(answer(f"other-{number}", b"x") for number in range(4))
+    with ScriptedReplica(sends(foreign)) as replica, pytest.raises(ForeignAnswer):
+        send(ConnectionPool(replica.address))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        answer("r1", b"0123456789")[:-1],
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"5\r\nabcde\r\n",
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"zz\r\nabcde\r\n0\r\n\r\n",
+    ],
+    ids=["length", "no last chunk", "no chunk size"],
+)
+def test_an_answer_cut_short_is_broken(data: bytes) -> None:
+    with ScriptedReplica(sends(data)) as replica:
+        found = send(ConnectionPool(replica.address))
+        with pytest.raises(AnswerBroken):
+            body_of(found)
+
+
+def test_an_answer_without_length_ends_with_its_connection() -> None:
+    data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
+    with ScriptedReplica(sends(data)) as replica:
+        assert body_of(send(ConnectionPool(replica.address))) == b"all of it"
+
+
+def test_an_answer_without_length_that_is_reset_is_broken() -> None:
+    read = threading.Event()
+
+    def _script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\npart")
+        read.wait(5)
+        reset(connection)
+
+    with ScriptedReplica(_script) as replica:
+        found = send(ConnectionPool(replica.address))
+        assert found.read(within_s=2.0) == b"part"
+        read.set()
+        with pytest.raises(AnswerBroken):
+            found.read(within_s=2.0)
+
+
+def test_bytes_that_are_no_answer_are_broken() -> None:
+    with (
+        ScriptedReplica(sends(b"\x00\x01nonsense\r\n\r\n")) as replica,
+        pytest.raises(AnswerBroken),
+    ):
+        send(ConnectionPool(replica.address))
+
+
+def test_a_close_without_answer_leaves_the_outcome_open() -> None:
+    with ScriptedReplica(lambda connection: None) as replica, pytest.raises(AnswerBroken):
+        send(ConnectionPool(replica.address))
+
+
+def test_silence_is_told_from_a_broken_answer() -> None:
+    over = threading.Event()
+
+    def _silent(connection: socket.socket) -> None:
+        read_request(connection)
+        over.wait(5)
+
+    with ScriptedReplica(_silent) as replica:
+        with pytest.raises(AnswerSilent):
+            exchange(
+                request(),
+                pool=ConnectionPool(replica.address),
+                terms=TERMS,
+                dialect=PlatformDialect(),
+                repeatable=True,
+                head_within_s=0.1,
+            )
+        over.set()
+
+
+def test_a_dead_port_has_received_nothing() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+    with pytest.raises(ReplicaUnreachable):
+        send(ConnectionPool(f"127.0.0.1:{port}"))
+
+
+def test_a_promise_that_it_did_not_run_is_told_by_kind() -> None:
+    full = answer("r1", b"", "Springrock-Not-Executed: 1", status="503 Service Unavailable")
+    with ScriptedReplica(sends(full)) as replica, pytest.raises(ReplicaFull):
+        send(ConnectionPool(replica.address))
+    other = answer("r1", b"", "Springrock-Instance-Id: i-2", status="421 Misdirected Request")
+    with ScriptedReplica(sends(other)) as replica, pytest.raises(ReplicaChanged):
+        send(ConnectionPool(replica.address))
+
+
+def test_a_failure_without_that_promise_is_an_answer() -> None:
+    data = answer("r1", b"", status="503 Service Unavailable")
+    with ScriptedReplica(sends(data)) as replica:
+        assert send(ConnectionPool(replica.address)).head.status == 503
+
+
+def test_a_connection_that_the_replica_closed_at_rest_is_not_used() -> None:
+    with ScriptedReplica(sends(answer("r1", b"1")), sends(answer("r2", b"2"))) as replica:
+        pool = ConnectionPool(replica.address)
+        assert body_of(send(pool, "r1")) == b"1"
+        assert body_of(send(pool, "r2", repeatable=False)) == b"2"
+        assert pool.opened == 2
--- /dev/null
+++ b/tests/placement/test_engine_book.py
@@ -0,0 +1,77 @@
+"""The account of places: a place is free only once the engine shows it."""
+
+from __future__ import annotations
+
+from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.placement.control import EngineState
+from springrock.placement.engine_book import EngineBook, PlaceState
+
+A, B = AdapterKey("m", "a"), AdapterKey("m", "b")
+
+
+def make_book(slots: int = 2) -> EngineBook:
+    record = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="z")
+    book = EngineBook(record, slots=slots)
+    book.take_report(EngineState(sequence=0, models=frozenset({"m"})))
+    return book
+
+
+def state(sequence: int, *adapters: AdapterKey, coming: tuple[AdapterKey, ...] = ()) -> EngineState:
+    return EngineState(
+        sequence=sequence,
+        models=frozenset({"m"}),
+        adapters=tuple(HeldAdapter(key.model, key.adapter, 1) for key in adapters),
+        coming=tuple(HeldAdapter(key.model, key.adapter, 1) for key in coming),
+    )
+
+
+def order_load(book: EngineBook, key: AdapterKey) -> None:
+    assert book.sequence is not None
+    book.sequence += 1
+    book.load_taken(key, version=1)
+
+
+def test_an_ordered_load_takes_a_place_before_the_engine_shows_it() -> None:
+    book = make_book()
+    order_load(book, A)
+    assert book.free == 1
+    assert not book.take_report(state(0)), "an older report must not count"
+    assert book.places[A].state is PlaceState.COMING
+    book.take_report(state(1, coming=(A,)))
+    assert book.free == 1
+    book.take_report(state(1, A))
+    assert book.is_ready(A, version=1)
+    assert book.free == 1
+
+
+def test_an_unload_that_waits_keeps_its_place() -> None:
+    book = make_book()
+    order_load(book, A)
+    book.take_report(state(1, A))
+    assert book.sequence is not None
+    book.sequence += 1
+    book.unload_taken(A)
+    assert book.free == 1
+    book.take_report(state(2, A))
+    assert book.places[A].state is PlaceState.LEAVING
+    assert book.free == 1
+    book.take_report(state(2))
+    assert book.free == 2
+    assert book.at_hand(A, version=1)
+    assert not book.at_hand(A, version=2)
+
+
+def test_what_another_holder_ordered_takes_its_place_too() -> None:
+    book = make_book()
+    book.take_report(state(3, A, coming=(B,)))
+    assert book.free == 0
+    assert book.sequence == 3
+    assert [held.key for held in book.ready()] == [A]
+
+
+def test_an_older_version_is_not_ready() -> None:
+    book = make_book()
+    book.take_report(state(1, A))
+    assert book.is_ready(A, version=1)
+    assert not book.is_ready(A, version=2)
--- /dev/null
+++ b/tests/placement/test_lease.py
@@ -0,0 +1,177 @@
+"""The placer's lease on a store that loses, delays and refuses writes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from springrock.log import Log
+from springrock.placement import lease as lease_module
+from springrock.placement.lease import TABLE, PlacerLease
+from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable
+
+LEASE_S = 3.0
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+
+class Store:
+    """One row; writes can be lost before or after they take effect."""
+
+    def __init__(self) -> None:
+        self.row: Row | None = None
+        self.version = 0
+        self.down = False
+        self.lose_answer = False
+
+    def read_all(self, table: str) -> Changes:
+        assert table == TABLE
+        if self.down:
+            raise RowStoreUnavailable("down")
+        return Changes([self.row] if self.row else [], [], self.version)
+
+    def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
+        raise NotImplementedError
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        if self.down:
+            raise RowStoreUnavailable("down")
+        if (self.row.version if self.row else 0) != expected:
+            raise RowConflict(self.row)
+        self.version += 1
+        self.row = Row(key, value, self.version)
+        if self.lose_answer:
+            raise RowStoreUnavailable("the answer is lost")
+        return self.version
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Iterator[Clock]:
+    clock = Clock()
+    monkeypatch.setattr(lease_module, "monotonic", lambda: clock.now)
+    yield clock
+
+
+def make_lease(store: Store, box: str, *, checks_fence: bool = True) -> PlacerLease:
+    lease = PlacerLease(
+        store,
+        box=box,
+        incarnation=f"{box}-1",
+        lease_s=LEASE_S,
+        checks_fence=checks_fence,
+        log=Log("lease", box),
+    )
+    lease.announce("127.0.0.1:1")
+    return lease
+
+
+def test_the_first_to_write_holds_and_the_other_waits(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    nothing = one.look()
+    assert two.look() is None
+    assert one.challenge(nothing)
+    assert not two.challenge(None)
+    assert one.holds
+    assert not two.challenge(two.look())
+
+
+def test_a_lapsed_lease_is_taken_under_a_higher_fence(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    two.look()
+    clock.now += LEASE_S
+    assert not two.challenge(two.look()), "the margin is not over"
+    clock.now += 0.5
+    assert not one.holds
+    assert two.challenge(two.look())
+    assert two.fence == one.fence + 1
+    assert not one.renew()
+    assert not one.held
+
+
+def test_a_renewed_lease_is_not_taken(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    for _ in range(5):
+        two.look()
+        clock.now += LEASE_S - 0.5
+        assert one.renew()
+        assert not two.challenge(two.look())
+
+
+def test_a_renewal_whose_answer_was_lost_is_found_by_the_next(clock: Clock) -> None:
+    store = Store()
+    one = make_lease(store, "one")
+    assert one.challenge(one.look())
+    store.lose_answer = True
+    assert one.renew()
+    store.lose_answer = False
+    assert one.renew()
+    assert one.renew()
+    clock.now += LEASE_S - 0.1
+    assert one.holds
+
+
+def test_a_holder_cut_from_the_store_goes_on_where_fences_are_checked(clock: Clock) -> None:
+    store = Store()
+    one = make_lease(store, "one")
+    assert one.challenge(one.look())
+    store.down = True
+    clock.now += LEASE_S + 1
+    assert not one.holds, "nothing was tried yet: it may be this process that stood still"
+    assert one.renew()
+    assert one.holds
+
+
+def test_a_holder_cut_from_the_store_stops_where_fences_are_not_checked(clock: Clock) -> None:
+    store = Store()
+    one = make_lease(store, "one", checks_fence=False)
+    assert one.challenge(one.look())
+    store.down = True
+    clock.now += LEASE_S + 1
+    one.renew()
+    assert not one.holds
+
+
+def test_a_holder_that_woke_up_orders_nothing_before_it_has_renewed(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    two.look()
+    clock.now += LEASE_S + 1
+    assert two.challenge(two.look())
+    assert not one.holds
+    assert not one.renew()
+    assert not one.holds
+
+
+def test_a_lease_given_up_is_free_at_once(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    one.give_up()
+    assert not one.holds
+    assert two.challenge(two.look())
+    assert two.fence == 2
+
+
+def test_a_heartbeat_tells_how_long_the_lease_stands(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    clock.now += 2.0
+    heartbeat = one.heartbeat()
+    two.note_heartbeat(heartbeat.row_version, heartbeat.lease_left_ms / 1000)
+    clock.now += 1.0
+    assert not two.challenge(two.look())
+    clock.now += 0.4
+    assert two.challenge(two.look())
--- /dev/null
+++ b/tests/placement/test_planner.py
@@ -0,0 +1,115 @@
+"""Which adapter is loaded next, and where."""
+
+from __future__ import annotations
+
+from springrock.clock import monotonic
+from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.placement.control import EngineState
+from springrock.placement.engine_book import EngineBook
+from springrock.placement.planner import CombinedWant, Planner
+from springrock.placement.popularity import Popularity
+
+
+def key(name: str) -> AdapterKey:
+    return AdapterKey("m", name)
+
+
+def make_engine(instance: str, *adapters: str, slots: int = 2) -> EngineBook:
+    record = ReplicaRecord(instance=instance, service="s", address="127.0.0.1:1", zone="z")
+    book = EngineBook(record, slots=slots)
+    held = tuple(HeldAdapter("m", name, 1) for name in adapters)
+    book.take_report(EngineState(sequence=0, models=frozenset({"m"}), adapters=held))
+    for place in book.places.values():
+        place.since = monotonic() - 10
+    return book
+
+
+def want(name: str, *, worth: float = 1.0, since_s: float = 0.0, waiting: int = 1) -> CombinedWant:
+    now = monotonic()
+    return CombinedWant(
+        key=key(name),
+        waiting=waiting,
+        promised=0,
+        worth=worth,
+        since=now - since_s,
+        target_at=now + 1.0,
+    )
+
+
+def make_planner(popularity: Popularity | None = None, **versions: int) -> Planner:
+    return Planner(popularity or Popularity(), lambda key: versions.get(key.adapter, 0))
+
+
+def test_a_want_is_brought_to_the_engine_with_most_room() -> None:
+    full, empty = make_engine("i-1", "x"), make_engine("i-2")
+    plan = make_planner().plan([want("a")], [full, empty], used=(), now=monotonic())
+    assert [(item.key, item.engine.instance) for item in plan.assignments] == [(key("a"), "i-2")]
+    assert plan.ready_in_s[key("a")] > 0
+
+
+def test_one_adapter_is_brought_once() -> None:
+    engines = [make_engine("i-1"), make_engine("i-2")]
+    planner = make_planner()
+    planner.plan([want("a")], engines, used=(), now=monotonic())
+    again = planner.plan([want("a", since_s=0.3)], engines, used=(), now=monotonic())
+    assert again.assignments == []
+
+
+def test_a_want_that_cannot_reach_the_adapter_gets_a_second_copy() -> None:
+    engines = [make_engine("i-1", "a"), make_engine("i-2")]
+    planner = make_planner()
+    fresh = planner.plan([want("a")], engines, used=(), now=monotonic())
+    assert fresh.assignments == []
+    stuck = planner.plan([want("a", since_s=1.0)], engines, used=(), now=monotonic())
+    assert [item.engine.instance for item in stuck.assignments] == ["i-2"]
+
+
+def test_clients_expected_back_need_no_second_copy() -> None:
+    engines = [make_engine("i-1", "a"), make_engine("i-2")]
+    plan = make_planner().plan(
+        [want("a", since_s=1.0, waiting=0)], engines, used=(), now=monotonic()
+    )
+    assert plan.assignments == []
+
+
+def test_what_is_used_or_wanted_gives_no_place() -> None:
+    engine = make_engine("i-1", "x", "y")
+    planner = make_planner()
+    used = {("i-1", key("x")), ("i-1", key("y"))}
+    plan = planner.plan([want("a")], [engine], used=used, now=monotonic())
+    assert plan.assignments == []
+    assert plan.ready_in_s[key("a")] < 0
+    planner.plan([want("a"), want("x")], [engine], used=(), now=monotonic())
+    assert planner.victim(engine, used=(), now=monotonic()) == key("y")
+
+
+def test_an_older_version_gives_its_place_first() -> None:
+    popularity = Popularity()
+    popularity.note(key("x"), 50)
+    planner = make_planner(popularity, x=2)
+    engine = make_engine("i-1", "x", "y")
+    assert planner.victim(engine, used=(), now=monotonic()) == key("x")
+
+
+def test_the_most_valuable_want_goes_first() -> None:
+    engine = make_engine("i-1", slots=1)
+    wants = [want("cheap", worth=1.0), want("dear", worth=4.0)]
+    plan = make_planner().plan(wants, [engine], used=(), now=monotonic())
+    assert [item.key for item in plan.assignments] == [key("dear")]
+
+
+def test_a_popular_adapter_is_brought_before_somebody_waits() -> None:
+    popularity = Popularity()
+    popularity.note(key("often"), 10)
+    popularity.note(key("once"), 1)
+    plan = make_planner(popularity).plan([], [make_engine("i-1")], used=(), now=monotonic())
+    assert [item.key for item in plan.assignments] == [key("often")]
+
+
+def test_an_engine_that_had_the_adapter_lately_is_preferred() -> None:
+    before, other = make_engine("i-1", "a"), make_engine("i-2", slots=3)
+    before.unload_taken(key("a"))
+    before.unloaded(key("a"))
+    plan = make_planner().plan([want("a")], [other, before], used=(), now=monotonic())
+    assert [item.engine.instance for item in plan.assignments] == ["i-1"]
--- /dev/null
+++ b/tests/routed/deployment.py
@@ -0,0 +1,291 @@
+"""A deployment of routed boxes on loopback: real processes of store, replicas and entry boxes."""
+
+from __future__ import annotations
+
+import base64
+import http.client
+import json
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from springrock.emulator.ports import free_addresses
+from springrock.settings import split_address
+from tests.cluster import wait_until
+
+HOST = "calls.example"
+MODEL = "base"
+ZONES = ("zone-1", "zone-2")
+
+
+def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 1000,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+ROUTES = [
+    route("lookup", "safe", "rosters"),
+    route("join", "unsafe", "rosters", maxAttempts=1),
+    route("items", "streaming", "language", resumable=True, gapAimMs=400),
+    route("minutes", "streaming", "language", resumable=False, maxAttempts=1, gapAimMs=400),
+]
+
+SERVICES = [
+    {"name": "rosters", "maxConnections": 50},
+    {
+        "name": "language",
+        "maxConnections": 50,
+        "engine": {
+            "slots": 8,
+            "adapterSlots": 2,
+            "loadsPerS": 5,
+            "models": [{"name": MODEL, "adapters": 100}],
+        },
+    },
+]
+
+
+@dataclass
+class Answer:
+    """What a client got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool = True
+
+    @property
+    def event_ids(self) -> list[int]:
+        """The ids of the events, in order."""
+        return [
+            int(line[4:]) for line in self.body.decode().splitlines() if line.startswith("id: ")
+        ]
+
+
+@dataclass
+class Deployment:
+    """All processes and their addresses."""
+
+    folder: Path
+    boxes: int = 2
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    clients: dict[str, str] = field(default_factory=dict)
+    readiness: dict[str, str] = field(default_factory=dict)
+    metrics: dict[str, str] = field(default_factory=dict)
+    version: int = 0
+
+    def __post_init__(self) -> None:
+        self._pool = urllib3.PoolManager(retries=False)
+        self._requests = 0
+
+    def __enter__(self) -> Deployment:
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def _start(self) -> None:
+        self.addresses["store"] = free_addresses(1)[0]
+        self.spawn("store", ["standin", "rowstore"], {"address": self.addresses["store"]})
+        for number in (1, 2):
+            self.start_replica(f"rosters-{number}", "rosters", ZONES[number - 1])
+            self.start_replica(f"engine-{number}", "language", ZONES[number - 1], base_model=MODEL)
+        for number in range(1, self.boxes + 1):
+            self.start_box(f"box-{number}", ZONES[(number - 1) % 2])
+
+    def start_replica(self, name: str, service: str, zone: str, **more: Any) -> None:
+        address = free_addresses(1)[0]
+        self.addresses[name] = address
+        settings = {
+            "address": address,
+            "service": service,
+            "store_address": self.addresses["store"],
+            "availability_zone": zone,
+            **more,
+        }
+        self.spawn(name, ["standin", "replica"], settings)
+
+    def start_box(self, name: str, zone: str) -> None:
+        clients, readiness, boxes, metrics = free_addresses(4)
+        self.clients[name], self.readiness[name] = clients, readiness
+        self.metrics[name] = metrics
+        settings = {
+            "box": {"name": name, "availability_zone": zone},
+            "listen": {
+                "clients_address": clients,
+                "readiness_address": readiness,
+                "boxes_address": boxes,
+                "metrics_address": metrics,
+            },
+            "store": {"address": self.addresses["store"]},
+            "placement": {"lease_s": 1.0},
+            "stop": {"within_s": 8.0, "notice_s": 0.2},
+        }
+        self.spawn(name, ["entry", "--settings"], settings)
+
+    def spawn(self, name: str, command: list[str], settings: dict[str, Any]) -> None:
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings, indent=1))
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "springrock", *command, str(path)], stdout=log, stderr=log
+        )
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    # The operator.
+
+    def write_operator_row(self, key: str, value: dict[str, Any]) -> None:
+        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        body = json.dumps({"put": [{"table": "op", "key": key, "value": encoded}]})
+        url = f"http://{self.addresses['store']}/standin/transaction"
+        wait_until(lambda: self._posted(url, body), what="the store takes the operator's row")
+
+    def configure(self, routes: list[dict[str, Any]] | None = None, version: int = 0) -> int:
+        """Write a configuration and return its version."""
+        self.version = version or self.version + 1
+        config = {"version": self.version, "routes": routes or ROUTES, "services": SERVICES}
+        self.write_operator_row("config", config)
+        return self.version
+
+    def name_version(self, adapter: str, version: int) -> None:
+        """Name a new version of an adapter."""
+        self.write_operator_row(
+            f"version/{MODEL}.{adapter}",
+            {"model": MODEL, "adapter": adapter, "version": version},
+        )
+
+    def fault(self, name: str, **fault: Any) -> None:
+        """Switch the faults of a stand-in; no argument heals it."""
+        url = f"http://{self.addresses[name]}/standin/faults"
+        assert self._pool.request("POST", url, body=json.dumps(fault)).status == 200
+
+    def counters(self, name: str) -> dict[str, Any]:
+        url = f"http://{self.addresses[name]}/standin/counters"
+        counters: dict[str, Any] = self._pool.request("GET", url).json()
+        return counters
+
+    def runs(self, request_id: str) -> int:
+        """How often a request ran, at all replicas together."""
+        names = [name for name in self.addresses if name != "store"]
+        return sum(self.counters(name)["runs"].get(request_id, 0) for name in names)
+
+    def holders(self, adapter: str) -> list[str]:
+        """The engines that hold an adapter."""
+        names = [name for name in self.addresses if name.startswith("engine")]
+        return [name for name in names if adapter in self.counters(name)["adapters"]]
+
+    def violations(self) -> dict[str, int]:
+        names = [name for name in self.addresses if name.startswith("engine")]
+        return {
+            key: count for name in names for key, count in self.counters(name)["violations"].items()
+        }
+
+    def _posted(self, url: str, body: str) -> bool:
+        try:
+            return self._pool.request("POST", url, body=body).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    # Boxes.
+
+    def is_ready(self, box: str) -> bool:
+        try:
+            response = self._pool.request("GET", f"http://{self.readiness[box]}/v1/readiness")
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+    def wait_ready(self) -> None:
+        for box in self.clients:
+            wait_until(lambda box=box: self.is_ready(box), within_s=30, what=f"{box} is ready")
+
+    def metric(self, box: str, name: str) -> float:
+        text = self._pool.request("GET", f"http://{self.metrics[box]}/metrics").data.decode()
+        lines = [line for line in text.splitlines() if line.startswith(f"{name} ")]
+        return float(lines[0].split()[1]) if lines else 0.0
+
+    def placers(self) -> list[str]:
+        """The running boxes that give orders now."""
+        running = [box for box in self.clients if self.processes[box].poll() is None]
+        return [box for box in running if self.metric(box, "springrock_placement_placer") == 1.0]
+
+    def log(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    # Clients.
+
+    def new_id(self) -> str:
+        self._requests += 1
+        return f"{self._requests:016x}"
+
+    def send(
+        self,
+        box: str,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"hello",
+        request_id: str = "",
+        deadline_ms: int = 5000,
+        adapter: str = "",
+        connection: http.client.HTTPConnection | None = None,
+    ) -> Answer:
+        """Send one request and read the answer as far as it goes."""
+        connection = connection or self.connect(box)
+        headers = {
+            "Host": HOST,
+            "Springrock-Request-Id": request_id or self.new_id(),
+            "Springrock-Deadline-Ms": str(deadline_ms),
+        }
+        if adapter:
+            headers["Springrock-Model"] = f"{MODEL}/{adapter}"
+        connection.request(method, path, body=body if method != "GET" else None, headers=headers)
+        response = connection.getresponse()
+        whole = True
+        try:
+            data = response.read()
+        except http.client.IncompleteRead as error:
+            data, whole = error.partial, False
+        return Answer(response.status, dict(response.getheaders()), data, whole)
+
+    def connect(self, box: str) -> http.client.HTTPConnection:
+        host, port = split_address(self.clients[box])
+        return http.client.HTTPConnection(host, port, timeout=20)
+
+    def served(self, box: str, path: str, **options: Any) -> Answer:
+        """Send until the answer is a success, as a client does that is told to come back."""
+
+        def _success() -> Answer | None:
+            answer = self.send(box, path, **options)
+            return answer if answer.status == 200 else None
+
+        answer: Answer = wait_until(_success, what=f"{path} is served by {box}")
+        return answer
--- /dev/null
+++ b/tests/routed/test_path.py
@@ -0,0 +1,205 @@
+"""The whole routed path with separate processes, and the faults of replicas and the store."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.cluster import wait_until
+from tests.routed.deployment import HOST, ROUTES, Deployment, route
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    with Deployment(tmp_path_factory.mktemp("routed")) as deployment:
+        deployment.configure()
+        deployment.wait_ready()
+        yield deployment
+        assert deployment.violations() == {}
+
+
+@pytest.fixture(autouse=True)
+def _healed(deployment: Deployment) -> Iterator[None]:
+    yield
+    for name in deployment.addresses:
+        deployment.fault(name)
+
+
+def test_method_path_query_and_body_reach_the_replica(deployment: Deployment) -> None:
+    answer = deployment.send("box-1", "/join/a%20b/c?d=e", body=b"12345")
+    assert answer.status == 200
+    assert answer.body == b"POST /join/a b/c 5"
+    assert answer.headers["Springrock-Response-Seal"].startswith("seal-of-")
+
+
+def test_connections_to_clients_are_kept(deployment: Deployment) -> None:
+    connection = deployment.connect("box-1")
+    for _ in range(3):
+        answer = deployment.send("box-1", "/lookup/x", method="GET", connection=connection)
+        assert answer.status == 200
+        assert connection.sock is not None
+
+
+def test_no_route_is_told_and_nothing_runs(deployment: Deployment) -> None:
+    request_id = deployment.new_id()
+    assert deployment.send("box-1", "/nowhere/x", request_id=request_id).status == 404
+    assert deployment.runs(request_id) == 0
+
+
+def test_an_adapter_is_brought_for_a_stream(deployment: Deployment) -> None:
+    for box in deployment.clients:
+        answer = deployment.served(box, "/items/x", adapter="a1")
+        assert answer.whole
+        assert answer.event_ids == [1, 2, 3, 4, 5]
+
+
+def test_more_adapters_than_places_are_served_in_turn(deployment: Deployment) -> None:
+    for number in range(2, 10):
+        answer = deployment.served("box-2", "/minutes/x", adapter=f"a{number}")
+        assert answer.event_ids == [1, 2, 3, 4, 5]
+    assert deployment.violations() == {}
+
+
+def test_a_resumable_stream_goes_on_at_the_exact_event(deployment: Deployment) -> None:
+    deployment.served("box-1", "/items/x", adapter="a1")
+    request_id = deployment.new_id()
+    for engine in deployment.holders("a1"):
+        deployment.fault(engine, cut_after=2)
+    answer = deployment.send("box-1", "/items/x", adapter="a1", request_id=request_id)
+    assert answer.status == 200
+    assert answer.whole
+    assert answer.event_ids == [1, 2, 3, 4, 5]
+    assert deployment.runs(request_id) == 2
+
+
+def test_a_stream_that_may_not_run_twice_is_seen_to_break(deployment: Deployment) -> None:
+    deployment.served("box-1", "/minutes/x", adapter="a1")
+    request_id = deployment.new_id()
+    for engine in deployment.holders("a1"):
+        deployment.fault(engine, cut_after=2)
+    answer = deployment.send("box-1", "/minutes/x", adapter="a1", request_id=request_id)
+    assert not answer.whole
+    assert answer.event_ids == [1, 2]
+    assert deployment.runs(request_id) == 1
+
+
+def test_a_failure_is_tried_elsewhere_only_if_the_request_may_run_again(
+    deployment: Deployment,
+) -> None:
+    deployment.fault("rosters-1", fail=True)
+    deployment.fault("rosters-2", fail=True)
+    safe, unsafe = deployment.new_id(), deployment.new_id()
+    answer = deployment.send("box-1", "/lookup/x", method="GET", request_id=safe)
+    assert (answer.status, answer.body) == (500, b"failed")
+    assert deployment.runs(safe) == 2
+    answer = deployment.send("box-1", "/join/x", request_id=unsafe)
+    assert (answer.status, answer.body) == (500, b"failed")
+    assert deployment.runs(unsafe) == 1
+
+
+def test_a_refusal_by_all_promises_that_nothing_ran(deployment: Deployment) -> None:
+    for name in ("rosters-1", "rosters-2"):
+        deployment.fault(name, refuse=True)
+    request_id = deployment.new_id()
+    answer = deployment.send("box-1", "/join/x", request_id=request_id)
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert deployment.runs(request_id) == 0
+
+
+def test_a_new_configuration_comes_into_force_and_an_older_one_never_again(
+    deployment: Deployment,
+) -> None:
+    added = [*ROUTES, route("added", "safe", "rosters")]
+    version = deployment.configure(added)
+    for box in deployment.clients:
+        deployment.served(box, "/added/x", method="GET")
+    deployment.configure(ROUTES, version=version - 1)
+    deployment.version = version
+    newer = deployment.configure([*added, route("newest", "safe", "rosters")])
+    for box in deployment.clients:
+        deployment.served(box, "/newest/x", method="GET")
+        assert deployment.send(box, "/added/x", method="GET").status == 200
+        in_force = deployment.metric(box, "springrock_forwarding_configuration_version")
+        assert in_force == newer
+
+
+def test_requests_go_on_while_the_store_is_down(deployment: Deployment) -> None:
+    deployment.fault("store", busy=True)
+    wait_until(lambda: "Lost the table" in deployment.log("box-1"), what="box-1 sees the outage")
+    assert deployment.send("box-1", "/lookup/x", method="GET").status == 200
+    assert deployment.is_ready("box-1")
+
+
+def test_a_forgotten_history_is_read_anew(deployment: Deployment) -> None:
+    deployment.fault("store", forget_history=True)
+    version = deployment.configure([*ROUTES, route("after", "safe", "rosters")])
+    deployment.served("box-1", "/after/x", method="GET")
+    deployment.served("box-2", "/after/x", method="GET")
+    assert version == deployment.version
+
+
+def test_a_malformed_request_is_refused_by_type(deployment: Deployment) -> None:
+    connection = deployment.connect("box-1")
+    connection.request("POST", "/join/x", body=b"", headers={"Host": HOST})
+    response = connection.getresponse()
+    assert response.status == 400
+    assert response.read() == b'{"error":"malformed_request"}'
+
+
+def test_a_leaving_replica_gets_no_new_work(deployment: Deployment) -> None:
+    deployment.fault("rosters-1", leaving=True)
+    instance = deployment.counters("rosters-1")["instance"]
+
+    def _told(box: str) -> bool:
+        lines = deployment.log(box).splitlines()
+        return any("is leaving" in line and instance in line for line in lines)
+
+    for box in deployment.clients:
+        wait_until(lambda box=box: _told(box), what=f"{box} knows that the replica leaves")
+    before = sum(deployment.counters("rosters-1")["runs"].values())
+    for _ in range(10):
+        assert deployment.send("box-1", "/lookup/x", method="GET").status == 200
+    assert sum(deployment.counters("rosters-1")["runs"].values()) == before
+
+
+def test_the_placer_is_followed_by_another_box(deployment: Deployment) -> None:
+    (placer,) = wait_until(deployment.placers, what="a box gives orders")
+    other = next(box for box in deployment.clients if box != placer)
+    deployment.processes[placer].kill()
+    deployment.processes[placer].wait()
+    wait_until(lambda: deployment.placers() == [other], what="the other box gives orders")
+    answer = deployment.served(other, "/items/x", adapter="a77")
+    assert answer.event_ids == [1, 2, 3, 4, 5]
+    deployment.start_box(placer, "zone-1")
+    deployment.wait_ready()
+
+
+def test_a_planned_stop_cuts_no_stream(deployment: Deployment) -> None:
+    deployment.served("box-2", "/items/x", adapter="a1")
+    answers = []
+    sent = threading.Thread(
+        target=lambda: answers.append(deployment.served("box-2", "/items/x", adapter="a1"))
+    )
+    sent.start()
+    process = deployment.processes["box-2"]
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not deployment.is_ready("box-2"), what="box-2 is not ready")
+    sent.join()
+    assert answers[0].whole
+    assert answers[0].event_ids == [1, 2, 3, 4, 5]
+    assert process.wait(timeout=20) == 0
+    deployment.start_box("box-2", "zone-2")
+    deployment.wait_ready()
+
+
+def test_bad_settings_change_nothing(deployment: Deployment) -> None:
+    path: Path = deployment.folder / "box-1.jsonc"
+    path.write_text('{"box": 3}')
+    deployment.processes["box-1"].send_signal(signal.SIGHUP)
+    wait_until(lambda: "Kept the old settings" in deployment.log("box-1"), what="it is refused")
+    assert deployment.send("box-1", "/lookup/x", method="GET").status == 200
