--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -34,6 +34,11 @@
 _END_MARGIN_S = 0.5
 """How long before it would be killed a stopping box ends by itself."""
 
+_CONFIGURATION_PAUSE_S = 0.1
+_REPLICAS_PAUSE_S = 0.5
+"""Replicas write when their adapters change, several times a second; what matters of that is
+that a replica leaves, and there is time for it."""
+
 _CEILING_SLACK = 2.9
 """Loads in a window that are allowed beyond the rate, a little under the rule's three."""
 
@@ -86,6 +91,7 @@
         self._log.say("Planned stop begins.", open_requests=self._door.open_requests)
         self._placement.hand_over()
         gevent.sleep(self.settings.stop.notice_s)
+        self._door.refusing = True
         while not deadline.passed and not self._quiet():
             continue
         self._log.say("Planned stop ends.", open_requests=self._door.open_requests)
@@ -126,10 +132,18 @@
         replicas = ReplicaTable(self.directory, log=self._log_of("directory"))
         self._followers = [
             TableFollower(
-                self._store, names.OPERATOR_TABLE, operator, log=self._log_of("configuration")
+                self._store,
+                names.OPERATOR_TABLE,
+                operator,
+                pause_s=_CONFIGURATION_PAUSE_S,
+                log=self._log_of("configuration"),
             ),
             TableFollower(
-                self._store, names.REPLICA_TABLE, replicas, log=self._log_of("directory")
+                self._store,
+                names.REPLICA_TABLE,
+                replicas,
+                pause_s=_REPLICAS_PAUSE_S,
+                log=self._log_of("directory"),
             ),
         ]
         for table, follower in zip(("configuration", "replicas"), self._followers, strict=True):
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -33,6 +33,7 @@
     Attributes:
         open_requests: Requests that are now in the box.
         closing: Whether each answer asks its client for a new connection.
+        refusing: Whether new requests are refused, because they could not end in time.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self._server = HttpServer(self._serve, address, send_timeout_s=_SEND_TIMEOUT_S)
         self.open_requests = 0
         self.closing = False
+        self.refusing = False
 
     def start(self) -> None:
         """Begin listening."""
@@ -92,6 +94,8 @@
         return self._body(environ, reply, finish)
 
     def _reply(self, environ: dict[str, Any], body: bytes, received_at: float) -> Reply:
+        if self.refusing:
+            return own_ending(503, "stopping", retry_after_s=0.0)
         if len(body) > self._body_limit_bytes():
             return own_ending(413, "body_too_large")
         try:
--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -31,11 +31,13 @@
 
     Attributes:
         since: When it came into its state, on the local monotonic clock.
+        expected_at: When one that is coming should be there.
     """
 
     version: int
     state: PlaceState
     since: float
+    expected_at: float = 0.0
 
 
 class Arrival(NamedTuple):
@@ -104,9 +106,21 @@
         """Whether the engine can load an adapter again without the weight store."""
         return self._lately.get(key, -1) >= version
 
-    def load_taken(self, key: AdapterKey, *, version: int) -> None:
-        """Note that the engine took an order to load."""
-        self.places[key] = Place(version=version, state=PlaceState.COMING, since=monotonic())
+    def load_taken(self, key: AdapterKey, *, version: int, expected_s: float = 0.0) -> None:
+        """Note that the engine took an order to load.
+
+        Args:
+            key: The adapter.
+            version: Its version; 0 for the newest.
+            expected_s: When it should be there, in seconds.
+        """
+        known = self.places.get(key)
+        if known is not None and known.state is PlaceState.COMING:
+            return
+        now = monotonic()
+        self.places[key] = Place(
+            version=version, state=PlaceState.COMING, since=now, expected_at=now + expected_s
+        )
 
     def unload_taken(self, key: AdapterKey) -> None:
         """Note that the engine took an order to unload."""
@@ -116,9 +130,12 @@
             place.state = PlaceState.LEAVING
             place.since = monotonic()
 
-    def loaded(self, key: AdapterKey) -> None:
+    def loaded(self, key: AdapterKey, *, version: int = 0) -> None:
         """Note that the engine says that it holds an adapter."""
         place = self.places.get(key)
+        if place is None:
+            place = Place(version=version, state=PlaceState.COMING, since=monotonic())
+            self.places[key] = place
         if place is not None and place.state is PlaceState.COMING:
             self.arrivals.append(Arrival(key, monotonic() - place.since))
             place.state = PlaceState.READY
--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -20,12 +20,17 @@
     OrderAnswer,
     OrderKind,
 )
-from springrock.placement.engine_book import EngineBook
+from springrock.placement.engine_book import EngineBook, PlaceState
 from springrock.placement.lease import PlacerLease
 from springrock.placement.planner import Planner
 
 _LOOK_S = 0.03
-"""How often an engine is asked while something is on its way."""
+"""How often the keeper looks while something is on its way."""
+
+_WARM_S = 0.03
+_COLD_S = 0.25
+_REPORT_EVERY_S = 0.25
+_CONFIRM_AGAIN_S = 0.04
 
 _UNREACHABLE_PAUSE_S = 0.4
 _AUDIT_S = 5.0
@@ -80,6 +85,7 @@
         self._metrics = metrics
         self._told: frozenset[tuple[AdapterKey, int]] | None = None
         self._stale = True
+        self._reported_at = 0.0
         self._work = Event()
         self._unreachable = Condition(
             log,
@@ -115,9 +121,12 @@
                 continue
             if self._order_next():
                 continue
+            if self._confirm_next():
+                continue
             if not self.book.settled or not self.book.models:
-                gevent.sleep(_LOOK_S)
-                self._stale = True
+                self._work.wait(timeout=_LOOK_S)
+                self._work.clear()
+                self._stale = self._stale or self._report_due()
                 continue
             self._work.wait(timeout=_AUDIT_S)
             self._stale = not self._work.is_set()
@@ -134,6 +143,7 @@
             return False
         self._unreachable.end()
         book.reachable = True
+        self._reported_at = monotonic()
         if book.take_report(state):
             self._stale = False
         else:
@@ -178,6 +188,22 @@
             return False
         return self._order(OrderKind.UNLOAD, victim)
 
+    def _confirm_next(self) -> bool:
+        """Ask for an adapter that should be there by now; return whether there was one.
+
+        An order to load what is there is answered so at once, while reports are late.
+        """
+        book = self.book
+        now = monotonic()
+        for key, place in book.places.items():
+            if place.state is PlaceState.COMING and now >= place.expected_at:
+                place.expected_at = now + _CONFIRM_AGAIN_S
+                return self._order(OrderKind.LOAD, key)
+        return False
+
+    def _report_due(self) -> bool:
+        return monotonic() - self._reported_at >= _REPORT_EVERY_S
+
     def _load_model(self) -> bool:
         """Have an engine that came back empty load a base model."""
         model = None if self.book.busy else self._wanted_model()
@@ -204,6 +230,9 @@
 
     def _take_answer(self, order: Order, answer: OrderAnswer) -> None:
         book = self.book
+        if answer is OrderAnswer.DONE and order.kind is OrderKind.LOAD:
+            book.loaded(order.key, version=order.version)
+            return
         if answer in (OrderAnswer.TAKEN, OrderAnswer.DONE):
             self._note_taken(order, answer)
             return
@@ -226,9 +255,9 @@
             if answer is OrderAnswer.DONE:
                 book.unloaded(order.key)
             return
-        book.load_taken(order.key, version=order.version)
-        if answer is OrderAnswer.DONE:
-            book.loaded(order.key)
+        warm = book.at_hand(order.key, version=order.version)
+        expected_s = _WARM_S if warm else _COLD_S
+        book.load_taken(order.key, version=order.version, expected_s=expected_s)
 
     def _say(self, order: Order, answer: str, **fields: object) -> None:
         book = self.book
--- a/springrock/placement/link.py
+++ b/springrock/placement/link.py
@@ -76,6 +76,7 @@
         accepts: Whether this box is the placer now.
         on_demand: Called with a box's name and its demand.
         on_lost: Called with the name of a box whose link broke.
+        heartbeat: Returns the first message to a box, by which it knows that it is accepted.
         standing: Returns what a new box must be told.
         log: The log to write to.
     """
@@ -88,6 +89,7 @@
         accepts: Callable[[], bool],
         on_demand: Callable[[str, Demand], None],
         on_lost: Callable[[str], None],
+        heartbeat: Callable[[], Message],
         standing: Callable[[], list[Message]],
         log: Log,
     ) -> None:
@@ -96,6 +98,7 @@
         self._accepts = accepts
         self._on_demand = on_demand
         self._on_lost = on_lost
+        self._heartbeat = heartbeat
         self._standing = standing
         self._log = log
         self._outboxes: dict[str, Outbox] = {}
@@ -149,6 +152,7 @@
         if not self._accepts():
             return
         outbox = Outbox()
+        outbox.put(self._heartbeat())
         self._outboxes[hello.box] = outbox
         self._connections[hello.box] = connection
         for message in self._standing():
@@ -211,7 +215,7 @@
         return self._connection is not None
 
     def link(self, address: str, *, incarnation: str) -> bool:
-        """Dial the placer; return whether that came about."""
+        """Dial the placer; return whether it accepted this box."""
         try:
             plain = create_connection(split_address(address), timeout=_DIAL_S)
             plain.settimeout(None)
@@ -225,12 +229,19 @@
                 ping_interval=None,
                 close_timeout=_CLOSE_S,
             ).__enter__()
-            connection.send(encode(Hello(self._box, incarnation)))
         except _FAILURES as error:
             self._log.say("Could not link to the placer.", address=address, error=str(error))
             return False
+        try:
+            connection.send(encode(Hello(self._box, incarnation)))
+            first = decode(connection.recv(timeout=_DIAL_S))
+        except _FAILURES as error:
+            self._log.say("The placer did not accept this box.", address=address, error=str(error))
+            connection.close()
+            return False
         self._connection = connection
         self.lost.clear()
+        self._on_message(first)
         gevent.spawn(self._run, connection, address)
         return True
 
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -122,6 +122,7 @@
             accepts=lambda: self._lease.holds,
             on_demand=self._placer.take_demand,
             on_lost=self._placer.forget_box,
+            heartbeat=self._lease.heartbeat,
             standing=self._placer.standing,
             log=log_of("link"),
         )
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -15,6 +15,9 @@
 """A load from the weight store, about, until the placer knows that it is done."""
 
 WARM_LOAD_S = 0.1
+_PLACE_S = 0.15
+"""Until one more place is given up, about, while all are taken."""
+
 _COMING_AT_ONCE = 10
 """How many adapters may be on their way to all engines of a service."""
 
@@ -110,6 +113,7 @@
         wants += self._foreseen(engines, self._wanted, now)
         ranked = sorted(wants, key=lambda want: self._value(want, now), reverse=True)
         coming = sum(len(engine.assigned) for engine in engines)
+        short_of_places = 0
         for want in ranked:
             known_s = self._known_ready_in(want, engines, now)
             if known_s is not None:
@@ -117,7 +121,8 @@
                 continue
             engine = self._best_engine(want, engines, used, now)
             if engine is None:
-                plan.ready_in_s[want.key] = -1.0
+                short_of_places += 1
+                plan.ready_in_s[want.key] = _PLACE_S * short_of_places + COLD_LOAD_S
                 continue
             warm = engine.at_hand(want.key, version=self._version(want.key))
             expected_s = WARM_LOAD_S if warm else COLD_LOAD_S
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+import random
+from collections.abc import Sequence
 from typing import Any, NamedTuple, Protocol
 
 import gevent
@@ -12,8 +13,8 @@
 from springrock.log import Condition, Log
 
 _POLL_WAIT_S = 2.0
-_BATCH_PAUSE_S = 0.1
-_RETRY_PAUSE_S = 0.25
+_FIRST_RETRY_S = 0.25
+_LONGEST_RETRY_S = 1.0
 
 ABSENT_VERSION = 0
 """The expected version of a row that must not exist."""
@@ -116,6 +117,7 @@
         store: The store.
         table: The name of the table.
         listener: Who learns of the rows.
+        pause_s: How long changes are let gather between two reads.
         log: The log to write to.
     """
 
@@ -125,13 +127,13 @@
         table: str,
         listener: TableListener,
         *,
+        pause_s: float,
         log: Log,
-        on_read: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._table = table
         self._listener = listener
-        self._on_read = on_read
+        self._pause_s = pause_s
         self._version: int | None = None
         self._unread = Condition(
             log, begins=f"Lost the table {table}.", ends=f"Regained the table {table}."
@@ -154,18 +156,20 @@
         return float("inf") if self.read_at is None else monotonic() - self.read_at
 
     def _follow(self) -> None:
+        retry_s = _FIRST_RETRY_S
         while True:
             try:
                 self._step()
                 self.read_at = monotonic()
                 self._unread.end()
-                self._on_read()
-                gevent.sleep(_BATCH_PAUSE_S)
+                retry_s = _FIRST_RETRY_S
+                gevent.sleep(self._pause_s)
             except HistoryGone:
                 self._version = None
             except RowStoreUnavailable as error:
                 self._unread.begin(error=str(error), age_s=round(self.age_s, 1))
-                gevent.sleep(_RETRY_PAUSE_S)
+                gevent.sleep(retry_s * random.uniform(0.8, 1.0))
+                retry_s = min(_LONGEST_RETRY_S, retry_s * 1.5)
 
     def _step(self) -> None:
         if self._version is None:
