--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -18,6 +18,10 @@
 """How many adapters an engine is taken to keep at hand beside those in its places."""
 
 
+_REPORTS_LAG_S = 1.0
+"""A report shows what was ordered longer ago than this, whatever its sequence."""
+
+
 class PlaceState(Enum):
     """How an adapter occupies its place."""
 
@@ -64,6 +68,7 @@
         self.assigned: dict[AdapterKey, float] = {}
         self.arrivals: list[Arrival] = []
         self.sequence: int | None = None
+        self.ordered_at = 0.0
         self.reachable = False
         self.busy = False
         self.models = record.models
@@ -150,7 +155,8 @@
 
     def take_report(self, state: EngineState) -> bool:
         """Take what the engine reports; return whether the report is new enough to count."""
-        if self.sequence is not None and state.sequence < self.sequence:
+        settled = monotonic() - self.ordered_at > _REPORTS_LAG_S
+        if self.sequence is not None and state.sequence < self.sequence and not settled:
             return False
         self.sequence = state.sequence
         self.models = state.models
@@ -167,7 +173,7 @@
             place = self.places.get(held.key)
             if place is None:
                 self.places[held.key] = Place(version=held.version, state=state, since=monotonic())
-            elif place.state is PlaceState.COMING and state is PlaceState.READY:
+            elif state is PlaceState.READY:
                 place.version = held.version
                 self.loaded(held.key)
             if state is PlaceState.READY:
--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -123,7 +123,7 @@
                 continue
             if self._confirm_next():
                 continue
-            if not self.book.settled or not self.book.models:
+            if not self.book.settled or not self.book.models or self.book.assigned:
                 self._work.wait(timeout=_LOOK_S)
                 self._work.clear()
                 self._stale = self._stale or self._report_due()
@@ -245,8 +245,13 @@
 
     def _note_taken(self, order: Order, answer: OrderAnswer) -> None:
         book = self.book
+        place = book.places.get(order.key)
+        if order.kind is OrderKind.LOAD and place is not None:
+            # It is on its way still; the engine takes no second order for it.
+            return
         if book.sequence is not None:
             book.sequence += 1
+            book.ordered_at = monotonic()
         if not order.key.adapter:
             self._stale = True
             return
--- a/tests/placement/test_engine_book.py
+++ b/tests/placement/test_engine_book.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import pytest
+
+from springrock.clock import monotonic
 from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
 from springrock.forwarding.message import AdapterKey
+from springrock.placement import engine_book as engine_book_module
 from springrock.placement.control import EngineState
 from springrock.placement.engine_book import EngineBook, PlaceState
 
@@ -29,6 +33,7 @@
 def order_load(book: EngineBook, key: AdapterKey) -> None:
     assert book.sequence is not None
     book.sequence += 1
+    book.ordered_at = monotonic()
     book.load_taken(key, version=1)
 
 
@@ -75,3 +80,17 @@
     book.take_report(state(1, A))
     assert book.is_ready(A, version=1)
     assert not book.is_ready(A, version=2)
+
+
+def test_a_sequence_counted_too_far_is_mended_by_a_later_report(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    book = make_book()
+    order_load(book, A)
+    book.sequence = 7
+    assert not book.take_report(state(1, A))
+    later = monotonic() + 2.0
+    monkeypatch.setattr(engine_book_module, "monotonic", lambda: later)
+    assert book.take_report(state(1, A))
+    assert book.sequence == 1
+    assert book.is_ready(A, version=1)
--- /dev/null
+++ b/tests/placement/test_keeper.py
@@ -0,0 +1,197 @@
+"""Orders to an engine that answers late, not at all, or out of step."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+import pytest
+
+from springrock.clock import monotonic
+from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
+from springrock.forwarding.message import AdapterKey
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+from springrock.placement.control import (
+    ControlUnanswered,
+    EngineState,
+    Order,
+    OrderAnswer,
+    OrderKind,
+)
+from springrock.placement.engine_book import EngineBook
+from springrock.placement.keeper import Keeper
+from springrock.placement.planner import Planner
+from springrock.placement.popularity import Popularity
+
+SLOTS = 2
+WITHIN_S = 10.0
+
+
+def key(name: str) -> AdapterKey:
+    return AdapterKey("m", name)
+
+
+class Lease:
+    """A lease that is held until it is lost."""
+
+    fence = 5
+    holds = True
+
+    def lose(self, *, reason: str) -> None:
+        self.holds = False
+
+
+class Engine:
+    """An engine in memory; orders can be lost before or after they are taken."""
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self.adapters: set[str] = set()
+        self.coming: set[str] = set()
+        self.models = frozenset({"m"})
+        self.newest_fence = 0
+        self.lose_order = False
+        self.lose_answer = False
+        self.most_places = 0
+        self.orders: list[Order] = []
+
+    def report(self, address: str, *, instance: str) -> EngineState:
+        return EngineState(
+            sequence=self.sequence,
+            models=self.models,
+            adapters=tuple(HeldAdapter("m", name, 1) for name in self.adapters),
+            coming=tuple(HeldAdapter("m", name, 1) for name in self.coming),
+        )
+
+    def order(self, address: str, *, instance: str, order: Order) -> OrderAnswer:
+        self.orders.append(order)
+        if self.lose_order:
+            self.lose_order = False
+            raise ControlUnanswered("lost before")
+        answer = self._carry_out(order)
+        if self.lose_answer:
+            self.lose_answer = False
+            raise ControlUnanswered("lost after")
+        return answer
+
+    def _carry_out(self, order: Order) -> OrderAnswer:
+        if order.fence < self.newest_fence:
+            return OrderAnswer.OLDER_FENCE
+        if order.expected_sequence != self.sequence:
+            return OrderAnswer.CONFLICT
+        name = order.key.adapter
+        if order.kind is OrderKind.LOAD:
+            if name in self.adapters:
+                return OrderAnswer.DONE
+            if name in self.coming:
+                return OrderAnswer.TAKEN
+            self.coming.add(name)
+            gevent.spawn_later(0.05, self._arrive, name)
+        else:
+            self.adapters.discard(name)
+        self.sequence += 1
+        self.most_places = max(self.most_places, len(self.adapters) + len(self.coming))
+        return OrderAnswer.TAKEN if order.kind is OrderKind.LOAD else OrderAnswer.DONE
+
+    def _arrive(self, name: str) -> None:
+        self.coming.discard(name)
+        self.adapters.add(name)
+
+
+def make_keeper(engine: Engine, lease: Lease, told: list[set[str]]) -> Keeper:
+    record = ReplicaRecord(
+        instance="i-1",
+        service="s",
+        address="127.0.0.1:1",
+        zone="z",
+        models=frozenset({"m"}),
+    )
+    return Keeper(
+        EngineBook(record, slots=SLOTS),
+        control=engine,
+        lease=lease,  # type: ignore[arg-type]
+        planner=Planner(Popularity(), lambda key: 0),
+        used=set,
+        newest=lambda key: 0,
+        wanted_model=lambda: "m",
+        holder="box",
+        on_change=lambda book: told.append({held.adapter for held in book.ready()}),
+        log=Log("placer", "test"),
+        metrics=ForwardingMetrics(),
+    )
+
+
+def wait_for(condition: Callable[[], bool], what: str) -> None:
+    with gevent.Timeout(WITHIN_S, AssertionError(f"did not come about: {what}")):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def assign(keeper: Keeper, name: str) -> None:
+    keeper.book.assigned[key(name)] = monotonic()
+    keeper.wake()
+
+
+def test_an_assigned_adapter_is_brought_and_told() -> None:
+    engine, told = Engine(), []
+    keeper = make_keeper(engine, Lease(), told)
+    keeper.start()
+    assign(keeper, "a")
+    wait_for(lambda: bool(told) and told[-1] == {"a"}, "a is told to be there")
+    assert key("a") not in keeper.book.assigned
+    keeper.stop()
+
+
+@pytest.mark.parametrize("fault", ["lose_order", "lose_answer"])
+def test_an_order_without_answer_never_takes_two_places(fault: str) -> None:
+    engine, told = Engine(), []
+    keeper = make_keeper(engine, Lease(), told)
+    keeper.start()
+    wait_for(lambda: keeper.book.sequence is not None, "the engine is known")
+    setattr(engine, fault, True)
+    for name in ("a", "b"):
+        assign(keeper, name)
+    wait_for(lambda: engine.adapters == {"a", "b"}, "both are there")
+    assert engine.most_places <= SLOTS
+    keeper.stop()
+
+
+def test_a_full_engine_gives_up_an_adapter_first() -> None:
+    engine, told = Engine(), []
+    engine.adapters = {"x", "y"}
+    keeper = make_keeper(engine, Lease(), told)
+    keeper.start()
+    assign(keeper, "a")
+    wait_for(lambda: "a" in engine.adapters, "a is there")
+    assert engine.most_places <= SLOTS
+    assert [order.kind for order in engine.orders][:2] == [OrderKind.UNLOAD, OrderKind.LOAD]
+    keeper.stop()
+
+
+def test_a_newer_fence_ends_the_orders() -> None:
+    engine, lease, told = Engine(), Lease(), []
+    keeper = make_keeper(engine, lease, told)
+    keeper.start()
+    wait_for(lambda: keeper.book.sequence is not None, "the engine is known")
+    engine.newest_fence = 6
+    assign(keeper, "a")
+    wait_for(lambda: not lease.holds, "the lease is lost")
+    given = len(engine.orders)
+    assign(keeper, "b")
+    gevent.sleep(0.2)
+    assert len(engine.orders) == given
+    keeper.stop()
+
+
+def test_an_engine_that_came_back_empty_loads_its_model_first() -> None:
+    engine, told = Engine(), []
+    engine.models = frozenset()
+    keeper = make_keeper(engine, Lease(), told)
+    keeper.start()
+    assign(keeper, "a")
+    wait_for(lambda: bool(engine.orders), "an order is given")
+    assert engine.orders[0].key == AdapterKey("m", "")
+    engine.models = frozenset({"m"})
+    wait_for(lambda: "a" in engine.adapters, "the adapter follows")
+    keeper.stop()
