--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -178,10 +178,12 @@
             return False
         if not book.models:
             return self._load_model()
-        for key in book.assigned:
-            if book.is_outdated(key, version=self._newest(key)):
-                return self._order(OrderKind.UNLOAD, key)
-        key = next((key for key in book.assigned if key not in book.places), None)
+        outdated = self._first_assigned(
+            lambda key: book.is_outdated(key, version=self._newest(key))
+        )
+        if outdated is not None:
+            return self._order(OrderKind.UNLOAD, outdated)
+        key = self._first_assigned(lambda key: key not in book.places)
         if key is None:
             return False
         if book.free > 0:
@@ -191,6 +193,9 @@
             return False
         return self._order(OrderKind.UNLOAD, victim)
 
+    def _first_assigned(self, fits: Callable[[AdapterKey], bool]) -> AdapterKey | None:
+        return next((key for key in self.book.assigned if fits(key)), None)
+
     def _confirm_next(self) -> bool:
         """Ask for an adapter that should be there by now; return whether there was one.
 
