Hold a request that waited too long to be sent back; place by the engines' running requests

Change: after a quarter of the time to the target a request is held while it can still be served; an engine costs 0.12 for each request that runs there, all boxes together.

--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -22,6 +22,9 @@
 
 _RETURN_MARGIN_S = 0.1
 _RETURN_GRACE_S = 0.4
+_PROMPT_PART = 0.25
+"""Of the time to its target a request may be held before it is too late to send it back."""
+
 _TARGET_OF_RETURN_S = 1.0
 _RETURNING_PART = 0.6
 """What a client that was told to come back counts, beside one that waits."""
@@ -36,6 +39,7 @@
         self.key = key
         self.terms = terms
         self.began_at = monotonic()
+        self.allowed_s = terms.target_at - self.began_at
         self.news = Event()
 
 
@@ -112,8 +116,8 @@
         starts_at = max(ready_at, now) + _START_S
         if starts_at <= waiter.terms.target_at:
             return
-        returns_within_s = waiter.terms.returns_within_s
-        if not returns_within_s:
+        held_for_long = now > waiter.began_at + _PROMPT_PART * waiter.allowed_s
+        if held_for_long or not waiter.terms.returns_within_s:
             if starts_at > waiter.terms.until:
                 raise NoReplica("load_not_in_time", max(0.0, ready_at - now))
             return
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -185,12 +185,12 @@
         self._tell(Residents(book.instance, book.ready()))
         self._work.set()
 
-    def _used(self) -> set[tuple[str, AdapterKey]]:
-        return {
-            (use.instance, AdapterKey(use.model, use.adapter))
-            for demand in self._demands.values()
-            for use in demand.uses
-        }
+    def _used(self) -> Counter[tuple[str, AdapterKey]]:
+        used: Counter[tuple[str, AdapterKey]] = Counter()
+        for demand in self._demands.values():
+            for use in demand.uses:
+                used[(use.instance, AdapterKey(use.model, use.adapter))] += use.count
+        return used
 
     # Planning.
 
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from msgspec import Struct
@@ -43,7 +44,8 @@
 _NO_PLACE = 100.0
 _EVICTION = 1.0
 _COLD = 10.0
-_USE = 0.05
+_RUNNING = 0.12
+"""What one running request of an engine costs; eight of them as much as an eviction."""
 
 
 class CombinedWant(Struct, kw_only=True):
@@ -90,13 +92,14 @@
         self._popularity = popularity
         self._newest = newest
         self._wanted: frozenset[AdapterKey] = frozenset()
+        self._running: Counter[str] = Counter()
 
     def plan(
         self,
         wants: Iterable[CombinedWant],
         engines: Collection[EngineBook],
         *,
-        used: Collection[tuple[str, AdapterKey]],
+        used: Mapping[tuple[str, AdapterKey], int],
         now: float,
     ) -> Plan:
         """Return what to order now.
@@ -104,10 +107,13 @@
         Args:
             wants: What the boxes wait for.
             engines: The engines that may be ordered.
-            used: Which adapters requests now use, and where.
+            used: How many requests now use an adapter at an engine.
             now: The time on the local monotonic clock.
         """
         plan = Plan([], {})
+        self._running = Counter[str]()
+        for (instance, _), count in used.items():
+            self._running[instance] += count
         wants = list(wants)
         self._wanted = frozenset(want.key for want in wants)
         wants += self._foreseen(engines, self._wanted, now)
@@ -200,7 +206,7 @@
         key = want.key
 
         def _cost(engine: EngineBook) -> float:
-            cost = _USE * sum(instance == engine.instance for instance, _ in used)
+            cost = _RUNNING * self._running[engine.instance]
             if not engine.at_hand(key, version=self._version(key)):
                 cost += _COLD
             if key in engine.places:
