--- a/bench/settings_page.py
+++ b/bench/settings_page.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from springrock.entry_settings import EntrySettings
 from springrock.settings import BoxSettings, Section
 
 PAGE = Path(__file__).parent.parent / "docs" / "SETTINGS.md"
@@ -23,11 +24,16 @@
 `python -m bench.settings_page`.
 """
 
+_ENTRY_HEAD = """
+# Settings of `springrock entry`
+"""
+
 
 def page() -> str:
     """Return the whole page."""
     seen: list[type[Section]] = []
-    return _HEAD + "".join(_section(BoxSettings, "", seen))
+    box = _section(BoxSettings, "", seen)
+    return _HEAD + "".join([*box, _ENTRY_HEAD, *_section(EntrySettings, "", seen)])
 
 
 def _section(kind: type[Section], path: str, seen: list[type[Section]]) -> list[str]:
