--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -21,8 +21,9 @@
 from springrock.forwarding.streaming import StreamRelay
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
-from springrock.placement.placement import Placement, PlacementSettings
+from springrock.placement.placement import Placement
 from springrock.placement.residency import Versions
+from springrock.placement.zone import PlacementSettings
 from springrock.platform import names
 from springrock.platform.dialect import PlatformDialect
 from springrock.platform.engine import PlatformEngines
@@ -159,6 +160,7 @@
         self._placement = Placement(
             PlacementSettings(
                 box=settings.box.name,
+                zone=settings.box.availability_zone,
                 address=settings.listen.boxes_address,
                 lease_s=settings.placement.lease_s,
                 checks_fence=settings.placement.checks_fence,
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -117,7 +117,10 @@
             registry=registry,
         )
         self.placer = Gauge(
-            "springrock_placement_placer", "1 while this box gives orders.", registry=registry
+            "springrock_placement_placer",
+            "1 while this box gives orders to a zone's engines.",
+            ["zone"],
+            registry=registry,
         )
         self.dropped_lines = Gauge(
             "springrock_log_dropped_lines", "Log lines dropped for want of room.", registry=registry
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -16,7 +16,7 @@
 from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
 
 TABLE = "springrock"
-_KEY = "placer"
+_KEY_PREFIX = "placer/"
 _MARGIN_S = 0.3
 
 
@@ -42,6 +42,7 @@
 
     Args:
         store: The store.
+        zone: The availability zone whose engines are placed.
         box: The name of this box.
         incarnation: This process.
         lease_s: How long a lease lasts without a renewal.
@@ -54,6 +55,7 @@
         self,
         store: RowStore,
         *,
+        zone: str,
         box: str,
         incarnation: str,
         lease_s: float,
@@ -61,6 +63,7 @@
         log: Log,
     ) -> None:
         self._store = store
+        self._key = f"{_KEY_PREFIX}{zone}"
         self._box = box
         self._incarnation = incarnation
         self._lease_s = lease_s
@@ -99,10 +102,10 @@
         """Whether this box took the lease and does not know it lost."""
         return self._own is not None
 
-    def heartbeat(self) -> Heartbeat:
-        """Return what the others are told of the own lease."""
+    def heartbeat(self, *, room: int = 0) -> Heartbeat:
+        """Return what the others are told of the own lease, and of the room on the engines."""
         left_s = max(0.0, self._held_until - monotonic())
-        return Heartbeat(self._version, round(left_s * 1000))
+        return Heartbeat(self._version, round(left_s * 1000), room)
 
     def note_heartbeat(self, version: int, left_s: float) -> None:
         """Learn from the holder how long its lease stands; what was sent earlier lapses earlier."""
@@ -129,7 +132,9 @@
     def lose(self, *, reason: str) -> None:
         """Stop holding, as after a refusal of an older fence."""
         if self._own is not None:
-            self._log.say("Lost the placer's lease.", fence=self._own.fence, reason=reason)
+            self._log.say(
+                "Lost the placer's lease.", row=self._key, fence=self._own.fence, reason=reason
+            )
         self._own = None
         self._held_until = 0.0
 
@@ -151,20 +156,21 @@
             rows = self._store.read_all(TABLE).rows
         except RowStoreUnavailable:
             return None
-        row = next((row for row in rows if row.key == _KEY), None)
+        row = next((row for row in rows if row.key == self._key), None)
         if row is None:
             self._note_seen(ABSENT_VERSION)
             return None
         self._note_seen(row.version)
         return _decode(row)
 
-    def challenge(self, standing: PlacerRow | None) -> bool:
+    def challenge(self, standing: PlacerRow | None, *, courtesy_s: float = 0.0) -> bool:
         """Take the lease if it is free or lapsed; return whether this box has it now.
 
         Args:
             standing: The row as `look` has just read it.
+            courtesy_s: How much longer it must have been free, so that others come first.
         """
-        if not self._free(standing):
+        if not self._free(standing, courtesy_s):
             return False
         fence = standing.fence + 1 if standing is not None else 1
         sent_at = monotonic()
@@ -174,24 +180,27 @@
         try:
             self._version = self._write(own, expected=self._seen_version)
         except (RowStoreUnavailable, RowConflict) as error:
-            self._log.say("Did not get the placer's lease.", fence=fence, error=str(error))
+            self._log.say(
+                "Did not get the placer's lease.", row=self._key, fence=fence, error=str(error)
+            )
             return False
         self._own = own
         self._held_until = sent_at + self._lease_s
-        self._log.say("Took the placer's lease.", fence=fence)
+        self._log.say("Took the placer's lease.", row=self._key, fence=fence)
         return True
 
-    def _free(self, standing: PlacerRow | None) -> bool:
+    def _free(self, standing: PlacerRow | None, courtesy_s: float) -> bool:
         if self._seen_version < 0:
             return False
+        unchanged_s = monotonic() - self._seen_at
         if standing is None:
-            return self._seen_version == ABSENT_VERSION
+            return self._seen_version == ABSENT_VERSION and unchanged_s >= courtesy_s
         if not standing.incarnation:
-            return True
+            return unchanged_s >= courtesy_s
         if standing.box == self._box and standing.incarnation != self._incarnation:
             # An earlier process of this box: it is gone, or this one could not run.
             return True
-        return monotonic() - self._seen_at > self._lease_s + _MARGIN_S
+        return unchanged_s > self._lease_s + _MARGIN_S + courtesy_s
 
     def _note_seen(self, version: int) -> None:
         if version != self._seen_version:
@@ -209,7 +218,7 @@
         return True
 
     def _write(self, value: PlacerRow, *, expected: int) -> int:
-        return self._store.write(TABLE, _KEY, msgspec.json.encode(value), expected=expected)
+        return self._store.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
 
 
 def _decode(row: Row) -> PlacerRow | None:
--- /dev/null
+++ b/springrock/placement/link_client.py
@@ -0,0 +1,130 @@
+"""A box's link to the placer of a zone: one websocket, dialed by the box."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+from gevent.socket import create_connection
+from websockets.sync.client import ClientConnection, connect
+
+from springrock.log import Log
+from springrock.placement.link_server import CLOSE_S, FRAME_LIMIT_BYTES, LINK_FAILURES
+from springrock.placement.messages import Demand, Hello, Message, decode, encode
+from springrock.settings import split_address
+
+_DIAL_S = 0.6
+_SILENCE_S = 1.3
+"""A placer that sends no heartbeat for so long is taken for unreachable."""
+
+_DEMAND_PAUSE_S = 0.02
+_DEMAND_AT_LEAST_EVERY_S = 0.5
+
+
+class PlacerClient:
+    """This box's link to the placer.
+
+    Args:
+        box: The name of this box.
+        zone: The zone whose placer is meant.
+        demand: Returns all that this box wants and uses now.
+        demand_changed: Set when that has changed.
+        on_message: Called with each message of the placer.
+        on_lost: Called when the link is gone.
+        log: The log to write to.
+    """
+
+    def __init__(
+        self,
+        box: str,
+        *,
+        zone: str,
+        demand: Callable[[], Demand],
+        demand_changed: Event,
+        on_message: Callable[[Message], None],
+        on_lost: Callable[[], None],
+        log: Log,
+    ) -> None:
+        self._box = box
+        self._zone = zone
+        self._demand = demand
+        self._demand_changed = demand_changed
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._log = log
+        self._connection: ClientConnection | None = None
+        self.lost = Event()
+
+    @property
+    def linked(self) -> bool:
+        """Whether the placer can be told."""
+        return self._connection is not None
+
+    def link(self, address: str, *, incarnation: str) -> bool:
+        """Dial the placer; return whether it accepted this box."""
+        try:
+            plain = create_connection(split_address(address), timeout=_DIAL_S)
+            plain.settimeout(None)
+            connection = connect(
+                f"ws://{address}/",
+                sock=plain,
+                compression=None,
+                proxy=None,
+                max_size=FRAME_LIMIT_BYTES,
+                open_timeout=_DIAL_S,
+                ping_interval=None,
+                close_timeout=CLOSE_S,
+            ).__enter__()
+        except LINK_FAILURES as error:
+            self._log.say(
+                "Could not link to the placer.", zone=self._zone, address=address, error=str(error)
+            )
+            return False
+        try:
+            connection.send(encode(Hello(self._box, incarnation, self._zone)))
+            first = decode(connection.recv(timeout=_DIAL_S))
+        except LINK_FAILURES as error:
+            self._log.say(
+                "The placer did not accept this box.",
+                zone=self._zone,
+                address=address,
+                error=str(error),
+            )
+            connection.close()
+            return False
+        self._connection = connection
+        self.lost.clear()
+        self._on_message(first)
+        gevent.spawn(self._run, connection, address)
+        return True
+
+    def close(self) -> None:
+        """Close the link."""
+        if self._connection is not None:
+            self._connection.close()
+
+    def _run(self, connection: ClientConnection, address: str) -> None:
+        writer = gevent.spawn(self._write, connection)
+        self._log.say("Linked to the placer.", zone=self._zone, address=address)
+        try:
+            while True:
+                self._on_message(decode(connection.recv(timeout=_SILENCE_S)))
+        except LINK_FAILURES as error:
+            self._log.say("Lost the placer.", zone=self._zone, address=address, error=str(error))
+        finally:
+            self._connection = None
+            writer.kill()
+            self._on_lost()
+            self.lost.set()
+            connection.close()
+
+    def _write(self, connection: ClientConnection) -> None:
+        try:
+            while True:
+                self._demand_changed.clear()
+                connection.send(encode(self._demand()))
+                gevent.sleep(_DEMAND_PAUSE_S)
+                self._demand_changed.wait(timeout=_DEMAND_AT_LEAST_EVERY_S)
+        except LINK_FAILURES:
+            return
--- /dev/null
+++ b/springrock/placement/link_server.py
@@ -0,0 +1,194 @@
+"""The links of other boxes to the zones that this box places: one websocket a box and zone."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import gevent
+from gevent.event import Event
+from websockets.exceptions import WebSocketException
+from websockets.sync.server import Server, ServerConnection, serve
+
+from springrock.errors import PeerRejected
+from springrock.log import Log
+from springrock.placement.messages import (
+    Demand,
+    Forecast,
+    Hello,
+    Message,
+    Residents,
+    decode,
+    encode,
+)
+from springrock.settings import split_address
+
+CLOSE_S = 0.1
+FRAME_LIMIT_BYTES = 1_048_576
+_HELLO_S = 2.0
+_SILENCE_S = 2.0
+"""A box that tells no demand for so long is gone; it tells it twice a second."""
+
+LINK_FAILURES = (OSError, WebSocketException, EOFError, TimeoutError, PeerRejected)
+"""What sending and receiving raise when a link is broken."""
+
+
+class Outbox:
+    """What is still to be sent to one box; a newer message replaces an older one of its matter."""
+
+    def __init__(self) -> None:
+        self._messages: OrderedDict[tuple[str, ...], Message] = OrderedDict()
+        self.filled = Event()
+
+    def put(self, message: Message) -> None:
+        """Add a message."""
+        matter: tuple[str, ...]
+        match message:
+            case Residents(instance=instance):
+                matter = ("residents", instance)
+            case Forecast(model=model, adapter=adapter):
+                matter = ("forecast", model, adapter)
+            case _:
+                matter = (type(message).__name__,)
+        self._messages[matter] = message
+        self.filled.set()
+
+    def take(self) -> list[Message]:
+        """Return all messages and be empty."""
+        messages = list(self._messages.values())
+        self._messages.clear()
+        self.filled.clear()
+        return messages
+
+
+class LinkHost(Protocol):
+    """Who is told what linked boxes send."""
+
+    def first_messages(self) -> list[Message]:
+        """Return what a newly linked box is told; the first message accepts it."""
+
+    def take_demand(self, box: str, demand: Demand) -> None:
+        """Take all that a box now wants and uses."""
+
+    def forget_box(self, box: str) -> None:
+        """Drop what a box wanted and used."""
+
+
+class BoxLinks:
+    """The linked boxes of one zone's placer.
+
+    Args:
+        host: Who is told what they send.
+        log: The log to write to.
+    """
+
+    def __init__(self, host: LinkHost, *, log: Log) -> None:
+        self._host = host
+        self._log = log
+        self._outboxes: dict[str, Outbox] = {}
+        self._connections: dict[str, ServerConnection] = {}
+
+    def tell_all(self, message: Message) -> None:
+        """Send a message to every linked box."""
+        for outbox in self._outboxes.values():
+            outbox.put(message)
+
+    def close_all(self) -> None:
+        """Close every link, as when the lease is lost."""
+        for connection in list(self._connections.values()):
+            gevent.spawn(connection.close)
+
+    def serve(self, box: str, connection: ServerConnection) -> None:
+        """Serve a box until its link breaks."""
+        outbox = Outbox()
+        for message in self._host.first_messages():
+            outbox.put(message)
+        self._outboxes[box] = outbox
+        self._connections[box] = connection
+        writer = gevent.spawn(_write_forever, connection, outbox)
+        self._log.say("A box linked.", peer=box)
+        try:
+            self._read(box, connection)
+        except LINK_FAILURES as error:
+            self._log.say("A box's link broke.", peer=box, error=str(error))
+        finally:
+            writer.kill()
+            if self._outboxes.get(box) is outbox:
+                del self._outboxes[box]
+                del self._connections[box]
+                self._host.forget_box(box)
+
+    def _read(self, box: str, connection: ServerConnection) -> None:
+        while True:
+            message = decode(connection.recv(timeout=_SILENCE_S))
+            if not isinstance(message, Demand):
+                raise PeerRejected(f"an unexpected {type(message).__name__}")
+            self._host.take_demand(box, message)
+
+
+class LinkServer:
+    """Listens for links and hands each to the zone that it means.
+
+    Args:
+        address: Where to listen.
+        incarnation: This process; a box that means another one is turned away.
+        links_of: Returns the links of a zone, if this box places it now.
+        log: The log to write to.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        incarnation: str,
+        links_of: Callable[[str], BoxLinks | None],
+        log: Log,
+    ) -> None:
+        self._address = address
+        self._incarnation = incarnation
+        self._links_of = links_of
+        self._log = log
+        self._server: Server | None = None
+        self._task: gevent.Greenlet[..., Any] | None = None
+
+    def start(self) -> None:
+        """Begin listening."""
+        host, port = split_address(self._address)
+        self._server = serve(
+            self._serve_box,
+            host,
+            port,
+            compression=None,
+            max_size=FRAME_LIMIT_BYTES,
+            ping_interval=None,
+            close_timeout=CLOSE_S,
+        )
+        self._task = gevent.spawn(self._server.serve_forever)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.shutdown()
+
+    def _serve_box(self, connection: ServerConnection) -> None:
+        try:
+            hello = decode(connection.recv(timeout=_HELLO_S))
+        except LINK_FAILURES as error:
+            self._log.say("Rejected a link.", error=str(error))
+            return
+        if not isinstance(hello, Hello) or hello.incarnation != self._incarnation:
+            return
+        links = self._links_of(hello.zone)
+        if links is not None:
+            links.serve(hello.box, connection)
+
+
+def _write_forever(connection: ServerConnection, outbox: Outbox) -> None:
+    try:
+        while True:
+            outbox.filled.wait()
+            for message in outbox.take():
+                connection.send(encode(message))
+    except LINK_FAILURES:
+        return
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -15,10 +15,12 @@
 
     Attributes:
         incarnation: The placer's incarnation that the box means to speak to.
+        zone: The zone whose engines are meant.
     """
 
     box: str
     incarnation: str
+    zone: str
 
 
 class Want(Struct, frozen=True, array_like=True):
@@ -87,10 +89,12 @@
     Attributes:
         row_version: The version of its lease's row.
         lease_left_ms: How much longer the lease stands, as of sending.
+        room: How many more adapters its engines could take now.
     """
 
     row_version: int
     lease_left_ms: int
+    room: int
 
 
 Message = Hello | Demand | Residents | Forecast | Heartbeat
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -1,73 +1,37 @@
-"""Placement in one box: joins the election of the placer, links to it, or is it."""
+"""Placement as a box's requests see it: each adapter is brought by the placer of some zone."""
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Collection
 from contextlib import AbstractContextManager
-from typing import Any
 
-import gevent
-
-from springrock.clock import monotonic
 from springrock.forwarding.adapters import WaitTerms
 from springrock.forwarding.configuration import Configuration
-from springrock.forwarding.directory import Directory, Replica
+from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
 from springrock.forwarding.message import AdapterKey
-from springrock.ids import new_id
+from springrock.ids import new_id, rendezvous_score
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.placement.control import EngineControl
-from springrock.placement.demand import DemandBook
-from springrock.placement.lease import PlacerLease, PlacerRow
-from springrock.placement.link import PlacerClient, PlacerServer
-from springrock.placement.messages import Forecast, Heartbeat, Message, Residents
-from springrock.placement.placer import Placer
+from springrock.placement.link_server import BoxLinks, LinkServer
 from springrock.placement.residency import Residency, Versions
+from springrock.placement.zone import PlacementSettings, Surroundings, ZonePlacement
 from springrock.rows import RowStore
 
-_HEARTBEAT_S = 0.4
-_LOOK_S = 0.3
-_RENEWALS_PER_LEASE = 3
-_DEMAND_PAUSE_S = 0.02
-
-
-class PlacementSettings:
-    """What placement takes from the settings.
-
-    Args:
-        box: The name of this box.
-        address: Where the placer's links are served.
-        lease_s: How long the placer's lease lasts.
-        checks_fence: Whether engines refuse an older fence.
-        ceiling_ratio: How far loads may exceed the stated rate.
-        ceiling_burst: Loads that may be saved up.
-    """
-
-    def __init__(
-        self,
-        *,
-        box: str,
-        address: str,
-        lease_s: float,
-        checks_fence: bool,
-        ceiling_ratio: float,
-        ceiling_burst: float,
-    ) -> None:
-        self.box = box
-        self.address = address
-        self.lease_s = lease_s
-        self.checks_fence = checks_fence
-        self.ceiling_ratio = ceiling_ratio
-        self.ceiling_burst = ceiling_burst
+_SCORE_RANGE = 2.0**64
 
 
 class Placement:
     """Implements `springrock.forwarding.adapters.Adapters`.
 
+    Each zone with engines has a placer of its own, so that a zone that is cut off goes on bringing
+    adapters. An adapter that stands nowhere is brought by the zone that a hash gives it, weighted
+    by engines; by the next one if there is no room, or its placer is out of reach.
+
     Args:
         settings: What placement takes from the settings.
-        store: The store with the placer's row.
+        store: The store with the placers' rows.
         configuration: Returns the configuration in force.
         directory: The known replicas.
         versions: The newest versions of adapters.
@@ -89,73 +53,46 @@
         metrics: ForwardingMetrics,
     ) -> None:
         self._settings = settings
-        self._incarnation = new_id()
         self._versions = versions
+        self._directory = directory
+        self._configuration = configuration
         self._residency = Residency(directory, versions)
-        self._demand = DemandBook(has_placer=self._has_placer)
-        self._residency.on_change.append(self._demand.notify)
-        self._lease = PlacerLease(
-            store,
-            box=settings.box,
-            incarnation=self._incarnation,
-            lease_s=settings.lease_s,
-            checks_fence=settings.checks_fence,
-            log=log_of("lease"),
-        )
-        self._lease.announce(settings.address)
-        self._placer = Placer(
+        self._residency.on_change.append(self._notify)
+        self._around = Surroundings(
+            incarnation=new_id(),
+            store=store,
             configuration=configuration,
             directory=directory,
             versions=versions,
+            residency=self._residency,
             control=control,
-            lease=self._lease,
-            box=settings.box,
-            ceiling_ratio=settings.ceiling_ratio,
-            ceiling_burst=settings.ceiling_burst,
-            tell=self._tell,
-            log=log_of("placer"),
+            log_of=log_of,
             metrics=metrics,
         )
-        self._server = PlacerServer(
+        self._zones: dict[str, ZonePlacement] = {}
+        self._server = LinkServer(
             settings.address,
-            incarnation=self._incarnation,
-            accepts=lambda: self._lease.holds,
-            on_demand=self._placer.take_demand,
-            on_lost=self._placer.forget_box,
-            heartbeat=self._lease.heartbeat,
-            standing=self._placer.standing,
+            incarnation=self._around.incarnation,
+            links_of=self._links_of,
             log=log_of("link"),
         )
-        self._client = PlacerClient(
-            settings.box,
-            demand=self._demand.snapshot,
-            demand_changed=self._demand.changed,
-            on_message=self._take,
-            on_lost=self._placer_lost,
-            log=log_of("link"),
-        )
-        self._tasks: list[gevent.Greenlet[..., Any]] = []
         self._stopping = False
 
     def start(self) -> None:
-        """Begin to take part."""
+        """Begin to take part in the zones that have engines, now and later."""
         self._server.start()
-        self._tasks.append(gevent.spawn(self._elect_forever))
-        self._tasks.append(gevent.spawn(self._feed_own_demand))
+        self._directory.on_change.append(self._replica_changed)
 
     def hand_over(self) -> None:
-        """Let another box become the placer, as this one is about to stop."""
+        """Let other boxes become placers, as this one is about to stop."""
         self._stopping = True
-        if self._placer.active:
-            self._placer.stop()
-            self._lease.give_up()
-            self._server.close_links()
+        for zone in self._zones.values():
+            zone.hand_over()
 
     def stop(self) -> None:
         """End all tasks and links."""
-        for task in self._tasks:
-            task.kill()
-        self._client.close()
+        for zone in self._zones.values():
+            zone.stop()
         self._server.stop()
 
     # What forwarding asks.
@@ -174,83 +111,73 @@
 
     def note_hit(self, key: AdapterKey) -> None:
         """Count a request for an adapter."""
-        self._demand.note_hit(key)
+        self._zone_for(key).demand.note_hit(key)
 
     def using(self, instance: str, key: AdapterKey) -> AbstractContextManager[None]:
         """Count a request as running with an adapter at a replica."""
-        return self._demand.using(instance, key)
+        replica = self._directory.find(instance)
+        zone = self._settings.zone if replica is None else replica.record.zone
+        return self._zone(zone).demand.using(instance, key)
 
     def wait_for(self, key: AdapterKey, terms: WaitTerms, *, there: Callable[[], bool]) -> None:
         """Wait until an adapter can be used."""
-        self._demand.wait_for(key, terms, there=there)
-
-    # The placer's word.
-
-    def _has_placer(self) -> bool:
-        return self._client.linked or self._placer.active
-
-    def _tell(self, message: Message) -> None:
-        self._server.tell_all(message)
-        self._take(message)
-
-    def _take(self, message: Message) -> None:
-        match message:
-            case Residents(instance=instance, adapters=adapters):
-                self._residency.note_told(instance, adapters)
-            case Forecast(model=model, adapter=adapter, ready_in_ms=ready_in_ms):
-                self._demand.note_forecast(AdapterKey(model, adapter), ready_in_ms / 1000)
-            case Heartbeat(row_version=row_version, lease_left_ms=lease_left_ms):
-                self._lease.note_heartbeat(row_version, lease_left_ms / 1000)
-
-    def _placer_lost(self) -> None:
-        self._residency.forget_told()
-        self._demand.forget_forecasts()
-
-    def _feed_own_demand(self) -> None:
-        while True:
-            self._demand.changed.wait()
-            if self._placer.active:
-                self._demand.changed.clear()
-                self._placer.take_demand(self._settings.box, self._demand.snapshot())
-            gevent.sleep(_DEMAND_PAUSE_S)
-
-    # The election.
-
-    def _elect_forever(self) -> None:
-        gevent.sleep(random.uniform(0.0, _LOOK_S))
-        while not self._stopping:
-            if self._lease.held:
-                self._hold()
-            elif self._client.linked:
-                self._client.lost.wait()
-            else:
-                self._find_placer()
-
-    def _hold(self) -> None:
-        """Renew the lease until it is lost."""
-        self._placer.start()
-        renew_every_s = self._settings.lease_s / _RENEWALS_PER_LEASE
-        renewed_at = monotonic()
-        while self._lease.held and not self._stopping:
-            self._server.tell_all(self._lease.heartbeat())
-            gevent.sleep(_HEARTBEAT_S)
-            if self._lease.held and monotonic() - renewed_at >= renew_every_s:
-                renewed_at = monotonic()
-                self._lease.renew()
-        if not self._stopping:
-            self._placer.stop()
-            self._server.close_links()
-            self._placer_lost()
-
-    def _find_placer(self) -> None:
-        standing = self._lease.look()
-        if standing is not None and self._is_other(standing) and self._link_to(standing):
-            return
-        if not self._stopping and not self._lease.challenge(standing):
-            gevent.sleep(random.uniform(_LOOK_S / 2, _LOOK_S))
-
-    def _link_to(self, standing: PlacerRow) -> bool:
-        return self._client.link(standing.address, incarnation=standing.incarnation)
-
-    def _is_other(self, standing: PlacerRow) -> bool:
-        return bool(standing.incarnation) and standing.incarnation != self._incarnation
+        # Where it stands already it did not serve this request, so another zone is better.
+        zone = self._zone_for(key, without=self._zones_holding(key))
+        zone.demand.wait_for(key, terms, there=there)
+
+    # Zones.
+
+    def _zone_for(self, key: AdapterKey, *, without: Collection[str] = ()) -> ZonePlacement:
+        """Return the zone whose placer is to bring an adapter."""
+        engines = self._engines_by_zone()
+        reachable = [zone for zone in engines if self._zone(zone).reachable]
+        if not reachable:
+            return self._zone(self._settings.zone)
+        reachable = [zone for zone in reachable if zone not in without] or reachable
+        with_room = [zone for zone in reachable if self._zone(zone).room > 0]
+        best = max(with_room or reachable, key=lambda zone: _preference(key, zone, engines[zone]))
+        return self._zone(best)
+
+    def _zones_holding(self, key: AdapterKey) -> set[str]:
+        return {
+            replica.record.zone
+            for service in self._configuration().engine_services
+            for replica in self._directory.of_service(service)
+            if self._residency.holds(replica, key)
+        }
+
+    def _engines_by_zone(self) -> dict[str, int]:
+        engines: dict[str, int] = {}
+        for service in self._configuration().engine_services:
+            for replica in self._directory.of_service(service):
+                if not replica.record.leaving:
+                    zone = replica.record.zone
+                    engines[zone] = engines.get(zone, 0) + 1
+        return engines
+
+    def _zone(self, name: str) -> ZonePlacement:
+        zone = self._zones.get(name)
+        if zone is None:
+            zone = ZonePlacement(name, self._settings, self._around)
+            self._zones[name] = zone
+            if not self._stopping:
+                zone.start()
+        return zone
+
+    def _links_of(self, name: str) -> BoxLinks | None:
+        zone = self._zones.get(name)
+        return zone.links if zone is not None and zone.placing else None
+
+    def _replica_changed(self, record: ReplicaRecord | None, instance: str) -> None:
+        if record is not None and record.models:
+            self._zone(record.zone)
+
+    def _notify(self, key: AdapterKey) -> None:
+        for zone in self._zones.values():
+            zone.demand.notify(key)
+
+
+def _preference(key: AdapterKey, zone: str, engines: int) -> float:
+    """Return a weighted rendezvous score, equal on every box."""
+    drawn = (rendezvous_score(str(key), zone) + 1) / (_SCORE_RANGE + 1)
+    return -engines / math.log(drawn)
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -1,4 +1,4 @@
-"""The placer: hears what all boxes want, plans loads, has them ordered, tells what stands where."""
+"""The placer of a zone: hears what boxes want, plans loads, has them ordered, tells of them."""
 
 from __future__ import annotations
 
@@ -31,9 +31,10 @@
 
 
 class Placer:
-    """Places adapters while this box holds the lease.
+    """Places adapters on the engines of a zone while this box holds its lease.
 
     Args:
+        zone: The availability zone.
         configuration: Returns the configuration in force.
         directory: The known replicas.
         versions: The newest versions of adapters.
@@ -49,6 +50,7 @@
 
     def __init__(
         self,
+        zone: str,
         *,
         configuration: Callable[[], Configuration],
         directory: Directory,
@@ -62,6 +64,7 @@
         log: Log,
         metrics: ForwardingMetrics,
     ) -> None:
+        self._zone = zone
         self._configuration = configuration
         self._directory = directory
         self._versions = versions
@@ -91,15 +94,14 @@
 
     def start(self) -> None:
         """Begin to place, under the lease just taken."""
-        self._metrics.placer.set(1)
         self._task = gevent.spawn(self._plan_forever)
         for service in self._configuration().engine_services:
             for replica in self._directory.of_service(service):
-                self._keep(replica)
+                if replica.record.zone == self._zone:
+                    self._keep(replica)
 
     def stop(self) -> None:
         """Stop at once."""
-        self._metrics.placer.set(0)
         if self._task is not None:
             self._task.kill()
             self._task = None
@@ -130,10 +132,20 @@
             if keeper.book.sequence is not None
         ]
 
+    def room(self) -> int:
+        """Return how many more adapters the engines could take now."""
+        used = self._used()
+        now = monotonic()
+        return sum(
+            self._planner.room(keeper.book, used=used, now=now)
+            for keeper in self._keepers.values()
+            if keeper.book.reachable and not keeper.book.record.leaving
+        )
+
     # Engines.
 
     def _replica_changed(self, record: ReplicaRecord | None, instance: str) -> None:
-        if not self.active:
+        if not self.active or (record is not None and record.zone != self._zone):
             return
         if record is None:
             keeper = self._keepers.pop(instance, None)
@@ -227,10 +239,19 @@
     def _budget(self, service: str, loads_per_s: float) -> LoadBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = LoadBudget(per_s=loads_per_s * self._ceiling_ratio, burst=self._ceiling_burst)
+            share = self._share_of(service)
+            budget = LoadBudget(
+                per_s=loads_per_s * self._ceiling_ratio * share,
+                burst=max(1.0, self._ceiling_burst * share),
+            )
             self._budgets[service] = budget
         return budget
 
+    def _share_of(self, service: str) -> float:
+        """Return this zone's share of the engines, and so of the loads of models."""
+        zones = [replica.record.zone for replica in self._directory.of_service(service)]
+        return max(1, zones.count(self._zone)) / max(1, len(zones))
+
     def _combined_wants(self) -> list[CombinedWant]:
         now = monotonic()
         combined: dict[AdapterKey, CombinedWant] = {}
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -19,8 +19,8 @@
 _PLACE_S = 0.15
 """Until one more place is given up, about, while all are taken."""
 
-_COMING_AT_ONCE = 10
-"""How many adapters may be on their way to all engines of a service."""
+_COMING_AT_ONCE = 6
+"""How many adapters may be on their way to the engines of a service in one zone."""
 
 _COMING_TO_ONE = 4
 """How many may be on their way to one engine: the platform's bound."""
@@ -142,11 +142,23 @@
             plan.ready_in_s[want.key] = expected_s
         return plan
 
+    def room(
+        self, engine: EngineBook, *, used: Collection[tuple[str, AdapterKey]], now: float
+    ) -> int:
+        """Return how many more adapters an engine could take now."""
+        return engine.free - _not_yet_placed(engine) + len(self._victims(engine, used, now))
+
     def victim(
         self, engine: EngineBook, *, used: Collection[tuple[str, AdapterKey]], now: float
     ) -> AdapterKey | None:
         """Return the adapter that may best give up its place, or None."""
-        candidates = [
+        candidates = self._victims(engine, used, now)
+        return min(candidates, key=lambda key: self._keep_value(engine, key), default=None)
+
+    def _victims(
+        self, engine: EngineBook, used: Collection[tuple[str, AdapterKey]], now: float
+    ) -> list[AdapterKey]:
+        return [
             key
             for key, place in engine.places.items()
             if place.state is PlaceState.READY
@@ -155,7 +167,6 @@
             and (key not in self._wanted or engine.is_outdated(key, version=self._version(key)))
             and now - place.since >= _GRACE_S
         ]
-        return min(candidates, key=lambda key: self._keep_value(engine, key), default=None)
 
     def _version(self, key: AdapterKey) -> int:
         return self._newest(key)
--- a/springrock/placement/residency.py
+++ b/springrock/placement/residency.py
@@ -78,9 +78,12 @@
                 self._denied.pop((instance, held.key), None)
                 self._notify(held.key)
 
-    def forget_told(self) -> None:
-        """Lose the placer: go by what replicas write of themselves."""
-        self._told.clear()
+    def forget_told(self, zone: str) -> None:
+        """Lose the placer of a zone: go by what its replicas write of themselves."""
+        for instance in list(self._told):
+            replica = self._directory.find(instance)
+            if replica is None or replica.record.zone == zone:
+                del self._told[instance]
 
     def _adapters_of(self, replica: Replica) -> Iterable[HeldAdapter]:
         told = self._told.get(replica.instance)
--- /dev/null
+++ b/springrock/placement/zone.py
@@ -0,0 +1,265 @@
+"""Placement on the engines of one zone, as one box sees it: linked to its placer, or being it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import gevent
+
+from springrock.clock import monotonic
+from springrock.forwarding.configuration import Configuration
+from springrock.forwarding.directory import Directory
+from springrock.forwarding.message import AdapterKey
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+from springrock.placement.control import EngineControl
+from springrock.placement.demand import DemandBook
+from springrock.placement.lease import PlacerLease, PlacerRow
+from springrock.placement.link_client import PlacerClient
+from springrock.placement.link_server import BoxLinks
+from springrock.placement.messages import Demand, Forecast, Heartbeat, Message, Residents
+from springrock.placement.placer import Placer
+from springrock.placement.residency import Residency, Versions
+from springrock.rows import RowStore
+
+_HEARTBEAT_S = 0.4
+_LOOK_S = 0.3
+_RENEWALS_PER_LEASE = 3
+_DEMAND_PAUSE_S = 0.02
+_COURTESY_S = 1.5
+"""How much longer a lapsed lease is left to the boxes of the zone itself."""
+
+
+class PlacementSettings(NamedTuple):
+    """What placement takes from the settings.
+
+    Attributes:
+        box: The name of this box.
+        zone: Its availability zone.
+        address: Where the links of other boxes are served.
+        lease_s: How long a placer's lease lasts.
+        checks_fence: Whether engines refuse an older fence.
+        ceiling_ratio: How far loads of models may exceed the stated rate.
+        ceiling_burst: Loads of models that may be saved up.
+    """
+
+    box: str
+    zone: str
+    address: str
+    lease_s: float
+    checks_fence: bool
+    ceiling_ratio: float
+    ceiling_burst: float
+
+
+class Surroundings(NamedTuple):
+    """What the zones of one box share.
+
+    Attributes:
+        incarnation: This process.
+        store: The store with the placers' rows.
+        configuration: Returns the configuration in force.
+        directory: The known replicas.
+        versions: The newest versions of adapters.
+        residency: What stands where.
+        control: Speaks to engines.
+        log_of: Returns the log of a part.
+        metrics: The metrics to count in.
+    """
+
+    incarnation: str
+    store: RowStore
+    configuration: Callable[[], Configuration]
+    directory: Directory
+    versions: Versions
+    residency: Residency
+    control: EngineControl
+    log_of: Callable[[str], Log]
+    metrics: ForwardingMetrics
+
+
+class ZonePlacement:
+    """Joins the election of a zone's placer, links to it, or is it.
+
+    Args:
+        zone: The availability zone.
+        settings: What placement takes from the settings.
+        around: What the zones of this box share.
+
+    Attributes:
+        demand: What this box wants and uses of the zone's engines.
+        links: The boxes linked to this one as the zone's placer.
+        room: How many more adapters the engines could take when the placer last told.
+    """
+
+    def __init__(self, zone: str, settings: PlacementSettings, around: Surroundings) -> None:
+        self._zone = zone
+        self._settings = settings
+        self._residency = around.residency
+        self._incarnation = around.incarnation
+        self._metrics = around.metrics
+        self.demand = DemandBook(has_placer=lambda: self.reachable)
+        self.room = 0
+        self._lease = PlacerLease(
+            around.store,
+            zone=zone,
+            box=settings.box,
+            incarnation=around.incarnation,
+            lease_s=settings.lease_s,
+            checks_fence=settings.checks_fence,
+            log=around.log_of("lease"),
+        )
+        self._lease.announce(settings.address)
+        self._placer = Placer(
+            zone,
+            configuration=around.configuration,
+            directory=around.directory,
+            versions=around.versions,
+            control=around.control,
+            lease=self._lease,
+            box=settings.box,
+            ceiling_ratio=settings.ceiling_ratio,
+            ceiling_burst=settings.ceiling_burst,
+            tell=self._tell,
+            log=around.log_of("placer"),
+            metrics=around.metrics,
+        )
+        self.links = BoxLinks(self, log=around.log_of("link"))
+        self._client = PlacerClient(
+            settings.box,
+            zone=zone,
+            demand=self.demand.snapshot,
+            demand_changed=self.demand.changed,
+            on_message=self._take,
+            on_lost=self._placer_lost,
+            log=around.log_of("link"),
+        )
+        self._tasks: list[gevent.Greenlet[..., Any]] = []
+        self._stopping = False
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._tasks.append(gevent.spawn(self._elect_forever))
+        self._tasks.append(gevent.spawn(self._feed_own_demand))
+
+    def hand_over(self) -> None:
+        """Let another box become the placer, as this one is about to stop."""
+        self._stopping = True
+        if self._placer.active:
+            self._stop_placing()
+            self._lease.give_up()
+
+    def stop(self) -> None:
+        """End all tasks and links."""
+        for task in self._tasks:
+            task.kill()
+        self._placer.stop()
+        self._client.close()
+        self.links.close_all()
+
+    @property
+    def reachable(self) -> bool:
+        """Whether a placer hears what this box wants."""
+        return self._client.linked or self._placer.active
+
+    @property
+    def placing(self) -> bool:
+        """Whether this box is the placer now."""
+        return self._placer.active and self._lease.holds
+
+    # What linked boxes send.
+
+    def first_messages(self) -> list[Message]:
+        """Return what a newly linked box is told."""
+        return [self._heartbeat(), *self._placer.standing()]
+
+    def take_demand(self, box: str, demand: Demand) -> None:
+        """Take all that a box now wants and uses."""
+        self._placer.take_demand(box, demand)
+
+    def forget_box(self, box: str) -> None:
+        """Drop what a box wanted and used."""
+        self._placer.forget_box(box)
+
+    # The placer's word.
+
+    def _heartbeat(self) -> Heartbeat:
+        return self._lease.heartbeat(room=self._placer.room())
+
+    def _tell(self, message: Message) -> None:
+        self.links.tell_all(message)
+        self._take(message)
+
+    def _take(self, message: Message) -> None:
+        match message:
+            case Residents(instance=instance, adapters=adapters):
+                self._residency.note_told(instance, adapters)
+            case Forecast(model=model, adapter=adapter, ready_in_ms=ready_in_ms):
+                self.demand.note_forecast(AdapterKey(model, adapter), ready_in_ms / 1000)
+            case Heartbeat(row_version=row_version, lease_left_ms=left_ms, room=room):
+                self._lease.note_heartbeat(row_version, left_ms / 1000)
+                self.room = room
+
+    def _placer_lost(self) -> None:
+        self._residency.forget_told(self._zone)
+        self.demand.forget_forecasts()
+
+    def _feed_own_demand(self) -> None:
+        while True:
+            self.demand.changed.wait()
+            if self._placer.active:
+                self.demand.changed.clear()
+                self._placer.take_demand(self._settings.box, self.demand.snapshot())
+            gevent.sleep(_DEMAND_PAUSE_S)
+
+    # The election.
+
+    def _elect_forever(self) -> None:
+        gevent.sleep(random.uniform(0.0, _LOOK_S))
+        while not self._stopping:
+            if self._lease.held:
+                self._hold()
+            elif self._client.linked:
+                self._client.lost.wait()
+            else:
+                self._find_placer()
+
+    def _hold(self) -> None:
+        """Place under the lease, and renew it, until it is lost."""
+        self._placer.start()
+        self._metrics.placer.labels(self._zone).set(1)
+        renew_every_s = self._settings.lease_s / _RENEWALS_PER_LEASE
+        renewed_at = monotonic()
+        while self._lease.held and not self._stopping:
+            heartbeat = self._heartbeat()
+            self.room = heartbeat.room
+            self.links.tell_all(heartbeat)
+            gevent.sleep(_HEARTBEAT_S)
+            if self._lease.held and monotonic() - renewed_at >= renew_every_s:
+                renewed_at = monotonic()
+                self._lease.renew()
+        if not self._stopping:
+            self._stop_placing()
+
+    def _stop_placing(self) -> None:
+        self._placer.stop()
+        self._metrics.placer.labels(self._zone).set(0)
+        self.links.close_all()
+        self._placer_lost()
+
+    def _find_placer(self) -> None:
+        standing = self._lease.look()
+        if standing is not None and self._is_other(standing) and self._link_to(standing):
+            return
+        courtesy_s = 0.0 if self._settings.zone == self._zone else _COURTESY_S
+        if self._stopping or self._lease.challenge(standing, courtesy_s=courtesy_s):
+            return
+        gevent.sleep(random.uniform(_LOOK_S / 2, _LOOK_S))
+
+    def _link_to(self, standing: PlacerRow) -> bool:
+        return self._client.link(standing.address, incarnation=standing.incarnation)
+
+    def _is_other(self, standing: PlacerRow) -> bool:
+        return bool(standing.incarnation) and standing.incarnation != self._incarnation
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -63,6 +63,7 @@
 ) -> PlacerLease:
     lease = PlacerLease(
         store,
+        zone="zone-1",
         box=box,
         incarnation=incarnation or f"{box}-1",
         lease_s=LEASE_S,
@@ -187,3 +188,16 @@
     assert after.challenge(after.look())
     assert after.fence == before.fence + 1
     assert not before.renew()
+
+
+def test_a_box_of_another_zone_leaves_a_lapsed_lease_to_the_zone_for_a_while(clock: Clock) -> None:
+    store = Store()
+    near, far = make_lease(store, "near"), make_lease(store, "far")
+    far.look()
+    assert not far.challenge(far.look(), courtesy_s=1.5)
+    assert near.challenge(near.look())
+    far.look()
+    clock.now += LEASE_S + 0.4
+    assert not far.challenge(far.look(), courtesy_s=1.5)
+    clock.now += 1.5
+    assert far.challenge(far.look(), courtesy_s=1.5)
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -232,10 +232,16 @@
         lines = [line for line in text.splitlines() if line.startswith(f"{name} ")]
         return float(lines[0].split()[1]) if lines else 0.0
 
-    def placers(self) -> list[str]:
-        """The running boxes that give orders now."""
+    def placers(self) -> dict[str, str]:
+        """The running boxes that give orders now, by the zone of the engines."""
         running = [box for box in self.clients if self.processes[box].poll() is None]
-        return [box for box in running if self.metric(box, "springrock_placement_placer") == 1.0]
+        name = "springrock_placement_placer"
+        return {
+            zone: box
+            for box in running
+            for zone in ZONES
+            if self.metric(box, f'{name}{{zone="{zone}"}}') == 1.0
+        }
 
     def log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -168,14 +168,16 @@
 
 
 def test_the_placer_is_followed_by_another_box(deployment: Deployment) -> None:
-    (placer,) = wait_until(deployment.placers, what="a box gives orders")
-    other = next(box for box in deployment.clients if box != placer)
-    deployment.processes[placer].kill()
-    deployment.processes[placer].wait()
-    wait_until(lambda: deployment.placers() == [other], what="the other box gives orders")
-    answer = deployment.served(other, "/items/x", adapter="a77")
-    assert answer.event_ids == [1, 2, 3, 4, 5]
-    deployment.start_box(placer, "zone-1")
+    own = {"zone-1": "box-1", "zone-2": "box-2"}
+    wait_until(lambda: deployment.placers() == own, what="each box places its own zone")
+    deployment.processes["box-1"].kill()
+    deployment.processes["box-1"].wait()
+    both = {"zone-1": "box-2", "zone-2": "box-2"}
+    wait_until(lambda: deployment.placers() == both, what="the other box places both zones")
+    for number in range(70, 78):
+        answer = deployment.served("box-2", "/items/x", adapter=f"a{number}")
+        assert answer.event_ids == [1, 2, 3, 4, 5]
+    deployment.start_box("box-1", "zone-1")
     deployment.wait_ready()
 
 
