--- a/springrock/entry_process.py
+++ b/springrock/entry_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import os
 import signal
 import sys
@@ -28,6 +29,7 @@
     Raises:
         SettingsError: If the settings cannot be used.
     """
+    faulthandler.enable()
     path = settings_path or os.environ.get(SETTINGS_VARIABLE, "")
     settings = read(path, EntrySettings)
     lines = BoundedLines(sys.stdout.fileno())
