Let websockets wait on its socket, not in a selector that gevent keeps armed

Ruled out: the watch of callers, raw closes of the HTTP server (a frozen box under SIGSTOP lives on; a silent peer and a blocked writer do not bring it about). Change: springrock/gevent_websockets.py puts a wait on the socket itself in place, which gevent ends when the socket is closed; for the peers' links of springrock serve as well.

--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -18,6 +18,7 @@
 from websockets.sync.client import ClientConnection, connect
 from websockets.sync.server import Server, ServerConnection, serve
 
+from springrock import gevent_websockets as _  # noqa: F401
 from springrock.coordination.link import SOCKET_FAILURES, Link
 from springrock.coordination.members import Member, Members
 from springrock.errors import PeerRejected, PeerUnreachable
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -9,6 +9,7 @@
 from gevent.socket import create_connection
 from websockets.sync.client import ClientConnection, connect
 
+from springrock import gevent_websockets as _  # noqa: F401
 from springrock.log import Log
 from springrock.placement.link_server import CLOSE_S, FRAME_LIMIT_BYTES, LINK_FAILURES
 from springrock.placement.messages import Demand, Hello, Message, decode, encode
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -11,6 +11,7 @@
 from websockets.exceptions import WebSocketException
 from websockets.sync.server import Server, ServerConnection, serve
 
+from springrock import gevent_websockets as _  # noqa: F401
 from springrock.errors import PeerRejected
 from springrock.log import Log
 from springrock.placement.messages import (
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -235,13 +235,11 @@
     def placers(self) -> dict[str, str]:
         """The running boxes that give orders now, by the zone of the engines."""
         running = [box for box in self.clients if self.processes[box].poll() is None]
-        name = "springrock_placement_placer"
-        return {
-            zone: box
-            for box in running
-            for zone in ZONES
-            if self.metric(box, f'{name}{{zone="{zone}"}}') == 1.0
-        }
+        return {zone: box for box in running for zone in ZONES if self.placer_of(zone, at=box)}
+
+    def placer_of(self, zone: str, *, at: str) -> bool:
+        """Whether a box gives orders to the engines of a zone now."""
+        return self.metric(at, f'springrock_placement_placer{{zone="{zone}"}}') == 1.0
 
     def log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -205,3 +205,18 @@
     deployment.processes["box-1"].send_signal(signal.SIGHUP)
     wait_until(lambda: "Kept the old settings" in deployment.log("box-1"), what="it is refused")
     assert deployment.send("box-1", "/lookup/x", method="GET").status == 200
+
+
+def test_a_placer_that_stood_still_wakes_and_goes_on(deployment: Deployment) -> None:
+    own = {"zone-1": "box-1", "zone-2": "box-2"}
+    wait_until(lambda: deployment.placers() == own, what="each box places its own zone")
+    process = deployment.processes["box-1"]
+    process.send_signal(signal.SIGSTOP)
+    other = wait_until(lambda: deployment.placer_of("zone-1", at="box-2"), what="box-2 places")
+    assert other
+    process.send_signal(signal.SIGCONT)
+    for number in range(80, 86):
+        answer = deployment.served("box-1", "/items/x", adapter=f"a{number}")
+        assert answer.event_ids == [1, 2, 3, 4, 5]
+    assert process.poll() is None
+    assert deployment.violations() == {}
