Tell the clients of the first platform from the users' platform; drop what nothing calls

springrock/platforms became springrock/platform_clients: it holds clients for springrock serve, while springrock/platform is the dialect of the users' platform. Gone: the setting peers.answer_timeout_s, which nothing read, and EngineDriver.state, which nothing called. The test of negative settings uses platform.request_timeout_s in its place.

--- a/examples/embed_claims.py
+++ b/examples/embed_claims.py
@@ -12,7 +12,7 @@
 from springrock.emulator.platform import PlatformStandin
 from springrock.emulator.ports import free_addresses
 from springrock.emulator.settings import PlatformStandinSettings
-from springrock.platforms.http import HttpPlatform
+from springrock.platform_clients.http import HttpPlatform
 from springrock.settings import PlatformSection
 
 
--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -216,15 +216,6 @@
             raise UpstreamBroke(f"status {response.status}")
         return _decode(response, wire.LoadedAdapters)
 
-    def state(self) -> wire.EngineState:
-        """Return the engine's lagging report of its load.
-
-        Raises:
-            UpstreamUnreachable, UpstreamBroke: If there is no usable answer.
-        """
-        response = self._send("GET", wire.STATE_PATH, timeout=_REPORT_TIMEOUT_S)
-        return _decode(response, wire.EngineState)
-
     def _send(
         self,
         method: str,
--- a/springrock/kernel.py
+++ b/springrock/kernel.py
@@ -14,7 +14,7 @@
 PLUGIN_PACKAGES = (
     "springrock.doors",
     "springrock.drivers",
-    "springrock.platforms",
+    "springrock.platform_clients",
     "springrock.policies",
     "springrock.statements",
 )
--- a/springrock/settings.py
+++ b/springrock/settings.py
@@ -86,7 +86,6 @@
     address: str
     shared_key: str
     frame_limit_bytes: int = 1_048_576
-    answer_timeout_s: float = 3.0
     remote_zone_links: int = 4
     reached_at: dict[str, str] = field(default_factory=dict)
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -23,7 +23,7 @@
 from springrock.emulator.ports import free_addresses
 from springrock.errors import PlatformUnavailable
 from springrock.ids import rendezvous_order
-from springrock.platforms.http import HttpPlatform
+from springrock.platform_clients.http import HttpPlatform
 from springrock.settings import PlatformSection
 from springrock.wire.operator import StatementAnswer, StatementRequest
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,7 +46,7 @@
     ("section", "key", "value", "expected"),
     [
         ("lease", "lapse_after_s", 4.0, "over twice renew_every_s"),
-        ("peers", "answer_timeout_s", -1, "must not be negative"),
+        ("platform", "request_timeout_s", -1, "must not be negative"),
         ("caller_door", "address", "localhost", "HOST:PORT"),
         ("caller_door", "address", "localhost:99999", "HOST:PORT"),
     ],
