Order no unload that would have to wait for runs; look less often after a conflict

An unload of an older version that requests still used was taken and waited for them, and an engine carries out one order at a time. Change: an older version is ordered away once no request uses it; another engine is preferred meanwhile.

--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -14,7 +14,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.control import EngineState
 
-_LATELY_KEPT = 24
+_LATELY_KEPT = 30
 """How many adapters an engine is taken to keep at hand beside those in its places."""
 
 
--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -32,6 +32,7 @@
 _REPORT_EVERY_S = 0.25
 _CONFIRM_AGAIN_S = 0.04
 
+_CONFLICT_PAUSE_S = 0.1
 _UNREACHABLE_PAUSE_S = 0.4
 _AUDIT_S = 5.0
 """How often an engine is asked while nothing is on its way."""
@@ -178,8 +179,13 @@
             return False
         if not book.models:
             return self._load_model()
+        # An unload that has to wait for runs keeps the engine from any other order.
+        used = self._used()
         outdated = self._first_assigned(
-            lambda key: book.is_outdated(key, version=self._newest(key))
+            lambda key: (
+                book.is_outdated(key, version=self._newest(key))
+                and (book.instance, key) not in used
+            )
         )
         if outdated is not None:
             return self._order(OrderKind.UNLOAD, outdated)
@@ -188,7 +194,7 @@
             return False
         if book.free > 0:
             return self._order(OrderKind.LOAD, key)
-        victim = self._planner.victim(book, used=self._used(), now=monotonic())
+        victim = self._planner.victim(book, used=used, now=monotonic())
         if victim is None:
             return False
         return self._order(OrderKind.UNLOAD, victim)
@@ -249,7 +255,7 @@
             self._lease.lose(reason="an engine saw a newer fence")
         elif answer in (OrderAnswer.REFUSED, OrderAnswer.CHANGED):
             book.assigned.pop(order.key, None)
-        gevent.sleep(_LOOK_S)
+        gevent.sleep(_CONFLICT_PAUSE_S)
 
     def _note_taken(self, order: Order, answer: OrderAnswer) -> None:
         book = self.book
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -235,7 +235,7 @@
             engine
             for engine in engines
             if key.model in engine.models
-            and (key not in engine.places or engine.is_outdated(key, version=self._version(key)))
+            and (key not in engine.places or self._replaceable(engine, key, used))
             and _not_yet_placed(engine) + engine.coming < _COMING_TO_ONE
         ]
         best = min(candidates, key=_cost, default=None)
@@ -243,6 +243,13 @@
             return None
         return best
 
+    def _replaceable(
+        self, engine: EngineBook, key: AdapterKey, used: Collection[tuple[str, AdapterKey]]
+    ) -> bool:
+        """Whether an older version of an adapter can give up its place at once."""
+        outdated = engine.is_outdated(key, version=self._version(key))
+        return outdated and (engine.instance, key) not in used
+
     def _outweighs(self, want: CombinedWant, victim: AdapterKey) -> bool:
         """Whether a load may push out an adapter: if it is waited for, or far more popular."""
         if want.waiting or want.promised:
--- a/tests/placement/test_keeper.py
+++ b/tests/placement/test_keeper.py
@@ -99,7 +99,14 @@
         self.adapters.add(name)
 
 
-def make_keeper(engine: Engine, lease: Lease, told: list[set[str]], *, newest: int = 0) -> Keeper:
+def make_keeper(
+    engine: Engine,
+    lease: Lease,
+    told: list[set[str]],
+    *,
+    newest: int = 0,
+    used: set[tuple[str, AdapterKey]] | None = None,
+) -> Keeper:
     record = ReplicaRecord(
         instance="i-1",
         service="s",
@@ -112,7 +119,7 @@
         control=engine,
         lease=lease,  # type: ignore[arg-type]
         planner=Planner(Popularity(), lambda key: newest),
-        used=set,
+        used=lambda: set(used or ()),
         newest=lambda key: newest,
         wanted_model=lambda: "m",
         holder="box",
@@ -210,3 +217,19 @@
     ]
     assert engine.orders[1].version == 2
     keeper.stop()
+
+
+def test_an_older_version_in_use_is_not_ordered_away() -> None:
+    engine, told = Engine(), []
+    engine.adapters = {"a", "b"}
+    used = {("i-1", key("a"))}
+    keeper = make_keeper(engine, Lease(), told, newest=2, used=used)
+    keeper.start()
+    assign(keeper, "a")
+    gevent.sleep(0.3)
+    assert engine.orders == []
+    used.clear()
+    keeper.wake()
+    wait_for(lambda: len(engine.orders) >= 2, "two orders are given")
+    assert engine.orders[0].kind is OrderKind.UNLOAD
+    keeper.stop()
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -119,7 +119,7 @@
     engines = [make_engine("i-1", "a", "x"), make_engine("i-2", "a", "y")]
     planner = make_planner(a=2)
     plan = planner.plan([want("a")], engines, used={("i-1", key("a")): 1}, now=monotonic())
-    assert [item.key for item in plan.assignments] == [key("a")]
+    assert [(item.key, item.engine.instance) for item in plan.assignments] == [(key("a"), "i-2")]
 
 
 def test_a_want_is_brought_to_the_engine_with_the_least_to_do() -> None:
