Revert the weighing of engines by unread prompts

Tried: a request counted 0.12 s of wait at its engine until its first event and 0.01 s after, a load from the weight store 0.5 s, in place of 0.12 for each running request and 10 for the store. Expected: fewer late answers where one engine reads many prompts.

--- a/springrock/forwarding/adapters.py
+++ b/springrock/forwarding/adapters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from typing import NamedTuple, Protocol
 
 from springrock.forwarding.directory import Replica
@@ -26,19 +27,6 @@
     returns_within_s: float
 
 
-class AdapterUse(Protocol):
-    """One request that is at a replica with an adapter."""
-
-    def begin(self) -> None:
-        """Note that it was sent; its prompt is still to be read."""
-
-    def start_answering(self) -> None:
-        """Note that its first event came."""
-
-    def end(self) -> None:
-        """Note that it is over; safe to call again."""
-
-
 class Adapters(Protocol):
     """Tells where adapters stand, and waits for one to be brought."""
 
@@ -54,8 +42,8 @@
     def note_hit(self, key: AdapterKey) -> None:
         """Count a request for an adapter."""
 
-    def use(self, instance: str, key: AdapterKey) -> AdapterUse:
-        """Return the use of an adapter at a replica by one request."""
+    def using(self, instance: str, key: AdapterKey) -> AbstractContextManager[None]:
+        """Count a request as running with an adapter at a replica."""
 
     def wait_for(self, key: AdapterKey, terms: WaitTerms, *, there: Callable[[], bool]) -> None:
         """Wait until an adapter can be used.
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractContextManager, nullcontext
+
 from springrock.clock import monotonic
-from springrock.forwarding.adapters import Adapters, AdapterUse
+from springrock.forwarding.adapters import Adapters
 from springrock.forwarding.dialect import Dialect, SendTerms
 from springrock.forwarding.directory import Replica
 from springrock.forwarding.errors import (
@@ -53,10 +55,10 @@
         """Note that an attempt occupies its replica no longer."""
         replica.running -= 1
 
-    def use(self, journey: Journey, replica: Replica) -> AdapterUse | None:
-        """Return the use of the request's adapter at a replica, if it asks for one."""
+    def using(self, journey: Journey, replica: Replica) -> AbstractContextManager[None]:
+        """Count the request as running with its adapter at a replica."""
         key = journey.request.adapter_key
-        return None if key is None else self._adapters.use(replica.instance, key)
+        return nullcontext() if key is None else self._adapters.using(replica.instance, key)
 
     def send(
         self, journey: Journey, replica: Replica, *, head_within_s: float, after_event: str = ""
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -37,10 +37,9 @@
         self._replica = replica
         self._splitter = EventSplitter()
         self._first = b""
-        self._use = sender.use(journey, replica)
+        self._use = sender.using(journey, replica)
         self._attempt = sender.begin(journey, replica)
-        if self._use is not None:
-            self._use.begin()
+        self._use.__enter__()
         self._closed = False
         self._answer: Answer | None = None
 
@@ -60,8 +59,6 @@
         except BaseException:
             self.close()
             raise
-        if self._use is not None:
-            self._use.start_answering()
         self._sender.note_answer(self._replica, self._attempt, answer.head.status)
         return answer.head
 
@@ -78,8 +75,7 @@
             return
         self._closed = True
         self._sender.end(self._replica)
-        if self._use is not None:
-            self._use.end()
+        self._use.__exit__(None, None, None)
         if self._answer is not None:
             self._answer.close()
 
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from gevent.event import Event
 
@@ -42,36 +43,6 @@
         self.news = Event()
 
 
-class _Use:
-    """Implements `springrock.forwarding.adapters.AdapterUse`."""
-
-    def __init__(self, book: DemandBook, instance: str, key: AdapterKey) -> None:
-        self._book = book
-        self._use = (instance, key)
-        self._at_replica = 0
-        self._unread = 0
-
-    def begin(self) -> None:
-        """Note that it was sent; its prompt is still to be read."""
-        self._count(at_replica=1, unread=1)
-
-    def start_answering(self) -> None:
-        """Note that its first event came."""
-        self._count(at_replica=self._at_replica, unread=0)
-
-    def end(self) -> None:
-        """Note that it is over; safe to call again."""
-        self._count(at_replica=0, unread=0)
-
-    def _count(self, *, at_replica: int, unread: int) -> None:
-        if (at_replica, unread) == (self._at_replica, self._unread):
-            return
-        self._book.count_use(
-            self._use, at_replica=at_replica - self._at_replica, unread=unread - self._unread
-        )
-        self._at_replica, self._unread = at_replica, unread
-
-
 class DemandBook:
     """The waits and uses of this box.
 
@@ -84,7 +55,6 @@
         self._waiters: set[_Waiter] = set()
         self._returning: list[_Waiter] = []
         self._uses: Counter[tuple[str, AdapterKey]] = Counter()
-        self._unread: Counter[tuple[str, AdapterKey]] = Counter()
         self._hits: Counter[AdapterKey] = Counter()
         self._forecasts: dict[AdapterKey, float] = {}
         self.changed = Event()
@@ -95,18 +65,19 @@
         """Count a request for an adapter."""
         self._hits[key] += 1
 
-    def use(self, instance: str, key: AdapterKey) -> _Use:
-        """Return the use of an adapter at a replica by one request."""
-        return _Use(self, instance, key)
-
-    def count_use(self, use: tuple[str, AdapterKey], *, at_replica: int, unread: int) -> None:
-        """Change the counts of a use by so many requests."""
-        self._uses[use] += at_replica
-        self._unread[use] += unread
-        if not self._uses[use]:
-            del self._uses[use]
-            del self._unread[use]
+    @contextmanager
+    def using(self, instance: str, key: AdapterKey) -> Iterator[None]:
+        """Count a request as running with an adapter at a replica."""
+        use = (instance, key)
+        self._uses[use] += 1
         self.changed.set()
+        try:
+            yield
+        finally:
+            self._uses[use] -= 1
+            if not self._uses[use]:
+                del self._uses[use]
+            self.changed.set()
 
     def wait_for(self, key: AdapterKey, terms: WaitTerms, *, there: Callable[[], bool]) -> None:
         """Wait until an adapter can be used.
@@ -204,7 +175,7 @@
         return Demand(
             wants=[self._want_of(key, waiters, now) for key, waiters in by_key.items()],
             uses=[
-                Use(instance, key.model, key.adapter, count, self._unread[(instance, key)])
+                Use(instance, key.model, key.adapter, count)
                 for (instance, key), count in self._uses.items()
             ],
             hits=hits,
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -44,18 +44,12 @@
 
 
 class Use(Struct, frozen=True, array_like=True):
-    """Requests of one box that are now at a replica with an adapter.
-
-    Attributes:
-        count: How many.
-        unread: How many of them wait for their first event: their prompts are still read.
-    """
+    """Requests of one box that now run with an adapter at a replica."""
 
     instance: str
     model: str
     adapter: str
     count: int
-    unread: int
 
 
 class Hits(Struct, frozen=True, array_like=True):
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -4,8 +4,9 @@
 
 import math
 from collections.abc import Callable, Collection
+from contextlib import AbstractContextManager
 
-from springrock.forwarding.adapters import AdapterUse, WaitTerms
+from springrock.forwarding.adapters import WaitTerms
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
 from springrock.forwarding.message import AdapterKey
@@ -112,11 +113,11 @@
         """Count a request for an adapter."""
         self._zone_for(key).demand.note_hit(key)
 
-    def use(self, instance: str, key: AdapterKey) -> AdapterUse:
-        """Return the use of an adapter at a replica by one request."""
+    def using(self, instance: str, key: AdapterKey) -> AbstractContextManager[None]:
+        """Count a request as running with an adapter at a replica."""
         replica = self._directory.find(instance)
         zone = self._settings.zone if replica is None else replica.record.zone
-        return self._zone(zone).demand.use(instance, key)
+        return self._zone(zone).demand.using(instance, key)
 
     def wait_for(self, key: AdapterKey, terms: WaitTerms, *, there: Callable[[], bool]) -> None:
         """Wait until an adapter can be used."""
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -26,12 +26,6 @@
 from springrock.placement.residency import Versions
 
 _PLAN_EVERY_S = 0.05
-_READ_S = 0.12
-"""What a prompt that is still to be read adds to the wait at its engine."""
-
-_RUN_S = 0.01
-"""What a running request adds to it, by slower steps."""
-
 _FORECAST_STEP_S = 0.1
 """Forecasts that differ by less are not told again."""
 
@@ -210,18 +204,6 @@
                 used[(use.instance, AdapterKey(use.model, use.adapter))] += use.count
         return used
 
-    def _engine_loads(self) -> dict[str, float]:
-        """Return the seconds that each engine needs to read the prompts that wait there, about."""
-        loads: Counter[str] = Counter()
-        unread: Counter[str] = Counter()
-        for demand in self._demands.values():
-            for use in demand.uses:
-                loads[use.instance] += use.count
-                unread[use.instance] += use.unread
-        return {
-            instance: unread[instance] * _READ_S + loads[instance] * _RUN_S for instance in loads
-        }
-
     # Planning.
 
     def _plan_forever(self) -> None:
@@ -247,7 +229,6 @@
                 of_service,
                 books,
                 used=self._used(),
-                loads=self._engine_loads(),
                 now=monotonic(),
             )
             for assignment in plan.assignments:
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
@@ -41,13 +42,10 @@
 
 _WORTH_OF_FUTURE = 2.0
 _NO_PLACE = 100.0
-_COLD = 0.5
-"""A load from the weight store in place of one from the engine's own memory, in seconds, its
-price included."""
-
-_EVICTION = 0.05
-_ASSIGNED = 0.03
-_OPEN_PLACE = 0.01
+_EVICTION = 1.0
+_COLD = 10.0
+_RUNNING = 0.12
+"""What one running request of an engine costs; eight of them as much as an eviction."""
 
 
 class CombinedWant(Struct, kw_only=True):
@@ -94,15 +92,14 @@
         self._popularity = popularity
         self._newest = newest
         self._wanted: frozenset[AdapterKey] = frozenset()
-        self._loads: Mapping[str, float] = {}
+        self._running: Counter[str] = Counter()
 
     def plan(
         self,
         wants: Iterable[CombinedWant],
         engines: Collection[EngineBook],
         *,
-        used: Collection[tuple[str, AdapterKey]],
-        loads: Mapping[str, float],
+        used: Mapping[tuple[str, AdapterKey], int],
         now: float,
     ) -> Plan:
         """Return what to order now.
@@ -110,12 +107,13 @@
         Args:
             wants: What the boxes wait for.
             engines: The engines that may be ordered.
-            used: Which adapters requests now use, and at which engines.
-            loads: How long a new request would wait at each engine, in seconds.
+            used: How many requests now use an adapter at an engine.
             now: The time on the local monotonic clock.
         """
         plan = Plan([], {})
-        self._loads = loads
+        self._running = Counter[str]()
+        for (instance, _), count in used.items():
+            self._running[instance] += count
         wants = list(wants)
         self._wanted = frozenset(want.key for want in wants)
         wants += self._foreseen(engines, self._wanted, now)
@@ -219,7 +217,7 @@
         key = want.key
 
         def _cost(engine: EngineBook) -> float:
-            cost = self._loads.get(engine.instance, 0.0)
+            cost = _RUNNING * self._running[engine.instance]
             if not engine.at_hand(key, version=self._version(key)):
                 cost += _COLD
             if key in engine.places:
@@ -227,10 +225,10 @@
                 return cost
             open_places = engine.free - _not_yet_placed(engine)
             if open_places > 0:
-                return cost - _OPEN_PLACE * open_places
+                return cost - 0.1 * open_places
             victim = self.victim(engine, used=used, now=now)
             if victim is not None and self._outweighs(want, victim):
-                return cost + _EVICTION + _ASSIGNED * len(engine.assigned)
+                return cost + _EVICTION + 0.5 * len(engine.assigned)
             return cost + _NO_PLACE
 
         candidates = [
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -43,7 +43,7 @@
 
 def test_a_want_is_brought_to_the_engine_with_most_room() -> None:
     full, empty = make_engine("i-1", "x"), make_engine("i-2")
-    plan = make_planner().plan([want("a")], [full, empty], used=(), loads={}, now=monotonic())
+    plan = make_planner().plan([want("a")], [full, empty], used={}, now=monotonic())
     assert [(item.key, item.engine.instance) for item in plan.assignments] == [(key("a"), "i-2")]
     assert plan.ready_in_s[key("a")] > 0
 
@@ -51,24 +51,24 @@
 def test_one_adapter_is_brought_once() -> None:
     engines = [make_engine("i-1"), make_engine("i-2")]
     planner = make_planner()
-    planner.plan([want("a")], engines, used=(), loads={}, now=monotonic())
-    again = planner.plan([want("a", since_s=0.3)], engines, used=(), loads={}, now=monotonic())
+    planner.plan([want("a")], engines, used={}, now=monotonic())
+    again = planner.plan([want("a", since_s=0.3)], engines, used={}, now=monotonic())
     assert again.assignments == []
 
 
 def test_a_want_that_cannot_reach_the_adapter_gets_a_second_copy() -> None:
     engines = [make_engine("i-1", "a"), make_engine("i-2")]
     planner = make_planner()
-    fresh = planner.plan([want("a")], engines, used=(), loads={}, now=monotonic())
+    fresh = planner.plan([want("a")], engines, used={}, now=monotonic())
     assert fresh.assignments == []
-    stuck = planner.plan([want("a", since_s=1.0)], engines, used=(), loads={}, now=monotonic())
+    stuck = planner.plan([want("a", since_s=1.0)], engines, used={}, now=monotonic())
     assert [item.engine.instance for item in stuck.assignments] == ["i-2"]
 
 
 def test_clients_expected_back_need_no_second_copy() -> None:
     engines = [make_engine("i-1", "a"), make_engine("i-2")]
     plan = make_planner().plan(
-        [want("a", since_s=1.0, waiting=0)], engines, used=(), loads={}, now=monotonic()
+        [want("a", since_s=1.0, waiting=0)], engines, used={}, now=monotonic()
     )
     assert plan.assignments == []
 
@@ -76,12 +76,12 @@
 def test_what_is_used_or_wanted_gives_no_place() -> None:
     engine = make_engine("i-1", "x", "y")
     planner = make_planner()
-    used = {("i-1", key("x")), ("i-1", key("y"))}
-    plan = planner.plan([want("a")], [engine], used=used, loads={}, now=monotonic())
+    used = {("i-1", key("x")): 1, ("i-1", key("y")): 2}
+    plan = planner.plan([want("a")], [engine], used=used, now=monotonic())
     assert plan.assignments == []
     assert plan.ready_in_s[key("a")] > 0, "a place will be given up sooner or later"
-    planner.plan([want("a"), want("x")], [engine], used=(), loads={}, now=monotonic())
-    assert planner.victim(engine, used=(), now=monotonic()) == key("y")
+    planner.plan([want("a"), want("x")], [engine], used={}, now=monotonic())
+    assert planner.victim(engine, used={}, now=monotonic()) == key("y")
 
 
 def test_an_older_version_gives_its_place_first() -> None:
@@ -89,13 +89,13 @@
     popularity.note(key("x"), 50)
     planner = make_planner(popularity, x=2)
     engine = make_engine("i-1", "x", "y")
-    assert planner.victim(engine, used=(), now=monotonic()) == key("x")
+    assert planner.victim(engine, used={}, now=monotonic()) == key("x")
 
 
 def test_the_most_valuable_want_goes_first() -> None:
     engine = make_engine("i-1", slots=1)
     wants = [want("cheap", worth=1.0), want("dear", worth=4.0)]
-    plan = make_planner().plan(wants, [engine], used=(), loads={}, now=monotonic())
+    plan = make_planner().plan(wants, [engine], used={}, now=monotonic())
     assert [item.key for item in plan.assignments] == [key("dear")]
 
 
@@ -103,9 +103,7 @@
     popularity = Popularity()
     popularity.note(key("often"), 10)
     popularity.note(key("once"), 1)
-    plan = make_planner(popularity).plan(
-        [], [make_engine("i-1")], used=(), loads={}, now=monotonic()
-    )
+    plan = make_planner(popularity).plan([], [make_engine("i-1")], used={}, now=monotonic())
     assert [item.key for item in plan.assignments] == [key("often")]
 
 
@@ -113,20 +111,20 @@
     before, other = make_engine("i-1", "a"), make_engine("i-2", slots=3)
     before.unload_taken(key("a"))
     before.unloaded(key("a"))
-    plan = make_planner().plan([want("a")], [other, before], used=(), loads={}, now=monotonic())
+    plan = make_planner().plan([want("a")], [other, before], used={}, now=monotonic())
     assert [item.engine.instance for item in plan.assignments] == ["i-1"]
 
 
 def test_a_new_version_is_brought_although_every_engine_holds_the_older_one() -> None:
     engines = [make_engine("i-1", "a", "x"), make_engine("i-2", "a", "y")]
     planner = make_planner(a=2)
-    plan = planner.plan([want("a")], engines, used={("i-1", key("a"))}, loads={}, now=monotonic())
+    plan = planner.plan([want("a")], engines, used={("i-1", key("a")): 1}, now=monotonic())
     assert [(item.key, item.engine.instance) for item in plan.assignments] == [(key("a"), "i-2")]
 
 
 def test_a_want_is_brought_to_the_engine_with_the_least_to_do() -> None:
     busy, idle = make_engine("i-1"), make_engine("i-2", "x")
     plan = make_planner().plan(
-        [want("a")], [busy, idle], used=(), loads={"i-1": 0.4}, now=monotonic()
+        [want("a")], [busy, idle], used={("i-1", key("z")): 9}, now=monotonic()
     )
     assert [item.engine.instance for item in plan.assignments] == ["i-2"]
