--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -19,7 +19,7 @@
 _PLACE_S = 0.15
 """Until one more place is given up, about, while all are taken."""
 
-_COMING_AT_ONCE = 6
+_COMING_AT_ONCE = 8
 """How many adapters may be on their way to the engines of a service in one zone."""
 
 _COMING_TO_ONE = 4
--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -17,7 +17,11 @@
 from springrock.platform.records import HeldModel, held_adapters, split_version
 
 _CONNECT_S = 0.5
-_ANSWER_S = 1.0
+_REPORT_ANSWER_S = 0.5
+_ORDER_ANSWER_S = 0.25
+"""An order is answered in some milliseconds or not at all; as it states the engine's sequence,
+one that is given again too early is refused, not carried out twice."""
+
 _ANSWERS = {
     200: OrderAnswer.DONE,
     202: OrderAnswer.TAKEN,
@@ -55,7 +59,9 @@
 
     def report(self, address: str, *, instance: str) -> EngineState:
         """Return an engine's state."""
-        response = self._call("GET", address, names.REPORT_PATH, instance=instance)
+        response = self._call(
+            "GET", address, names.REPORT_PATH, instance=instance, answer_s=_REPORT_ANSWER_S
+        )
         if response.status != 200:
             raise ControlUnanswered(f"the report was answered with {response.status}")
         try:
@@ -84,14 +90,28 @@
             version=order.version or UNSET,
         )
         encoded = msgspec.json.encode(body)
-        response = self._call("POST", address, names.ORDER_PATH, instance=instance, body=encoded)
+        response = self._call(
+            "POST",
+            address,
+            names.ORDER_PATH,
+            instance=instance,
+            answer_s=_ORDER_ANSWER_S,
+            body=encoded,
+        )
         answer = _ANSWERS.get(response.status)
         if answer is None:
             raise ControlUnanswered(f"the order was answered with {response.status}")
         return answer
 
     def _call(
-        self, method: str, address: str, path: str, *, instance: str, body: bytes | None = None
+        self,
+        method: str,
+        address: str,
+        path: str,
+        *,
+        instance: str,
+        answer_s: float,
+        body: bytes | None = None,
     ) -> urllib3.BaseHTTPResponse:
         headers = {names.EXPECT_INSTANCE: instance}
         if body is not None:
@@ -102,7 +122,7 @@
                 f"http://{address}{path}",
                 body=body,
                 headers=headers,
-                timeout=urllib3.Timeout(connect=_CONNECT_S, read=_ANSWER_S),
+                timeout=urllib3.Timeout(connect=_CONNECT_S, read=answer_s),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise ControlUnanswered(f"{address}: {error}") from None
