Give no place to what nobody waits for and the engine can have at once

Change: only what requests wait for now is safe from giving way; what is at hand on some engine is not loaded before somebody waits. Test first failing.

--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -115,8 +115,8 @@
         for (instance, _), count in used.items():
             self._running[instance] += count
         wants = list(wants)
-        self._wanted = frozenset(want.key for want in wants)
-        wants += self._foreseen(engines, self._wanted, now)
+        self._wanted = frozenset(want.key for want in wants if want.waiting)
+        wants += self._foreseen(engines, {want.key for want in wants}, now)
         ranked = sorted(wants, key=lambda want: self._value(want, now), reverse=True)
         coming = sum(len(engine.assigned) for engine in engines)
         short_of_places = 0
@@ -125,6 +125,10 @@
             if known_s is not None:
                 plan.ready_in_s[want.key] = known_s
                 continue
+            if not want.waiting and self._is_at_hand(want.key, engines):
+                # It takes no place before somebody waits: it can be there at once.
+                plan.ready_in_s[want.key] = WARM_LOAD_S
+                continue
             engine = self._best_engine(want, engines, used, now)
             if engine is None:
                 short_of_places += 1
@@ -243,6 +247,10 @@
             return None
         return best
 
+    def _is_at_hand(self, key: AdapterKey, engines: Collection[EngineBook]) -> bool:
+        version = self._version(key)
+        return any(engine.at_hand(key, version=version) for engine in engines)
+
     def _replaceable(
         self, engine: EngineBook, key: AdapterKey, used: Collection[tuple[str, AdapterKey]]
     ) -> bool:
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -128,3 +128,16 @@
         [want("a")], [busy, idle], used={("i-1", key("z")): 9}, now=monotonic()
     )
     assert [item.engine.instance for item in plan.assignments] == ["i-2"]
+
+
+def test_what_is_at_hand_takes_no_place_before_somebody_waits() -> None:
+    engine = make_engine("i-1", "a", "x")
+    engine.unload_taken(key("a"))
+    engine.unloaded(key("a"))
+    planner = make_planner()
+    expected_back = want("a", waiting=0)
+    plan = planner.plan([expected_back], [engine], used={}, now=monotonic())
+    assert plan.assignments == []
+    assert 0 <= plan.ready_in_s[key("a")] < 0.2
+    plan = planner.plan([want("a")], [engine], used={}, now=monotonic())
+    assert [item.key for item in plan.assignments] == [key("a")]
