--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -36,7 +36,7 @@
 """How long before it would be killed a stopping box ends by itself."""
 
 _CONFIGURATION_PAUSE_S = 0.1
-_REPLICAS_PAUSE_S = 0.5
+_REPLICAS_PAUSE_S = 0.8
 """Replicas write when their adapters change, several times a second; what matters of that is
 that a replica leaves, and there is time for it."""
 
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -22,7 +22,7 @@
 T = TypeVar("T")
 
 _CONNECT_S = 0.7
-_ANSWER_S = 1.5
+_ANSWER_S = 0.8
 _CONNECTIONS = 4
 _PAGE = 500
 _OK = 200
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -12,7 +12,10 @@
 from springrock.errors import SpringrockError
 from springrock.log import Condition, Log
 
-_POLL_WAIT_S = 2.0
+_POLL_WAIT_S = 1.8
+"""With the time for an answer it is under three seconds: so soon after a cut has healed silently a
+box must know of it."""
+
 _FIRST_RETRY_S = 0.25
 _LONGEST_RETRY_S = 1.0
 
