Never send a second call on a connection that was asked for one

Calls that must not run twice say Connection: close, and the driver gave the connection back to its pool all the same; the next call found it open just before the service closed it. Change: such a connection is closed with its answer. Test: tests/drivers/test_service.py, first failing.

--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -58,8 +58,12 @@
                 redirect=False,
             )
             data = response.read(_ANSWER_LIMIT_BYTES + 1)
-            response.drain_conn()
-            response.release_conn()
+            if headers.get("Connection") == "close":
+                # The service closes it; a call that finds it open still would be reset.
+                response.close()
+            else:
+                response.drain_conn()
+                response.release_conn()
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise UpstreamUnreachable(str(error)) from None
         except (HTTPError, OSError) as error:
