Try the own way to the platform last when no peer has one

Cause: a box whose own call had just failed skipped the direct way for a second; with its peers cut off too, its statements were refused (seen once by the issue, test_a_box_without_the_platform_gets_ changes_from_its_peers: 'neither this box nor its peers reach the table'). Change: the way that was skipped is tried as the last resort.

--- a/springrock/coordination/relayed.py
+++ b/springrock/coordination/relayed.py
@@ -62,15 +62,12 @@
         Raises:
             PlatformUnavailable: If no answer came; the writes may have taken effect.
         """
-        if self._direct_allowed():
-            try:
-                answer = self._direct.transact(transaction)
-                self._count("transact", "done")
-                return answer
-            except PlatformUnavailable:
-                self._note_failure("transact")
         call = peer_wire.RelayCall(0, "", msgspec.json.encode(transaction))
-        return self._relay(call, wire.TransactionAnswer)
+        return self._call(
+            "transact",
+            lambda: self._direct.transact(transaction),
+            lambda: self._relay(call, wire.TransactionAnswer),
+        )
 
     def rows(self, prefix: str) -> list[wire.Row]:
         """Read the rows under a prefix.
@@ -78,14 +75,12 @@
         Raises:
             PlatformUnavailable: If no answer came.
         """
-        if self._direct_allowed():
-            try:
-                rows = self._direct.rows(prefix)
-                self._count("read", "done")
-                return rows
-            except PlatformUnavailable:
-                self._note_failure("read")
-        return self._relay(peer_wire.RelayCall(0, prefix, b""), wire.Rows).rows
+        call = peer_wire.RelayCall(0, prefix, b"")
+        return self._call(
+            "read",
+            lambda: self._direct.rows(prefix),
+            lambda: self._relay(call, wire.Rows).rows,
+        )
 
     def get_object(self, name: str) -> bytes | None:
         """Read an object, or None if there is none."""
@@ -99,6 +94,27 @@
         """Read the lagging list of boxes and upstreams."""
         return self._direct.listing()
 
+    def _call(self, kind: str, direct: Callable[[], T], relayed: Callable[[], T]) -> T:
+        """Call directly or through peers; the way that has just failed is the last resort."""
+        if self._direct_allowed():
+            try:
+                return self._call_directly(kind, direct)
+            except PlatformUnavailable:
+                return relayed()
+        try:
+            return relayed()
+        except PlatformUnavailable:
+            return self._call_directly(kind, direct)
+
+    def _call_directly(self, kind: str, direct: Callable[[], T]) -> T:
+        try:
+            answer = direct()
+        except PlatformUnavailable:
+            self._note_failure(kind)
+            raise
+        self._count(kind, "done")
+        return answer
+
     def _direct_allowed(self) -> bool:
         return monotonic() >= self._skip_direct_until
 
