--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -47,8 +47,11 @@
             UpstreamBroke: If the outcome is not known.
         """
         timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        # The service closes such a connection; a call that found it open still would be reset.
+        single = headers.get("Connection") == "close"
+        pool = urllib3.PoolManager(retries=False) if single else self._pool
         try:
-            response = self._pool.request(
+            response = pool.request(
                 method,
                 self._base_url + path,
                 body=body,
@@ -58,16 +61,15 @@
                 redirect=False,
             )
             data = response.read(_ANSWER_LIMIT_BYTES + 1)
-            if headers.get("Connection") == "close":
-                # The service closes it; a call that finds it open still would be reset.
-                response.close()
-            else:
-                response.drain_conn()
-                response.release_conn()
+            response.drain_conn()
+            response.release_conn()
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise UpstreamUnreachable(str(error)) from None
         except (HTTPError, OSError) as error:
             raise UpstreamBroke(str(error)) from None
+        finally:
+            if single:
+                pool.clear()
         if len(data) > _ANSWER_LIMIT_BYTES:
             raise UpstreamBroke("the answer is over the size limit")
         if response.status in (429, 503):
