--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,7 +22,8 @@
 from springrock.coordination.feed import HEAD_KEY, SNAPSHOT_NAME, HeadValue
 from springrock.emulator.deployment import Shape
 from springrock.wire.platform import Put, Transaction
-from tests.cluster import Cluster, wait_until
+from tests.cluster import Cluster
+from tests.processes import wait_until
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 BEGIN = "<!-- slopes begin -->"
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -5,9 +5,6 @@
 import json
 import os
 import signal
-import subprocess
-import sys
-import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
@@ -26,6 +23,7 @@
 from springrock.platform_clients.http import HttpPlatform
 from springrock.settings import PlatformSection
 from springrock.wire.operator import StatementAnswer, StatementRequest
+from tests.processes import Processes, wait_until
 
 FAST_LEASE = {
     "renew_every_s": 0.5,
@@ -37,18 +35,6 @@
 START_WITHIN_S = 30.0
 
 
-def wait_until(condition: Callable[[], Any], *, within_s: float = 20.0, what: str = "") -> Any:
-    """Return the condition's first true value; fail with its name if none comes."""
-    deadline = time.monotonic() + within_s
-    while True:
-        value = condition()
-        if value:
-            return value
-        if time.monotonic() > deadline:
-            raise AssertionError(f"did not come about within {within_s} s: {what or condition}")
-        time.sleep(0.05)
-
-
 class Reply:
     """What a caller got."""
 
@@ -109,7 +95,7 @@
         self.writer = SettingsWriter(
             shape, self.addresses, policy=policy, lease={**FAST_LEASE, **(lease or {})}
         )
-        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.processes = Processes(folder)
         self.pool = urllib3.PoolManager(retries=False, maxsize=64)
         self.threads = ThreadPoolExecutor(max_workers=64)
         self._engine_settings = engine_settings or {}
@@ -124,7 +110,8 @@
     def __enter__(self) -> Cluster:
         try:
             self.start()
-        except BaseException:
+        except BaseException as error:
+            error.add_note(self.processes.account())
             self.stop()
             raise
         return self
@@ -152,17 +139,17 @@
         self.wait_ready()
 
     def start_outside(self) -> None:
-        self.spawn("platform", ["standin", "platform"], self.writer.platform())
+        self.processes.spawn("platform", ["standin", "platform"], self.writer.platform())
         for name in self.addresses.engines:
             self.start_engine(name)
         for name in self.addresses.services:
-            self.spawn(name, ["standin", "service"], self.writer.service(name))
+            self.processes.spawn(name, ["standin", "service"], self.writer.service(name))
         if self._routes:
-            self.spawn("proxy", ["standin", "proxy"], self._proxy_settings())
+            self.processes.spawn("proxy", ["standin", "proxy"], self._proxy_settings())
 
     def start_engine(self, name: str) -> None:
         settings = {**self.writer.engine(name), **self._engine_settings}
-        self.spawn(name, ["standin", "engine"], settings)
+        self.processes.spawn(name, ["standin", "engine"], settings)
 
     def start_box(self, name: str) -> None:
         settings = self.writer.box(
@@ -184,23 +171,10 @@
                 for other in self.shape.box_names
                 if other != name
             }
-        self.spawn(name, ["serve"], settings)
-
-    def spawn(self, name: str, command: list[str], settings: dict[str, Any]) -> None:
-        path = self.folder / f"{name}.jsonc"
-        path.write_text(json.dumps(settings, indent=1))
-        log = (self.folder / f"{name}.log").open("ab")
-        self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "springrock", *command, str(path)], stdout=log, stderr=log
-        )
+        self.processes.spawn(name, ["serve"], settings)
 
     def stop(self) -> None:
-        for process in self.processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-        for process in self.processes.values():
-            process.wait()
+        self.processes.stop()
         self.threads.shutdown(wait=False, cancel_futures=True)
 
     def install_configuration(self) -> None:
@@ -242,17 +216,16 @@
     # Signals.
 
     def kill(self, name: str) -> None:
-        self.processes[name].kill()
-        self.processes[name].wait()
+        self.processes.kill(name)
 
     def pause(self, name: str) -> None:
-        self.processes[name].send_signal(signal.SIGSTOP)
+        self.processes.signal(name, signal.SIGSTOP)
 
     def wake(self, name: str) -> None:
-        self.processes[name].send_signal(signal.SIGCONT)
+        self.processes.signal(name, signal.SIGCONT)
 
     def terminate(self, name: str) -> None:
-        self.processes[name].send_signal(signal.SIGTERM)
+        self.processes.signal(name, signal.SIGTERM)
 
     # Calls.
 
@@ -354,7 +327,7 @@
 
     def log(self, name: str) -> list[dict[str, Any]]:
         lines = []
-        for line in (self.folder / f"{name}.log").read_text().splitlines():
+        for line in self.processes.log(name).splitlines():
             if line.startswith("{"):
                 lines.append(json.loads(line))
         return lines
--- a/tests/faults/test_answers.py
+++ b/tests/faults/test_answers.py
@@ -9,7 +9,8 @@
 import pytest
 
 from springrock.emulator.deployment import Shape
-from tests.cluster import Cluster, wait_until
+from tests.cluster import Cluster
+from tests.processes import wait_until
 
 SHAPE = Shape.from_small(zones=1, boxes_per_zone=1, engines=1)
 BOX = "zone-1-a"
--- a/tests/faults/test_at_most_once.py
+++ b/tests/faults/test_at_most_once.py
@@ -9,7 +9,8 @@
 import pytest
 
 from springrock.emulator.deployment import Shape
-from tests.cluster import Cluster, wait_until
+from tests.cluster import Cluster
+from tests.processes import wait_until
 
 BOXES = ("zone-1-a", "zone-1-b", "zone-2-a", "zone-2-b")
 
--- a/tests/faults/test_configuration.py
+++ b/tests/faults/test_configuration.py
@@ -11,7 +11,8 @@
 from springrock.emulator.deployment import OPERATOR_KEY, Shape
 from springrock.errors import StatementError
 from springrock.wire.operator import StatementRequest
-from tests.cluster import Cluster, wait_until
+from tests.cluster import Cluster
+from tests.processes import wait_until
 
 BOXES = ("zone-1-a", "zone-1-b", "zone-2-a", "zone-2-b")
 
--- a/tests/faults/test_leaving.py
+++ b/tests/faults/test_leaving.py
@@ -10,7 +10,8 @@
 import pytest
 
 from springrock.emulator.deployment import Shape
-from tests.cluster import Cluster, wait_until
+from tests.cluster import Cluster
+from tests.processes import wait_until
 from tests.traffic import Traffic
 
 ENGINE = "small-engine-1"
--- a/tests/faults/test_overload.py
+++ b/tests/faults/test_overload.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from springrock.emulator.deployment import Shape
-from tests.cluster import Cluster, Reply, wait_until
+from tests.cluster import Cluster, Reply
+from tests.processes import wait_until
 
 SHAPE = Shape.from_small(zones=1, boxes_per_zone=2, engines=1)
 BOXES = ("zone-1-a", "zone-1-b")
--- a/tests/faults/test_peers.py
+++ b/tests/faults/test_peers.py
@@ -12,7 +12,8 @@
 
 from springrock.emulator.deployment import SHARED_KEY, Shape
 from springrock.wire import peer as wire
-from tests.cluster import Cluster, wait_until
+from tests.cluster import Cluster
+from tests.processes import wait_until
 
 BOX = "zone-1-a"
 
--- a/tests/faults/test_stop.py
+++ b/tests/faults/test_stop.py
@@ -5,7 +5,8 @@
 from pathlib import Path
 
 from springrock.emulator.deployment import Shape
-from tests.cluster import Cluster, wait_until
+from tests.cluster import Cluster
+from tests.processes import wait_until
 from tests.traffic import Traffic
 
 
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,89 @@
+"""Real springrock processes of one deployment, each with its settings and log in a folder."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+_LAST_LINES = 5
+
+
+def wait_until(condition: Callable[[], Any], *, within_s: float = 20.0, what: str = "") -> Any:
+    """Return the condition's first true value; fail with its name if none comes."""
+    deadline = time.monotonic() + within_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise AssertionError(f"did not come about within {within_s} s: {what or condition}")
+        time.sleep(0.05)
+
+
+class Processes:
+    """Starts processes, sends them signals and ends them all.
+
+    Args:
+        folder: Where their settings and logs are kept.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __getitem__(self, name: str) -> subprocess.Popen[bytes]:
+        return self._running[name]
+
+    def spawn(self, name: str, command: list[str], settings: dict[str, Any]) -> None:
+        """Start `springrock COMMAND FILE` with these settings in the file."""
+        path = self._folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings, indent=1))
+        with self._log_path(name).open("ab") as log:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", "springrock", *command, str(path)], stdout=log, stderr=log
+            )
+
+    def stop(self) -> None:
+        """Kill all that still run."""
+        for process in self._running.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._running.values():
+            process.wait()
+
+    def kill(self, name: str) -> None:
+        """Kill one and wait for its end."""
+        self._running[name].kill()
+        self._running[name].wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send one a signal."""
+        self._running[name].send_signal(number)
+
+    def runs(self, name: str) -> bool:
+        """Whether one still runs."""
+        return self._running[name].poll() is None
+
+    def log(self, name: str) -> str:
+        """Return all that one has written."""
+        return self._log_path(name).read_text()
+
+    def account(self) -> str:
+        """Return how each process does, with the last lines of its log, for a failed start."""
+        accounts = []
+        for name, process in self._running.items():
+            code = process.poll()
+            state = "runs" if code is None else f"ended with {code}"
+            last_lines = "\n  ".join(self.log(name).splitlines()[-_LAST_LINES:])
+            accounts.append(f"{name} {state}:\n  {last_lines}")
+        return "\n".join(accounts)
+
+    def _log_path(self, name: str) -> Path:
+        return self._folder / f"{name}.log"
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -5,9 +5,6 @@
 import base64
 import http.client
 import json
-import signal
-import subprocess
-import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -16,7 +13,7 @@
 
 from springrock.emulator.ports import free_addresses
 from springrock.settings import split_address
-from tests.cluster import wait_until
+from tests.processes import Processes, wait_until
 
 HOST = "calls.example"
 MODEL = "base"
@@ -84,7 +81,6 @@
 
     folder: Path
     boxes: int = 2
-    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
     clients: dict[str, str] = field(default_factory=dict)
     readiness: dict[str, str] = field(default_factory=dict)
@@ -92,13 +88,15 @@
     version: int = 0
 
     def __post_init__(self) -> None:
+        self.processes = Processes(self.folder)
         self._pool = urllib3.PoolManager(retries=False)
         self._requests = 0
 
     def __enter__(self) -> Deployment:
         try:
             self._start()
-        except BaseException:
+        except BaseException as error:
+            error.add_note(self.processes.account())
             self.stop()
             raise
         return self
@@ -108,7 +106,7 @@
 
     def _start(self) -> None:
         self.addresses["store"] = free_addresses(1)[0]
-        self.spawn("store", ["standin", "rowstore"], {"address": self.addresses["store"]})
+        self.processes.spawn("store", ["standin", "rowstore"], {"address": self.addresses["store"]})
         for number in (1, 2):
             self.start_replica(f"rosters-{number}", "rosters", ZONES[number - 1])
             self.start_replica(f"engine-{number}", "language", ZONES[number - 1], base_model=MODEL)
@@ -125,7 +123,7 @@
             "availability_zone": zone,
             **more,
         }
-        self.spawn(name, ["standin", "replica"], settings)
+        self.processes.spawn(name, ["standin", "replica"], settings)
 
     def start_box(self, name: str, zone: str) -> None:
         clients, readiness, boxes, metrics = free_addresses(4)
@@ -143,23 +141,10 @@
             "placement": {"lease_s": 1.0},
             "stop": {"within_s": 8.0, "notice_s": 0.2},
         }
-        self.spawn(name, ["entry", "--settings"], settings)
-
-    def spawn(self, name: str, command: list[str], settings: dict[str, Any]) -> None:
-        path = self.folder / f"{name}.jsonc"
-        path.write_text(json.dumps(settings, indent=1))
-        log = (self.folder / f"{name}.log").open("ab")
-        self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "springrock", *command, str(path)], stdout=log, stderr=log
-        )
+        self.processes.spawn(name, ["entry", "--settings"], settings)
 
     def stop(self) -> None:
-        for process in self.processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-        for process in self.processes.values():
-            process.wait()
+        self.processes.stop()
 
     # The operator.
 
@@ -240,7 +225,7 @@
 
     def placers(self) -> dict[str, str]:
         """The running boxes that give orders now, by the zone of the engines."""
-        running = [box for box in self.clients if self.processes[box].poll() is None]
+        running = [box for box in self.clients if self.processes.runs(box)]
         return {zone: box for box in running for zone in ZONES if self.placer_of(zone, at=box)}
 
     def placer_and_other(self, zone: str) -> tuple[str, str]:
@@ -257,7 +242,7 @@
         return self.metric(at, f'springrock_placement_placer{{zone="{zone}"}}') == 1.0
 
     def log(self, name: str) -> str:
-        return (self.folder / f"{name}.log").read_text()
+        return self.processes.log(name)
 
     # Clients.
 
--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests.cluster import wait_until
+from tests.processes import wait_until
 from tests.routed.deployment import HOST, REPLICAS, ROUTES, Deployment, route
 
 
@@ -169,8 +169,7 @@
 
 def test_the_placer_is_followed_by_another_box(deployment: Deployment) -> None:
     placer, other = deployment.placer_and_other("zone-1")
-    deployment.processes[placer].kill()
-    deployment.processes[placer].wait()
+    deployment.processes.kill(placer)
     both = {"zone-1": other, "zone-2": other}
     wait_until(lambda: deployment.placers() == both, what="the other box places both zones")
     for number in range(70, 78):
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -11,7 +11,7 @@
 import pytest
 
 from springrock.emulator.deployment import Addresses, SettingsWriter, Shape
-from tests.cluster import wait_until
+from tests.processes import wait_until
 
 ROOT = Path(__file__).parent.parent
 CHILD_MINOR_FAULTS_FIELD = 10
