Take changes of a table in their order: a replica put again at once is not lost

The client split an answer into changed rows and removed keys, and the follower took the removals last, so the replicas counted as gone. Engines write their rows again when adapters change; the plain service's replicas do not, and three boxes refused every request for it (no_replica, 485 requests) for 30 s, until a restart made them read the table whole.

Ruled out: the store's feed leaving the rows out (a box that read the table whole at 7.9 s had seen them, and the feed had told it of others).

Change: the store's changes are one list in order; a removal that a later put of the same answer overtakes is passed over, so that nothing known of the replica is lost.

--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -14,9 +14,11 @@
 from springrock.rows import (
     Changes,
     HistoryGone,
+    Removed,
     Row,
     RowConflict,
     RowStoreUnavailable,
+    Snapshot,
 )
 
 T = TypeVar("T")
@@ -75,9 +77,8 @@
     def __init__(self, address: str) -> None:
         self._url = f"http://{address}"
         self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
-        self.calls = 0
 
-    def read_all(self, table: str) -> Changes:
+    def read_all(self, table: str) -> Snapshot:
         """Read all rows of a table; pages after the first may be newer."""
         rows: list[_Row] = []
         query = f"table={table}&part=&limit={_PAGE}"
@@ -88,17 +89,14 @@
             # Keys are read from the one just above the last.
             page = self._rows(names.ROWS_GET_PATH, f"{query}&from={page.rows[-1].key}%00")
             rows += page.rows
-        return Changes([_row_from(row) for row in rows], [], first.ver)
+        return Snapshot([_row_from(row) for row in rows], first.ver)
 
     def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
         """Wait for changes of a table after a version."""
         query = f"table={table}&after={after}&waitMs={round(wait_s * 1000)}"
         page = self._rows(names.ROWS_FEED_PATH, query, wait_s=wait_s)
-        return Changes(
-            [_row_from(row) for row in page.rows if not row.gone],
-            [row.key for row in page.rows if row.gone],
-            page.ver,
-        )
+        changes = [Removed(row.key) if row.gone else _row_from(row) for row in page.rows]
+        return Changes(changes, page.ver)
 
     def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
         """Write a row if it has the expected version; return its new one."""
@@ -122,7 +120,6 @@
     def _call(
         self, method: str, path: str, *, body: bytes | None = None, wait_s: float = 0.0
     ) -> urllib3.BaseHTTPResponse:
-        self.calls += 1
         timeout = urllib3.Timeout(connect=_CONNECT_S, read=_ANSWER_S + wait_s)
         headers = {"Content-Type": "application/json"} if body is not None else None
         try:
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -59,24 +59,41 @@
     version: int
 
 
+class Removed(NamedTuple):
+    """Tells that a row was removed."""
+
+    key: str
+
+
+Change = Row | Removed
+
+
+class Snapshot(NamedTuple):
+    """All rows of a table as of one moment.
+
+    Attributes:
+        version: Where to go on from with the changes.
+    """
+
+    rows: Sequence[Row]
+    version: int
+
+
 class Changes(NamedTuple):
-    """Rows that changed, and how far they reach.
+    """What changed in a table, in order; a row may change more than once.
 
     Attributes:
-        rows: Changed rows in order.
-        gone: Keys of rows that were removed, after the rows.
         version: Where to go on from.
     """
 
-    rows: Sequence[Row]
-    gone: Sequence[str]
+    changes: Sequence[Change]
     version: int
 
 
 class RowStore(Protocol):
     """A client of the store."""
 
-    def read_all(self, table: str) -> Changes:
+    def read_all(self, table: str) -> Snapshot:
         """Read all rows of a table as of one moment.
 
         Raises:
@@ -181,8 +198,20 @@
             self._version = whole.version
             return
         changes = self._store.changes(self._table, after=self._version, wait_s=_POLL_WAIT_S)
-        for row in changes.rows:
-            self._listener.change(row)
-        for key in changes.gone:
-            self._listener.remove(key)
+        for change in _without_overtaken_removals(changes.changes):
+            match change:
+                case Row():
+                    self._listener.change(change)
+                case Removed(key=key):
+                    self._listener.remove(key)
         self._version = changes.version
+
+
+def _without_overtaken_removals(changes: Sequence[Change]) -> list[Change]:
+    """Leave out each removal of a row that was put again afterwards, as if it had stayed."""
+    put_last_at = {change.key: at for at, change in enumerate(changes) if isinstance(change, Row)}
+    return [
+        change
+        for at, change in enumerate(changes)
+        if isinstance(change, Row) or put_last_at.get(change.key, -1) < at
+    ]
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -9,7 +9,7 @@
 from springrock.log import Log
 from springrock.placement import lease as lease_module
 from springrock.placement.lease import TABLE, PlacerLease
-from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable
+from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable, Snapshot
 
 LEASE_S = 3.0
 
@@ -30,11 +30,11 @@
         self.down = False
         self.lose_answer = False
 
-    def read_all(self, table: str) -> Changes:
+    def read_all(self, table: str) -> Snapshot:
         assert table == TABLE
         if self.down:
             raise RowStoreUnavailable("down")
-        return Changes([self.row] if self.row else [], [], self.version)
+        return Snapshot([self.row] if self.row else [], self.version)
 
     def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
         raise NotImplementedError
