Let the window of retries live on over a reload, and know how many boxes share the allowance

And the fixed allowance was divided by a fixed 12 boxes, too few on larger deployments.

Change: a budget asks for its limits each time and keeps what it counted. The placer's heartbeat tells how many boxes are linked; the largest number ever told (at least `retries.boxes`) divides the allowance, also while a cut hides boxes. Metric springrock_placement_boxes. Tests: a budget whose limits change; a real box that is told to reload (fails with the old line); both boxes know of both.

Also: tests/forwarding/test_exchange.py::test_a_connection_that_the_replica_closed_at_rest_is_not_used failed in 1 of 4 runs beside others: it sent its second request while the replica was closing. It waits for the close now; what it checks is unchanged.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -10,7 +10,7 @@
 from springrock.clock import Deadline
 from springrock.entry_settings import EntrySettings
 from springrock.forwarding.balancing import Balancer
-from springrock.forwarding.budget import RetryBudget
+from springrock.forwarding.budget import RetryBudget, RetryLimits
 from springrock.forwarding.choosing import ReplicaChooser
 from springrock.forwarding.configuration import Configuration, RouteTable
 from springrock.forwarding.directory import Directory
@@ -102,7 +102,6 @@
         """Take changed settings; addresses stay until the next start."""
         self._log.say("Reload.")
         self.settings = settings
-        self._budgets.clear()
 
     def _quiet(self) -> bool:
         """Wait a little; return whether no request was open all the while."""
@@ -175,6 +174,7 @@
             log_of=self._log_of,
             metrics=self.metrics,
         )
+        self.metrics.boxes.set_function(lambda: float(self._placement.boxes))
         chooser = ReplicaChooser(
             configuration=lambda: self._routes.configuration,
             directory=self.directory,
@@ -220,11 +220,12 @@
     def _budget_of(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            retries = self.settings.retries
-            budget = RetryBudget(
-                ratio=retries.ratio,
-                allowance=retries.allowance / retries.boxes,
-                window_s=retries.window_s,
-            )
+            budget = RetryBudget(self._retry_limits)
             self._budgets[service] = budget
         return budget
+
+    def _retry_limits(self) -> RetryLimits:
+        """Return what the settings allow, the fixed allowance shared among all boxes."""
+        retries = self.settings.retries
+        boxes = max(retries.boxes, self._placement.boxes)
+        return RetryLimits(retries.ratio, retries.allowance / boxes, retries.window_s)
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -48,7 +48,8 @@
         ratio: Retries allowed for each request.
         allowance: Retries allowed in a window beside that, for all boxes together.
         window_s: The length of the window.
-        boxes: How many boxes are reckoned to share the allowance.
+        boxes: How many boxes are reckoned to share the allowance at least; as many as are known
+            to this one if that is more.
     """
 
     ratio: float = 0.2
--- a/springrock/forwarding/budget.py
+++ b/springrock/forwarding/budget.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
 
 from springrock.clock import monotonic
 
@@ -14,19 +16,29 @@
 """The part of the budget that is used; the rest covers windows that do not line up."""
 
 
-class RetryBudget:
-    """Counts requests and retries in a sliding window.
+class RetryLimits(NamedTuple):
+    """What a box may spend on retries.
 
-    Args:
+    Attributes:
         ratio: Retries allowed for each request of the window.
         allowance: Retries allowed in a window beside that, for this box.
         window_s: The length of the window in seconds.
     """
 
-    def __init__(self, *, ratio: float, allowance: float, window_s: float) -> None:
-        self._ratio = ratio
-        self._allowance = allowance
-        self._window_s = window_s
+    ratio: float
+    allowance: float
+    window_s: float
+
+
+class RetryBudget:
+    """Counts requests and retries in a sliding window.
+
+    Args:
+        limits: Returns the limits in force now; what was counted stands when they change.
+    """
+
+    def __init__(self, limits: Callable[[], RetryLimits]) -> None:
+        self._limits = limits
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -36,15 +48,16 @@
 
     def spend(self) -> bool:
         """Take one retry out; return whether there was one."""
-        self._forget()
-        allowed = (self._ratio * len(self._requests) + self._allowance) * _CAUTION
+        limits = self._limits()
+        self._forget(older_than_s=limits.window_s)
+        allowed = (limits.ratio * len(self._requests) + limits.allowance) * _CAUTION
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(monotonic())
         return True
 
-    def _forget(self) -> None:
-        horizon = monotonic() - self._window_s
+    def _forget(self, *, older_than_s: float) -> None:
+        horizon = monotonic() - older_than_s
         for times in (self._requests, self._retries):
             while times and times[0] < horizon:
                 times.popleft()
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -122,6 +122,11 @@
             ["zone"],
             registry=registry,
         )
+        self.boxes = Gauge(
+            "springrock_placement_boxes",
+            "The most boxes seen at once; they share the fixed allowance of retries.",
+            registry=registry,
+        )
         self.dropped_lines = Gauge(
             "springrock_log_dropped_lines", "Log lines dropped for want of room.", registry=registry
         )
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -12,7 +12,6 @@
 
 from springrock.clock import monotonic
 from springrock.log import Log
-from springrock.placement.messages import Heartbeat
 from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
 
 TABLE = "springrock"
@@ -102,10 +101,15 @@
         """Whether this box took the lease and does not know it lost."""
         return self._own is not None
 
-    def heartbeat(self, *, room: int = 0) -> Heartbeat:
-        """Return what the others are told of the own lease, and of the room on the engines."""
-        left_s = max(0.0, self._held_until - monotonic())
-        return Heartbeat(self._version, round(left_s * 1000), room)
+    @property
+    def version(self) -> int:
+        """The version of the row with the own lease."""
+        return self._version
+
+    @property
+    def left_s(self) -> float:
+        """Seconds that the own lease stands yet."""
+        return max(0.0, self._held_until - monotonic())
 
     def note_heartbeat(self, version: int, left_s: float) -> None:
         """Learn from the holder how long its lease stands; what was sent earlier lapses earlier."""
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -90,6 +90,11 @@
         self._outboxes: dict[str, Outbox] = {}
         self._connections: dict[str, ServerConnection] = {}
 
+    @property
+    def count(self) -> int:
+        """How many boxes are linked."""
+        return len(self._connections)
+
     def tell_all(self, message: Message) -> None:
         """Send a message to every linked box."""
         for outbox in self._outboxes.values():
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -90,11 +90,13 @@
         row_version: The version of its lease's row.
         lease_left_ms: How much longer the lease stands, as of sending.
         room: How many more adapters its engines could take now.
+        boxes: How many boxes are linked to the placer, its own included.
     """
 
     row_version: int
     lease_left_ms: int
     room: int
+    boxes: int
 
 
 Message = Hello | Demand | Residents | Forecast | Heartbeat
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -77,6 +77,7 @@
             log=log_of("link"),
         )
         self._stopping = False
+        self._most_boxes = 1
 
     def start(self) -> None:
         """Begin to take part in the zones that have engines, now and later."""
@@ -95,6 +96,15 @@
             zone.stop()
         self._server.stop()
 
+    @property
+    def boxes(self) -> int:
+        """The most boxes that were seen at once, this one included.
+
+        It does not fall, as boxes that a cut hides still spend their part of what is shared.
+        """
+        self._most_boxes = max(self._most_boxes, *(zone.boxes for zone in self._zones.values()), 1)
+        return self._most_boxes
+
     # What forwarding asks.
 
     def holds(self, replica: Replica, key: AdapterKey) -> bool:
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -92,6 +92,7 @@
         demand: What this box wants and uses of the zone's engines.
         links: The boxes linked to this one as the zone's placer.
         room: How many more adapters the engines could take when the placer last told.
+        boxes: How many boxes the placer had linked when it last told, its own included.
     """
 
     def __init__(self, zone: str, settings: PlacementSettings, around: Surroundings) -> None:
@@ -102,6 +103,7 @@
         self._metrics = around.metrics
         self.demand = DemandBook(has_placer=lambda: self.reachable)
         self.room = 0
+        self.boxes = 1
         self._lease = PlacerLease(
             around.store,
             zone=zone,
@@ -186,7 +188,12 @@
     # The placer's word.
 
     def _heartbeat(self) -> Heartbeat:
-        return self._lease.heartbeat(room=self._placer.room())
+        return Heartbeat(
+            row_version=self._lease.version,
+            lease_left_ms=round(self._lease.left_s * 1000),
+            room=self._placer.room(),
+            boxes=self.links.count + 1,
+        )
 
     def _tell(self, message: Message) -> None:
         self.links.tell_all(message)
@@ -198,9 +205,13 @@
                 self._residency.note_told(instance, adapters)
             case Forecast(model=model, adapter=adapter, ready_in_ms=ready_in_ms):
                 self.demand.note_forecast(AdapterKey(model, adapter), ready_in_ms / 1000)
-            case Heartbeat(row_version=row_version, lease_left_ms=left_ms, room=room):
-                self._lease.note_heartbeat(row_version, left_ms / 1000)
-                self.room = room
+            case Heartbeat():
+                self._lease.note_heartbeat(message.row_version, message.lease_left_ms / 1000)
+                self._note_heartbeat(message)
+
+    def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self.room = heartbeat.room
+        self.boxes = heartbeat.boxes
 
     def _placer_lost(self) -> None:
         self._residency.forget_told(self._zone)
@@ -234,7 +245,7 @@
         renewed_at = monotonic()
         while self._lease.held and not self._stopping:
             heartbeat = self._heartbeat()
-            self.room = heartbeat.room
+            self._note_heartbeat(heartbeat)
             self.links.tell_all(heartbeat)
             gevent.sleep(_HEARTBEAT_S)
             if self._lease.held and monotonic() - renewed_at >= renew_every_s:
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -12,13 +12,18 @@
 
 
 class ScriptedReplica:
-    """Accepts connections one after the other and runs the next script on each."""
+    """Accepts connections one after the other and runs the next script on each.
+
+    Attributes:
+        ended: How many of them it has closed.
+    """
 
     def __init__(self, *scripts: Script) -> None:
         self._scripts = scripts
         self._listener = socket.create_server(("127.0.0.1", 0))
         host, port = self._listener.getsockname()
         self.address = f"{host}:{port}"
+        self.ended = 0
         self._thread = threading.Thread(target=self._serve, daemon=True)
 
     def __enter__(self) -> ScriptedReplica:
@@ -41,6 +46,7 @@
                 return
             with connection:
                 script(connection)
+            self.ended += 1
 
 
 def read_request(connection: socket.socket) -> bytes:
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -22,6 +22,7 @@
 from springrock.forwarding.message import ClientRequest, Headers
 from springrock.platform.dialect import PlatformDialect
 from tests.forwarding.scripted import Script, ScriptedReplica, answer, read_request, reset
+from tests.processes import wait_until
 
 TERMS = SendTerms(instance="i-1", left_s=5.0)
 
@@ -200,5 +201,6 @@
     with ScriptedReplica(sends(answer("r1", b"1")), sends(answer("r2", b"2"))) as replica:
         pool = ConnectionPool(replica.address)
         assert body_of(send(pool, "r1")) == b"1"
+        wait_until(lambda: replica.ended == 1, what="the replica closes the connection")
         assert body_of(send(pool, "r2", repeatable=False)) == b"2"
         assert pool.opened == 2
--- a/tests/forwarding/test_values.py
+++ b/tests/forwarding/test_values.py
@@ -10,7 +10,7 @@
 from springrock.forwarding import budget as budget_module
 from springrock.forwarding import health as health_module
 from springrock.forwarding.balancing import Balancer
-from springrock.forwarding.budget import RetryBudget
+from springrock.forwarding.budget import RetryBudget, RetryLimits
 from springrock.forwarding.configuration import (
     Configuration,
     Route,
@@ -111,7 +111,7 @@
 def test_retries_stay_within_a_share_of_the_window(monkeypatch: pytest.MonkeyPatch) -> None:
     now = 100.0
     monkeypatch.setattr(budget_module, "monotonic", lambda: now)
-    budget = RetryBudget(ratio=0.2, allowance=2.5, window_s=10.0)
+    budget = RetryBudget(lambda: RetryLimits(ratio=0.2, allowance=2.5, window_s=10.0))
     assert [budget.spend() for _ in range(4)] == [True, True, False, False]
     for _ in range(20):
         budget.note_request()
@@ -120,6 +120,16 @@
     assert [budget.spend() for _ in range(4)] == [True, True, False, False]
 
 
+def test_retries_that_were_spent_stay_spent_when_the_limits_change() -> None:
+    limits = RetryLimits(ratio=0.2, allowance=2.5, window_s=10.0)
+    budget = RetryBudget(lambda: limits)
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+    limits = RetryLimits(ratio=0.2, allowance=5.0, window_s=10.0)
+    assert [budget.spend() for _ in range(3)] == [True, True, False]
+    limits = RetryLimits(ratio=0.2, allowance=2.5, window_s=10.0)
+    assert not budget.spend()
+
+
 def test_a_request_that_may_have_run_runs_again_only_within_its_attempts() -> None:
     journey = Journey(make_request(), make_route(attempts=2), "s")
     first = journey.begin("i-1", record_age_s=0.0)
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -172,8 +172,8 @@
     one, two = make_lease(store, "one"), make_lease(store, "two")
     assert one.challenge(one.look())
     clock.now += 2.0
-    heartbeat = one.heartbeat()
-    two.note_heartbeat(heartbeat.row_version, heartbeat.lease_left_ms / 1000)
+    version, left_s = one.version, one.left_s
+    two.note_heartbeat(version, left_s)
     clock.now += 1.0
     assert not two.challenge(two.look())
     clock.now += 0.4
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -139,6 +139,7 @@
             },
             "store": {"address": self.addresses["store"]},
             "placement": {"lease_s": 1.0},
+            "retries": {"window_s": 60.0},
             "stop": {"within_s": 8.0, "notice_s": 0.2},
         }
         self.processes.spawn(name, ["entry", "--settings"], settings)
--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -197,6 +197,30 @@
     deployment.wait_ready()
 
 
+def test_a_reload_gives_no_fresh_retries(deployment: Deployment) -> None:
+    def _send_all(count: int) -> int:
+        """Return how often so many requests ran, each of which fails wherever it runs."""
+        ids = [deployment.new_id() for _ in range(count)]
+        for request_id in ids:
+            deployment.send("box-1", "/lookup/x", method="GET", request_id=request_id)
+        return sum(deployment.runs(request_id) for request_id in ids)
+
+    for name in ("rosters-1", "rosters-2"):
+        deployment.fault(name, fail=True)
+    try:
+        assert _send_all(30) < 60
+        reloads = deployment.log("box-1").count('"box: Reload."')
+        deployment.processes.signal("box-1", signal.SIGHUP)
+        wait_until(
+            lambda: deployment.log("box-1").count('"box: Reload."') > reloads, what="it reloads"
+        )
+        # Two: one request earns a fifth of a retry, and so do those that finish the wait.
+        assert _send_all(5) <= 5 + 2
+    finally:
+        for name in ("rosters-1", "rosters-2"):
+            deployment.fault(name)
+
+
 def test_bad_settings_change_nothing(deployment: Deployment) -> None:
     path: Path = deployment.folder / "box-1.jsonc"
     path.write_text('{"box": 3}')
@@ -205,6 +229,14 @@
     assert deployment.send("box-1", "/lookup/x", method="GET").status == 200
 
 
+def test_every_box_knows_how_many_share_the_allowance(deployment: Deployment) -> None:
+    for box in ("box-1", "box-2"):
+        wait_until(
+            lambda box=box: deployment.metric(box, "springrock_placement_boxes") == 2.0,
+            what=f"{box} knows both",
+        )
+
+
 def test_a_placer_that_stood_still_wakes_and_goes_on(deployment: Deployment) -> None:
     placer, other = deployment.placer_and_other("zone-1")
     process = deployment.processes[placer]
