Give a zone's placer lease back once a box of the zone can hold it

Change: a box says in its hello where it stands; a placer of a zone that is not its own gives the lease up when a box of that zone has been linked to it for 2 s. The links of one box are one value instead of two maps. New fields of Hello and Heartbeat have defaults, so that boxes of either age understand each other during an update. Test with real boxes, failing first: the zone's own box places again after its restart.

--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -142,10 +142,10 @@
         self._own = None
         self._held_until = 0.0
 
-    def give_up(self) -> None:
+    def give_up(self, *, reason: str) -> None:
         """Let another box take the lease at once."""
         own = self._own
-        self.lose(reason="given up")
+        self.lose(reason=reason)
         if own is None:
             return
         free = msgspec.structs.replace(own, incarnation="", renewal=own.renewal + 1)
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -28,6 +28,7 @@
 
     Args:
         box: The name of this box.
+        home_zone: The zone in which this box stands.
         zone: The zone whose placer is meant.
         demand: Returns all that this box wants and uses now.
         demand_changed: Set when that has changed.
@@ -40,6 +41,7 @@
         self,
         box: str,
         *,
+        home_zone: str,
         zone: str,
         demand: Callable[[], Demand],
         demand_changed: Event,
@@ -48,6 +50,7 @@
         log: Log,
     ) -> None:
         self._box = box
+        self._home_zone = home_zone
         self._zone = zone
         self._demand = demand
         self._demand_changed = demand_changed
@@ -83,7 +86,8 @@
             )
             return False
         try:
-            connection.send(encode(Hello(self._box, incarnation, self._zone)))
+            hello = Hello(self._box, incarnation, self._zone, self._home_zone)
+            connection.send(encode(hello))
             first = decode(connection.recv(timeout=_DIAL_S))
         except LINK_FAILURES as error:
             self._log.say(
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import gevent
 from gevent.event import Event
@@ -12,6 +12,7 @@
 from websockets.sync.server import Server, ServerConnection, serve
 
 from springrock import gevent_websockets as _  # noqa: F401
+from springrock.clock import monotonic
 from springrock.errors import PeerRejected
 from springrock.log import Log
 from springrock.placement.messages import (
@@ -63,6 +64,20 @@
         return messages
 
 
+class _Link(NamedTuple):
+    """One linked box.
+
+    Attributes:
+        home_zone: The zone in which the box stands.
+        since: When it linked, on the local monotonic clock.
+    """
+
+    connection: ServerConnection
+    outbox: Outbox
+    home_zone: str
+    since: float
+
+
 class LinkHost(Protocol):
     """Who is told what linked boxes send."""
 
@@ -87,32 +102,39 @@
     def __init__(self, host: LinkHost, *, log: Log) -> None:
         self._host = host
         self._log = log
-        self._outboxes: dict[str, Outbox] = {}
-        self._connections: dict[str, ServerConnection] = {}
+        self._links: dict[str, _Link] = {}
 
     @property
     def count(self) -> int:
         """How many boxes are linked."""
-        return len(self._connections)
+        return len(self._links)
+
+    def hold(self, home_zone: str, *, for_s: float) -> bool:
+        """Whether a box that stands in a zone has been linked for so long."""
+        now = monotonic()
+        return any(
+            link.home_zone == home_zone and now - link.since >= for_s
+            for link in self._links.values()
+        )
 
     def tell_all(self, message: Message) -> None:
         """Send a message to every linked box."""
-        for outbox in self._outboxes.values():
-            outbox.put(message)
+        for link in self._links.values():
+            link.outbox.put(message)
 
     def close_all(self) -> None:
         """Close every link, as when the lease is lost."""
-        for connection in list(self._connections.values()):
-            gevent.spawn(connection.close)
+        for link in self._links.values():
+            gevent.spawn(link.connection.close)
 
-    def serve(self, box: str, connection: ServerConnection) -> None:
-        """Serve a box until its link breaks."""
-        outbox = Outbox()
+    def serve(self, hello: Hello, connection: ServerConnection) -> None:
+        """Serve a box that said hello until its link breaks."""
+        box = hello.box
+        link = _Link(connection, Outbox(), hello.home_zone, monotonic())
         for message in self._host.first_messages():
-            outbox.put(message)
-        self._outboxes[box] = outbox
-        self._connections[box] = connection
-        writer = gevent.spawn(_write_forever, connection, outbox)
+            link.outbox.put(message)
+        self._links[box] = link
+        writer = gevent.spawn(_write_forever, link)
         self._log.say("A box linked.", peer=box)
         try:
             self._read(box, connection)
@@ -120,9 +142,8 @@
             self._log.say("A box's link broke.", peer=box, error=str(error))
         finally:
             writer.kill()
-            if self._outboxes.get(box) is outbox:
-                del self._outboxes[box]
-                del self._connections[box]
+            if self._links.get(box) is link:
+                del self._links[box]
                 self._host.forget_box(box)
 
     def _read(self, box: str, connection: ServerConnection) -> None:
@@ -187,14 +208,14 @@
             return
         links = self._links_of(hello.zone)
         if links is not None:
-            links.serve(hello.box, connection)
+            links.serve(hello, connection)
 
 
-def _write_forever(connection: ServerConnection, outbox: Outbox) -> None:
+def _write_forever(link: _Link) -> None:
     try:
         while True:
-            outbox.filled.wait()
-            for message in outbox.take():
-                connection.send(encode(message))
+            link.outbox.filled.wait()
+            for message in link.outbox.take():
+                link.connection.send(encode(message))
     except LINK_FAILURES:
         return
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -16,11 +16,13 @@
     Attributes:
         incarnation: The placer's incarnation that the box means to speak to.
         zone: The zone whose engines are meant.
+        home_zone: The zone in which the box stands.
     """
 
     box: str
     incarnation: str
     zone: str
+    home_zone: str = ""
 
 
 class Want(Struct, frozen=True, array_like=True):
@@ -96,7 +98,7 @@
     row_version: int
     lease_left_ms: int
     room: int
-    boxes: int
+    boxes: int = 1
 
 
 Message = Hello | Demand | Residents | Forecast | Heartbeat
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -31,6 +31,9 @@
 _COURTESY_S = 1.5
 """How much longer a lapsed lease is left to the boxes of the zone itself."""
 
+_HAND_BACK_AFTER_S = 2.0
+"""How long a box of the zone itself must have been linked before it is trusted with the lease."""
+
 
 class PlacementSettings(NamedTuple):
     """What placement takes from the settings.
@@ -131,6 +134,7 @@
         self.links = BoxLinks(self, log=around.log_of("link"))
         self._client = PlacerClient(
             settings.box,
+            home_zone=settings.zone,
             zone=zone,
             demand=self.demand.snapshot,
             demand_changed=self.demand.changed,
@@ -151,7 +155,7 @@
         self._stopping = True
         if self._placer.active:
             self._stop_placing()
-            self._lease.give_up()
+            self._lease.give_up(reason="a planned stop")
 
     def stop(self) -> None:
         """End all tasks and links."""
@@ -251,9 +255,16 @@
             if self._lease.held and monotonic() - renewed_at >= renew_every_s:
                 renewed_at = monotonic()
                 self._lease.renew()
+            if self._lease.held and self._has_home_box():
+                self._lease.give_up(reason="a box of the zone itself can place")
         if not self._stopping:
             self._stop_placing()
 
+    def _has_home_box(self) -> bool:
+        """Whether this box places another zone, and a box that stands there could do it."""
+        home_zone = self._settings.zone
+        return home_zone != self._zone and self.links.hold(self._zone, for_s=_HAND_BACK_AFTER_S)
+
     def _stop_placing(self) -> None:
         self._placer.stop()
         self._metrics.placer.labels(self._zone).set(0)
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -161,7 +161,7 @@
     store = Store()
     one, two = make_lease(store, "one"), make_lease(store, "two")
     assert one.challenge(one.look())
-    one.give_up()
+    one.give_up(reason="a test")
     assert not one.holds
     assert two.challenge(two.look())
     assert two.fence == 2
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -226,7 +226,7 @@
 
     def placers(self) -> dict[str, str]:
         """The running boxes that give orders now, by the zone of the engines."""
-        running = [box for box in self.clients if self.processes.runs(box)]
+        running = [box for box in self.clients if self.is_ready(box)]
         return {zone: box for box in running for zone in ZONES if self.placer_of(zone, at=box)}
 
     def placer_and_other(self, zone: str) -> tuple[str, str]:
--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -179,6 +179,16 @@
     deployment.wait_ready()
 
 
+def test_a_zone_gets_its_own_placer_back(deployment: Deployment) -> None:
+    deployment.processes.kill("box-2")
+    only = {"zone-1": "box-1", "zone-2": "box-1"}
+    wait_until(lambda: deployment.placers() == only, what="box-1 places both zones")
+    deployment.start_box("box-2", "zone-2")
+    each = {"zone-1": "box-1", "zone-2": "box-2"}
+    wait_until(lambda: deployment.placers() == each, what="each zone has a placer of its own")
+    assert deployment.served("box-1", "/items/x", adapter="a79").event_ids == [1, 2, 3, 4, 5]
+
+
 def test_a_planned_stop_cuts_no_stream(deployment: Deployment) -> None:
     deployment.served("box-2", "/items/x", adapter="a1")
     answers = []
