Ask another zone when a placer is silent; tell forecasts to boxes that begin to wait

Change: a box's new want has the forecast told anew; a request whose zone is silent asks the next one (`choose_zone`, pure and tested, from placement.py); a stopping box says so, a lease given up says whether a box of the zone can take it, and it is given up before the links close. Removed as dead: the negative forecast, `Want.left_ms`.

--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -12,6 +12,7 @@
 from springrock.forwarding.adapters import WaitTerms
 from springrock.forwarding.errors import NoReplica
 from springrock.forwarding.message import AdapterKey
+from springrock.placement.errors import PlacerSilent
 from springrock.placement.messages import Demand, Hits, Use, Want
 
 _SILENCE_S = 0.2
@@ -48,6 +49,9 @@
 
     Args:
         has_placer: Whether a placer hears of them now.
+
+    Attributes:
+        stopping: Whether this box is about to stop.
     """
 
     def __init__(self, *, has_placer: Callable[[], bool]) -> None:
@@ -57,6 +61,7 @@
         self._uses: Counter[tuple[str, AdapterKey]] = Counter()
         self._hits: Counter[AdapterKey] = Counter()
         self._forecasts: dict[AdapterKey, float] = {}
+        self.stopping = False
         self.changed = Event()
 
     # What requests do.
@@ -88,6 +93,7 @@
             there: Whether it can be used now.
 
         Raises:
+            PlacerSilent: If no placer tells when the adapter will be there.
             NoReplica: As soon as it is clear that the request should come back later instead.
         """
         waiter = _Waiter(key, terms)
@@ -109,10 +115,8 @@
         ready_at = self._forecasts.get(waiter.key)
         if ready_at is None:
             if now - waiter.began_at >= _SILENCE_S or not self._has_placer():
-                raise NoReplica("no_placer_heard", _UNPLANNED_RETRY_S)
+                raise PlacerSilent(_UNPLANNED_RETRY_S)
             return
-        if ready_at < 0:
-            raise NoReplica("no_load_planned", _UNPLANNED_RETRY_S)
         starts_at = max(ready_at, now) + _START_S
         if starts_at <= waiter.terms.target_at:
             return
@@ -146,8 +150,8 @@
     # What the link to the placer does.
 
     def note_forecast(self, key: AdapterKey, ready_in_s: float) -> None:
-        """Learn when an adapter will be there; negative if no load is planned."""
-        self._forecasts[key] = monotonic() + ready_in_s if ready_in_s >= 0 else -1.0
+        """Learn when an adapter will be there."""
+        self._forecasts[key] = monotonic() + ready_in_s
         self.notify(key)
 
     def forget_forecasts(self) -> None:
@@ -179,6 +183,7 @@
                 for (instance, key), count in self._uses.items()
             ],
             hits=hits,
+            stopping=self.stopping,
         )
 
     def _want_of(self, key: AdapterKey, waiters: list[_Waiter], now: float) -> Want:
@@ -191,5 +196,4 @@
             promised=len(waiters) - waiting,
             worth=round(sum(item.worth for item in terms), 2),
             target_left_ms=round(1000 * min(item.target_at - now for item in terms)),
-            left_ms=round(1000 * max(item.until - now for item in terms)),
         )
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -27,6 +27,7 @@
         address: Where the placer's link is served.
         fence: The holder's fence.
         renewal: Counts the holder's renewals, so that each writes something new.
+        successor: Of one that was given up: whether a box of the zone itself can take it.
     """
 
     box: str
@@ -34,6 +35,7 @@
     address: str
     fence: int
     renewal: int = 0
+    successor: bool = True
 
 
 class PlacerLease:
@@ -142,13 +144,20 @@
         self._own = None
         self._held_until = 0.0
 
-    def give_up(self, *, reason: str) -> None:
-        """Let another box take the lease at once."""
+    def give_up(self, *, reason: str, successor: bool) -> None:
+        """Let another box take the lease at once.
+
+        Args:
+            reason: Why, for the log.
+            successor: Whether a box of the zone itself can take it, so that others leave it to it.
+        """
         own = self._own
         self.lose(reason=reason)
         if own is None:
             return
-        free = msgspec.structs.replace(own, incarnation="", renewal=own.renewal + 1)
+        free = msgspec.structs.replace(
+            own, incarnation="", renewal=own.renewal + 1, successor=successor
+        )
         try:
             self._write(free, expected=self._version)
         except (RowStoreUnavailable, RowConflict):
@@ -200,7 +209,7 @@
         if standing is None:
             return self._seen_version == ABSENT_VERSION and unchanged_s >= courtesy_s
         if not standing.incarnation:
-            return unchanged_s >= courtesy_s
+            return not standing.successor or unchanged_s >= courtesy_s
         if standing.box == self._box and standing.incarnation != self._incarnation:
             # An earlier process of this box: it is gone, or this one could not run.
             return True
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 import gevent
 from gevent.event import Event
@@ -64,18 +64,21 @@
         return messages
 
 
-class _Link(NamedTuple):
+class _Link:
     """One linked box.
 
     Attributes:
         home_zone: The zone in which the box stands.
         since: When it linked, on the local monotonic clock.
+        stopping: Whether it is about to stop.
     """
 
-    connection: ServerConnection
-    outbox: Outbox
-    home_zone: str
-    since: float
+    def __init__(self, connection: ServerConnection, *, home_zone: str) -> None:
+        self.connection = connection
+        self.outbox = Outbox()
+        self.home_zone = home_zone
+        self.since = monotonic()
+        self.stopping = False
 
 
 class LinkHost(Protocol):
@@ -110,10 +113,10 @@
         return len(self._links)
 
     def hold(self, home_zone: str, *, for_s: float) -> bool:
-        """Whether a box that stands in a zone has been linked for so long."""
+        """Whether a box that stands in a zone, and is to stay, has been linked for so long."""
         now = monotonic()
         return any(
-            link.home_zone == home_zone and now - link.since >= for_s
+            link.home_zone == home_zone and not link.stopping and now - link.since >= for_s
             for link in self._links.values()
         )
 
@@ -130,14 +133,14 @@
     def serve(self, hello: Hello, connection: ServerConnection) -> None:
         """Serve a box that said hello until its link breaks."""
         box = hello.box
-        link = _Link(connection, Outbox(), hello.home_zone, monotonic())
+        link = _Link(connection, home_zone=hello.home_zone)
         for message in self._host.first_messages():
             link.outbox.put(message)
         self._links[box] = link
         writer = gevent.spawn(_write_forever, link)
         self._log.say("A box linked.", peer=box)
         try:
-            self._read(box, connection)
+            self._read(box, link)
         except LINK_FAILURES as error:
             self._log.say("A box's link broke.", peer=box, error=str(error))
         finally:
@@ -146,11 +149,12 @@
                 del self._links[box]
                 self._host.forget_box(box)
 
-    def _read(self, box: str, connection: ServerConnection) -> None:
+    def _read(self, box: str, link: _Link) -> None:
         while True:
-            message = decode(connection.recv(timeout=_SILENCE_S))
+            message = decode(link.connection.recv(timeout=_SILENCE_S))
             if not isinstance(message, Demand):
                 raise PeerRejected(f"an unexpected {type(message).__name__}")
+            link.stopping = message.stopping
             self._host.take_demand(box, message)
 
 
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -33,7 +33,6 @@
         promised: How many clients were told when to come back for it.
         worth: The sum of what they are worth.
         target_left_ms: Until the first of them is late.
-        left_ms: Until the last of them is given up; it may be a client expected back.
     """
 
     model: str
@@ -42,7 +41,6 @@
     promised: int
     worth: float
     target_left_ms: int
-    left_ms: int
 
 
 class Use(Struct, frozen=True, array_like=True):
@@ -63,11 +61,16 @@
 
 
 class Demand(Struct, frozen=True, array_like=True, tag=2):
-    """All that one box waits for and uses now."""
+    """All that one box waits for and uses now.
+
+    Attributes:
+        stopping: Whether the box is about to stop, and so takes no lease any more.
+    """
 
     wants: list[Want]
     uses: list[Use]
     hits: list[Hits]
+    stopping: bool = False
 
 
 class Residents(Struct, frozen=True, array_like=True, tag=3):
@@ -78,7 +81,7 @@
 
 
 class Forecast(Struct, frozen=True, array_like=True, tag=4):
-    """When a wanted adapter will be there; negative if no load is planned."""
+    """When a wanted adapter will be there."""
 
     model: str
     adapter: str
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -2,24 +2,26 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from contextlib import AbstractContextManager
 
 from springrock.forwarding.adapters import WaitTerms
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
 from springrock.forwarding.message import AdapterKey
-from springrock.ids import new_id, rendezvous_score
+from springrock.ids import new_id
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.placement.control import EngineControl
+from springrock.placement.errors import PlacerSilent
 from springrock.placement.link_server import BoxLinks, LinkServer
 from springrock.placement.residency import Residency, Versions
 from springrock.placement.zone import PlacementSettings, Surroundings, ZonePlacement
+from springrock.placement.zone_choice import ZoneView, choose_zone
 from springrock.rows import RowStore
 
-_SCORE_RANGE = 2.0**64
+_SILENCE_RETRY_S = 1.0
+"""When a request may come back that no placer heard."""
 
 
 class Placement:
@@ -121,7 +123,8 @@
 
     def note_hit(self, key: AdapterKey) -> None:
         """Count a request for an adapter."""
-        self._zone_for(key).demand.note_hit(key)
+        name = choose_zone(key, self._zone_views()) or self._settings.zone
+        self._zone(name).demand.note_hit(key)
 
     def using(self, instance: str, key: AdapterKey) -> AbstractContextManager[None]:
         """Count a request as running with an adapter at a replica."""
@@ -130,23 +133,29 @@
         return self._zone(zone).demand.using(instance, key)
 
     def wait_for(self, key: AdapterKey, terms: WaitTerms, *, there: Callable[[], bool]) -> None:
-        """Wait until an adapter can be used."""
+        """Wait until an adapter can be used; a zone whose placer is silent is left for another."""
         # Where it stands already it did not serve this request, so another zone is better.
-        zone = self._zone_for(key, without=self._zones_holding(key))
-        zone.demand.wait_for(key, terms, there=there)
+        holding = self._zones_holding(key)
+        silent: set[str] = set()
+        while True:
+            name = choose_zone(key, self._zone_views(), avoid=holding, never=silent)
+            if name is None:
+                raise PlacerSilent(_SILENCE_RETRY_S)
+            try:
+                self._zone(name).demand.wait_for(key, terms, there=there)
+                return
+            except PlacerSilent:
+                silent.add(name)
 
     # Zones.
 
-    def _zone_for(self, key: AdapterKey, *, without: Collection[str] = ()) -> ZonePlacement:
-        """Return the zone whose placer is to bring an adapter."""
-        engines = self._engines_by_zone()
-        reachable = [zone for zone in engines if self._zone(zone).reachable]
-        if not reachable:
-            return self._zone(self._settings.zone)
-        reachable = [zone for zone in reachable if zone not in without] or reachable
-        with_room = [zone for zone in reachable if self._zone(zone).room > 0]
-        best = max(with_room or reachable, key=lambda zone: _preference(key, zone, engines[zone]))
-        return self._zone(best)
+    def _zone_views(self) -> list[ZoneView]:
+        """Return the zones that have engines."""
+        views = []
+        for name, engines in self._engines_by_zone().items():
+            zone = self._zone(name)
+            views.append(ZoneView(name, engines, reachable=zone.reachable, room=zone.room))
+        return views
 
     def _zones_holding(self, key: AdapterKey) -> set[str]:
         return {
@@ -185,9 +194,3 @@
     def _notify(self, key: AdapterKey) -> None:
         for zone in self._zones.values():
             zone.demand.notify(key)
-
-
-def _preference(key: AdapterKey, zone: str, engines: int) -> float:
-    """Return a weighted rendezvous score, equal on every box."""
-    drawn = (rendezvous_score(str(key), zone) + 1) / (_SCORE_RANGE + 1)
-    return -engines / math.log(drawn)
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -115,6 +115,7 @@
 
     def take_demand(self, box: str, demand: Demand) -> None:
         """Take all that a box now wants and uses."""
+        self._tell_anew(demand, before=self._demands.get(box))
         self._demands[box] = demand
         for hits in demand.hits:
             self._popularity.note(AdapterKey(hits.model, hits.adapter), hits.count)
@@ -280,8 +281,15 @@
             self._told.pop(key, None)
         return list(combined.values())
 
+    def _tell_anew(self, demand: Demand, *, before: Demand | None) -> None:
+        """Have forecasts told again that a box has not kept, as it did not want them yet."""
+        known = {(want.model, want.adapter) for want in before.wants} if before else set()
+        for want in demand.wants:
+            if (want.model, want.adapter) not in known:
+                self._told.pop(AdapterKey(want.model, want.adapter), None)
+
     def _tell_forecast(self, key: AdapterKey, ready_in_s: float) -> None:
-        ready_at = monotonic() + ready_in_s if ready_in_s >= 0 else -1.0
+        ready_at = monotonic() + ready_in_s
         told = self._told.get(key)
         if told is not None and abs(told - ready_at) < _FORECAST_STEP_S:
             return
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -74,7 +74,7 @@
 
 
 class Plan(NamedTuple):
-    """What to order, and when each wanted adapter will be ready, in seconds; negative: never."""
+    """What to order, and when each wanted adapter will be ready, in seconds."""
 
     assignments: list[Assignment]
     ready_in_s: dict[AdapterKey, float]
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -153,9 +153,13 @@
     def hand_over(self) -> None:
         """Let another box become the placer, as this one is about to stop."""
         self._stopping = True
+        self.demand.stopping = True
+        self.demand.changed.set()
         if self._placer.active:
+            # First the lease: who loses the link then finds it free.
+            successor = self.links.hold(self._zone, for_s=0.0)
+            self._lease.give_up(reason="a planned stop", successor=successor)
             self._stop_placing()
-            self._lease.give_up(reason="a planned stop")
 
     def stop(self) -> None:
         """End all tasks and links."""
@@ -256,7 +260,7 @@
                 renewed_at = monotonic()
                 self._lease.renew()
             if self._lease.held and self._has_home_box():
-                self._lease.give_up(reason="a box of the zone itself can place")
+                self._lease.give_up(reason="a box of the zone itself can place", successor=True)
         if not self._stopping:
             self._stop_placing()
 
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -161,12 +161,24 @@
     store = Store()
     one, two = make_lease(store, "one"), make_lease(store, "two")
     assert one.challenge(one.look())
-    one.give_up(reason="a test")
+    one.give_up(reason="a test", successor=True)
     assert not one.holds
     assert two.challenge(two.look())
     assert two.fence == 2
 
 
+def test_boxes_of_other_zones_leave_a_lease_given_up_to_a_successor(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    one.give_up(reason="a test", successor=True)
+    assert not two.challenge(two.look(), courtesy_s=1.5)
+    clock.now += 1.6
+    assert two.challenge(two.look(), courtesy_s=1.5)
+    two.give_up(reason="a test", successor=False)
+    assert one.challenge(one.look(), courtesy_s=1.5)
+
+
 def test_a_heartbeat_tells_how_long_the_lease_stands(clock: Clock) -> None:
     store = Store()
     one, two = make_lease(store, "one"), make_lease(store, "two")
--- /dev/null
+++ b/tests/placement/test_zone_choice.py
@@ -0,0 +1,38 @@
+"""Which zone is asked for an adapter."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from springrock.forwarding.message import AdapterKey
+from springrock.placement.zone_choice import ZoneView, choose_zone
+
+KEY = AdapterKey("m", "a")
+
+
+def view(name: str, *, engines: int = 2, reachable: bool = True, room: int = 1) -> ZoneView:
+    return ZoneView(name, engines, reachable, room)
+
+
+def test_every_order_of_zones_gives_the_same_choice() -> None:
+    zones = [view("one"), view("two"), view("three")]
+    assert choose_zone(KEY, zones) == choose_zone(KEY, reversed(zones))
+
+
+def test_zones_bring_adapters_in_the_share_of_their_engines() -> None:
+    zones = [view("small", engines=1), view("large", engines=3)]
+    chosen = Counter(choose_zone(AdapterKey("m", f"a{number}"), zones) for number in range(2000))
+    assert 1400 < chosen["large"] < 1600
+
+
+def test_a_zone_without_room_or_out_of_reach_is_passed_over() -> None:
+    assert choose_zone(KEY, [view("one", room=0), view("two")]) == "two"
+    assert choose_zone(KEY, [view("one", reachable=False), view("two", room=0)]) == "two"
+
+
+def test_a_zone_to_avoid_is_better_than_none_but_a_silent_one_is_not() -> None:
+    zones = [view("one"), view("two")]
+    assert choose_zone(KEY, zones, avoid={"one"}) == "two"
+    assert choose_zone(KEY, zones, avoid={"one", "two"}, never={"one"}) == "two"
+    assert choose_zone(KEY, zones, never={"one", "two"}) is None
+    assert choose_zone(KEY, []) is None
