Remove what nothing uses in the routed path

Found on rereading: Versions.on_change, LoadBudget.wait_s, Replica.usable, content_length of answers and connections, the setting placement.ceiling_window_s (read by nobody; settings files that name it are refused by the check, as any unknown key), Planner._version, the unused argument of PlacerLease._settle, `except AnswerCut: raise`; exchange() asked twice whether an answer was run; the lease's address is an argument. No decision changes; tests of placement, forwarding, routed pass.

--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -64,13 +64,11 @@
     Attributes:
         lease_s: How long the placer's lease lasts without a renewal.
         checks_fence: Whether engines refuse orders under an older fence.
-        ceiling_window_s: The window in which loads from the weight store are counted.
         ceiling_ratio: How far they may exceed the rate that the configuration states.
     """
 
     lease_s: float = 3.0
     checks_fence: bool = True
-    ceiling_window_s: float = 5.0
     ceiling_ratio: float = 1.1
 
 
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -138,12 +138,6 @@
             raise AnswerBroken(f"{response.length} bytes are missing")
         return data
 
-    @property
-    def content_length(self) -> int | None:
-        """The stated length of the body that is still to come."""
-        assert self._response is not None
-        return self._response.length
-
     @property
     def reusable(self) -> bool:
         """Whether request and answer went whole and the replica lets the connection stand."""
--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -71,11 +71,6 @@
         """The id of its incarnation."""
         return self.record.instance
 
-    @property
-    def usable(self) -> bool:
-        """Whether it may get new work."""
-        return not self.record.leaving and not self.health.resting
-
 
 class Directory:
     """All known replicas, by incarnation.
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -7,7 +7,7 @@
 
 from springrock.clock import monotonic
 from springrock.doors._watch import CallerWatch
-from springrock.errors import AnswerCut, BadRequest, CallerGone
+from springrock.errors import BadRequest, CallerGone
 from springrock.forwarding.dialect import Dialect
 from springrock.forwarding.forwarder import Forwarder
 from springrock.forwarding.message import Headers
@@ -120,8 +120,6 @@
             outcome = "gone"
             self._note_gone(environ)
             raise
-        except AnswerCut:
-            raise
         finally:
             close = getattr(reply.body, "close", None)
             if close is not None:
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -32,11 +32,6 @@
         self._pool = pool
         self._whole = False
 
-    @property
-    def content_length(self) -> int | None:
-        """The stated length of the body; None if it has none."""
-        return self._connection.content_length
-
     def read(self, *, within_s: float) -> bytes:
         """Return the next bytes of the body; empty at its whole end.
 
@@ -108,13 +103,12 @@
         )
         head = _find_own_answer(connection, request, dialect, Deadline(head_within_s))
         answer = Answer(head, connection, pool)
-        if dialect.not_run(head):
-            answer.read_all(deadline=Deadline(_SURPLUS_WITHIN_S))
+        if not dialect.not_run(head):
+            return answer
+        answer.read_all(deadline=Deadline(_SURPLUS_WITHIN_S))
     except BaseException:
         connection.close()
         raise
-    if not dialect.not_run(head):
-        return answer
     answer.close()
     if dialect.wrong_replica(head):
         raise ReplicaChanged(f"answered {head.status}")
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -45,6 +45,7 @@
         store: The store.
         zone: The availability zone whose engines are placed.
         box: The name of this box.
+        address: Where it serves the placer's links.
         incarnation: This process.
         lease_s: How long a lease lasts without a renewal.
         checks_fence: Whether replicas refuse orders with an older fence, so that a holder that
@@ -58,6 +59,7 @@
         *,
         zone: str,
         box: str,
+        address: str,
         incarnation: str,
         lease_s: float,
         checks_fence: bool,
@@ -70,7 +72,7 @@
         self._lease_s = lease_s
         self._checks_fence = checks_fence
         self._log = log
-        self._address = ""
+        self._address = address
         self._held_until = 0.0
         self._unanswered_at = 0.0
         self._own: PlacerRow | None = None
@@ -78,10 +80,6 @@
         self._seen_version = -1
         self._seen_at = 0.0
 
-    def announce(self, address: str) -> None:
-        """Set where this box serves the placer's link."""
-        self._address = address
-
     @property
     def fence(self) -> int:
         """The fence of the own lease."""
@@ -130,7 +128,7 @@
             self._unanswered_at = monotonic()
             return True
         except RowConflict as conflict:
-            return self._settle(conflict.row, sent_at)
+            return self._settle(conflict.row)
         self._own = renewed
         self._held_until = sent_at + self._lease_s
         return True
@@ -220,7 +218,7 @@
             self._seen_version = version
             self._seen_at = monotonic()
 
-    def _settle(self, row: Row | None, sent_at: float) -> bool:
+    def _settle(self, row: Row | None) -> bool:
         """Learn from a failed renewal whether an earlier one took effect unanswered."""
         standing = _decode(row) if row is not None else None
         if row is None or standing is None or standing.incarnation != self._incarnation:
--- a/springrock/placement/load_budget.py
+++ b/springrock/placement/load_budget.py
@@ -14,7 +14,7 @@
     """
 
     def __init__(self, *, per_s: float, burst: float) -> None:
-        self.per_s = per_s
+        self._per_s = per_s
         self._burst = burst
         self._tokens = 0.0
         self._filled_at = monotonic()
@@ -27,12 +27,7 @@
         self._tokens -= 1.0
         return True
 
-    def wait_s(self, loads: int) -> float:
-        """Return the seconds until so many loads will be there."""
-        self._fill()
-        return max(0.0, (loads - self._tokens) / self.per_s)
-
     def _fill(self) -> None:
         now = monotonic()
-        self._tokens = min(self._burst, self._tokens + (now - self._filled_at) * self.per_s)
+        self._tokens = min(self._burst, self._tokens + (now - self._filled_at) * self._per_s)
         self._filled_at = now
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -134,7 +134,7 @@
                 short_of_places += 1
                 plan.ready_in_s[want.key] = _PLACE_S * short_of_places + COLD_LOAD_S
                 continue
-            warm = engine.at_hand(want.key, version=self._version(want.key))
+            warm = engine.at_hand(want.key, version=self._newest(want.key))
             expected_s = WARM_LOAD_S if warm else COLD_LOAD_S
             coming += 1
             if coming > _COMING_AT_ONCE:
@@ -168,13 +168,10 @@
             if place.state is PlaceState.READY
             and (engine.instance, key) not in used
             and key not in engine.assigned
-            and (key not in self._wanted or engine.is_outdated(key, version=self._version(key)))
+            and (key not in self._wanted or engine.is_outdated(key, version=self._newest(key)))
             and now - place.since >= _GRACE_S
         ]
 
-    def _version(self, key: AdapterKey) -> int:
-        return self._newest(key)
-
     def _value(self, want: CombinedWant, now: float) -> float:
         """Return what a load is worth: to those who wait, and to those who will likely ask."""
         in_time = now + COLD_LOAD_S < want.target_at
@@ -202,7 +199,7 @@
         key = want.key
         times: list[float] = []
         for engine in engines:
-            if engine.is_ready(key, version=self._version(key)):
+            if engine.is_ready(key, version=self._newest(key)):
                 stood_s = now - max(want.since, engine.places[key].since)
                 if not want.waiting or stood_s < _UNREACHED_S:
                     times.append(0.0)
@@ -222,7 +219,7 @@
 
         def _cost(engine: EngineBook) -> float:
             cost = _RUNNING * self._running[engine.instance]
-            if not engine.at_hand(key, version=self._version(key)):
+            if not engine.at_hand(key, version=self._newest(key)):
                 cost += _COLD
             if key in engine.places:
                 # Its older version gives up its own place.
@@ -248,14 +245,14 @@
         return best
 
     def _is_at_hand(self, key: AdapterKey, engines: Collection[EngineBook]) -> bool:
-        version = self._version(key)
+        version = self._newest(key)
         return any(engine.at_hand(key, version=version) for engine in engines)
 
     def _replaceable(
         self, engine: EngineBook, key: AdapterKey, used: Collection[tuple[str, AdapterKey]]
     ) -> bool:
         """Whether an older version of an adapter can give up its place at once."""
-        outdated = engine.is_outdated(key, version=self._version(key))
+        outdated = engine.is_outdated(key, version=self._newest(key))
         return outdated and (engine.instance, key) not in used
 
     def _outweighs(self, want: CombinedWant, victim: AdapterKey) -> bool:
@@ -266,7 +263,7 @@
 
     def _keep_value(self, engine: EngineBook, key: AdapterKey) -> tuple[bool, float]:
         place: Place = engine.places[key]
-        return place.version >= self._version(key), self._popularity.of(key)
+        return place.version >= self._newest(key), self._popularity.of(key)
 
 
 def _not_yet_placed(engine: EngineBook) -> int:
--- a/springrock/placement/residency.py
+++ b/springrock/placement/residency.py
@@ -21,7 +21,6 @@
 
     def __init__(self) -> None:
         self._newest: dict[AdapterKey, int] = {}
-        self.on_change: list[Callable[[AdapterKey], None]] = []
 
     def newest(self, key: AdapterKey) -> int:
         """Return the newest named version; 0 if none was named."""
@@ -29,11 +28,7 @@
 
     def note(self, key: AdapterKey, version: int) -> None:
         """Learn of a version."""
-        if version <= self.newest(key):
-            return
-        self._newest[key] = version
-        for listener in self.on_change:
-            listener(key)
+        self._newest[key] = max(version, self.newest(key))
 
 
 class Residency:
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -111,12 +111,12 @@
             around.store,
             zone=zone,
             box=settings.box,
+            address=settings.address,
             incarnation=around.incarnation,
             lease_s=settings.lease_s,
             checks_fence=settings.checks_fence,
             log=around.log_of("lease"),
         )
-        self._lease.announce(settings.address)
         self._placer = Placer(
             zone,
             configuration=around.configuration,
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -61,17 +61,16 @@
 def make_lease(
     store: Store, box: str, *, incarnation: str = "", checks_fence: bool = True
 ) -> PlacerLease:
-    lease = PlacerLease(
+    return PlacerLease(
         store,
         zone="zone-1",
         box=box,
+        address="127.0.0.1:1",
         incarnation=incarnation or f"{box}-1",
         lease_s=LEASE_S,
         checks_fence=checks_fence,
         log=Log("lease", box),
     )
-    lease.announce("127.0.0.1:1")
-    return lease
 
 
 def test_the_first_to_write_holds_and_the_other_waits(clock: Clock) -> None:
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -57,6 +57,7 @@
         Store(),
         zone="zone-1",
         box="box-1",
+        address="127.0.0.1:1",
         incarnation="1",
         lease_s=60.0,
         checks_fence=True,
