An engine without its base model is no room for adapters

Change: room counts engines that hold a model; a zone whose engines hold none is asked only if all are so. Tests failing first.

--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -166,12 +166,14 @@
         }
 
     def _engines_by_zone(self) -> dict[str, int]:
+        """Return how many engines of each zone can load adapters now."""
         engines: dict[str, int] = {}
         for service in self._configuration().engine_services:
             for replica in self._directory.of_service(service):
-                if not replica.record.leaving:
-                    zone = replica.record.zone
-                    engines[zone] = engines.get(zone, 0) + 1
+                record = replica.record
+                if not record.leaving:
+                    known = engines.get(record.zone, 0)
+                    engines[record.zone] = known + bool(record.models)
         return engines
 
     def _zone(self, name: str) -> ZonePlacement:
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -140,7 +140,7 @@
         return sum(
             self._planner.room(keeper.book, used=used, now=now)
             for keeper in self._keepers.values()
-            if keeper.book.reachable and not keeper.book.record.leaving
+            if keeper.book.reachable and keeper.book.models and not keeper.book.record.leaving
         )
 
     # Engines.
--- a/springrock/placement/zone_choice.py
+++ b/springrock/placement/zone_choice.py
@@ -16,7 +16,7 @@
     """A zone with engines as one box sees it.
 
     Attributes:
-        engines: How many engines stand there that do not leave.
+        engines: How many engines there can load adapters: they hold a base model, and stay.
         reachable: Whether its placer hears what this box wants.
         room: How many more adapters its engines could take.
     """
@@ -47,6 +47,7 @@
     candidates = [zone for zone in zones if zone.reachable and zone.name not in never]
     if not candidates:
         return None
+    candidates = [zone for zone in candidates if zone.engines > 0] or candidates
     candidates = [zone for zone in candidates if zone.name not in avoid] or candidates
     candidates = [zone for zone in candidates if zone.room > 0] or candidates
     return max(candidates, key=lambda zone: _preference(key, zone)).name
@@ -55,4 +56,4 @@
 def _preference(key: AdapterKey, zone: ZoneView) -> float:
     """Return a weighted rendezvous score, equal on every box."""
     drawn = (rendezvous_score(str(key), zone.name) + 1) / (_SCORE_RANGE + 1)
-    return -zone.engines / math.log(drawn)
+    return -max(1, zone.engines) / math.log(drawn)
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -14,7 +14,7 @@
 from springrock.metrics import ForwardingMetrics
 from springrock.placement import keeper as keeper_module
 from springrock.placement import placer as placer_module
-from springrock.placement.control import EngineState, Order, OrderAnswer
+from springrock.placement.control import EngineControl, EngineState, Order, OrderAnswer
 from springrock.placement.lease import PlacerLease
 from springrock.placement.messages import Demand, Forecast, Message, Residents, Want
 from springrock.placement.placer import Placer
@@ -27,8 +27,11 @@
 class SlowEngine:
     """Takes every order and never finishes a load."""
 
+    def __init__(self, *models: str) -> None:
+        self._models = frozenset(models)
+
     def report(self, address: str, *, instance: str) -> EngineState:
-        return EngineState(sequence=0, models=frozenset({"m"}))
+        return EngineState(sequence=0, models=self._models)
 
     def order(self, address: str, *, instance: str, order: Order) -> OrderAnswer:
         return OrderAnswer.TAKEN
@@ -44,6 +47,13 @@
 
 @pytest.fixture
 def placer(told: list[Message]) -> Iterator[Placer]:
+    placer = make_placer(SlowEngine("m"), told)
+    placer.start()
+    yield placer
+    placer.stop()
+
+
+def make_placer(control: EngineControl, told: list[Message]) -> Placer:
     engine = Engine(
         running_limit=8, adapter_slots=2, loads_per_s=5.0, models=(BaseModel(name="m"),)
     )
@@ -64,12 +74,12 @@
         log=LOG,
     )
     assert lease.challenge(lease.look())
-    placer = Placer(
+    return Placer(
         "zone-1",
         configuration=lambda: configuration,
         directory=directory,
         versions=Versions(),
-        control=SlowEngine(),
+        control=control,
         lease=lease,
         box="box-1",
         ceiling_ratio=1.0,
@@ -78,9 +88,6 @@
         log=LOG,
         metrics=ForwardingMetrics(),
     )
-    placer.start()
-    yield placer
-    placer.stop()
 
 
 def wanting(adapter: str) -> Demand:
@@ -102,3 +109,14 @@
     placer.take_demand("box-1", wanting("a"))
     placer.take_demand("box-2", wanting("a"))
     wait_for(told, Forecast, count=2)
+
+
+@pytest.mark.parametrize(("models", "room"), [(("m",), 2), ((), 0)])
+def test_an_engine_without_a_base_model_has_no_room(
+    told: list[Message], models: tuple[str, ...], room: int
+) -> None:
+    placer = make_placer(SlowEngine(*models), told)
+    placer.start()
+    wait_for(told, Residents, count=1)
+    assert placer.room() == room
+    placer.stop()
--- a/tests/placement/test_zone_choice.py
+++ b/tests/placement/test_zone_choice.py
@@ -30,6 +30,11 @@
     assert choose_zone(KEY, [view("one", reachable=False), view("two", room=0)]) == "two"
 
 
+def test_a_zone_whose_engines_hold_no_model_is_passed_over_unless_all_are_so() -> None:
+    assert choose_zone(KEY, [view("one", engines=0), view("two", room=0)]) == "two"
+    assert choose_zone(KEY, [view("one", engines=0)]) == "one"
+
+
 def test_a_zone_to_avoid_is_better_than_none_but_a_silent_one_is_not() -> None:
     zones = [view("one"), view("two")]
     assert choose_zone(KEY, zones, avoid={"one"}) == "two"
