--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -77,7 +77,7 @@
         self._log = log
         self._metrics = metrics
         self._popularity = Popularity()
-        self._planner = Planner(self._popularity, versions.newest)
+        self._planners: dict[str, Planner] = {}
         self._demands: dict[str, Demand] = {}
         self._since: dict[AdapterKey, float] = {}
         self._told: dict[AdapterKey, float] = {}
@@ -108,6 +108,7 @@
         for keeper in self._keepers.values():
             keeper.stop()
         self._keepers.clear()
+        self._planners.clear()
         self._budgets.clear()
         self._demands.clear()
         self._since.clear()
@@ -138,7 +139,7 @@
         used = self._used()
         now = monotonic()
         return sum(
-            self._planner.room(keeper.book, used=used, now=now)
+            self._planner(keeper.book.record.service).room(keeper.book, used=used, now=now)
             for keeper in self._keepers.values()
             if keeper.book.reachable and keeper.book.models and not keeper.book.record.leaving
         )
@@ -167,7 +168,7 @@
             EngineBook(replica.record, slots=engine.adapter_slots),
             control=self._control,
             lease=self._lease,
-            planner=self._planner,
+            planner=self._planner(replica.record.service),
             used=self._used,
             newest=self._versions.newest,
             wanted_model=lambda: self._wanted_model(replica.record.service),
@@ -226,7 +227,7 @@
                 and keeper.book.reachable
                 and not keeper.book.record.leaving
             ]
-            plan = self._planner.plan(
+            plan = self._planner(service).plan(
                 of_service,
                 books,
                 used=self._used(),
@@ -237,6 +238,13 @@
             for key, ready_in_s in plan.ready_in_s.items():
                 self._tell_forecast(key, ready_in_s)
 
+    def _planner(self, service: str) -> Planner:
+        planner = self._planners.get(service)
+        if planner is None:
+            planner = Planner(self._popularity, self._versions.newest)
+            self._planners[service] = planner
+        return planner
+
     def _budget(self, service: str, loads_per_s: float) -> LoadBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -11,14 +11,12 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.engine_book import EngineBook, Place, PlaceState
 from springrock.placement.popularity import Popularity
+from springrock.placement.turnover import Turnover
 
 COLD_LOAD_S = 0.35
 """A load from the weight store, about, until the placer knows that it is done."""
 
 WARM_LOAD_S = 0.1
-_PLACE_S = 0.15
-"""Until one more place is given up, about, while all are taken."""
-
 _COMING_AT_ONCE = 8
 """How many adapters may be on their way to the engines of a service in one zone."""
 
@@ -81,7 +79,7 @@
 
 
 class Planner:
-    """Plans loads.
+    """Plans the loads of one service's engines in a zone.
 
     Args:
         popularity: How often adapters are asked for.
@@ -93,6 +91,7 @@
         self._newest = newest
         self._wanted: frozenset[AdapterKey] = frozenset()
         self._running: Counter[str] = Counter()
+        self._turnover = Turnover()
 
     def plan(
         self,
@@ -132,7 +131,8 @@
             engine = self._best_engine(want, engines, used, now)
             if engine is None:
                 short_of_places += 1
-                plan.ready_in_s[want.key] = _PLACE_S * short_of_places + COLD_LOAD_S
+                place_in_s = self._turnover.place_s * short_of_places
+                plan.ready_in_s[want.key] = place_in_s + COLD_LOAD_S
                 continue
             warm = engine.at_hand(want.key, version=self._newest(want.key))
             expected_s = WARM_LOAD_S if warm else COLD_LOAD_S
@@ -144,6 +144,7 @@
             engine.assigned[want.key] = now
             plan.assignments.append(Assignment(want.key, engine))
             plan.ready_in_s[want.key] = expected_s
+        self._turnover.note(given=len(plan.assignments), is_short=short_of_places > 0, now=now)
         return plan
 
     def room(
--- /dev/null
+++ b/springrock/placement/turnover.py
@@ -0,0 +1,43 @@
+"""How long it takes until one more place on the engines is given up, while places are short."""
+
+from __future__ import annotations
+
+_HALF_LIFE_S = 3.0
+_FIRST_PLACE_S = 0.15
+"""What is reckoned before anything was seen."""
+
+_FIRST_PLACES = 4
+"""How many places' worth of seeing outweigh that."""
+
+_LONGEST_PLACE_S = 1.5
+
+
+class Turnover:
+    """Measures the seconds per place over the recent time in which adapters waited for one."""
+
+    def __init__(self) -> None:
+        self._short_s = _FIRST_PLACE_S * _FIRST_PLACES
+        self._given = float(_FIRST_PLACES)
+        self._noted_at: float | None = None
+        self._is_short = False
+
+    @property
+    def place_s(self) -> float:
+        """Seconds until one more place is given up, about."""
+        return min(_LONGEST_PLACE_S, self._short_s / self._given)
+
+    def note(self, *, given: int, is_short: bool, now: float) -> None:
+        """Take what one plan did.
+
+        Args:
+            given: How many places were given to adapters.
+            is_short: Whether adapters are left without one.
+            now: The time on the local monotonic clock.
+        """
+        if self._is_short and self._noted_at is not None:
+            passed_s = now - self._noted_at
+            kept = 0.5 ** (passed_s / _HALF_LIFE_S)
+            self._short_s = self._short_s * kept + passed_s
+            self._given = self._given * kept + given
+        self._is_short = is_short
+        self._noted_at = now
