--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -152,9 +152,16 @@
     def _zone_views(self) -> list[ZoneView]:
         """Return the zones that have engines."""
         views = []
-        for name, engines in self._engines_by_zone().items():
+        for name, records in self._engines_by_zone().items():
             zone = self._zone(name)
-            views.append(ZoneView(name, engines, reachable=zone.reachable, room=zone.room))
+            view = ZoneView(
+                name=name,
+                engines=len(records),
+                can_load=any(record.models for record in records),
+                reachable=zone.reachable,
+                room=zone.room,
+            )
+            views.append(view)
         return views
 
     def _zones_holding(self, key: AdapterKey) -> set[str]:
@@ -165,15 +172,12 @@
             if self._residency.holds(replica, key)
         }
 
-    def _engines_by_zone(self) -> dict[str, int]:
-        """Return how many engines of each zone can load adapters now."""
-        engines: dict[str, int] = {}
+    def _engines_by_zone(self) -> dict[str, list[ReplicaRecord]]:
+        engines: dict[str, list[ReplicaRecord]] = {}
         for service in self._configuration().engine_services:
             for replica in self._directory.of_service(service):
-                record = replica.record
-                if not record.leaving:
-                    known = engines.get(record.zone, 0)
-                    engines[record.zone] = known + bool(record.models)
+                if not replica.record.leaving:
+                    engines.setdefault(replica.record.zone, []).append(replica.record)
         return engines
 
     def _zone(self, name: str) -> ZonePlacement:
--- a/springrock/placement/zone_choice.py
+++ b/springrock/placement/zone_choice.py
@@ -16,13 +16,15 @@
     """A zone with engines as one box sees it.
 
     Attributes:
-        engines: How many engines there can load adapters: they hold a base model, and stay.
+        engines: How many engines stand there that do not leave.
+        can_load: Whether one of them holds a base model, and so can load adapters.
         reachable: Whether its placer hears what this box wants.
         room: How many more adapters its engines could take.
     """
 
     name: str
     engines: int
+    can_load: bool
     reachable: bool
     room: int
 
@@ -37,6 +39,7 @@
     """Return the zone that is to bring an adapter; None if there is none to ask.
 
     A hash gives each adapter a zone, weighted by engines; the next one serves if that has no room.
+    An engine that restarts keeps its weight: otherwise adapters would move and be loaded again.
 
     Args:
         key: The adapter.
@@ -47,7 +50,7 @@
     candidates = [zone for zone in zones if zone.reachable and zone.name not in never]
     if not candidates:
         return None
-    candidates = [zone for zone in candidates if zone.engines > 0] or candidates
+    candidates = [zone for zone in candidates if zone.can_load] or candidates
     candidates = [zone for zone in candidates if zone.name not in avoid] or candidates
     candidates = [zone for zone in candidates if zone.room > 0] or candidates
     return max(candidates, key=lambda zone: _preference(key, zone)).name
@@ -56,4 +59,4 @@
 def _preference(key: AdapterKey, zone: ZoneView) -> float:
     """Return a weighted rendezvous score, equal on every box."""
     drawn = (rendezvous_score(str(key), zone.name) + 1) / (_SCORE_RANGE + 1)
-    return -max(1, zone.engines) / math.log(drawn)
+    return -zone.engines / math.log(drawn)
--- a/tests/placement/test_zone_choice.py
+++ b/tests/placement/test_zone_choice.py
@@ -10,8 +10,15 @@
 KEY = AdapterKey("m", "a")
 
 
-def view(name: str, *, engines: int = 2, reachable: bool = True, room: int = 1) -> ZoneView:
-    return ZoneView(name, engines, reachable, room)
+def view(
+    name: str,
+    *,
+    engines: int = 2,
+    can_load: bool = True,
+    reachable: bool = True,
+    room: int = 1,
+) -> ZoneView:
+    return ZoneView(name, engines, can_load, reachable, room)
 
 
 def test_every_order_of_zones_gives_the_same_choice() -> None:
@@ -31,8 +38,8 @@
 
 
 def test_a_zone_whose_engines_hold_no_model_is_passed_over_unless_all_are_so() -> None:
-    assert choose_zone(KEY, [view("one", engines=0), view("two", room=0)]) == "two"
-    assert choose_zone(KEY, [view("one", engines=0)]) == "one"
+    assert choose_zone(KEY, [view("one", can_load=False), view("two", room=0)]) == "two"
+    assert choose_zone(KEY, [view("one", can_load=False)]) == "one"
 
 
 def test_a_zone_to_avoid_is_better_than_none_but_a_silent_one_is_not() -> None:
