Plug-ins know small protocols instead of the whole box

22 modules knew each other through plugins.py and statements/, which named `springrock.box.Box`. springrock/hosts.py says what each family needs (statements, the operators' door, the callers' door); the box fits them by its shape. OpenRequests has a module of its own. No decision changes.

--- a/springrock/box.py
+++ b/springrock/box.py
@@ -23,6 +23,7 @@
 from springrock.kernel import Part, load_plugins
 from springrock.log import Journal, Log
 from springrock.metrics import Metrics
+from springrock.open_requests import OpenRequests
 from springrock.plugins import doors, platforms
 from springrock.policies import routings
 from springrock.serving.admission import Admission
@@ -36,33 +37,6 @@
 from springrock.wire import peer as wire
 
 
-class OpenRequests:
-    """Counts the requests that are in the box."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
-        self._none = Event()
-        self._none.set()
-        self.count = 0
-
-    def enter(self) -> None:
-        """Count a request in."""
-        self.count += 1
-        self._none.clear()
-        self._metrics.open_requests.set(self.count)
-
-    def leave(self) -> None:
-        """Count a request out."""
-        self.count -= 1
-        self._metrics.open_requests.set(self.count)
-        if not self.count:
-            self._none.set()
-
-    def wait_for_none(self, deadline: Deadline) -> bool:
-        """Wait until none is left; return whether that came in time."""
-        return bool(self._none.wait(timeout=deadline.left_s))
-
-
 class Box:
     """One entry box.
 
--- a/springrock/doors/caller.py
+++ b/springrock/doors/caller.py
@@ -8,9 +8,9 @@
 import bottle
 from expression import Error, Result
 
-from springrock.box import Box
 from springrock.doors._watch import CallerWatch
 from springrock.errors import CallerGone, Cause, Refusal, RequestRefused, RunState
+from springrock.hosts import CallerDoorHost
 from springrock.httpd import SOCKET_KEY, HttpServer, json_response, new_app, read_body
 from springrock.ids import new_id
 from springrock.plugins import doors
@@ -28,16 +28,16 @@
     """Serves callers over HTTP.
 
     Args:
-        box: The box that it is a door of.
+        host: What it needs of its host.
     """
 
-    def __init__(self, box: Box) -> None:
-        self._box = box
-        self._settings = box.settings.caller_door
+    def __init__(self, host: CallerDoorHost) -> None:
+        self._host = host
+        self._settings = host.settings.caller_door
         self._workload_by_key = {
             f"Bearer {item.key}": item.workload for item in self._settings.workload_keys
         }
-        self._log = box.log("caller")
+        self._log = host.log("caller")
         self._server = HttpServer(
             self._build_app(),
             self._settings.address,
@@ -72,23 +72,23 @@
     # Small pages.
 
     def _models(self) -> Any:
-        box = self._box
-        names = [pool.base_model for pool in box.settings.pools if pool.base_model]
-        for adapter in box.catalog.adapters():
+        host = self._host
+        names = [pool.base_model for pool in host.settings.pools if pool.base_model]
+        for adapter in host.catalog.adapters():
             if len(names) >= _MODELS_LISTED:
                 break
             names.append(adapter.name)
         return json_response(wire.model_list(names))
 
     def _readyz(self) -> Any:
-        why_not = self._box.why_not_ready()
+        why_not = self._host.why_not_ready()
         if why_not:
             return bottle.HTTPResponse(f"{why_not}\n".encode(), status=503)
         return b"ready\n"
 
     def _metrics(self) -> Any:
         bottle.response.content_type = "text/plain; version=0.0.4"
-        return self._box.metrics.render()
+        return self._host.metrics.render()
 
     def _error_page(self, error: Any) -> Any:
         if error.status_code == 500:
@@ -106,7 +106,7 @@
 
     def _completion(self, *, chat: bool) -> Any:
         watch = CallerWatch(bottle.request.environ[SOCKET_KEY])
-        opened = self._box.open_requests
+        opened = self._host.open_requests
         opened.enter()
         streaming = False
         try:
@@ -116,7 +116,7 @@
                 return self._refuse(admitted.error)
             request = admitted.ok
             watch.start()
-            answered = self._box.relay.open(request)
+            answered = self._host.relay.open(request)
             if answered.is_error():
                 return self._refuse(answered.error, request.request_id)
             if not request.body.stream:
@@ -148,16 +148,16 @@
         terms = self._terms(repeatable=True)
         if terms.is_error():
             return Error(terms.error)
-        return self._box.admission.admit(body.ok, terms.ok, chat=chat)
+        return self._host.admission.admit(body.ok, terms.ok, chat=chat)
 
     def _closed(self) -> Refusal | None:
         """Return why nothing is taken now, if so."""
-        box = self._box
-        if box.refusing:
+        host = self._host
+        if host.refusing:
             return Refusal(Cause.BOX_STOPPING, "this box is stopping", retry_after_s=1.0)
-        if not box.serving:
-            return Refusal(Cause.BOX_STARTING, box.why_not_ready(), retry_after_s=1.0)
-        if box.open_requests.count > self._settings.open_requests_limit:
+        if not host.serving:
+            return Refusal(Cause.BOX_STARTING, host.why_not_ready(), retry_after_s=1.0)
+        if host.open_requests.count > self._settings.open_requests_limit:
             return Refusal(Cause.QUEUE_FULL, "this box has too many requests", retry_after_s=1.0)
         return None
 
@@ -181,7 +181,7 @@
         return {
             wire.REQUEST_ID_HEADER: request.request_id,
             wire.MODEL_HEADER: str(request.model),
-            wire.BOX_HEADER: self._box.name,
+            wire.BOX_HEADER: self._host.name,
             wire.REPLICA_HEADER: permitted.upstream.name,
             wire.LOAD_STALL_HEADER: f"{permitted.stall_s * 1000:.0f}",
         }
@@ -202,7 +202,7 @@
         finally:
             watch.stop()
             answer.close()
-            self._box.open_requests.leave()
+            self._host.open_requests.leave()
 
     def _whole(self, request: ServingRequest, answer: Answer) -> Any:
         pieces: list[str] = []
@@ -236,7 +236,7 @@
     def _service(self, pool: str, path: str) -> Any:
         watch = CallerWatch(bottle.request.environ[SOCKET_KEY])
         request = bottle.request
-        self._box.open_requests.enter()
+        self._host.open_requests.enter()
         try:
             raw = read_body(self._settings.body_limit_bytes)
             if raw is None:
@@ -250,7 +250,7 @@
             terms = self._terms(repeatable=request.method in _REPEATABLE_METHODS)
             if terms.is_error():
                 return self._refuse(terms.error)
-            limited = self._box.admission.limit(terms.ok.workload)
+            limited = self._host.admission.limit(terms.ok.workload)
             if limited is not None:
                 return self._refuse(limited, terms.ok.request_id)
             watch.start()
@@ -260,13 +260,13 @@
             return bottle.HTTPResponse(b"", status=499)
         finally:
             watch.stop()
-            self._box.open_requests.leave()
+            self._host.open_requests.leave()
 
     def _call_service(self, pool: str, path: str, raw: bytes, terms: wire.Terms) -> Any:
         request = bottle.request
         request_id = terms.request_id or new_id()
         query = f"?{request.query_string}" if request.query_string else ""
-        result = self._box.services.call(
+        result = self._host.services.call(
             pool,
             request.method,
             f"/{path}{query}",
@@ -281,7 +281,7 @@
                 headers = {
                     "Content-Type": answer.content_type,
                     wire.REQUEST_ID_HEADER: request_id,
-                    wire.BOX_HEADER: self._box.name,
+                    wire.BOX_HEADER: self._host.name,
                     wire.RUN_STATE_HEADER: RunState.ANSWERED,
                 }
                 return bottle.HTTPResponse(answer.body, status=answer.status, headers=headers)
@@ -300,7 +300,7 @@
                 run_state=refusal.run_state,
                 retry_after_s=refusal.retry_after_s,
             )
-        headers = {wire.RUN_STATE_HEADER: refusal.run_state, wire.BOX_HEADER: self._box.name}
+        headers = {wire.RUN_STATE_HEADER: refusal.run_state, wire.BOX_HEADER: self._host.name}
         if refusal.retry_after_s > 0:
             headers["Retry-After"] = wire.retry_after_header(refusal)
         body = wire.error_body(refusal, request_id)
@@ -315,6 +315,6 @@
         self._count(refusal.run_state, refusal.cause)
 
     def _count(self, run_state: RunState, cause: Cause | None = None) -> None:
-        self._box.metrics.requests.labels(run_state).inc()
+        self._host.metrics.requests.labels(run_state).inc()
         if cause is not None:
-            self._box.metrics.refusals.labels(cause).inc()
+            self._host.metrics.refusals.labels(cause).inc()
--- a/springrock/doors/operator.py
+++ b/springrock/doors/operator.py
@@ -8,8 +8,8 @@
 import bottle
 import msgspec
 
-from springrock.box import Box
 from springrock.errors import PlatformUnavailable, SpringrockError, StatementError
+from springrock.hosts import OperatorDoorHost
 from springrock.httpd import HttpServer, json_response, new_app, read_body
 from springrock.language import parse
 from springrock.plugins import doors
@@ -29,16 +29,16 @@
     """Serves operators over HTTP.
 
     Args:
-        box: The box that it is a door of.
+        host: What it needs of its host.
     """
 
-    def __init__(self, box: Box) -> None:
-        self._box = box
-        self._credentials = box.settings.operator_door.credentials
-        self._log = box.log("operator")
+    def __init__(self, host: OperatorDoorHost) -> None:
+        self._host = host
+        self._credentials = host.settings.operator_door.credentials
+        self._log = host.log("operator")
         app = new_app()
         app.post(STATEMENTS_PATH)(self._statement)
-        self._server = HttpServer(app, box.settings.operator_door.address)
+        self._server = HttpServer(app, host.settings.operator_door.address)
 
     def start(self) -> None:
         """Begin listening."""
@@ -70,7 +70,7 @@
         try:
             statement, words = parse(request.statement)
             asker = Asker(who, request.command_id, request.wait_s)
-            answer: StatementAnswer = statement.run(self._box, words, asker)
+            answer: StatementAnswer = statement.run(self._host, words, asker)
         except StatementError as error:
             return self._refused(409, who, error)
         except PlatformUnavailable as error:
--- a/springrock/plugins.py
+++ b/springrock/plugins.py
@@ -8,7 +8,7 @@
 from springrock.kernel import Part, Registry
 
 if TYPE_CHECKING:
-    from springrock.box import Box
+    from springrock.hosts import DoorHost
     from springrock.settings import PlatformSection, UpstreamSection
     from springrock.wire.platform import Listing, Row, Transaction, TransactionAnswer
 
@@ -32,6 +32,6 @@
         """Read the lagging list of boxes and upstreams."""
 
 
-doors: Registry[Callable[[Box], Part]] = Registry("door")
+doors: Registry[Callable[[DoorHost], Part]] = Registry("door")
 drivers: Registry[Callable[[UpstreamSection], Any]] = Registry("upstream driver")
 platforms: Registry[Callable[[PlatformSection], Platform]] = Registry("platform client")
--- a/springrock/statements/__init__.py
+++ b/springrock/statements/__init__.py
@@ -7,14 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
+from springrock.hosts import StatementHost
 from springrock.kernel import Registry
 from springrock.wire.operator import StatementAnswer
 
-if TYPE_CHECKING:
-    from springrock.box import Box
-
 
 class Words(NamedTuple):
     """What an operator wrote in one statement, by the names in the pattern.
@@ -65,7 +63,7 @@
 
     pattern: str
     help: str
-    run: Callable[[Box, Words, Asker], StatementAnswer]
+    run: Callable[[StatementHost, Words, Asker], StatementAnswer]
 
 
 statements: Registry[Statement] = Registry("statement")
--- a/springrock/statements/_change.py
+++ b/springrock/statements/_change.py
@@ -7,10 +7,10 @@
 import gevent
 import msgspec
 
-from springrock.box import Box
 from springrock.clock import Deadline
 from springrock.coordination.catalog import Catalog, Change, Entity
 from springrock.errors import StatementError
+from springrock.hosts import StatementHost
 from springrock.statements import Asker, Words
 from springrock.statements.show import statuses
 from springrock.wire.operator import StatementAnswer
@@ -28,7 +28,7 @@
 
 
 def commit(
-    box: Box,
+    host: StatementHost,
     words: Words,
     asker: Asker,
     key: str,
@@ -37,7 +37,7 @@
     """Commit a change of one entity.
 
     Args:
-        box: The box that was asked.
+        host: The box that was asked.
         words: The statement; with ``if revision N`` it holds only if the entity was last changed
             in revision N, 0 meaning that it does not exist.
         asker: Who asks.
@@ -45,27 +45,30 @@
         build: Completes the change from the newest catalog; may raise StatementError.
     """
     expects = {key: int(words.get("seen"))} if "seen" in words.values else {}
-    revision = box.feed.commit(
-        lambda catalog: _built(catalog, blank(words, asker), build, box), expects=expects
+    revision = host.feed.commit(
+        lambda catalog: _built(catalog, blank(words, asker), build, host), expects=expects
     )
     text = f"done in revision {revision}"
     if asker.wait_s:
-        text += _wait(box, revision, asker.wait_s)
+        text += _wait(host, revision, asker.wait_s)
     return StatementAnswer(text=text, revision=revision)
 
 
 def _built(
-    catalog: Catalog, change: Change, build: Callable[[Catalog, Change], Change], box: Box
+    catalog: Catalog,
+    change: Change,
+    build: Callable[[Catalog, Change], Change],
+    host: StatementHost,
 ) -> Change:
-    if box.feed.find_command(change.command_id) is not None:
+    if host.feed.find_command(change.command_id) is not None:
         return change
     return build(catalog, change)
 
 
-def _wait(box: Box, revision: int, wait_s: float) -> str:
+def _wait(host: StatementHost, revision: int, wait_s: float) -> str:
     deadline = Deadline(wait_s)
     while True:
-        behind = [_name(item) for item in statuses(box) if not _runs(item, revision)]
+        behind = [_name(item) for item in statuses(host) if not _runs(item, revision)]
         if not behind:
             return ", in force on every box"
         if deadline.passed:
--- a/springrock/statements/adapters.py
+++ b/springrock/statements/adapters.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from springrock.box import Box
 from springrock.coordination.catalog import Adapter, Catalog, Change
 from springrock.errors import StatementError
+from springrock.hosts import StatementHost
 from springrock.statements import Asker, Statement, Words, statements
 from springrock.statements._change import IF_REVISION, IF_REVISION_HELP, commit, delete, put
 from springrock.wire.operator import StatementAnswer
@@ -23,31 +23,31 @@
     return adapter
 
 
-def _create(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _create(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         name = words.get("adapter")
         base = name.partition(":")[0]
         if catalog.adapter(name) is not None:
             raise StatementError(f"adapter {name} exists already")
-        if box.view.pool_for_model(base) is None:
+        if host.view.pool_for_model(base) is None:
             raise StatementError(f"there is no base model {base}")
         versions = sorted(set(words.integers("version")))
         workloads = sorted(set(words.lists.get("workload", [])))
         return put(change, Adapter(name, versions, versions[-1], workloads))
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
-def _add_version(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _add_version(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         adapter = _existing(catalog, words)
         versions = sorted({*adapter.versions, *words.integers("version")})
         return put(change, msgspec.structs.replace(adapter, versions=versions))
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
-def _use_version(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _use_version(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         adapter = _existing(catalog, words)
         version = words.integers("version")[0]
@@ -55,10 +55,10 @@
             raise StatementError(f"adapter {adapter.name} has no version {version}")
         return put(change, msgspec.structs.replace(adapter, current=version))
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
-def _retire_version(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _retire_version(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         adapter = _existing(catalog, words)
         version = words.integers("version")[0]
@@ -69,22 +69,22 @@
         versions = [item for item in adapter.versions if item != version]
         return put(change, msgspec.structs.replace(adapter, versions=versions))
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
-def _allow(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _allow(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         workloads = sorted(set(words.lists.get("workload", [])))
         return put(change, msgspec.structs.replace(_existing(catalog, words), workloads=workloads))
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
-def _retire(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _retire(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         return delete(change, catalog, _key(words), f"adapter {words.get('adapter')}")
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
 _VERSIONS = 'VERSION ("," VERSION)*'
--- a/springrock/statements/placement.py
+++ b/springrock/statements/placement.py
@@ -4,9 +4,9 @@
 
 import gevent
 
-from springrock.box import Box
 from springrock.coordination.catalog import Catalog, Change, Mark, Pin
 from springrock.errors import PeerUnreachable, StatementError
+from springrock.hosts import StatementHost
 from springrock.statements import Asker, Statement, Words, statements
 from springrock.statements._change import IF_REVISION, IF_REVISION_HELP, commit, delete, put
 from springrock.wire import peer as wire
@@ -15,21 +15,21 @@
 _STOP_TIMEOUT_S = 3.0
 
 
-def _check_replica(box: Box, replica: str) -> None:
-    known = [item.name for pool in box.settings.pools for item in pool.replicas]
+def _check_replica(host: StatementHost, replica: str) -> None:
+    known = [item.name for pool in host.settings.pools for item in pool.replicas]
     if replica not in known:
         raise StatementError(f"there is no replica {replica}")
 
 
-def _place(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _place(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     pin = Pin(words.get("replica"), words.get("loaded"))
-    _check_replica(box, pin.replica)
+    _check_replica(host, pin.replica)
     name, _, version = pin.adapter.partition("@")
 
     def _build(catalog: Catalog, change: Change) -> Change:
         pool = next(
             pool
-            for pool in box.settings.pools
+            for pool in host.settings.pools
             if pin.replica in [item.name for item in pool.replicas]
         )
         adapter = catalog.adapter(f"{pool.base_model}:{name}")
@@ -39,40 +39,40 @@
             raise StatementError(f"{pin.replica} must keep a slot that nothing is placed in")
         return put(change, pin)
 
-    return commit(box, words, asker, pin.key, _build)
+    return commit(host, words, asker, pin.key, _build)
 
 
-def _unplace(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _unplace(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     pin = Pin(words.get("replica"), words.get("loaded"))
 
     def _build(catalog: Catalog, change: Change) -> Change:
         return delete(change, catalog, pin.key, f"placement of {pin.adapter} on {pin.replica}")
 
-    return commit(box, words, asker, pin.key, _build)
+    return commit(host, words, asker, pin.key, _build)
 
 
-def _drain(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _drain(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     mark = Mark.drain(words.get("replica"))
-    _check_replica(box, words.get("replica"))
-    return commit(box, words, asker, mark.key, lambda _, change: put(change, mark))
+    _check_replica(host, words.get("replica"))
+    return commit(host, words, asker, mark.key, lambda _, change: put(change, mark))
 
 
-def _undrain(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _undrain(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     mark = Mark.drain(words.get("replica"))
 
     def _build(catalog: Catalog, change: Change) -> Change:
         return delete(change, catalog, mark.key, f"drain of {words.get('replica')}")
 
-    return commit(box, words, asker, mark.key, _build)
+    return commit(host, words, asker, mark.key, _build)
 
 
-def _stop(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _stop(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     name = words.get("box")
-    if name == box.name:
-        gevent.spawn(box.stop)
+    if name == host.name:
+        gevent.spawn(host.stop)
         return StatementAnswer(text=f"{name} stops as planned")
     try:
-        link = box.peers.link_to(name)
+        link = host.peers.link_to(name)
         link.ask(wire.StopBox(0, asker.name), wire.Status, timeout_s=_STOP_TIMEOUT_S)
     except PeerUnreachable as error:
         raise StatementError(f"{name} was not told to stop: {error}") from None
--- a/springrock/statements/show.py
+++ b/springrock/statements/show.py
@@ -8,9 +8,9 @@
 
 import gevent
 
-from springrock.box import Box
 from springrock.coordination.catalog import Adapter
 from springrock.errors import PeerUnreachable
+from springrock.hosts import StatementHost
 from springrock.statements import Asker, Statement, Words, statements
 from springrock.wire import peer as wire
 from springrock.wire.operator import StatementAnswer
@@ -19,27 +19,27 @@
 _ROWS = 50
 
 
-def statuses(box: Box) -> list[wire.Status | str]:
+def statuses(host: StatementHost) -> list[wire.Status | str]:
     """Return the status of every box, or its name where it did not answer."""
-    names = sorted({member.box for member in box.members.all()} | {box.name})
-    tasks = [gevent.spawn(_status_of, box, name) for name in names]
+    names = sorted({member.box for member in host.members.all()} | {host.name})
+    tasks = [gevent.spawn(_status_of, host, name) for name in names]
     gevent.joinall(tasks)
     return [task.value for task in tasks if task.value is not None]
 
 
-def _status_of(box: Box, name: str) -> wire.Status | str:
-    if name == box.name:
-        return box.status()
+def _status_of(host: StatementHost, name: str) -> wire.Status | str:
+    if name == host.name:
+        return host.status()
     try:
-        link = box.peers.link_to(name)
+        link = host.peers.link_to(name)
         return link.ask(wire.StatusQuery(0), wire.Status, timeout_s=_STATUS_TIMEOUT_S)
     except PeerUnreachable:
         return name
 
 
-def _boxes(box: Box, _: Words, __: Asker) -> StatementAnswer:
+def _boxes(host: StatementHost, _: Words, __: Asker) -> StatementAnswer:
     rows = []
-    for status in statuses(box):
+    for status in statuses(host):
         if isinstance(status, str):
             rows.append([status, "", "unreachable", "", "", "", ""])
             continue
@@ -52,12 +52,12 @@
     return StatementAnswer(columns=columns, rows=rows)
 
 
-def _replicas(box: Box, _: Words, __: Asker) -> StatementAnswer:
+def _replicas(host: StatementHost, _: Words, __: Asker) -> StatementAnswer:
     rows = []
-    for pool in box.settings.pools:
+    for pool in host.settings.pools:
         for upstream in pool.replicas:
-            report = box.view.report(upstream.name)
-            state = "out of service" if box.out_of_service(upstream.name) else "in service"
+            report = host.view.report(upstream.name)
+            state = "out of service" if host.out_of_service(upstream.name) else "in service"
             row = [upstream.name, pool.name, upstream.availability_zone, state]
             if report is None:
                 rows.append([*row, "", "", "", "", ""])
@@ -76,17 +76,17 @@
     return lambda adapter: fnmatch.fnmatchcase(adapter.name, pattern)
 
 
-def _adapters(box: Box, words: Words, _: Asker) -> StatementAnswer:
+def _adapters(host: StatementHost, words: Words, _: Asker) -> StatementAnswer:
     matches = _matching(words.get("pattern"))
     limit = int(words.number("count", _ROWS))
-    found = sorted((item for item in box.catalog.adapters() if matches(item)), key=_name_of)
+    found = sorted((item for item in host.catalog.adapters() if matches(item)), key=_name_of)
     rows = [
         [
             adapter.name,
             ",".join(map(str, adapter.versions)),
             str(adapter.current),
             ",".join(adapter.workloads) or "all",
-            " ".join(_holders(box, adapter)),
+            " ".join(_holders(host, adapter)),
         ]
         for adapter in found[:limit]
     ]
@@ -100,18 +100,18 @@
     return adapter.name
 
 
-def _holders(box: Box, adapter: Adapter) -> list[str]:
+def _holders(host: StatementHost, adapter: Adapter) -> list[str]:
     name = adapter.name.partition(":")[2]
     holders = []
-    for pool in box.settings.pools:
+    for pool in host.settings.pools:
         for upstream in pool.replicas:
-            report = box.view.report(upstream.name)
+            report = host.view.report(upstream.name)
             ready = report.ready if report else []
             holders += [f"{upstream.name}@{v}" for v in adapter.versions if f"{name}@{v}" in ready]
     return holders
 
 
-def _workloads(box: Box, _: Words, __: Asker) -> StatementAnswer:
+def _workloads(host: StatementHost, _: Words, __: Asker) -> StatementAnswer:
     rows = [
         [
             workload.name,
@@ -120,13 +120,13 @@
             f"{workload.requests_per_s:g}" if workload.requests_per_s else "none",
             f"{workload.stall_weight:g}",
         ]
-        for workload in box.catalog.workloads()
+        for workload in host.catalog.workloads()
     ]
     columns = ["workload", "priority", "share", "limit a second", "stall weight"]
     return StatementAnswer(columns=columns, rows=rows)
 
 
-def _changes(box: Box, words: Words, _: Asker) -> StatementAnswer:
+def _changes(host: StatementHost, words: Words, _: Asker) -> StatementAnswer:
     limit = int(words.number("count", _ROWS))
     rows = [
         [
@@ -135,12 +135,12 @@
             change.who,
             change.statement,
         ]
-        for change in list(box.feed.recent)[-limit:]
+        for change in list(host.feed.recent)[-limit:]
     ]
     return StatementAnswer(columns=["revision", "at (UTC)", "who", "statement"], rows=rows)
 
 
-def _help(_: Box, __: Words, ___: Asker) -> StatementAnswer:
+def _help(_: StatementHost, __: Words, ___: Asker) -> StatementAnswer:
     return StatementAnswer(rows=[[item.help] for _, item in statements], columns=["statements"])
 
 
--- a/springrock/statements/why.py
+++ b/springrock/statements/why.py
@@ -4,7 +4,7 @@
 
 import time
 
-from springrock.box import Box
+from springrock.hosts import StatementHost
 from springrock.log import Line
 from springrock.statements import Asker, Statement, Words, statements
 from springrock.wire.operator import StatementAnswer
@@ -12,9 +12,9 @@
 _HIDDEN = frozenset({"request", "replica"})
 
 
-def _answer(box: Box, lines: list[Line], about: str) -> StatementAnswer:
+def _answer(host: StatementHost, lines: list[Line], about: str) -> StatementAnswer:
     if not lines:
-        return StatementAnswer(text=f"box {box.name} remembers no decision about {about}")
+        return StatementAnswer(text=f"box {host.name} remembers no decision about {about}")
     rows = [
         [time.strftime("%H:%M:%S", time.gmtime(line.at)), line.text, _details(line)]
         for line in lines
@@ -26,28 +26,28 @@
     return " ".join(f"{key}={value}" for key, value in line.fields.items() if key not in _HIDDEN)
 
 
-def _why_request(box: Box, words: Words, _: Asker) -> StatementAnswer:
+def _why_request(host: StatementHost, words: Words, _: Asker) -> StatementAnswer:
     request = words.get("request")
-    return _answer(box, box.journal.about("request", request), f"request {request}")
+    return _answer(host, host.journal.about("request", request), f"request {request}")
 
 
-def _why_adapter(box: Box, words: Words, _: Asker) -> StatementAnswer:
+def _why_adapter(host: StatementHost, words: Words, _: Asker) -> StatementAnswer:
     adapter = words.get("loaded")
     holders = []
-    for pool in box.settings.pools:
+    for pool in host.settings.pools:
         for upstream in pool.replicas:
-            report = box.view.report(upstream.name)
+            report = host.view.report(upstream.name)
             if report is not None and adapter in report.ready:
                 holders.append(f"{upstream.name} (owner {report.owner})")
-    answer = _answer(box, box.journal.about("adapter", adapter), f"adapter {adapter}")
+    answer = _answer(host, host.journal.about("adapter", adapter), f"adapter {adapter}")
     where = ", ".join(holders) or "nowhere"
     text = f"{adapter} is loaded on: {where}. {answer.text}".strip()
     return StatementAnswer(text=text, columns=answer.columns, rows=answer.rows)
 
 
-def _why_replica(box: Box, words: Words, _: Asker) -> StatementAnswer:
+def _why_replica(host: StatementHost, words: Words, _: Asker) -> StatementAnswer:
     replica = words.get("replica")
-    return _answer(box, box.journal.about("replica", replica), f"replica {replica}")
+    return _answer(host, host.journal.about("replica", replica), f"replica {replica}")
 
 
 statements.register("why_request")(
--- a/springrock/statements/workloads.py
+++ b/springrock/statements/workloads.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from springrock.box import Box
 from springrock.coordination.catalog import Catalog, Change, Workload
+from springrock.hosts import StatementHost
 from springrock.statements import Asker, Statement, Words, statements
 from springrock.statements._change import IF_REVISION, IF_REVISION_HELP, commit, delete, put
 from springrock.wire.operator import StatementAnswer
@@ -13,7 +13,7 @@
     return f"workload/{words.get('workload')}"
 
 
-def _set(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _set(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         name = words.get("workload")
         before = catalog.workload(name) or Workload(name)
@@ -26,14 +26,14 @@
         )
         return put(change, workload)
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
-def _retire(box: Box, words: Words, asker: Asker) -> StatementAnswer:
+def _retire(host: StatementHost, words: Words, asker: Asker) -> StatementAnswer:
     def _build(catalog: Catalog, change: Change) -> Change:
         return delete(change, catalog, _key(words), f"workload {words.get('workload')}")
 
-    return commit(box, words, asker, _key(words), _build)
+    return commit(host, words, asker, _key(words), _build)
 
 
 statements.register("set_workload")(
