--- a/springrock/emulator/engine.py
+++ b/springrock/emulator/engine.py
@@ -8,7 +8,6 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from hashlib import blake2b
 from typing import Any
 
 import bottle
@@ -18,6 +17,7 @@
 from gevent.event import Event
 
 from springrock.clock import monotonic
+from springrock.emulator.generation import Generation, RunRecord, token_of
 from springrock.emulator.prefix_cache import PrefixCache
 from springrock.emulator.settings import EngineStandinSettings
 from springrock.httpd import HttpServer, json_response, new_app
@@ -25,7 +25,6 @@
 from springrock.wire import engine as wire
 
 _RUN_LOG_LIMIT = 200_000
-_WORDS = ("bay", "coral", "dawn", "ebb", "fern", "gale", "heath", "isle", "jetty", "kelp")
 
 
 class EngineFault(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,56 +49,6 @@
     frozen: bool = False
 
 
-class RunRecord(msgspec.Struct, frozen=True):
-    """One start of a request."""
-
-    request_id: str
-    model: str
-    repeatable: bool
-
-
-def token_of(model: str, prompt: str, position: int) -> str:
-    """Return the token that any honest engine generates at a position."""
-    digest = blake2b(f"{model}\0{prompt}\0{position}".encode(), digest_size=2).digest()
-    return f"{_WORDS[digest[0] % len(_WORDS)]}{digest[1]} "
-
-
-def prompt_of(request: wire.EngineRequest) -> str:
-    """Return the text that an answer depends on."""
-    if request.messages is not None:
-        return "\n".join(message["content"] for message in request.messages)
-    return request.prompt or ""
-
-
-def expected_text(model: str, prompt: str, tokens: int) -> str:
-    """Return the whole answer of an honest engine."""
-    return "".join(token_of(model, prompt, position) for position in range(tokens))
-
-
-class Generation:
-    """One request being run."""
-
-    def __init__(self, request: wire.EngineRequest) -> None:
-        self.request = request
-        self.prompt = prompt_of(request)
-        self.produced = 0
-        self.cancelled = False
-        self.ended_at: float | None = None
-        self.progress = Event()
-
-    @property
-    def finished(self) -> bool:
-        """Whether all tokens were generated."""
-        return self.produced >= self.request.max_tokens
-
-    def step(self) -> None:
-        """Generate one token."""
-        self.produced += 1
-        if self.finished:
-            self.ended_at = monotonic()
-        self.progress.set()
-
-
 class EngineStandin:
     """One engine as an HTTP server."""
 
--- a/springrock/emulator/load.py
+++ b/springrock/emulator/load.py
@@ -15,7 +15,7 @@
 from msgspec import field
 
 from springrock.clock import monotonic
-from springrock.emulator.engine import expected_text
+from springrock.emulator.generation import expected_text
 from springrock.settings import Section
 from springrock.wire import caller as wire
 from springrock.wire.engine import DONE, decode_chunk
--- a/springrock/serving/owned_replica.py
+++ b/springrock/serving/owned_replica.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 from expression import Error, Result
@@ -20,15 +20,17 @@
     Cause,
     OrderFailed,
     Refusal,
-    RunState,
     StaleFence,
 )
 from springrock.log import Log
 from springrock.metrics import Metrics
 from springrock.policies import Eviction, LoadOrder
+from springrock.serving import refusals
 from springrock.serving.engine_watch import EngineWatch
 from springrock.serving.estimate import Estimate
+from springrock.serving.ordered_engine import OrderedEngine
 from springrock.serving.residency import Residency
+from springrock.serving.start_forecast import StartForecast
 from springrock.serving.waiting import Waiter, WaitingRoom, run_estimate_s
 from springrock.settings import PolicySection, PoolSection, UpstreamSection
 from springrock.wire import engine as engine_wire
@@ -36,23 +38,9 @@
 
 _REVIEW_EVERY_S = 0.1
 _PERMIT_SLACK_S = 2.0
-_MOVED_RETRY_S = 1.0
 _CANCEL_EVERY_S = 1.0
 
 
-class OrderedEngine(Protocol):
-    """The part of an engine driver that an owner uses."""
-
-    def order(self, order: engine_wire.Order) -> None:
-        """Give an order and wait until it is carried out."""
-
-    def loaded(self) -> engine_wire.LoadedAdapters:
-        """Return the exact list of what the engine holds."""
-
-    def cancel(self, request_id: str) -> bool:
-        """Have a request cancelled."""
-
-
 class OwnedReplica:
     """One replica that this box owns.
 
@@ -101,6 +89,14 @@
         self.waiting = WaitingRoom()
         self.residency = Residency(pool.adapter_slots)
         self.estimate = Estimate(step_ms=pool.step_ms, load_s=pool.load_s)
+        self.forecast = StartForecast(
+            waiting=self.waiting,
+            residency=self.residency,
+            estimate=self.estimate,
+            least_load_s=pool.load_s,
+            running=lambda: self.running,
+            running_limit=lambda: self.running_limit,
+        )
         self.load_wanted = Event()
         self.place_freed = Event()
         self.ordering = False
@@ -132,7 +128,7 @@
         for task in self._tasks:
             task.kill(block=False)
         for waiter in self.waiting:
-            self._refuse(waiter, self._moved())
+            self._refuse(waiter, refusals.moved(self.name))
 
     # Asking.
 
@@ -155,14 +151,14 @@
         self.log.say("Drain begins." if drained else "Drain ends.", replica=self.name)
         if drained:
             for waiter in self.waiting:
-                self._refuse(waiter, self._leaving())
+                self._refuse(waiter, refusals.leaving(self.name))
         self._on_change(self)
 
     def close(self) -> None:
         """Grant nothing more; who waits is told that the replica moves."""
         self._closing = True
         for waiter in self.waiting:
-            self._refuse(waiter, self._moved())
+            self._refuse(waiter, refusals.moved(self.name))
         self._on_change(self)
 
     def ask(self, ask: wire.Ask, holder: str) -> Waiter | Result[wire.Grant, Refusal]:
@@ -223,47 +219,20 @@
 
     def _admission(self, ask: wire.Ask) -> Refusal | None:
         if not self.may_act() or self._closing:
-            return self._moved()
+            return refusals.moved(self.name)
         if not self.accepting:
-            return self._leaving()
+            return refusals.leaving(self.name)
         if len(self.waiting) >= self.policy.queue_limit:
-            wait_s = self.estimate.service_s
-            return Refusal(Cause.QUEUE_FULL, "the queue is full", RunState.NOT_RUN, wait_s)
-        wait_s = self.start_estimate_s(ask)
+            return refusals.queue_full(retry_after_s=self.estimate.service_s)
+        wait_s = self.forecast.start_s(ask)
         return self._too_late(wait_s, ask)
 
     def _too_late(self, wait_s: float, ask: wire.Ask) -> Refusal | None:
         need_s = wait_s + run_estimate_s(ask.max_tokens, self.estimate.token_s)
         if need_s <= ask.deadline_s:
             return None
-        detail = f"needs {need_s:.2f} s and has {ask.deadline_s:.2f} s"
         retry_after_s = max(wait_s, self.estimate.load_s, self.estimate.service_s)
-        return Refusal(Cause.CANNOT_FINISH, detail, RunState.NOT_RUN, retry_after_s)
-
-    def start_estimate_s(self, ask: wire.Ask) -> float:
-        """Return the expected wait of a question asked now."""
-        place_s = self._place_wait_s()
-        if self.residency.ready(ask.adapter):
-            return place_s
-        return max(place_s, self._load_wait_s(ask))
-
-    def _place_wait_s(self) -> float:
-        limit = max(1, self.running_limit)
-        over = self.running + self._ready_waiting() - limit + 1
-        return max(0, over) / limit * self.estimate.service_s
-
-    def _ready_waiting(self) -> int:
-        return sum(self.residency.ready(waiter.ask.adapter) for waiter in self.waiting)
-
-    def _load_wait_s(self, ask: wire.Ask) -> float:
-        if ask.adapter == self.residency.loading:
-            return self.estimate.load_s / 2
-        wants = self.waiting.wants(
-            self.residency.ready, load_s=self.estimate.load_s, token_s=self.estimate.token_s
-        )
-        mine = sum(want.worth_in_time for want in wants if want.adapter == ask.adapter) + ask.worth
-        ahead = sum(want.worth_in_time >= mine for want in wants if want.adapter != ask.adapter)
-        return (ahead + 1) * self.estimate.load_s
+        return refusals.too_late(need_s, ask.deadline_s, retry_after_s=retry_after_s)
 
     # Granting.
 
@@ -314,7 +283,7 @@
     def taken_out(self) -> None:
         """Refuse everyone who waits: the engine does not answer."""
         for waiter in self.waiting:
-            self._refuse(waiter, self._leaving())
+            self._refuse(waiter, refusals.leaving(self.name))
         self._on_change(self)
 
     def taken_in(self, adapters: list[str]) -> None:
@@ -336,19 +305,6 @@
             if waiter.ask.adapter == adapter:
                 self._refuse(waiter, refusal)
 
-    def _moved(self) -> Refusal:
-        return Refusal(
-            Cause.NOT_OWNER, f"{self.name} is owned elsewhere now", RunState.NOT_RUN, _MOVED_RETRY_S
-        )
-
-    def _leaving(self) -> Refusal:
-        return Refusal(
-            Cause.UPSTREAM_LEAVING,
-            f"{self.name} takes no new work",
-            RunState.NOT_RUN,
-            _MOVED_RETRY_S,
-        )
-
     # Orders.
 
     def order(self, kind: engine_wire.OrderKind, adapter: str = "") -> None:
@@ -424,11 +380,11 @@
         """Refuse who can no longer finish, and end the permits whose time is over."""
         now = monotonic()
         for waiter in self.waiting:
-            if waiter.last_start_at(self.estimate.token_s) < now + self._least_wait_s(waiter):
-                detail = "waited until it could no longer finish in time"
-                retry_after_s = self._backlog_s(waiter)
-                refusal = Refusal(Cause.CANNOT_FINISH, detail, RunState.NOT_RUN, retry_after_s)
-                self._refuse(waiter, refusal)
+            if waiter.last_start_at(self.estimate.token_s) < now + self.forecast.least_wait_s(
+                waiter
+            ):
+                retry_after_s = self.forecast.backlog_s(waiter)
+                self._refuse(waiter, refusals.waited_in_vain(retry_after_s=retry_after_s))
         for permit in self.permits.overdue():
             self.log.say("A permit ran out.", replica=self.name, request=permit.request_id)
             gevent.spawn(self._cancel_surely, permit)
@@ -439,18 +395,3 @@
         while not self._closing and not self.driver.cancel(permit.request_id):
             gevent.sleep(_CANCEL_EVERY_S)
         self.give_back(permit.number, 0)
-
-    def _backlog_s(self, waiter: Waiter) -> float:
-        """Return after how long what waits here now should be over."""
-        place_s = max(self._place_wait_s(), self.estimate.service_s)
-        if self.residency.ready(waiter.ask.adapter):
-            return place_s
-        loads = len(set(self.waiting.adapters) - set(self.residency.ready_adapters))
-        return max(place_s, loads * self.estimate.load_s)
-
-    def _least_wait_s(self, waiter: Waiter) -> float:
-        """Return the least time that a waiter has still to wait."""
-        adapter = waiter.ask.adapter
-        if self.residency.ready(adapter) or adapter == self.residency.loading:
-            return 0.0
-        return self.pool.load_s
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -16,7 +16,7 @@
 from springrock.asking import send_statement
 from springrock.emulator.deployment import OPERATOR_KEY, Addresses, SettingsWriter, Shape
 from springrock.emulator.embedded import first_configuration
-from springrock.emulator.engine import RunRecord, expected_text
+from springrock.emulator.generation import RunRecord, expected_text
 from springrock.emulator.ports import free_addresses
 from springrock.errors import PlatformUnavailable
 from springrock.ids import rendezvous_order
