--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -98,12 +98,14 @@
         lease_left_ms: How much longer the lease stands, as of sending.
         room: How many more adapters its engines could take now.
         boxes: How many boxes are linked to the placer, its own included.
+        crowded: The engines that run so much that a second copy of what is hot there is better.
     """
 
     row_version: int
     lease_left_ms: int
     room: int
     boxes: int = 1
+    crowded: tuple[str, ...] = ()
 
 
 Message = Hello | Demand | Residents | Forecast | Heartbeat
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -123,7 +123,8 @@
 
     def note_hit(self, key: AdapterKey) -> None:
         """Count a request for an adapter."""
-        name = choose_zone(key, self._zone_views()) or self._settings.zone
+        avoid = self._zones_holding(key) if self._stands_crowded(key) else set()
+        name = choose_zone(key, self._zone_views(), avoid=avoid) or self._settings.zone
         self._zone(name).demand.note_hit(key)
 
     def using(self, instance: str, key: AdapterKey) -> AbstractContextManager[None]:
@@ -165,12 +166,23 @@
         return views
 
     def _zones_holding(self, key: AdapterKey) -> set[str]:
-        return {
-            replica.record.zone
+        return {replica.record.zone for replica in self._holders(key)}
+
+    def _stands_crowded(self, key: AdapterKey) -> bool:
+        """Whether an adapter stands only on engines that run too much."""
+        crowded = frozenset[str]().union(*(zone.crowded for zone in self._zones.values()))
+        if not crowded:
+            return False
+        holders = self._holders(key)
+        return bool(holders) and all(replica.instance in crowded for replica in holders)
+
+    def _holders(self, key: AdapterKey) -> list[Replica]:
+        return [
+            replica
             for service in self._configuration().engine_services
             for replica in self._directory.of_service(service)
             if self._residency.holds(replica, key)
-        }
+        ]
 
     def _engines_by_zone(self) -> dict[str, list[ReplicaRecord]]:
         engines: dict[str, list[ReplicaRecord]] = {}
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -21,7 +21,7 @@
 from springrock.placement.lease import PlacerLease
 from springrock.placement.load_budget import LoadBudget
 from springrock.placement.messages import Demand, Forecast, Message, Residents
-from springrock.placement.planner import CombinedWant, Planner
+from springrock.placement.planner import CombinedWant, Planner, crowded_engines
 from springrock.placement.popularity import Popularity
 from springrock.placement.residency import Versions
 
@@ -144,6 +144,10 @@
             if keeper.book.reachable and keeper.book.models and not keeper.book.record.leaving
         )
 
+    def crowded(self) -> tuple[str, ...]:
+        """Return the engines that run so much that all of it becomes slow."""
+        return tuple(sorted(crowded_engines(self._used())))
+
     # Engines.
 
     def _replica_changed(self, record: ReplicaRecord | None, instance: str) -> None:
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -41,6 +41,12 @@
 _POPULAR = 2.5
 """Asked for this often, an adapter is loaded although nobody waits for it now."""
 
+_HOT = 5.0
+"""Asked for this often, an adapter gets a second copy if the engines that hold it are crowded."""
+
+_CROWDED_RUNS = 14
+"""Running at once on one engine, prompts are read so much that all answers become slow."""
+
 _WORTH_OF_FUTURE = 2.0
 _NO_PLACE = 100.0
 _EVICTION = 1.0
@@ -58,6 +64,7 @@
         since: When the placer first heard of it, on the local monotonic clock.
         target_at: When the first request is late.
         held: Of the worth, that of requests held too long to be sent back without a loss.
+        is_copy: Whether it is for one more copy of an adapter that stands ready.
     """
 
     key: AdapterKey
@@ -67,6 +74,7 @@
     since: float
     target_at: float
     held: float = 0.0
+    is_copy: bool = False
 
 
 class Assignment(NamedTuple):
@@ -115,12 +123,12 @@
             now: The time on the local monotonic clock.
         """
         plan = Plan([], {})
-        self._running = Counter[str]()
-        for (instance, _), count in used.items():
-            self._running[instance] += count
+        self._running = _running_by_engine(used)
         wants = list(wants)
         self._wanted = frozenset(want.key for want in wants if want.waiting)
-        wants += self._foreseen(engines, {want.key for want in wants}, now)
+        wanted = {want.key for want in wants}
+        wants += self._foreseen(engines, wanted, now)
+        wants += self._copies(engines, wanted, crowded_engines(used), now)
         ranked = sorted(wants, key=lambda want: self._value(want, now), reverse=True)
         coming = sum(len(engine.assigned) for engine in engines)
         short_of_places = 0
@@ -129,7 +137,7 @@
             if known_s is not None:
                 plan.ready_in_s[want.key] = known_s
                 continue
-            if not want.waiting and self._is_at_hand(want.key, engines):
+            if not want.waiting and not want.is_copy and self._is_at_hand(want.key, engines):
                 # It takes no place before somebody waits: it can be there at once.
                 plan.ready_in_s[want.key] = WARM_LOAD_S
                 continue
@@ -191,13 +199,32 @@
         """Return popular adapters that stand nowhere, as if they were wanted."""
         models = {model for engine in engines for model in engine.models}
         return [
-            CombinedWant(key=key, waiting=0, promised=0, worth=0.0, since=now, target_at=now)
+            _unasked(key, now)
             for key in self._popularity.above(_POPULAR)
             if key not in wanted
             and key.model in models
             and not any(key in engine.places for engine in engines)
         ]
 
+    def _copies(
+        self,
+        engines: Collection[EngineBook],
+        wanted: Collection[AdapterKey],
+        crowded: Collection[str],
+        now: float,
+    ) -> list[CombinedWant]:
+        """Return hot adapters that stand on crowded engines only, as if they were wanted again."""
+        if not crowded:
+            return []
+        copies = []
+        for key in self._popularity.above(_HOT):
+            holders = [engine for engine in engines if key in engine.places]
+            if key in wanted or not holders:
+                continue
+            if all(engine.instance in crowded for engine in holders):
+                copies.append(_unasked(key, now, is_copy=True))
+        return copies
+
     def _known_ready_in(
         self, want: CombinedWant, engines: Collection[EngineBook], now: float
     ) -> float | None:
@@ -205,6 +232,8 @@
         key = want.key
         times: list[float] = []
         for engine in engines:
+            if want.is_copy and key in engine.places:
+                continue
             if engine.is_ready(key, version=self._newest(key)):
                 stood_s = now - max(want.since, engine.places[key].since)
                 if not want.waiting or stood_s < _UNREACHED_S:
@@ -243,6 +272,7 @@
             for engine in engines
             if key.model in engine.models
             and (key not in engine.places or self._replaceable(engine, key, used))
+            and not (want.is_copy and self._running[engine.instance] >= _CROWDED_RUNS // 2)
             and _not_yet_placed(engine) + engine.coming < _COMING_TO_ONE
         ]
         best = min(candidates, key=_cost, default=None)
@@ -272,5 +302,25 @@
         return place.version >= self._newest(key), self._popularity.of(key)
 
 
+def _unasked(key: AdapterKey, now: float, *, is_copy: bool = False) -> CombinedWant:
+    """Return the want of an adapter that nobody waits for."""
+    return CombinedWant(
+        key=key, waiting=0, promised=0, worth=0.0, since=now, target_at=now, is_copy=is_copy
+    )
+
+
+def crowded_engines(used: Mapping[tuple[str, AdapterKey], int]) -> set[str]:
+    """Return the engines that run so much that all of it becomes slow."""
+    running = _running_by_engine(used)
+    return {instance for instance, count in running.items() if count >= _CROWDED_RUNS}
+
+
+def _running_by_engine(used: Mapping[tuple[str, AdapterKey], int]) -> Counter[str]:
+    running = Counter[str]()
+    for (instance, _), count in used.items():
+        running[instance] += count
+    return running
+
+
 def _not_yet_placed(engine: EngineBook) -> int:
     return sum(key not in engine.places for key in engine.assigned)
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -96,6 +96,7 @@
         links: The boxes linked to this one as the zone's placer.
         room: How many more adapters the engines could take when the placer last told.
         boxes: How many boxes the placer had linked when it last told, its own included.
+        crowded: The engines that run too much, as the placer last told.
     """
 
     def __init__(self, zone: str, settings: PlacementSettings, around: Surroundings) -> None:
@@ -107,6 +108,7 @@
         self.demand = DemandBook(has_placer=lambda: self.reachable)
         self.room = 0
         self.boxes = 1
+        self.crowded: frozenset[str] = frozenset()
         self._lease = PlacerLease(
             around.store,
             zone=zone,
@@ -201,6 +203,7 @@
             lease_left_ms=round(self._lease.left_s * 1000),
             room=self._placer.room(),
             boxes=self.links.count + 1,
+            crowded=self._placer.crowded(),
         )
 
     def _tell(self, message: Message) -> None:
@@ -220,8 +223,10 @@
     def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.room = heartbeat.room
         self.boxes = heartbeat.boxes
+        self.crowded = frozenset(heartbeat.crowded)
 
     def _placer_lost(self) -> None:
+        self.crowded = frozenset()
         self._residency.forget_told(self._zone)
         self.demand.forget_forecasts()
 
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -120,6 +120,20 @@
     assert [item.key for item in plan.assignments] == [key("often")]
 
 
+def test_a_hot_adapter_on_a_crowded_engine_gets_a_second_copy() -> None:
+    crowded, calm = make_engine("i-1", "hot", "cold"), make_engine("i-2", "x")
+    popularity = Popularity()
+    popularity.note(key("hot"), 20)
+    popularity.note(key("cold"), 1)
+    planner = make_planner(popularity)
+    used = {("i-1", key("hot")): 20}
+    plan = planner.plan([], [crowded, calm], used={("i-1", key("hot")): 5}, now=monotonic())
+    assert plan.assignments == []
+    plan = planner.plan([], [crowded, calm], used=used, now=monotonic())
+    assert [(item.key, item.engine.instance) for item in plan.assignments] == [(key("hot"), "i-2")]
+    assert planner.plan([], [crowded, calm], used=used, now=monotonic()).assignments == []
+
+
 def test_an_engine_that_had_the_adapter_lately_is_preferred() -> None:
     before, other = make_engine("i-1", "a"), make_engine("i-2", slots=3)
     before.unload_taken(key("a"))
