--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -15,6 +15,9 @@
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.messages import Demand, Hits, Use, Want
 
+DEMAND_PAUSE_S = 0.02
+"""How long changes of the demand gather before the placer is told."""
+
 _SILENCE_S = 0.2
 """How long a request waits to hear anything of the placer before it is refused."""
 
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -11,6 +11,7 @@
 
 from springrock import gevent_websockets as _  # noqa: F401
 from springrock.log import Log
+from springrock.placement.demand import DEMAND_PAUSE_S
 from springrock.placement.link_server import CLOSE_S, FRAME_LIMIT_BYTES, LINK_FAILURES
 from springrock.placement.messages import Demand, Hello, Message, decode, encode
 from springrock.settings import split_address
@@ -19,7 +20,6 @@
 _SILENCE_S = 1.3
 """A placer that sends no heartbeat for so long is taken for unreachable."""
 
-_DEMAND_PAUSE_S = 0.02
 _DEMAND_AT_LEAST_EVERY_S = 0.5
 
 
@@ -129,7 +129,7 @@
             while True:
                 self._demand_changed.clear()
                 connection.send(encode(self._demand()))
-                gevent.sleep(_DEMAND_PAUSE_S)
+                gevent.sleep(DEMAND_PAUSE_S)
                 self._demand_changed.wait(timeout=_DEMAND_AT_LEAST_EVERY_S)
         except LINK_FAILURES:
             return
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -15,7 +15,7 @@
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.placement.control import EngineControl
-from springrock.placement.demand import DemandBook
+from springrock.placement.demand import DEMAND_PAUSE_S, DemandBook
 from springrock.placement.lease import PlacerLease, PlacerRow
 from springrock.placement.link_client import PlacerClient
 from springrock.placement.link_server import BoxLinks
@@ -27,7 +27,6 @@
 _HEARTBEAT_S = 0.4
 _LOOK_S = 0.3
 _RENEWALS_PER_LEASE = 3
-_DEMAND_PAUSE_S = 0.02
 _COURTESY_S = 1.5
 """How much longer a lapsed lease is left to the boxes of the zone itself."""
 
@@ -236,7 +235,7 @@
             if self._placer.active:
                 self.demand.changed.clear()
                 self._placer.take_demand(self._settings.box, self.demand.snapshot())
-            gevent.sleep(_DEMAND_PAUSE_S)
+            gevent.sleep(DEMAND_PAUSE_S)
 
     # The election.
 
