--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -46,10 +46,6 @@
         self.allowed_s = terms.target_at - self.began_at
         self.news = Event()
 
-    def is_held_long(self, now: float) -> bool:
-        """Whether it is too late to send the client back without a loss to it."""
-        return now > self.began_at + _PROMPT_PART * self.allowed_s
-
 
 class DemandBook:
     """The waits and uses of this box.
@@ -127,7 +123,8 @@
         starts_at = max(ready_at, now) + _START_S
         if starts_at <= waiter.terms.target_at:
             return
-        if waiter.is_held_long(now) or not waiter.terms.returns_within_s:
+        held_for_long = now > waiter.began_at + _PROMPT_PART * waiter.allowed_s
+        if held_for_long or not waiter.terms.returns_within_s:
             if starts_at > waiter.terms.until:
                 raise NoReplica("load_not_in_time", max(0.0, ready_at - now))
             return
@@ -194,14 +191,12 @@
 
     def _want_of(self, key: AdapterKey, waiters: list[_Waiter], now: float) -> Want:
         terms = [waiter.terms for waiter in waiters]
-        waiting = [waiter for waiter in waiters if waiter in self._waiters]
-        held = sum(waiter.terms.worth for waiter in waiting if waiter.is_held_long(now))
+        waiting = sum(waiter in self._waiters for waiter in waiters)
         return Want(
             model=key.model,
             adapter=key.adapter,
-            waiting=len(waiting),
-            promised=len(waiters) - len(waiting),
+            waiting=waiting,
+            promised=len(waiters) - waiting,
             worth=round(sum(item.worth for item in terms), 2),
             target_left_ms=round(1000 * min(item.target_at - now for item in terms)),
-            held=round(held, 2),
         )
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -33,7 +33,6 @@
         promised: How many clients were told when to come back for it.
         worth: The sum of what they are worth.
         target_left_ms: Until the first of them is late.
-        held: Of the worth, that of requests held too long to be sent back without a loss.
     """
 
     model: str
@@ -42,7 +41,6 @@
     promised: int
     worth: float
     target_left_ms: int
-    held: float = 0.0
 
 
 class Use(Struct, frozen=True, array_like=True):
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -282,13 +282,11 @@
                         worth=want.worth,
                         since=since,
                         target_at=target_at,
-                        held=want.held,
                     )
                 else:
                     known.waiting += want.waiting
                     known.promised += want.promised
                     known.worth += want.worth
-                    known.held += want.held
                     known.target_at = min(known.target_at, target_at)
         for key in [key for key in self._since if key not in combined]:
             del self._since[key]
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -32,9 +32,6 @@
 _LATE_PART = 0.3
 """What an answer that comes late is worth of one in time."""
 
-_LOSS_OF_HELD = 1.0
-"""What is lost, beside its answer, by refusing a request that was held for long."""
-
 _ASKED_BY_ONE = 1.5
 """How often one client asks, its coming back included."""
 
@@ -63,7 +60,6 @@
         promised: How many clients were told when to come back for it.
         since: When the placer first heard of it, on the local monotonic clock.
         target_at: When the first request is late.
-        held: Of the worth, that of requests held too long to be sent back without a loss.
         is_copy: Whether it is for one more copy of an adapter that stands ready.
     """
 
@@ -73,7 +69,6 @@
     worth: float
     since: float
     target_at: float
-    held: float = 0.0
     is_copy: bool = False
 
 
@@ -191,7 +186,7 @@
         in_time = now + COLD_LOAD_S < want.target_at
         worth = want.worth if in_time or want.promised else want.worth * _LATE_PART
         asked_again = max(0.0, self._popularity.of(want.key) - _ASKED_BY_ONE)
-        return worth + _LOSS_OF_HELD * want.held + _WORTH_OF_FUTURE * asked_again
+        return worth + _WORTH_OF_FUTURE * asked_again
 
     def _foreseen(
         self, engines: Collection[EngineBook], wanted: Collection[AdapterKey], now: float
