Check the placer's lease as a model

A hypothesis state machine: three boxes look, renew, give up, restart and hear heartbeats in any order while the store is down or loses answers; never two holders (without fence checks, so that time alone keeps them apart), fences only rise.

--- /dev/null
+++ b/tests/placement/test_lease_model.py
@@ -0,0 +1,89 @@
+"""The placer's lease as a model: boxes act in any order while the store fails and loses answers."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from springrock.placement import lease as lease_module
+from springrock.placement.lease import PlacerLease
+from tests.placement.test_lease import LEASE_S, Store, make_lease
+
+BOXES = ("one", "two", "three")
+boxes = st.sampled_from(BOXES)
+
+
+class LeaseModel(RuleBasedStateMachine):
+    """Three boxes, one row; replicas check no fence, so that only time keeps holders apart."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.patch = pytest.MonkeyPatch()
+        self.patch.setattr(lease_module, "monotonic", lambda: self.now)
+        self.store = Store()
+        self.starts = 0
+        self.fences: list[int] = []
+        self.leases = {box: self.started(box) for box in BOXES}
+
+    def started(self, box: str) -> PlacerLease:
+        """Return the lease of a new process of a box."""
+        self.starts += 1
+        return make_lease(self.store, box, incarnation=f"{box}-{self.starts}", checks_fence=False)
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, LEASE_S * 0.9, LEASE_S * 1.15)))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(order=st.permutations(BOXES), courtesy_s=st.sampled_from((0.0, 1.5)))
+    def all_look(self, order: list[str], courtesy_s: float) -> None:
+        for lease in (self.leases[box] for box in order):
+            if not lease.held and lease.challenge(lease.look(), courtesy_s=courtesy_s):
+                self.fences.append(lease.fence)
+
+    @rule(box=boxes)
+    def renew(self, box: str) -> None:
+        if self.leases[box].held:
+            self.leases[box].renew()
+
+    @rule(box=boxes, successor=st.booleans())
+    def give_up(self, box: str, successor: bool) -> None:
+        if self.leases[box].held:
+            self.leases[box].give_up(reason="a test", successor=successor)
+
+    @rule(box=boxes)
+    def restart(self, box: str) -> None:
+        self.leases[box] = self.started(box)
+
+    @rule(holder=boxes, other=boxes)
+    def hear_heartbeat(self, holder: str, other: str) -> None:
+        told, heard = self.leases[holder], self.leases[other]
+        if told.holds and not heard.held:
+            heard.note_heartbeat(told.version, told.left_s)
+
+    @rule(down=st.booleans())
+    def store_fails_or_heals(self, down: bool) -> None:
+        self.store.down = down
+
+    @rule(lose=st.booleans())
+    def answers_are_lost_or_not(self, lose: bool) -> None:
+        self.store.lose_answer = lose
+
+    @invariant()
+    def one_box_holds(self) -> None:
+        assert sum(lease.holds for lease in self.leases.values()) <= 1
+
+    @invariant()
+    def fences_rise(self) -> None:
+        assert self.fences == sorted(set(self.fences))
+
+    def teardown(self) -> None:
+        self.patch.undo()
+
+
+TestLeaseModel = LeaseModel.TestCase
+TestLeaseModel.settings = settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
