--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -25,6 +25,9 @@
 from springrock.rows import RowStore
 
 _HEARTBEAT_S = 0.4
+_FIRST_LOOK_S = 0.1
+"""Within this time after its start each box looks for placers, so that not all look at once."""
+
 _LOOK_S = 0.3
 _RENEWALS_PER_LEASE = 3
 _COURTESY_S = 1.5
@@ -240,7 +243,7 @@
     # The election.
 
     def _elect_forever(self) -> None:
-        gevent.sleep(random.uniform(0.0, _LOOK_S))
+        gevent.sleep(random.uniform(0.0, _FIRST_LOOK_S))
         while not self._stopping:
             if self._lease.held:
                 self._hold()
--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -18,7 +18,7 @@
 
 _CONNECT_S = 0.5
 _REPORT_ANSWER_S = 0.5
-_ORDER_ANSWER_S = 0.25
+_ORDER_ANSWER_S = 0.12
 """An order is answered in some milliseconds or not at all; as it states the engine's sequence,
 one that is given again too early is refused, not carried out twice."""
 
