--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -44,6 +44,9 @@
 _CROWDED_RUNS = 14
 """Running at once on one engine, prompts are read so much that all answers become slow."""
 
+_COLD_COST = 1.0
+"""What a load from the weight store costs, in the worth of requests: it takes the place longer."""
+
 _WORTH_OF_FUTURE = 2.0
 _NO_PLACE = 100.0
 _EVICTION = 1.0
@@ -124,7 +127,7 @@
         wanted = {want.key for want in wants}
         wants += self._foreseen(engines, wanted, now)
         wants += self._copies(engines, wanted, crowded_engines(used), now)
-        ranked = sorted(wants, key=lambda want: self._value(want, now), reverse=True)
+        ranked = sorted(wants, key=lambda want: self._value(want, engines, now), reverse=True)
         coming = sum(len(engine.assigned) for engine in engines)
         short_of_places = 0
         for want in ranked:
@@ -181,12 +184,13 @@
             and now - place.since >= _GRACE_S
         ]
 
-    def _value(self, want: CombinedWant, now: float) -> float:
-        """Return what a load is worth: to those who wait, and to those who will likely ask."""
+    def _value(self, want: CombinedWant, engines: Collection[EngineBook], now: float) -> float:
+        """Return what a load is worth to those who wait and will likely ask, less what it costs."""
         in_time = now + COLD_LOAD_S < want.target_at
         worth = want.worth if in_time or want.promised else want.worth * _LATE_PART
         asked_again = max(0.0, self._popularity.of(want.key) - _ASKED_BY_ONE)
-        return worth + _WORTH_OF_FUTURE * asked_again
+        cost = 0.0 if self._is_at_hand(want.key, engines) else _COLD_COST
+        return worth + _WORTH_OF_FUTURE * asked_again - cost
 
     def _foreseen(
         self, engines: Collection[EngineBook], wanted: Collection[AdapterKey], now: float
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -144,6 +144,17 @@
     assert [item.engine.instance for item in plan.assignments] == ["i-2"]
 
 
+def test_what_is_at_hand_goes_before_what_the_weight_store_must_bring() -> None:
+    engine = make_engine("i-1", "lately", slots=1)
+    engine.unloaded(key("lately"))
+    plan = make_planner().plan([want("cold"), want("lately")], [engine], used={}, now=monotonic())
+    assert [item.key for item in plan.assignments] == [key("lately")]
+    dear = want("cold", worth=3.0)
+    engine.assigned.clear()
+    plan = make_planner().plan([dear, want("lately")], [engine], used={}, now=monotonic())
+    assert [item.key for item in plan.assignments] == [key("cold")]
+
+
 def test_what_is_at_hand_takes_no_place_before_somebody_waits() -> None:
     engine = make_engine("i-1", "a", "x")
     engine.unload_taken(key("a"))
