--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,7 +17,8 @@
 import msgspec
 
 from bench import hop
-from bench.meter import Slope, call_many, cpu_s, resident_mb
+from bench.capacity_page import Row, row_of, table_of, write_into_page
+from bench.meter import call_many, cpu_s, resident_mb
 from springrock.coordination.catalog import Adapter, Catalog, Change, Workload
 from springrock.coordination.feed import HEAD_KEY, SNAPSHOT_NAME, HeadValue
 from springrock.emulator.deployment import Shape
@@ -25,10 +26,6 @@
 from tests.cluster import Cluster
 from tests.processes import wait_until
 
-PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
-BEGIN = "<!-- slopes begin -->"
-END = "<!-- slopes end -->"
-
 _WATCH_S = 30.0
 _FRAME_BYTES = 46
 """Websocket, TCP and IP headers of one small message."""
@@ -41,20 +38,6 @@
 }
 
 
-class Row(NamedTuple):
-    """One measured slope.
-
-    Attributes:
-        what: What was measured.
-        points: The points, as text.
-        slope: What one more unit adds, as text.
-    """
-
-    what: str
-    points: str
-    slope: str
-
-
 def zone_of(boxes: int, *, engines: int = 2) -> Shape:
     """Return one zone with so many boxes."""
     return Shape.from_small(zones=1, boxes_per_zone=boxes, engines=engines)
@@ -302,8 +285,8 @@
     one_hop = hop.measure()
     return [
         *_zone_rows(zones),
-        _row("MB resident against adapters", memory, "B for an adapter", 1e6, "{:.1f}"),
-        _row("MB resident against open streams", streams, "KB for a stream", 1e3, "{:.1f}"),
+        row_of("MB resident against adapters", memory, "B for an adapter", 1e6, "{:.1f}"),
+        row_of("MB resident against open streams", streams, "KB for a stream", 1e3, "{:.1f}"),
         Row(
             "permit from another box",
             f"{one_permit.messages_sent:.2f} messages, {one_permit.bytes_sent:.0f} B, with "
@@ -327,49 +310,51 @@
         for zone in zones
     ]
     return [
-        _row(
+        row_of(
             "peer B/s sent by an idle box, with headers",
             with_headers,
             "B/s for a peer",
             1,
             "{:.0f}",
         ),
-        _row(
+        row_of(
             "peer messages/s sent by an idle box",
             _points("peer_messages_per_s"),
             "/s for a peer",
             1,
             "{:.2f}",
         ),
-        _row(
+        row_of(
             "platform B/s read by an idle box",
             _points("platform_bytes_per_s"),
             "B/s for a box",
             1,
             "{:.0f}",
         ),
-        _row(
+        row_of(
             "table writes/s of a box",
             _points("table_writes_per_s"),
             "/s for a box more",
             1,
             "{:.3f}",
         ),
-        _row(
+        row_of(
             "table reads/s of a box", _points("table_reads_per_s"), "/s for a box more", 1, "{:.2f}"
         ),
-        _row(
+        row_of(
             "% of a core used by an idle box", _points("cpu_share"), "% for a peer", 100, "{:.2%}"
         ),
-        _row("MB resident of an idle box", _points("resident_mb"), "KB for a peer", 1e3, "{:.1f}"),
-        _row(
+        row_of(
+            "MB resident of an idle box", _points("resident_mb"), "KB for a peer", 1e3, "{:.1f}"
+        ),
+        row_of(
             "s until a change is in force on all (worst of 5)",
             _points("spread_s"),
             "s for a box",
             1,
             "{:.2f}",
         ),
-        _row(
+        row_of(
             "s until a killed owner's replicas are owned again",
             _points("takeover_s"),
             "s for a box",
@@ -379,24 +364,11 @@
     ]
 
 
-def _row(what: str, points: list[tuple[float, float]], unit: str, scale: float, form: str) -> Row:
-    slope = Slope.from_points(points)
-    text = ", ".join(f"{x:.0f}: {form.format(y)}" for x, y in points)
-    return Row(what, text, f"{slope.per_unit * scale:.3g} {unit}")
-
-
 def main(arguments: list[str]) -> int:
     """Take the slopes and rewrite the table of the page."""
-    taken = rows(quick="--quick" in arguments)
-    lines = ["| what | points | slope |", "|---|---|---|"]
-    lines += [f"| {row.what} | {row.points} | {row.slope} |" for row in taken]
-    table = "\n".join(lines)
+    table = table_of(rows(quick="--quick" in arguments))
     print(table)
-    if PAGE.exists():
-        page = PAGE.read_text()
-        head, _, rest = page.partition(BEGIN)
-        _, _, tail = rest.partition(END)
-        PAGE.write_text(f"{head}{BEGIN}\n\n{table}\n\n{END}{tail}")
+    write_into_page(table)
     return 0
 
 
