--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -1,12 +1,8 @@
-"""Golden files of whole sessions: every byte that a caller or an operator sees, one of each kind.
-
-Set SPRINGROCK_GOLDEN=write to write the files anew; read the difference before you commit it.
-"""
+"""Golden files of whole sessions: every byte that callers and operators see, one of each kind."""
 
 from __future__ import annotations
 
 import json
-import os
 import re
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -15,6 +11,7 @@
 
 from springrock.emulator.deployment import Shape
 from tests.cluster import Cluster, Reply
+from tests.golden import golden
 
 FOLDER = Path(__file__).parent / "sessions"
 BOX = "zone-1-a"
@@ -49,13 +46,7 @@
 
 
 def check(name: str, text: str) -> None:
-    for pattern, instead in CHANGING:
-        text = pattern.sub(instead, text)
-    path = FOLDER / f"{name}.txt"
-    if os.environ.get("SPRINGROCK_GOLDEN") == "write":
-        path.parent.mkdir(exist_ok=True)
-        path.write_text(text)
-    assert text == path.read_text()
+    golden.check(FOLDER, name, text, changing=CHANGING)
 
 
 def chat(cluster: Cluster, *, stream: bool) -> Reply:
