Tell over the placers' links which replicas leave

Change: a placer's heartbeat names all replicas that leave; a box marks them as if it had read it. An incarnation that leaves never stays after all, so an old word does no harm. Tests: the directory, and a heartbeat through a zone.

--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -98,6 +98,18 @@
         """How many replicas are known and not leaving."""
         return sum(not replica.record.leaving for replica in self._replicas.values())
 
+    def leaving(self) -> tuple[str, ...]:
+        """Return the known replicas that leave."""
+        return tuple(instance for instance, item in self._replicas.items() if item.record.leaving)
+
+    def note_leaving(self, instance: str) -> None:
+        """Learn from another box that a replica leaves; what is not known yet is remembered."""
+        known = self._replicas.get(instance)
+        if known is None:
+            self._left.add(instance)
+        elif not known.record.leaving:
+            self.update(msgspec.structs.replace(known.record, leaving=True))
+
     def replace(self, records: Iterable[ReplicaRecord]) -> None:
         """Take the whole list; what is not in it is gone."""
         by_instance = {record.instance: record for record in records}
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -97,6 +97,7 @@
         room: How many more adapters its engines could take now.
         boxes: How many boxes are linked to the placer, its own included.
         crowded: The engines that run so much that a second copy of what is hot there is better.
+        leaving: All replicas that leave, for boxes that cannot read it in the store.
     """
 
     row_version: int
@@ -104,6 +105,7 @@
     room: int
     boxes: int = 1
     crowded: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 Message = Hello | Demand | Residents | Forecast | Heartbeat
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -104,6 +104,7 @@
     def __init__(self, zone: str, settings: PlacementSettings, around: Surroundings) -> None:
         self._zone = zone
         self._settings = settings
+        self._directory = around.directory
         self._residency = around.residency
         self._incarnation = around.incarnation
         self._metrics = around.metrics
@@ -142,7 +143,7 @@
             zone=zone,
             demand=self.demand.snapshot,
             demand_changed=self.demand.changed,
-            on_message=self._take,
+            on_message=self.take,
             on_lost=self._placer_lost,
             log=around.log_of("link"),
         )
@@ -206,13 +207,15 @@
             room=self._placer.room(),
             boxes=self.links.count + 1,
             crowded=self._placer.crowded(),
+            leaving=self._directory.leaving(),
         )
 
     def _tell(self, message: Message) -> None:
         self.links.tell_all(message)
-        self._take(message)
+        self.take(message)
 
-    def _take(self, message: Message) -> None:
+    def take(self, message: Message) -> None:
+        """Learn what the placer says."""
         match message:
             case Residents(instance=instance, adapters=adapters):
                 self._residency.note_told(instance, adapters)
@@ -226,6 +229,8 @@
         self.room = heartbeat.room
         self.boxes = heartbeat.boxes
         self.crowded = frozenset(heartbeat.crowded)
+        for instance in heartbeat.leaving:
+            self._directory.note_leaving(instance)
 
     def _placer_lost(self) -> None:
         self.crowded = frozenset()
--- a/tests/forwarding/test_values.py
+++ b/tests/forwarding/test_values.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from springrock.clock import monotonic
@@ -105,6 +106,22 @@
     assert splitter.take_rest() == b""
 
 
+# Replicas.
+
+
+def test_a_replica_that_another_box_saw_leaving_gets_no_new_work() -> None:
+    directory = Directory(Log("directory", "box"))
+    record = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="z")
+    directory.update(record)
+    assert directory.leaving() == ()
+    directory.note_leaving("i-1")
+    directory.note_leaving("i-2")
+    assert directory.leaving() == ("i-1",)
+    directory.update(record)
+    directory.update(msgspec.structs.replace(record, instance="i-2"))
+    assert directory.leaving() == ("i-1", "i-2")
+
+
 # Retries.
 
 
--- /dev/null
+++ b/tests/placement/test_zone.py
@@ -0,0 +1,53 @@
+"""What a box learns from the heartbeats of a zone's placer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from springrock.forwarding.configuration import Configuration
+from springrock.forwarding.directory import Directory, ReplicaRecord
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+from springrock.placement.messages import Heartbeat, decode, encode
+from springrock.placement.residency import Residency, Versions
+from springrock.placement.zone import PlacementSettings, Surroundings, ZonePlacement
+from tests.placement.test_lease import Store
+from tests.placement.test_placer import SlowEngine
+
+RECORD = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-2")
+
+
+def make_zone(directory: Directory) -> ZonePlacement:
+    versions = Versions()
+    around = Surroundings(
+        incarnation="1",
+        store=Store(),
+        configuration=Configuration,
+        directory=directory,
+        versions=versions,
+        residency=Residency(directory, versions),
+        control=SlowEngine("m"),
+        log_of=lambda part: Log(part, "box-1"),
+        metrics=ForwardingMetrics(),
+    )
+    settings = PlacementSettings("box-1", "zone-1", "127.0.0.1:0", 3.0, True, 1.0, 2.0)
+    return ZonePlacement("zone-2", settings, around)
+
+
+def test_a_heartbeat_tells_what_leaves_how_many_boxes_there_are_and_what_is_crowded() -> None:
+    directory = Directory(Log("directory", "box-1"))
+    directory.update(RECORD)
+    zone = make_zone(directory)
+    heartbeat = Heartbeat(
+        row_version=3,
+        lease_left_ms=900,
+        room=4,
+        boxes=7,
+        crowded=("i-1",),
+        leaving=("i-1", "i-2"),
+    )
+    zone.take(decode(encode(heartbeat)))
+    assert (zone.room, zone.boxes, zone.crowded) == (4, 7, frozenset({"i-1"}))
+    assert directory.leaving() == ("i-1",)
+    directory.update(msgspec.structs.replace(RECORD, instance="i-2"))
+    assert directory.leaving() == ("i-1", "i-2")
