Start and stop both test deployments through one piece

Both now come from tests/processes.py (RunsProcesses), which already ran their processes. Tests keep what they check; no code that a box runs is changed.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -23,7 +23,7 @@
 from springrock.platform_clients.http import HttpPlatform
 from springrock.settings import PlatformSection
 from springrock.wire.operator import StatementAnswer, StatementRequest
-from tests.processes import Processes, wait_until
+from tests.processes import Processes, RunsProcesses, wait_until
 
 FAST_LEASE = {
     "renew_every_s": 0.5,
@@ -75,7 +75,7 @@
         return self.body.endswith(b"data: [DONE]\n\n")
 
 
-class Cluster:
+class Cluster(RunsProcesses):
     """Processes of one deployment: platform, engines, services, boxes and a fault proxy."""
 
     def __init__(
@@ -107,18 +107,6 @@
 
     # Starting and stopping.
 
-    def __enter__(self) -> Cluster:
-        try:
-            self.start()
-        except BaseException as error:
-            error.add_note(self.processes.account())
-            self.stop()
-            raise
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.stop()
-
     def start(self) -> None:
         self.start_outside()
         self.install_configuration()
@@ -174,7 +162,7 @@
         self.processes.spawn(name, ["serve"], settings)
 
     def stop(self) -> None:
-        self.processes.stop()
+        super().stop()
         self.threads.shutdown(wait=False, cancel_futures=True)
 
     def install_configuration(self) -> None:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 _LAST_LINES = 5
 
@@ -87,3 +87,33 @@
 
     def _log_path(self, name: str) -> Path:
         return self._folder / f"{name}.log"
+
+
+class RunsProcesses:
+    """A deployment that `with` starts and stops; a failed start tells how each process did.
+
+    Attributes:
+        processes: Its processes.
+    """
+
+    processes: Processes
+
+    def start(self) -> None:
+        """Start everything and wait until it can be used."""
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        """Stop everything at once."""
+        self.processes.stop()
+
+    def __enter__(self) -> Self:
+        try:
+            self.start()
+        except BaseException as error:
+            error.add_note(self.processes.account())
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -13,7 +13,7 @@
 
 from springrock.emulator.ports import free_addresses
 from springrock.settings import split_address
-from tests.processes import Processes, wait_until
+from tests.processes import Processes, RunsProcesses, wait_until
 
 HOST = "calls.example"
 MODEL = "base"
@@ -76,7 +76,7 @@
 
 
 @dataclass
-class Deployment:
+class Deployment(RunsProcesses):
     """All processes and their addresses."""
 
     folder: Path
@@ -92,19 +92,7 @@
         self._pool = urllib3.PoolManager(retries=False)
         self._requests = 0
 
-    def __enter__(self) -> Deployment:
-        try:
-            self._start()
-        except BaseException as error:
-            error.add_note(self.processes.account())
-            self.stop()
-            raise
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.stop()
-
-    def _start(self) -> None:
+    def start(self) -> None:
         self.addresses["store"] = free_addresses(1)[0]
         self.processes.spawn("store", ["standin", "rowstore"], {"address": self.addresses["store"]})
         for number in (1, 2):
@@ -144,9 +132,6 @@
         }
         self.processes.spawn(name, ["entry", "--settings"], settings)
 
-    def stop(self) -> None:
-        self.processes.stop()
-
     # The operator.
 
     def write_operator_row(self, key: str, value: dict[str, Any]) -> None:
