--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -22,8 +22,10 @@
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.placement.placement import Placement
+from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.placer_row import TABLE as PLACERS_TABLE
 from springrock.placement.residency import Versions
-from springrock.placement.zone import PlacementSettings
+from springrock.placement.settings import PlacementSettings
 from springrock.platform import names
 from springrock.platform.dialect import PlatformDialect
 from springrock.platform.engine import PlatformEngines
@@ -40,6 +42,10 @@
 """Replicas write when their adapters change, several times a second; what matters of that is
 that a replica leaves, and there is time for it."""
 
+_PLACERS_PAUSE_S = 0.5
+"""The leases of all zones are renewed several times a second; a box that nobody tells of them
+waits for one of its own zone."""
+
 _CEILING_SLACK = 2.9
 """Loads in a window that are allowed beyond the rate, a little under the rule's three."""
 
@@ -130,6 +136,15 @@
             log=self._log_of("configuration"),
         )
         replicas = ReplicaTable(self.directory, log=self._log_of("directory"))
+        self._board = PlacerBoard(age_s=lambda: placers.age_s)
+        placers = TableFollower(
+            self._store,
+            PLACERS_TABLE,
+            self._board,
+            pause_s=_PLACERS_PAUSE_S,
+            eager=True,
+            log=self._log_of("placers"),
+        )
         self._followers = [
             TableFollower(
                 self._store,
@@ -145,8 +160,10 @@
                 pause_s=_REPLICAS_PAUSE_S,
                 log=self._log_of("directory"),
             ),
+            placers,
         ]
-        for table, follower in zip(("configuration", "replicas"), self._followers, strict=True):
+        names_of_tables = ("configuration", "replicas", "placers")
+        for table, follower in zip(names_of_tables, self._followers, strict=True):
             self._show_age(table, follower)
         self.metrics.replicas.set_function(lambda: float(self.directory.count))
 
@@ -168,6 +185,7 @@
                 strength=settings.processor.strength,
             ),
             store=self._store,
+            board=self._board,
             configuration=lambda: self._routes.configuration,
             directory=self.directory,
             versions=self._versions,
@@ -208,17 +226,20 @@
         self._metrics_page = MetricsPage(settings.listen.metrics_address, self.metrics)
 
     def _share_readings(self) -> None:
-        """Let the boxes of a zone go by what its placer reads of the store."""
+        """Let boxes go by what a placer's box reads of the store."""
         for follower in self._followers:
             follower.sharing = lambda: self._placement.reads_for_others
-            follower.shared_with = self._placement.tell_reading
+            follower.shared_with = lambda reading, is_own: self._placement.tell_reading(
+                reading, is_own=is_own
+            )
         by_table = {follower.table: follower for follower in self._followers}
 
-        def _take(reading: TableReading) -> None:
+        def _take(reading: TableReading, relied_on: bool) -> None:
             if reading.table in by_table:
-                by_table[reading.table].take_reading(reading)
+                by_table[reading.table].take_reading(reading, relied_on=relied_on)
 
         self._placement.on_reading = _take
+        self._placement.on_alone = lambda: by_table[PLACERS_TABLE].read_alone()
 
     def _take_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force; an older one than that in force is passed over."""
--- a/springrock/log.py
+++ b/springrock/log.py
@@ -85,6 +85,11 @@
         self._ends = ends
         self._holds = False
 
+    @property
+    def holds(self) -> bool:
+        """Whether it holds now."""
+        return self._holds
+
     def begin(self, **fields: object) -> None:
         """Note that it holds."""
         if not self._holds:
--- /dev/null
+++ b/springrock/placement/election.py
@@ -0,0 +1,175 @@
+"""The election of a zone's placer, as one box takes part in it."""
+
+from __future__ import annotations
+
+import random
+from typing import Protocol
+
+import gevent
+
+from springrock.clock import monotonic
+from springrock.placement.lease import PlacerLease
+from springrock.placement.link_client import PlacerClient
+from springrock.placement.link_server import BoxLinks
+from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.placer_row import PlacerRow, key_of
+from springrock.placement.settings import PlacementSettings
+
+_HEARTBEAT_S = 0.4
+_FIRST_LOOK_S = 0.1
+"""Within this time after its start each box looks for placers, so that not all want to be one."""
+
+_LOOK_S = 0.3
+_LOOK_GROWTH = 1.4
+_LONGEST_LOOK_S = 0.9
+"""A placer that could not be linked to is dialed again about this often, news or not."""
+
+_RENEWALS_PER_LEASE = 3
+_COURTESY_S = 1.5
+"""How much longer a lapsed lease is left to the boxes of the zone itself."""
+
+_HAND_BACK_AFTER_S = 2.0
+"""How long a box of the zone itself must have been linked before it is trusted with the lease."""
+
+_MUCH_STRONGER = 1.5
+"""A box with so many times the processor does better as the placer; less is not worth a change."""
+
+_AMPLE_STRENGTH = 1.0
+"""Cores with which a box need not leave the lease to stronger ones: the placer of 15 engines and
+75 boxes takes under half of that."""
+
+_WEAKNESS_S = 0.6
+"""How much longer a box without any processor would leave a free lease to stronger ones."""
+
+
+class Holder(Protocol):
+    """Who places while this box holds the lease."""
+
+    def begin_placing(self) -> None:
+        """Begin, as the lease was taken."""
+
+    def end_placing(self) -> None:
+        """End, as the lease was lost."""
+
+    def tell_heartbeat(self) -> None:
+        """Tell all linked boxes that the placer lives."""
+
+
+class Election:
+    """Looks for the zone's placer and links to it, or takes the lease and keeps it.
+
+    Args:
+        zone: The availability zone.
+        settings: What placement takes from the settings.
+        lease: The lease of the zone.
+        board: The placers' rows as far as they are known.
+        client: The link to the placer.
+        links: The boxes that are linked to this one as the placer.
+        incarnation: This process.
+        holder: Places under the lease.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        *,
+        settings: PlacementSettings,
+        lease: PlacerLease,
+        board: PlacerBoard,
+        client: PlacerClient,
+        links: BoxLinks,
+        incarnation: str,
+        holder: Holder,
+    ) -> None:
+        self._zone = zone
+        self._settings = settings
+        self._lease = lease
+        self._board = board
+        self._client = client
+        self._links = links
+        self._incarnation = incarnation
+        self._holder = holder
+        self._look_s = _LOOK_S
+        self._stopping = False
+
+    def run(self) -> None:
+        """Take part until `stop`."""
+        gevent.sleep(random.uniform(0.0, _FIRST_LOOK_S))
+        while not self._stopping:
+            if self._lease.held:
+                self._hold()
+                self._look_s = _LOOK_S
+            elif self._client.linked:
+                self._client.lost.wait()
+                self._look_s = _LOOK_S
+            else:
+                self._find_placer()
+
+    def stop(self, *, placing: bool) -> None:
+        """Take part no more.
+
+        Args:
+            placing: Whether this box places now, and so leaves the lease to another.
+        """
+        self._stopping = True
+        if placing:
+            # First the lease: who loses the link then finds it free.
+            successor = self._links.hold(self._zone, for_s=0.0)
+            self._lease.give_up(reason="a planned stop", successor=successor)
+            self._holder.end_placing()
+
+    def has_better_box(self) -> bool:
+        """Whether a box of the zone itself can place it, while this one stands elsewhere or is
+        much weaker."""
+        settings = self._settings
+        if settings.zone != self._zone:
+            return self._links.hold(self._zone, for_s=_HAND_BACK_AFTER_S)
+        if settings.strength >= _AMPLE_STRENGTH:
+            return False
+        needed = settings.strength * _MUCH_STRONGER
+        return self._links.hold(self._zone, for_s=_HAND_BACK_AFTER_S, strength=needed)
+
+    def courtesy_s(self) -> float:
+        """Return how much longer a free lease is left to boxes that do better as the placer."""
+        settings = self._settings
+        weakness = max(0.0, 1.0 - settings.strength / _AMPLE_STRENGTH)
+        courtesy_s = 0.0 if settings.zone == self._zone else _COURTESY_S
+        return courtesy_s + weakness * _WEAKNESS_S
+
+    def _hold(self) -> None:
+        """Place under the lease, and renew it, until it is lost."""
+        self._holder.begin_placing()
+        renew_every_s = self._settings.lease_s / _RENEWALS_PER_LEASE
+        renewed_at = monotonic()
+        while self._lease.held and not self._stopping:
+            self._holder.tell_heartbeat()
+            gevent.sleep(_HEARTBEAT_S)
+            if self._lease.held and monotonic() - renewed_at >= renew_every_s:
+                renewed_at = monotonic()
+                self._lease.renew()
+            if self._lease.held and self.has_better_box():
+                self._lease.give_up(reason="another box does better", successor=True)
+        if not self._stopping:
+            self._holder.end_placing()
+
+    def _find_placer(self) -> None:
+        standing = self._lease.look()
+        if standing is not None and self._is_other(standing) and self._link_to(standing):
+            return
+        if self._stopping or self._lease.challenge(standing, courtesy_s=self.courtesy_s()):
+            return
+        self._pause_before_look(standing)
+
+    def _pause_before_look(self, standing: PlacerRow | None) -> None:
+        """Wait for news of the row, but not beyond the time at which the lease lapses."""
+        free_in_s = self._lease.free_in_s(standing)
+        pause_s = random.uniform(self._look_s / 2, self._look_s)
+        self._look_s = min(_LONGEST_LOOK_S, self._look_s * _LOOK_GROWTH)
+        timeout_s = min(pause_s, max(_FIRST_LOOK_S, free_in_s))
+        self._board.wait(key_of(self._zone), timeout_s=timeout_s)
+
+    def _link_to(self, standing: PlacerRow) -> bool:
+        return self._client.link(standing.address, incarnation=standing.incarnation)
+
+    def _is_other(self, standing: PlacerRow) -> bool:
+        return bool(standing.incarnation) and standing.incarnation != self._incarnation
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -7,79 +7,34 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from typing import Protocol
 
 import gevent
 import msgspec
-from gevent.lock import Semaphore
-from msgspec import Struct
 
 from springrock.clock import monotonic
 from springrock.log import Log
+from springrock.placement.placer_row import TABLE, PlacerRow, key_of, placer_row_from
 from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
 
-TABLE = "springrock"
-_KEY_PREFIX = "placer/"
 _MARGIN_S = 0.3
 _ORDER_TAKES_S = 0.65
 """So long an order may be under way: the time for a connection and for an answer. Where engines do
 not look at fences, none may arrive after the lease."""
 
-_SHARED_READ_S = 0.05
-"""So old a read may be when another zone looks, which then need not read itself."""
 
+class PlacerRows(Protocol):
+    """The placers' rows as far as they are known."""
 
-class PlacerRow(Struct, frozen=True, kw_only=True):
-    """What the row says.
-
-    Attributes:
-        incarnation: The process that holds the lease; empty when it was given up.
-        address: Where the placer's link is served.
-        fence: The holder's fence.
-        renewal: Counts the holder's renewals, so that each writes something new.
-        successor: Of one that was given up: whether a box of the zone itself can take it.
-    """
-
-    box: str
-    incarnation: str
-    address: str
-    fence: int
-    renewal: int = 0
-    successor: bool = True
-
-
-class PlacerRows:
-    """The rows of all zones' placers; the zones of a box that look together read them once.
-
-    Args:
-        store: The store.
-    """
-
-    def __init__(self, store: RowStore) -> None:
-        self._store = store
-        self._lock = Semaphore()
-        self._rows: Sequence[Row] = ()
-        self._read_at = float("-inf")
-        self._readers: set[str] = set()
-
-    def read(self, reader: str) -> Sequence[Row]:
-        """Return the rows as the store had them after this call began, or just before.
-
-        Args:
-            reader: Who reads; each gets a read that it has not had before.
+    def standing(self, key: str) -> Row | None:
+        """Return a row; None if there is none.
 
         Raises:
-            RowStoreUnavailable: If no answer came.
+            RowStoreUnavailable: If nothing current is known.
         """
-        asked_at = monotonic()
-        with self._lock:
-            if reader in self._readers or self._read_at < asked_at - _SHARED_READ_S:
-                read_at = monotonic()
-                self._rows = self._store.read_all(TABLE).rows
-                self._read_at = read_at
-                self._readers.clear()
-            self._readers.add(reader)
-            return self._rows
+
+    def note(self, row: Row) -> None:
+        """Learn of a row that is perhaps newer than what was read."""
 
 
 class PlacerLease:
@@ -94,8 +49,8 @@
         lease_s: How long a lease lasts without a renewal.
         checks_fence: Whether replicas refuse orders with an older fence, so that a holder that
             cannot reach the store may go on: a successor's first order stops it.
+        rows: The rows of all zones' placers, as far as they are known.
         log: The log to write to.
-        rows: The rows as last read, shared by the zones of a box.
     """
 
     def __init__(
@@ -108,12 +63,12 @@
         incarnation: str,
         lease_s: float,
         checks_fence: bool,
+        rows: PlacerRows,
         log: Log,
-        rows: PlacerRows | None = None,
     ) -> None:
         self._store = store
-        self._rows = rows or PlacerRows(store)
-        self._key = f"{_KEY_PREFIX}{zone}"
+        self._rows = rows
+        self._key = key_of(zone)
         self._box = box
         self._incarnation = incarnation
         self._lease_s = lease_s
@@ -126,6 +81,7 @@
         self._version = ABSENT_VERSION
         self._seen_version = -1
         self._seen_at = 0.0
+        self._looked_version = -1
 
     @property
     def fence(self) -> int:
@@ -212,17 +168,20 @@
             return
 
     def look(self) -> PlacerRow | None:
-        """Read the row; None if there is none or the store does not answer."""
+        """Return the row as far as it is known; None if there is none or nothing is known.
+
+        What is known may be older than the row; a challenge then fails by its condition.
+        """
         try:
-            rows = self._rows.read(self._key)
+            row = self._rows.standing(self._key)
         except RowStoreUnavailable:
+            self._looked_version = -1
             return None
-        row = next((row for row in rows if row.key == self._key), None)
-        if row is None:
-            self._note_seen(ABSENT_VERSION)
-            return None
-        self._note_seen(row.version)
-        return _decode(row)
+        self._looked_version = ABSENT_VERSION if row is None else row.version
+        if row is None or row.version > self._seen_version:
+            # A heartbeat may have told of a newer one.
+            self._note_seen(self._looked_version)
+        return None if row is None else placer_row_from(row)
 
     def challenge(self, standing: PlacerRow | None, *, courtesy_s: float = 0.0) -> bool:
         """Take the lease if it is free or lapsed; return whether this box has it now.
@@ -244,6 +203,8 @@
             self._log.say(
                 "Did not get the placer's lease.", row=self._key, fence=fence, error=str(error)
             )
+            if isinstance(error, RowConflict) and error.row is not None:
+                self._rows.note(error.row)
             return False
         self._own = own
         self._held_until = sent_at + self._lease_s
@@ -257,7 +218,8 @@
         return max(0.0, self._seen_at + self._lease_s + _MARGIN_S - monotonic())
 
     def _free(self, standing: PlacerRow | None, courtesy_s: float) -> bool:
-        if self._seen_version < 0:
+        if self._seen_version < 0 or self._looked_version != self._seen_version:
+            # Its fence has to be above that of the newest row.
             return False
         unchanged_s = monotonic() - self._seen_at
         if standing is None:
@@ -276,7 +238,7 @@
 
     def _settle(self, row: Row | None) -> bool:
         """Learn from a failed renewal whether an earlier one took effect unanswered."""
-        standing = _decode(row) if row is not None else None
+        standing = placer_row_from(row) if row is not None else None
         if row is None or standing is None or standing.incarnation != self._incarnation:
             self.lose(reason="another box holds it")
             return False
@@ -286,10 +248,3 @@
 
     def _write(self, value: PlacerRow, *, expected: int) -> int:
         return self._store.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
-
-
-def _decode(row: Row) -> PlacerRow | None:
-    try:
-        return msgspec.json.decode(row.value, type=PlacerRow)
-    except msgspec.DecodeError:
-        return None
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Protocol
 
 import gevent
@@ -139,11 +139,13 @@
         if link is not None:
             link.outbox.put(message, encode(message))
 
-    def tell_all(self, message: Message, *, home_zone: str | None = None) -> None:
-        """Send a message to every linked box, or to those that stand in one zone."""
+    def tell_all(
+        self, message: Message, *, home_zone: str | None = None, also: Collection[str] = ()
+    ) -> None:
+        """Send a message to every linked box, or to those that stand in one zone and some more."""
         frame = encode(message)
-        for link in self._links.values():
-            if home_zone is None or link.home_zone == home_zone:
+        for box, link in self._links.items():
+            if home_zone is None or link.home_zone == home_zone or box in also:
                 link.outbox.put(message, frame)
 
     def close_all(self) -> None:
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -180,12 +180,14 @@
         after: The version after which the rows changed.
         version: The version up to which the table is told.
         rows: What changed, in order.
+        whole: Whether it is the whole table, and what is not in it is gone.
     """
 
     table: str
     after: int
     version: int
     rows: list[TableRow] = []
+    whole: bool = False
 
 
 Message = Hello | Demand | Grant | Forecast | Heartbeat | Residents | TableNews
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -13,11 +13,13 @@
 from springrock.metrics import ForwardingMetrics
 from springrock.placement.control import EngineControl
 from springrock.placement.errors import PlacerSilent
-from springrock.placement.lease import PlacerRows
 from springrock.placement.link_server import BoxLinks, LinkServer
 from springrock.placement.messages import TableNews, TableRow
+from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
-from springrock.placement.zone import PlacementSettings, Surroundings, ZonePlacement
+from springrock.placement.settings import PlacementSettings
+from springrock.placement.surroundings import Surroundings
+from springrock.placement.zone import ZonePlacement
 from springrock.placement.zone_choice import ZoneView, choose_zone
 from springrock.rows import Change, Removed, Row, RowStore, TableReading
 
@@ -32,6 +34,7 @@
     Args:
         settings: What placement takes from the settings.
         store: The store with the placers' rows.
+        board: Those rows as far as they are known.
         configuration: Returns the configuration in force.
         directory: The known replicas.
         versions: The newest versions of adapters.
@@ -40,7 +43,9 @@
         metrics: The metrics to count in.
 
     Attributes:
-        on_reading: Called with what the placer of this box's zone has read of a table.
+        on_reading: Called with what a placer's box has read of a table, and whether this box may
+            rely on being told what follows.
+        on_alone: Called when the box that told readings is lost.
     """
 
     def __init__(
@@ -48,6 +53,7 @@
         settings: PlacementSettings,
         *,
         store: RowStore,
+        board: PlacerBoard,
         configuration: Callable[[], Configuration],
         directory: Directory,
         versions: Versions,
@@ -60,17 +66,20 @@
         self._directory = directory
         self._configuration = configuration
         self._residency = Residency(directory, versions)
-        self.on_reading: Callable[[TableReading], None] = lambda reading: None
+        self._board = board
+        self.on_reading: Callable[[TableReading, bool], None] = lambda reading, relied_on: None
+        self.on_alone: Callable[[], None] = lambda: None
         self._around = Surroundings(
             incarnation=new_id(),
             store=store,
-            placer_rows=PlacerRows(store),
+            board=board,
             configuration=configuration,
             directory=directory,
             versions=versions,
             residency=self._residency,
             control=control,
-            on_table_news=lambda news: self.on_reading(_reading_from(news)),
+            on_table_news=self._take_news,
+            on_placer_lost=self._placer_lost,
             log_of=log_of,
             metrics=metrics,
         )
@@ -119,11 +128,34 @@
         zone = self._zones.get(self._settings.zone)
         return zone is not None and zone.tells_home
 
-    def tell_reading(self, reading: TableReading) -> None:
-        """Tell the boxes that stand in this box's zone what it has read of a table."""
+    def tell_reading(self, reading: TableReading, *, is_own: bool) -> None:
+        """Tell other boxes what is new of a table.
+
+        The boxes of the own zone are told all; other placers' boxes only what this one has read
+        itself, which they pass on.
+
+        Args:
+            reading: What is new.
+            is_own: Whether this box has read it itself.
+        """
         zone = self._zones.get(self._settings.zone)
         if zone is not None:
-            zone.tell_table(_news_from(reading))
+            placers = self._board.boxes() if is_own else ()
+            zone.tell_table(_news_from(reading), also=placers)
+
+    def _take_news(self, zone: str, news: TableNews) -> None:
+        """Learn what the placer's box of a zone has read.
+
+        Of the placers' boxes the one of the first zone reads the store for all, so that two never
+        rely on each other.
+        """
+        home = self._settings.zone
+        relied_on = zone == home or (self.reads_for_others and zone < home)
+        self.on_reading(_reading_from(news), relied_on)
+
+    def _placer_lost(self, zone: str) -> None:
+        if zone == self._settings.zone:
+            self.on_alone()
 
     # What forwarding asks.
 
@@ -230,7 +262,7 @@
         else TableRow(change.key, b"", change.version, gone=True)
         for change in reading.changes
     ]
-    return TableNews(reading.table, reading.after, reading.version, rows)
+    return TableNews(reading.table, reading.after, reading.version, rows, reading.whole)
 
 
 def _reading_from(news: TableNews) -> TableReading:
@@ -238,4 +270,4 @@
         Removed(row.key, row.version) if row.gone else Row(row.key, row.value, row.version)
         for row in news.rows
     ]
-    return TableReading(news.table, news.after, news.version, changes)
+    return TableReading(news.table, news.after, news.version, changes, news.whole)
--- /dev/null
+++ b/springrock/placement/placer_board.py
@@ -0,0 +1,75 @@
+"""The placers' rows of all zones, as last read of the store or told by a box that reads it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from gevent.event import Event
+
+from springrock.placement.placer_row import placer_row_from
+from springrock.rows import Row, RowStoreUnavailable
+
+_STALE_S = 3.0
+"""A reading older than this proves nothing any more: reading the table takes at most 2.6 s while
+the store answers, the wait for a change included."""
+
+
+class PlacerBoard:
+    """Implements `springrock.rows.TableListener`; the election of each zone goes by it.
+
+    Args:
+        age_s: Returns the seconds since the rows were last known to be current.
+    """
+
+    def __init__(self, *, age_s: Callable[[], float]) -> None:
+        self._age_s = age_s
+        self._rows: dict[str, Row] = {}
+        self._news: dict[str, Event] = {}
+
+    def standing(self, key: str) -> Row | None:
+        """Return a row; None if there is none.
+
+        Raises:
+            RowStoreUnavailable: If nothing current is known.
+        """
+        self._event(key).clear()
+        age_s = self._age_s()
+        if age_s > _STALE_S:
+            raise RowStoreUnavailable(f"the placers' rows were last read {age_s:.1f} s ago")
+        return self._rows.get(key)
+
+    def wait(self, key: str, *, timeout_s: float) -> None:
+        """Wait until a row changes that `standing` has returned, or the time is over."""
+        self._event(key).wait(timeout=timeout_s)
+
+    def boxes(self) -> set[str]:
+        """Return the boxes that hold a lease, as far as is known."""
+        decoded = (placer_row_from(row) for row in self._rows.values())
+        return {row.box for row in decoded if row is not None and row.incarnation}
+
+    def note(self, row: Row) -> None:
+        """Learn of a row that is perhaps newer than what was read, as from a failed write."""
+        known = self._rows.get(row.key)
+        if known is None or row.version > known.version:
+            self._rows[row.key] = row
+            self._event(row.key).set()
+
+    # What was read of the table.
+
+    def replace(self, rows: Sequence[Row]) -> None:
+        """Take the whole table."""
+        self._rows = {row.key: row for row in rows}
+        for event in self._news.values():
+            event.set()
+
+    def change(self, row: Row) -> None:
+        """Take a new or changed row."""
+        self.note(row)
+
+    def remove(self, key: str) -> None:
+        """Learn that a row is gone."""
+        self._rows.pop(key, None)
+        self._event(key).set()
+
+    def _event(self, key: str) -> Event:
+        return self._news.setdefault(key, Event())
--- /dev/null
+++ b/springrock/placement/settings.py
@@ -0,0 +1,29 @@
+"""What placement takes from the settings of a box."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class PlacementSettings(NamedTuple):
+    """What placement takes from the settings.
+
+    Attributes:
+        box: The name of this box.
+        zone: Its availability zone.
+        address: Where the links of other boxes are served.
+        lease_s: How long a placer's lease lasts.
+        checks_fence: Whether engines refuse an older fence.
+        ceiling_ratio: How far loads of models may exceed the stated rate.
+        ceiling_burst: Loads of models that may be saved up.
+        strength: The processor that this box has, in cores.
+    """
+
+    box: str
+    zone: str
+    address: str
+    lease_s: float
+    checks_fence: bool
+    ceiling_ratio: float
+    ceiling_burst: float
+    strength: float = 1.0
--- /dev/null
+++ b/springrock/placement/surroundings.py
@@ -0,0 +1,48 @@
+"""What the zones of one box share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from springrock.forwarding.configuration import Configuration
+from springrock.forwarding.directory import Directory
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+from springrock.placement.control import EngineControl
+from springrock.placement.messages import TableNews
+from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.residency import Residency, Versions
+from springrock.rows import RowStore
+
+
+class Surroundings(NamedTuple):
+    """What the zones of one box share.
+
+    Attributes:
+        incarnation: This process.
+        store: The store with the placers' rows.
+        board: Those rows as far as they are known.
+        configuration: Returns the configuration in force.
+        directory: The known replicas.
+        versions: The newest versions of adapters.
+        residency: What stands where.
+        control: Speaks to engines.
+        on_table_news: Called with a zone and what its placer has read of the store's tables.
+        on_placer_lost: Called with a zone whose placer this box has lost.
+        log_of: Returns the log of a part.
+        metrics: The metrics to count in.
+    """
+
+    incarnation: str
+    store: RowStore
+    board: PlacerBoard
+    configuration: Callable[[], Configuration]
+    directory: Directory
+    versions: Versions
+    residency: Residency
+    control: EngineControl
+    on_table_news: Callable[[str, TableNews], None]
+    on_placer_lost: Callable[[str], None]
+    log_of: Callable[[str], Log]
+    metrics: ForwardingMetrics
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -2,21 +2,15 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-from typing import Any, NamedTuple
+from collections.abc import Collection
+from typing import Any
 
 import gevent
 
-from springrock.clock import monotonic
-from springrock.forwarding.configuration import Configuration
-from springrock.forwarding.directory import Directory
 from springrock.forwarding.message import AdapterKey
-from springrock.log import Log
-from springrock.metrics import ForwardingMetrics
-from springrock.placement.control import EngineControl
 from springrock.placement.demand import DemandBook
-from springrock.placement.lease import PlacerLease, PlacerRow, PlacerRows
+from springrock.placement.election import Election
+from springrock.placement.lease import PlacerLease
 from springrock.placement.link_client import PlacerClient
 from springrock.placement.link_server import BoxLinks
 from springrock.placement.messages import (
@@ -29,33 +23,8 @@
     TableNews,
 )
 from springrock.placement.placer import Placer
-from springrock.placement.residency import Residency, Versions
-from springrock.rows import RowStore
-
-_HEARTBEAT_S = 0.4
-_FIRST_LOOK_S = 0.1
-"""Within this time after its start each box looks for placers, so that not all look at once."""
-
-_LOOK_S = 0.3
-_LOOK_GROWTH = 1.4
-_LONGEST_LOOK_S = 0.9
-"""Calls to the store are priced, and no placer may change within its lease unless it says so."""
-_RENEWALS_PER_LEASE = 3
-_COURTESY_S = 1.5
-"""How much longer a lapsed lease is left to the boxes of the zone itself."""
-
-_HAND_BACK_AFTER_S = 2.0
-"""How long a box of the zone itself must have been linked before it is trusted with the lease."""
-
-_MUCH_STRONGER = 1.5
-"""A box with so many times the processor does better as the placer; less is not worth a change."""
-
-_AMPLE_STRENGTH = 1.0
-"""Cores with which a box need not leave the lease to stronger ones: the placer of 15 engines and
-75 boxes takes under half of that."""
-
-_WEAKNESS_S = 0.6
-"""How much longer a box without any processor would leave a free lease to stronger ones."""
+from springrock.placement.settings import PlacementSettings
+from springrock.placement.surroundings import Surroundings
 
 _RESIDENTS_EVERY_S = 0.05
 _RESIDENTS_FRAMES_PER_S = 150
@@ -66,60 +35,6 @@
 """How long what nobody waits for gathers before this box's own placer takes it."""
 
 
-class PlacementSettings(NamedTuple):
-    """What placement takes from the settings.
-
-    Attributes:
-        box: The name of this box.
-        zone: Its availability zone.
-        address: Where the links of other boxes are served.
-        lease_s: How long a placer's lease lasts.
-        checks_fence: Whether engines refuse an older fence.
-        ceiling_ratio: How far loads of models may exceed the stated rate.
-        ceiling_burst: Loads of models that may be saved up.
-        strength: The processor that this box has, in cores.
-    """
-
-    box: str
-    zone: str
-    address: str
-    lease_s: float
-    checks_fence: bool
-    ceiling_ratio: float
-    ceiling_burst: float
-    strength: float = 1.0
-
-
-class Surroundings(NamedTuple):
-    """What the zones of one box share.
-
-    Attributes:
-        incarnation: This process.
-        store: The store with the placers' rows.
-        placer_rows: Those rows as last read.
-        configuration: Returns the configuration in force.
-        directory: The known replicas.
-        versions: The newest versions of adapters.
-        residency: What stands where.
-        control: Speaks to engines.
-        on_table_news: Called with what the home zone's placer has read of the store's tables.
-        log_of: Returns the log of a part.
-        metrics: The metrics to count in.
-    """
-
-    incarnation: str
-    store: RowStore
-    placer_rows: PlacerRows
-    configuration: Callable[[], Configuration]
-    directory: Directory
-    versions: Versions
-    residency: Residency
-    control: EngineControl
-    on_table_news: Callable[[TableNews], None]
-    log_of: Callable[[str], Log]
-    metrics: ForwardingMetrics
-
-
 class ZonePlacement:
     """Joins the election of a zone's placer, links to it, or is it.
 
@@ -144,6 +59,7 @@
         self._incarnation = around.incarnation
         self._metrics = around.metrics
         self._on_table_news = around.on_table_news
+        self._on_placer_lost = around.on_placer_lost
         self.demand = DemandBook(has_placer=lambda: self.reachable)
         self.room = 0
         self.boxes = 1
@@ -156,7 +72,7 @@
             incarnation=around.incarnation,
             lease_s=settings.lease_s,
             checks_fence=settings.checks_fence,
-            rows=around.placer_rows,
+            rows=around.board,
             log=around.log_of("lease"),
         )
         self._placer = Placer(
@@ -184,25 +100,28 @@
             on_lost=self._placer_lost,
             log=around.log_of("link"),
         )
-        self._look_s = _LOOK_S
+        self._election = Election(
+            zone,
+            settings=settings,
+            lease=self._lease,
+            board=around.board,
+            client=self._client,
+            links=self.links,
+            incarnation=around.incarnation,
+            holder=self,
+        )
         self._tasks: list[gevent.Greenlet[..., Any]] = []
         self._under_lease: list[gevent.Greenlet[..., Any]] = []
-        self._stopping = False
 
     def start(self) -> None:
         """Begin to take part."""
-        self._tasks.append(gevent.spawn(self._elect_forever))
+        self._tasks.append(gevent.spawn(self._election.run))
 
     def hand_over(self) -> None:
         """Let another box become the placer, as this one is about to stop."""
-        self._stopping = True
         self.demand.stopping = True
         self.demand.changed.set()
-        if self._placer.active:
-            # First the lease: who loses the link then finds it free.
-            successor = self.links.hold(self._zone, for_s=0.0)
-            self._lease.give_up(reason="a planned stop", successor=successor)
-            self._stop_placing()
+        self._election.stop(placing=self._placer.active)
 
     def stop(self) -> None:
         """End all tasks and links."""
@@ -248,9 +167,9 @@
             leaving=self._directory.leaving(),
         )
 
-    def tell_table(self, news: TableNews) -> None:
-        """Tell the boxes that stand in the zone what this one has read of the store."""
-        self.links.tell_all(news, home_zone=self._zone)
+    def tell_table(self, news: TableNews, *, also: Collection[str] = ()) -> None:
+        """Tell the boxes that stand in the zone, and some others, what was read of the store."""
+        self.links.tell_all(news, home_zone=self._zone, also=also)
 
     @property
     def tells_home(self) -> bool:
@@ -274,7 +193,7 @@
                 for engine in engines:
                     self._residency.note_told(engine.instance, engine.adapters)
             case TableNews():
-                self._on_table_news(message)
+                self._on_table_news(self._zone, message)
             case Heartbeat():
                 self._lease.note_heartbeat(message.row_version, message.lease_left_ms / 1000)
                 self._note_heartbeat(message)
@@ -290,6 +209,7 @@
         self.spread = frozenset()
         self._residency.forget_told(self._zone)
         self.demand.forget_placer()
+        self._on_placer_lost(self._zone)
 
     def _tell_residents_forever(self) -> None:
         while True:
@@ -308,55 +228,19 @@
             self.demand.urgent.wait(timeout=_GATHER_S)
             self._placer.take_demand(box, self.demand.take_news())
 
-    # The election.
-
-    def _elect_forever(self) -> None:
-        gevent.sleep(random.uniform(0.0, _FIRST_LOOK_S))
-        while not self._stopping:
-            if self._lease.held:
-                self._hold()
-                self._look_s = _LOOK_S
-            elif self._client.linked:
-                self._client.lost.wait()
-                self._look_s = _LOOK_S
-            else:
-                self._find_placer()
-
-    def _hold(self) -> None:
-        """Place under the lease, and renew it, until it is lost."""
+    # While this box places.
+
+    def begin_placing(self) -> None:
+        """Place the zone, as the lease was taken."""
         self._placer.start()
         self._under_lease = [
             gevent.spawn(self._feed_own_demand),
             gevent.spawn(self._tell_residents_forever),
         ]
         self._metrics.placer.labels(self._zone).set(1)
-        renew_every_s = self._settings.lease_s / _RENEWALS_PER_LEASE
-        renewed_at = monotonic()
-        while self._lease.held and not self._stopping:
-            heartbeat = self._heartbeat()
-            self._note_heartbeat(heartbeat)
-            self.links.tell_all(heartbeat)
-            gevent.sleep(_HEARTBEAT_S)
-            if self._lease.held and monotonic() - renewed_at >= renew_every_s:
-                renewed_at = monotonic()
-                self._lease.renew()
-            if self._lease.held and self._has_better_box():
-                self._lease.give_up(reason="another box does better", successor=True)
-        if not self._stopping:
-            self._stop_placing()
-
-    def _has_better_box(self) -> bool:
-        """Whether a box of the zone itself can place it, while this one stands elsewhere or is
-        much weaker."""
-        settings = self._settings
-        if settings.zone != self._zone:
-            return self.links.hold(self._zone, for_s=_HAND_BACK_AFTER_S)
-        if settings.strength >= _AMPLE_STRENGTH:
-            return False
-        needed = settings.strength * _MUCH_STRONGER
-        return self.links.hold(self._zone, for_s=_HAND_BACK_AFTER_S, strength=needed)
-
-    def _stop_placing(self) -> None:
+
+    def end_placing(self) -> None:
+        """Place no more, as the lease was lost."""
         for task in self._under_lease:
             task.kill()
         self._placer.stop()
@@ -364,30 +248,8 @@
         self.links.close_all()
         self._placer_lost()
 
-    def _find_placer(self) -> None:
-        standing = self._lease.look()
-        if standing is not None and self._is_other(standing) and self._link_to(standing):
-            return
-        if self._stopping or self._lease.challenge(standing, courtesy_s=self._courtesy_s()):
-            return
-        self._pause_before_look(standing)
-
-    def _pause_before_look(self, standing: PlacerRow | None) -> None:
-        """Wait longer from look to look, but not beyond the time at which the lease lapses."""
-        free_in_s = self._lease.free_in_s(standing)
-        pause_s = random.uniform(self._look_s / 2, self._look_s)
-        self._look_s = min(_LONGEST_LOOK_S, self._look_s * _LOOK_GROWTH)
-        gevent.sleep(min(pause_s, max(_FIRST_LOOK_S, free_in_s)))
-
-    def _courtesy_s(self) -> float:
-        """Return how much longer a free lease is left to boxes that do better as the placer."""
-        settings = self._settings
-        weakness = max(0.0, 1.0 - settings.strength / _AMPLE_STRENGTH)
-        courtesy_s = 0.0 if settings.zone == self._zone else _COURTESY_S
-        return courtesy_s + weakness * _WEAKNESS_S
-
-    def _link_to(self, standing: PlacerRow) -> bool:
-        return self._client.link(standing.address, incarnation=standing.incarnation)
-
-    def _is_other(self, standing: PlacerRow) -> bool:
-        return bool(standing.incarnation) and standing.incarnation != self._incarnation
+    def tell_heartbeat(self) -> None:
+        """Tell all linked boxes, and this one, that the placer lives."""
+        heartbeat = self._heartbeat()
+        self._note_heartbeat(heartbeat)
+        self.links.tell_all(heartbeat)
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple, Protocol
 
 import gevent
+from gevent.event import Event
 
 from springrock.clock import monotonic
 from springrock.errors import SpringrockError
@@ -25,6 +26,9 @@
 """How long what another box read counts as fresh: a little more than its longest time between two
 reads. With a read of the own after it, a change is known in under two seconds all the same."""
 
+_PATIENCE_S = 0.4
+"""How much longer at most those wait who tell nobody, so that one who does reads first."""
+
 _FIRST_RETRY_S = 0.25
 _LONGEST_RETRY_S = 1.0
 
@@ -111,12 +115,14 @@
         after: The version after which the rows changed.
         version: The version up to which all is known.
         changes: What changed, in order.
+        whole: Whether it is the whole table, and what is not in it is gone.
     """
 
     table: str
     after: int
     version: int
     changes: Sequence[Change]
+    whole: bool = False
 
 
 class RowStore(Protocol):
@@ -170,11 +176,13 @@
         table: The name of the table.
         listener: Who learns of the rows.
         pause_s: How long changes are let gather between two reads.
+        eager: Whether changes are waited for at once after the whole table was read.
         log: The log to write to.
 
     Attributes:
         table: The name of the table.
-        shared_with: Told of each read while `sharing` says that other boxes go by it.
+        sharing: Says whether other boxes go by what this one learns.
+        shared_with: Told of each reading while `sharing`, and whether it was this box's own.
     """
 
     def __init__(
@@ -185,20 +193,23 @@
         *,
         pause_s: float,
         log: Log,
+        eager: bool = False,
     ) -> None:
         self._store = store
         self.table = table
         self._listener = listener
         self._pause_s = pause_s
+        self._eager = eager
         self._version: int | None = None
         self._unread = Condition(
             log, begins=f"Lost the table {table}.", ends=f"Regained the table {table}."
         )
         self._task: gevent.Greenlet[..., Any] | None = None
         self._told_until = 0.0
+        self._alone = Event()
         self.read_at: float | None = None
         self.sharing: Callable[[], bool] = lambda: False
-        self.shared_with: Callable[[TableReading], None] = lambda reading: None
+        self.shared_with: Callable[[TableReading, bool], None] = lambda reading, is_own: None
 
     def start(self) -> None:
         """Begin to follow."""
@@ -214,28 +225,45 @@
         """Seconds since the store last answered; infinite before the first time."""
         return float("inf") if self.read_at is None else monotonic() - self.read_at
 
-    def take_reading(self, reading: TableReading) -> None:
-        """Learn what another box has read just now."""
+    def take_reading(self, reading: TableReading, *, relied_on: bool = True) -> None:
+        """Learn what another box has read just now.
+
+        Args:
+            reading: What it read.
+            relied_on: Whether it will tell what follows, so that this box need not read. A box
+                that the store does not answer relies on whoever tells.
+        """
         if self._version is None or reading.after > self._version:
             return
-        self._apply(reading.changes, reading.version)
+        self._apply(reading)
         self.read_at = monotonic()
-        self._told_until = self.read_at + _TOLD_FRESH_S
-        self._unread.end()
+        if relied_on or self._unread.holds:
+            patience_s = 0.0 if self.sharing() else random.uniform(0.5, 1.0) * _PATIENCE_S
+            self._told_until = self.read_at + _TOLD_FRESH_S + patience_s
+        if self.sharing():
+            self.shared_with(reading, False)
+
+    def read_alone(self) -> None:
+        """Read the store at once, as nobody tells any more."""
+        self._told_until = 0.0
+        self._alone.set()
 
     def _follow(self) -> None:
         retry_s = _FIRST_RETRY_S
         while True:
             told_s = self._told_until - monotonic()
-            if told_s > 0 and not self.sharing():
-                gevent.sleep(told_s)
+            if told_s > 0:
+                self._alone.clear()
+                self._alone.wait(timeout=told_s)
                 continue
             try:
+                was_known = self._version is not None
                 self._step()
                 self.read_at = monotonic()
                 self._unread.end()
                 retry_s = _FIRST_RETRY_S
-                gevent.sleep(self._pause_now_s())
+                if was_known or not self._eager:
+                    gevent.sleep(self._pause_now_s())
             except HistoryGone:
                 self._version = None
             except RowStoreUnavailable as error:
@@ -244,23 +272,28 @@
                 retry_s = min(_LONGEST_RETRY_S, retry_s * 1.5)
 
     def _step(self) -> None:
-        if self._version is None:
-            whole = self._store.read_all(self.table)
-            self._listener.replace(whole.rows)
-            self._version = whole.version
-            return
         after = self._version
-        wait_s = _SHARED_POLL_WAIT_S if self.sharing() else _POLL_WAIT_S
-        read = self._store.changes(self.table, after=after, wait_s=wait_s)
-        changes = _without_overtaken_removals(read.changes)
-        self._apply(changes, read.version)
+        if after is None:
+            snapshot = self._store.read_all(self.table)
+            reading = TableReading(self.table, 0, snapshot.version, snapshot.rows, whole=True)
+        else:
+            wait_s = _SHARED_POLL_WAIT_S if self.sharing() else _POLL_WAIT_S
+            read = self._store.changes(self.table, after=after, wait_s=wait_s)
+            changes = _without_overtaken_removals(read.changes)
+            reading = TableReading(self.table, after, read.version, changes)
+        self._apply(reading)
         if self.sharing():
-            self.shared_with(TableReading(self.table, after, read.version, changes))
+            self.shared_with(reading, True)
 
-    def _apply(self, changes: Sequence[Change], version: int) -> None:
+    def _apply(self, reading: TableReading) -> None:
         """Hand on what is newer than what is known."""
         known = self._version or 0
-        for change in changes:
+        if reading.whole:
+            if self._version is None or reading.version > known:
+                self._listener.replace([row for row in reading.changes if isinstance(row, Row)])
+            self._version = max(known, reading.version)
+            return
+        for change in reading.changes:
             if change.version and change.version <= known:
                 continue
             match change:
@@ -268,7 +301,7 @@
                     self._listener.change(change)
                 case Removed(key=key):
                     self._listener.remove(key)
-        self._version = max(known, version)
+        self._version = max(known, reading.version)
 
     def _pause_now_s(self) -> float:
         return min(self._pause_s, _SHARED_PAUSE_AT_MOST_S) if self.sharing() else self._pause_s
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -8,7 +8,8 @@
 
 from springrock.log import Log
 from springrock.placement import lease as lease_module
-from springrock.placement.lease import TABLE, PlacerLease
+from springrock.placement.lease import PlacerLease
+from springrock.placement.placer_row import TABLE
 from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable, Snapshot
 
 LEASE_S = 3.0
@@ -51,6 +52,20 @@
         return self.version
 
 
+class ReadRows:
+    """The placers' rows as the store has them at the moment; nothing while it is down."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    def standing(self, key: str) -> Row | None:
+        rows = self._store.read_all(TABLE).rows
+        return next((row for row in rows if row.key == key), None)
+
+    def note(self, row: Row) -> None:
+        """Read anew each time: nothing to keep."""
+
+
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Iterator[Clock]:
     clock = Clock()
@@ -59,7 +74,12 @@
 
 
 def make_lease(
-    store: Store, box: str, *, incarnation: str = "", checks_fence: bool = True
+    store: Store,
+    box: str,
+    *,
+    incarnation: str = "",
+    checks_fence: bool = True,
+    rows: ReadRows | None = None,
 ) -> PlacerLease:
     return PlacerLease(
         store,
@@ -69,6 +89,7 @@
         incarnation=incarnation or f"{box}-1",
         lease_s=LEASE_S,
         checks_fence=checks_fence,
+        rows=rows or ReadRows(store),
         log=Log("lease", box),
     )
 
@@ -245,3 +266,45 @@
     assert not far.challenge(far.look(), courtesy_s=1.5)
     clock.now += 1.5
     assert far.challenge(far.look(), courtesy_s=1.5)
+
+
+class OlderRows(ReadRows):
+    """Rows that were read once and not again."""
+
+    def __init__(self, store: Store) -> None:
+        super().__init__(store)
+        self.kept = store.row
+
+    def standing(self, key: str) -> Row | None:
+        return self.kept
+
+    def note(self, row: Row) -> None:
+        self.kept = row
+
+
+def test_who_goes_by_rows_read_earlier_takes_no_lease_that_was_renewed_since(clock: Clock) -> None:
+    store = Store()
+    one = make_lease(store, "one")
+    assert one.challenge(one.look())
+    rows = OlderRows(store)
+    two = make_lease(store, "two", rows=rows)
+    two.look()
+    clock.now += LEASE_S - 0.5
+    assert one.renew()
+    clock.now += LEASE_S - 0.5
+    assert not two.challenge(two.look())
+    assert rows.kept == store.row, "the conflict has told of the newer row"
+    assert one.holds
+
+
+def test_who_heard_of_a_newer_holder_does_not_follow_an_older_one(clock: Clock) -> None:
+    store = Store()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    three = make_lease(store, "three", rows=OlderRows(store))
+    three.look()
+    one.give_up(reason="a test", successor=True)
+    assert two.challenge(two.look())
+    three.note_heartbeat(two.version, two.left_s)
+    clock.now += LEASE_S + 1.0
+    assert not three.challenge(three.look()), "its fence would not be above that of the holder"
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
+import msgspec
 import pytest
 
 from springrock.forwarding.adapters import WaitTerms, Wish
@@ -12,9 +15,14 @@
 from springrock.metrics import ForwardingMetrics
 from springrock.placement import placement as placement_module
 from springrock.placement.errors import PlacerSilent
+from springrock.placement.messages import TableNews
 from springrock.placement.placement import Placement
+from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.placer_row import PlacerRow, key_of
 from springrock.placement.residency import Versions
-from springrock.placement.zone import PlacementSettings, Surroundings
+from springrock.placement.settings import PlacementSettings
+from springrock.placement.surroundings import Surroundings
+from springrock.rows import Row, TableReading
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
 
@@ -35,10 +43,16 @@
         self.boxes = 3
         self.spread: frozenset[str] = frozenset()
         self.asks = 0
+        self.tells_home = False
+        self.told: list[tuple[TableNews, set[str]]] = []
+        self.around = around
 
     def start(self) -> None:
         """Nothing to start."""
 
+    def tell_table(self, news: TableNews, *, also: Collection[str] = ()) -> None:
+        self.told.append((news, set(also)))
+
     def find(self, wish: Wish) -> str:
         self.asks += 1
         if self.silent:
@@ -55,9 +69,11 @@
         )
         configuration = Configuration(version=1, services={"s": Service(name="s", engine=engine)})
         self.directory = Directory(Log("test", "box-1"))
+        self.board = PlacerBoard(age_s=lambda: 0.0)
         self.placement = Placement(
             PlacementSettings("box-1", "zone-1", "127.0.0.1:0", 3.0, True, 1.0, 2.0),
             store=Store(),
+            board=self.board,
             configuration=lambda: configuration,
             directory=self.directory,
             versions=Versions(),
@@ -160,3 +176,58 @@
     assert deployment.placement.boxes == 7
     deployment.zones["zone-2"].boxes = 1
     assert deployment.placement.boxes == 7
+
+
+READING = TableReading("op", 3, 4, [Row("config", b"{}", 4)])
+
+
+def hold_lease(deployment: Deployment, zone: str, box: str) -> None:
+    """Let the board say that a box places a zone."""
+    row = PlacerRow(box=box, incarnation="1", address="127.0.0.1:1", fence=1)
+    deployment.board.change(Row(key_of(zone), msgspec.json.encode(row), 1))
+
+
+def test_what_a_placer_has_read_is_told_to_its_zone_and_to_the_other_placers(
+    deployment: Deployment,
+) -> None:
+    hold_lease(deployment, "zone-2", "box-2")
+    hold_lease(deployment, "zone-3", "box-3")
+    deployment.placement.tell_reading(READING, is_own=True)
+    deployment.placement.tell_reading(READING, is_own=False)
+    (own, to_placers), (passed_on, to_none) = deployment.zones["zone-1"].told
+    assert own == passed_on
+    assert to_placers == {"box-2", "box-3"}
+    assert to_none == set()
+
+
+@pytest.mark.parametrize(
+    ("home", "teller", "places", "relies"),
+    [
+        ("zone-2", "zone-2", False, True),
+        ("zone-2", "zone-1", False, False),
+        ("zone-2", "zone-1", True, True),
+        ("zone-2", "zone-3", True, False),
+    ],
+)
+def test_a_box_relies_on_its_own_placer_and_a_placer_on_that_of_an_earlier_zone(
+    deployment: Deployment, home: str, teller: str, places: bool, relies: bool
+) -> None:
+    placement = deployment.placement
+    placement._settings = placement._settings._replace(zone=home)
+    deployment.zones[home].tells_home = places
+    taken: list[tuple[TableReading, bool]] = []
+    placement.on_reading = lambda reading, relied_on: taken.append((reading, relied_on))
+    deployment.placement.tell_reading(READING, is_own=True)
+    ((news, _),) = deployment.zones[home].told
+    deployment.zones[teller].around.on_table_news(teller, news)
+    assert taken == [(READING, relies)]
+
+
+def test_only_the_loss_of_the_own_zone_s_placer_leaves_a_box_alone(deployment: Deployment) -> None:
+    alone: list[str] = []
+    deployment.placement.on_alone = lambda: alone.append("alone")
+    for zone in ("zone-3", "zone-2"):
+        deployment.zones[zone].around.on_placer_lost(zone)
+    assert alone == []
+    deployment.zones["zone-1"].around.on_placer_lost("zone-1")
+    assert alone == ["alone"]
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -35,7 +35,7 @@
 )
 from springrock.placement.placer import Placer
 from springrock.placement.residency import Versions
-from tests.placement.test_lease import Store
+from tests.placement.test_lease import ReadRows, Store
 
 LOG = Log("test", "box")
 
@@ -95,14 +95,16 @@
     directory.update(
         ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-1")
     )
+    store = Store()
     lease = PlacerLease(
-        Store(),
+        store,
         zone="zone-1",
         box="box-1",
         address="127.0.0.1:1",
         incarnation="1",
         lease_s=60.0,
         checks_fence=True,
+        rows=ReadRows(store),
         log=LOG,
     )
     assert lease.challenge(lease.look())
--- /dev/null
+++ b/tests/placement/test_placer_board.py
@@ -0,0 +1,75 @@
+"""What a box knows of the leases of all zones without asking the store for each."""
+
+from __future__ import annotations
+
+import gevent
+import msgspec
+import pytest
+
+from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.placer_row import PlacerRow, key_of, placer_row_from
+from springrock.rows import Row, RowStoreUnavailable
+
+KEY = key_of("zone-1")
+
+
+def row(version: int, *, box: str = "box-1", incarnation: str = "1") -> Row:
+    said = PlacerRow(box=box, incarnation=incarnation, address="127.0.0.1:1", fence=version)
+    return Row(KEY, msgspec.json.encode(said), version)
+
+
+def test_rows_are_known_as_long_as_they_are_current() -> None:
+    age_s = 0.0
+    board = PlacerBoard(age_s=lambda: age_s)
+    assert board.standing(KEY) is None
+    board.replace([row(4)])
+    assert board.standing(KEY) == row(4)
+    age_s = 60.0
+    with pytest.raises(RowStoreUnavailable):
+        board.standing(KEY)
+
+
+def test_an_older_row_changes_nothing() -> None:
+    board = PlacerBoard(age_s=lambda: 0.0)
+    board.note(row(5))
+    board.change(row(4))
+    assert board.standing(KEY) == row(5)
+    board.remove(KEY)
+    assert board.standing(KEY) is None
+
+
+def test_who_waits_for_a_row_is_woken_by_its_change_and_not_by_others() -> None:
+    board = PlacerBoard(age_s=lambda: 0.0)
+    board.standing(KEY)
+    waiter = gevent.spawn(board.wait, KEY, timeout_s=60.0)
+    gevent.sleep(0)
+    board.change(Row(key_of("zone-2"), b"{}", 1))
+    gevent.sleep(0.01)
+    assert not waiter.ready()
+    board.change(row(2))
+    waiter.join(timeout=10)
+    assert waiter.ready()
+
+
+def test_a_change_between_the_look_and_the_wait_is_not_missed() -> None:
+    board = PlacerBoard(age_s=lambda: 0.0)
+    board.standing(KEY)
+    board.change(row(2))
+    with gevent.Timeout(10):
+        board.wait(KEY, timeout_s=60.0)
+
+
+def test_the_boxes_that_hold_a_lease_are_those_that_have_not_given_it_up() -> None:
+    board = PlacerBoard(age_s=lambda: 0.0)
+    board.change(row(1, box="box-7"))
+    assert board.boxes() == {"box-7"}
+    board.change(row(2, box="box-7", incarnation=""))
+    assert board.boxes() == set()
+
+
+def test_a_row_that_cannot_be_read_holds_no_lease() -> None:
+    board = PlacerBoard(age_s=lambda: 0.0)
+    half_written = Row(KEY, row(3).value[:-9], 3)
+    board.change(half_written)
+    assert placer_row_from(half_written) is None
+    assert board.boxes() == set()
--- a/tests/placement/test_strength.py
+++ b/tests/placement/test_strength.py
@@ -16,7 +16,8 @@
 def zone_of(*, home: str, strength: float) -> ZonePlacement:
     """Return the placement of zone-2 at a box of a zone and a strength."""
     zone = make_zone(Directory(Log("directory", "box-1")))
-    zone._settings = zone._settings._replace(zone=home, strength=strength)
+    election = zone._election
+    election._settings = election._settings._replace(zone=home, strength=strength)
     return zone
 
 
@@ -41,20 +42,20 @@
     home: str, own: float, other_home: str, other: float, hands_back: bool
 ) -> None:
     zone = zone_of(home=home, strength=own)
-    assert not zone._has_better_box()
+    assert not zone._election.has_better_box()
     link(zone, home=other_home, strength=other)
-    assert zone._has_better_box() is hands_back
+    assert zone._election.has_better_box() is hands_back
 
 
 def test_a_box_that_has_just_linked_is_not_trusted_yet() -> None:
     zone = zone_of(home="zone-2", strength=0.5)
     link(zone, home="zone-2", strength=2.0, since_s=0.5)
-    assert not zone._has_better_box()
+    assert not zone._election.has_better_box()
 
 
 def test_weak_boxes_leave_a_free_lease_longer_and_boxes_of_the_zone_come_first() -> None:
     waits = [
-        zone_of(home=home, strength=strength)._courtesy_s()
+        zone_of(home=home, strength=strength)._election.courtesy_s()
         for home, strength in (("zone-2", 2.0), ("zone-2", 0.5), ("zone-1", 2.0), ("zone-1", 0.5))
     ]
     assert waits == sorted(waits)
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -8,10 +8,12 @@
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
-from springrock.placement.lease import PlacerRows
 from springrock.placement.messages import Heartbeat, TableNews, TableRow, decode, encode
+from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
-from springrock.placement.zone import PlacementSettings, Surroundings, ZonePlacement
+from springrock.placement.settings import PlacementSettings
+from springrock.placement.surroundings import Surroundings
+from springrock.placement.zone import ZonePlacement
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
 
@@ -19,18 +21,18 @@
 
 
 def make_zone(directory: Directory, news: list[TableNews] | None = None) -> ZonePlacement:
-    store = Store()
     versions = Versions()
     around = Surroundings(
         incarnation="1",
-        store=store,
-        placer_rows=PlacerRows(store),
+        store=Store(),
+        board=PlacerBoard(age_s=lambda: 0.0),
         configuration=Configuration,
         directory=directory,
         versions=versions,
         residency=Residency(directory, versions),
         control=SlowEngine("m"),
-        on_table_news=(news if news is not None else []).append,
+        on_table_news=lambda zone, told: None if news is None else news.append(told),
+        on_placer_lost=lambda zone: None,
         log_of=lambda part: Log(part, "box-1"),
         metrics=ForwardingMetrics(),
     )
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -15,6 +15,7 @@
     Removed,
     Row,
     RowStore,
+    RowStoreUnavailable,
     Snapshot,
     TableFollower,
     TableReading,
@@ -143,11 +144,99 @@
     readings: list[TableReading] = []
     follower = TableFollower(store, TABLE, Listener(), pause_s=0.0, log=Log("test", "box"))
     follower.sharing = lambda: True
-    follower.shared_with = readings.append
+    follower.shared_with = lambda reading, is_own: readings.append(reading)
     follower.start()
     with gevent.Timeout(10):
-        while len(readings) < 2:
+        while len(readings) < 3:
             gevent.sleep(0.01)
-    assert readings[0] == TableReading(TABLE, 1, 1, [])
+    whole = [Row("a", b"1", 1), Row("b", b"1", 1)]
+    assert readings[0] == TableReading(TABLE, 0, 1, whole, whole=True)
+    assert readings[1] == TableReading(TABLE, 1, 1, [])
     assert max(store.waits) <= 0.5
     follower.stop()
+
+
+def test_who_is_told_passes_it_on_to_those_who_go_by_it() -> None:
+    follower, listener = follow(ScriptedStore())
+    assert told(listener, count=1) == ["all"]
+    passed_on: list[tuple[TableReading, bool]] = []
+    follower.sharing = lambda: True
+    follower.shared_with = lambda reading, is_own: passed_on.append((reading, is_own))
+    reading = TableReading(TABLE, 1, 2, [Row("a", b"2", 2)])
+    follower.take_reading(reading)
+    assert passed_on == [(reading, False)]
+    follower.stop()
+
+
+def test_a_whole_table_replaces_what_is_known_unless_it_is_older() -> None:
+    follower, listener = follow(ScriptedStore())
+    assert told(listener, count=1) == ["all"]
+    follower.take_reading(TableReading(TABLE, 0, 9, [Row("c", b"9", 9)], whole=True))
+    assert listener.rows == {"c": b"9"}
+    follower.take_reading(TableReading(TABLE, 0, 8, [Row("d", b"8", 8)], whole=True))
+    assert listener.rows == {"c": b"9"}
+    follower.take_reading(TableReading(TABLE, 9, 10, [Row("d", b"10", 10)]))
+    assert listener.rows == {"c": b"9", "d": b"10"}
+    follower.stop()
+
+
+def test_who_may_not_rely_on_being_told_goes_on_reading() -> None:
+    store = CountingStore()
+    listener = Listener()
+    follower = TableFollower(store, TABLE, listener, pause_s=0.0, log=Log("test", "box"))
+    follower.start()
+    told(listener, count=1)
+    follower.take_reading(TableReading(TABLE, 1, 2, [Row("a", b"2", 2)]), relied_on=False)
+    assert listener.rows["a"] == b"2"
+    asked = store.asked
+    with gevent.Timeout(10):
+        while store.asked < asked + 3:
+            gevent.sleep(0.01)
+    follower.stop()
+
+
+class FailingStore(ScriptedStore):
+    """Tells the whole table once, and then answers nothing."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked = 0
+
+    def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
+        self.asked += 1
+        raise RowStoreUnavailable("down")
+
+
+def test_who_the_store_does_not_answer_relies_on_whoever_tells() -> None:
+    store = FailingStore()
+    listener = Listener()
+    follower = TableFollower(store, TABLE, listener, pause_s=0.0, log=Log("test", "box"))
+    follower.start()
+    with gevent.Timeout(10):
+        while not store.asked:
+            gevent.sleep(0.01)
+    follower.take_reading(TableReading(TABLE, 1, 2, [Row("a", b"2", 2)]), relied_on=False)
+    assert listener.rows["a"] == b"2"
+    assert follower.age_s < 1.0
+    gevent.sleep(0.3)
+    asked = store.asked
+    gevent.sleep(0.5)
+    assert store.asked == asked, "it is told: it need not ask"
+    follower.stop()
+
+
+def test_who_is_no_longer_told_can_read_at_once() -> None:
+    store = CountingStore()
+    listener = Listener()
+    follower = TableFollower(store, TABLE, listener, pause_s=0.0, log=Log("test", "box"))
+    follower.start()
+    told(listener, count=1)
+    gevent.sleep(0.02)
+    follower.take_reading(TableReading(TABLE, 1, 1, []))
+    gevent.sleep(0.05)
+    asked = store.asked
+    follower.read_alone()
+    with gevent.Timeout(0.5):
+        while store.asked == asked:
+            gevent.sleep(0.01)
+    follower.stop()
