Hold whom a load still serves; reject at once who cannot be served; a reader of first tries

Cause: a request whose adapter came after its target was sent back within a quarter of its target (load_promised, load_takes_longer), so that the client came again. That window is gone.

Change: a request is held while the forecast says that its first event comes before its client leaves, and rejected the moment when it does not. `python -m bench.first_try LOG...` reads from our own logs what callers got at their first try, how long the unserved waited, and refusals by reason; the line of an ending says target, deadline and whether the client returned.

--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -94,6 +94,10 @@
         self._budget_of(journey.service).note_request()
         self._deadlines.note(journey)
 
+    def is_returning(self, journey: Journey) -> bool:
+        """Whether a request's client has tried before, as its deadline tells."""
+        return self._deadlines.is_short(journey)
+
     def next_replica(self, journey: Journey, *, until: float) -> Chosen:
         """Return the replica to try next, after a wait for its adapter if need be.
 
@@ -177,7 +181,7 @@
         return replica
 
     def _wait_terms(self, journey: Journey, *, until: float) -> WaitTerms:
-        last_try = journey.resuming or self._deadlines.is_short(journey)
+        last_try = journey.resuming or self.is_returning(journey)
         return WaitTerms(
             worth=_worth_of(journey.route),
             target_at=journey.target_at,
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -118,6 +118,9 @@
             reason=reply.reason,
             retry_after=reply.head.headers.get("retry-after") if reply.reason else None,
             age_ms=round(journey.age_s * 1000),
+            target_ms=round(journey.route.target_s * 1000),
+            deadline_ms=round((journey.request.deadline_s or 0.0) * 1000),
+            returning=self._chooser.is_returning(journey),
             attempts=journey.trail(),
         )
 
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from itertools import count
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 from gevent.event import Event
 
@@ -24,9 +24,6 @@
 
 _RETURN_MARGIN_S = 0.1
 _RETURN_GRACE_S = 0.4
-_PROMPT_PART = 0.25
-"""Of the time to its target a request may be held before it is too late to send it back."""
-
 _RETURNING_PART = 0.6
 """What a client that was told to come back counts, beside one that waits."""
 
@@ -48,7 +45,6 @@
         self.number = number
         self.wish = wish
         self.began_at = monotonic()
-        self.allowed_s = wish.terms.target_at - self.began_at
         self.granted: str | None = None
         self.news = Event()
 
@@ -185,30 +181,29 @@
             if now - asker.began_at >= _SILENCE_S or not self._has_placer():
                 raise PlacerSilent()
             return
-        starts_at = max(ready_at, now) + _START_S
-        if starts_at <= terms.target_at:
-            return
-        held_for_long = now > asker.began_at + _PROMPT_PART * asker.allowed_s
-        if held_for_long or not terms.returns_within_s:
-            if starts_at > terms.until:
-                raise NoReplica("load_not_in_time", max(0.0, ready_at - now))
-            return
-        self._send_back(asker.wish, max(0.0, ready_at - now) + _RETURN_MARGIN_S)
+        if max(ready_at, now) + _START_S > terms.until:
+            self._reject(asker.wish, max(0.0, ready_at - now))
 
-    def _send_back(self, wish: Wish, ready_in_s: float) -> None:
-        """Tell a client when to come back; if it can wait so long, the load is kept for it."""
+    def _reject(self, wish: Wish, ready_in_s: float) -> NoReturn:
+        """Reject what cannot be served while its client waits, and say when to come back.
+
+        Whoever a load still serves is held: an answer that comes late is worth something, a
+        rejection nothing, whatever comes of another try. The load is kept for a client that can
+        come back for it.
+        """
         if ready_in_s > wish.terms.returns_within_s:
-            raise NoReplica("load_takes_longer", ready_in_s)
+            raise NoReplica("load_not_in_time", ready_in_s)
+        back_in_s = ready_in_s + _RETURN_MARGIN_S
         worth = wish.terms.worth * _RETURNING_PART
-        expected = _Expected(wish.key, worth, monotonic() + ready_in_s)
+        expected = _Expected(wish.key, worth, monotonic() + back_in_s)
         self._expected.append(expected)
         self._news.expected.append(expected)
         self._tell()
-        raise NoReplica("load_promised", ready_in_s)
+        raise NoReplica("load_promised", back_in_s)
 
     def _next_look_s(self, asker: _Asker) -> float:
         now = monotonic()
-        looks = [asker.wish.terms.until, asker.wish.terms.target_at - _START_S]
+        looks = [asker.wish.terms.until, asker.wish.terms.until - _START_S]
         if asker.wish.key not in self._forecasts:
             looks.append(asker.began_at + _SILENCE_S)
         return min((at - now for at in looks if at > now), default=0.02)
--- a/tests/placement/test_demand.py
+++ b/tests/placement/test_demand.py
@@ -95,7 +95,7 @@
 
 def test_a_client_that_can_wait_is_told_when_to_come_back_and_is_expected() -> None:
     book = make_book()
-    task = find(book, wish(target_s=0.5, returns_s=2.0))
+    task = find(book, wish(target_s=0.5, until_s=0.9, returns_s=2.0))
     book.take_news()
     book.note_forecast(KEY, 1.0)
     with pytest.raises(NoReplica) as refusal:
@@ -108,13 +108,36 @@
     assert book.whole().promises
 
 
+def test_a_request_that_a_load_serves_late_is_held_whatever_its_client_could_wait() -> None:
+    book = make_book()
+    task = find(book, wish(target_s=0.1, until_s=9.0, returns_s=3.0))
+    number = book.take_news().asks[0].number
+    book.note_forecast(KEY, 2.0)
+    gevent.sleep(0.3)
+    assert not task.ready()
+    book.note_grant(number, "i-1")
+    assert task.get(timeout=10).instance == "i-1"
+
+
+def test_a_request_is_rejected_the_moment_when_its_load_turns_out_too_late() -> None:
+    book = make_book()
+    task = find(book, wish(target_s=0.1, until_s=5.0, returns_s=0.0))
+    book.note_forecast(KEY, 2.0)
+    gevent.sleep(0.05)
+    assert not task.ready()
+    book.note_forecast(KEY, 5.5)
+    with pytest.raises(NoReplica) as refusal:
+        task.get(timeout=1)
+    assert refusal.value.retry_after_s > 5.0
+
+
 def test_a_client_that_cannot_wait_so_long_is_told_the_truth() -> None:
     book = make_book()
-    task = find(book, wish(target_s=0.5, returns_s=0.3))
+    task = find(book, wish(target_s=0.5, until_s=0.9, returns_s=0.3))
     book.note_forecast(KEY, 1.0)
     with pytest.raises(NoReplica) as refusal:
         task.get(timeout=10)
-    assert refusal.value.reason == "load_takes_longer"
+    assert refusal.value.reason == "load_not_in_time"
     assert book.take_news().promises == []
 
 
--- /dev/null
+++ b/tests/test_first_try.py
@@ -0,0 +1,53 @@
+"""The reader of what callers got at their first try."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from bench.first_try import LATE_WORTH, Ending, FirstTries, endings_in
+
+
+def ending(**changes: object) -> Ending:
+    usual = Ending(served=True, age_s=0.4, target_s=1.0, returning=False, reason="")
+    return usual._replace(**changes)  # type: ignore[arg-type]
+
+
+def test_only_first_tries_earn_and_late_ones_earn_less() -> None:
+    sums = FirstTries.from_endings(
+        [
+            ending(),
+            ending(age_s=1.5),
+            ending(served=False, reason="load_not_in_time", age_s=0.1),
+            ending(returning=True),
+            ending(returning=True, served=False, age_s=2.0),
+        ]
+    )
+    assert sums.first == 3
+    assert sums.worth == pytest.approx((1.0 + LATE_WORTH) / 3)
+    assert (sums.retries, sums.failed_retries) == (2, 1)
+    assert sums.waited_s == [0.1, 2.0]
+    assert sums.refusals == {"load_not_in_time": [0.1]}
+
+
+def test_endings_are_found_among_other_lines() -> None:
+    said = {
+        "text": "forwarder: Refused a request.",
+        "status": 503,
+        "age_ms": 120,
+        "target_ms": 1000,
+        "returning": True,
+        "reason": "load_not_in_time",
+    }
+    lines = [
+        f"  3.1 box-1 {json.dumps(said)}\n",
+        '  3.2 box-1 {"text": "forwarder: Answered a request.", "status": 20',
+        '  3.3 box-1 {"text": "door: Something else."}',
+    ]
+    [found] = endings_in(lines)
+    assert found == ending(served=False, age_s=0.12, returning=True, reason="load_not_in_time")
+
+
+def test_no_endings_are_no_division_by_zero() -> None:
+    assert list(FirstTries.from_endings([]).lines())[0] == "first tries 0, worth 0.000"
