Ask the zone that has an adapter at hand before the one that a hash gives

Cause: an adapter that stands nowhere was asked of its hash's zone although an engine elsewhere had given it up lately and loads it without the weight store, in 0.03 s in place of 0.27.

Change: a box remembers what each engine gave up, as the placers tell what engines hold; among zones with room one of those comes first.

--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -13,10 +13,7 @@
 from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.control import EngineState
-
-_LATELY_KEPT = 30
-"""How many adapters an engine is taken to keep at hand beside those in its places."""
-
+from springrock.placement.residency import LATELY_KEPT
 
 _REPORTS_LAG_S = 1.0
 """A report shows what was ordered longer ago than this, whatever its sequence."""
@@ -201,5 +198,5 @@
     def _remember(self, key: AdapterKey, version: int) -> None:
         self._lately[key] = version
         self._lately.move_to_end(key)
-        while len(self._lately) > _LATELY_KEPT:
+        while len(self._lately) > LATELY_KEPT:
             self._lately.popitem(last=False)
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -219,7 +219,19 @@
         home = self._settings.zone
         if home in holding or self._is_spread(wish.key):
             holding = {home}
-        return choose_zone(wish.key, self._zone_views(), prefer=holding, avoid=spent, never=silent)
+        at_hand = {
+            replica.record.zone
+            for replica in self._residency.keepers(wish.key)
+            if not replica.record.leaving
+        }
+        return choose_zone(
+            wish.key,
+            self._zone_views(),
+            prefer=holding,
+            avoid=spent,
+            never=silent,
+            at_hand=at_hand,
+        )
 
     def _is_spread(self, key: AdapterKey) -> bool:
         name = str(key)
--- a/springrock/placement/residency.py
+++ b/springrock/placement/residency.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from springrock.clock import monotonic
@@ -15,6 +16,10 @@
 _DENIED_S = 1.0
 """How long a replica's own "not here" outweighs other witnesses that do not change."""
 
+LATELY_KEPT = 30
+"""How many adapters a replica is taken to keep at hand beside those in its places: of those that
+it had given up for longer, nearly all came from the weight store again."""
+
 
 class Versions:
     """The newest version named for each adapter; versions only rise."""
@@ -46,6 +51,8 @@
         self._held: dict[str, tuple[HeldAdapter, ...]] = {}
         self._versions_at: dict[AdapterKey, dict[str, int]] = {}
         self._denied: dict[tuple[str, AdapterKey], float] = {}
+        self._given_up: dict[str, OrderedDict[AdapterKey, int]] = {}
+        self._given_up_by: dict[AdapterKey, set[str]] = {}
         directory.on_change.append(self._replica_changed)
 
     def holds(self, replica: Replica, key: AdapterKey) -> bool:
@@ -60,6 +67,16 @@
         known = (self._directory.find(instance) for instance in self._versions_at.get(key, {}))
         return [replica for replica in known if replica is not None and self.holds(replica, key)]
 
+    def keepers(self, key: AdapterKey) -> list[Replica]:
+        """Return the replicas that gave an adapter up lately, and so load it without the store."""
+        newest = self._versions.newest(key)
+        known = (
+            self._directory.find(instance)
+            for instance in self._given_up_by.get(key, ())
+            if self._given_up[instance][key] >= newest
+        )
+        return [replica for replica in known if replica is not None]
+
     def deny(self, instance: str, key: AdapterKey) -> None:
         """Learn from a replica itself that it does not hold an adapter."""
         self._denied[(instance, key)] = monotonic() + _DENIED_S
@@ -94,6 +111,9 @@
         if record is None:
             self._told.pop(instance, None)
         self._index(instance)
+        if record is None:
+            for key in self._given_up.pop(instance, {}):
+                self._forget_given_up(instance, key)
 
     def _index(self, instance: str) -> None:
         """Have an adapter's replicas found without a look at each of them."""
@@ -108,9 +128,32 @@
             del standing[instance]
             if not standing:
                 del self._versions_at[held.key]
+        self._note_given_up(instance, before, now)
         for held in now:
             self._versions_at.setdefault(held.key, {})[instance] = held.version
         if now:
             self._held[instance] = now
         else:
             self._held.pop(instance, None)
+
+    def _note_given_up(
+        self, instance: str, before: Iterable[HeldAdapter], now: Iterable[HeldAdapter]
+    ) -> None:
+        standing = {held.key for held in now}
+        lately = self._given_up.setdefault(instance, OrderedDict())
+        for key in standing & lately.keys():
+            del lately[key]
+            self._forget_given_up(instance, key)
+        for held in before:
+            if held.key not in standing:
+                lately[held.key] = held.version
+                self._given_up_by.setdefault(held.key, set()).add(instance)
+        while len(lately) > LATELY_KEPT:
+            key, _ = lately.popitem(last=False)
+            self._forget_given_up(instance, key)
+
+    def _forget_given_up(self, instance: str, key: AdapterKey) -> None:
+        instances = self._given_up_by[key]
+        instances.discard(instance)
+        if not instances:
+            del self._given_up_by[key]
--- a/springrock/placement/zone_choice.py
+++ b/springrock/placement/zone_choice.py
@@ -36,6 +36,7 @@
     prefer: Collection[str] = (),
     avoid: Collection[str] = (),
     never: Collection[str] = (),
+    at_hand: Collection[str] = (),
 ) -> str | None:
     """Return the zone that is to bring an adapter; None if there is none to ask.
 
@@ -48,6 +49,8 @@
         prefer: Zones to be chosen if one of them can load adapters.
         avoid: Zones to be chosen only if there is no other.
         never: Zones not to be chosen.
+        at_hand: Zones where an engine loads the adapter without the weight store, to be chosen
+            among those with room.
     """
     candidates = [zone for zone in zones if zone.reachable and zone.name not in never]
     if not candidates:
@@ -58,6 +61,7 @@
         return max(preferred, key=lambda zone: _preference(key, zone)).name
     candidates = [zone for zone in candidates if zone.name not in avoid] or candidates
     candidates = [zone for zone in candidates if zone.room > 0] or candidates
+    candidates = [zone for zone in candidates if zone.name in at_hand] or candidates
     return max(candidates, key=lambda zone: _preference(key, zone)).name
 
 
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -231,3 +231,14 @@
     assert alone == []
     deployment.zones["zone-1"].around.on_placer_lost("zone-1")
     assert alone == ["alone"]
+
+
+def test_an_adapter_that_an_engine_has_given_up_is_asked_of_its_zone(
+    deployment: Deployment,
+) -> None:
+    first = deployment.find()
+    other = next(zone for zone in ZONES if zone != first)
+    deployment.record(other, KEY.adapter)
+    assert deployment.find() == other
+    deployment.record(other)
+    assert deployment.find() == other
--- a/tests/placement/test_residency.py
+++ b/tests/placement/test_residency.py
@@ -5,7 +5,7 @@
 from springrock.forwarding.directory import Directory, HeldAdapter, ReplicaRecord
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
-from springrock.placement.residency import Residency, Versions
+from springrock.placement.residency import LATELY_KEPT, Residency, Versions
 
 KEY = AdapterKey("m", "a")
 
@@ -75,3 +75,39 @@
     assert world.holders == []
     world.record()
     assert world.holders == ["i-1"]
+
+
+def test_what_a_replica_gave_up_lately_is_at_hand_there() -> None:
+    world = World()
+    world.record(HeldAdapter("m", "a", 1))
+
+    def _keepers() -> list[str]:
+        return [replica.instance for replica in world.residency.keepers(KEY)]
+
+    assert _keepers() == []
+    world.residency.note_told("i-1", [HeldAdapter("m", "b", 1)])
+    assert _keepers() == ["i-1"]
+    world.residency.note_told("i-1", [HeldAdapter("m", "a", 1)])
+    assert _keepers() == [], "it stands there again"
+    world.residency.note_told("i-1", [])
+    world.versions.note(KEY, 2)
+    assert _keepers() == [], "what it keeps is an older version"
+
+
+def test_a_replica_keeps_only_so_much_at_hand_and_nothing_once_it_is_gone() -> None:
+    world = World()
+    world.record(HeldAdapter("m", "a", 1))
+    world.residency.note_told("i-1", [])
+    for number in range(LATELY_KEPT - 1):
+        world.residency.note_told("i-1", [HeldAdapter("m", f"x{number}", 1)])
+    world.residency.note_told("i-1", [])
+    assert world.residency.keepers(KEY)
+    world.residency.note_told("i-1", [HeldAdapter("m", "last", 1)])
+    world.residency.note_told("i-1", [])
+    assert world.residency.keepers(KEY) == []
+    last = AdapterKey("m", "last")
+    assert world.residency.keepers(last)
+    world.directory.remove("i-1")
+    assert world.residency.keepers(last) == []
+    world.record()
+    assert world.residency.keepers(last) == [], "another process has an empty memory"
--- a/tests/placement/test_zone_choice.py
+++ b/tests/placement/test_zone_choice.py
@@ -48,3 +48,11 @@
     assert choose_zone(KEY, zones, avoid={"one", "two"}, never={"one"}) == "two"
     assert choose_zone(KEY, zones, never={"one", "two"}) is None
     assert choose_zone(KEY, []) is None
+
+
+def test_a_zone_that_has_the_adapter_at_hand_comes_first_if_it_has_room() -> None:
+    for name in ("one", "two"):
+        assert choose_zone(KEY, [view("one"), view("two")], at_hand={name}) == name
+    full = [view("one", room=0), view("two")]
+    assert choose_zone(KEY, full, at_hand={"one"}) == "two"
+    assert choose_zone(KEY, [view("one"), view("two")], at_hand={"one"}, prefer={"two"}) == "two"
--- a/tests/test_first_try.py
+++ b/tests/test_first_try.py
@@ -50,4 +50,4 @@
 
 
 def test_no_endings_are_no_division_by_zero() -> None:
-    assert list(FirstTries.from_endings([]).lines())[0] == "first tries 0, worth 0.000"
+    assert next(iter(FirstTries.from_endings([]).lines())) == "first tries 0, worth 0.000"
