Wait for a placer that is likely to be heard soon before a request is rejected

Change: within a second of that a request waits until one is heard, else it is rejected at once as before.

--- a/springrock/forwarding/adapters.py
+++ b/springrock/forwarding/adapters.py
@@ -94,5 +94,15 @@
             NoReplica: As soon as the request should come back later instead.
         """
 
+    def await_placer(self, *, until: float) -> bool:
+        """Wait for a placer while none is heard and one is likely to be soon.
+
+        Args:
+            until: How long a wait makes sense, on the local monotonic clock.
+
+        Returns:
+            Whether one is heard now that was not before.
+        """
+
     def use(self, instance: str, key: AdapterKey) -> Use:
         """Note the use of a replica that no placer granted; to be ended by the caller."""
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -125,7 +125,15 @@
         key = journey.request.adapter_key
         if key is None or not self._serves_adapters(journey.service):
             return Chosen(self._choose(journey), None)
-        return self._find_granted(journey, key, until=until) or self._find_alone(journey, key)
+        while True:
+            granted = self._find_granted(journey, key, until=until)
+            if granted is not None:
+                return granted
+            try:
+                return self._find_alone(journey, key)
+            except NoReplica:
+                if not self._adapters.await_placer(until=until):
+                    raise
 
     def _find_granted(self, journey: Journey, key: AdapterKey, *, until: float) -> Chosen | None:
         """Return the replica that a placer grants; None if no placer is heard."""
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Callable
 
+from gevent.event import Event
+
+from springrock.clock import monotonic
 from springrock.forwarding.adapters import Use, Wish
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
@@ -23,6 +26,10 @@
 from springrock.placement.zone_choice import ZoneView, choose_zone
 from springrock.rows import Change, Removed, Row, RowStore, TableReading
 
+_LIKELY_HEARD_S = 1.0
+"""So long after its start, or after it lost the last placer that it heard, a box is likely to hear
+one again: boxes that had all lost power were linked 0.2 s after their start."""
+
 
 class Placement:
     """Implements `springrock.forwarding.adapters.Adapters`.
@@ -66,6 +73,8 @@
         self._directory = directory
         self._configuration = configuration
         self._residency = Residency(directory, versions)
+        self._heard = Event()
+        self._unheard_since = monotonic()
         self._board = board
         self.on_reading: Callable[[TableReading, bool], None] = lambda reading, relied_on: None
         self.on_alone: Callable[[], None] = lambda: None
@@ -79,6 +88,7 @@
             residency=self._residency,
             control=control,
             on_table_news=self._take_news,
+            on_placer_heard=self._heard.set,
             on_placer_lost=self._placer_lost,
             log_of=log_of,
             metrics=metrics,
@@ -154,6 +164,9 @@
         self.on_reading(_reading_from(news), relied_on)
 
     def _placer_lost(self, zone: str) -> None:
+        if not self._hears_any:
+            self._heard.clear()
+            self._unheard_since = monotonic()
         if zone == self._settings.zone:
             self.on_alone()
 
@@ -189,6 +202,17 @@
             except PlacerSilent:
                 silent.add(name)
 
+    def await_placer(self, *, until: float) -> bool:
+        """Wait for a placer while none is heard and one is likely to be soon."""
+        if self._hears_any:
+            return False
+        likely_until = min(until, self._unheard_since + _LIKELY_HEARD_S)
+        return self._heard.wait(timeout=max(0.0, likely_until - monotonic()))
+
+    @property
+    def _hears_any(self) -> bool:
+        return any(zone.reachable for zone in self._zones.values())
+
     # Zones.
 
     def _zone_views(self) -> list[ZoneView]:
--- a/springrock/placement/surroundings.py
+++ b/springrock/placement/surroundings.py
@@ -29,6 +29,7 @@
         residency: What stands where.
         control: Speaks to engines.
         on_table_news: Called with a zone and what its placer has read of the store's tables.
+        on_placer_heard: Called whenever a zone's placer is heard.
         on_placer_lost: Called with a zone whose placer this box has lost.
         log_of: Returns the log of a part.
         metrics: The metrics to count in.
@@ -43,6 +44,7 @@
     residency: Residency
     control: EngineControl
     on_table_news: Callable[[str, TableNews], None]
+    on_placer_heard: Callable[[], None]
     on_placer_lost: Callable[[str], None]
     log_of: Callable[[str], Log]
     metrics: ForwardingMetrics
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -59,6 +59,7 @@
         self._incarnation = around.incarnation
         self._metrics = around.metrics
         self._on_table_news = around.on_table_news
+        self._on_placer_heard = around.on_placer_heard
         self._on_placer_lost = around.on_placer_lost
         self.demand = DemandBook(has_placer=lambda: self.reachable)
         self.room = 0
@@ -204,6 +205,7 @@
         self.spread = frozenset(heartbeat.spread)
         for instance in heartbeat.leaving:
             self._directory.note_leaving(instance)
+        self._on_placer_heard()
 
     def _placer_lost(self) -> None:
         self.spread = frozenset()
--- /dev/null
+++ b/tests/forwarding/test_choosing.py
@@ -0,0 +1,92 @@
+"""Which replica a request is tried at, as placers are heard or not."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from springrock.clock import monotonic
+from springrock.forwarding.adapters import Use, UseOutcome, Wish
+from springrock.forwarding.balancing import Balancer
+from springrock.forwarding.budget import RetryBudget, RetryLimits
+from springrock.forwarding.choosing import ReplicaChooser
+from springrock.forwarding.configuration import BaseModel, Configuration, Engine, Service
+from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
+from springrock.forwarding.errors import NoReplica
+from springrock.forwarding.journey import Journey
+from springrock.forwarding.message import AdapterKey
+from springrock.log import Log
+from tests.forwarding.test_values import make_request, make_route
+
+KEY = AdapterKey("m", "a")
+
+
+class ScriptedUse:
+    """The use of the one replica."""
+
+    instance = "i-1"
+
+    def began(self) -> None:
+        """Nothing to note."""
+
+    def end(self, outcome: UseOutcome) -> None:
+        """Nothing to note."""
+
+
+class ScriptedAdapters:
+    """No placer is heard until one was waited for so often."""
+
+    def __init__(self, *, waits: int) -> None:
+        self.waits_left = waits
+        self.is_held = False
+
+    def holds(self, replica: Replica, key: AdapterKey) -> bool:
+        return self.is_held
+
+    def deny(self, instance: str, key: AdapterKey) -> None:
+        """Nothing to learn."""
+
+    def newest(self, key: AdapterKey) -> int:
+        return 0
+
+    def find(self, wish: Wish) -> Use | None:
+        return None if self.waits_left else ScriptedUse()
+
+    def await_placer(self, *, until: float) -> bool:
+        self.waits_left -= 1
+        return self.waits_left == 0
+
+    def use(self, instance: str, key: AdapterKey) -> Use:
+        return ScriptedUse()
+
+
+def find(adapters: ScriptedAdapters) -> str:
+    """Return the instance that a request for the adapter is sent to."""
+    engine = Engine(
+        running_limit=8, adapter_slots=2, loads_per_s=5.0, models=(BaseModel(name="m"),)
+    )
+    configuration = Configuration(version=1, services={"s": Service(name="s", engine=engine)})
+    directory = Directory(Log("test", "box-1"))
+    record = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-1")
+    directory.update(record)
+    chooser = ReplicaChooser(
+        configuration=lambda: configuration,
+        directory=directory,
+        balancer=Balancer(zone="zone-1", chance=random.Random(1)),
+        adapters=adapters,
+        budget_of=lambda service: RetryBudget(lambda: RetryLimits(0.1, 1.0, 10.0)),
+    )
+    request = make_request(model=KEY.model, adapter=KEY.adapter, deadline_s=5.0)
+    journey = Journey(request, make_route(), "s")
+    return chooser.next_replica(journey, until=monotonic() + 1.0).replica.instance
+
+
+def test_a_request_that_no_placer_hears_waits_for_one_that_is_likely() -> None:
+    assert find(ScriptedAdapters(waits=1)) == "i-1"
+
+
+def test_a_request_is_rejected_if_none_is_likely_to_be_heard() -> None:
+    with pytest.raises(NoReplica) as refusal:
+        find(ScriptedAdapters(waits=2))
+    assert refusal.value.reason == "no_placer_heard"
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -4,9 +4,11 @@
 
 from collections.abc import Collection
 
+import gevent
 import msgspec
 import pytest
 
+from springrock.clock import monotonic
 from springrock.forwarding.adapters import WaitTerms, Wish
 from springrock.forwarding.configuration import BaseModel, Configuration, Engine, Service
 from springrock.forwarding.directory import Directory, HeldAdapter, ReplicaRecord
@@ -242,3 +244,30 @@
     assert deployment.find() == other
     deployment.record(other)
     assert deployment.find() == other
+
+
+def test_a_request_waits_for_a_placer_that_is_likely_to_be_heard_soon(
+    deployment: Deployment,
+) -> None:
+    for zone in deployment.zones.values():
+        zone.reachable = False
+    waiter = gevent.spawn(deployment.placement.await_placer, until=monotonic() + 60.0)
+    gevent.sleep(0.05)
+    assert not waiter.ready()
+    deployment.zones["zone-2"].reachable = True
+    deployment.zones["zone-2"].around.on_placer_heard()
+    assert waiter.get(timeout=10)
+    assert not deployment.placement.await_placer(until=monotonic() + 60.0), "it is heard already"
+
+
+def test_a_request_waits_for_no_placer_where_none_was_heard_for_long(
+    deployment: Deployment,
+) -> None:
+    for zone in deployment.zones.values():
+        zone.reachable = False
+    deployment.placement._unheard_since = monotonic() - 60.0
+    with gevent.Timeout(0.5):
+        assert not deployment.placement.await_placer(until=monotonic() + 60.0)
+    deployment.zones["zone-1"].around.on_placer_lost("zone-1")
+    with gevent.Timeout(0.5):
+        assert not deployment.placement.await_placer(until=monotonic() + 0.05)
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -32,6 +32,7 @@
         residency=Residency(directory, versions),
         control=SlowEngine("m"),
         on_table_news=lambda zone, told: None if news is None else news.append(told),
+        on_placer_heard=lambda: None,
         on_placer_lost=lambda zone: None,
         log_of=lambda part: Log(part, "box-1"),
         metrics=ForwardingMetrics(),
