--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from springrock.clock import Deadline
+from springrock.counted_store import CountedStore
 from springrock.entry_settings import EntrySettings
 from springrock.forwarding.balancing import Balancer
 from springrock.forwarding.budget import RetryBudget, RetryLimits
@@ -67,7 +68,9 @@
         self._budgets: dict[str, RetryBudget] = {}
         self.directory = Directory(self._log_of("directory"))
         self._versions = Versions()
-        self._store = PlatformStore(settings.store.address)
+        self._store = CountedStore(
+            PlatformStore(settings.store.address), calls=self.metrics.store_calls
+        )
         self._build_followers()
         self._build_serving()
 
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -116,6 +116,19 @@
             ["kind", "answer"],
             registry=registry,
         )
+        self.store_calls = Counter(
+            "springrock_store_calls",
+            "Calls to the store, by what was asked and whether it answered.",
+            ["call", "table", "answer"],
+            registry=registry,
+        )
+        self.grant_seconds = Histogram(
+            "springrock_placement_grant_seconds",
+            "Time from a request's ask to its grant, at the zone's placer.",
+            ["zone"],
+            buckets=_SECONDS,
+            registry=registry,
+        )
         self.placer = Gauge(
             "springrock_placement_placer",
             "1 while this box gives orders to a zone's engines.",
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -111,6 +111,7 @@
             popularity=self._popularity,
             send=send,
             on_unserved=self._work.set,
+            on_granted=metrics.grant_seconds.labels(zone).observe,
             log=log,
         )
         self._task: gevent.Greenlet[..., Any] | None = None
--- a/springrock/placement/requests.py
+++ b/springrock/placement/requests.py
@@ -33,6 +33,7 @@
         popularity: Learns what is asked for.
         send: Sends a message to one box.
         on_unserved: Called when there is something to plan for.
+        on_granted: Called with the seconds that a request waited for its grant.
         log: The log to write to.
 
     Attributes:
@@ -51,6 +52,7 @@
         popularity: Popularity,
         send: Callable[[str, Message], None],
         on_unserved: Callable[[], None],
+        on_granted: Callable[[float], None],
         log: Log,
     ) -> None:
         self._keepers = keepers
@@ -60,6 +62,7 @@
         self._popularity = popularity
         self._send = send
         self._on_unserved = on_unserved
+        self._on_granted = on_granted
         self._log = log
         self.asks = AskBook()
         self.forecasts = Forecasts(send)
@@ -128,6 +131,7 @@
         self.asks.remove(waiting.box, ask.number)
         dispatcher.note_granted(waiting.box, ask.number, choice, key, ask.prompt)
         self._send(waiting.box, Grant(ask.number, choice.instance))
+        self._on_granted(now - waiting.asked_at)
         self._log.say(
             "Granted an engine.",
             request=ask.request,
