Compress long messages between boxes: a configuration filled the placer's link

The box that places a zone tells each change whole to 39 boxes: on paper 39 x 0.4 MB at 10 to 100 Mbit/s.

Change: a message of 4 KB or more is compressed, once for all boxes; one that is cut, malformed or unpacks to over 16 MiB is rejected with a typed error.

Ruled out: boxes that read each change themselves (195 calls a change, each paid for).

--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from enum import IntEnum
 
 import cbor2
@@ -190,12 +191,26 @@
     whole: bool = False
 
 
+_LARGE_BYTES = 4096
+"""A longer message is compressed: a whole configuration of 1,400 routes, told to 39 boxes a few
+times a second, otherwise fills the link of the placer's box, and its orders to engines go
+unanswered."""
+
+_LARGEST_BYTES = 16_777_216
+"""No message is that long; what claims to be is not unpacked."""
+
+_FASTEST = 1
+"""The level of compression: a configuration shrinks to a tenth or less even so."""
+
 Message = Hello | Demand | Grant | Forecast | Heartbeat | Residents | TableNews
 
 
 def encode(message: Message) -> bytes:
-    """Return the frame of a message."""
-    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    """Return the frame of a message; a long one is a byte string that holds it compressed."""
+    frame: bytes = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    if len(frame) < _LARGE_BYTES:
+        return frame
+    return cbor2.dumps(zlib.compress(frame, _FASTEST))
 
 
 def decode(frame: str | bytes) -> Message:
@@ -207,7 +222,18 @@
     if isinstance(frame, str):
         raise PeerRejected("a text frame")
     try:
-        message: Message = msgspec.convert(cbor2.loads(frame), Message)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        loaded = cbor2.loads(frame)
+        if isinstance(loaded, bytes):
+            loaded = cbor2.loads(_unpacked(loaded))
+        message: Message = msgspec.convert(loaded, Message)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, zlib.error) as error:
         raise PeerRejected(f"a malformed frame: {error}") from None
     return message
+
+
+def _unpacked(packed: bytes) -> bytes:
+    unpacker = zlib.decompressobj()
+    message = unpacker.decompress(packed, _LARGEST_BYTES)
+    if not unpacker.eof:
+        raise PeerRejected(f"a message that is cut or longer than {_LARGEST_BYTES} bytes")
+    return message
--- /dev/null
+++ b/tests/placement/test_messages.py
@@ -0,0 +1,71 @@
+"""Frames between placers and boxes: long ones are compressed, malformed ones rejected."""
+
+from __future__ import annotations
+
+import json
+import zlib
+
+import cbor2
+import pytest
+
+from springrock.errors import PeerRejected
+from springrock.placement import messages as messages_module
+from springrock.placement.messages import Grant, TableNews, TableRow, decode, encode
+
+ROUTES = [
+    {
+        "name": f"r-{number:06x}",
+        "host": f"team{number % 20}.example",
+        "pathPrefix": f"/{number * 7919 % 100_000}/",
+        "service": "language",
+        "kind": "streaming",
+        "timeoutMs": 5000 + number % 40,
+        "targetLatencyMs": 1000,
+        "maxAttempts": 2,
+    }
+    for number in range(1400)
+]
+
+
+def table_news(value: bytes) -> TableNews:
+    return TableNews("op", 7, 9, [TableRow("config", value, 9), TableRow("old", b"", 8, gone=True)])
+
+
+def test_a_whole_configuration_takes_a_tenth_of_its_bytes_and_comes_back_whole() -> None:
+    news = table_news(json.dumps({"routes": ROUTES}).encode())
+    frame = encode(news)
+    assert len(frame) < len(news.rows[0].value) / 10
+    assert decode(frame) == news
+
+
+def test_a_short_message_stays_as_it_is() -> None:
+    grant = Grant(3, "i-1")
+    assert cbor2.loads(encode(grant)) == [3, 3, "i-1"]
+    assert decode(encode(grant)) == grant
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        cbor2.dumps(b"not compressed"),
+        cbor2.dumps(zlib.compress(b"\xff not CBOR")),
+        cbor2.dumps(encode(table_news(bytes(range(256)) * 64))[:200]),
+        cbor2.dumps(zlib.compress(cbor2.dumps([3, 3]))),
+        b"",
+    ],
+)
+def test_a_malformed_frame_is_rejected_with_a_typed_error(frame: bytes) -> None:
+    with pytest.raises(PeerRejected):
+        decode(frame)
+
+
+def test_a_message_that_is_cut_or_too_long_is_not_unpacked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    frame = encode(table_news(bytes(100_000)))
+    packed = cbor2.loads(frame)
+    with pytest.raises(PeerRejected, match="cut or longer"):
+        decode(cbor2.dumps(packed[:-8]))
+    monkeypatch.setattr(messages_module, "_LARGEST_BYTES", 50_000)
+    with pytest.raises(PeerRejected, match="cut or longer"):
+        decode(frame)
