--- a/springrock/counted_store.py
+++ b/springrock/counted_store.py
@@ -7,8 +7,14 @@
 
 from prometheus_client import Counter
 
-from springrock.rows import Changes, HistoryGone, RowConflict, RowStore, Snapshot
-from springrock.rows import RowStoreUnavailable as Unavailable
+from springrock.rows import (
+    Changes,
+    HistoryGone,
+    RowConflict,
+    RowStore,
+    RowStoreUnavailable,
+    Snapshot,
+)
 
 T = TypeVar("T")
 
@@ -53,7 +59,7 @@
         except HistoryGone:
             answer = "history_gone"
             raise
-        except Unavailable:
+        except RowStoreUnavailable:
             answer = "unanswered"
             raise
         finally:
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -193,14 +193,14 @@
 
 _LARGE_BYTES = 4096
 """A longer message is compressed: a whole configuration of 1,400 routes, told to 39 boxes a few
-times a second, otherwise fills the link of the placer's box, and its orders to engines go
-unanswered."""
+times a second, is reckoned to fill the link of the placer's box: 105 of 596 orders to engines
+went unanswered, and none once it was compressed."""
 
 _LARGEST_BYTES = 16_777_216
 """No message is that long; what claims to be is not unpacked."""
 
 _FASTEST = 1
-"""The level of compression: a configuration shrinks to a tenth or less even so."""
+"""The level of compression: one of 1,400 routes shrinks to under a tenth even so."""
 
 Message = Hello | Demand | Grant | Forecast | Heartbeat | Residents | TableNews
 
--- a/springrock/placement/placer_board.py
+++ b/springrock/placement/placer_board.py
@@ -10,8 +10,8 @@
 from springrock.rows import Row, RowStoreUnavailable
 
 _STALE_S = 3.0
-"""A reading older than this proves nothing any more: reading the table takes at most 2.6 s while
-the store answers, the wait for a change included."""
+"""A reading older than this proves nothing any more: a read takes at most 2.6 s while the store
+answers, the wait for a change included, and leases are renewed more often than that."""
 
 
 class PlacerBoard:
--- a/springrock/placement/residency.py
+++ b/springrock/placement/residency.py
@@ -17,8 +17,8 @@
 """How long a replica's own "not here" outweighs other witnesses that do not change."""
 
 LATELY_KEPT = 30
-"""How many adapters a replica is taken to keep at hand beside those in its places: of those that
-it had given up for longer, nearly all came from the weight store again."""
+"""How many adapters a replica is taken to keep at hand beside those in its places: of 197 that came
+from the weight store again to a replica that had held them, 143 had been followed there by more."""
 
 
 class Versions:
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -124,9 +124,7 @@
 ) -> None:
     monkeypatch.setattr(rows_module, "_TOLD_FRESH_S", 0.3)
     store = CountingStore()
-    listener = Listener()
-    follower = TableFollower(store, TABLE, listener, pause_s=0.0, log=Log("test", "box"))
-    follower.start()
+    follower, listener = follow(store)
     told(listener, count=1)
     follower.take_reading(TableReading(TABLE, 1, 1, []))
     gevent.sleep(0.05)
@@ -182,9 +180,7 @@
 
 def test_who_may_not_rely_on_being_told_goes_on_reading() -> None:
     store = CountingStore()
-    listener = Listener()
-    follower = TableFollower(store, TABLE, listener, pause_s=0.0, log=Log("test", "box"))
-    follower.start()
+    follower, listener = follow(store)
     told(listener, count=1)
     follower.take_reading(TableReading(TABLE, 1, 2, [Row("a", b"2", 2)]), relied_on=False)
     assert listener.rows["a"] == b"2"
@@ -209,9 +205,7 @@
 
 def test_who_the_store_does_not_answer_relies_on_whoever_tells() -> None:
     store = FailingStore()
-    listener = Listener()
-    follower = TableFollower(store, TABLE, listener, pause_s=0.0, log=Log("test", "box"))
-    follower.start()
+    follower, listener = follow(store)
     with gevent.Timeout(10):
         while not store.asked:
             gevent.sleep(0.01)
@@ -227,9 +221,7 @@
 
 def test_who_is_no_longer_told_can_read_at_once() -> None:
     store = CountingStore()
-    listener = Listener()
-    follower = TableFollower(store, TABLE, listener, pause_s=0.0, log=Log("test", "box"))
-    follower.start()
+    follower, listener = follow(store)
     told(listener, count=1)
     gevent.sleep(0.02)
     follower.take_reading(TableReading(TABLE, 1, 1, []))
