Follow a dead placer that told a version above its row's; renew at once after a conflict

Ruled out: a link that does not end, a board that is not read (both bounded by timeouts), an election task that ended (it would have left a traceback).

Change: a version that was heard of and not read keeps the lease from being taken only until it has lapsed; the write's condition is the row as read, so a fence stays above the newest row's. A renewal that finds its row at another version is made again at once: a third of the lease passed unrenewed. It logs what it found. Two tests, both failing before.

--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -22,6 +22,10 @@
 """So long an order may be under way: the time for a connection and for an answer. Where engines do
 not look at fences, none may arrive after the lease."""
 
+_RENEWAL_TRIES = 2
+"""A second one where the store says that the row has another version than it answered before, as
+it may name that of a later transaction: without it a third of the lease would pass unrenewed."""
+
 
 class PlacerRows(Protocol):
     """The placers' rows as far as they are known."""
@@ -121,19 +125,17 @@
 
     def renew(self) -> bool:
         """Renew the own lease; return whether it still stands as far as is known."""
-        own = self._own
-        assert own is not None
-        sent_at = monotonic()
-        renewed = msgspec.structs.replace(own, renewal=own.renewal + 1)
-        try:
-            self._version = self._write(renewed, expected=self._version)
-        except RowStoreUnavailable:
-            self._unanswered_at = monotonic()
-            return True
-        except RowConflict as conflict:
-            return self._settle(conflict.row)
-        self._own = renewed
-        self._held_until = sent_at + self._lease_s
+        for _ in range(_RENEWAL_TRIES):
+            try:
+                self._write_renewal()
+            except RowStoreUnavailable:
+                self._unanswered_at = monotonic()
+                return True
+            except RowConflict as conflict:
+                if not self._settle(conflict.row):
+                    return False
+            else:
+                return True
         return True
 
     def lose(self, *, reason: str) -> None:
@@ -189,6 +191,9 @@
         Args:
             standing: The row as `look` has just read it.
             courtesy_s: How much longer it must have been free, so that others come first.
+
+        The write's condition is the row as it was read, so that its fence is above that of the
+        newest row even where a heartbeat told of a version that was never read.
         """
         if not self._free(standing, courtesy_s):
             return False
@@ -198,7 +203,7 @@
             box=self._box, incarnation=self._incarnation, address=self._address, fence=fence
         )
         try:
-            self._version = self._write(own, expected=self._seen_version)
+            self._version = self._write(own, expected=self._looked_version)
         except (RowStoreUnavailable, RowConflict) as error:
             self._log.say(
                 "Did not get the placer's lease.", row=self._key, fence=fence, error=str(error)
@@ -218,18 +223,21 @@
         return max(0.0, self._seen_at + self._lease_s + _MARGIN_S - monotonic())
 
     def _free(self, standing: PlacerRow | None, courtesy_s: float) -> bool:
-        if self._seen_version < 0 or self._looked_version != self._seen_version:
-            # Its fence has to be above that of the newest row.
+        if self._seen_version < 0 or self._looked_version < 0:
             return False
         unchanged_s = monotonic() - self._seen_at
+        lapsed = unchanged_s > self._lease_s + _MARGIN_S + courtesy_s
+        if self._looked_version != self._seen_version:
+            # Heard of from its holder, not read yet, or a version that the row does not have.
+            return lapsed
         if standing is None:
-            return self._seen_version == ABSENT_VERSION and unchanged_s >= courtesy_s
+            return unchanged_s >= courtesy_s
         if not standing.incarnation:
             return not standing.successor or unchanged_s >= courtesy_s
         if standing.box == self._box and standing.incarnation != self._incarnation:
             # An earlier process of this box: it is gone, or this one could not run.
             return True
-        return unchanged_s > self._lease_s + _MARGIN_S + courtesy_s
+        return lapsed
 
     def _note_seen(self, version: int) -> None:
         if version != self._seen_version:
@@ -242,9 +250,25 @@
         if row is None or standing is None or standing.incarnation != self._incarnation:
             self.lose(reason="another box holds it")
             return False
+        self._log.say(
+            "Found the lease at another version.",
+            row=self._key,
+            fence=standing.fence,
+            version=row.version,
+            expected=self._version,
+        )
         self._version = row.version
         self._own = standing
         return True
 
+    def _write_renewal(self) -> None:
+        own = self._own
+        assert own is not None
+        sent_at = monotonic()
+        renewed = msgspec.structs.replace(own, renewal=own.renewal + 1)
+        self._version = self._write(renewed, expected=self._version)
+        self._own = renewed
+        self._held_until = sent_at + self._lease_s
+
     def _write(self, value: PlacerRow, *, expected: int) -> int:
         return self._store.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -99,7 +99,7 @@
         return Changes(changes, page.ver)
 
     def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
-        """Write a row if it has the expected version; return its new one."""
+        """Write a row if it has the expected version; return the store's newest one after it."""
         transaction = _Transaction(
             expected=[_Expected(table, "", key, expected)],
             put=[_Put(table, "", key, base64.b64encode(value).decode())],
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -144,7 +144,7 @@
         """
 
     def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
-        """Write a row if it has the expected version; return its new one.
+        """Write a row if it has the expected version; return its new one, or a later of the store.
 
         Raises:
             RowConflict: If it has another version.
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -308,3 +308,34 @@
     three.note_heartbeat(two.version, two.left_s)
     clock.now += LEASE_S + 1.0
     assert not three.challenge(three.look()), "its fence would not be above that of the holder"
+
+
+class NewestTellingStore(Store):
+    """Answers writes with its newest version, which a write of another row may have made."""
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        super().write(table, key, value, expected=expected)
+        self.version += 1
+        return self.version
+
+
+def test_a_dead_holder_that_told_a_version_above_its_row_is_followed(clock: Clock) -> None:
+    store = NewestTellingStore()
+    one, two = make_lease(store, "one"), make_lease(store, "two")
+    assert one.challenge(one.look())
+    two.note_heartbeat(one.version, one.left_s)
+    assert not two.challenge(two.look()), "the lease stands"
+    clock.now += LEASE_S + 0.5
+    assert two.challenge(two.look())
+    assert two.fence == one.fence + 1
+
+
+def test_a_holder_that_learns_its_row_s_version_from_a_conflict_renews_at_once(
+    clock: Clock,
+) -> None:
+    store = NewestTellingStore()
+    one = make_lease(store, "one")
+    assert one.challenge(one.look())
+    clock.now += LEASE_S - 0.5
+    assert one.renew()
+    assert one.left_s == LEASE_S
