Let a request run again at the engine that failed it where a load elsewhere costs more

Hypothesis: such a retry is served sooner, and with less, by the engine that failed it, unless that one fails more than the others. Change: boxes tell the placer where a request was reached and failed; it grants such an engine if the request's worth times the excess of its failures is no more than a load costs (nothing where another engine has the weights at hand).

--- a/springrock/forwarding/adapters.py
+++ b/springrock/forwarding/adapters.py
@@ -34,7 +34,9 @@
         key: The adapter.
         terms: How long a wait is worth while.
         prompt: The parts of its prompt, in order.
-        avoid: Replicas that it must not be sent to.
+        avoid: Replicas that it is not to be sent to while another holds its adapter.
+        failed_at: Those of them that were reached and failed it: it may be sent there again where
+            that is better than a load elsewhere.
     """
 
     request_id: str
@@ -42,6 +44,7 @@
     terms: WaitTerms
     prompt: tuple[PromptPart, ...] = ()
     avoid: frozenset[str] = frozenset()
+    failed_at: frozenset[str] = frozenset()
 
 
 class UseOutcome(Enum):
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -149,6 +149,7 @@
                 terms=self._wait_terms(journey, until=until),
                 prompt=journey.request.prompt,
                 avoid=journey.tried.union(resting),
+                failed_at=journey.failed_at,
             )
         )
         if use is None:
--- a/springrock/forwarding/journey.py
+++ b/springrock/forwarding/journey.py
@@ -146,6 +146,15 @@
             if attempt.outcome is not AttemptOutcome.CHANGED or not self.request.adapter
         )
 
+    @property
+    def failed_at(self) -> frozenset[str]:
+        """The replicas that were reached and failed it, which may well run it the next time."""
+        return frozenset(
+            attempt.instance
+            for attempt in self.attempts
+            if attempt.outcome in (AttemptOutcome.FAILED, AttemptOutcome.BROKEN)
+        )
+
     @property
     def arrivals(self) -> int:
         """How many replicas got it."""
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -293,4 +293,5 @@
         target_left_ms=round(1000 * (wish.terms.target_at - now)),
         prompt=[(part.part_id, part.tokens) for part in wish.prompt],
         tried=sorted(wish.avoid),
+        failed_at=sorted(wish.failed_at),
     )
--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -114,6 +114,14 @@
             wait_s += _AVOIDED_S
         return Choice(instance, wait_s, unread)
 
+    def excess_failures(self, instance: str) -> float:
+        """Return how much more often an engine fails than the others do on average, from -1 to 1."""
+        others = [
+            work.health.failure_rate for name, work in self._work.items() if name != instance
+        ]
+        usual = sum(others) / len(others) if others else 0.0
+        return self.work(instance).health.failure_rate - usual
+
     # What becomes of requests.
 
     def note_granted(
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -43,7 +43,8 @@
         worth: What it is worth beside others.
         target_left_ms: Until its answer is late.
         prompt: The parts of its prompt, each an id and its tokens.
-        tried: Engines that it must not be sent to.
+        tried: Engines that it is not to be sent to while another holds its adapter.
+        failed_at: Those of them that were reached and failed it.
     """
 
     number: int
@@ -54,6 +55,7 @@
     target_left_ms: int
     prompt: list[tuple[str, int]] = []
     tried: list[str] = []
+    failed_at: list[str] = []
 
 
 class Use(Struct, frozen=True, array_like=True):
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -233,11 +233,10 @@
     def _choose_zone(self, wish: Wish, silent: set[str]) -> str | None:
         """Return the zone whose placer is to be asked; None if none can be reached."""
         holders = self._residency.holders(wish.key)
+        staying = [replica for replica in holders if not replica.record.leaving]
         holding = {
-            replica.record.zone
-            for replica in holders
-            if replica.instance not in wish.avoid and not replica.record.leaving
-        }
+            replica.record.zone for replica in staying if replica.instance not in wish.avoid
+        } or {replica.record.zone for replica in staying if replica.instance in wish.failed_at}
         # Where it could not be served another zone is better.
         spent = {replica.record.zone for replica in holders} - holding
         home = self._settings.zone
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -46,7 +46,7 @@
 _LONGEST_WAIT_OF_COPY_S = 0.15
 """Where a first event waits longer than this one more copy would help nobody."""
 
-_COLD_COST = 1.0
+COLD_COST = 1.0
 """What a load from the weight store costs, in the worth of requests: it takes the place longer."""
 
 _WORTH_OF_FUTURE = 2.0
@@ -219,7 +219,7 @@
         in_time = now + COLD_LOAD_S < want.target_at
         worth = want.worth if in_time or want.promised else want.worth * _LATE_PART
         asked_again = max(0.0, self._popularity.of(want.key) - _ASKED_BY_ONE)
-        cost = 0.0 if self._is_at_hand(want.key, engines) else _COLD_COST
+        cost = 0.0 if self._is_at_hand(want.key, engines) else COLD_COST
         return worth + _WORTH_OF_FUTURE * asked_again - cost
 
     def _foreseen(
--- a/springrock/placement/requests.py
+++ b/springrock/placement/requests.py
@@ -14,6 +14,7 @@
 from springrock.placement.forecasts import Forecasts
 from springrock.placement.keeper import Keeper
 from springrock.placement.messages import Ask, Demand, Grant, Message, Outcome, Over
+from springrock.placement.planner import COLD_COST
 from springrock.placement.popularity import Popularity
 from springrock.placement.residency import Versions
 
@@ -124,7 +125,7 @@
             return
         now = monotonic()
         dispatcher = self.dispatcher(service)
-        holders = self.holders(key, avoid=ask.tried)
+        holders = self.holders(key, avoid=ask.tried) or self._holders_again(dispatcher, ask, key)
         choice = dispatcher.choose(key, ask.prompt, holders, target_in_s=waiting.target_at - now)
         if choice is None:
             return
@@ -158,6 +159,29 @@
             and keeper.book.is_ready(key, version=newest)
         ]
 
+    def _holders_again(self, dispatcher: Dispatcher, ask: Ask, key: AdapterKey) -> list[str]:
+        """Return the engines that failed a request and are still better for it than a load.
+
+        What is lost there is the request's worth as much more often as the engine fails more
+        than others do; what a load costs where one has the weights at hand is as good as nothing.
+        """
+        if not ask.failed_at:
+            return []
+        version = self._versions.newest(key)
+        books = [keeper.book for keeper in self._keepers.values() if keeper.book.reachable]
+        at_hand = any(
+            book.at_hand(key, version=version)
+            for book in books
+            if book.instance not in ask.failed_at
+        )
+        load_cost = 0.0 if at_hand else COLD_COST
+        return [
+            instance
+            for instance in self.holders(key)
+            if instance in ask.failed_at
+            and ask.worth * dispatcher.excess_failures(instance) <= load_cost
+        ]
+
     def _end_use(self, box: str, over: Over) -> None:
         for dispatcher in self.dispatchers.values():
             run = dispatcher.note_over(box, over)
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -164,3 +164,14 @@
     requests.over(1)
     assert not requests.dispatcher.used
     assert requests.dispatcher.work("i-1").unread == 0
+
+
+def test_an_engine_that_fails_as_often_as_the_others_has_no_excess(pass_time: Pass) -> None:
+    requests = Requests()
+    for number, engine in enumerate(("i-1", "i-2", "i-1", "i-2", "i-3"), start=1):
+        requests.send(engine)
+        requests.over(number, Outcome.FAILED)
+    dispatcher = requests.dispatcher
+    assert dispatcher.excess_failures("i-1") > 0
+    assert dispatcher.excess_failures("i-3") < 0
+    assert dispatcher.excess_failures("i-1") == pytest.approx(dispatcher.excess_failures("i-2"))
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -122,6 +122,17 @@
     assert [deployment.find() for _ in range(3)] == [first] * 3
 
 
+def test_a_request_that_failed_is_asked_of_the_zone_that_may_run_it_again(
+    deployment: Deployment,
+) -> None:
+    first = deployment.find()
+    holder = next(zone for zone in ZONES if zone != first)
+    deployment.record(holder, KEY.adapter)
+    tried = frozenset({f"i-{holder}"})
+    assert deployment.find(avoid=tried, failed_at=tried) == holder
+    assert deployment.find(avoid=tried) != holder, "it lacked the adapter, or was not reached"
+
+
 def test_a_silent_zone_is_left_for_the_next(deployment: Deployment) -> None:
     first = deployment.find()
     assert first is not None
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -185,6 +185,33 @@
     assert not any(isinstance(message, Grant) for _, message in told)
 
 
+def fail_at_once(placer: Placer, told: list[Told], *, times: int) -> None:
+    """Let requests for the adapter x fail at its only engine, one after the other."""
+    for number in range(100, 100 + times):
+        placer.take_demand("box-1", asking("x", number=number))
+        placer.take_demand("box-1", Demand(over=[Over(number, Outcome.FAILED)]))
+    told.clear()
+
+
+def test_an_engine_that_failed_a_request_gets_it_again_where_a_load_would_cost_more(
+    holding: Placer, told: list[Told]
+) -> None:
+    fail_at_once(holding, told, times=1)
+    again = Ask(8, "r", "m", "x", 1.0, 500, tried=["i-1"], failed_at=["i-1"])
+    holding.take_demand("box-1", Demand(asks=[again]))
+    assert told == [("box-1", Grant(8, "i-1"))]
+
+
+def test_an_engine_that_fails_far_more_than_others_does_not_get_a_request_again(
+    holding: Placer, told: list[Told]
+) -> None:
+    fail_at_once(holding, told, times=10)
+    again = Ask(8, "r", "m", "x", 4.0, 500, tried=["i-1"], failed_at=["i-1"])
+    holding.take_demand("box-1", Demand(asks=[again]))
+    wait_for(told, Forecast, count=1)
+    assert not any(isinstance(message, Grant) for _, message in told)
+
+
 class CrashingEngine(SlowEngine):
     """Answers until it crashes."""
 
