--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -115,10 +115,8 @@
         return Choice(instance, wait_s, unread)
 
     def excess_failures(self, instance: str) -> float:
-        """Return how much more often an engine fails than the others do on average, from -1 to 1."""
-        others = [
-            work.health.failure_rate for name, work in self._work.items() if name != instance
-        ]
+        """Return how much more often an engine fails than the others do, from -1 to 1."""
+        others = [work.health.failure_rate for name, work in self._work.items() if name != instance]
         usual = sum(others) / len(others) if others else 0.0
         return self.work(instance).health.failure_rate - usual
 
