Assign an engine no more adapters than it can give places

Cause, found by a property test: an engine with one place that could be given up got two adapters and up to four, as each looked at the same victim. It did not count as short of places either, so the reckoned time to a place was too short.

Change: each adapter assigned that has no place yet speaks for a victim of its own; places that are being given up count as open.

--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -93,6 +93,13 @@
         """How many adapters are on their way in."""
         return sum(place.state is PlaceState.COMING for place in self.places.values())
 
+    @property
+    def opening(self) -> int:
+        """Places that are free, or being given up, and not spoken for by an assignment."""
+        leaving = sum(place.state is PlaceState.LEAVING for place in self.places.values())
+        not_yet_placed = sum(key not in self.places for key in self.assigned)
+        return self.free + leaving - not_yet_placed
+
     @property
     def settled(self) -> bool:
         """Whether nothing is on its way in or out."""
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -113,7 +113,7 @@
         self._running: Counter[str] = Counter()
         self._copies_of: Counter[AdapterKey] = Counter()
         self._waits: Mapping[str, float] = {}
-        self._victim_of: dict[str, AdapterKey | None] = {}
+        self._victims_of: dict[str, list[AdapterKey]] = {}
         self._turnover = Turnover()
         self.loads = LoadPace()
 
@@ -141,7 +141,7 @@
         self._running = _running_by_engine(used)
         self._copies_of = Counter(key for engine in engines for key in engine.places)
         self._waits = waits or {}
-        self._victim_of.clear()
+        self._victims_of.clear()
         wants = list(wants)
         self._wanted = frozenset(want.key for want in wants if want.waiting)
         wanted = {want.key for want in wants}
@@ -174,7 +174,7 @@
                 plan.ready_in_s[want.key] = expected_s + rounds * COLD_LOAD_S
                 continue
             engine.assigned[want.key] = now
-            self._victim_of.pop(engine.instance, None)
+            self._victims_of.pop(engine.instance, None)
             plan.assignments.append(Assignment(want.key, engine, want))
             plan.ready_in_s[want.key] = expected_s
         self._turnover.note(given=len(plan.assignments), is_short=short_of_places > 0, now=now)
@@ -184,27 +184,34 @@
         self, engine: EngineBook, *, used: Collection[tuple[str, AdapterKey]], now: float
     ) -> int:
         """Return how many more adapters an engine could take now."""
-        return engine.free - _not_yet_placed(engine) + len(self._victims(engine, used, now))
+        return engine.opening + len(self._victims(engine, used, now))
 
     def victim(
         self, engine: EngineBook, *, used: Collection[tuple[str, AdapterKey]], now: float
     ) -> AdapterKey | None:
         """Return the adapter that may best give up its place, or None."""
-        candidates = self._victims(engine, used, now)
-        return min(candidates, key=lambda key: self._keep_value(engine, key), default=None)
+        return next(iter(self._victims(engine, used, now)), None)
 
-    def _victim_in_plan(
+    def _next_victim(
         self, engine: EngineBook, used: Collection[tuple[str, AdapterKey]], now: float
     ) -> AdapterKey | None:
-        """Return an engine's victim, which stays the same until an adapter is assigned to it."""
-        if engine.instance not in self._victim_of:
-            self._victim_of[engine.instance] = self.victim(engine, used=used, now=now)
-        return self._victim_of[engine.instance]
+        """Return who would give way to one more adapter on an engine without an open place.
+
+        Each adapter assigned before that has no place yet speaks for a victim of its own: one that
+        no place can be given to would wait here while places elsewhere are given up.
+        """
+        victims = self._victims_of.get(engine.instance)
+        if victims is None:
+            # They stay the same until an adapter is assigned to the engine.
+            victims = self._victims_of[engine.instance] = self._victims(engine, used, now)
+        spoken_for = -engine.opening
+        return victims[spoken_for] if spoken_for < len(victims) else None
 
     def _victims(
         self, engine: EngineBook, used: Collection[tuple[str, AdapterKey]], now: float
     ) -> list[AdapterKey]:
-        return [
+        """Return the adapters that may give up their places, those of the least value first."""
+        victims = [
             key
             for key, place in engine.places.items()
             if place.state is PlaceState.READY
@@ -213,6 +220,7 @@
             and (key not in self._wanted or engine.is_outdated(key, version=self._newest(key)))
             and now - place.since >= _GRACE_S
         ]
+        return sorted(victims, key=lambda key: self._keep_value(engine, key))
 
     def _value(self, want: CombinedWant, engines: Collection[EngineBook], now: float) -> float:
         """Return what a load is worth to those who wait and will likely ask, less what it costs."""
@@ -290,10 +298,9 @@
             if key in engine.places:
                 # Its older version gives up its own place.
                 return cost
-            open_places = engine.free - _not_yet_placed(engine)
-            if open_places > 0:
-                return cost - 0.1 * open_places
-            victim = self._victim_in_plan(engine, used, now)
+            if engine.opening > 0:
+                return cost - 0.1 * engine.opening
+            victim = self._next_victim(engine, used, now)
             if victim is not None and self._outweighs(want, victim):
                 return cost + _EVICTION + 0.5 * len(engine.assigned)
             return cost + _NO_PLACE
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -107,6 +107,23 @@
     assert [item.key for item in plan.assignments] == [key("often")]
 
 
+def test_an_engine_gets_no_more_adapters_than_it_can_give_places() -> None:
+    engine = make_engine("i-1", "x", "y", "z", slots=3)
+    used = {("i-1", key("x")): 1, ("i-1", key("y")): 1}
+    planner = make_planner()
+    wants = [want("a", worth=4.0), want("b", worth=2.0)]
+    plan = planner.plan(wants, [engine], used=used, now=monotonic())
+    assert [item.key for item in plan.assignments] == [key("a")]
+    assert plan.ready_in_s[key("b")] > plan.ready_in_s[key("a")]
+    again = planner.plan(wants, [engine], used=used, now=monotonic())
+    assert again.assignments == [], "the one place is spoken for"
+    engine.unload_taken(key("z"))
+    assert engine.opening == 0
+    engine.unloaded(key("z"))
+    assert engine.opening == 0
+    assert planner.plan(wants, [engine], used=used, now=monotonic()).assignments == []
+
+
 def test_a_hot_adapter_on_a_crowded_engine_gets_a_second_copy() -> None:
     crowded, calm = make_engine("i-1", "hot", "cold"), make_engine("i-2", "x")
     popularity = Popularity()
