Load first, of adapters of equal worth, the one whose request has waited longest

Cause: wants come out of a set, so that of equal ones the order of their hashes decided, the same at each plan: newcomers went before a request with an unlucky name until its client left, and its forecast moved on all the while.

Change: equals go by the time at which they are late. A property test: nobody is told of an earlier moment than who goes before; it failed before.

--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -147,7 +147,8 @@
         wanted = {want.key for want in wants}
         wants += self._foreseen(engines, wanted, now)
         wants += self._copies(engines, wanted, crowded, now)
-        ranked = sorted(wants, key=lambda want: self._value(want, engines, now), reverse=True)
+        # Of equals the one that has waited longest: a later one would push it back again and again.
+        ranked = sorted(wants, key=lambda want: (-self._value(want, engines, now), want.target_at))
         coming = sum(len(engine.assigned) for engine in engines)
         short_of_places = 0
         for want in ranked:
--- a/tests/placement/test_planner_properties.py
+++ b/tests/placement/test_planner_properties.py
@@ -46,6 +46,16 @@
     assert _served(places + 1) >= _served(places)
 
 
+@given(worths=WORTHS, places=st.integers(min_value=1, max_value=6))
+def test_nobody_is_told_of_an_earlier_moment_than_who_goes_before(
+    worths: list[float], places: int
+) -> None:
+    plan = plan_for(worths, places=places)
+    ranked = sorted(wants_of(worths), key=lambda item: (-item.worth, item.target_at))
+    times = [plan.ready_in_s[item.key] for item in ranked]
+    assert times == sorted(times)
+
+
 @given(
     worths=WORTHS,
     used=st.sets(st.sampled_from(HELD)),
