One wait for news of a box's demand, one grace for clients told to come back

The own placer's feeder and the link's writer were one loop with two ends and two constants, the grace of returning clients stood in two modules.

--- a/springrock/placement/ask_book.py
+++ b/springrock/placement/ask_book.py
@@ -9,7 +9,7 @@
 from springrock.placement.messages import Ask, Promise
 from springrock.placement.planner import CombinedWant
 
-_RETURN_GRACE_S = 0.4
+RETURN_GRACE_S = 0.4
 """How long after its time a client that was told to come back is still expected."""
 
 _TARGET_OF_RETURN_S = 1.0
@@ -119,7 +119,7 @@
 
     def _forget_missed(self, now: float) -> None:
         for key, expected in list(self._expected.items()):
-            coming = [item for item in expected if item.back_at + _RETURN_GRACE_S > now]
+            coming = [item for item in expected if item.back_at + RETURN_GRACE_S > now]
             if coming:
                 self._expected[key] = coming
             else:
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -12,6 +12,7 @@
 from springrock.forwarding.adapters import UseOutcome, Wish
 from springrock.forwarding.errors import NoReplica
 from springrock.forwarding.message import AdapterKey
+from springrock.placement.ask_book import RETURN_GRACE_S
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.messages import Ask, Began, Demand, Outcome, Over, Promise
 from springrock.placement.messages import Use as UseMessage
@@ -23,12 +24,14 @@
 """From the adapter's readiness to the first event, about."""
 
 _RETURN_MARGIN_S = 0.1
-_RETURN_GRACE_S = 0.4
 _RETURNING_PART = 0.6
 """What a client that was told to come back counts, beside one that waits."""
 
 _UNPLANNED_RETRY_S = 1.0
 
+_GATHER_S = 0.01
+"""How long what nobody waits for gathers before the placer is told."""
+
 _OUTCOMES = {
     UseOutcome.ENDED: Outcome.ENDED,
     UseOutcome.LACKING: Outcome.LACKING,
@@ -230,7 +233,12 @@
         for asker in self._askers.values():
             asker.news.set()
 
-    # What the link to the placer does.
+    # What tells the placer.
+
+    def wait_for_news(self, *, timeout_s: float | None = None) -> None:
+        """Wait until there is something to tell; what nobody waits for gathers for a little."""
+        if self.changed.wait(timeout=timeout_s):
+            self.urgent.wait(timeout=_GATHER_S)
 
     def whole(self) -> Demand:
         """Return all that stands, for a placer that knows nothing of this box yet."""
@@ -238,7 +246,7 @@
         self._news = _News()
         self._news.asks.update(number for number in self._askers)
         self._news.uses.update(self._uses)
-        self._expected = [item for item in self._expected if item.back_at + _RETURN_GRACE_S > now]
+        self._expected = [item for item in self._expected if item.back_at + RETURN_GRACE_S > now]
         self._news.expected = list(self._expected)
         return self.take_news()
 
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -23,9 +23,6 @@
 _TELL_AT_LEAST_EVERY_S = 0.7
 """Well under the silence after which a placer takes a box for gone."""
 
-_GATHER_S = 0.01
-"""How long what nobody waits for gathers before the placer is told."""
-
 
 class PlacerClient:
     """This box's link to the placer.
@@ -132,8 +129,7 @@
         try:
             connection.send(encode(self._demand.whole()))
             while True:
-                if self._demand.changed.wait(timeout=_TELL_AT_LEAST_EVERY_S):
-                    self._demand.urgent.wait(timeout=_GATHER_S)
+                self._demand.wait_for_news(timeout_s=_TELL_AT_LEAST_EVERY_S)
                 connection.send(encode(self._demand.take_news()))
         except LINK_FAILURES:
             return
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -31,9 +31,6 @@
 """How often boxes are told what engines hold: they choose a zone by it, and a placer with many
 boxes can tell each less often."""
 
-_GATHER_S = 0.01
-"""How long what nobody waits for gathers before this box's own placer takes it."""
-
 
 class ZonePlacement:
     """Joins the election of a zone's placer, links to it, or is it.
@@ -226,8 +223,7 @@
         box = self._settings.box
         self._placer.take_demand(box, self.demand.whole())
         while True:
-            self.demand.changed.wait()
-            self.demand.urgent.wait(timeout=_GATHER_S)
+            self.demand.wait_for_news()
             self._placer.take_demand(box, self.demand.take_news())
 
     # While this box places.
