A stand-in of the store that names later versions, and a placer killed under it

Boxes of the routed tests get their zone from their number: a test that restarted the placer of zone-1 could have put box-2 there.

--- a/springrock/emulator/rowstore.py
+++ b/springrock/emulator/rowstore.py
@@ -28,11 +28,14 @@
         busy: Every call gets 503 and does nothing.
         lose_answers: So many writes are done and not answered.
         forget_history: The next read of changes is told that they are gone.
+        later_versions: Writes are answered with a version above that of their rows, as where
+            another transaction follows before the answer.
     """
 
     busy: bool = False
     lose_answers: int = 0
     forget_history: bool = False
+    later_versions: bool = False
 
 
 class StoredRow(Struct):
@@ -139,6 +142,8 @@
             left = self._fault.lose_answers - 1
             self._fault = msgspec.structs.replace(self._fault, lose_answers=left)
             raise CallerGone("the answer is lost")
+        if self._fault.later_versions:
+            self._version += 1
         return self._answer([])
 
     def _standing(self, item: _Expected) -> StoredRow:
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -99,7 +99,7 @@
             self.start_replica(f"rosters-{number}", "rosters", ZONES[number - 1])
             self.start_replica(f"engine-{number}", "language", ZONES[number - 1], base_model=MODEL)
         for number in range(1, self.boxes + 1):
-            self.start_box(f"box-{number}", ZONES[(number - 1) % 2])
+            self.start_box(f"box-{number}")
 
     def start_replica(self, name: str, service: str, zone: str, **more: Any) -> None:
         address = free_addresses(1)[0]
@@ -113,7 +113,9 @@
         }
         self.processes.spawn(name, ["standin", "replica"], settings)
 
-    def start_box(self, name: str, zone: str) -> None:
+    def start_box(self, name: str) -> None:
+        """Start a box, whose number gives it its zone."""
+        zone = ZONES[(int(name.rpartition("-")[2]) - 1) % len(ZONES)]
         clients, readiness, boxes, metrics = free_addresses(4)
         self.clients[name], self.readiness[name] = clients, readiness
         self.metrics[name] = metrics
--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -175,7 +175,27 @@
     for number in range(70, 78):
         answer = deployment.served(other, "/items/x", adapter=f"a{number}")
         assert answer.event_ids == [1, 2, 3, 4, 5]
-    deployment.start_box(placer, "zone-1")
+    deployment.start_box(placer)
+    deployment.wait_ready()
+
+
+def test_a_placer_is_followed_although_the_store_named_later_versions(
+    deployment: Deployment,
+) -> None:
+    placer, other = deployment.placer_and_other("zone-1")
+    deployment.fault("store", later_versions=True)
+    written = 'springrock_store_calls_total{answer="done",call="write",table="springrock"}'
+    before = deployment.metric(placer, written)
+    wait_until(
+        # It tells of each renewal at once; two, as it may place both zones.
+        lambda: deployment.metric(placer, written) > before + 2,
+        what="the placer has renewed, and told the version that it was answered",
+    )
+    deployment.processes.kill(placer)
+    both = {"zone-1": other, "zone-2": other}
+    wait_until(lambda: deployment.placers() == both, what="the other box places both zones")
+    deployment.fault("store")
+    deployment.start_box(placer)
     deployment.wait_ready()
 
 
@@ -183,7 +203,7 @@
     deployment.processes.kill("box-2")
     only = {"zone-1": "box-1", "zone-2": "box-1"}
     wait_until(lambda: deployment.placers() == only, what="box-1 places both zones")
-    deployment.start_box("box-2", "zone-2")
+    deployment.start_box("box-2")
     each = {"zone-1": "box-1", "zone-2": "box-2"}
     wait_until(lambda: deployment.placers() == each, what="each zone has a placer of its own")
     assert deployment.served("box-1", "/items/x", adapter="a79").event_ids == [1, 2, 3, 4, 5]
@@ -203,7 +223,7 @@
     assert answers[0].whole
     assert answers[0].event_ids == [1, 2, 3, 4, 5]
     assert process.wait(timeout=20) == 0
-    deployment.start_box("box-2", "zone-2")
+    deployment.start_box("box-2")
     deployment.wait_ready()
 
 
