Log grants to an engine that had failed the request; one count of what has no place yet

A grant's line did not tell whether the engine had failed the request before. EngineBook now owns the count that the planner had once more. No decision changes.

--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -93,12 +93,19 @@
         """How many adapters are on their way in."""
         return sum(place.state is PlaceState.COMING for place in self.places.values())
 
+    @property
+    def not_yet_placed(self) -> int:
+        """How many adapters are assigned to the engine and have no place there yet."""
+        return sum(key not in self.places for key in self.assigned)
+
     @property
     def opening(self) -> int:
-        """Places that are free, or being given up, and not spoken for by an assignment."""
+        """Places that are free or being given up, less those spoken for by assignments.
+
+        Below zero it says how many adapters have yet to give up their places.
+        """
         leaving = sum(place.state is PlaceState.LEAVING for place in self.places.values())
-        not_yet_placed = sum(key not in self.places for key in self.assigned)
-        return self.free + leaving - not_yet_placed
+        return self.free + leaving - self.not_yet_placed
 
     @property
     def settled(self) -> bool:
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -314,7 +314,7 @@
             and not (
                 want.is_copy and self._waits.get(engine.instance, 0.0) > _LONGEST_WAIT_OF_COPY_S
             )
-            and _not_yet_placed(engine) + engine.coming < _COMING_TO_ONE
+            and engine.not_yet_placed + engine.coming < _COMING_TO_ONE
         ]
         costs = [(_cost(engine), engine) for engine in candidates]
         cost, best = min(costs, key=lambda item: item[0], default=(_NO_PLACE, None))
@@ -357,7 +357,3 @@
     for (instance, _), count in used.items():
         running[instance] += count
     return running
-
-
-def _not_yet_placed(engine: EngineBook) -> int:
-    return sum(key not in engine.places for key in engine.assigned)
--- a/springrock/placement/requests.py
+++ b/springrock/placement/requests.py
@@ -140,6 +140,7 @@
             adapter=str(key),
             instance=choice.instance,
             holders=len(holders),
+            again=choice.instance in ask.failed_at,
             first_event_in_ms=round(choice.wait_s * 1000),
             unread_tokens=choice.unread,
             waited_ms=round((now - waiting.asked_at) * 1000),
