One search for structured lines serves the three readers of logs

bench.loads and bench.calibration had each written again the loop of bench.first_try that finds JSON lines by their sentence. bench.lines owns it now. Nothing that a box runs.

--- a/bench/calibration.py
+++ b/bench/calibration.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import re
 import sys
 from collections import defaultdict
@@ -17,6 +16,7 @@
 
 import defopt
 
+from bench.lines import said_in
 from springrock.placement.planner import COLD_LOAD_S, WARM_LOAD_S
 
 _GRANTED = "placer: Granted an engine."
@@ -24,6 +24,8 @@
 _CAME = "placer: An adapter came."
 _ANSWERED = "forwarder: Answered a request."
 
+_TEXTS = (_GRANTED, _ASSIGNED, _CAME, _ANSWERED)
+
 _ATTEMPT = re.compile(r"^(?P<instance>\S+) answered at (?P<began_s>[\d.]+) s")
 
 _SHORTEST_S = 0.005
@@ -94,22 +96,12 @@
         lines: Lines that end in a JSON object each, whatever stands before it.
     """
     reckoned = _Reckoned()
-    for said in sorted(_said_in(lines), key=lambda said: said["timestamp"]):
+    for said in sorted(said_in(lines, _TEXTS), key=lambda said: said["timestamp"]):
         outcome = reckoned.outcome(said)
         if outcome is not None:
             yield outcome
 
 
-def _said_in(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
-    for line in lines:
-        if not any(text in line for text in (_GRANTED, _ASSIGNED, _CAME, _ANSWERED)):
-            continue
-        try:
-            yield json.loads(line[line.index("{") :])
-        except ValueError:
-            continue
-
-
 def report(*logs: Path) -> None:
     """Print how well the placers reckoned, by kind.
 
--- a/bench/first_try.py
+++ b/bench/first_try.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
@@ -16,6 +15,8 @@
 
 import defopt
 
+from bench.lines import said_in
+
 LATE_WORTH = 0.3
 """What an answer after its target counts, of one within it: about what the users state for every
 kind of request (0.29 to 0.31 of the worth in time)."""
@@ -95,13 +96,7 @@
     Args:
         lines: Lines that end in a JSON object each, whatever stands before it.
     """
-    for line in lines:
-        if _ENDINGS[0] not in line and _ENDINGS[1] not in line:
-            continue
-        try:
-            said = json.loads(line[line.index("{") :])
-        except ValueError:
-            continue
+    for said in said_in(lines, _ENDINGS):
         if "target_ms" not in said:
             continue
         yield Ending(
--- a/bench/loads.py
+++ b/bench/loads.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
@@ -16,11 +15,13 @@
 
 import defopt
 
+from bench.lines import said_in
 from springrock.placement.residency import LATELY_KEPT
 
 _ASSIGNED = "placer: Assigned an adapter."
 _CAME = "placer: An adapter came."
 _UNLOADED = "placer: Ordered: unload."
+_TEXTS = (_ASSIGNED, _CAME, _UNLOADED)
 _GIVEN_UP = ("taken", "done")
 
 
@@ -111,31 +112,19 @@
         lines: Lines that end in a JSON object each, after the time.
     """
     engines = _Engines()
-    for at_s, said in sorted(_said_in(lines), key=lambda item: item[0]):
+    for said in sorted(said_in(lines, _TEXTS), key=lambda said: said["timestamp"]):
         match said["text"]:
             case str(text) if text == _ASSIGNED:
                 engines.note_assigned(said)
             case str(text) if text == _CAME:
                 if said["cold"]:
                     cause = engines.cause_of(said["adapter"], said["instance"])
-                    yield Load(at_s, said["adapter"], said["instance"], cause)
+                    yield Load(said["timestamp"], said["adapter"], said["instance"], cause)
                 engines.note_came(said)
             case _ if said["answer"] in _GIVEN_UP:
                 engines.note_unloaded(said)
 
 
-def _said_in(lines: Iterable[str]) -> Iterator[tuple[float, dict[str, Any]]]:
-    """Yield the placers' lines that tell of adapters, with the time in the box's own clock."""
-    for line in lines:
-        if not any(text in line for text in (_ASSIGNED, _CAME, _UNLOADED)):
-            continue
-        try:
-            said = json.loads(line[line.index("{") :])
-        except ValueError:
-            continue
-        yield said["timestamp"], said
-
-
 def report(*logs: Path) -> None:
     """Print why adapters were brought from the weight store.
 
