Teams and their keys at the door, trusted only while surely the newest

Cause: teams did not exist.

Change: the configuration gets teams (keys by digest only), routes get public. A key gate admits a request once; what it found travels with the journey, and the key is checked again just before a request is sent that may have waited. Knowledge of keys ages from before the store was asked. Where another box asked, its reading names a moment of the store's own steady clock, which each box bounds by its own calls: no push that was held up, and no process that stood still, makes anything fresh.

Weighed: question and answer between box and placer (a message pair a box and second more); the reader telling how old its knowledge is (wrong by as long as the message was on its way); reading the store oneself (calls are priced, and a box that the store turns away could not). The store's clock costs six bytes of a message that is sent anyway.

--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -57,6 +57,7 @@
         self._fence = 0
         self._reports: list[tuple[float, dict[str, Any]]] = []
         self.runs: Counter[str] = Counter()
+        self.teams: dict[str, str] = {}
         self.violations: Counter[str] = Counter()
         self.server = HttpServer(self._build_app(), settings.address)
 
@@ -184,6 +185,9 @@
         if self._fault.refuse:
             return json_response(b"", status=503, headers={**headers, names.NOT_EXECUTED: "1"})
         self.runs[request_id] += 1
+        self.teams[request_id] = request.get_header(names.TEAM, "")
+        if request.get_header(names.API_KEY) is not None:
+            self.violations["key_passed_on"] += 1
         headers[_SEAL] = f"seal-of-{request_id}"
         if self._fault.fail:
             return json_response(b"failed", status=500, headers=headers)
@@ -222,5 +226,6 @@
             "adapters": sorted(self._adapters),
             "violations": dict(self.violations),
             "runs": dict(self.runs),
+            "teams": self.teams,
         }
         return json_response(msgspec.json.encode(counters))
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -17,6 +17,7 @@
 from springrock.forwarding.directory import Directory
 from springrock.forwarding.door import ForwardingDoor
 from springrock.forwarding.forwarder import Forwarder
+from springrock.forwarding.keys import KeyGate, KeyTerms
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay
@@ -33,12 +34,17 @@
 from springrock.platform.store import PlatformStore
 from springrock.platform.tables import OperatorTable, ReplicaTable
 from springrock.rows import TableFollower, TableReading
+from springrock.store_clock import StoreClock
 
 _QUIET_S = 0.3
 _END_MARGIN_S = 0.5
 """How long before it would be killed a stopping box ends by itself."""
 
 _CONFIGURATION_PAUSE_S = 0.1
+_CONFIGURATION_POLL_S = 1.0
+"""A box that reads for itself knows its keys to be the newest twice this ago at most, and trusts
+them yet if one answer is lost."""
+
 _REPLICAS_PAUSE_S = 0.8
 """Replicas write when their adapters change, several times a second; what matters of that is
 that a replica leaves, and there is time for it."""
@@ -65,6 +71,7 @@
         self._stopping = False
         self._log = self._log_of("box")
         self._routes = RouteTable(Configuration())
+        self._is_unreadable = False
         self._budgets: dict[str, RetryBudget] = {}
         self.directory = Directory(self._log_of("directory"))
         self._versions = Versions()
@@ -135,32 +142,39 @@
     def _build_followers(self) -> None:
         operator = OperatorTable(
             on_configuration=self._take_configuration,
+            on_unreadable=self._note_unreadable,
             on_version=self._versions.note,
             log=self._log_of("configuration"),
         )
         replicas = ReplicaTable(self.directory, log=self._log_of("directory"))
+        clock = StoreClock()
         self._board = PlacerBoard(age_s=lambda: placers.age_s)
         placers = TableFollower(
             self._store,
             PLACERS_TABLE,
             self._board,
             pause_s=_PLACERS_PAUSE_S,
+            clock=clock,
             eager=True,
             log=self._log_of("placers"),
         )
+        self._operator_table = TableFollower(
+            self._store,
+            names.OPERATOR_TABLE,
+            operator,
+            pause_s=_CONFIGURATION_PAUSE_S,
+            poll_wait_s=_CONFIGURATION_POLL_S,
+            clock=clock,
+            log=self._log_of("configuration"),
+        )
         self._followers = [
-            TableFollower(
-                self._store,
-                names.OPERATOR_TABLE,
-                operator,
-                pause_s=_CONFIGURATION_PAUSE_S,
-                log=self._log_of("configuration"),
-            ),
+            self._operator_table,
             TableFollower(
                 self._store,
                 names.REPLICA_TABLE,
                 replicas,
                 pause_s=_REPLICAS_PAUSE_S,
+                clock=clock,
                 log=self._log_of("directory"),
             ),
             placers,
@@ -198,17 +212,24 @@
         )
         self._share_readings()
         self.metrics.boxes.set_function(lambda: float(self._placement.boxes))
+        gate = KeyGate(
+            routes=lambda: self._routes, staleness_s=self._staleness_s, terms=self._key_terms
+        )
         chooser = ReplicaChooser(
             configuration=lambda: self._routes.configuration,
             directory=self.directory,
             balancer=Balancer(zone=settings.box.availability_zone, chance=random.Random()),
             adapters=self._placement,
             budget_of=self._budget_of,
+            check_key=lambda journey: gate.check_again(
+                journey.admission, journey.request.key_digest
+            ),
         )
         log = self._log_of("forwarder")
         sender = Sender(dialect=dialect, adapters=self._placement, log=log)
         forwarder = Forwarder(
             routes=lambda: self._routes,
+            gate=gate,
             chooser=chooser,
             sender=sender,
             relay=StreamRelay(chooser=chooser, sender=sender, log=log),
@@ -246,6 +267,7 @@
 
     def _take_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force; an older one than that in force is passed over."""
+        self._is_unreadable = False
         if configuration.version <= self._routes.configuration.version:
             return
         self._routes = RouteTable(configuration)
@@ -254,8 +276,20 @@
             "A configuration is in force.",
             version=configuration.version,
             routes=len(configuration.routes),
+            teams=None if configuration.teams is None else len(configuration.teams),
         )
 
+    def _note_unreadable(self) -> None:
+        """Learn that there is a configuration that this box cannot read; it may take keys away."""
+        self._is_unreadable = True
+
+    def _staleness_s(self) -> float:
+        return float("inf") if self._is_unreadable else self._operator_table.staleness_s
+
+    def _key_terms(self) -> KeyTerms:
+        keys = self.settings.keys
+        return KeyTerms(keys.revoke_s, keys.fail_closed)
+
     def _budget_of(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -89,6 +89,18 @@
     ceiling_ratio: float = 1.1
 
 
+class KeySection(Section, frozen=True, kw_only=True):
+    """How long the keys of teams are trusted, where the configuration has teams.
+
+    Attributes:
+        revoke_s: So long after it was acknowledged that a key is taken away it may be served yet.
+        fail_closed: Whether a box that cannot know whether a key was taken away serves it no more.
+    """
+
+    revoke_s: float = 5.0
+    fail_closed: bool = True
+
+
 class StopSection(Section, frozen=True, kw_only=True):
     """A planned stop.
 
@@ -110,4 +122,5 @@
     processor: ProcessorSection = field(default_factory=ProcessorSection)
     retries: RetrySection = field(default_factory=RetrySection)
     placement: PlacementSection = field(default_factory=PlacementSection)
+    keys: KeySection = field(default_factory=KeySection)
     stop: StopSection = field(default_factory=StopSection)
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -9,9 +9,9 @@
 from springrock.forwarding.adapters import Adapters, Use, UseOutcome, WaitTerms, Wish
 from springrock.forwarding.balancing import Balancer
 from springrock.forwarding.budget import RetryBudget
-from springrock.forwarding.configuration import Configuration, Route
+from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, Replica
-from springrock.forwarding.errors import NoReplica
+from springrock.forwarding.errors import NoReplica, Rejection
 from springrock.forwarding.journey import Journey
 from springrock.forwarding.message import AdapterKey
 
@@ -71,6 +71,7 @@
         balancer: Chooses among them.
         adapters: Where adapters stand.
         budget_of: Returns the retry budget of a service.
+        check_key: Raises if a request's key is not to be served any more.
     """
 
     def __init__(
@@ -81,7 +82,9 @@
         balancer: Balancer,
         adapters: Adapters,
         budget_of: Callable[[str], RetryBudget],
+        check_key: Callable[[Journey], None] = lambda journey: None,
     ) -> None:
+        self._check_key = check_key
         self._configuration = configuration
         self._directory = directory
         self._balancer = balancer
@@ -107,6 +110,8 @@
 
         Raises:
             NoReplica: If there is none, or no more may be tried.
+            KeyUnknown: If its key was taken away while it waited.
+            KeysStale: If that is not known surely enough.
         """
         if journey.left_s < SHORTEST_SEND_S:
             raise NoReplica("out_of_time", RETRY_AFTER_S)
@@ -115,12 +120,21 @@
         if journey.arrivals >= _ARRIVALS_AT_MOST:
             raise NoReplica("tried_enough", RETRY_AFTER_S)
         chosen = self._find(journey, until=until)
-        if journey.arrivals and not self._budget_of(journey.service).spend():
+        try:
+            self._check_sending(journey)
+        except Rejection:
             if chosen.use is not None:
                 chosen.use.end(UseOutcome.ENDED)
-            raise NoReplica("retry_budget", RETRY_AFTER_S)
+            raise
         return chosen
 
+    def _check_sending(self, journey: Journey) -> None:
+        """Raise if a request is not to be sent after all, as it may have waited."""
+        if not journey.resuming:
+            self._check_key(journey)
+        if journey.arrivals and not self._budget_of(journey.service).spend():
+            raise NoReplica("retry_budget", RETRY_AFTER_S)
+
     def _find(self, journey: Journey, *, until: float) -> Chosen:
         key = journey.request.adapter_key
         if key is None or not self._serves_adapters(journey.service):
@@ -192,7 +206,7 @@
     def _wait_terms(self, journey: Journey, *, until: float) -> WaitTerms:
         last_try = journey.resuming or self.is_returning(journey)
         return WaitTerms(
-            worth=_worth_of(journey.route),
+            worth=_worth_of(journey.priority),
             target_at=journey.target_at,
             until=until,
             returns_within_s=0.0 if last_try else journey.left_s * _RETURN_PART,
@@ -207,6 +221,6 @@
     return max(SHORTEST_SEND_S, journey.first_event_by - monotonic())
 
 
-def _worth_of(route: Route) -> float:
-    """Return what a request of a route is worth beside others; the more urgent the more."""
-    return _WORTH_OF_FIRST_PRIORITY / (1 + max(0, route.priority))
+def _worth_of(priority: int) -> float:
+    """Return what a request is worth beside others; the more urgent the more."""
+    return _WORTH_OF_FIRST_PRIORITY / (1 + max(0, priority))
--- a/springrock/forwarding/configuration.py
+++ b/springrock/forwarding/configuration.py
@@ -27,6 +27,51 @@
     weight: float
 
 
+class QuotaUnit(StrEnum):
+    """What a team's rate and burst are counted in."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+    """Those of the prompt and the most of the answer together."""
+
+
+class Team(Struct, frozen=True, kw_only=True):
+    """Who may use the deployment, and how much.
+
+    Attributes:
+        name: What replicas are told.
+        key_digests: The digests of its keys; the keys themselves are kept nowhere.
+        priority: The rank of its requests, before that of the route; None leaves it to the route.
+        unit: What rate and burst are counted in.
+        rate: Units a second over all boxes together; 0 for no limit.
+        burst: Units beyond the rate that may come at once.
+        plain_units: What a request counts that states no tokens, where those are counted.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = frozenset()
+    priority: int | None = None
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    rate: float = 0.0
+    burst: float = 0.0
+    plain_units: int = 1
+
+    @property
+    def limited(self) -> bool:
+        """Whether it has a quota."""
+        return self.rate > 0
+
+    def cost(self, tokens: int | None) -> int:
+        """Return what a request counts.
+
+        Args:
+            tokens: Those that it states; None if it states none.
+        """
+        if self.unit is QuotaUnit.REQUESTS:
+            return 1
+        return self.plain_units if tokens is None else tokens
+
+
 class Route(Struct, frozen=True, kw_only=True):
     """Where requests of a host and a path prefix go.
 
@@ -42,6 +87,7 @@
         attempts: The most replicas that one request may be run on.
         resumable: Whether a stream may be taken up elsewhere after its last event.
         gap_s: The longest pause between events of an answer in time; 0 for no such bound.
+        public: Whether it needs no key where there are teams.
     """
 
     name: str
@@ -55,6 +101,7 @@
     attempts: int = 1
     resumable: bool = False
     gap_s: float = 0.0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -122,12 +169,14 @@
 
     Attributes:
         version: Rises with each change; 0 for none yet.
+        teams: Who may use the deployment; None if requests need no keys.
     """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: dict[str, Service] = {}
     limits: ClientLimits = ClientLimits()
+    teams: tuple[Team, ...] | None = None
 
     @property
     def engine_services(self) -> dict[str, Engine]:
@@ -140,7 +189,7 @@
 
 
 class RouteTable:
-    """Finds the route of a request; built once for each configuration.
+    """Finds the route and the team of a request; built once for each configuration.
 
     Args:
         configuration: The configuration whose routes it holds.
@@ -153,6 +202,18 @@
             self._by_host.setdefault(route.host, []).append(route)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._by_digest = {
+            digest: team for team in configuration.teams or () for digest in team.key_digests
+        }
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests on routes that are not public need a key."""
+        return self.configuration.teams is not None
+
+    def team_of(self, digest: bytes | None) -> Team | None:
+        """Return the team that holds a key, by the key's digest."""
+        return None if digest is None else self._by_digest.get(digest)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, if there is one."""
--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -20,6 +20,8 @@
         adapter_version: The version of the adapter that alone may run it; 0 for any.
         priority: The rank at the replica, 0 first; None for the default.
         after_event: The event after which a stream goes on; empty for the client's own wish.
+        team: The team that the replica is told, or empty; None where there are no teams, and what
+            a client sends of keys and teams is its own.
     """
 
     instance: str
@@ -27,6 +29,7 @@
     adapter_version: int = 0
     priority: int | None = None
     after_event: str = ""
+    team: str | None = None
 
 
 class Dialect(Protocol):
--- a/springrock/forwarding/errors.py
+++ b/springrock/forwarding/errors.py
@@ -41,15 +41,69 @@
     """Nothing came within the time that was left."""
 
 
-class NoReplica(SpringrockError):
-    """No replica can take the request now.
+class Rejection(SpringrockError):
+    """A request that this box ends itself; it has not run and will not.
 
     Args:
-        reason: One word for logs.
-        retry_after_s: When to come back, in seconds.
+        reason: One word for the client and the log.
+        retry_after_s: When to come back, in seconds; None if that makes no sense.
+
+    Attributes:
+        status: The status of the answer.
     """
 
-    def __init__(self, reason: str, retry_after_s: float) -> None:
+    status = 503
+
+    def __init__(self, reason: str, retry_after_s: float | None = None) -> None:
         self.reason = reason
         self.retry_after_s = retry_after_s
-        super().__init__(f"{reason}; come back in {retry_after_s:.2f} s")
+        back = "" if retry_after_s is None else f"; come back in {retry_after_s:.2f} s"
+        super().__init__(f"{reason}{back}")
+
+
+class NoReplica(Rejection):
+    """No replica can take the request now."""
+
+
+class KeyUnknown(Rejection):
+    """No team holds the key, or there is none."""
+
+    status = 401
+
+    def __init__(self) -> None:
+        super().__init__("key_unknown")
+
+
+class KeysStale(Rejection):
+    """This box does not know surely enough whose key it is.
+
+    Args:
+        retry_after_s: When to come back, in seconds.
+    """
+
+    def __init__(self, retry_after_s: float) -> None:
+        super().__init__("keys_stale", retry_after_s)
+
+
+class OverQuota(Rejection):
+    """The team has used up its quota.
+
+    Args:
+        retry_after_s: When there is room again, in seconds; None if there never is.
+    """
+
+    status = 429
+
+    def __init__(self, retry_after_s: float | None) -> None:
+        super().__init__("over_quota", retry_after_s)
+
+
+class QuotaUnheard(Rejection):
+    """Nobody who counts the team's quota can be reached.
+
+    Args:
+        retry_after_s: When to come back, in seconds.
+    """
+
+    def __init__(self, retry_after_s: float) -> None:
+        super().__init__("quota_unheard", retry_after_s)
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -7,21 +7,26 @@
 
 from springrock.clock import Deadline
 from springrock.forwarding.choosing import RETRY_AFTER_S, SHORTEST_SEND_S, Chosen, ReplicaChooser
-from springrock.forwarding.configuration import RouteTable
-from springrock.forwarding.errors import ExchangeError, NoReplica, OutcomeUnknown
+from springrock.forwarding.configuration import Route, RouteTable
+from springrock.forwarding.errors import ExchangeError, OutcomeUnknown, Rejection
 from springrock.forwarding.journey import Journey
+from springrock.forwarding.keys import KeyGate, shown
 from springrock.forwarding.message import AnswerHead, ClientRequest
-from springrock.forwarding.reply import Reply, own_ending, pass_on
+from springrock.forwarding.reply import Reply, own_ending, pass_on, rejected
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay, StreamRun
 from springrock.log import Log
 
+_LONGEST_SHOWN_S = 3600.0
+"""What is older, or was never known, is logged as this old."""
+
 
 class Forwarder:
     """Forwards requests of all routes.
 
     Args:
         routes: Returns the routes in force.
+        gate: Admits requests by their keys.
         chooser: Chooses replicas.
         sender: Sends requests to them.
         relay: Relays streams.
@@ -32,12 +37,14 @@
         self,
         *,
         routes: Callable[[], RouteTable],
+        gate: KeyGate,
         chooser: ReplicaChooser,
         sender: Sender,
         relay: StreamRelay,
         log: Log,
     ) -> None:
         self._routes = routes
+        self._gate = gate
         self._chooser = chooser
         self._sender = sender
         self._relay = relay
@@ -52,7 +59,12 @@
         route = table.find(request.host, request.path)
         if route is None:
             return own_ending(404, "no_route")
-        journey = Journey(request, route, route.pick_service(self._chance))
+        try:
+            admission = self._gate.admit(table, route, request.key_digest)
+        except Rejection as rejection:
+            self._say_not_admitted(request, route, rejection, table.configuration.version)
+            return rejected(rejection)
+        journey = Journey(request, route, route.pick_service(self._chance), admission)
         self._chooser.note_request(journey)
         reply = self._stream(journey) if journey.streaming else self._call(journey)
         self._say_ending(journey, reply, table.configuration.version)
@@ -66,8 +78,8 @@
             try:
                 chosen = self._chooser.next_replica(journey, until=journey.ends_at)
                 reply = self._call_once(journey, chosen)
-            except NoReplica as refusal:
-                return failed or _ending_without_answer(journey, refusal)
+            except Rejection as rejection:
+                return failed or _ending_without_answer(journey, rejection)
             except ExchangeError:
                 continue
             if reply.head.status < 500 or not journey.may_run_again:
@@ -98,20 +110,37 @@
         while True:
             try:
                 head, run = self._relay.open(journey, until=journey.first_event_by)
-            except NoReplica as refusal:
-                return failed or _ending_without_answer(journey, refusal)
+            except Rejection as rejection:
+                return failed or _ending_without_answer(journey, rejection)
             except ExchangeError:
                 continue
             if head.status < 500 or not journey.may_run_again:
                 return pass_on(head, self._relay.relay(journey, run))
             failed = _failed_stream(head, run)
 
+    def _say_not_admitted(
+        self, request: ClientRequest, route: Route, rejection: Rejection, version: int
+    ) -> None:
+        self._log.say(
+            "Did not admit a request.",
+            request=request.request_id,
+            route=route.name,
+            key=shown(request.key_digest),
+            configuration=version,
+            stale_ms=round(min(self._gate.stale_s, _LONGEST_SHOWN_S) * 1000),
+            status=rejection.status,
+            reason=rejection.reason,
+            retry_after=rejection.retry_after_s,
+        )
+
     def _say_ending(self, journey: Journey, reply: Reply, version: int) -> None:
         self._log.say(
             "Refused a request." if reply.reason else "Answered a request.",
             request=journey.request.request_id,
             route=journey.route.name,
             service=journey.service,
+            team="" if journey.admission.team is None else journey.admission.team.name,
+            key=shown(journey.request.key_digest),
             configuration=version,
             adapter=str(journey.request.adapter_key or ""),
             status=reply.head.status,
@@ -125,10 +154,10 @@
         )
 
 
-def _ending_without_answer(journey: Journey, refusal: NoReplica) -> Reply:
+def _ending_without_answer(journey: Journey, rejection: Rejection) -> Reply:
     """Return the ending of a request that no replica answered."""
     if not journey.runs:
-        return own_ending(503, refusal.reason, retry_after_s=refusal.retry_after_s)
+        return rejected(rejection)
     if journey.left_s < SHORTEST_SEND_S:
         return own_ending(504, "outcome_unknown")
     return own_ending(502, "outcome_unknown")
--- a/springrock/forwarding/journey.py
+++ b/springrock/forwarding/journey.py
@@ -8,6 +8,7 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding.configuration import Route, RouteKind
+from springrock.forwarding.keys import UNKEYED, Admission
 from springrock.forwarding.message import ClientRequest
 
 _DEFAULT_DEADLINE_S = 60.0
@@ -60,6 +61,7 @@
         request: The client's request.
         route: Its route.
         service: The service picked for it.
+        admission: What was found of its key.
 
     Attributes:
         attempts: What was tried, in order.
@@ -69,8 +71,15 @@
         resuming: Whether events of this box's own have gone to the client.
     """
 
-    def __init__(self, request: ClientRequest, route: Route, service: str) -> None:
+    def __init__(
+        self,
+        request: ClientRequest,
+        route: Route,
+        service: str,
+        admission: Admission = UNKEYED,
+    ) -> None:
         self.request = request
+        self.admission = admission
         self.route = route
         self.service = service
         self.attempts: list[Attempt] = []
@@ -88,6 +97,12 @@
         """Whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAMING
 
+    @property
+    def priority(self) -> int:
+        """Its rank, 0 the highest: that of its team, if that has one, else that of its route."""
+        team = self.admission.team
+        return self.route.priority if team is None or team.priority is None else team.priority
+
     @property
     def patience_s(self) -> float:
         """How long a client of a stream waits for the next event."""
--- a/springrock/forwarding/message.py
+++ b/springrock/forwarding/message.py
@@ -93,6 +93,8 @@
         adapter: The adapter asked for, or empty.
         prompt_tokens: Tokens of the prompt, 0 if unknown.
         answer_tokens: The most tokens of the answer, 0 if unknown.
+        tokens: Both together as the client states them; None if it states none.
+        key_digest: The digest of the client's key; None if it sent none.
         last_event_id: Where a stream is to be taken up, or empty.
         prompt: The parts of the prompt in order; empty if unknown.
     """
@@ -109,6 +111,8 @@
     adapter: str = ""
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    tokens: int | None = None
+    key_digest: bytes | None = None
     last_event_id: str = ""
     prompt: tuple[PromptPart, ...] = ()
 
--- a/springrock/forwarding/reply.py
+++ b/springrock/forwarding/reply.py
@@ -7,12 +7,15 @@
 
 import msgspec
 
+from springrock.forwarding.errors import Rejection
 from springrock.forwarding.message import AnswerHead, Header, Headers
 
 _REASONS = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     413: "Content Too Large",
+    429: "Too Many Requests",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
@@ -48,6 +51,11 @@
     return Reply(head, [body], reason)
 
 
+def rejected(rejection: Rejection) -> Reply:
+    """Return the ending of a request that did not run."""
+    return own_ending(rejection.status, rejection.reason, retry_after_s=rejection.retry_after_s)
+
+
 def pass_on(head: AnswerHead, body: Iterable[bytes]) -> Reply:
     """Return a replica's answer with the headers that travel on."""
     kept = head.headers.end_to_end().without(("content-length",))
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -84,8 +84,9 @@
             instance=replica.instance,
             left_s=journey.left_s,
             adapter_version=0 if key is None else self._adapters.newest(key),
-            priority=journey.route.priority if journey.streaming else None,
+            priority=journey.priority if journey.streaming else None,
             after_event=after_event,
+            team=journey.admission.told,
         )
         return exchange(
             journey.request,
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -7,7 +7,7 @@
 from springrock.clock import Deadline, monotonic
 from springrock.errors import AnswerCut
 from springrock.forwarding.choosing import SHORTEST_SEND_S, Chosen, ReplicaChooser, reaction_s
-from springrock.forwarding.errors import ExchangeError, NoReplica, OutcomeUnknown
+from springrock.forwarding.errors import ExchangeError, OutcomeUnknown, Rejection
 from springrock.forwarding.events import EventSplitter
 from springrock.forwarding.exchange import Answer
 from springrock.forwarding.journey import Journey
@@ -134,7 +134,7 @@
         """Try one replica and return the head of its answer and the run.
 
         Raises:
-            NoReplica: If there is none to try.
+            Rejection: If there is none to try.
             ExchangeError: If it gave no answer.
         """
         chosen = self._chooser.next_replica(journey, until=until)
@@ -162,7 +162,7 @@
         while journey.resuming and journey.may_run_again:
             try:
                 head, run = self.open(journey, until=until)
-            except NoReplica:
+            except Rejection:
                 break
             except ExchangeError:
                 continue
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -184,6 +184,8 @@
         version: The version up to which the table is told.
         rows: What changed, in order.
         whole: Whether it is the whole table, and what is not in it is gone.
+        as_of_ms: A moment of the store's steady clock at which nothing newer had been written; a
+            message that was held up on its way so tells its own age. None if it is not known.
     """
 
     table: str
@@ -191,6 +193,7 @@
     version: int
     rows: list[TableRow] = []
     whole: bool = False
+    as_of_ms: int | None = None
 
 
 _LARGE_BYTES = 4096
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from gevent.event import Event
@@ -297,7 +298,9 @@
         else TableRow(change.key, b"", change.version, gone=True)
         for change in reading.changes
     ]
-    return TableNews(reading.table, reading.after, reading.version, rows, reading.whole)
+    # Rounded down: a moment must never be told as later than it was.
+    as_of_ms = None if reading.as_of_s is None else math.floor(reading.as_of_s * 1000)
+    return TableNews(reading.table, reading.after, reading.version, rows, reading.whole, as_of_ms)
 
 
 def _reading_from(news: TableNews) -> TableReading:
@@ -305,4 +308,5 @@
         Removed(row.key, row.version) if row.gone else Row(row.key, row.value, row.version)
         for row in news.rows
     ]
-    return TableReading(news.table, news.after, news.version, changes, news.whole)
+    as_of_s = None if news.as_of_ms is None else news.as_of_ms / 1000
+    return TableReading(news.table, news.after, news.version, changes, news.whole, as_of_s)
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -4,6 +4,7 @@
 
 from springrock.errors import BadRequest
 from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.keys import digest_of
 from springrock.forwarding.message import AnswerHead, ClientRequest, Header, Headers, PromptPart
 from springrock.platform import names
 
@@ -21,6 +22,12 @@
 )
 """What only the system sets at a replica; a client's own value of it is dropped."""
 
+_OF_TEAMS = (names.API_KEY, names.TEAM)
+"""What is dropped beside that where there are teams."""
+
+_MOST_TOKENS = 1_000_000_000
+"""No prompt or answer is that long; a number beyond it is taken for malformed."""
+
 _MISDIRECTED = 421
 _STATUSES_OF_NOT_EXECUTED = frozenset({400, 408, 429, 503})
 
@@ -34,14 +41,15 @@
         """Return a client's request.
 
         Raises:
-            BadRequest: If a number is malformed or the id is missing.
+            BadRequest: If a number or the key is malformed or the id is missing.
         """
         request_id = headers.get(names.REQUEST_ID)
         if not request_id:
             raise BadRequest(f"{names.REQUEST_ID} is missing")
         deadline_ms = headers.get(names.DEADLINE_MS)
         model, _, adapter = (headers.get(names.MODEL) or "").partition("/")
-        prompt_tokens, answer_tokens = _token_counts(headers.get(names.TOKEN_COUNT))
+        token_count = headers.get(names.TOKEN_COUNT)
+        prompt_tokens, answer_tokens = _token_counts(token_count)
         return ClientRequest(
             request_id=request_id,
             method=method,
@@ -55,6 +63,8 @@
             adapter=adapter,
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
+            tokens=None if token_count is None else prompt_tokens + answer_tokens,
+            key_digest=_key_digest(headers),
             prompt=_prompt_parts(headers.get(names.PROMPT_PARTS)),
             last_event_id=headers.get(names.LAST_EVENT_ID) or "",
         )
@@ -62,12 +72,16 @@
     def request_headers(self, request: ClientRequest, terms: SendTerms) -> Headers:
         """Return the headers of the request to a replica."""
         kept = request.headers.end_to_end().without(_SET_BY_THE_BOX)
+        if terms.team is not None:
+            kept = kept.without(_OF_TEAMS)
         if terms.after_event:
             kept = kept.without((names.LAST_EVENT_ID,))
         added = [
             Header(names.DEADLINE_MS, str(max(1, int(terms.left_s * 1000)))),
             Header(names.EXPECT_INSTANCE, terms.instance),
         ]
+        if terms.team:
+            added.append(Header(names.TEAM, terms.team))
         if terms.adapter_version:
             added.append(Header(names.EXPECT_VERSION, str(terms.adapter_version)))
         if terms.priority is not None:
@@ -94,11 +108,31 @@
         return head.status == _MISDIRECTED
 
 
+def _key_digest(headers: Headers) -> bytes | None:
+    """Return the digest of the client's key; no error tells anything of the key itself."""
+    keys = [value for name, value in headers if name.lower() == names.API_KEY.lower()]
+    if not keys:
+        return None
+    if len(keys) > 1:
+        raise BadRequest(f"{names.API_KEY} is given more than once")
+    key = keys[0].strip()
+    if not key or not key.isascii() or not key.isprintable():
+        raise BadRequest(f"{names.API_KEY} is empty or no text")
+    return digest_of(key)
+
+
 def _token_counts(value: str | None) -> tuple[int, int]:
     if value is None:
         return 0, 0
     prompt, _, answer = value.partition(",")
-    return int(_number(prompt)), int(_number(answer or "0"))
+    return _tokens(prompt), _tokens(answer or "0")
+
+
+def _tokens(value: str) -> int:
+    number = _number(value)
+    if number > _MOST_TOKENS:
+        raise BadRequest(f"{value!r} is more than a request can hold")
+    return int(number)
 
 
 def _prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -16,6 +16,11 @@
 PROMPT_PARTS = "Springrock-Prompt-Prefix"
 """All parts of the prompt in order, the request's own last part included."""
 
+API_KEY = "Api-Key"
+"""A client's key, and nothing else; no replica gets it."""
+
+TEAM = "Springrock-Tenant"
+
 HOLD = "Springrock-Hold"
 PIN_MS = "Springrock-Pin-Ms"
 MEMORY_BACKUP = "Springrock-Kv-Backup"
--- a/springrock/platform/records.py
+++ b/springrock/platform/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TypeVar
 
 import msgspec
@@ -9,6 +10,7 @@
 
 from springrock.forwarding import configuration as own
 from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
+from springrock.forwarding.keys import digest_of
 from springrock.forwarding.message import AdapterKey
 from springrock.platform import names
 from springrock.rows import Row
@@ -38,6 +40,17 @@
     max_attempts: int = 1
     resumable: bool = False
     gap_aim_ms: float = 0.0
+    public: bool = False
+
+
+class _Tenant(Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = field(default_factory=list)
+    priority: int | None = None
+    unit: str = own.QuotaUnit.REQUESTS
+    plain_tokens: int = 1
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class _Model(Struct, rename="camel"):
@@ -70,6 +83,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class HeldModel(Struct, rename="camel"):
@@ -110,6 +124,7 @@
             body_bytes=config.limits.max_body_bytes,
             idle_s=config.limits.idle_timeout_ms / 1000,
         ),
+        teams=None if config.tenants is None else _teams_from(config.tenants),
     )
 
 
@@ -179,6 +194,34 @@
         attempts=route.max_attempts,
         resumable=route.resumable,
         gap_s=route.gap_aim_ms / 1000,
+        public=route.public,
+    )
+
+
+def _teams_from(tenants: list[_Tenant]) -> tuple[own.Team, ...]:
+    teams = tuple(_team_from(tenant) for tenant in tenants)
+    digests = [digest for team in teams for digest in team.key_digests]
+    if len(digests) != len(set(digests)):
+        raise MalformedRecord("two teams hold the same key")
+    return teams
+
+
+def _team_from(tenant: _Tenant) -> own.Team:
+    numbers = (tenant.rate_per_s, tenant.burst, tenant.plain_tokens)
+    if not all(0 <= number < math.inf for number in numbers):
+        raise MalformedRecord(f"team {tenant.name}: a limit that is negative or no number")
+    try:
+        unit = own.QuotaUnit(tenant.unit)
+    except ValueError:
+        raise MalformedRecord(f"team {tenant.name}: limits in unknown units") from None
+    return own.Team(
+        name=tenant.name,
+        key_digests=frozenset(digest_of(key) for key in tenant.api_keys),
+        priority=tenant.priority,
+        unit=unit,
+        rate=tenant.rate_per_s,
+        burst=tenant.burst,
+        plain_units=tenant.plain_tokens,
     )
 
 
@@ -206,4 +249,5 @@
     try:
         return msgspec.json.decode(row.value, type=kind)
     except msgspec.DecodeError as error:
+        # The decoder names where and what kind, and quotes no value.
         raise MalformedRecord(f"{row.key}: {error}") from None
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -43,6 +43,7 @@
 
 class _Rows(Struct):
     ver: int
+    now_ms: float | None = None
     rows: list[_Row] = field(default_factory=list)
     more: bool = False
 
@@ -89,14 +90,14 @@
             # Keys are read from the one just above the last.
             page = self._rows(names.ROWS_GET_PATH, f"{query}&from={page.rows[-1].key}%00")
             rows += page.rows
-        return Snapshot([_row_from(row) for row in rows], first.ver)
+        return Snapshot([_row_from(row) for row in rows], first.ver, _seconds(first.now_ms))
 
     def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
         """Wait for changes of a table after a version."""
         query = f"table={table}&after={after}&waitMs={round(wait_s * 1000)}"
         page = self._rows(names.ROWS_FEED_PATH, query, wait_s=wait_s)
         changes = [Removed(row.key, row.ver) if row.gone else _row_from(row) for row in page.rows]
-        return Changes(changes, page.ver)
+        return Changes(changes, page.ver, _seconds(page.now_ms))
 
     def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
         """Write a row if it has the expected version; return the store's newest one after it."""
@@ -130,6 +131,10 @@
             raise RowStoreUnavailable(f"{path.partition('?')[0]}: {error}") from None
 
 
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
+
+
 def _checked(response: urllib3.BaseHTTPResponse) -> urllib3.BaseHTTPResponse:
     if response.status != _OK:
         raise RowStoreUnavailable(f"the store answered {response.status}")
--- a/springrock/platform/tables.py
+++ b/springrock/platform/tables.py
@@ -24,6 +24,7 @@
 
     Args:
         on_configuration: Called with each configuration.
+        on_unreadable: Called when the configuration cannot be read.
         on_version: Called with each named version of an adapter.
         log: The log to write to.
     """
@@ -32,10 +33,12 @@
         self,
         *,
         on_configuration: Callable[[Configuration], None],
+        on_unreadable: Callable[[], None],
         on_version: Callable[[AdapterKey, int], None],
         log: Log,
     ) -> None:
         self._on_configuration = on_configuration
+        self._on_unreadable = on_unreadable
         self._on_version = on_version
         self._log = log
 
@@ -53,6 +56,8 @@
                 self._on_version(*version_from(row))
         except MalformedRecord as error:
             self._log.say("Passed over a malformed row.", error=str(error))
+            if row.key == names.CONFIGURATION_KEY:
+                self._on_unreadable()
 
     def remove(self, key: str) -> None:
         """Nothing of the operator's is taken back by removing a row."""
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -12,6 +12,7 @@
 from springrock.clock import monotonic
 from springrock.errors import SpringrockError
 from springrock.log import Condition, Log
+from springrock.store_clock import StoreClock
 
 _POLL_WAIT_S = 1.8
 """With the time for an answer it is under three seconds: so soon after a cut has healed silently a
@@ -91,10 +92,12 @@
 
     Attributes:
         version: Where to go on from with the changes.
+        store_s: What the store's steady clock read in the answer; None if it does not say.
     """
 
     rows: Sequence[Row]
     version: int
+    store_s: float | None = None
 
 
 class Changes(NamedTuple):
@@ -102,10 +105,12 @@
 
     Attributes:
         version: Where to go on from.
+        store_s: What the store's steady clock read in the answer; None if it does not say.
     """
 
     changes: Sequence[Change]
     version: int
+    store_s: float | None = None
 
 
 class TableReading(NamedTuple):
@@ -116,6 +121,8 @@
         version: The version up to which all is known.
         changes: What changed, in order.
         whole: Whether it is the whole table, and what is not in it is gone.
+        as_of_s: A moment of the store's steady clock from before the question; nothing newer than
+            `version` had been written by then. None if it is not known.
     """
 
     table: str
@@ -123,6 +130,7 @@
     version: int
     changes: Sequence[Change]
     whole: bool = False
+    as_of_s: float | None = None
 
 
 class RowStore(Protocol):
@@ -176,6 +184,8 @@
         table: The name of the table.
         listener: Who learns of the rows.
         pause_s: How long changes are let gather between two reads.
+        poll_wait_s: How long the store is to wait for a change, where this box reads for itself.
+        clock: The store's steady clock, shared by the followers of a box.
         eager: Whether changes are waited for at once after the whole table was read.
         log: The log to write to.
 
@@ -193,8 +203,13 @@
         *,
         pause_s: float,
         log: Log,
+        poll_wait_s: float = _POLL_WAIT_S,
+        clock: StoreClock | None = None,
         eager: bool = False,
     ) -> None:
+        self._poll_wait_s = poll_wait_s
+        self._clock = StoreClock() if clock is None else clock
+        self._newest_at = float("-inf")
         self._store = store
         self.table = table
         self._listener = listener
@@ -225,6 +240,15 @@
         """Seconds since the store last answered; infinite before the first time."""
         return float("inf") if self.read_at is None else monotonic() - self.read_at
 
+    @property
+    def staleness_s(self) -> float:
+        """Seconds since what is known was surely the newest; infinite if it never was.
+
+        Unlike `age_s` it counts from before the store was asked, by whichever box asked it, so that
+        no delay of an answer or of a message between boxes makes anything look newer than it is.
+        """
+        return monotonic() - self._newest_at
+
     def take_reading(self, reading: TableReading, *, relied_on: bool = True) -> None:
         """Learn what another box has read just now.
 
@@ -236,6 +260,7 @@
         if self._version is None or reading.after > self._version:
             return
         self._apply(reading)
+        self._note_newest(reading)
         self.read_at = monotonic()
         if relied_on or self._unread.holds:
             patience_s = 0.0 if self.sharing() else random.uniform(0.5, 1.0) * _PATIENCE_S
@@ -272,18 +297,35 @@
                 retry_s = min(_LONGEST_RETRY_S, retry_s * 1.5)
 
     def _step(self) -> None:
+        asked_at = monotonic()
+        reading, store_s = self._read()
+        if store_s is not None:
+            self._clock.note(store_s, sent_at=asked_at, received_at=monotonic())
+        self._apply(reading)
+        self._newest_at = max(self._newest_at, asked_at)
+        if self.sharing():
+            as_of_s = self._clock.earliest_store(asked_at)
+            self.shared_with(reading._replace(as_of_s=as_of_s), True)
+
+    def _read(self) -> tuple[TableReading, float | None]:
+        """Ask the store; return what it told, and its clock."""
         after = self._version
         if after is None:
             snapshot = self._store.read_all(self.table)
-            reading = TableReading(self.table, 0, snapshot.version, snapshot.rows, whole=True)
-        else:
-            wait_s = _SHARED_POLL_WAIT_S if self.sharing() else _POLL_WAIT_S
-            read = self._store.changes(self.table, after=after, wait_s=wait_s)
-            changes = _without_overtaken_removals(read.changes)
-            reading = TableReading(self.table, after, read.version, changes)
-        self._apply(reading)
-        if self.sharing():
-            self.shared_with(reading, True)
+            whole = TableReading(self.table, 0, snapshot.version, snapshot.rows, whole=True)
+            return whole, snapshot.store_s
+        wait_s = _SHARED_POLL_WAIT_S if self.sharing() else self._poll_wait_s
+        read = self._store.changes(self.table, after=after, wait_s=wait_s)
+        changes = _without_overtaken_removals(read.changes)
+        return TableReading(self.table, after, read.version, changes), read.store_s
+
+    def _note_newest(self, reading: TableReading) -> None:
+        """Learn up to when what another box has read was the newest."""
+        if reading.as_of_s is None:
+            return
+        newest_at = self._clock.earliest_local(reading.as_of_s)
+        if newest_at is not None and newest_at <= monotonic():
+            self._newest_at = max(self._newest_at, newest_at)
 
     def _apply(self, reading: TableReading) -> None:
         """Hand on what is newer than what is known."""
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from springrock.errors import BadRequest
 from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.keys import digest_of
 from springrock.forwarding.message import ClientRequest, Headers, PromptPart
 from springrock.platform.dialect import PlatformDialect
 
@@ -40,3 +42,48 @@
 @pytest.mark.parametrize("value", ["", "5c", "5c:x", "5c:-1", "5c:1,"])
 def test_parts_that_cannot_be_read_are_no_parts(value: str) -> None:
     assert read(("Springrock-Prompt-Prefix", value)).prompt == ()
+
+
+KEY = ("Api-Key", "asnmgkcuyj8pjbvk9m68")
+
+
+def test_the_key_never_reaches_a_replica_and_the_team_is_the_systems_word() -> None:
+    request = read(KEY, ("Springrock-Tenant", "somebody-else"))
+    assert request.key_digest == digest_of(KEY[1])
+    for team in ("hule930", ""):
+        headers = PlatformDialect().request_headers(request, TERMS._replace(team=team))
+        assert headers.get("Api-Key") is None
+        assert [value for name, value in headers if name == "Springrock-Tenant"] == [team] * bool(
+            team
+        )
+
+
+def test_without_teams_a_clients_headers_stand() -> None:
+    headers = PlatformDialect().request_headers(read(KEY), TERMS)
+    assert headers.get("Api-Key") == KEY[1]
+
+
+@pytest.mark.parametrize(
+    "keys",
+    [
+        [KEY, ("api-key", "k2")],
+        [("Api-Key", "")],
+        [("Api-Key", "k\xff\xfe")],
+        [("Api-Key", "k\x07")],
+    ],
+)
+def test_a_malformed_key_is_rejected_and_not_told(keys: list[tuple[str, str]]) -> None:
+    with pytest.raises(BadRequest) as error:
+        read(*keys)
+    assert not any(value and value in str(error.value) for _, value in keys)
+
+
+@pytest.mark.parametrize("value", ["1e30,5", "5,1e30", "1" + "0" * 400, "-1,2", "x", "1,y"])
+def test_a_token_count_that_no_request_holds_is_malformed(value: str) -> None:
+    with pytest.raises(BadRequest):
+        read(("Springrock-Token-Count", value))
+
+
+def test_the_tokens_of_a_request_are_counted_together() -> None:
+    assert read(("Springrock-Token-Count", "1460,80")).tokens == 1540
+    assert read().tokens is None
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -86,6 +86,8 @@
     readiness: dict[str, str] = field(default_factory=dict)
     metrics: dict[str, str] = field(default_factory=dict)
     version: int = 0
+    tenants: list[dict[str, Any]] | None = None
+    more_settings: dict[str, Any] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.processes = Processes(self.folder)
@@ -131,6 +133,7 @@
             "placement": {"lease_s": 1.0},
             "retries": {"window_s": 60.0},
             "stop": {"within_s": 8.0, "notice_s": 0.2},
+            **self.more_settings,
         }
         self.processes.spawn(name, ["entry", "--settings"], settings)
 
@@ -145,7 +148,13 @@
     def configure(self, routes: list[dict[str, Any]] | None = None, version: int = 0) -> int:
         """Write a configuration and return its version."""
         self.version = version or self.version + 1
-        config = {"version": self.version, "routes": routes or ROUTES, "services": SERVICES}
+        config: dict[str, Any] = {
+            "version": self.version,
+            "routes": routes or ROUTES,
+            "services": SERVICES,
+        }
+        if self.tenants is not None:
+            config["tenants"] = self.tenants
         self.write_operator_row("config", config)
         return self.version
 
@@ -171,13 +180,19 @@
         names = [name for name in self.addresses if name != "store"]
         return sum(self.counters(name)["runs"].get(request_id, 0) for name in names)
 
+    def team_told(self, request_id: str) -> str | None:
+        """The team that the replica was told that ran a request; None if none ran it."""
+        names = [name for name in self.addresses if name != "store"]
+        told = (self.counters(name)["teams"].get(request_id) for name in names)
+        return next((team for team in told if team is not None), None)
+
     def holders(self, adapter: str) -> list[str]:
         """The engines that hold an adapter."""
         names = [name for name in self.addresses if name.startswith("engine")]
         return [name for name in names if adapter in self.counters(name)["adapters"]]
 
     def violations(self) -> dict[str, int]:
-        names = [name for name in self.addresses if name.startswith("engine")]
+        names = [name for name in self.addresses if name != "store"]
         return {
             key: count for name in names for key, count in self.counters(name)["violations"].items()
         }
@@ -206,8 +221,11 @@
                 what=f"{box} knows {replicas} replicas",
             )
 
+    def metrics_page(self, box: str) -> str:
+        return self._pool.request("GET", f"http://{self.metrics[box]}/metrics").data.decode()
+
     def metric(self, box: str, name: str) -> float:
-        text = self._pool.request("GET", f"http://{self.metrics[box]}/metrics").data.decode()
+        text = self.metrics_page(box)
         lines = [line for line in text.splitlines() if line.startswith(f"{name} ")]
         return float(lines[0].split()[1]) if lines else 0.0
 
@@ -248,6 +266,7 @@
         request_id: str = "",
         deadline_ms: int = 5000,
         adapter: str = "",
+        more_headers: dict[str, str] | None = None,
         connection: http.client.HTTPConnection | None = None,
     ) -> Answer:
         """Send one request and read the answer as far as it goes."""
@@ -256,6 +275,7 @@
             "Host": HOST,
             "Springrock-Request-Id": request_id or self.new_id(),
             "Springrock-Deadline-Ms": str(deadline_ms),
+            **(more_headers or {}),
         }
         if adapter:
             headers["Springrock-Model"] = f"{MODEL}/{adapter}"
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -8,6 +8,7 @@
 import pytest
 
 from springrock import rows as rows_module
+from springrock.clock import monotonic
 from springrock.log import Log
 from springrock.rows import (
     Change,
@@ -20,6 +21,7 @@
     TableFollower,
     TableReading,
 )
+from springrock.store_clock import StoreClock
 
 TABLE = "replicas"
 
@@ -232,3 +234,47 @@
         while store.asked == asked:
             gevent.sleep(0.01)
     follower.stop()
+
+
+class SlowStore(ScriptedStore):
+    """Answers after a while, and tells its clock."""
+
+    def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
+        gevent.sleep(0.1)
+        return Changes([], after, store_s=50.0)
+
+    def read_all(self, table: str) -> Snapshot:
+        gevent.sleep(0.1)
+        return Snapshot([Row("a", b"1", 1)], 1, store_s=50.0)
+
+
+def test_how_stale_a_table_is_counts_from_before_the_question() -> None:
+    follower, listener = follow(SlowStore())
+    assert follower.staleness_s == float("inf")
+    assert told(listener, count=1) == ["all"]
+    assert follower.staleness_s >= 0.1 > follower.age_s
+    follower.stop()
+
+
+def test_a_reading_that_was_held_up_on_its_way_is_as_old_as_it_tells() -> None:
+    clock = StoreClock()
+    follower = TableFollower(
+        ScriptedStore(), TABLE, Listener(), pause_s=0.0, clock=clock, log=Log("test", "box")
+    )
+    follower.start()
+    with gevent.Timeout(10):
+        while follower.age_s == float("inf"):
+            gevent.sleep(0.01)
+    gevent.sleep(0.2)
+    now = monotonic()
+    clock.note(500.0, sent_at=now, received_at=now)
+    follower.take_reading(TableReading(TABLE, 1, 1, [], as_of_s=499.9))
+    assert 0.1 <= follower.staleness_s < 0.2
+    follower.take_reading(TableReading(TABLE, 1, 1, [], as_of_s=400.0))
+    follower.take_reading(TableReading(TABLE, 1, 1, []))
+    assert follower.staleness_s >= 0.1, "an older word makes nothing newer"
+    follower.take_reading(TableReading(TABLE, 1, 1, [], as_of_s=900.0))
+    assert follower.staleness_s >= 0.1, "nor does one from the future"
+    follower.take_reading(TableReading(TABLE, 5, 6, [], as_of_s=500.0))
+    assert follower.staleness_s >= 0.1, "nor does one that does not join what is known"
+    follower.stop()
