Quotas of teams over all boxes: an equal part for each zone, counted by its placer

Change: each zone has an equal part of every team's rate and burst. Its placer counts it out while its lease surely stands, from nothing at its start, also to boxes of other zones: a box asks its own zone first and, if that has no room or does not answer, the others. No part ever moves, so no delay, loss, freeze or cut can let more through. A request is charged once, before it waits for anything, and given back if it never ran; what is given back counts as never taken, and no more (a bucket that was full since has made up for it). Over the quota: 429 with a turn in the part's queue; nobody counting: 503.

Found on the way by a test with real processes: a placer's own demand went past the zone, so that its own box was never charged.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -33,7 +33,9 @@
 from springrock.platform.engine import PlatformEngines
 from springrock.platform.store import PlatformStore
 from springrock.platform.tables import OperatorTable, ReplicaTable
-from springrock.rows import TableFollower, TableReading
+from springrock.quotas.charging import Charging
+from springrock.quotas.shares import QuotaTerms
+from springrock.rows import POLL_WAIT_S, TableFollower, TableReading
 from springrock.store_clock import StoreClock
 
 _QUIET_S = 0.3
@@ -41,9 +43,9 @@
 """How long before it would be killed a stopping box ends by itself."""
 
 _CONFIGURATION_PAUSE_S = 0.1
-_CONFIGURATION_POLL_S = 1.0
-"""A box that reads for itself knows its keys to be the newest twice this ago at most, and trusts
-them yet if one answer is lost."""
+_CONFIGURATION_POLLS_OF_TRUST = 5
+"""A box that reads for itself knows its keys to be the newest two polls ago at most, and trusts
+them yet if an answer is lost and asked for again."""
 
 _REPLICAS_PAUSE_S = 0.8
 """Replicas write when their adapters change, several times a second; what matters of that is
@@ -163,7 +165,7 @@
             names.OPERATOR_TABLE,
             operator,
             pause_s=_CONFIGURATION_PAUSE_S,
-            poll_wait_s=_CONFIGURATION_POLL_S,
+            poll_wait_s=self._configuration_poll_s,
             clock=clock,
             log=self._log_of("configuration"),
         )
@@ -207,6 +209,7 @@
             directory=self.directory,
             versions=self._versions,
             control=PlatformEngines(),
+            quota_terms=self._quota_terms,
             log_of=self._log_of,
             metrics=self.metrics,
         )
@@ -230,6 +233,7 @@
         forwarder = Forwarder(
             routes=lambda: self._routes,
             gate=gate,
+            charging=Charging(zones=self._quota_zones, counter=self._placement.counter),
             chooser=chooser,
             sender=sender,
             relay=StreamRelay(chooser=chooser, sender=sender, log=log),
@@ -279,6 +283,9 @@
             teams=None if configuration.teams is None else len(configuration.teams),
         )
 
+        if any(team.limited for team in configuration.teams or ()) and not self._quota_zones():
+            self._log.say("Teams have quotas, but the settings do not list the zones.")
+
     def _note_unreadable(self) -> None:
         """Learn that there is a configuration that this box cannot read; it may take keys away."""
         self._is_unreadable = True
@@ -286,6 +293,26 @@
     def _staleness_s(self) -> float:
         return float("inf") if self._is_unreadable else self._operator_table.staleness_s
 
+    def _configuration_poll_s(self) -> float:
+        """Return how long the store is to wait for news of the configuration."""
+        trust_s = self._key_terms().trust_s
+        has_teams = self._routes.configuration.teams is not None
+        return min(
+            POLL_WAIT_S, trust_s / _CONFIGURATION_POLLS_OF_TRUST if has_teams else POLL_WAIT_S
+        )
+
+    def _quota_zones(self) -> list[str]:
+        """Return the zones that count the teams' quotas, the own one first; none if not told."""
+        box = self.settings.box
+        if box.availability_zone not in box.zones:
+            return []
+        return [box.availability_zone, *(z for z in box.zones if z != box.availability_zone)]
+
+    def _quota_terms(self) -> QuotaTerms:
+        quotas = self.settings.quotas
+        zones = max(1, len(self.settings.box.zones))
+        return QuotaTerms(quotas.window_s, quotas.overage, quotas.slack, zones)
+
     def _key_terms(self) -> KeyTerms:
         keys = self.settings.keys
         return KeyTerms(keys.revoke_s, keys.fail_closed)
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -13,10 +13,14 @@
     Attributes:
         name: The name of the box, unique in the deployment.
         availability_zone: Where it stands.
+        zones: All availability zones of the deployment. Each counts an equal part of the teams'
+            quotas, so all boxes must have the same list; without it, teams with a quota are not
+            served.
     """
 
     name: str
     availability_zone: str
+    zones: tuple[str, ...] = ()
 
 
 class ListenSection(Section, frozen=True, kw_only=True):
@@ -101,6 +105,20 @@
     fail_closed: bool = True
 
 
+class QuotaSection(Section, frozen=True, kw_only=True):
+    """How strictly the quotas of teams are meant, over all boxes together.
+
+    Attributes:
+        window_s: The span over which a team's use is judged.
+        overage: The part by which it may exceed rate and burst.
+        slack: Requests or tokens by which it may exceed them beside that.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 class StopSection(Section, frozen=True, kw_only=True):
     """A planned stop.
 
@@ -123,4 +141,5 @@
     retries: RetrySection = field(default_factory=RetrySection)
     placement: PlacementSection = field(default_factory=PlacementSection)
     keys: KeySection = field(default_factory=KeySection)
+    quotas: QuotaSection = field(default_factory=QuotaSection)
     stop: StopSection = field(default_factory=StopSection)
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -4,10 +4,11 @@
 
 import random
 from collections.abc import Callable
+from typing import Protocol
 
 from springrock.clock import Deadline
 from springrock.forwarding.choosing import RETRY_AFTER_S, SHORTEST_SEND_S, Chosen, ReplicaChooser
-from springrock.forwarding.configuration import Route, RouteTable
+from springrock.forwarding.configuration import Route, RouteTable, Team
 from springrock.forwarding.errors import ExchangeError, OutcomeUnknown, Rejection
 from springrock.forwarding.journey import Journey
 from springrock.forwarding.keys import KeyGate, shown
@@ -21,12 +22,31 @@
 """What is older, or was never known, is logged as this old."""
 
 
+class Receipt(Protocol):
+    """A request's charge to its team's quota."""
+
+    def give_back(self) -> None:
+        """Undo it, as the request did not run."""
+
+
+class Charges(Protocol):
+    """Charges requests to their teams' quotas."""
+
+    def charge(self, team: Team | None, *, tokens: int | None, request: str) -> Receipt:
+        """Charge a request once for all that is done for it.
+
+        Raises:
+            Rejection: If there is no room, or nobody who counts can be reached.
+        """
+
+
 class Forwarder:
     """Forwards requests of all routes.
 
     Args:
         routes: Returns the routes in force.
         gate: Admits requests by their keys.
+        charging: Charges requests to their teams' quotas.
         chooser: Chooses replicas.
         sender: Sends requests to them.
         relay: Relays streams.
@@ -38,6 +58,7 @@
         *,
         routes: Callable[[], RouteTable],
         gate: KeyGate,
+        charging: Charges,
         chooser: ReplicaChooser,
         sender: Sender,
         relay: StreamRelay,
@@ -45,6 +66,7 @@
     ) -> None:
         self._routes = routes
         self._gate = gate
+        self._charging = charging
         self._chooser = chooser
         self._sender = sender
         self._relay = relay
@@ -66,10 +88,23 @@
             return rejected(rejection)
         journey = Journey(request, route, route.pick_service(self._chance), admission)
         self._chooser.note_request(journey)
-        reply = self._stream(journey) if journey.streaming else self._call(journey)
+        reply = self._forward_charged(journey)
         self._say_ending(journey, reply, table.configuration.version)
         return reply
 
+    def _forward_charged(self, journey: Journey) -> Reply:
+        """Charge a request to its team and forward it; one that never ran costs nothing."""
+        team, request = journey.admission.team, journey.request
+        try:
+            receipt = self._charging.charge(team, tokens=request.tokens, request=request.request_id)
+        except Rejection as rejection:
+            return rejected(rejection)
+        try:
+            return self._stream(journey) if journey.streaming else self._call(journey)
+        finally:
+            if not journey.runs:
+                receipt.give_back()
+
     # Plain requests.
 
     def _call(self, journey: Journey) -> Reply:
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -6,6 +6,11 @@
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.94, 2, 5, 10, 30, 60)
 
+_TEAMS_AT_MOST = 100
+"""Values of a label: beyond it a page of metrics would grow with the customers of a deployment."""
+
+_OTHER_TEAMS = "(others)"
+
 
 class Metrics:
     """All metrics of one box, in a registry of its own."""
@@ -129,6 +134,13 @@
             buckets=_SECONDS,
             registry=registry,
         )
+        self._charges = Counter(
+            "springrock_quota_charges",
+            "Requests to be charged to teams, at the placer that counts, by its answer.",
+            ["team", "answer"],
+            registry=registry,
+        )
+        self._teams: set[str] = set()
         self.placer = Gauge(
             "springrock_placement_placer",
             "1 while this box gives orders to a zone's engines.",
@@ -144,6 +156,14 @@
             "springrock_log_dropped_lines", "Log lines dropped for want of room.", registry=registry
         )
 
+    def count_charge(self, team: str, *, taken: bool) -> None:
+        """Count a charge; teams beyond a number are counted together."""
+        if team not in self._teams:
+            if len(self._teams) >= _TEAMS_AT_MOST:
+                team = _OTHER_TEAMS
+            self._teams.add(team)
+        self._charges.labels(team, "taken" if taken else "no_room").inc()
+
     def render(self) -> bytes:
         """Return the text that Prometheus scrapes."""
         return generate_latest(self.registry)
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -16,6 +16,7 @@
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.messages import Ask, Began, Demand, Outcome, Over, Promise
 from springrock.placement.messages import Use as UseMessage
+from springrock.quotas.charge_book import ChargeBook
 
 _SILENCE_S = 0.2
 """How long a request waits to hear anything of the placer before it asks elsewhere."""
@@ -93,6 +94,7 @@
 
     Attributes:
         stopping: Whether this box is about to stop.
+        charges: The charges of this box's requests to their teams.
         changed: Set while there is something to tell.
         urgent: Set while a request waits to be told.
     """
@@ -105,6 +107,7 @@
         self._expected: list[_Expected] = []
         self._forecasts: dict[AdapterKey, float] = {}
         self._news = _News()
+        self.charges = ChargeBook(on_news=lambda urgent: self._tell(urgent=urgent))
         self.stopping = False
         self.changed = Event()
         self.urgent = Event()
@@ -230,6 +233,7 @@
     def forget_placer(self) -> None:
         """Lose the placer: its forecasts, and its word on who waits."""
         self._forecasts.clear()
+        self.charges.forget_placer()
         for asker in self._askers.values():
             asker.news.set()
 
@@ -256,6 +260,7 @@
         self.changed.clear()
         self.urgent.clear()
         now = monotonic()
+        charges, given_back = self.charges.take_news()
         wanted = {asker.wish.key for asker in self._askers.values()}
         for key in [key for key in self._forecasts if key not in wanted]:
             del self._forecasts[key]
@@ -276,6 +281,8 @@
                 for item in news.expected
             ],
             stopping=self.stopping,
+            charges=charges,
+            given_back=given_back,
         )
 
 
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -15,6 +15,7 @@
 
 from springrock.errors import PeerRejected
 from springrock.forwarding.directory import HeldAdapter
+from springrock.quotas.messages import Charge, Charged, GiveBack
 
 
 class Hello(Struct, frozen=True, array_like=True, tag=1):
@@ -108,6 +109,8 @@
 
     Attributes:
         stopping: Whether the box is about to stop, and so takes no lease any more.
+        charges: Requests whose cost is to be charged to their teams.
+        given_back: Charges whose requests did not run.
     """
 
     asks: list[Ask] = []
@@ -116,6 +119,8 @@
     over: list[Over] = []
     promises: list[Promise] = []
     stopping: bool = False
+    charges: list[Charge] = []
+    given_back: list[GiveBack] = []
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=3):
@@ -207,7 +212,7 @@
 _FASTEST = 1
 """The level of compression: one of 1,400 routes shrinks to under a tenth even so."""
 
-Message = Hello | Demand | Grant | Forecast | Heartbeat | Residents | TableNews
+Message = Hello | Demand | Grant | Forecast | Heartbeat | Residents | TableNews | Charged
 
 
 def encode(message: Message) -> bytes:
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -25,6 +25,7 @@
 from springrock.placement.surroundings import Surroundings
 from springrock.placement.zone import ZonePlacement
 from springrock.placement.zone_choice import ZoneView, choose_zone
+from springrock.quotas.shares import QuotaTerms
 from springrock.rows import Change, Removed, Row, RowStore, TableReading
 
 _LIKELY_HEARD_S = 1.0
@@ -47,6 +48,7 @@
         directory: The known replicas.
         versions: The newest versions of adapters.
         control: Speaks to engines.
+        quota_terms: Returns how strictly the quotas of teams are meant.
         log_of: Returns the log of a part.
         metrics: The metrics to count in.
 
@@ -66,6 +68,7 @@
         directory: Directory,
         versions: Versions,
         control: EngineControl,
+        quota_terms: Callable[[], QuotaTerms],
         log_of: Callable[[str], Log],
         metrics: ForwardingMetrics,
     ) -> None:
@@ -88,6 +91,7 @@
             versions=versions,
             residency=self._residency,
             control=control,
+            quota_terms=quota_terms,
             on_table_news=self._take_news,
             on_placer_heard=self._heard.set,
             on_placer_lost=self._placer_lost,
@@ -171,6 +175,10 @@
         if zone == self._settings.zone:
             self.on_alone()
 
+    def counter(self, zone: str) -> ZonePlacement:
+        """Return who counts a zone's part of the teams' quotas."""
+        return self._zone(zone)
+
     # What forwarding asks.
 
     def holds(self, replica: Replica, key: AdapterKey) -> bool:
--- a/springrock/placement/surroundings.py
+++ b/springrock/placement/surroundings.py
@@ -13,6 +13,7 @@
 from springrock.placement.messages import TableNews
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
+from springrock.quotas.shares import QuotaTerms
 from springrock.rows import RowStore
 
 
@@ -28,6 +29,7 @@
         versions: The newest versions of adapters.
         residency: What stands where.
         control: Speaks to engines.
+        quota_terms: Returns how strictly the quotas of teams are meant.
         on_table_news: Called with a zone and what its placer has read of the store's tables.
         on_placer_heard: Called whenever a zone's placer is heard.
         on_placer_lost: Called with a zone whose placer this box has lost.
@@ -43,6 +45,7 @@
     versions: Versions
     residency: Residency
     control: EngineControl
+    quota_terms: Callable[[], QuotaTerms]
     on_table_news: Callable[[str, TableNews], None]
     on_placer_heard: Callable[[], None]
     on_placer_lost: Callable[[str], None]
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from springrock.clock import monotonic
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.demand import DemandBook
 from springrock.placement.election import Election
@@ -25,6 +26,9 @@
 from springrock.placement.placer import Placer
 from springrock.placement.settings import PlacementSettings
 from springrock.placement.surroundings import Surroundings
+from springrock.quotas.charge_book import CounterSilent, charged_from
+from springrock.quotas.ledger import Ledger, Verdict
+from springrock.quotas.messages import Charge, Charged
 
 _RESIDENTS_EVERY_S = 0.05
 _RESIDENTS_FRAMES_PER_S = 150
@@ -108,6 +112,10 @@
             incarnation=around.incarnation,
             holder=self,
         )
+        self._configuration = around.configuration
+        self._quota_terms = around.quota_terms
+        self._ledger = self._new_ledger()
+        self._quota_log = around.log_of("quotas")
         self._tasks: list[gevent.Greenlet[..., Any]] = []
         self._under_lease: list[gevent.Greenlet[..., Any]] = []
 
@@ -147,12 +155,65 @@
 
     def take_demand(self, box: str, demand: Demand) -> None:
         """Take all that a box now wants and uses."""
+        if demand.charges or demand.given_back:
+            self._take_charges(box, demand)
         self._placer.take_demand(box, demand)
 
+    def _take_charges(self, box: str, demand: Demand) -> None:
+        """Count out the zone's part of the teams' quotas, while nobody else can do so."""
+        now = monotonic()
+        counts = self._lease.left_s > 0
+        for charge in demand.charges:
+            charged = Charged(charge.number, counts=False)
+            if counts:
+                verdict = self._ledger.charge(
+                    box, charge.number, team=charge.team, units=charge.units, now=now
+                )
+                charged = charged_from(charge.number, verdict)
+                self._count_charge(box, charge, verdict, now)
+            self._send(box, charged)
+        for given_back in demand.given_back:
+            self._ledger.give_back(box, given_back.number, now=now)
+
+    def _count_charge(self, box: str, charge: Charge, verdict: Verdict, now: float) -> None:
+        self._metrics.count_charge(charge.team, taken=verdict.charged)
+        if verdict.charged:
+            return
+        self._quota_log.say(
+            "A team's part is used up.",
+            request=charge.request,
+            team=charge.team,
+            units=charge.units,
+            peer=box,
+            zone=self._zone,
+            back_in_ms=None if verdict.back_in_s is None else round(verdict.back_in_s * 1000),
+            **self._ledger.state(charge.team, now),
+        )
+
     def forget_box(self, box: str) -> None:
         """Drop what a box wanted and used."""
+        self._ledger.forget_box(box)
         self._placer.forget_box(box)
 
+    def _new_ledger(self) -> Ledger:
+        return Ledger(configuration=self._configuration, terms=self._quota_terms, now=monotonic())
+
+    # What this box's requests ask of those who count their teams' quotas.
+
+    def charge(self, team: str, units: int, *, request: str) -> tuple[Verdict, int]:
+        """Charge a request at the zone's placer.
+
+        Raises:
+            CounterSilent: If no answer comes.
+        """
+        if not self.reachable:
+            raise CounterSilent()
+        return self.demand.charges.charge(team, units, request=request)
+
+    def give_back(self, number: int) -> None:
+        """Undo a charge whose request did not run."""
+        self.demand.charges.give_back(number)
+
     # The placer's word.
 
     def _heartbeat(self) -> Heartbeat:
@@ -190,6 +251,8 @@
             case Residents(engines=engines):
                 for engine in engines:
                     self._residency.note_told(engine.instance, engine.adapters)
+            case Charged():
+                self.demand.charges.note_charged(message)
             case TableNews():
                 self._on_table_news(self._zone, message)
             case Heartbeat():
@@ -221,15 +284,16 @@
     def _feed_own_demand(self) -> None:
         """Tell this box's own placer what its link would tell another box's."""
         box = self._settings.box
-        self._placer.take_demand(box, self.demand.whole())
+        self.take_demand(box, self.demand.whole())
         while True:
             self.demand.wait_for_news()
-            self._placer.take_demand(box, self.demand.take_news())
+            self.take_demand(box, self.demand.take_news())
 
     # While this box places.
 
     def begin_placing(self) -> None:
         """Place the zone, as the lease was taken."""
+        self._ledger = self._new_ledger()
         self._placer.start()
         self._under_lease = [
             gevent.spawn(self._feed_own_demand),
--- /dev/null
+++ b/springrock/quotas/messages.py
@@ -0,0 +1,42 @@
+"""What boxes and placers tell each other of quotas; parts of the messages of a placer's link."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class Charge(Struct, frozen=True, array_like=True):
+    """A request whose cost is to be taken out of its team's part.
+
+    Attributes:
+        number: The box's own number for it.
+        request: The client's id of the request, for logs.
+        team: The team.
+        units: The cost.
+    """
+
+    number: int
+    request: str
+    team: str
+    units: int
+
+
+class GiveBack(Struct, frozen=True, array_like=True):
+    """A charge whose request did not run."""
+
+    number: int
+
+
+class Charged(Struct, frozen=True, array_like=True, tag=8):
+    """The placer's answer to a charge.
+
+    Attributes:
+        counts: Whether the placer may count for its zone now.
+        taken: Whether the request may run.
+        back_in_ms: If not, when there is likely room for it; None if there never is.
+    """
+
+    number: int
+    counts: bool
+    taken: bool = False
+    back_in_ms: int | None = None
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -14,7 +14,7 @@
 from springrock.log import Condition, Log
 from springrock.store_clock import StoreClock
 
-_POLL_WAIT_S = 1.8
+POLL_WAIT_S = 1.8
 """With the time for an answer it is under three seconds: so soon after a cut has healed silently a
 box must know of it."""
 
@@ -184,7 +184,8 @@
         table: The name of the table.
         listener: Who learns of the rows.
         pause_s: How long changes are let gather between two reads.
-        poll_wait_s: How long the store is to wait for a change, where this box reads for itself.
+        poll_wait_s: Returns how long the store is to wait for a change, where this box reads for
+            itself.
         clock: The store's steady clock, shared by the followers of a box.
         eager: Whether changes are waited for at once after the whole table was read.
         log: The log to write to.
@@ -203,7 +204,7 @@
         *,
         pause_s: float,
         log: Log,
-        poll_wait_s: float = _POLL_WAIT_S,
+        poll_wait_s: Callable[[], float] = lambda: POLL_WAIT_S,
         clock: StoreClock | None = None,
         eager: bool = False,
     ) -> None:
@@ -314,7 +315,7 @@
             snapshot = self._store.read_all(self.table)
             whole = TableReading(self.table, 0, snapshot.version, snapshot.rows, whole=True)
             return whole, snapshot.store_s
-        wait_s = _SHARED_POLL_WAIT_S if self.sharing() else self._poll_wait_s
+        wait_s = _SHARED_POLL_WAIT_S if self.sharing() else self._poll_wait_s()
         read = self._store.changes(self.table, after=after, wait_s=wait_s)
         changes = _without_overtaken_removals(read.changes)
         return TableReading(self.table, after, read.version, changes), read.store_s
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -24,6 +24,7 @@
 from springrock.placement.residency import Versions
 from springrock.placement.settings import PlacementSettings
 from springrock.placement.surroundings import Surroundings
+from springrock.quotas.shares import QuotaTerms
 from springrock.rows import Row, TableReading
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
@@ -80,6 +81,7 @@
             directory=self.directory,
             versions=Versions(),
             control=SlowEngine("m"),
+            quota_terms=lambda: QuotaTerms(8.0, 0.1, 0.0, 1),
             log_of=lambda part: Log(part, "box-1"),
             metrics=ForwardingMetrics(),
         )
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -14,6 +14,7 @@
 from springrock.placement.settings import PlacementSettings
 from springrock.placement.surroundings import Surroundings
 from springrock.placement.zone import ZonePlacement
+from springrock.quotas.shares import QuotaTerms
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
 
@@ -31,6 +32,7 @@
         versions=versions,
         residency=Residency(directory, versions),
         control=SlowEngine("m"),
+        quota_terms=lambda: QuotaTerms(8.0, 0.1, 0.0, 1),
         on_table_news=lambda zone, told: None if news is None else news.append(told),
         on_placer_heard=lambda: None,
         on_placer_lost=lambda zone: None,
--- /dev/null
+++ b/tests/quotas/test_charging.py
@@ -0,0 +1,141 @@
+"""Whom a box asks for a request's charge, and what it does without an answer."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from springrock.forwarding.configuration import Team
+from springrock.forwarding.errors import OverQuota, QuotaUnheard
+from springrock.quotas.charge_book import ChargeBook, CounterSilent
+from springrock.quotas.charging import Charging, Receipt
+from springrock.quotas.ledger import Verdict
+from springrock.quotas.messages import Charge, Charged, GiveBack
+
+TEAM = Team(name="one", rate=5.0, burst=5.0)
+
+
+class ScriptedCounter:
+    """Answers what it is told to, and remembers what was asked."""
+
+    def __init__(self, answer: Verdict | None) -> None:
+        self.answer = answer
+        self.asked: list[tuple[str, int]] = []
+        self.given_back: list[int] = []
+
+    def charge(self, team: str, units: int, *, request: str) -> tuple[Verdict, int]:
+        self.asked.append((team, units))
+        if self.answer is None:
+            raise CounterSilent()
+        return self.answer, len(self.asked)
+
+    def give_back(self, number: int) -> None:
+        self.given_back.append(number)
+
+
+def charge(**counters: ScriptedCounter) -> Receipt:
+    charging = Charging(zones=lambda: list(counters), counter=counters.__getitem__)
+    return charging.charge(TEAM, tokens=7, request="r")
+
+
+def test_the_own_zone_is_asked_first_and_alone_if_it_has_room() -> None:
+    own, other = ScriptedCounter(Verdict(True)), ScriptedCounter(Verdict(True))
+    charge(own=own, other=other).give_back()
+    assert (own.asked, own.given_back, other.asked) == ([("one", 1)], [1], [])
+
+
+def test_another_zone_lends_where_the_own_has_no_room() -> None:
+    own, other = ScriptedCounter(Verdict(False, 1.0)), ScriptedCounter(Verdict(True))
+    charge(own=own, other=other).give_back()
+    assert other.given_back == [1]
+
+
+def test_a_zone_that_does_not_answer_is_left_for_another_and_then_left_alone() -> None:
+    own, other = ScriptedCounter(None), ScriptedCounter(Verdict(True))
+    counters = {"own": own, "other": other}
+    charging = Charging(zones=lambda: list(counters), counter=counters.__getitem__)
+    for _ in range(3):
+        charging.charge(TEAM, tokens=None, request="r")
+    assert (len(own.asked), len(other.asked)) == (1, 3)
+
+
+def test_a_team_over_its_quota_is_told_the_soonest_room() -> None:
+    with pytest.raises(OverQuota) as rejection:
+        charge(a=ScriptedCounter(Verdict(False, 2.0)), b=ScriptedCounter(Verdict(False, 1.0)))
+    assert (rejection.value.status, rejection.value.retry_after_s) == (429, 1.0)
+    with pytest.raises(OverQuota) as rejection:
+        charge(a=ScriptedCounter(Verdict(False)), b=ScriptedCounter(None))
+    assert rejection.value.retry_after_s is None
+
+
+def test_without_anybody_who_counts_nothing_runs() -> None:
+    with pytest.raises(QuotaUnheard):
+        charge(a=ScriptedCounter(None), b=ScriptedCounter(None))
+    with pytest.raises(QuotaUnheard):
+        charge()
+
+
+def test_who_has_no_limit_asks_nobody() -> None:
+    counter = ScriptedCounter(None)
+    charging = Charging(zones=lambda: ["a"], counter=lambda zone: counter)
+    for team in (None, Team(name="free")):
+        charging.charge(team, tokens=None, request="r").give_back()
+    assert counter.asked == counter.given_back == []
+
+
+# The book of one zone.
+
+
+def asking(book: ChargeBook) -> gevent.Greenlet[..., tuple[Verdict, int]]:
+    task = gevent.spawn(book.charge, "one", 7, request="r")
+    gevent.sleep(0)
+    return task
+
+
+def test_an_answer_ends_the_wait() -> None:
+    urgent: list[bool] = []
+    book = ChargeBook(on_news=urgent.append)
+    task = asking(book)
+    assert book.take_news() == ([Charge(1, "r", "one", 7)], [])
+    book.note_charged(Charged(1, counts=True, taken=False, back_in_ms=250))
+    assert task.get(timeout=10) == (Verdict(False, 0.25), 1)
+    book.give_back(1)
+    assert book.take_news() == ([], [GiveBack(1)])
+    assert urgent == [True, False]
+
+
+def test_a_charge_without_an_answer_is_taken_back() -> None:
+    book = ChargeBook(on_news=lambda urgent: None)
+    task = asking(book)
+    book.take_news()
+    with pytest.raises(CounterSilent):
+        task.get(timeout=10)
+    assert book.take_news() == ([], [GiveBack(1)])
+    book.note_charged(Charged(1, counts=True, taken=True))
+
+
+def test_a_charge_that_was_never_told_is_withdrawn() -> None:
+    book = ChargeBook(on_news=lambda urgent: None)
+    with pytest.raises(CounterSilent):
+        asking(book).get(timeout=10)
+    assert book.take_news() == ([], [])
+
+
+def test_a_client_that_leaves_while_its_charge_is_asked_for_pays_nothing() -> None:
+    book = ChargeBook(on_news=lambda urgent: None)
+    task = asking(book)
+    book.take_news()
+    task.kill()
+    assert book.take_news() == ([], [GiveBack(1)])
+
+
+def test_a_placer_that_is_lost_or_may_not_count_ends_the_wait_at_once() -> None:
+    for end in (
+        lambda book: book.forget_placer(),
+        lambda book: book.note_charged(Charged(1, counts=False)),
+    ):
+        book = ChargeBook(on_news=lambda urgent: None)
+        task = asking(book)
+        end(book)
+        with pytest.raises(CounterSilent):
+            task.get(timeout=0.1)
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -122,7 +122,7 @@
         self.clients[name], self.readiness[name] = clients, readiness
         self.metrics[name] = metrics
         settings = {
-            "box": {"name": name, "availability_zone": zone},
+            "box": {"name": name, "availability_zone": zone, "zones": ZONES},
             "listen": {
                 "clients_address": clients,
                 "readiness_address": readiness,
--- a/tests/routed/test_teams.py
+++ b/tests/routed/test_teams.py
@@ -14,12 +14,20 @@
 from tests.processes import wait_until
 from tests.routed.deployment import REPLICAS, ROUTES, Answer, Deployment, route
 
-REVOKE_S = 2.0
-KEYS = ("key-of-one-4f1d", "key-of-two-93ab", "key-that-goes-77c0", "key-of-nobody-0b1e")
-ONE, TWO, GOES, NOBODY = KEYS
+REVOKE_S = 3.0
+KEYS = (
+    "key-of-one-4f1d",
+    "key-of-two-93ab",
+    "key-that-goes-77c0",
+    "key-of-few-51ce",
+    "key-of-nobody-0b1e",
+)
+ONE, TWO, GOES, FEW, NOBODY = KEYS
+FEW_PER_S = 8
 TENANTS = [
     {"name": "one", "apiKeys": [ONE, GOES], "priority": 1},
     {"name": "two", "apiKeys": [TWO]},
+    {"name": "few", "apiKeys": [FEW], "ratePerS": FEW_PER_S, "burst": FEW_PER_S},
     {"name": "idle", "apiKeys": []},
 ]
 ALL_ROUTES = [*ROUTES, route("open", "safe", "rosters", public=True)]
@@ -166,6 +174,66 @@
     assert deployment.runs(request_id) == 0
 
 
+def press(deployment: Teams, *, for_s: float) -> tuple[list[Answer], float]:
+    """Send far more than a team may, at all boxes; return the answers and how long it took."""
+    answers: list[Answer] = []
+    began_at = time.monotonic()
+
+    def _press(box: str) -> None:
+        while time.monotonic() < began_at + for_s:
+            answers.append(deployment.send_as(FEW, box=box))
+
+    clients = [threading.Thread(target=_press, args=(box,)) for box in deployment.clients]
+    for client in clients:
+        client.start()
+    for client in clients:
+        client.join()
+    return answers, time.monotonic() - began_at
+
+
+def test_a_team_beyond_its_quota_is_told_when_to_come_back(deployment: Teams) -> None:
+    deployment.wait_served(FEW)
+    answers, took_s = press(deployment, for_s=3.0)
+    served = sum(answer.status == 200 for answer in answers)
+    assert served <= FEW_PER_S * (took_s + 1)
+    assert served >= FEW_PER_S * 2, "what flows in is handed out, whichever zone has it"
+    over = [answer for answer in answers if answer.status == 429]
+    assert len(over) == len(answers) - served
+    assert all(float(answer.headers["Retry-After"]) > 0 for answer in over)
+    deployment.wait_served(ONE)
+
+
+def test_a_placer_that_stands_still_hands_out_nothing_twice(deployment: Teams) -> None:
+    placer, other = deployment.placer_and_other("zone-1")
+    deployment.wait_served(FEW, box=other)
+    deployment.processes.signal(placer, signal.SIGSTOP)
+    answers: list[Answer] = []
+    began_at = time.monotonic()
+
+    def _is_counted() -> bool:
+        answers.append(deployment.send_as(FEW, box=other))
+        return sum(answer.status == 200 for answer in answers) > FEW_PER_S
+
+    try:
+        wait_until(_is_counted, what="others count for the zone")
+    finally:
+        deployment.processes.signal(placer, signal.SIGCONT)
+    more, _ = press(deployment, for_s=1.0)
+    served = sum(answer.status == 200 for answer in [*answers, *more])
+    assert 0 < served <= FEW_PER_S * (time.monotonic() - began_at + 1)
+    deployment.wait_served(ONE, box=placer)
+
+
+def test_a_stop_of_the_store_ends_the_count_with_the_lease(deployment: Teams) -> None:
+    deployment.wait_served(FEW)
+    deployment.fault("store", busy=True)
+    wait_until(lambda: deployment.send_as(FEW).status == 503, what="nobody may count")
+    request_id = deployment.new_id()
+    answer = deployment.send_as(FEW, request_id=request_id)
+    assert answer.headers["Retry-After"]
+    assert deployment.runs(request_id) == 0
+
+
 def test_no_key_stands_in_any_output(deployment: Teams, tmp_path: Path) -> None:
     for key in KEYS:
         deployment.send_as(key)
