--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -14,7 +14,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.ask_book import RETURN_GRACE_S
 from springrock.placement.errors import PlacerSilent
-from springrock.placement.messages import Ask, Began, Demand, Outcome, Over, Promise
+from springrock.placement.messages import Ask, Began, Demand, Outcome, Over, Promise, Written
 from springrock.placement.messages import Use as UseMessage
 from springrock.quotas.charge_book import ChargeBook
 
@@ -107,6 +107,7 @@
         self._expected: list[_Expected] = []
         self._forecasts: dict[AdapterKey, float] = {}
         self._news = _News()
+        self._written: list[Written] = []
         self.charges = ChargeBook(on_news=lambda urgent: self._tell(urgent=urgent))
         self.stopping = False
         self.changed = Event()
@@ -237,6 +238,11 @@
         for asker in self._askers.values():
             asker.news.set()
 
+    def note_written(self, written: Written) -> None:
+        """Tell the placer what came of a row that it had asked to be written."""
+        self._written.append(written)
+        self._tell(urgent=True)
+
     # What tells the placer.
 
     def wait_for_news(self, *, timeout_s: float | None = None) -> None:
@@ -261,6 +267,7 @@
         self.urgent.clear()
         now = monotonic()
         charges, given_back = self.charges.take_news()
+        written, self._written = self._written, []
         wanted = {asker.wish.key for asker in self._askers.values()}
         for key in [key for key in self._forecasts if key not in wanted]:
             del self._forecasts[key]
@@ -283,6 +290,7 @@
             stopping=self.stopping,
             charges=charges,
             given_back=given_back,
+            written=written,
         )
 
 
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from springrock.clock import monotonic
-from springrock.log import Log
+from springrock.log import Condition, Log
 from springrock.placement.placer_row import TABLE, PlacerRow, key_of, placer_row_from
 from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
 
@@ -22,6 +22,10 @@
 """So long an order may be under way: the time for a connection and for an answer. Where engines do
 not look at fences, none may arrive after the lease."""
 
+_STORE_LEFT_ALONE_S = 5.0
+"""So long after the store did not answer a renewal, linked boxes are asked first to write it: one
+that waits for its own call takes a third of the lease."""
+
 _RENEWAL_TRIES = 2
 """A second one where the store says that the row has another version than it answered before, as
 it may name that of a later transaction: without it a third of the lease would pass unrenewed."""
@@ -41,6 +45,18 @@
         """Learn of a row that is perhaps newer than what was read."""
 
 
+class RowWriter(Protocol):
+    """Writes rows under a condition, as the store itself does."""
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        """Write a row if it has the expected version; return its new one, or a later of the store.
+
+        Raises:
+            RowConflict: If it has another version.
+            RowStoreUnavailable: If no answer came; the write may take effect, even later.
+        """
+
+
 class PlacerLease:
     """Takes, renews and gives up the lease.
 
@@ -54,6 +70,7 @@
         checks_fence: Whether replicas refuse orders with an older fence, so that a holder that
             cannot reach the store may go on: a successor's first order stops it.
         rows: The rows of all zones' placers, as far as they are known.
+        relay: Writes renewals where the store does not answer this box; None if nobody can.
         log: The log to write to.
     """
 
@@ -69,7 +86,15 @@
         checks_fence: bool,
         rows: PlacerRows,
         log: Log,
+        relay: RowWriter | None = None,
     ) -> None:
+        self._relay = relay
+        self._store_failed_at = -_STORE_LEFT_ALONE_S
+        self._relayed = Condition(
+            log,
+            begins="Has its lease renewed by linked boxes.",
+            ends="Renews its lease itself again.",
+        )
         self._store = store
         self._rows = rows
         self._key = key_of(zone)
@@ -264,11 +289,39 @@
     def _write_renewal(self) -> None:
         own = self._own
         assert own is not None
-        sent_at = monotonic()
         renewed = msgspec.structs.replace(own, renewal=own.renewal + 1)
-        self._version = self._write(renewed, expected=self._version)
+        sent_at, version = self._renewed(renewed)
+        if self._own is not own:
+            # Lost meanwhile, as by a refused order.
+            raise RowStoreUnavailable("the lease was given up meanwhile")
+        self._version = version
         self._own = renewed
         self._held_until = sent_at + self._lease_s
 
-    def _write(self, value: PlacerRow, *, expected: int) -> int:
-        return self._store.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
+    def _renewed(self, renewed: PlacerRow) -> tuple[float, int]:
+        """Write a renewal by the store or by linked boxes; return when it was sent, and as what."""
+        writers: list[RowWriter] = [self._store]
+        if self._relay is not None:
+            writers.append(self._relay)
+            if monotonic() - self._store_failed_at < _STORE_LEFT_ALONE_S:
+                writers.reverse()
+        failure = RowStoreUnavailable("nobody writes")
+        for writer in writers:
+            sent_at = monotonic()
+            try:
+                version = self._write(renewed, expected=self._version, writer=writer)
+            except RowStoreUnavailable as error:
+                failure = error
+                if writer is self._store:
+                    self._store_failed_at = sent_at
+                continue
+            if writer is self._store:
+                self._relayed.end(row=self._key)
+            else:
+                self._relayed.begin(row=self._key)
+            return sent_at, version
+        raise failure
+
+    def _write(self, value: PlacerRow, *, expected: int, writer: RowWriter | None = None) -> int:
+        chosen = self._store if writer is None else writer
+        return chosen.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import OrderedDict
 from collections.abc import Callable, Collection
 from typing import Any, Protocol
@@ -116,6 +117,11 @@
         """How many boxes are linked."""
         return len(self._links)
 
+    def some(self, most: int) -> list[str]:
+        """Return some linked boxes that are to stay, by chance."""
+        staying = [box for box, link in self._links.items() if not link.stopping]
+        return random.sample(staying, min(most, len(staying)))
+
     def hold(self, home_zone: str, *, for_s: float, strength: float = 0.0) -> bool:
         """Whether a box that stands in a zone, and is to stay, has been linked for so long.
 
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -104,6 +104,37 @@
     back_in_ms: int
 
 
+class WriteFor(Struct, frozen=True, array_like=True, tag=9):
+    """A placer's row that it asks a box to write, as the store does not answer the placer.
+
+    Attributes:
+        number: The placer's own number for it.
+        expected: The version that the row must have.
+    """
+
+    number: int
+    key: str
+    value: bytes
+    expected: int
+
+
+class Written(Struct, frozen=True, array_like=True):
+    """What came of writing a row for a placer.
+
+    Attributes:
+        answered: Whether the store answered.
+        version: The version of the row; 0 if there is none.
+        conflict: Whether the row had another version than expected.
+        value: The row as it stands.
+    """
+
+    number: int
+    answered: bool = False
+    version: int = 0
+    conflict: bool = False
+    value: bytes = b""
+
+
 class Demand(Struct, frozen=True, array_like=True, tag=2):
     """What is new at a box.
 
@@ -111,6 +142,7 @@
         stopping: Whether the box is about to stop, and so takes no lease any more.
         charges: Requests whose cost is to be charged to their teams.
         given_back: Charges whose requests did not run.
+        written: What came of rows that the placer had asked to be written.
     """
 
     asks: list[Ask] = []
@@ -121,6 +153,7 @@
     stopping: bool = False
     charges: list[Charge] = []
     given_back: list[GiveBack] = []
+    written: list[Written] = []
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=3):
@@ -212,7 +245,7 @@
 _FASTEST = 1
 """The level of compression: one of 1,400 routes shrinks to under a tenth even so."""
 
-Message = Hello | Demand | Grant | Forecast | Heartbeat | Residents | TableNews | Charged
+Message = Hello | Demand | Grant | Forecast | Heartbeat | Residents | TableNews | Charged | WriteFor
 
 
 def encode(message: Message) -> bytes:
--- /dev/null
+++ b/springrock/placement/relayed_writes.py
@@ -0,0 +1,116 @@
+"""Writes of a placer's row by other boxes, for a placer that the store does not answer.
+
+A cut between one box and the store is no reason to change the placer: its links stand, and any box
+at their other end can write the row in its place. The write is under the same condition, so it does
+not matter which box writes or how many are asked. A write that took effect unanswered is a conflict
+for the next, as with the store itself: it took effect sooner than the next was sent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from itertools import count
+
+from gevent.event import Event
+
+from springrock.placement.messages import Message, WriteFor, Written
+from springrock.placement.placer_row import TABLE
+from springrock.rows import Row, RowConflict, RowStore, RowStoreUnavailable
+
+_HELPERS = 3
+"""Boxes that are asked at once: of a third that the store does not answer, so many are all cut off
+from it once in 27 times."""
+
+_ANSWERS_WITHIN_S = 0.5
+
+
+class RelayedWrites:
+    """Has linked boxes write for the placer.
+
+    Args:
+        helpers: Returns some linked boxes, at most so many.
+        send: Sends a message to one of them.
+    """
+
+    def __init__(
+        self,
+        *,
+        helpers: Callable[[int], Sequence[str]],
+        send: Callable[[str, Message], None],
+    ) -> None:
+        self._helpers = helpers
+        self._send = send
+        self._numbers = count(1)
+        self._waiting: dict[int, _Round] = {}
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        """Write a row if it has the expected version; return its version, or a later of the store.
+
+        Args:
+            table: The table of the placers' rows; boxes write no other for a placer.
+            key: The row.
+            value: What it is to be.
+            expected: The version that it must have.
+
+        Raises:
+            RowConflict: If it has another version.
+            RowStoreUnavailable: If no box could write.
+        """
+        assert table == TABLE
+        helpers = self._helpers(_HELPERS)
+        number = next(self._numbers)
+        waiting = self._waiting[number] = _Round(len(helpers))
+        try:
+            for box in helpers:
+                self._send(box, WriteFor(number, key, value, expected))
+            if helpers:
+                waiting.over.wait(timeout=_ANSWERS_WITHIN_S)
+        finally:
+            del self._waiting[number]
+        written = waiting.best
+        if written is None:
+            raise RowStoreUnavailable("no linked box could write")
+        if written.conflict:
+            row = Row(key, written.value, written.version) if written.version else None
+            raise RowConflict(row)
+        return written.version
+
+    def note_written(self, written: Written) -> None:
+        """Learn what a box could do; what comes too late is passed over."""
+        waiting = self._waiting.get(written.number)
+        if waiting is not None:
+            waiting.take(written)
+
+
+class _Round:
+    """The answers to one write that several boxes were asked for.
+
+    One of them writes; to the others the row then has another version.
+    """
+
+    def __init__(self, asked: int) -> None:
+        self._left = asked
+        self.best: Written | None = None
+        self.over = Event()
+
+    def take(self, written: Written) -> None:
+        """Take an answer; that of the box that wrote is the one."""
+        self._left -= 1
+        if written.answered and (self.best is None or self.best.conflict):
+            self.best = written
+        if not self._left or (written.answered and not written.conflict):
+            self.over.set()
+
+
+def write_for(store: RowStore, asked: WriteFor) -> Written:
+    """Write for a placer; return what came of it."""
+    try:
+        version = store.write(TABLE, asked.key, asked.value, expected=asked.expected)
+    except RowConflict as conflict:
+        row = conflict.row
+        if row is None:
+            return Written(asked.number, answered=True, conflict=True)
+        return Written(asked.number, True, row.version, conflict=True, value=row.value)
+    except RowStoreUnavailable:
+        return Written(asked.number)
+    return Written(asked.number, True, version, value=asked.value)
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -22,8 +22,10 @@
     Message,
     Residents,
     TableNews,
+    WriteFor,
 )
 from springrock.placement.placer import Placer
+from springrock.placement.relayed_writes import RelayedWrites, write_for
 from springrock.placement.settings import PlacementSettings
 from springrock.placement.surroundings import Surroundings
 from springrock.quotas.charge_book import CounterSilent, charged_from
@@ -66,6 +68,9 @@
         self.room = 0
         self.boxes = 1
         self.spread: frozenset[str] = frozenset()
+        self._store = around.store
+        self.links = BoxLinks(self, log=around.log_of("link"))
+        self._writes = RelayedWrites(helpers=self.links.some, send=self._send)
         self._lease = PlacerLease(
             around.store,
             zone=zone,
@@ -75,6 +80,7 @@
             lease_s=settings.lease_s,
             checks_fence=settings.checks_fence,
             rows=around.board,
+            relay=self._writes,
             log=around.log_of("lease"),
         )
         self._placer = Placer(
@@ -91,7 +97,6 @@
             log=around.log_of("placer"),
             metrics=around.metrics,
         )
-        self.links = BoxLinks(self, log=around.log_of("link"))
         self._client = PlacerClient(
             settings.box,
             home_zone=settings.zone,
@@ -157,6 +162,8 @@
         """Take all that a box now wants and uses."""
         if demand.charges or demand.given_back:
             self._take_charges(box, demand)
+        for written in demand.written:
+            self._writes.note_written(written)
         self._placer.take_demand(box, demand)
 
     def _take_charges(self, box: str, demand: Demand) -> None:
@@ -251,6 +258,8 @@
             case Residents(engines=engines):
                 for engine in engines:
                     self._residency.note_told(engine.instance, engine.adapters)
+            case WriteFor():
+                gevent.spawn(self._write_for, message)
             case Charged():
                 self.demand.charges.note_charged(message)
             case TableNews():
@@ -259,6 +268,9 @@
                 self._lease.note_heartbeat(message.row_version, message.lease_left_ms / 1000)
                 self._note_heartbeat(message)
 
+    def _write_for(self, asked: WriteFor) -> None:
+        self.demand.note_written(write_for(self._store, asked))
+
     def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.room = heartbeat.room
         self.boxes = heartbeat.boxes
--- a/springrock/quotas/ledger.py
+++ b/springrock/quotas/ledger.py
@@ -59,6 +59,7 @@
         self._configuration = configuration
         self._terms = terms
         self._began_at = now
+        self._ended_at: dict[str, float] = {}
         self._version = -1
         self._standing_terms: QuotaTerms | None = None
         self._teams: dict[str, Team] = {}
@@ -137,13 +138,15 @@
         self._teams = {team.name: team for team in teams}
         for name in self._buckets.keys() - {team.name for team in teams if team.limited}:
             del self._buckets[name]
+            self._ended_at[name] = now
         for team in teams:
             if not team.limited:
                 continue
             limits = limits_of_zone(team, terms)
             bucket = self._buckets.get(team.name)
             if bucket is None:
-                # What it had until now it may have used under an older configuration.
-                self._buckets[team.name] = TokenBucket(limits, now=now, remember_s=_REMEMBER_S)
+                began_at = self._ended_at.get(team.name, self._began_at)
+                bucket = TokenBucket(limits, now=began_at, remember_s=_REMEMBER_S)
+                self._buckets[team.name] = bucket
             else:
                 bucket.change(limits, now=now)
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -8,7 +8,7 @@
 
 from springrock.log import Log
 from springrock.placement import lease as lease_module
-from springrock.placement.lease import PlacerLease
+from springrock.placement.lease import PlacerLease, RowWriter
 from springrock.placement.placer_row import TABLE
 from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable, Snapshot
 
@@ -80,6 +80,7 @@
     incarnation: str = "",
     checks_fence: bool = True,
     rows: ReadRows | None = None,
+    relay: RowWriter | None = None,
 ) -> PlacerLease:
     return PlacerLease(
         store,
@@ -90,6 +91,7 @@
         lease_s=LEASE_S,
         checks_fence=checks_fence,
         rows=rows or ReadRows(store),
+        relay=relay,
         log=Log("lease", box),
     )
 
@@ -339,3 +341,43 @@
     clock.now += LEASE_S - 0.5
     assert one.renew()
     assert one.left_s == LEASE_S
+
+
+class LinkedBox:
+    """Reaches the store where the placer does not."""
+
+    def __init__(self, store: Store) -> None:
+        self.row_store = store
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        self.row_store.down = False
+        try:
+            return self.row_store.write(table, key, value, expected=expected)
+        finally:
+            self.row_store.down = True
+
+
+def test_a_placer_that_the_store_does_not_answer_is_renewed_by_a_linked_box(clock: Clock) -> None:
+    store = Store()
+    lease = make_lease(store, "one", relay=LinkedBox(store))
+    assert lease.challenge(lease.look())
+    store.down = True
+    for _ in range(5):
+        clock.now += LEASE_S / 2
+        assert lease.renew()
+        assert lease.left_s == LEASE_S
+
+
+def test_a_renewal_that_took_effect_unanswered_counts_from_when_it_was_sent(clock: Clock) -> None:
+    store = Store()
+    lease = make_lease(store, "one", relay=LinkedBox(store))
+    assert lease.challenge(lease.look())
+    store.lose_answer = True
+    lease.renew()
+    clock.now += LEASE_S / 2
+    assert lease.left_s == LEASE_S / 2
+    store.down, store.lose_answer = True, False
+    assert lease.renew()
+    assert lease.left_s == LEASE_S
+    assert store.row is not None
+    assert lease.version == store.row.version
--- a/tests/placement/test_lease_model.py
+++ b/tests/placement/test_lease_model.py
@@ -9,12 +9,32 @@
 
 from springrock.placement import lease as lease_module
 from springrock.placement.lease import PlacerLease
+from springrock.rows import RowStoreUnavailable
 from tests.placement.test_lease import LEASE_S, Store, make_lease
 
 BOXES = ("one", "two", "three")
 boxes = st.sampled_from(BOXES)
 
 
+class Relay:
+    """Linked boxes that write for a placer; they may be out of reach, or their answers be lost."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.down = True
+        self.lose_answer = False
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        if self.down:
+            raise RowStoreUnavailable("no linked box")
+        was_down, was_lossy = self.store.down, self.store.lose_answer
+        self.store.down, self.store.lose_answer = False, self.lose_answer
+        try:
+            return self.store.write(table, key, value, expected=expected)
+        finally:
+            self.store.down, self.store.lose_answer = was_down, was_lossy
+
+
 class LeaseModel(RuleBasedStateMachine):
     """Three boxes, one row; replicas check no fence, so that only time keeps holders apart."""
 
@@ -24,6 +44,7 @@
         self.patch = pytest.MonkeyPatch()
         self.patch.setattr(lease_module, "monotonic", lambda: self.now)
         self.store = Store()
+        self.relay = Relay(self.store)
         self.starts = 0
         self.fences: list[int] = []
         self.leases = {box: self.started(box) for box in BOXES}
@@ -31,7 +52,13 @@
     def started(self, box: str) -> PlacerLease:
         """Return the lease of a new process of a box."""
         self.starts += 1
-        return make_lease(self.store, box, incarnation=f"{box}-{self.starts}", checks_fence=False)
+        return make_lease(
+            self.store,
+            box,
+            incarnation=f"{box}-{self.starts}",
+            checks_fence=False,
+            relay=self.relay,
+        )
 
     @rule(seconds=st.sampled_from((0.1, 0.5, LEASE_S * 0.9, LEASE_S * 1.15)))
     def pass_time(self, seconds: float) -> None:
@@ -71,6 +98,10 @@
     def answers_are_lost_or_not(self, lose: bool) -> None:
         self.store.lose_answer = lose
 
+    @rule(down=st.booleans(), lose=st.booleans())
+    def linked_boxes_reach_the_store_or_not(self, down: bool, lose: bool) -> None:
+        self.relay.down, self.relay.lose_answer = down, lose
+
     @invariant()
     def one_box_holds(self) -> None:
         assert sum(lease.holds for lease in self.leases.values()) <= 1
--- a/tests/quotas/test_ledger.py
+++ b/tests/quotas/test_ledger.py
@@ -49,6 +49,24 @@
     assert account.charge(now=1.0, units=25) == Verdict(False, pytest.approx(0.5))
 
 
+def test_what_flows_in_before_the_first_charge_counts() -> None:
+    ledger = Ledger(
+        configuration=lambda: Configuration(version=1, teams=(TEAM,)),
+        terms=lambda: TERMS,
+        now=0.0,
+    )
+    assert ledger.charge("box", 1, team="one", units=50, now=1.0).charged
+
+
+def test_a_team_that_comes_back_is_not_handed_its_burst_again() -> None:
+    account = Account(TEAM)
+    assert account.charge(now=100.0, units=50).charged
+    account.configure()
+    account.charge(now=100.0, units=1)
+    account.configure(TEAM)
+    assert not account.charge(now=100.0, units=1).charged
+
+
 def test_those_who_are_told_to_come_back_come_one_after_the_other() -> None:
     account = Account(TEAM)
     account.charge(now=1.0, units=50)
