--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -135,14 +135,22 @@
         return self._lately.get(key, -1) >= version
 
     def load_taken(
-        self, key: AdapterKey, *, version: int, expected_s: float = 0.0, cold: bool = False
+        self,
+        key: AdapterKey,
+        *,
+        version: int,
+        sent_at: float | None = None,
+        expected_s: float = 0.0,
+        cold: bool = False,
     ) -> None:
         """Note that the engine took an order to load.
 
         Args:
             key: The adapter.
             version: Its version; 0 for the newest.
-            expected_s: When it should be there, in seconds.
+            sent_at: When it was sent, if that is told: counted from its answer, which may come
+                late, a load would look faster than any is.
+            expected_s: When it should be there, in seconds from now.
             cold: Whether it comes from the weight store.
         """
         known = self.places.get(key)
@@ -152,7 +160,7 @@
         self.places[key] = Place(
             version=version,
             state=PlaceState.COMING,
-            since=now,
+            since=now if sent_at is None else sent_at,
             expected_at=now + expected_s,
             cold=cold,
         )
--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -242,6 +242,7 @@
             return False
         version = self._newest(key) if kind is OrderKind.LOAD else 0
         order = Order(kind, key, version, book.sequence, self._holder, self._lease.fence)
+        sent_at = monotonic()
         try:
             answer = self._control.order(book.record.address, instance=book.instance, order=order)
         except ControlUnanswered as error:
@@ -250,17 +251,17 @@
             gevent.sleep(_LOOK_S)
             return True
         self._say(order, answer.value)
-        self._take_answer(order, answer)
+        self._take_answer(order, answer, sent_at)
         self._settle()
         return True
 
-    def _take_answer(self, order: Order, answer: OrderAnswer) -> None:
+    def _take_answer(self, order: Order, answer: OrderAnswer, sent_at: float) -> None:
         book = self.book
         if answer is OrderAnswer.DONE and order.kind is OrderKind.LOAD:
             book.loaded(order.key, version=order.version)
             return
         if answer in (OrderAnswer.TAKEN, OrderAnswer.DONE):
-            self._note_taken(order, answer)
+            self._note_taken(order, answer, sent_at)
             return
         self._stale = True
         if answer is OrderAnswer.OLDER_FENCE:
@@ -269,7 +270,7 @@
             book.assigned.pop(order.key, None)
         gevent.sleep(_CONFLICT_PAUSE_S)
 
-    def _note_taken(self, order: Order, answer: OrderAnswer) -> None:
+    def _note_taken(self, order: Order, answer: OrderAnswer, sent_at: float) -> None:
         book = self.book
         place = book.places.get(order.key)
         if order.kind is OrderKind.LOAD and place is not None:
@@ -288,7 +289,13 @@
             return
         warm = book.at_hand(order.key, version=order.version)
         expected_s = _WARM_S if warm else _COLD_S
-        book.load_taken(order.key, version=order.version, expected_s=expected_s, cold=not warm)
+        book.load_taken(
+            order.key,
+            version=order.version,
+            sent_at=sent_at,
+            expected_s=expected_s,
+            cold=not warm,
+        )
 
     def _say(self, order: Order, answer: str, **fields: object) -> None:
         book = self.book
--- a/tests/placement/test_engine_book.py
+++ b/tests/placement/test_engine_book.py
@@ -94,3 +94,11 @@
     assert book.take_report(state(1, A))
     assert book.sequence == 1
     assert book.is_ready(A, version=1)
+
+
+def test_a_load_whose_answer_came_late_does_not_look_fast() -> None:
+    book = make_book()
+    book.load_taken(A, version=1, sent_at=monotonic() - 0.3, cold=True)
+    book.loaded(A)
+    [arrival] = book.arrivals
+    assert arrival.seconds >= 0.3
--- a/tests/placement/test_load_pace.py
+++ b/tests/placement/test_load_pace.py
@@ -37,3 +37,16 @@
     for _ in range(1000):
         pace.note(0.3)
     assert pace.at_once > 8
+
+
+def test_one_load_of_half_the_time_does_not_make_the_others_look_slow() -> None:
+    """Before: 40 at once fell to 4 and stayed there; now they stay."""
+    pace = LoadPace()
+    for _ in range(400):
+        pace.note(0.32)
+    most = pace.at_once
+    for _ in range(20):
+        pace.note(0.154)
+        for _ in range(60):
+            pace.note(0.32)
+    assert pace.at_once == most
