--- a/springrock/serving/limits.py
+++ b/springrock/serving/limits.py
@@ -16,6 +16,7 @@
 from springrock.coordination.link import Link
 from springrock.coordination.members import Members
 from springrock.coordination.peers import Peers
+from springrock.quotas.bucket import BucketLimits, TokenBucket
 from springrock.wire import peer as wire
 
 _TELL_EVERY_S = 4.0
@@ -25,27 +26,6 @@
 _LEAST_PART = 0.02
 
 
-class _Bucket:
-    """A token bucket whose rate may change."""
-
-    def __init__(self) -> None:
-        self._tokens: float | None = None
-        self._at = monotonic()
-
-    def take(self, rate: float) -> float:
-        """Take a token; return 0, or the seconds until there is one."""
-        now = monotonic()
-        depth = max(1.0, rate * _BURST_S)
-        tokens = depth if self._tokens is None else self._tokens
-        tokens = min(depth, tokens + (now - self._at) * rate)
-        self._at = now
-        if tokens >= 1.0:
-            self._tokens = tokens - 1.0
-            return 0.0
-        self._tokens = tokens
-        return (1.0 - tokens) / rate
-
-
 class Limits:
     """The limits of one box.
 
@@ -68,7 +48,7 @@
         self._catalog = catalog
         self._members = members
         self._peers = peers
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, TokenBucket] = {}
         self._counts: dict[str, int] = {}
         self._demand: dict[str, float] = {}
         self._heard: dict[str, tuple[float, dict[str, float]]] = {}
@@ -91,7 +71,13 @@
             return 0.0
         self._counts[name] = self._counts.get(name, 0) + 1
         rate = workload.requests_per_s * self.part(workload)
-        return self._buckets.setdefault(name, _Bucket()).take(rate)
+        limits = BucketLimits(rate, max(1.0, rate * _BURST_S))
+        now = monotonic()
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._buckets[name] = TokenBucket(limits, now=now, level=limits.depth)
+        bucket.change(limits, now=now)
+        return bucket.take(1.0, now=now)
 
     def part(self, workload: Workload) -> float:
         """Return this box's part of a workload's limit."""
--- a/tests/quotas/test_ways.py
+++ b/tests/quotas/test_ways.py
@@ -1,7 +1,7 @@
 """Ways of dividing a team's quota, played in virtual time on the same requests.
 
-What one counter for the whole deployment would serve is what is owed; each way is judged by the part
-of it that it serves, and by never letting through more than is tolerated.
+What one counter for the whole deployment would serve is what is owed; each way is judged by the
+part of it that it serves, and by never letting through more than is tolerated.
 """
 
 from __future__ import annotations
