--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -156,7 +156,7 @@
             "springrock_log_dropped_lines", "Log lines dropped for want of room.", registry=registry
         )
 
-    def count_charge(self, team: str, *, taken: bool) -> None:
+    def count_charge(self, team: str, taken: bool) -> None:
         """Count a charge; teams beyond a number are counted together."""
         if team not in self._teams:
             if len(self._teams) >= _TEAMS_AT_MOST:
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -7,7 +7,6 @@
 
 import gevent
 
-from springrock.clock import monotonic
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.demand import DemandBook
 from springrock.placement.election import Election
@@ -28,9 +27,9 @@
 from springrock.placement.relayed_writes import RelayedWrites, write_for
 from springrock.placement.settings import PlacementSettings
 from springrock.placement.surroundings import Surroundings
-from springrock.quotas.charge_book import CounterSilent, charged_from
-from springrock.quotas.ledger import Ledger, Verdict
-from springrock.quotas.messages import Charge, Charged
+from springrock.quotas.charge_book import CounterSilent
+from springrock.quotas.messages import Charged, Verdict
+from springrock.quotas.part_counter import PartCounter
 
 _RESIDENTS_EVERY_S = 0.05
 _RESIDENTS_FRAMES_PER_S = 150
@@ -117,10 +116,15 @@
             incarnation=around.incarnation,
             holder=self,
         )
-        self._configuration = around.configuration
-        self._quota_terms = around.quota_terms
-        self._ledger = self._new_ledger()
-        self._quota_log = around.log_of("quotas")
+        self._part = PartCounter(
+            zone,
+            configuration=around.configuration,
+            terms=around.quota_terms,
+            lease_left_s=lambda: self._lease.left_s,
+            answer=self._send,
+            on_counted=around.metrics.count_charge,
+            log=around.log_of("quotas"),
+        )
         self._tasks: list[gevent.Greenlet[..., Any]] = []
         self._under_lease: list[gevent.Greenlet[..., Any]] = []
 
@@ -161,50 +165,16 @@
     def take_demand(self, box: str, demand: Demand) -> None:
         """Take all that a box now wants and uses."""
         if demand.charges or demand.given_back:
-            self._take_charges(box, demand)
+            self._part.take(box, demand.charges, demand.given_back)
         for written in demand.written:
             self._writes.note_written(written)
         self._placer.take_demand(box, demand)
 
-    def _take_charges(self, box: str, demand: Demand) -> None:
-        """Count out the zone's part of the teams' quotas, while nobody else can do so."""
-        now = monotonic()
-        counts = self._lease.left_s > 0
-        for charge in demand.charges:
-            charged = Charged(charge.number, counts=False)
-            if counts:
-                verdict = self._ledger.charge(
-                    box, charge.number, team=charge.team, units=charge.units, now=now
-                )
-                charged = charged_from(charge.number, verdict)
-                self._count_charge(box, charge, verdict, now)
-            self._send(box, charged)
-        for given_back in demand.given_back:
-            self._ledger.give_back(box, given_back.number, now=now)
-
-    def _count_charge(self, box: str, charge: Charge, verdict: Verdict, now: float) -> None:
-        self._metrics.count_charge(charge.team, taken=verdict.charged)
-        if verdict.charged:
-            return
-        self._quota_log.say(
-            "A team's part is used up.",
-            request=charge.request,
-            team=charge.team,
-            units=charge.units,
-            peer=box,
-            zone=self._zone,
-            back_in_ms=None if verdict.back_in_s is None else round(verdict.back_in_s * 1000),
-            **self._ledger.state(charge.team, now),
-        )
-
     def forget_box(self, box: str) -> None:
         """Drop what a box wanted and used."""
-        self._ledger.forget_box(box)
+        self._part.forget_box(box)
         self._placer.forget_box(box)
 
-    def _new_ledger(self) -> Ledger:
-        return Ledger(configuration=self._configuration, terms=self._quota_terms, now=monotonic())
-
     # What this box's requests ask of those who count their teams' quotas.
 
     def charge(self, team: str, units: int, *, request: str) -> tuple[Verdict, int]:
@@ -305,7 +275,7 @@
 
     def begin_placing(self) -> None:
         """Place the zone, as the lease was taken."""
-        self._ledger = self._new_ledger()
+        self._part.begin()
         self._placer.start()
         self._under_lease = [
             gevent.spawn(self._feed_own_demand),
--- a/springrock/quotas/charge_book.py
+++ b/springrock/quotas/charge_book.py
@@ -8,8 +8,7 @@
 from gevent.event import AsyncResult
 
 from springrock.errors import SpringrockError
-from springrock.quotas.ledger import Verdict
-from springrock.quotas.messages import Charge, Charged, GiveBack
+from springrock.quotas.messages import Charge, Charged, GiveBack, Verdict
 
 _NO_ANSWER_S = 0.15
 """How long a request waits for the placer's word before it asks another zone; half of the shortest
@@ -72,7 +71,7 @@
         """Learn the placer's answer; who has left has given the charge back."""
         asked = self._asked.get(charged.number)
         if asked is not None:
-            asked[1].set(verdict_from(charged))
+            asked[1].set(charged.verdict)
 
     def forget_placer(self) -> None:
         """Lose the placer: what was given back of its charges nobody knows any more."""
@@ -86,17 +85,3 @@
         new, self._new = self._new, []
         back, self._back = self._back, []
         return new, back
-
-
-def verdict_from(charged: Charged) -> Verdict | None:
-    """Return the verdict of an answer; None if the placer may not count now."""
-    if not charged.counts:
-        return None
-    back_in_s = None if charged.back_in_ms is None else charged.back_in_ms / 1000
-    return Verdict(charged.taken, back_in_s)
-
-
-def charged_from(number: int, verdict: Verdict) -> Charged:
-    """Return the answer that tells a verdict."""
-    back_in_ms = None if verdict.back_in_s is None else round(verdict.back_in_s * 1000)
-    return Charged(number, counts=True, taken=verdict.charged, back_in_ms=back_in_ms)
--- a/springrock/quotas/charging.py
+++ b/springrock/quotas/charging.py
@@ -9,7 +9,7 @@
 from springrock.forwarding.configuration import Team
 from springrock.forwarding.errors import OverQuota, QuotaUnheard
 from springrock.quotas.charge_book import CounterSilent
-from springrock.quotas.ledger import Verdict
+from springrock.quotas.messages import Verdict
 
 _LEFT_ALONE_S = 0.5
 """How long a zone whose placer did not answer a charge is asked last."""
--- a/springrock/quotas/ledger.py
+++ b/springrock/quotas/ledger.py
@@ -11,6 +11,7 @@
 
 from springrock.forwarding.configuration import Configuration, Team
 from springrock.quotas.bucket import TokenBucket
+from springrock.quotas.messages import Verdict
 from springrock.quotas.shares import QuotaTerms, limits_of_zone
 
 _REMEMBER_S = 20.0
@@ -22,18 +23,6 @@
 _SHORTEST_RETURN_S = 0.1
 
 
-class Verdict(NamedTuple):
-    """The answer to a charge.
-
-    Attributes:
-        charged: Whether the request may run.
-        back_in_s: If not, when there is likely room for it; None if there never is.
-    """
-
-    charged: bool
-    back_in_s: float | None = None
-
-
 class _Charge(NamedTuple):
     team: str
     units: float
--- a/springrock/quotas/messages.py
+++ b/springrock/quotas/messages.py
@@ -2,9 +2,23 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from msgspec import Struct
 
 
+class Verdict(NamedTuple):
+    """The answer to a charge.
+
+    Attributes:
+        charged: Whether the request may run.
+        back_in_s: If not, when there is likely room for it; None if there never is.
+    """
+
+    charged: bool
+    back_in_s: float | None = None
+
+
 class Charge(Struct, frozen=True, array_like=True):
     """A request whose cost is to be taken out of its team's part.
 
@@ -40,3 +54,17 @@
     counts: bool
     taken: bool = False
     back_in_ms: int | None = None
+
+    @classmethod
+    def from_verdict(cls, number: int, verdict: Verdict) -> Charged:
+        """Build the answer that tells a verdict."""
+        back_in_ms = None if verdict.back_in_s is None else round(verdict.back_in_s * 1000)
+        return cls(number, counts=True, taken=verdict.charged, back_in_ms=back_in_ms)
+
+    @property
+    def verdict(self) -> Verdict | None:
+        """What it tells; None if the placer may not count now."""
+        if not self.counts:
+            return None
+        back_in_s = None if self.back_in_ms is None else self.back_in_ms / 1000
+        return Verdict(self.taken, back_in_s)
--- /dev/null
+++ b/springrock/quotas/part_counter.py
@@ -0,0 +1,85 @@
+"""Counts out one zone's part of all quotas, as the box that places the zone."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from springrock.clock import monotonic
+from springrock.forwarding.configuration import Configuration
+from springrock.log import Log
+from springrock.quotas.ledger import Ledger
+from springrock.quotas.messages import Charge, Charged, GiveBack, Verdict
+from springrock.quotas.shares import QuotaTerms
+
+
+class PartCounter:
+    """Answers charges while this box surely holds the zone's lease.
+
+    Args:
+        zone: The availability zone.
+        configuration: Returns the configuration in force.
+        terms: Returns how strictly quotas are meant.
+        lease_left_s: Returns how much longer the lease surely stands.
+        answer: Sends an answer to one box.
+        on_counted: Called with a team and whether there was room.
+        log: The log to write to.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        *,
+        configuration: Callable[[], Configuration],
+        terms: Callable[[], QuotaTerms],
+        lease_left_s: Callable[[], float],
+        answer: Callable[[str, Charged], None],
+        on_counted: Callable[[str, bool], None],
+        log: Log,
+    ) -> None:
+        self._zone = zone
+        self._configuration = configuration
+        self._terms = terms
+        self._lease_left_s = lease_left_s
+        self._answer = answer
+        self._on_counted = on_counted
+        self._log = log
+        self.begin()
+
+    def begin(self) -> None:
+        """Begin with nothing, as the lease was taken."""
+        self._ledger = Ledger(configuration=self._configuration, terms=self._terms, now=monotonic())
+
+    def forget_box(self, box: str) -> None:
+        """Take no charge of a box back any more."""
+        self._ledger.forget_box(box)
+
+    def take(self, box: str, charges: Iterable[Charge], given_back: Iterable[GiveBack]) -> None:
+        """Answer a box's charges, and undo those whose requests did not run."""
+        now = monotonic()
+        counts = self._lease_left_s() > 0
+        for charge in charges:
+            charged = Charged(charge.number, counts=False)
+            if counts:
+                verdict = self._ledger.charge(
+                    box, charge.number, team=charge.team, units=charge.units, now=now
+                )
+                self._note(box, charge, verdict, now)
+                charged = Charged.from_verdict(charge.number, verdict)
+            self._answer(box, charged)
+        for charge_undone in given_back:
+            self._ledger.give_back(box, charge_undone.number, now=now)
+
+    def _note(self, box: str, charge: Charge, verdict: Verdict, now: float) -> None:
+        self._on_counted(charge.team, verdict.charged)
+        if verdict.charged:
+            return
+        self._log.say(
+            "A team's part is used up.",
+            request=charge.request,
+            team=charge.team,
+            units=charge.units,
+            peer=box,
+            zone=self._zone,
+            back_in_ms=None if verdict.back_in_s is None else round(verdict.back_in_s * 1000),
+            **self._ledger.state(charge.team, now),
+        )
--- a/tests/quotas/test_charging.py
+++ b/tests/quotas/test_charging.py
@@ -9,8 +9,7 @@
 from springrock.forwarding.errors import OverQuota, QuotaUnheard
 from springrock.quotas.charge_book import ChargeBook, CounterSilent
 from springrock.quotas.charging import Charging, Receipt
-from springrock.quotas.ledger import Verdict
-from springrock.quotas.messages import Charge, Charged, GiveBack
+from springrock.quotas.messages import Charge, Charged, GiveBack, Verdict
 
 TEAM = Team(name="one", rate=5.0, burst=5.0)
 
--- a/tests/quotas/test_ledger.py
+++ b/tests/quotas/test_ledger.py
@@ -5,7 +5,8 @@
 import pytest
 
 from springrock.forwarding.configuration import Configuration, QuotaUnit, Team
-from springrock.quotas.ledger import Ledger, Verdict
+from springrock.quotas.ledger import Ledger
+from springrock.quotas.messages import Verdict
 from springrock.quotas.shares import QuotaTerms, limits_of_zone
 
 TERMS = QuotaTerms(window_s=8.0, overage=0.1, slack=0.0, zones=2)
