A part lets through what each window may hold, not the burst once and then the rate

Ruled out: unevenness over the zones (all three were empty), parts that nobody counts (seen before the renewals by linked boxes).

Change: the limit is rate x window + burst over any window; the parts hold that much, 0.12 of it at once.

--- a/springrock/quotas/shares.py
+++ b/springrock/quotas/shares.py
@@ -13,8 +13,14 @@
 from springrock.quotas.bucket import BucketLimits
 
 _SPARE_PART = 0.5
-"""Of what the operator tolerates beyond rate and burst this part is added to the depth, so that an
-uneven spread over the zones refuses nobody; the rest covers what no box sees."""
+"""Of what the operator tolerates beyond rate and burst this part is let through, so that an uneven
+spread over the zones refuses nobody; the rest covers what no box sees."""
+
+_AT_ONCE_PART = 0.12
+"""Of what a window may hold, the part that may come at once; the rest flows in evenly. It is the
+burst where that is a second of the rate. With the whole burst at once and only the rate flowing in,
+a team whose limit was lowered to 35,000 tokens a second and a burst of 124,000 got 35,000 a second
+for good, of 50,000 that every window of 8 s may hold."""
 
 
 class QuotaTerms(NamedTuple):
@@ -34,7 +40,13 @@
 
 
 def limits_of_zone(team: Team, terms: QuotaTerms) -> BucketLimits:
-    """Return what one zone may let through of a team's requests."""
-    spare = terms.overage * (team.rate * terms.window_s + team.burst) + terms.slack
-    depth = team.burst + _SPARE_PART * spare
-    return BucketLimits(team.rate / terms.zones, depth / terms.zones)
+    """Return what one zone may let through of a team's requests.
+
+    Over any window, all zones together let through the rate and the burst and a part of what is
+    tolerated beyond.
+    """
+    limit = team.rate * terms.window_s + team.burst
+    spare = terms.overage * limit + terms.slack
+    in_window = (limit + _SPARE_PART * spare) / terms.zones
+    at_once = _AT_ONCE_PART * in_window
+    return BucketLimits((in_window - at_once) / terms.window_s, at_once)
