One writer for each renewal: heartbeats wait no longer than for the store alone

Cause, found on rereading: a renewal that the store did not answer (0.8 s) went on to linked boxes (0.5 s if they do not reach it either). With the 0.4 s between heartbeats that is 1.7 s, and boxes take a placer for lost after 1.3 s of silence: a store that answers nobody could have cut the links of all boxes.

Change: one writer a renewal, linked boxes only while the store lately failed and they did not. The lease of 3 s has room for one failed renewal of a second.

--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -23,8 +23,7 @@
 not look at fences, none may arrive after the lease."""
 
 _STORE_LEFT_ALONE_S = 5.0
-"""So long after the store did not answer a renewal, linked boxes are asked first to write it: one
-that waits for its own call takes a third of the lease."""
+"""So long after the store did not answer a renewal linked boxes are asked to write the next."""
 
 _RENEWAL_TRIES = 2
 """A second one where the store says that the row has another version than it answered before, as
@@ -90,6 +89,7 @@
     ) -> None:
         self._relay = relay
         self._store_failed_at = -_STORE_LEFT_ALONE_S
+        self._relay_failed = False
         self._relayed = Condition(
             log,
             begins="Has its lease renewed by linked boxes.",
@@ -299,28 +299,32 @@
         self._held_until = sent_at + self._lease_s
 
     def _renewed(self, renewed: PlacerRow) -> tuple[float, int]:
-        """Write a renewal by the store or by linked boxes; return when it was sent, and as what."""
-        writers: list[RowWriter] = [self._store]
-        if self._relay is not None:
-            writers.append(self._relay)
-            if monotonic() - self._store_failed_at < _STORE_LEFT_ALONE_S:
-                writers.reverse()
-        failure = RowStoreUnavailable("nobody writes")
-        for writer in writers:
-            sent_at = monotonic()
-            try:
-                version = self._write(renewed, expected=self._version, writer=writer)
-            except RowStoreUnavailable as error:
-                failure = error
-                if writer is self._store:
-                    self._store_failed_at = sent_at
-                continue
-            if writer is self._store:
-                self._relayed.end(row=self._key)
-            else:
-                self._relayed.begin(row=self._key)
-            return sent_at, version
-        raise failure
+        """Write a renewal by the store or by linked boxes; return when it was sent, and as what.
+
+        Only one of them is tried each time: heartbeats wait for it, and boxes take a placer for
+        lost that sends none for longer than both together may take.
+        """
+        by_relay = self._is_relay_next()
+        writer: RowWriter = self._relay if by_relay and self._relay is not None else self._store
+        sent_at = monotonic()
+        try:
+            version = self._write(renewed, expected=self._version, writer=writer)
+        except RowStoreUnavailable:
+            if not by_relay:
+                self._store_failed_at = sent_at
+            self._relay_failed = by_relay
+            raise
+        if by_relay:
+            self._relayed.begin(row=self._key)
+        else:
+            self._relayed.end(row=self._key)
+        return sent_at, version
+
+    def _is_relay_next(self) -> bool:
+        """Whether linked boxes are asked, as the store did not answer lately, and they did."""
+        if self._relay is None or self._relay_failed:
+            return False
+        return monotonic() - self._store_failed_at < _STORE_LEFT_ALONE_S
 
     def _write(self, value: PlacerRow, *, expected: int, writer: RowWriter | None = None) -> int:
         chosen = self._store if writer is None else writer
