Rereading: one protocol of conditional writes, one count of tokens, one stand-in of linked boxes

Which of store and linked boxes writes a renewal was decided in two places; _next_writer does. No assertion changed.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -282,7 +282,6 @@
             routes=len(configuration.routes),
             teams=None if configuration.teams is None else len(configuration.teams),
         )
-
         if any(team.limited for team in configuration.teams or ()) and not self._quota_zones():
             self._log.say("Teams have quotas, but the settings do not list the zones.")
 
@@ -295,11 +294,9 @@
 
     def _configuration_poll_s(self) -> float:
         """Return how long the store is to wait for news of the configuration."""
-        trust_s = self._key_terms().trust_s
-        has_teams = self._routes.configuration.teams is not None
-        return min(
-            POLL_WAIT_S, trust_s / _CONFIGURATION_POLLS_OF_TRUST if has_teams else POLL_WAIT_S
-        )
+        if self._routes.configuration.teams is None:
+            return POLL_WAIT_S
+        return min(POLL_WAIT_S, self._key_terms().trust_s / _CONFIGURATION_POLLS_OF_TRUST)
 
     def _quota_zones(self) -> list[str]:
         """Return the zones that count the teams' quotas, the own one first; none if not told."""
--- a/springrock/forwarding/message.py
+++ b/springrock/forwarding/message.py
@@ -91,9 +91,7 @@
         deadline_s: What the client will wait, from then; None if it did not say.
         model: The base model asked for, or empty.
         adapter: The adapter asked for, or empty.
-        prompt_tokens: Tokens of the prompt, 0 if unknown.
-        answer_tokens: The most tokens of the answer, 0 if unknown.
-        tokens: Both together as the client states them; None if it states none.
+        tokens: Those of the prompt and the most of the answer together; None if it states none.
         key_digest: The digest of the client's key; None if it sent none.
         last_event_id: Where a stream is to be taken up, or empty.
         prompt: The parts of the prompt in order; empty if unknown.
@@ -109,8 +107,6 @@
     deadline_s: float | None = None
     model: str = ""
     adapter: str = ""
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
     tokens: int | None = None
     key_digest: bytes | None = None
     last_event_id: str = ""
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -15,7 +15,14 @@
 from springrock.clock import monotonic
 from springrock.log import Condition, Log
 from springrock.placement.placer_row import TABLE, PlacerRow, key_of, placer_row_from
-from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
+from springrock.rows import (
+    ABSENT_VERSION,
+    Row,
+    RowConflict,
+    RowStore,
+    RowStoreUnavailable,
+    RowWriter,
+)
 
 _MARGIN_S = 0.3
 _ORDER_TAKES_S = 0.65
@@ -44,18 +51,6 @@
         """Learn of a row that is perhaps newer than what was read."""
 
 
-class RowWriter(Protocol):
-    """Writes rows under a condition, as the store itself does."""
-
-    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
-        """Write a row if it has the expected version; return its new one, or a later of the store.
-
-        Raises:
-            RowConflict: If it has another version.
-            RowStoreUnavailable: If no answer came; the write may take effect, even later.
-        """
-
-
 class PlacerLease:
     """Takes, renews and gives up the lease.
 
@@ -190,7 +185,7 @@
             own, incarnation="", renewal=own.renewal + 1, successor=successor
         )
         try:
-            self._write(free, expected=self._version)
+            self._write(free, expected=self._version, writer=self._store)
         except (RowStoreUnavailable, RowConflict):
             return
 
@@ -228,7 +223,7 @@
             box=self._box, incarnation=self._incarnation, address=self._address, fence=fence
         )
         try:
-            self._version = self._write(own, expected=self._looked_version)
+            self._version = self._write(own, expected=self._looked_version, writer=self._store)
         except (RowStoreUnavailable, RowConflict) as error:
             self._log.say(
                 "Did not get the placer's lease.", row=self._key, fence=fence, error=str(error)
@@ -301,31 +296,30 @@
     def _renewed(self, renewed: PlacerRow) -> tuple[float, int]:
         """Write a renewal by the store or by linked boxes; return when it was sent, and as what.
 
-        Only one of them is tried each time: heartbeats wait for it, and boxes take a placer for
-        lost that sends none for longer than both together may take.
+        Only one of them is tried each time: heartbeats wait for it, and both together may take
+        longer than the silence after which boxes take a placer for lost.
         """
-        by_relay = self._is_relay_next()
-        writer: RowWriter = self._relay if by_relay and self._relay is not None else self._store
+        writer = self._next_writer()
         sent_at = monotonic()
         try:
             version = self._write(renewed, expected=self._version, writer=writer)
         except RowStoreUnavailable:
-            if not by_relay:
+            if writer is self._store:
                 self._store_failed_at = sent_at
-            self._relay_failed = by_relay
+            self._relay_failed = writer is not self._store
             raise
-        if by_relay:
-            self._relayed.begin(row=self._key)
-        else:
+        if writer is self._store:
             self._relayed.end(row=self._key)
+        else:
+            self._relayed.begin(row=self._key)
         return sent_at, version
 
-    def _is_relay_next(self) -> bool:
-        """Whether linked boxes are asked, as the store did not answer lately, and they did."""
-        if self._relay is None or self._relay_failed:
-            return False
-        return monotonic() - self._store_failed_at < _STORE_LEFT_ALONE_S
+    def _next_writer(self) -> RowWriter:
+        """Return the store, or linked boxes while it did not answer lately and they did."""
+        store_fails = monotonic() - self._store_failed_at < _STORE_LEFT_ALONE_S
+        if self._relay is None or self._relay_failed or not store_fails:
+            return self._store
+        return self._relay
 
-    def _write(self, value: PlacerRow, *, expected: int, writer: RowWriter | None = None) -> int:
-        chosen = self._store if writer is None else writer
-        return chosen.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
+    def _write(self, value: PlacerRow, *, expected: int, writer: RowWriter) -> int:
+        return writer.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -48,8 +48,6 @@
             raise BadRequest(f"{names.REQUEST_ID} is missing")
         deadline_ms = headers.get(names.DEADLINE_MS)
         model, _, adapter = (headers.get(names.MODEL) or "").partition("/")
-        token_count = headers.get(names.TOKEN_COUNT)
-        prompt_tokens, answer_tokens = _token_counts(token_count)
         return ClientRequest(
             request_id=request_id,
             method=method,
@@ -61,9 +59,7 @@
             deadline_s=None if deadline_ms is None else _number(deadline_ms) / 1000,
             model=model,
             adapter=adapter,
-            prompt_tokens=prompt_tokens,
-            answer_tokens=answer_tokens,
-            tokens=None if token_count is None else prompt_tokens + answer_tokens,
+            tokens=_token_count(headers.get(names.TOKEN_COUNT)),
             key_digest=_key_digest(headers),
             prompt=_prompt_parts(headers.get(names.PROMPT_PARTS)),
             last_event_id=headers.get(names.LAST_EVENT_ID) or "",
@@ -121,11 +117,11 @@
     return digest_of(key)
 
 
-def _token_counts(value: str | None) -> tuple[int, int]:
+def _token_count(value: str | None) -> int | None:
     if value is None:
-        return 0, 0
+        return None
     prompt, _, answer = value.partition(",")
-    return _tokens(prompt), _tokens(answer or "0")
+    return _tokens(prompt) + _tokens(answer or "0")
 
 
 def _tokens(value: str) -> int:
--- a/springrock/quotas/charge_book.py
+++ b/springrock/quotas/charge_book.py
@@ -29,7 +29,7 @@
     def __init__(self, *, on_news: Callable[[bool], None]) -> None:
         self._on_news = on_news
         self._numbers = count(1)
-        self._asked: dict[int, tuple[Charge, AsyncResult[Verdict | None]]] = {}
+        self._asked: dict[int, AsyncResult[Verdict | None]] = {}
         self._new: list[Charge] = []
         self._back: list[GiveBack] = []
 
@@ -40,8 +40,7 @@
             CounterSilent: If none comes.
         """
         charge = Charge(next(self._numbers), request, team, units)
-        answer: AsyncResult[Verdict | None] = AsyncResult()
-        self._asked[charge.number] = (charge, answer)
+        answer = self._asked[charge.number] = AsyncResult()
         self._new.append(charge)
         self._on_news(True)
         verdict: Verdict | None = None
@@ -69,15 +68,15 @@
 
     def note_charged(self, charged: Charged) -> None:
         """Learn the placer's answer; who has left has given the charge back."""
-        asked = self._asked.get(charged.number)
-        if asked is not None:
-            asked[1].set(charged.verdict)
+        answer = self._asked.get(charged.number)
+        if answer is not None:
+            answer.set(charged.verdict)
 
     def forget_placer(self) -> None:
         """Lose the placer: what was given back of its charges nobody knows any more."""
         self._back.clear()
         self._new.clear()
-        for _, answer in self._asked.values():
+        for answer in self._asked.values():
             answer.set(None)
 
     def take_news(self) -> tuple[list[Charge], list[GiveBack]]:
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -133,7 +133,19 @@
     as_of_s: float | None = None
 
 
-class RowStore(Protocol):
+class RowWriter(Protocol):
+    """Writes rows under a condition."""
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        """Write a row if it has the expected version; return its new one, or a later of the store.
+
+        Raises:
+            RowConflict: If it has another version.
+            RowStoreUnavailable: If no answer came; the write may take effect, even later.
+        """
+
+
+class RowStore(RowWriter, Protocol):
     """A client of the store."""
 
     def read_all(self, table: str) -> Snapshot:
@@ -151,14 +163,6 @@
             RowStoreUnavailable: If no answer came.
         """
 
-    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
-        """Write a row if it has the expected version; return its new one, or a later of the store.
-
-        Raises:
-            RowConflict: If it has another version.
-            RowStoreUnavailable: If no answer came; the write may take effect, even later.
-        """
-
 
 class TableListener(Protocol):
     """Learns what stands in a table."""
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -2,26 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 import pytest
 
 from springrock.log import Log
 from springrock.placement import lease as lease_module
-from springrock.placement.lease import PlacerLease, RowWriter
+from springrock.placement.lease import PlacerLease
 from springrock.placement.placer_row import TABLE
-from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable, Snapshot
+from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable, RowWriter, Snapshot
+from tests.placement.conftest import Clock
 
 LEASE_S = 3.0
 
 
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self) -> None:
-        self.now = 1000.0
-
-
 class Store:
     """One row; writes can be lost before or after they take effect."""
 
@@ -66,13 +58,6 @@
         """Read anew each time: nothing to keep."""
 
 
-@pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> Iterator[Clock]:
-    clock = Clock()
-    monkeypatch.setattr(lease_module, "monotonic", lambda: clock.now)
-    yield clock
-
-
 def make_lease(
     store: Store,
     box: str,
@@ -341,63 +326,3 @@
     clock.now += LEASE_S - 0.5
     assert one.renew()
     assert one.left_s == LEASE_S
-
-
-class LinkedBox:
-    """Reaches the store where the placer does not."""
-
-    def __init__(self, store: Store) -> None:
-        self.row_store = store
-
-    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
-        self.row_store.down = False
-        try:
-            return self.row_store.write(table, key, value, expected=expected)
-        finally:
-            self.row_store.down = True
-
-
-def test_a_placer_that_the_store_does_not_answer_is_renewed_by_a_linked_box(clock: Clock) -> None:
-    store = Store()
-    lease = make_lease(store, "one", relay=LinkedBox(store))
-    assert lease.challenge(lease.look())
-    store.down = True
-    clock.now += LEASE_S / 3
-    assert lease.renew()
-    assert lease.left_s == LEASE_S * 2 / 3, "the store is tried first, and alone"
-    for _ in range(30):
-        clock.now += LEASE_S / 3
-        assert lease.renew()
-        assert lease.left_s >= LEASE_S * 2 / 3
-
-
-def test_linked_boxes_that_do_not_reach_the_store_either_are_not_asked_each_time(
-    clock: Clock,
-) -> None:
-    store, unreached = Store(), Store()
-    unreached.down = True
-    lease = make_lease(store, "one", relay=unreached)
-    assert lease.challenge(lease.look())
-    store.down = True
-    for _ in range(2):
-        clock.now += LEASE_S / 4
-        assert lease.renew()
-    store.down = False
-    clock.now += LEASE_S / 4
-    assert lease.renew()
-    assert lease.left_s == LEASE_S
-
-
-def test_a_renewal_that_took_effect_unanswered_counts_from_when_it_was_sent(clock: Clock) -> None:
-    store = Store()
-    lease = make_lease(store, "one", relay=LinkedBox(store))
-    assert lease.challenge(lease.look())
-    store.lose_answer = True
-    lease.renew()
-    clock.now += LEASE_S / 2
-    assert lease.left_s == LEASE_S / 2
-    store.down, store.lose_answer = True, False
-    assert lease.renew()
-    assert lease.left_s == LEASE_S, "written anew by a linked box"
-    assert store.row is not None
-    assert lease.version == store.row.version
--- /dev/null
+++ b/tests/placement/test_lease_relayed.py
@@ -0,0 +1,60 @@
+"""The lease of a placer that the store does not answer, renewed by linked boxes."""
+
+from __future__ import annotations
+
+from tests.placement.conftest import Clock
+from tests.placement.test_lease import LEASE_S, Store, make_lease
+from tests.placement.test_lease_model import Relay
+
+
+def reached(store: Store) -> Relay:
+    """Return linked boxes that reach the store."""
+    relay = Relay(store)
+    relay.down = False
+    return relay
+
+
+def test_a_placer_that_the_store_does_not_answer_is_renewed_by_a_linked_box(clock: Clock) -> None:
+    store = Store()
+    lease = make_lease(store, "one", relay=reached(store))
+    assert lease.challenge(lease.look())
+    store.down = True
+    clock.now += LEASE_S / 3
+    assert lease.renew()
+    assert lease.left_s == LEASE_S * 2 / 3, "the store is tried first, and alone"
+    for _ in range(30):
+        clock.now += LEASE_S / 3
+        assert lease.renew()
+        assert lease.left_s >= LEASE_S * 2 / 3
+
+
+def test_linked_boxes_that_do_not_reach_the_store_either_are_not_asked_each_time(
+    clock: Clock,
+) -> None:
+    store, unreached = Store(), Store()
+    unreached.down = True
+    lease = make_lease(store, "one", relay=unreached)
+    assert lease.challenge(lease.look())
+    store.down = True
+    for _ in range(2):
+        clock.now += LEASE_S / 4
+        assert lease.renew()
+    store.down = False
+    clock.now += LEASE_S / 4
+    assert lease.renew()
+    assert lease.left_s == LEASE_S
+
+
+def test_a_renewal_that_took_effect_unanswered_counts_from_when_it_was_sent(clock: Clock) -> None:
+    store = Store()
+    lease = make_lease(store, "one", relay=reached(store))
+    assert lease.challenge(lease.look())
+    store.lose_answer = True
+    lease.renew()
+    clock.now += LEASE_S / 2
+    assert lease.left_s == LEASE_S / 2
+    store.down, store.lose_answer = True, False
+    assert lease.renew()
+    assert lease.left_s == LEASE_S, "written anew by a linked box"
+    assert store.row is not None
+    assert lease.version == store.row.version
