Sight: a request is known again in the logs, whatever the id of its try

Cause: logs named tries alone, so that requests that crash replicas again and again could not be told from many requests that crash one each. Added: the fingerprint of a request (caller, method, host, target, body) in 'An attempt failed' and in both endings, the number of this box's other requests at the replica (beside), and attempts by outcome as a metric. Nothing decides by it yet.

Tests: tests/forwarding/test_fingerprint.py; tests/forwarding, docs, lint and types pass.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -272,6 +272,7 @@
             may_send=chooser.may_send,
             ways=WayBytes(self.metrics, self._topology),
             log=log,
+            count_attempt=lambda outcome: self.metrics.attempts.labels(outcome).inc(),
         )
         forwarder = Forwarder(
             routes=lambda: self._routes,
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -172,6 +172,7 @@
         self._log.say(
             "Refused a request." if reply.reason else "Answered a request.",
             request=journey.request.request_id,
+            fingerprint=journey.fingerprint.shown,
             route=journey.route.name,
             service=journey.service,
             team="" if journey.admission.team is None else journey.admission.team.name,
--- a/springrock/forwarding/journey.py
+++ b/springrock/forwarding/journey.py
@@ -9,6 +9,7 @@
 from springrock.clock import monotonic
 from springrock.forwarding.configuration import Route, RouteKind
 from springrock.forwarding.eligibility import ANYWHERE, Bounds
+from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.keys import UNKEYED, Admission
 from springrock.forwarding.message import ClientRequest
 
@@ -68,6 +69,7 @@
         admission: What was found of its key.
 
     Attributes:
+        fingerprint: Tells the request from others, whatever the id of this try.
         attempts: What was tried, in order.
         ends_at: When it must have its final answer, on the local monotonic clock.
         first_event_by: When the client gives up a stream that has not begun.
@@ -84,6 +86,7 @@
         admission: Admission = UNKEYED,
     ) -> None:
         self.request = request
+        self.fingerprint = Fingerprint.from_request(request)
         self.admission = admission
         self.route = route
         self.service = service
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -57,6 +57,7 @@
         may_send: Whether a request may yet be sent to a replica, when its connection is up.
         log: The log to write to.
         ways: Counts the bytes that go to other zones.
+        count_attempt: Called with the outcome of each attempt.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         may_send: Callable[[Journey, Chosen], bool],
         ways: WayBytes,
         log: Log,
+        count_attempt: Callable[[AttemptOutcome], None] = lambda outcome: None,
     ) -> None:
         self._dialect = dialect
         self._adapters = adapters
@@ -75,6 +77,7 @@
         self._may_send = may_send
         self._log = log
         self._ways = ways
+        self._count_attempt = count_attempt
 
     def begin(self, journey: Journey, replica: Replica) -> Attempt:
         """Note a new attempt; `end` must follow."""
@@ -84,6 +87,7 @@
     def end(self, chosen: Chosen, attempt: Attempt) -> None:
         """Note that an attempt occupies its replica no longer, and how it went."""
         chosen.replica.running -= 1
+        self._count_attempt(attempt.outcome)
         if chosen.use is not None:
             chosen.use.end(_USE_OUTCOMES.get(attempt.outcome, UseOutcome.ENDED))
 
@@ -144,8 +148,10 @@
         self._log.say(
             "An attempt failed.",
             request=journey.request.request_id,
+            fingerprint=journey.fingerprint.shown,
             instance=replica.instance,
             outcome=attempt.outcome,
+            beside=replica.running - 1,
             error=str(error),
             failure_rate=round(replica.health.failure_rate, 2),
             rest_s=round(replica.health.rest_left_s, 2),
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -116,6 +116,12 @@
             buckets=_SECONDS,
             registry=registry,
         )
+        self.attempts = Counter(
+            "springrock_forwarding_attempts",
+            "Attempts at replicas, by how they ended.",
+            ["outcome"],
+            registry=registry,
+        )
         self.open_requests = Gauge(
             "springrock_forwarding_open_requests", "Requests now in this box.", registry=registry
         )
