--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -4,6 +4,7 @@
 
 import base64
 import contextlib
+import os
 import secrets
 import socket
 import time
@@ -246,6 +247,8 @@
         self._sockets.add(request.environ[SOCKET_KEY])
         self.teams[request_id] = request.get_header(names.TEAM, "")
         self._note_request(ReplicaEventKind.RAN, adapter)
+        if self._crashes_on(path, body):
+            os._exit(1)
         if request.get_header(names.API_KEY) is not None:
             self._violate("key_passed_on")
         headers[_SEAL] = f"seal-of-{request_id}"
@@ -258,6 +261,11 @@
         gevent.sleep(self._settings.work_ms / 1000)
         return json_response(f"{request.method} /{path} {len(body)}".encode(), headers=headers)
 
+    def _crashes_on(self, path: str, body: bytes) -> bool:
+        """Whether a request ends the process that begins to run it."""
+        text = self._settings.crashes_on
+        return bool(text) and (text in path or text.encode() in body)
+
     def _is_meant(self, adapter: str) -> bool:
         """Whether a request is for this replica, as it stands now."""
         request = bottle.request
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -87,6 +87,8 @@
         advertised_address: The address that its record names, if it stands behind a proxy.
         events_path: A file to which it appends all that it sees; empty for none.
         needs_instance: Whether a request without an expected instance is turned away, too.
+        crashes_on: Its process ends as it begins to run a request with this text in its path or
+            body; empty for none.
     """
 
     address: str
@@ -105,6 +107,7 @@
     advertised_address: str = ""
     events_path: str = ""
     needs_instance: bool = True
+    crashes_on: str = ""
 
 
 class RouteSettings(Section, frozen=True, kw_only=True):
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -166,7 +166,11 @@
         self._transact({"put": [{"table": table, "key": key, "value": encoded}]})
 
     def remove_operator_row(self, key: str) -> None:
-        self._transact({"remove": [{"table": "op", "key": key}]})
+        self.remove_row("op", key)
+
+    def remove_row(self, table: str, key: str) -> None:
+        """Remove a row of any table, as whoever may."""
+        self._transact({"remove": [{"table": table, "key": key}]})
 
     def _transact(self, transaction: dict[str, Any]) -> None:
         body = json.dumps(transaction)
