--- a/tests/routed/test_crashing_requests.py
+++ b/tests/routed/test_crashing_requests.py
@@ -3,15 +3,15 @@
 What users saw: engines ended in series, every half second for up to ten seconds, and with each the
 requests that ran or waited beside; whole kinds of requests were not served meanwhile.
 
-Order of events: a request crashes the engine that begins to run it, and its second attempt another
-one. The client gets a failure and sends it again, under a new id and at another box. The engines come
-back after some seconds and are crashed anew. In a play of a like day 14 engines ended under one request.
+Order of events: a request crashes the engine that begins to run it, and its second attempt another.
+The client gets a failure and sends it again, under a new id and at another box. The engines come
+back after some seconds and are crashed anew: up to 14 under one request.
 
-Cause: what a box learnt of a request went with the request's try, and what it learnt of the crash it
-held against the replica alone. So each try of the same request, at each box, began with a clean sheet.
+Cause: what a box learnt of a request went with the request's try, and what it learnt of the crash
+it held against the replica alone. So each try, at each box, began with a clean sheet.
 
-Evidence: with the request's fingerprint in the logs, the tries that broke at all crashed replicas of
-these tests have one fingerprint under as many ids, and no try exceeds its route's attempts.
+Evidence: with the request's fingerprint in the logs, the tries that broke at all crashed replicas
+of these tests have one fingerprint under as many ids, and no try exceeds its route's attempts.
 """
 
 from __future__ import annotations
