Quarantine: a request under which three replicas crashed is sent to no more, by any box

Cause: evidence on a request lived in its try, and evidence of a crash was held against the replica alone. Each try under a new id, at each box, began with a clean sheet, so that one request that came again crashed engine after engine. Ruled out by the run of the failing test: tries that exceed their attempts.

Change: the package springrock/quarantine. A box holds what broke at a replica against all of its requests there (fingerprint: caller, method, host, target, body), withdraws it if the replica answers a later request within 0.2 s, is out of reach, or was leaving, else writes one row of the table that all boxes follow already. With three incarnations a request is refused at once (503, crashes_replicas, Retry-After until the crashes lapse); one crash short of that it gets no second attempt in its try. A run to a good end takes back what was held against it. A box is ready only once it has read that table.

--- a/springrock/counted_store.py
+++ b/springrock/counted_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from prometheus_client import Counter
 
@@ -11,6 +11,7 @@
     Changes,
     HistoryGone,
     RowConflict,
+    RowKeeper,
     RowStore,
     RowStoreUnavailable,
     Snapshot,
@@ -19,15 +20,19 @@
 T = TypeVar("T")
 
 
+class KeptStore(RowStore, RowKeeper, Protocol):
+    """A client of the store that can remove rows, too."""
+
+
 class CountedStore:
-    """Implements `springrock.rows.RowStore` by another store, and counts its calls.
+    """Implements `KeptStore` by another store, and counts its calls.
 
     Args:
         store: The store that is asked.
         calls: The counter, with the labels call, table and answer.
     """
 
-    def __init__(self, store: RowStore, *, calls: Counter) -> None:
+    def __init__(self, store: KeptStore, *, calls: Counter) -> None:
         self._store = store
         self._calls = calls
 
@@ -47,6 +52,10 @@
             "write", table, lambda: self._store.write(table, key, value, expected=expected)
         )
 
+    def remove(self, table: str, key: str, *, expected: int) -> None:
+        """Remove a row if it has the expected version."""
+        self._counted("remove", table, lambda: self._store.remove(table, key, expected=expected))
+
     def _counted(self, call: str, table: str, ask: Callable[[], T]) -> T:
         answer = "failed"
         try:
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -29,6 +29,7 @@
 from springrock.metrics import ForwardingMetrics
 from springrock.placement.placement import Placement
 from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.placer_row import KEY_PREFIX as PLACERS_PREFIX
 from springrock.placement.placer_row import TABLE as PLACERS_TABLE
 from springrock.placement.residency import Versions
 from springrock.placement.settings import PlacementSettings
@@ -37,9 +38,14 @@
 from springrock.platform.engine import PlatformEngines
 from springrock.platform.store import PlatformStore
 from springrock.platform.tables import OperatorTable, ReplicaTable
+from springrock.quarantine.book import CrashBook
+from springrock.quarantine.report import KEY_PREFIX as CRASHES_PREFIX
+from springrock.quarantine.reporter import Reporter
+from springrock.quarantine.terms import QuarantineTerms
+from springrock.quarantine.witness import Witness
 from springrock.quotas.charging import Charging
 from springrock.quotas.shares import QuotaTerms
-from springrock.rows import POLL_WAIT_S, TableFollower, TableReading
+from springrock.rows import POLL_WAIT_S, ListenersByKey, TableFollower, TableReading
 from springrock.slow_start.permits import Permits
 from springrock.slow_start.terms import SlowStartTerms
 from springrock.slow_start.warmth import Warmth
@@ -108,7 +114,8 @@
     def ready(self) -> bool:
         """Whether the balancer should send clients here."""
         known = self._routes.configuration.version > 0 and self.directory.count > 0
-        return known and not self._stopping
+        # The table tells which requests crash replicas; who has not read it would send them on.
+        return known and self._board.known and not self._stopping
 
     def start(self) -> None:
         """Start every part and return."""
@@ -117,6 +124,7 @@
         for follower in self._followers:
             follower.start()
         self._placement.start()
+        self._reporter.start()
         self._door.start()
         self._readiness.start()
         self._metrics_page.start()
@@ -155,6 +163,7 @@
         self._readiness.stop()
         self._metrics_page.stop()
         self._placement.stop()
+        self._reporter.stop()
         for follower in self._followers:
             follower.stop()
         self.stopped.set()
@@ -178,10 +187,12 @@
         )
         clock = StoreClock()
         self._board = PlacerBoard(age_s=lambda: placers.age_s)
+        self._crashes = CrashBook(terms=self._quarantine_terms, log=self._log_of("quarantine"))
+        self.metrics.quarantined.set_function(lambda: float(self._crashes.quarantined_count))
         placers = TableFollower(
             self._store,
             PLACERS_TABLE,
-            self._board,
+            ListenersByKey({PLACERS_PREFIX: self._board, CRASHES_PREFIX: self._crashes}),
             pause_s=_PLACERS_PAUSE_S,
             clock=clock,
             eager=True,
@@ -263,6 +274,14 @@
             check_key=lambda journey: gate.check_again(
                 journey.admission, journey.request.key_digest
             ),
+            quarantine=self._crashes,
+        )
+        self._reporter = Reporter(
+            self._store,
+            table=PLACERS_TABLE,
+            book=self._crashes,
+            terms=self._quarantine_terms,
+            log=self._log_of("quarantine"),
         )
         log = self._log_of("forwarder")
         sender = Sender(
@@ -272,6 +291,12 @@
             may_send=chooser.may_send,
             ways=WayBytes(self.metrics, self._topology),
             log=log,
+            witness=Witness(
+                box=settings.box.name,
+                book=self._crashes,
+                reports=self._reporter,
+                log=self._log_of("quarantine"),
+            ),
             count_attempt=lambda outcome: self.metrics.attempts.labels(outcome).inc(),
         )
         forwarder = Forwarder(
@@ -376,6 +401,10 @@
         slow_start = self.settings.slow_start
         return SlowStartTerms(slow_start.overage, slow_start.slack)
 
+    def _quarantine_terms(self) -> QuarantineTerms:
+        quarantine = self.settings.quarantine
+        return QuarantineTerms(quarantine.crashes, quarantine.for_s)
+
     def _key_terms(self) -> KeyTerms:
         keys = self.settings.keys
         return KeyTerms(keys.revoke_s, keys.fail_closed)
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from msgspec import field
+from typing import Annotated
+
+from msgspec import Meta, field
 
 from springrock.forwarding.distance_cost import DistanceCosts, DistancePrices
 from springrock.forwarding.evacuations import DEFAULT_WITHIN_S
+from springrock.quarantine.terms import QuarantineTerms
 from springrock.settings import Section
 from springrock.topology import Topology
 
@@ -182,6 +185,18 @@
     within_s: float = DEFAULT_WITHIN_S
 
 
+class QuarantineSection(Section, frozen=True, kw_only=True):
+    """Requests that crash the replicas that run them.
+
+    Attributes:
+        crashes: So many replicas may crash under a request before it is sent to no more.
+        for_s: So long a crash is held against a request.
+    """
+
+    crashes: Annotated[int, Meta(ge=1)] = QuarantineTerms().crashes
+    for_s: Annotated[float, Meta(gt=0.0)] = QuarantineTerms().for_s
+
+
 class StopSection(Section, frozen=True, kw_only=True):
     """A planned stop.
 
@@ -208,4 +223,5 @@
     quotas: QuotaSection = field(default_factory=QuotaSection)
     slow_start: SlowStartSection = field(default_factory=SlowStartSection)
     evacuation: EvacuationSection = field(default_factory=EvacuationSection)
+    quarantine: QuarantineSection = field(default_factory=QuarantineSection)
     stop: StopSection = field(default_factory=StopSection)
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from springrock.clock import monotonic
 from springrock.forwarding.adapters import Adapters, Use, UseOutcome, WaitTerms, Wish
@@ -13,7 +13,8 @@
 from springrock.forwarding.directory import Directory, Replica
 from springrock.forwarding.distance_cost import Carried
 from springrock.forwarding.eligibility import Obstacle
-from springrock.forwarding.errors import NoReplica, Rejection
+from springrock.forwarding.errors import NoReplica, Quarantined, Rejection
+from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.journey import Journey
 from springrock.forwarding.message import AdapterKey
 from springrock.slow_start.choice import AsksPermits, Pick, pick
@@ -77,6 +78,29 @@
         return self.permit_until is not None and monotonic() < self.permit_until
 
 
+class Quarantine(Protocol):
+    """Knows which requests crash the replicas that run them."""
+
+    def quarantined_for_s(self, fingerprint: Fingerprint) -> float | None:
+        """Return for how long a request is sent to no replica; None if it may be sent."""
+
+    def may_be_retried(self, fingerprint: Fingerprint) -> bool:
+        """Whether a request that may have run may run again in the same try."""
+
+
+class _NoQuarantine:
+    """Implements `Quarantine` where nobody looks at crashes."""
+
+    def quarantined_for_s(self, fingerprint: Fingerprint) -> float | None:
+        return None
+
+    def may_be_retried(self, fingerprint: Fingerprint) -> bool:
+        return True
+
+
+NO_QUARANTINE = _NoQuarantine()
+
+
 class ReplicaChooser:
     """Chooses replicas for requests, within the rules of retries.
 
@@ -88,6 +112,7 @@
         budget_of: Returns the retry budget of a service.
         permits: Asks whether requests may be sent to cold replicas.
         check_key: Raises if a request's key is not to be served any more.
+        quarantine: Knows which requests crash replicas.
     """
 
     def __init__(
@@ -100,8 +125,10 @@
         budget_of: Callable[[str], RetryBudget],
         permits: AsksPermits,
         check_key: Callable[[Journey], None] = lambda journey: None,
+        quarantine: Quarantine = NO_QUARANTINE,
     ) -> None:
         self._check_key = check_key
+        self._quarantine = quarantine
         self._configuration = configuration
         self._directory = directory
         self._balancer = balancer
@@ -130,7 +157,9 @@
             NoReplica: If there is none, or no more may be tried.
             KeyUnknown: If its key was taken away while it waited.
             KeysStale: If that is not known surely enough.
+            Quarantined: If it crashes the replicas that run it.
         """
+        self._check_quarantine(journey)
         if journey.left_s < SHORTEST_SEND_S:
             raise NoReplica("out_of_time", RETRY_AFTER_S)
         if not journey.may_run_again:
@@ -148,6 +177,8 @@
 
     def may_send(self, journey: Journey, chosen: Chosen) -> bool:
         """Whether nothing stands in the way of sending a request now, as it may have waited."""
+        if self._quarantine.quarantined_for_s(journey.fingerprint) is not None:
+            return False
         return self._obstacle(journey, chosen) is None
 
     def _obstacle(self, journey: Journey, chosen: Chosen) -> Obstacle | None:
@@ -160,11 +191,20 @@
         obstacle = self._obstacle(journey, chosen)
         if obstacle is not None:
             raise NoReplica(obstacle, RETRY_AFTER_S)
+        self._check_quarantine(journey)
         if not journey.resuming:
             self._check_key(journey)
         if journey.arrivals and not self._budget_of(journey.service).spend():
             raise NoReplica("retry_budget", RETRY_AFTER_S)
 
+    def _check_quarantine(self, journey: Journey) -> None:
+        """Raise if a request crashes the replicas that run it, as other boxes may have learnt."""
+        left_s = self._quarantine.quarantined_for_s(journey.fingerprint)
+        if left_s is not None:
+            raise Quarantined(left_s)
+        if journey.runs and not self._quarantine.may_be_retried(journey.fingerprint):
+            raise NoReplica("crashes_suspected", RETRY_AFTER_S)
+
     def _find(self, journey: Journey, *, until: float) -> Chosen:
         key = journey.request.adapter_key
         self._check_regions(journey)
--- a/springrock/forwarding/errors.py
+++ b/springrock/forwarding/errors.py
@@ -73,6 +73,17 @@
     """No replica can take the request now."""
 
 
+class Quarantined(Rejection):
+    """The request has crashed replicas that ran it, and is sent to no more of them.
+
+    Args:
+        retry_after_s: When it may be tried again, in seconds.
+    """
+
+    def __init__(self, retry_after_s: float) -> None:
+        super().__init__("crashes_replicas", retry_after_s)
+
+
 class KeyUnknown(Rejection):
     """No team holds the key, or there is none."""
 
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -136,6 +136,7 @@
         finally:
             self._sender.end(chosen, attempt)
         self._sender.note_answer(journey, replica, attempt, answer.head.status)
+        self._sender.note_whole(journey)
         return pass_on(answer.head, [body])
 
     # Streams.
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -10,6 +10,7 @@
 from springrock.forwarding.dialect import Dialect, SendTerms
 from springrock.forwarding.directory import Replica
 from springrock.forwarding.errors import (
+    AnswerBroken,
     AnswerSilent,
     ConnectionRefused,
     ExchangeError,
@@ -23,6 +24,7 @@
 from springrock.forwarding.journey import Attempt, AttemptOutcome, Journey
 from springrock.forwarding.way_bytes import WayBytes
 from springrock.log import Log
+from springrock.quarantine.witness import Witness
 from springrock.slow_start.warmth import Warmth
 
 _OUTCOMES: tuple[tuple[type[ExchangeError], AttemptOutcome], ...] = (
@@ -57,6 +59,7 @@
         may_send: Whether a request may yet be sent to a replica, when its connection is up.
         log: The log to write to.
         ways: Counts the bytes that go to other zones.
+        witness: Learns under which requests replicas crash.
         count_attempt: Called with the outcome of each attempt.
     """
 
@@ -69,6 +72,7 @@
         may_send: Callable[[Journey, Chosen], bool],
         ways: WayBytes,
         log: Log,
+        witness: Witness,
         count_attempt: Callable[[AttemptOutcome], None] = lambda outcome: None,
     ) -> None:
         self._dialect = dialect
@@ -77,6 +81,7 @@
         self._may_send = may_send
         self._log = log
         self._ways = ways
+        self._witness = witness
         self._count_attempt = count_attempt
 
     def begin(self, journey: Journey, replica: Replica) -> Attempt:
@@ -132,6 +137,7 @@
         """Learn from an answer's status."""
         sent_at = journey.request.received_at + attempt.began_s
         self._warmth.note_answered(replica.record, sent_at=sent_at)
+        self._witness.note_answered(replica.instance, sent_at=sent_at)
         if status >= 500:
             attempt.outcome = AttemptOutcome.FAILED
             replica.health.note_failure()
@@ -139,12 +145,17 @@
             attempt.outcome = AttemptOutcome.ANSWERED
             replica.health.note_success()
 
+    def note_whole(self, journey: Journey) -> None:
+        """Learn that a replica ran the request to a good end, and lives."""
+        self._witness.note_ran_well(journey.fingerprint)
+
     def note_failure(
         self, journey: Journey, replica: Replica, attempt: Attempt, error: ExchangeError
     ) -> None:
         """Learn from an exchange without an answer."""
         attempt.outcome = next(outcome for kind, outcome in _OUTCOMES if isinstance(error, kind))
         self._blame(journey, replica, error)
+        self._bear_witness(journey, replica, attempt, error)
         self._log.say(
             "An attempt failed.",
             request=journey.request.request_id,
@@ -158,6 +169,19 @@
             age_ms=round(journey.age_s * 1000),
         )
 
+    def _bear_witness(
+        self, journey: Journey, replica: Replica, attempt: Attempt, error: ExchangeError
+    ) -> None:
+        """Tell what an attempt without an answer shows of crashes."""
+        match error:
+            case AnswerBroken():
+                self._witness.note_broken(journey.fingerprint, replica.record)
+            case ReplicaFull():
+                sent_at = journey.request.received_at + attempt.began_s
+                self._witness.note_answered(replica.instance, sent_at=sent_at)
+            case ReplicaUnreachable() if not isinstance(error, ConnectionRefused):
+                self._witness.note_out_of_reach(replica.instance)
+
     def _blame(self, journey: Journey, replica: Replica, error: ExchangeError) -> None:
         key = journey.request.adapter_key
         if isinstance(error, ReplicaUnreachable):
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -68,6 +68,7 @@
         while data:
             yield data
             data = self._read_next(self._answer)
+        self._sender.note_whole(self._journey)
 
     def close(self) -> None:
         """Give the connection back or close it; safe to call again."""
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -187,6 +187,11 @@
             registry=registry,
         )
         self._teams: set[str] = set()
+        self.quarantined = Gauge(
+            "springrock_quarantine_requests",
+            "Requests that are sent to no replica, as replicas crash under them.",
+            registry=registry,
+        )
         self.placer = Gauge(
             "springrock_placement_placer",
             "1 while this box gives orders to a zone's engines.",
--- a/springrock/placement/placer_board.py
+++ b/springrock/placement/placer_board.py
@@ -43,6 +43,11 @@
         """Wait until a row changes that `standing` has returned, or the time is over."""
         self._event(key).wait(timeout=timeout_s)
 
+    @property
+    def known(self) -> bool:
+        """Whether the rows were read at least once."""
+        return self._known.is_set()
+
     def wait_known(self) -> None:
         """Wait until the rows were read for the first time."""
         self._known.wait()
--- a/springrock/placement/placer_row.py
+++ b/springrock/placement/placer_row.py
@@ -8,7 +8,7 @@
 from springrock.rows import Row
 
 TABLE = "springrock"
-_KEY_PREFIX = "placer/"
+KEY_PREFIX = "placer/"
 
 
 class PlacerRow(Struct, frozen=True, kw_only=True):
@@ -32,7 +32,7 @@
 
 def key_of(zone: str) -> str:
     """Return the key of a zone's row."""
-    return f"{_KEY_PREFIX}{zone}"
+    return f"{KEY_PREFIX}{zone}"
 
 
 def placer_row_from(row: Row) -> PlacerRow | None:
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -101,10 +101,16 @@
 
     def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
         """Write a row if it has the expected version; return the store's newest one after it."""
-        transaction = _Transaction(
-            expected=[_Expected(table, "", key, expected)],
-            put=[_Put(table, "", key, value)],
-        )
+        row = _Expected(table, "", key, expected)
+        return self._transact(key, _Transaction(expected=[row], put=[_Put(table, "", key, value)]))
+
+    def remove(self, table: str, key: str, *, expected: int) -> None:
+        """Remove a row if it has the expected version."""
+        row = _Expected(table, "", key, expected)
+        self._transact(key, _Transaction(expected=[row], put=[], remove=[row]))
+
+    def _transact(self, key: str, transaction: _Transaction) -> int:
+        """Have a transaction on one row done; return the store's newest version after it."""
         response = self._call("POST", names.ROWS_TX_PATH, body=msgspec.json.encode(transaction))
         if response.status == _CONFLICT:
             standing = _decoded(response, _Rows).rows
--- /dev/null
+++ b/springrock/quarantine/witness.py
@@ -0,0 +1,124 @@
+"""What a box sees of crashes: which replicas ended under which of its requests."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import gevent
+from msgspec import Struct
+
+from springrock.clock import monotonic
+from springrock.forwarding.directory import ReplicaRecord
+from springrock.forwarding.fingerprint import Fingerprint
+from springrock.log import Log
+from springrock.quarantine.book import CrashBook
+from springrock.quarantine.report import MOST_REQUESTS, CrashReport, new_key
+
+_SIGNS_OF_LIFE_S = 0.2
+"""So long a replica at which requests broke may show that it lives. A busy one that only reset
+some connections answers another request within a few tens of ms; one that crashed takes longer
+than this to come back."""
+
+_SHOWN_AT_MOST = 8
+
+
+class _Break(Struct):
+    """Requests that broke at a replica, as long as it may yet show that it lives.
+
+    Attributes:
+        key: Of the report that they would make.
+        began_at: When the first of them broke, on the local monotonic clock.
+    """
+
+    key: str
+    began_at: float
+    record: ReplicaRecord
+    requests: list[Fingerprint]
+
+
+class Publishes(Protocol):
+    """Makes reports known to all boxes."""
+
+    def publish(self, key: str, report: CrashReport) -> None:
+        """Make a report known; returns at once."""
+
+
+class Witness:
+    """Tells crashes from other breaks, and reports them.
+
+    A connection that broke is no proof: replicas reset connections, and cuts break them. It is
+    held against the requests at once, as the next try may come at any moment, and taken back if
+    the replica answers a later request, or turns out to be out of this box's reach. The end of a
+    replica that was leaving speaks against nobody.
+
+    Args:
+        box: The name of this box.
+        book: What is held against requests.
+        reports: Makes it known to the other boxes.
+        log: The log to write to.
+    """
+
+    def __init__(self, *, box: str, book: CrashBook, reports: Publishes, log: Log) -> None:
+        self._box = box
+        self._book = book
+        self._reports = reports
+        self._log = log
+        self._breaks: dict[str, _Break] = {}
+
+    def note_broken(self, fingerprint: Fingerprint, record: ReplicaRecord) -> None:
+        """Learn that a request broke at a replica that had got it."""
+        accused = [] if record.leaving else self._book.accused([fingerprint])
+        if not accused:
+            return
+        standing = self._breaks.get(record.instance)
+        if standing is None:
+            standing = _Break(new_key(), monotonic(), record, [])
+            self._breaks[record.instance] = standing
+            gevent.spawn_later(_SIGNS_OF_LIFE_S, self._settle, standing)
+        if fingerprint not in standing.requests:
+            standing.requests.append(fingerprint)
+            self._book.take(standing.key, self._report(standing))
+
+    def note_answered(self, instance: str, *, sent_at: float) -> None:
+        """Learn that a replica answered a request that was sent at a time."""
+        standing = self._breaks.get(instance)
+        if standing is not None and sent_at > standing.began_at:
+            self._withdraw(standing, "it answers")
+
+    def note_out_of_reach(self, instance: str) -> None:
+        """Learn that a replica does not even refuse connections: the way to it may be cut."""
+        standing = self._breaks.get(instance)
+        if standing is not None:
+            self._withdraw(standing, "it is out of reach")
+
+    def note_ran_well(self, fingerprint: Fingerprint) -> None:
+        """Learn that a request ran to a good end."""
+        self._book.note_ran_well(fingerprint)
+
+    def _report(self, standing: _Break) -> CrashReport:
+        # The codec of rows writes plain texts alone.
+        requests = [str(item) for item in standing.requests[-MOST_REQUESTS:]]
+        return CrashReport(self._box, standing.record.instance, requests)
+
+    def _withdraw(self, standing: _Break, why: str) -> None:
+        del self._breaks[standing.record.instance]
+        self._book.withdraw(standing.key)
+        self._say("Requests broke at a replica that has not crashed.", standing, why=why)
+
+    def _settle(self, standing: _Break) -> None:
+        instance = standing.record.instance
+        if self._breaks.get(instance) is not standing:
+            return
+        del self._breaks[instance]
+        self._reports.publish(standing.key, self._report(standing))
+        self._say("A replica crashed under requests.", standing)
+
+    def _say(self, sentence: str, standing: _Break, **more: object) -> None:
+        self._log.say(
+            sentence,
+            instance=standing.record.instance,
+            service=standing.record.service,
+            count=len(standing.requests),
+            fingerprints=[item.shown for item in standing.requests[:_SHOWN_AT_MOST]],
+            **more,
+        )
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple, Protocol
 
 import gevent
@@ -149,6 +149,18 @@
         """
 
 
+class RowKeeper(RowWriter, Protocol):
+    """Writes and removes rows under a condition."""
+
+    def remove(self, table: str, key: str, *, expected: int) -> None:
+        """Remove a row if it has the expected version.
+
+        Raises:
+            RowConflict: If it has another version, or is gone.
+            RowStoreUnavailable: If no answer came; the removal may take effect, even later.
+        """
+
+
 class RowStore(RowWriter, Protocol):
     """A client of the store."""
 
@@ -181,6 +193,35 @@
         """Learn that a row is gone."""
 
 
+class ListenersByKey:
+    """Implements `TableListener`: hands each row to who listens to keys of its kind.
+
+    Args:
+        listeners: By the beginning of their keys; rows of other keys are passed over.
+    """
+
+    def __init__(self, listeners: Mapping[str, TableListener]) -> None:
+        self._listeners = listeners
+
+    def replace(self, rows: Sequence[Row]) -> None:
+        """Take the whole table."""
+        for prefix, listener in self._listeners.items():
+            listener.replace([row for row in rows if row.key.startswith(prefix)])
+
+    def change(self, row: Row) -> None:
+        """Take a new or changed row."""
+        for listener in self._of(row.key):
+            listener.change(row)
+
+    def remove(self, key: str) -> None:
+        """Learn that a row is gone."""
+        for listener in self._of(key):
+            listener.remove(key)
+
+    def _of(self, key: str) -> list[TableListener]:
+        return [item for prefix, item in self._listeners.items() if key.startswith(prefix)]
+
+
 class TableFollower:
     """Keeps a listener up to date with one table, in a task of its own.
 
--- a/tests/forwarding/test_fingerprint.py
+++ b/tests/forwarding/test_fingerprint.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from springrock.clock import monotonic
 from springrock.forwarding.fingerprint import Fingerprint
 from tests.forwarding.test_values import make_request
 
@@ -20,7 +19,7 @@
     [
         {"request_id": "another"},
         {"deadline_s": 0.5},
-        {"received_at": monotonic() + 9.0},
+        {"received_at": 9.0},
         {"last_event_id": "12"},
         {"host": "H.example"},
     ],
@@ -48,5 +47,5 @@
 
 
 def test_a_log_shows_a_part_of_it() -> None:
-    assert fingerprint().hex().startswith(fingerprint().shown)
+    assert fingerprint().startswith(fingerprint().shown)
     assert len(fingerprint().shown) == 12
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -9,6 +9,10 @@
 from springrock.forwarding.directory import ReplicaRecord
 from springrock.forwarding.eligibility import World
 from springrock.log import Log
+from springrock.quarantine.book import CrashBook
+from springrock.quarantine.report import CrashReport
+from springrock.quarantine.terms import QuarantineTerms
+from springrock.quarantine.witness import Witness
 from springrock.slow_start.warmth import Warmth
 from springrock.topology import Topology
 
@@ -34,3 +38,23 @@
     """Return a world seen from one zone."""
     topology = Topology(home=home, zones=tuple(regions or ()), regions=regions or {})
     return World(topology, frozenset(evacuated), is_cold, frozenset((*evacuated, *announced)))
+
+
+class NoReports:
+    """Implements `springrock.quarantine.witness.Publishes`; keeps what was published."""
+
+    def __init__(self) -> None:
+        self.published: list[CrashReport] = []
+
+    def publish(self, key: str, report: CrashReport) -> None:
+        self.published.append(report)
+
+
+def make_witness(book: CrashBook | None = None, reports: NoReports | None = None) -> Witness:
+    """Return a witness of crashes, on a book of its own if none is given."""
+    return Witness(
+        box="box-1",
+        book=book or CrashBook(terms=QuarantineTerms, log=Log("quarantine", "box-1")),
+        reports=reports or NoReports(),
+        log=Log("quarantine", "box-1"),
+    )
