Clock: time in which the machine was suspended counts

Cause: every lease, trust in a key, permit, evacuation and bound of the store's clock was counted on the clock that stands still while a machine is suspended. A placer that was suspended for longer than its lease would take it for standing. All of the product reads one clock, so that one place changes; no use was found that relies on a suspension not being counted. Timers of the event loop do not count it: they wake tasks late at most, which look at the clock. Without CLOCK_BOOTTIME the usual clock is taken.

Ruled out: a test by SIGSTOP, which moves both clocks alike; the system's clocks are stood in for. Tests and the soak that compare their times with the stand-ins' take the same clock (the checks are as they were).

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -10,6 +10,7 @@
 
 from bench.soak.observations import Attempt, Call
 from bench.soak.shape import ADAPTERS, KEYS, MOVABLE, STREAMS
+from springrock.clock import monotonic
 from springrock.platform import names
 from springrock.settings import split_address
 from tests.routed.deployment import HOST, MODEL
@@ -116,7 +117,7 @@
         key = self._rng.choice(self._role.keys)
         adapter = self._rng.choice(ADAPTERS) if route in STREAMS else ""
         call = f"{self._number}-{self._count}"
-        began_at = time.monotonic()
+        began_at = monotonic()
         ends_at = began_at + PATIENCE_S
         while True:
             attempt = self._attempt(call, route, key, adapter, ends_at)
@@ -124,7 +125,7 @@
             if not self._tries_again(attempt):
                 break
             time.sleep(self._wait_s(attempt, ends_at))
-            if ends_at - time.monotonic() < _SHORTEST_ATTEMPT_S:
+            if ends_at - monotonic() < _SHORTEST_ATTEMPT_S:
                 break
         self._callers.calls.append(
             Call(
@@ -132,7 +133,7 @@
                 route=route,
                 key=key,
                 began_at=began_at,
-                ended_at=time.monotonic(),
+                ended_at=monotonic(),
                 answered=attempt.answered,
                 last=f"{attempt.request_id} at {attempt.box}: {attempt.status} {attempt.error}",
             )
@@ -145,7 +146,7 @@
 
     def _wait_s(self, attempt: Attempt, ends_at: float) -> float:
         told_s = attempt.retry_after_s or _RETRY_PAUSE_S
-        left_s = ends_at - time.monotonic()
+        left_s = ends_at - monotonic()
         return max(0.0, min(told_s, left_s * _LONGEST_WAIT_PART))
 
     def _attempt(self, call: str, route: str, key: str, adapter: str, ends_at: float) -> Attempt:
@@ -157,7 +158,7 @@
             route=route,
             key=key,
             adapter=adapter,
-            sent_at=time.monotonic(),
+            sent_at=monotonic(),
         )
         connection = self._connection_to(attempt)
         try:
@@ -166,7 +167,7 @@
             attempt.error = "refused"
         except (OSError, http.client.HTTPException) as error:
             attempt.error = type(error).__name__
-        attempt.ended_at = time.monotonic()
+        attempt.ended_at = monotonic()
         if attempt.whole and connection.sock is not None:
             self._kept[attempt.box] = _Kept(connection, attempt.ended_at)
         else:
@@ -185,7 +186,7 @@
     def _exchange(
         self, attempt: Attempt, connection: http.client.HTTPConnection, ends_at: float
     ) -> None:
-        left_s = max(_SHORTEST_ATTEMPT_S, ends_at - time.monotonic())
+        left_s = max(_SHORTEST_ATTEMPT_S, ends_at - monotonic())
         connection.timeout = left_s
         if connection.sock is not None:
             connection.sock.settimeout(left_s)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import time
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
@@ -30,6 +29,7 @@
     ReplicaPlan,
     Shape,
 )
+from springrock.clock import monotonic
 from springrock.emulator.ports import free_addresses
 from springrock.emulator.replica_events import ReplicaEvent, read_replica_events
 from springrock.platform import names
@@ -132,12 +132,12 @@
         """Change what the configuration says, and note when that was acknowledged."""
         self._configured = self._configured._replace(**fields)
         self.tenants = self._configured.tenants()
-        began_at = time.monotonic()
+        began_at = monotonic()
         self.configure(self._configured.routes())
         self.changes.append(
             Change(
                 began_at=began_at,
-                acknowledged_at=time.monotonic(),
+                acknowledged_at=monotonic(),
                 configured=self._configured,
             )
         )
@@ -148,7 +148,7 @@
         self._named[adapter] = version
         self.name_version(adapter, version)
         self.versions.append(
-            NamedVersion(acknowledged_at=time.monotonic(), adapter=adapter, version=version)
+            NamedVersion(acknowledged_at=monotonic(), adapter=adapter, version=version)
         )
 
     # Faults.
--- a/bench/soak/pauses.py
+++ b/bench/soak/pauses.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import threading
-import time
 
 from bench.soak.observations import Pause
+from springrock.clock import monotonic
 
 _SAMPLE_S = 0.02
 _USUAL_LATENESS_S = 0.1
@@ -35,9 +35,9 @@
         return sum(pause.lasted_s for pause in self.pauses)
 
     def _run(self) -> None:
-        before = time.monotonic()
+        before = monotonic()
         while not self._stop.wait(_SAMPLE_S):
-            now = time.monotonic()
+            now = monotonic()
             late_s = now - before - _SAMPLE_S
             if late_s > _USUAL_LATENESS_S:
                 self.pauses.append(Pause(before, late_s))
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -15,6 +15,7 @@
 from bench.soak.pauses import PauseMeter
 from bench.soak.schedule import Planned, Schedule
 from bench.soak.shape import Shape
+from springrock.clock import monotonic
 
 _MUTANT_MODULE = "bench.soak.mutant"
 
@@ -53,7 +54,7 @@
         callers = Callers(deployment.clients, seed=schedule.seed)
         meter.start()
         callers.start()
-        began_at = time.monotonic()
+        began_at = monotonic()
         try:
             spans = _switch_faults(schedule, deployment, began_at)
             _sleep_until(began_at + schedule.seconds)
@@ -86,12 +87,12 @@
                 name=one.fault,
                 targets=one.targets,
                 holds=fault.claims(one.targets),
-                began_at=time.monotonic(),
+                began_at=monotonic(),
             )
             fault.begin(deployment, one.targets)
         else:
             fault.end(deployment, one.targets)
-            spans[switch.number].ended_at = time.monotonic()
+            spans[switch.number].ended_at = monotonic()
     return list(spans.values())
 
 
@@ -112,4 +113,4 @@
 
 
 def _sleep_until(moment: float) -> None:
-    time.sleep(max(0.0, moment - time.monotonic()))
+    time.sleep(max(0.0, moment - monotonic()))
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -5,13 +5,13 @@
 import base64
 import http.client
 import json
-import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import urllib3
 
+from springrock.clock import monotonic
 from springrock.emulator.ports import free_addresses
 from springrock.settings import split_address
 from tests.processes import Processes, RunsProcesses, wait_until
@@ -230,7 +230,7 @@
 
         It is of the machine's steady clock, which stand-ins tell arrivals by.
         """
-        written_at = time.monotonic()
+        written_at = monotonic()
         self.write_operator_row(f"evacuate/{zone}", {})
         return written_at
 
--- a/tests/routed/test_crashing_requests.py
+++ b/tests/routed/test_crashing_requests.py
@@ -24,6 +24,7 @@
 
 import pytest
 
+from springrock.clock import monotonic
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind, read_replica_events
 from tests.routed.deployment import REPLICAS, Answer, Deployment
 
@@ -132,8 +133,8 @@
     def crash(self) -> float:
         """Send it at all boxes in turn until it has crashed enough; return when it had."""
         boxes = list(self._deployment.clients)
-        deadline = time.monotonic() + 60.0
-        while len(self.runs()) < CRASHES and time.monotonic() < deadline:
+        deadline = monotonic() + 60.0
+        while len(self.runs()) < CRASHES and monotonic() < deadline:
             self.send(boxes[len(self.ids) % len(boxes)])
         assert len(self.runs()) >= CRASHES
         return self.runs()[CRASHES - 1].at
@@ -164,7 +165,7 @@
 ) -> None:
     requests = [CrashingRequest(deployment, route) for route in ROUTES]
     crashed_at = max(crashing.crash() for crashing in requests)
-    while time.monotonic() < crashed_at + KNOWN_EVERYWHERE_S:
+    while monotonic() < crashed_at + KNOWN_EVERYWHERE_S:
         for crashing in requests:
             for box in deployment.clients:
                 crashing.send(box)
--- a/tests/routed/test_evacuation.py
+++ b/tests/routed/test_evacuation.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from springrock.clock import monotonic
 from tests.processes import wait_until
 from tests.routed.deployment import ROUTES, Answer, Deployment
 
@@ -46,7 +47,7 @@
         number = 0
         while not self._stopped.is_set():
             number += 1
-            sent_at = time.monotonic()
+            sent_at = monotonic()
             try:
                 if number % 2:
                     answer = self._deployment.send(box, "/lookup/x", method="GET")
@@ -118,13 +119,13 @@
             within_s=WITHIN_S,
             what="what stood in the zone is brought elsewhere",
         )
-        wait_until(lambda: time.monotonic() > evacuated_at + WITHIN_S + 1.0, what="time passes")
+        wait_until(lambda: monotonic() > evacuated_at + WITHIN_S + 1.0, what="time passes")
         assert late_arrivals(deployment, zone, after=evacuated_at + WITHIN_S) == []
         served = load.served_after(evacuated_at)
         assert sum(served) >= 0.97 * len(served) > 0
         deployment.take_back(zone)
         wait_evacuated(deployment, zone, evacuated=False)
-        taken_back_at = time.monotonic()
+        taken_back_at = monotonic()
         wait_until(
             lambda: late_arrivals(deployment, zone, after=taken_back_at), what="it is used again"
         )
@@ -146,7 +147,7 @@
     evacuated_at = deployment.evacuate(zone)
     wait_evacuated(deployment, zone)
     deployment.processes.kill("box-2")
-    wait_until(lambda: time.monotonic() > evacuated_at + WITHIN_S, what="the bound is over")
+    wait_until(lambda: monotonic() > evacuated_at + WITHIN_S, what="the bound is over")
     deployment.fault("store", busy=True)
     deployment.start_box("box-2")
     refused = wait_until(lambda: ended(deployment, "box-2"), what="the box listens")
@@ -167,7 +168,7 @@
         evacuated_at = deployment.evacuate(zone)
         wait_evacuated(deployment, zone)
         deployment.fault("store", busy=True)
-        wait_until(lambda: time.monotonic() > evacuated_at + WITHIN_S + 1.0, what="time passes")
+        wait_until(lambda: monotonic() > evacuated_at + WITHIN_S + 1.0, what="time passes")
         assert late_arrivals(deployment, zone, after=evacuated_at + WITHIN_S) == []
         assert any(load.served_after(evacuated_at + WITHIN_S))
         deployment.take_back(zone)
@@ -189,7 +190,7 @@
             lambda: wanted <= adapters_in(deployment, *others),
             what="what stood in the zone is brought elsewhere",
         )
-        wait_until(lambda: time.monotonic() > evacuated_at + WITHIN_S + 1.0, what="time passes")
+        wait_until(lambda: monotonic() > evacuated_at + WITHIN_S + 1.0, what="time passes")
     assert late_arrivals(deployment, zone, after=evacuated_at + WITHIN_S) == []
 
 
@@ -198,18 +199,18 @@
         evacuated_at = deployment.evacuate(zone)
     for zone in ("zone-1", "zone-2"):
         wait_evacuated(deployment, zone)
-    wait_until(lambda: time.monotonic() > evacuated_at + WITHIN_S, what="the bound is over")
+    wait_until(lambda: monotonic() > evacuated_at + WITHIN_S, what="the bound is over")
     for box in deployment.clients:
         assert deployment.served(box, "/lookup/x", method="GET").status == 200
         assert deployment.served(box, "/items/x", adapter="e1").whole
     for zone in ("zone-1", "zone-2"):
         assert late_arrivals(deployment, zone, after=evacuated_at + WITHIN_S) == []
     last_at = deployment.evacuate("zone-3")
-    wait_until(lambda: time.monotonic() > last_at + WITHIN_S, what="the bound is over")
+    wait_until(lambda: monotonic() > last_at + WITHIN_S, what="the bound is over")
     for path, adapter in (("/lookup/x", ""), ("/items/x", "e1")):
-        sent_at = time.monotonic()
+        sent_at = monotonic()
         assert deployment.send("box-1", path, adapter=adapter).status == 503
-        assert time.monotonic() < sent_at + 0.5, "it is refused at once"
+        assert monotonic() < sent_at + 0.5, "it is refused at once"
     assert deployment.log("box-1").count('"reason":"evacuated"') == 2
     for zone in THREE_ZONES:
         assert late_arrivals(deployment, zone, after=last_at + WITHIN_S) == []
--- a/tests/routed/test_slow_start.py
+++ b/tests/routed/test_slow_start.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from springrock.clock import monotonic
 from tests.processes import wait_until
 from tests.routed.deployment import MODEL, REPLICAS, ZONES, Answer, Deployment
 
@@ -132,7 +133,7 @@
         wait_until(lambda: deployment.counters("rosters-3")["arrivals"], what="it gets requests")
         deployment.processes.kill(placer)
         del deployment.clients[placer]
-        killed_at = time.monotonic()
+        killed_at = monotonic()
         cold = arrivals_while_cold(deployment, "rosters-3")
     assert most_in_a_second(cold) <= BOUND
     assert any(at > killed_at + 0.5 for at in cold), "another placer counts"
--- a/tests/routed/test_teams.py
+++ b/tests/routed/test_teams.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from springrock.clock import monotonic
 from springrock.forwarding.configuration import Team
 from springrock.quotas.shares import QuotaTerms, limits_of_zone
 from tests.processes import wait_until
@@ -139,11 +140,11 @@
 ) -> None:
     deployment.fault("store", busy=True)
     deployment.allow(goes=False)
-    taken_away_at = time.monotonic()
+    taken_away_at = monotonic()
     statuses: dict[str, set[int]] = {box: set() for box in deployment.clients}
-    while time.monotonic() < taken_away_at + REVOKE_S + 0.5:
+    while monotonic() < taken_away_at + REVOKE_S + 0.5:
         for box in deployment.clients:
-            sent_at = time.monotonic()
+            sent_at = monotonic()
             status = deployment.send_as(GOES, box=box).status
             statuses[box].add(status)
             assert status != 200 or sent_at <= taken_away_at + REVOKE_S
@@ -186,10 +187,10 @@
 def press(deployment: Teams, *, for_s: float) -> tuple[list[Answer], float]:
     """Send far more than a team may, at all boxes; return the answers and how long it took."""
     answers: list[Answer] = []
-    began_at = time.monotonic()
+    began_at = monotonic()
 
     def _press(box: str) -> None:
-        while time.monotonic() < began_at + for_s:
+        while monotonic() < began_at + for_s:
             answers.append(deployment.send_as(FEW, box=box))
 
     clients = [threading.Thread(target=_press, args=(box,)) for box in deployment.clients]
@@ -197,7 +198,7 @@
         client.start()
     for client in clients:
         client.join()
-    return answers, time.monotonic() - began_at
+    return answers, monotonic() - began_at
 
 
 def test_a_team_beyond_its_quota_is_told_when_to_come_back(deployment: Teams) -> None:
@@ -217,7 +218,7 @@
     deployment.wait_served(FEW, box=other)
     deployment.processes.signal(placer, signal.SIGSTOP)
     answers: list[Answer] = []
-    began_at = time.monotonic()
+    began_at = monotonic()
 
     def _is_counted() -> bool:
         answers.append(deployment.send_as(FEW, box=other))
@@ -229,7 +230,7 @@
         deployment.processes.signal(placer, signal.SIGCONT)
     more, _ = press(deployment, for_s=1.0)
     served = sum(answer.status == 200 for answer in [*answers, *more])
-    assert 0 < served <= most_in(time.monotonic() - began_at)
+    assert 0 < served <= most_in(monotonic() - began_at)
     deployment.wait_served(ONE, box=placer)
 
 
