Soak: a request that crashes what runs it, and the promise that it stops

A fault that callers bring: one request comes again and again under new ids at boxes drawn anew; replicas that it ended start anew after a moment. A promise: under a request that ended three replicas at most three more end, once 3 s are over and what kept news from the boxes is added. A mechanism to take out: quarantine.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -161,13 +161,7 @@
             sent_at=monotonic(),
         )
         connection = self._connection_to(attempt)
-        try:
-            self._exchange(attempt, connection, ends_at)
-        except ConnectionRefusedError:
-            attempt.error = "refused"
-        except (OSError, http.client.HTTPException) as error:
-            attempt.error = type(error).__name__
-        attempt.ended_at = monotonic()
+        attempt_once(attempt, connection, ends_at=ends_at)
         if attempt.whole and connection.sock is not None:
             self._kept[attempt.box] = _Kept(connection, attempt.ended_at)
         else:
@@ -183,31 +177,36 @@
         host, port = split_address(self._boxes[attempt.box])
         return http.client.HTTPConnection(host, port)
 
-    def _exchange(
-        self, attempt: Attempt, connection: http.client.HTTPConnection, ends_at: float
-    ) -> None:
-        left_s = max(_SHORTEST_ATTEMPT_S, ends_at - monotonic())
-        connection.timeout = left_s
-        if connection.sock is not None:
-            connection.sock.settimeout(left_s)
-        connection.request(
-            "POST", path_of(attempt), body=BODY, headers=_headers_of(attempt, left_s)
-        )
-        response = connection.getresponse()
-        attempt.status = response.status
-        attempt.seal = response.getheader("Springrock-Response-Seal", "")
-        attempt.echoed_id = response.getheader(names.REQUEST_ID, "")
-        retry_after = response.getheader("Retry-After")
-        attempt.retry_after_s = None if retry_after is None else float(retry_after)
-        while block := response.read1(_READ_BYTES):
-            attempt.body += block
-        attempt.whole = response.length in (None, 0)
-        response.close()
-
-
-def path_of(attempt: Attempt) -> str:
-    """The path of an attempt, which names it, so that answers cannot be taken for each other."""
-    return f"/{attempt.route}/{attempt.request_id}"
+
+def attempt_once(
+    attempt: Attempt, connection: http.client.HTTPConnection, *, ends_at: float
+) -> None:
+    """Send an attempt and note what comes of it."""
+    try:
+        _exchange(attempt, connection, ends_at)
+    except ConnectionRefusedError:
+        attempt.error = "refused"
+    except (OSError, http.client.HTTPException) as error:
+        attempt.error = type(error).__name__
+    attempt.ended_at = monotonic()
+
+
+def _exchange(attempt: Attempt, connection: http.client.HTTPConnection, ends_at: float) -> None:
+    left_s = max(_SHORTEST_ATTEMPT_S, ends_at - monotonic())
+    connection.timeout = left_s
+    if connection.sock is not None:
+        connection.sock.settimeout(left_s)
+    connection.request("POST", attempt.path, body=BODY, headers=_headers_of(attempt, left_s))
+    response = connection.getresponse()
+    attempt.status = response.status
+    attempt.seal = response.getheader("Springrock-Response-Seal", "")
+    attempt.echoed_id = response.getheader(names.REQUEST_ID, "")
+    retry_after = response.getheader("Retry-After")
+    attempt.retry_after_s = None if retry_after is None else float(retry_after)
+    while block := response.read1(_READ_BYTES):
+        attempt.body += block
+    attempt.whole = response.length in (None, 0)
+    response.close()
 
 
 def _headers_of(attempt: Attempt, left_s: float) -> dict[str, str]:
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import threading
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
@@ -12,9 +13,11 @@
 
 import urllib3
 
-from bench.soak.observations import Change, NamedVersion
+from bench.soak.crashing import CrashingCaller
+from bench.soak.observations import Attempt, Change, NamedVersion
 from bench.soak.shape import (
     ADAPTER_SLOTS,
+    CRASHING,
     EVENT_PAUSE_MS,
     QUOTA_WINDOW_S,
     RETRY_ALLOWANCE,
@@ -31,6 +34,7 @@
 )
 from springrock.clock import monotonic
 from springrock.emulator.ports import free_addresses
+from springrock.emulator.replica import CRASHED
 from springrock.emulator.replica_events import ReplicaEvent, read_replica_events
 from springrock.platform import names
 from tests.processes import Processes, wait_until
@@ -78,6 +82,10 @@
         self._plans = {plan.name: plan for plan in self.shape.replicas}
         self._routes: dict[str, str] = {}
         self._proxy = ""
+        self.crashing_attempts: list[Attempt] = []
+        self._crashing: dict[str, CrashingCaller] = {}
+        self._given_away: set[str] = set()
+        self._restarting = threading.RLock()
 
     # Start.
 
@@ -110,6 +118,7 @@
             "events": STREAM_EVENTS,
             "event_pause_ms": EVENT_PAUSE_MS,
             "adapter_slots": ADAPTER_SLOTS,
+            "crashes_on": CRASHING,
         }
         if plan.is_engine:
             more["base_model"] = MODEL
@@ -171,15 +180,41 @@
             what="the proxy takes a fault",
         )
 
+    def begin_crashing(self, route: str, seed: str) -> None:
+        """Begin to send a request that crashes replicas."""
+        caller = CrashingCaller(
+            route,
+            self.clients,
+            seed=seed,
+            attempts=self.crashing_attempts,
+            restart=self._restart_crashed,
+        )
+        self._crashing[seed] = caller
+        caller.start()
+
+    def end_crashing(self, seed: str) -> None:
+        """Undo `begin_crashing`."""
+        self._crashing.pop(seed).stop()
+
+    def _restart_crashed(self) -> None:
+        """Start the replicas anew that a request has crashed, as the platform does."""
+        with self._restarting:
+            for name in self._plans.keys() - self._given_away:
+                if self.processes[name].poll() == CRASHED:
+                    self.replace_replica(name)
+
     def replace_replica(self, name: str) -> None:
         """End a replica, drop its record, and start it anew."""
-        self.processes.kill(name)
-        self._drop_records_of(name)
-        self.processes.restart(name)
+        with self._restarting:
+            self.processes.kill(name)
+            self._drop_records_of(name)
+            self.processes.restart(name)
 
     def give_address_away(self, name: str) -> None:
         """End a replica and let one of another service listen where it listened."""
-        self.processes.kill(name)
+        with self._restarting:
+            self._given_away.add(name)
+            self.processes.kill(name)
         settings = json.loads((self.folder / f"{name}.jsonc").read_text())
         settings["service"] = _UNROUTED_SERVICE
         self.processes.spawn(f"{name}-stranger", ["standin", "replica"], settings)
@@ -187,8 +222,8 @@
     def take_address_back(self, name: str) -> None:
         """Undo `give_address_away`."""
         self.processes.kill(f"{name}-stranger")
-        self._drop_records_of(name)
-        self.processes.restart(name)
+        self.replace_replica(name)
+        self._given_away.discard(name)
 
     def write_foreign_row(self, instance: str, *, at: str, service: str) -> None:
         """Write a record that names another service's replica."""
--- a/bench/soak/faults/__init__.py
+++ b/bench/soak/faults/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.soak.faults import boxes, configuration, links, replicas, store
+from bench.soak.faults import boxes, configuration, links, replicas, requests, store
 from bench.soak.faults.fault import FAULTS, Fault
 
-__all__ = ["FAULTS", "Fault", "boxes", "configuration", "links", "replicas", "store"]
+__all__ = ["FAULTS", "Fault", "boxes", "configuration", "links", "replicas", "requests", "store"]
--- a/bench/soak/faults/fault.py
+++ b/bench/soak/faults/fault.py
@@ -18,12 +18,15 @@
         weight: How often it is drawn, beside others.
         shortest_s: The least that it lasts.
         longest_s: The most that it lasts.
+        drawn_apart: If above 0, how likely it is drawn once in a cycle, by a generator of its own,
+            so that it does not change what else a seed draws.
     """
 
     name = ""
     weight = 1.0
     shortest_s = 1.0
     longest_s = 3.0
+    drawn_apart = 0.0
 
     @abstractmethod
     def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
--- a/bench/soak/judges/__init__.py
+++ b/bench/soak/judges/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.soak.judges import answers, placement, runs, service, teams
+from bench.soak.judges import answers, crashes, placement, runs, service, teams
 from bench.soak.judges.judge import JUDGES, Finding, Judge, Verdict
 
 __all__ = [
@@ -11,6 +11,7 @@
     "Judge",
     "Verdict",
     "answers",
+    "crashes",
     "placement",
     "runs",
     "service",
--- a/bench/soak/judges/runs.py
+++ b/bench/soak/judges/runs.py
@@ -63,7 +63,7 @@
         findings = []
         for request_id, runs in seen.runs_of.items():
             attempt = seen.attempt_of.get(request_id)
-            expected = "" if attempt is None else f"/{attempt.route}/{request_id}"
+            expected = "" if attempt is None else attempt.path
             findings += [
                 Finding(at=run.at, request_id=request_id, text=f"ran as {run.path!r}")
                 for run in runs
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -95,3 +95,11 @@
         return msgspec.structs.replace(read(row, **more), leaving=False)
 
     vars(tables)["replica_from"] = _staying
+
+
+@_takes_out("quarantine")
+def _send_on_what_crashes_replicas() -> None:
+    from springrock.quarantine.book import CrashBook
+
+    CrashBook.quarantined_for_s = lambda self, fingerprint: None  # type: ignore[method-assign]
+    CrashBook.may_be_retried = lambda self, fingerprint: True  # type: ignore[method-assign]
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -22,6 +22,7 @@
         key: The name of the key; empty for none.
         status: 0 if no answer came.
         whole: Whether the answer ended as its framing says.
+        of_request: The path of a request that comes again under new ids; empty for any other.
     """
 
     request_id: str
@@ -39,6 +40,12 @@
     whole: bool = False
     retry_after_s: float | None = None
     error: str = ""
+    of_request: str = ""
+
+    @property
+    def path(self) -> str:
+        """The path; it names the attempt, so that answers cannot be taken for each other."""
+        return self.of_request or f"/{self.route}/{self.request_id}"
 
     @property
     def answered(self) -> bool:
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -63,7 +63,7 @@
             meter.stop()
         deployment.ask_silent_boxes_for_stacks()
         return Observations(
-            attempts=callers.attempts,
+            attempts=[*callers.attempts, *deployment.crashing_attempts],
             calls=callers.calls,
             replica_events=deployment.replica_events(),
             spans=spans,
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -68,6 +68,8 @@
         starts_s = number * length_s
         ends_s = starts_s + length_s - QUIET_S
         planned += _draw_cycle(rng, shape, starts_s + _LEAD_S, ends_s)
+        apart = random.Random(f"{seed}/{number}")
+        planned += _draw_apart(apart, shape, starts_s + _LEAD_S, ends_s)
         quiets.append((ends_s, starts_s + length_s))
     return Schedule(seed, seconds, tuple(sorted(planned)), tuple(quiets))
 
@@ -86,6 +88,19 @@
     return planned
 
 
+def _draw_apart(rng: random.Random, shape: Shape, start_s: float, end_s: float) -> list[Planned]:
+    """Draw the faults that have a generator of their own, each once at most."""
+    planned = []
+    for fault in FAULTS:
+        if rng.random() >= fault.drawn_apart or end_s - start_s < fault.shortest_s:
+            continue
+        begins_s = rng.uniform(start_s, end_s - fault.shortest_s)
+        ends_s = min(end_s, begins_s + rng.uniform(fault.shortest_s, fault.longest_s))
+        targets = fault.targets(rng, shape)
+        planned.append(Planned(round(begins_s, 3), round(ends_s, 3), fault.name, targets))
+    return planned
+
+
 def _draw_one(
     rng: random.Random, shape: Shape, now_s: float, end_s: float, taken: dict[str, float]
 ) -> Planned | None:
--- a/bench/soak/shape.py
+++ b/bench/soak/shape.py
@@ -23,6 +23,9 @@
 FEW_PER_S = 8.0
 FEW_LOWERED_PER_S = 3.0
 
+CRASHING = "crashes-what-runs-it"
+"""Replicas end as they begin to run a request with this in its path."""
+
 MOVABLE = "turns"
 """The route that is moved to another service."""
 
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -34,6 +34,9 @@
 _FIRST_VERSION = 1
 """What a load brings that names no version."""
 
+CRASHED = 70
+"""How a process ends that a request has crashed, so that it is told from one that was killed."""
+
 _ARRIVALS_KEPT = 10_000
 """Of so many requests, the last ones, it is told when they arrived."""
 
@@ -248,7 +251,7 @@
         self.teams[request_id] = request.get_header(names.TEAM, "")
         self._note_request(ReplicaEventKind.RAN, adapter)
         if self._crashes_on(path, body):
-            os._exit(1)
+            os._exit(CRASHED)
         if request.get_header(names.API_KEY) is not None:
             self._violate("key_passed_on")
         headers[_SEAL] = f"seal-of-{request_id}"
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -304,3 +304,34 @@
     everything = seen(spans=spans, pauses=[Pause(6.0, 1.0)])
     assert everything.disturbed_s(0.0, 10.0, lambda span: True) == pytest.approx(4.0)
     assert everything.disturbed_s(3.5, 6.5, lambda span: True) == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize(
+    ("runs_at", "disturbed_s", "findings"),
+    [
+        ([1.0, 2.0, 3.0, 3.5, 4.0, 4.5, 5.0, 5.5], 0.0, 0),
+        ([1.0, 2.0, 3.0, 7.0, 8.0, 9.0], 0.0, 0),
+        ([1.0, 2.0, 3.0, 7.0, 8.0, 9.0, 10.0], 0.0, 1),
+        ([1.0, 2.0, 3.0, 7.0, 8.0, 9.0, 10.0], 6.0, 0),
+        ([1.0, 2.0, 30.0, 31.0, 32.0], 0.0, 0),
+    ],
+)
+def test_a_request_that_goes_on_crashing_replicas_is_found_after_the_bound(
+    runs_at: list[float], disturbed_s: float, findings: int
+) -> None:
+    tries = [
+        attempt(f"c{number}", route="join", sent_at=at, of_request="/join/crashing")
+        for number, at in enumerate(runs_at)
+    ]
+    given = {
+        "attempts": [*tries, attempt("r1")],
+        "replica_events": [run(one, at=one.sent_at) for one in [*tries, attempt("r1")]],
+        "spans": [span("store_down", "store", began_at=4.0, ended_at=4.0 + disturbed_s)],
+    }
+    assert len(found("crashing_request_stops", **given)) == findings
+
+
+def test_what_comes_again_under_new_ids_is_asked_for() -> None:
+    again = attempt("c1", route="join", of_request="/join/crashing")
+    given = {"attempts": [again], "replica_events": [run(again, path="/join/crashing")]}
+    assert found("nothing_unasked", **given) == []
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -60,3 +60,13 @@
     planned = drawn(5).planned
     assert any(one.begins_s < other.ends_s for other, one in pairwise(planned))
     assert any(one.begins_s > other.ends_s for other in planned for one in planned)
+
+
+def test_a_fault_that_is_drawn_apart_changes_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
+    apart = [fault for fault in FAULTS if fault.drawn_apart]
+    names = {fault.name for fault in apart}
+    with_it = [[one for one in drawn(seed).planned if one.fault not in names] for seed in range(9)]
+    for fault in apart:
+        assert fault.weight == 0.0
+        monkeypatch.setattr(fault, "drawn_apart", 0.0)
+    assert [list(drawn(seed).planned) for seed in range(9)] == with_it
