--- a/springrock/coordination/members.py
+++ b/springrock/coordination/members.py
@@ -17,6 +17,8 @@
 from springrock.settings import LeaseSection
 from springrock.wire.platform import Row
 
+_SHORTEST_PAUSE_S = 0.1
+
 
 class Member(NamedTuple):
     """A box as its session row tells of it.
@@ -70,6 +72,7 @@
         self._zone = zone
         self._hurry = hurry
         self._outage = False
+        self._began_at = monotonic()
         self._all_scanned_at = 0.0
         self._whole_wanted = True
         self._log = log
@@ -97,8 +100,7 @@
         Raises:
             PlatformUnavailable: If the table cannot be read.
         """
-        unread_s = monotonic() - self._all_scanned_at
-        due = self._whole_wanted or unread_s >= self._lease.all_zones_scan_every_s
+        due = self._whole_wanted or self._whole_due_in_s() <= 0.0
         prefix = SESSION_PREFIX if due else f"{SESSION_PREFIX}{self._zone}/"
         self._take(self._platform.rows(prefix), whole=due)
 
@@ -175,11 +177,24 @@
             except PlatformUnavailable as error:
                 self._outage = True
                 self._unread.begin(error=str(error))
-            self._wake.wait(timeout=self._pause_s())
+            self._wake.wait(timeout=self.pause_s)
             self._wake.clear()
 
-    def _pause_s(self) -> float:
-        return self._lease.scan_every_s if self._hurry() else self._lease.calm_scan_every_s
+    @property
+    def pause_s(self) -> float:
+        """How long to wait until the next scan."""
+        calm_s = min(self._lease.calm_scan_every_s, self._whole_due_in_s())
+        return self._lease.scan_every_s if self._hurry() else max(_SHORTEST_PAUSE_S, calm_s)
+
+    def _whole_due_in_s(self) -> float:
+        """Return the seconds until the rows of all zones are read again.
+
+        Soon after the start, then after ever longer: boxes that start together may each read the
+        rows just before the other's is there, and if nobody links to both, nothing else tells them.
+        """
+        age_s = max(self._lease.scan_every_s, self._all_scanned_at - self._began_at)
+        every_s = min(self._lease.all_zones_scan_every_s, age_s)
+        return self._all_scanned_at + every_s - monotonic()
 
     def look_soon(self, *, all_zones: bool = False) -> None:
         """Scan at once, as when a link was lost or an unknown box has dialed."""
