Rereading: the quarantine of a box is one part; terms come from their settings sections

Behaviour as it was. entry.py held the quarantine's three parts and four small makers of terms: the parts are put together in quarantine.quarantine, the terms are properties of their sections, as those of distance were. 'accused' sounded like a question but forgot what had run well: it is 'forgive' now. Ruled out: one constructor for what reporters, owners and keepers take (alike in shape alone).

Tests: quarantine, settings, docs, imports, slow_start, startup, routed path, crashing requests and slow start pass; format, lint, types.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -20,7 +20,7 @@
 from springrock.forwarding.evacuation_watch import EvacuationWatch
 from springrock.forwarding.evacuations import Evacuations
 from springrock.forwarding.forwarder import Forwarder
-from springrock.forwarding.keys import KeyGate, KeyTerms
+from springrock.forwarding.keys import KeyGate
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay
@@ -38,16 +38,12 @@
 from springrock.platform.engine import PlatformEngines
 from springrock.platform.store import PlatformStore
 from springrock.platform.tables import OperatorTable, ReplicaTable
-from springrock.quarantine.book import CrashBook
+from springrock.quarantine.quarantine import Quarantine
 from springrock.quarantine.report import KEY_PREFIX as CRASHES_PREFIX
-from springrock.quarantine.reporter import Reporter
-from springrock.quarantine.terms import QuarantineTerms
-from springrock.quarantine.witness import Witness
 from springrock.quotas.charging import Charging
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import POLL_WAIT_S, ListenersByKey, TableFollower, TableReading
 from springrock.slow_start.permits import Permits
-from springrock.slow_start.terms import SlowStartTerms
 from springrock.slow_start.warmth import Warmth
 from springrock.store_clock import StoreClock
 
@@ -124,7 +120,7 @@
         for follower in self._followers:
             follower.start()
         self._placement.start()
-        self._reporter.start()
+        self._quarantine.start()
         self._door.start()
         self._readiness.start()
         self._metrics_page.start()
@@ -163,7 +159,7 @@
         self._readiness.stop()
         self._metrics_page.stop()
         self._placement.stop()
-        self._reporter.stop()
+        self._quarantine.stop()
         for follower in self._followers:
             follower.stop()
         self.stopped.set()
@@ -187,12 +183,18 @@
         )
         clock = StoreClock()
         self._board = PlacerBoard(age_s=lambda: placers.age_s)
-        self._crashes = CrashBook(terms=self._quarantine_terms, log=self._log_of("quarantine"))
-        self.metrics.quarantined.set_function(lambda: float(self._crashes.quarantined_count))
+        self._quarantine = Quarantine(
+            box=self.settings.box.name,
+            store=self._store,
+            table=PLACERS_TABLE,
+            terms=lambda: self.settings.quarantine.terms,
+            metrics=self.metrics,
+            log=self._log_of("quarantine"),
+        )
         placers = TableFollower(
             self._store,
             PLACERS_TABLE,
-            ListenersByKey({PLACERS_PREFIX: self._board, CRASHES_PREFIX: self._crashes}),
+            ListenersByKey({PLACERS_PREFIX: self._board, CRASHES_PREFIX: self._quarantine.book}),
             pause_s=_PLACERS_PAUSE_S,
             clock=clock,
             eager=True,
@@ -248,7 +250,7 @@
             world=self._world,
             control=PlatformEngines(),
             quota_terms=self._quota_terms,
-            slow_start_terms=self._slow_start_terms,
+            slow_start_terms=lambda: self.settings.slow_start.terms,
             warmth=self._warmth,
             log_of=self._log_of,
             metrics=self.metrics,
@@ -257,7 +259,9 @@
         self._follow_evacuations()
         self.metrics.boxes.set_function(lambda: float(self._placement.boxes))
         gate = KeyGate(
-            routes=lambda: self._routes, staleness_s=self._staleness_s, terms=self._key_terms
+            routes=lambda: self._routes,
+            staleness_s=self._staleness_s,
+            terms=lambda: self.settings.keys.terms,
         )
         balancer = Balancer(
             world=self._world, chance=random.Random(), costs=settings.distance.costs
@@ -274,14 +278,7 @@
             check_key=lambda journey: gate.check_again(
                 journey.admission, journey.request.key_digest
             ),
-            quarantine=self._crashes,
-        )
-        self._reporter = Reporter(
-            self._store,
-            table=PLACERS_TABLE,
-            book=self._crashes,
-            terms=self._quarantine_terms,
-            log=self._log_of("quarantine"),
+            quarantine=self._quarantine.book,
         )
         log = self._log_of("forwarder")
         sender = Sender(
@@ -291,12 +288,7 @@
             may_send=chooser.may_send,
             ways=WayBytes(self.metrics, self._topology),
             log=log,
-            witness=Witness(
-                box=settings.box.name,
-                book=self._crashes,
-                reports=self._reporter,
-                log=self._log_of("quarantine"),
-            ),
+            witness=self._quarantine.witness,
             count_attempt=lambda outcome: self.metrics.attempts.labels(outcome).inc(),
         )
         forwarder = Forwarder(
@@ -378,7 +370,7 @@
         """Return how long the store is to wait for news of the configuration."""
         if self._routes.configuration.teams is None:
             return POLL_WAIT_S
-        return min(POLL_WAIT_S, self._key_terms().trust_s / _CONFIGURATION_POLLS_OF_TRUST)
+        return min(POLL_WAIT_S, self.settings.keys.terms.trust_s / _CONFIGURATION_POLLS_OF_TRUST)
 
     def _world(self) -> World:
         """Return what is known beside the replicas of where requests may go."""
@@ -397,18 +389,6 @@
         zones = max(1, len(self.settings.box.zones))
         return QuotaTerms(quotas.window_s, quotas.overage, quotas.slack, zones)
 
-    def _slow_start_terms(self) -> SlowStartTerms:
-        slow_start = self.settings.slow_start
-        return SlowStartTerms(slow_start.overage, slow_start.slack)
-
-    def _quarantine_terms(self) -> QuarantineTerms:
-        quarantine = self.settings.quarantine
-        return QuarantineTerms(quarantine.crashes, quarantine.for_s)
-
-    def _key_terms(self) -> KeyTerms:
-        keys = self.settings.keys
-        return KeyTerms(keys.revoke_s, keys.fail_closed)
-
     def _budget_of(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -8,8 +8,10 @@
 
 from springrock.forwarding.distance_cost import DistanceCosts, DistancePrices
 from springrock.forwarding.evacuations import DEFAULT_WITHIN_S
+from springrock.forwarding.keys import KeyTerms
 from springrock.quarantine.terms import QuarantineTerms
 from springrock.settings import Section
+from springrock.slow_start.terms import SlowStartTerms
 from springrock.topology import Topology
 
 
@@ -146,6 +148,11 @@
     revoke_s: float = 5.0
     fail_closed: bool = True
 
+    @property
+    def terms(self) -> KeyTerms:
+        """How long keys are trusted."""
+        return KeyTerms(self.revoke_s, self.fail_closed)
+
 
 class QuotaSection(Section, frozen=True, kw_only=True):
     """How strictly the quotas of teams are meant, over all boxes together.
@@ -173,6 +180,11 @@
     overage: float = 1.0
     slack: float = 0.0
 
+    @property
+    def terms(self) -> SlowStartTerms:
+        """How strictly the bound is meant."""
+        return SlowStartTerms(self.overage, self.slack)
+
 
 class EvacuationSection(Section, frozen=True, kw_only=True):
     """The evacuation of zones.
@@ -196,6 +208,11 @@
     crashes: Annotated[int, Meta(ge=1)] = QuarantineTerms().crashes
     for_s: Annotated[float, Meta(gt=0.0)] = QuarantineTerms().for_s
 
+    @property
+    def terms(self) -> QuarantineTerms:
+        """What convicts a request."""
+        return QuarantineTerms(self.crashes, self.for_s)
+
 
 class StopSection(Section, frozen=True, kw_only=True):
     """A planned stop.
--- a/springrock/quarantine/book.py
+++ b/springrock/quarantine/book.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from springrock.clock import monotonic
@@ -66,7 +66,10 @@
         return sum(self.quarantined_for_s(item) is not None for item in set(self._quarantined))
 
     def quarantined_for_s(self, fingerprint: Fingerprint) -> float | None:
-        """Return for how long a request is sent to no replica; None if it may be sent."""
+        """Return for how long a request is sent to no replica; None if it may be sent.
+
+        That a quarantine is over is noted, and logged, when the request comes again.
+        """
         if fingerprint not in self._naming:
             return None
         terms = self._terms()
@@ -97,19 +100,16 @@
         """Take a report back, as the replica has not crashed."""
         self._drop(key)
 
-    def accused(self, fingerprints: Iterable[Fingerprint]) -> list[Fingerprint]:
-        """Return those of some requests that a crash speaks against.
+    def forgive(self, fingerprint: Fingerprint) -> bool:
+        """Whether a crash is not held against a request, as it has run well here since the last.
 
-        One that has run well here since a crash last spoke against it comes often, and was there
-        by chance; two crashes in a row speak against it as well.
+        It comes often then, and was there by chance; so was it hardly twice without a good end
+        between, so that one good end is good for one crash.
         """
-        found = []
-        for fingerprint in fingerprints:
-            if fingerprint in self._ran_well:
-                del self._ran_well[fingerprint]
-            else:
-                found.append(fingerprint)
-        return found
+        if fingerprint not in self._ran_well:
+            return False
+        del self._ran_well[fingerprint]
+        return True
 
     def note_ran_well(self, fingerprint: Fingerprint) -> None:
         """Learn that a request ran to a good end."""
--- a/springrock/quarantine/witness.py
+++ b/springrock/quarantine/witness.py
@@ -67,8 +67,7 @@
 
     def note_broken(self, fingerprint: Fingerprint, record: ReplicaRecord) -> None:
         """Learn that a request broke at a replica that had got it."""
-        accused = [] if record.leaving else self._book.accused([fingerprint])
-        if not accused:
+        if record.leaving or self._book.forgive(fingerprint):
             return
         standing = self._breaks.get(record.instance)
         if standing is None:
--- a/tests/quarantine/test_book.py
+++ b/tests/quarantine/test_book.py
@@ -120,10 +120,10 @@
     book: CrashBook,
 ) -> None:
     book.note_ran_well(OTHER)
-    assert book.accused([OTHER, GUILTY]) == [GUILTY]
-    assert book.accused([OTHER, GUILTY]) == [OTHER, GUILTY]
+    assert [book.forgive(OTHER), book.forgive(GUILTY)] == [True, False]
+    assert [book.forgive(OTHER), book.forgive(GUILTY)] == [False, False]
     book.note_ran_well(OTHER)
-    assert book.accused([OTHER]) == []
+    assert book.forgive(OTHER)
 
 
 def test_a_row_that_an_operator_removes_releases_its_requests(book: CrashBook) -> None:
--- a/tests/quarantine/test_quarantine_model.py
+++ b/tests/quarantine/test_quarantine_model.py
@@ -120,7 +120,7 @@
         """See a replica crash under some requests of this box."""
         for fingerprint in requests:
             self.world.crashes_of.setdefault(fingerprint, set()).add(instance)
-        accused = [str(item) for item in self.book.accused(requests)]
+        accused = [str(item) for item in requests if not self.book.forgive(item)]
         key = new_key()
         self.unwritten[key] = CrashReport("box", instance, accused)
         self.book.take(key, self.unwritten[key])
