Quarantine: a box holds a bounded number of reports, whatever the store does

Cause, found by reading: rows are bounded by who removes them, so that a box that no store answers held as many as it saw. Now 2,000 at most, the oldest go.

--- a/springrock/quarantine/book.py
+++ b/springrock/quarantine/book.py
@@ -16,6 +16,9 @@
 REPORTS_AT_MOST = 1_000
 """So many reports are kept, the newest; of a usual crash each takes under 2 KB."""
 
+_HELD_AT_MOST = 2 * REPORTS_AT_MOST
+"""What a box holds itself while nobody removes rows, as when the store is out."""
+
 _RUN_WELL_KEPT = 2_000
 """Of so many requests it is remembered that they have run well here: those that come often."""
 
@@ -159,6 +162,8 @@
 
     def _hold(self, key: str, report: CrashReport, *, version: int) -> None:
         self._held[key] = _Held(report, version, monotonic())
+        if len(self._held) > _HELD_AT_MOST:
+            self._drop(next(iter(self._held)))
         for fingerprint in report.fingerprints:
             self._naming.setdefault(fingerprint, set()).add(key)
             self._note_accused(fingerprint)
--- a/tests/quarantine/test_book.py
+++ b/tests/quarantine/test_book.py
@@ -154,6 +154,17 @@
     assert book.quarantined_count == 0
 
 
+def test_a_box_holds_no_more_than_so_many_reports(
+    book: CrashBook, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(book_module, "_HELD_AT_MOST", 3)
+    for number in range(3):
+        book.take(f"crash/{number}", report(f"i-{number}", GUILTY))
+    assert book.quarantined_for_s(GUILTY) is not None
+    book.take("crash/3", report("i-3", OTHER))
+    assert book.quarantined_for_s(GUILTY) is None, "the oldest went"
+
+
 def test_old_rows_and_those_beyond_the_bound_may_go(book: CrashBook, clock: Clock) -> None:
     book.change(row(0, GUILTY))
     clock.now += 50.0
