--- a/tests/quarantine/test_quarantine_model.py
+++ b/tests/quarantine/test_quarantine_model.py
@@ -223,7 +223,7 @@
     ("remove_oldest",),
     ("try", (0, 0, 1)),
 ]
-"""A crash that two boxes saw: the row of the one is removed before the other has written its own."""
+"""Two boxes saw a crash: the row of the one is removed before the other has written its own."""
 
 
 @settings(max_examples=400, deadline=None)
