Planner: what a plan asks of its engines again for each want is counted once

Change: PlanIndex counts places, assignments and what is at hand once for a plan and keeps them current.

--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 from typing import NamedTuple
 
@@ -140,6 +140,10 @@
         """Whether the engine can load an adapter again without the weight store."""
         return self._lately.get(key, -1) >= version
 
+    def lately(self) -> Collection[AdapterKey]:
+        """Return the adapters that the engine may load again without the weight store."""
+        return self._lately.keys()
+
     def load_taken(
         self,
         key: AdapterKey,
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -12,6 +12,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.engine_book import EngineBook, Place, PlaceState
 from springrock.placement.load_pace import LoadPace
+from springrock.placement.plan_index import PlanIndex
 from springrock.placement.popularity import Popularity
 from springrock.placement.turnover import Turnover
 
@@ -118,7 +119,6 @@
         self._newest = newest
         self._wanted: frozenset[AdapterKey] = frozenset()
         self._running: Counter[str] = Counter()
-        self._copies_of: Counter[AdapterKey] = Counter()
         self._waits: Mapping[str, float] = {}
         self._victims_of: dict[str, list[AdapterKey]] = {}
         self._turnover = Turnover()
@@ -148,30 +148,30 @@
         """
         plan = Plan([], {})
         self._running = _running_by_engine(used)
-        self._copies_of = Counter(key for engine in engines for key in engine.places)
+        index = PlanIndex(engines)
         self._waits = waits or {}
         self._victims_of.clear()
         wants = list(wants)
         self._wanted = frozenset(want.key for want in wants if want.waiting)
         wanted = {want.key for want in wants}
-        wants += self._foreseen(engines, wanted, now)
-        wants += self._copies(engines, wanted, crowded, now)
+        wants += self._foreseen(engines, index, wanted, now)
+        wants += self._copies(index, wanted, crowded, now)
         wants += [unasked(key, now, saves=saves) for key, saves in _without(near, wanted)]
         # Of equals the one that has waited longest: a later one would push it back again and again.
-        ranked = sorted(wants, key=lambda want: (-self._value(want, engines, now), want.target_at))
+        ranked = sorted(wants, key=lambda want: (-self._value(want, index, now), want.target_at))
         coming = sum(len(engine.assigned) for engine in engines)
         short_of_places = 0
         for want in ranked:
-            known_s = self._known_ready_in(want, engines, now)
+            known_s = self._known_ready_in(want, index, now)
             if known_s is not None:
                 plan.ready_in_s[want.key] = known_s
                 continue
             is_foreseen = not want.waiting and not want.is_copy and not want.saves
-            if is_foreseen and self._is_at_hand(want.key, engines):
+            if is_foreseen and self._is_at_hand(want.key, index):
                 # It takes no place before somebody waits: it can be there at once.
                 plan.ready_in_s[want.key] = WARM_LOAD_S
                 continue
-            engine = self._best_engine(want, engines, used, now)
+            engine = self._best_engine(want, engines, index, used, now)
             if engine is None and want.saves:
                 continue
             if engine is None:
@@ -187,7 +187,7 @@
                 rounds = (coming - 1) // at_once
                 plan.ready_in_s[want.key] = expected_s + rounds * COLD_LOAD_S
                 continue
-            engine.assigned[want.key] = now
+            index.assign(engine, want.key, now=now)
             self._victims_of.pop(engine.instance, None)
             plan.assignments.append(Assignment(want.key, engine, want))
             plan.ready_in_s[want.key] = expected_s
@@ -219,7 +219,12 @@
         return next(iter(self._victims(engine, used, now)), None)
 
     def _next_victim(
-        self, engine: EngineBook, used: Collection[tuple[str, AdapterKey]], now: float
+        self,
+        engine: EngineBook,
+        used: Collection[tuple[str, AdapterKey]],
+        now: float,
+        *,
+        opening: int,
     ) -> AdapterKey | None:
         """Return who would give way to one more adapter on an engine without an open place.
 
@@ -230,7 +235,7 @@
         if victims is None:
             # They stay the same until an adapter is assigned to the engine.
             victims = self._victims_of[engine.instance] = self._victims(engine, used, now)
-        spoken_for = -engine.opening
+        spoken_for = -opening
         return victims[spoken_for] if spoken_for < len(victims) else None
 
     def _victims(
@@ -248,30 +253,32 @@
         ]
         return sorted(victims, key=lambda key: self._keep_value(engine, key))
 
-    def _value(self, want: CombinedWant, engines: Collection[EngineBook], now: float) -> float:
+    def _value(self, want: CombinedWant, index: PlanIndex, now: float) -> float:
         """Return what a load is worth to those who wait and will likely ask, less what it costs."""
         in_time = now + COLD_LOAD_S < want.target_at
         worth = want.worth if in_time or want.promised else want.worth * _LATE_PART
         asked_again = max(0.0, self._popularity.of(want.key) - _ASKED_BY_ONE)
-        cost = 0.0 if self._is_at_hand(want.key, engines) else COLD_COST
+        cost = 0.0 if self._is_at_hand(want.key, index) else COLD_COST
         return worth + want.saves + _WORTH_OF_FUTURE * asked_again - cost
 
     def _foreseen(
-        self, engines: Collection[EngineBook], wanted: Collection[AdapterKey], now: float
+        self,
+        engines: Collection[EngineBook],
+        index: PlanIndex,
+        wanted: Collection[AdapterKey],
+        now: float,
     ) -> list[CombinedWant]:
         """Return popular adapters that stand nowhere, as if they were wanted."""
         models = {model for engine in engines for model in engine.models}
         return [
             unasked(key, now)
             for key in self._popularity.above(_POPULAR)
-            if key not in wanted
-            and key.model in models
-            and not any(key in engine.places for engine in engines)
+            if key not in wanted and key.model in models and not index.holding(key)
         ]
 
     def _copies(
         self,
-        engines: Collection[EngineBook],
+        index: PlanIndex,
         wanted: Collection[AdapterKey],
         crowded: Collection[AdapterKey],
         now: float,
@@ -279,30 +286,28 @@
         """Return crowded adapters, as if they were wanted once more where there is less to do."""
         copies = []
         for key in crowded:
-            holders = [engine for engine in engines if key in engine.places]
-            on_its_way = any(
-                key in engine.assigned or engine.places[key].state is PlaceState.COMING
-                for engine in holders
-            ) or any(key in engine.assigned for engine in engines)
+            holders = index.holding(key)
+            is_coming = any(engine.places[key].state is PlaceState.COMING for engine in holders)
+            on_its_way = is_coming or bool(index.assigned(key))
             asked = self._popularity.of(key) / max(1, len(holders))
             if asked >= HOT and key not in wanted and holders and not on_its_way:
                 copies.append(unasked(key, now, is_copy=True))
         return copies
 
-    def _known_ready_in(
-        self, want: CombinedWant, engines: Collection[EngineBook], now: float
-    ) -> float | None:
+    def _known_ready_in(self, want: CombinedWant, index: PlanIndex, now: float) -> float | None:
         """Return when an adapter will be ready without a new load, if so."""
         key = want.key
+        newest = self._newest(key)
         times: list[float] = []
-        for engine in engines:
-            if want.is_copy and key in engine.places:
+        for engine in index.holding(key):
+            if want.is_copy or not engine.is_ready(key, version=newest):
                 continue
-            if engine.is_ready(key, version=self._newest(key)):
-                stood_s = now - max(want.since, engine.places[key].since)
-                if not want.waiting or stood_s < _UNREACHED_S:
-                    times.append(0.0)
-            elif key in engine.assigned:
+            stood_s = now - max(want.since, engine.places[key].since)
+            if not want.waiting or stood_s < _UNREACHED_S:
+                times.append(0.0)
+        for engine in index.assigned(key):
+            is_excluded = want.is_copy and key in engine.places
+            if not is_excluded and not engine.is_ready(key, version=newest):
                 left_s = engine.assigned[key] + COLD_LOAD_S - now
                 times.append(max(0.05, left_s))
         return min(times, default=None)
@@ -311,23 +316,26 @@
         self,
         want: CombinedWant,
         engines: Collection[EngineBook],
+        index: PlanIndex,
         used: Collection[tuple[str, AdapterKey]],
         now: float,
     ) -> EngineBook | None:
         key = want.key
+        newest = self._newest(key)
 
         def _cost(engine: EngineBook) -> float:
             cost = _RUNNING * self._running[engine.instance]
             cost += _WAIT * self._waits.get(engine.instance, 0.0)
-            if not engine.at_hand(key, version=self._newest(key)):
+            if not engine.at_hand(key, version=newest):
                 cost += _COLD
             if key in engine.places:
                 # Its older version gives up its own place.
                 return cost
-            if engine.opening > 0:
-                return cost - 0.1 * engine.opening
-            victim = self._next_victim(engine, used, now)
-            if victim is not None and self._outweighs(want, victim):
+            opening = index.opening(engine)
+            if opening > 0:
+                return cost - 0.1 * opening
+            victim = self._next_victim(engine, used, now, opening=opening)
+            if victim is not None and self._outweighs(want, victim, index):
                 return cost + _EVICTION + 0.5 * len(engine.assigned)
             return cost + _NO_PLACE
 
@@ -339,15 +347,14 @@
             and not (
                 want.is_copy and self._waits.get(engine.instance, 0.0) > _LONGEST_WAIT_OF_COPY_S
             )
-            and engine.not_yet_placed + engine.coming < _COMING_TO_ONE
+            and index.loads(engine) < _COMING_TO_ONE
         ]
         costs = [(_cost(engine), engine) for engine in candidates]
         cost, best = min(costs, key=lambda item: item[0], default=(_NO_PLACE, None))
         return best if cost < _NO_PLACE else None
 
-    def _is_at_hand(self, key: AdapterKey, engines: Collection[EngineBook]) -> bool:
-        version = self._newest(key)
-        return any(engine.at_hand(key, version=version) for engine in engines)
+    def _is_at_hand(self, key: AdapterKey, index: PlanIndex) -> bool:
+        return index.is_at_hand(key, version=self._newest(key))
 
     def _replaceable(
         self, engine: EngineBook, key: AdapterKey, used: Collection[tuple[str, AdapterKey]]
@@ -356,7 +363,7 @@
         outdated = engine.is_outdated(key, version=self._newest(key))
         return outdated and (engine.instance, key) not in used
 
-    def _outweighs(self, want: CombinedWant, victim: AdapterKey) -> bool:
+    def _outweighs(self, want: CombinedWant, victim: AdapterKey, index: PlanIndex) -> bool:
         """Whether a load may push out an adapter: if it is waited for, or far more popular."""
         if want.waiting or want.promised:
             return True
@@ -364,7 +371,7 @@
             return want.saves > self._popularity.of(victim) + _NEAR_COPY_MARGIN
         asked = self._popularity.of(want.key)
         if want.is_copy:
-            asked /= 1 + self._copies_of[want.key]
+            asked /= 1 + len(index.holding(want.key))
         return asked > self._popularity.of(victim) + _POPULAR
 
     def _keep_value(self, engine: EngineBook, key: AdapterKey) -> tuple[bool, float]:
