Reborn engines: what a box sends to an earlier start counts where it runs

A box that is granted a start that it has not read of goes by the earlier one, the engine runs it, and the placer counted that use nowhere and ordered the adapter away. Change: a use at an earlier start counts at the start of the same id that stands. Tests: test_placer_reborn (failed before), tests/placement pass.

--- a/springrock/placement/requests.py
+++ b/springrock/placement/requests.py
@@ -22,7 +22,7 @@
 from springrock.placement.dispatcher import Dispatcher
 from springrock.placement.forecasts import Forecasts
 from springrock.placement.keeper import Keeper
-from springrock.placement.messages import Ask, Demand, Grant, Message, Outcome, Over
+from springrock.placement.messages import Ask, Demand, Grant, Message, Outcome, Over, Use
 from springrock.placement.near_copies import NearCopies
 from springrock.placement.planner import COLD_COST
 from springrock.placement.popularity import Popularity
@@ -103,7 +103,10 @@
         """Take what is new at a box."""
         now = monotonic()
         for use in demand.uses:
-            self._dispatcher_of(use.instance).note_use(box, use)
+            instance = self._start_that_stands(use.instance)
+            self._dispatcher_of(instance).note_use(
+                box, Use(use.number, instance, use.model, use.adapter)
+            )
         for over in demand.over:
             self.asks.remove(box, over.number)
             self._end_use(box, over)
@@ -256,6 +259,20 @@
                 return service
         return None
 
+    def _start_that_stands(self, instance: str) -> str:
+        """Return the start of an engine that runs what was sent to an earlier start of it.
+
+        A box that has not read of the new start yet names the one that it knows. Its request runs
+        at the new one all the same, where its adapter must not be taken for unused.
+        """
+        if instance in self._keepers:
+            return instance
+        replica_id = instance.rpartition("@")[0]
+        for standing, keeper in self._keepers.items():
+            if replica_id and keeper.book.record.replica_id == replica_id:
+                return standing
+        return instance
+
     def _dispatcher_of(self, instance: str) -> Dispatcher:
         replica = self._directory.find(instance)
         return self.dispatcher("" if replica is None else replica.record.service)
--- a/tests/placement/test_placer_reborn.py
+++ b/tests/placement/test_placer_reborn.py
@@ -11,7 +11,7 @@
 from springrock.forwarding.directory import ReplicaRecord, incarnation_of
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.control import EngineState
-from springrock.placement.messages import Grant
+from springrock.placement.messages import Demand, Grant, Over, Use
 from springrock.placement.placer import Placer
 from tests.placement.test_placer import SlowEngine, Told, asking, make_placer
 
@@ -107,3 +107,25 @@
     assert placer.room() == 0
     placer._directory.update(record_of(1))
     assert placer.requests.holders(KEY) == ["i-1@1"]
+
+
+def test_what_a_box_sends_to_the_earlier_start_counts_where_it_runs(
+    placer: Placer, engine: RebornEngine
+) -> None:
+    """A box that has yet to read of the new start names the one before; the engine runs it.
+
+    The placer took the adapter for unused and ordered it away under that run: seen once, where a
+    box was granted the new start 40 ms before it read of it.
+    """
+    engine.start_anew()
+    placer._directory.update(record_of(2))
+    dispatcher = placer.requests.dispatcher("s")
+    placer.take_demand("box-2", Demand(uses=[Use(7, "i-1@1", *KEY)]))
+    assert dispatcher.used == {("i-1@2", KEY): 1}
+    placer.take_demand("box-2", Demand(over=[Over(7)]))
+    assert not dispatcher.used
+
+
+def test_what_runs_at_an_engine_that_nobody_knows_counts_for_no_other(placer: Placer) -> None:
+    placer.take_demand("box-2", Demand(uses=[Use(7, "i-9@1", *KEY), Use(8, "i-8", *KEY)]))
+    assert not placer.requests.dispatcher("s").used
