--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -32,6 +32,23 @@
     team: str | None = None
 
 
+class ReplicaNotice(NamedTuple):
+    """What the head of an answer tells of its replica, whatever became of the request.
+
+    Attributes:
+        leaving: Whether the replica gets no new work any more.
+        backoff_s: For how long, from now on, it wants nothing from this box; 0 if it said nothing.
+        unreadable: What it said that cannot be understood, for logs.
+    """
+
+    leaving: bool = False
+    backoff_s: float = 0.0
+    unreadable: str = ""
+
+
+NO_NOTICE = ReplicaNotice()
+
+
 class Dialect(Protocol):
     """Reads requests of clients and writes requests to replicas."""
 
@@ -55,3 +72,6 @@
 
     def wrong_replica(self, head: AnswerHead) -> bool:
         """Whether an answer says that this replica is not the one, or lacks what was asked."""
+
+    def notice(self, head: AnswerHead) -> ReplicaNotice:
+        """Return what an answer tells of the replica that was meant."""
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -29,6 +29,10 @@
     """Take what nobody counts."""
 
 
+def _learn_nothing(head: AnswerHead) -> None:
+    """Take what nobody learns from."""
+
+
 class Answer:
     """An answer whose head came and was found to belong to the request.
 
@@ -93,6 +97,7 @@
     head_within_s: float,
     may_send: Callable[[], bool] = lambda: True,
     on_close: OnClose = _count_nothing,
+    on_head: Callable[[AnswerHead], None] = _learn_nothing,
 ) -> Answer:
     """Send a request to a replica and return its answer, to be closed by the caller.
 
@@ -106,6 +111,7 @@
         may_send: Whether the replica may get the request yet, asked once a connection stands: it
             may have been waited for.
         on_close: Called once the answer is closed.
+        on_head: Called with the head of the request's own answer, whatever it says.
 
     Raises:
         ReplicaUnreachable: If nothing was sent.
@@ -127,6 +133,7 @@
             within_s=head_within_s,
         )
         head = _find_own_answer(connection, request, dialect, Deadline(head_within_s))
+        on_head(head)
         answer = Answer(head, connection, pool, on_close)
         if not dialect.not_run(head):
             return answer
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -125,7 +125,7 @@
         replica = chosen.replica
         attempt = self._sender.begin(journey, replica)
         try:
-            answer = self._sender.send(journey, chosen, head_within_s=journey.left_s)
+            answer = self._sender.send(journey, chosen, attempt, head_within_s=journey.left_s)
             try:
                 body = answer.read_all(deadline=Deadline(journey.left_s))
             finally:
--- a/springrock/forwarding/journey.py
+++ b/springrock/forwarding/journey.py
@@ -8,6 +8,7 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding.configuration import Route, RouteKind
+from springrock.forwarding.dialect import NO_NOTICE, ReplicaNotice
 from springrock.forwarding.eligibility import ANYWHERE, Bounds
 from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.keys import UNKEYED, Admission
@@ -51,12 +52,29 @@
 
 
 class Attempt(Struct, kw_only=True):
-    """One attempt at one replica."""
+    """One attempt at one replica.
+
+    Attributes:
+        began_s: When it began, in seconds from when the request was received.
+        record_age_s: How old the replica's record was then.
+        notice: What the answer told of the replica itself.
+    """
 
     instance: str
     began_s: float
     record_age_s: float
     outcome: AttemptOutcome = AttemptOutcome.UNDER_WAY
+    notice: ReplicaNotice = NO_NOTICE
+
+    def __str__(self) -> str:
+        """Say how it went, for logs."""
+        said = ", says it leaves" if self.notice.leaving else ""
+        if self.notice.backoff_s:
+            said += f", asks for {self.notice.backoff_s:.2f} s of rest"
+        return (
+            f"{self.instance} {self.outcome} at {self.began_s} s, "
+            f"record of {self.record_age_s} s{said}"
+        )
 
 
 class Journey:
@@ -153,10 +171,7 @@
 
     def trail(self) -> list[str]:
         """Return what was tried, for logs."""
-        return [
-            f"{item.instance} {item.outcome} at {item.began_s} s, record of {item.record_age_s} s"
-            for item in self.attempts
-        ]
+        return [str(attempt) for attempt in self.attempts]
 
     @property
     def tried(self) -> frozenset[str]:
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -7,7 +7,7 @@
 from springrock.clock import monotonic
 from springrock.forwarding.adapters import Adapters, UseOutcome
 from springrock.forwarding.choosing import Chosen
-from springrock.forwarding.dialect import Dialect, SendTerms
+from springrock.forwarding.dialect import Dialect, ReplicaNotice, SendTerms
 from springrock.forwarding.directory import Replica
 from springrock.forwarding.errors import (
     AnswerBroken,
@@ -97,13 +97,20 @@
             chosen.use.end(_USE_OUTCOMES.get(attempt.outcome, UseOutcome.ENDED))
 
     def send(
-        self, journey: Journey, chosen: Chosen, *, head_within_s: float, after_event: str = ""
+        self,
+        journey: Journey,
+        chosen: Chosen,
+        attempt: Attempt,
+        *,
+        head_within_s: float,
+        after_event: str = "",
     ) -> Answer:
         """Send the request and return the answer, to be closed by the caller.
 
         Args:
             journey: The request.
             chosen: Where to.
+            attempt: Takes what the answer tells of the replica.
             head_within_s: How long the head of the answer may take.
             after_event: The event after which a stream goes on.
 
@@ -129,8 +136,19 @@
             head_within_s=head_within_s,
             may_send=lambda: self._may_send(journey, chosen),
             on_close=self._ways.to(replica.record.zone),
+            on_head=lambda head: self._take_notice(replica, attempt, self._dialect.notice(head)),
         )
 
+    def _take_notice(self, replica: Replica, attempt: Attempt, notice: ReplicaNotice) -> None:
+        """Note what an answer tells of its replica."""
+        attempt.notice = notice
+        if notice.unreadable:
+            self._log.say(
+                "A replica says what cannot be understood.",
+                instance=replica.instance,
+                said=notice.unreadable,
+            )
+
     def note_answer(
         self, journey: Journey, replica: Replica, attempt: Attempt, status: int
     ) -> None:
@@ -164,6 +182,8 @@
             outcome=attempt.outcome,
             beside=replica.running - 1,
             error=str(error),
+            says_it_leaves=attempt.notice.leaving,
+            asks_for_rest_s=round(attempt.notice.backoff_s, 2),
             failure_rate=round(replica.health.failure_rate, 2),
             rest_s=round(replica.health.rest_left_s, 2),
             age_ms=round(journey.age_s * 1000),
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -83,6 +83,7 @@
         self._answer = self._sender.send(
             self._journey,
             self._chosen,
+            self._attempt,
             head_within_s=self._first_event_within_s(),
             after_event=self._journey.last_event_id,
         )
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from springrock.errors import BadRequest
-from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.dialect import NO_NOTICE, ReplicaNotice, SendTerms
 from springrock.forwarding.keys import digest_of
 from springrock.forwarding.message import AnswerHead, ClientRequest, Header, Headers, PromptPart
 from springrock.platform import names
@@ -25,10 +25,15 @@
 _OF_TEAMS = (names.API_KEY, names.TEAM)
 """What is dropped beside that where there are teams."""
 
+_SHOWN = 40
+"""So many signs of a value that cannot be read are shown in logs."""
+
 _MOST_TOKENS = 1_000_000_000
 """No prompt or answer is that long; a number beyond it is taken for malformed."""
 
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_IS_LEAVING = "1"
 _STATUSES_OF_NOT_EXECUTED = frozenset({400, 408, 429, 503})
 
 
@@ -103,6 +108,22 @@
         """Whether the replica is not the one meant, or lacks what was asked for."""
         return head.status == _MISDIRECTED
 
+    def notice(self, head: AnswerHead) -> ReplicaNotice:
+        """Return what an answer tells of the replica that was meant.
+
+        Whoever answers 421 may be another one, at an address that was used again.
+        """
+        if head.status == _MISDIRECTED:
+            return NO_NOTICE
+        leaving = (head.headers.get(names.LEAVING) or "").strip() == _IS_LEAVING
+        stated = head.headers.get(names.RETRY_AFTER)
+        if stated is None or head.status != _UNAVAILABLE:
+            return ReplicaNotice(leaving)
+        try:
+            return ReplicaNotice(leaving, backoff_s=_number(stated))
+        except BadRequest:
+            return ReplicaNotice(leaving, unreadable=f"{names.RETRY_AFTER}: {stated[:_SHOWN]}")
+
 
 def _key_digest(headers: Headers) -> bytes | None:
     """Return the digest of the client's key; no error tells anything of the key itself."""
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -29,6 +29,11 @@
 LAST_EVENT_ID = "Last-Event-Id"
 INSTANCE_ID = "Springrock-Instance-Id"
 
+LEAVING = "Server-Leaving"
+"""Set to 1 on all answers of a replica that leaves."""
+
+RETRY_AFTER = "Retry-After"
+
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
 READINESS_PATH = "/v1/readiness"
--- a/tests/forwarding/test_sending.py
+++ b/tests/forwarding/test_sending.py
@@ -42,7 +42,7 @@
         journey = Journey(make_request(deadline_s=5.0), make_route(), "s")
         attempt = sender.begin(journey, replica)
         with pytest.raises(SendingForbidden) as forbidden:
-            sender.send(journey, Chosen(replica, None), head_within_s=1.0)
+            sender.send(journey, Chosen(replica, None), attempt, head_within_s=1.0)
         sender.note_failure(journey, replica, attempt, forbidden.value)
     assert attempt.outcome is AttemptOutcome.WITHHELD
     assert (journey.arrivals, journey.runs) == (0, 0)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -5,9 +5,9 @@
 import pytest
 
 from springrock.errors import BadRequest
-from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.dialect import NO_NOTICE, ReplicaNotice, SendTerms
 from springrock.forwarding.keys import digest_of
-from springrock.forwarding.message import ClientRequest, Headers, PromptPart
+from springrock.forwarding.message import AnswerHead, ClientRequest, Headers, PromptPart
 from springrock.platform.dialect import PlatformDialect
 
 ID = ("Springrock-Request-Id", "r-1")
@@ -87,3 +87,33 @@
 def test_the_tokens_of_a_request_are_counted_together() -> None:
     assert read(("Springrock-Token-Count", "1460,80")).tokens == 1540
     assert read().tokens is None
+
+
+def notice_of(status: int, *headers: tuple[str, str]) -> ReplicaNotice:
+    return PlatformDialect().notice(AnswerHead(status, "", Headers.from_pairs([ID, *headers])))
+
+
+@pytest.mark.parametrize("status", [200, 400, 408, 429, 500, 503, 504])
+def test_a_replica_says_in_any_answer_that_it_leaves(status: int) -> None:
+    assert notice_of(status, ("server-leaving", "1")).leaving
+    assert notice_of(status) == NO_NOTICE
+    assert notice_of(status, ("Server-Leaving", "0")) == NO_NOTICE
+
+
+def test_a_rest_is_asked_for_in_seconds_by_who_turns_a_request_away() -> None:
+    assert notice_of(503, ("Retry-After", "3")).backoff_s == 3.0
+    assert notice_of(503, ("Retry-After", "0.25")).backoff_s == 0.25
+    assert notice_of(500, ("Retry-After", "3")) == NO_NOTICE
+
+
+def test_who_answers_for_another_replica_tells_nothing_of_the_one_that_was_meant() -> None:
+    assert notice_of(421, ("Server-Leaving", "1"), ("Retry-After", "3")) == NO_NOTICE
+
+
+@pytest.mark.parametrize("value", ["", "soon", "-1", "nan", "inf", "x" * 1000])
+def test_a_rest_that_cannot_be_read_is_said_to_be_so_and_is_none(value: str) -> None:
+    notice = notice_of(503, ("Retry-After", value), ("Server-Leaving", "1"))
+    assert notice.leaving
+    assert notice.backoff_s == 0.0
+    assert notice.unreadable.startswith("Retry-After")
+    assert len(notice.unreadable) < 100
