--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -46,15 +46,17 @@
 
     Attributes:
         refuse: Requests are refused before they run.
+        asks_rest_s: For so long refusals ask their callers for rest; 0 for no word of it.
         fail: Requests run and end with 500.
         cut_after: Streams break after so many events; negative for none. Once only.
-        leaving: Its record says that it leaves.
+        leaving: Its record and all its answers say that it leaves.
         silent: It does not record itself.
         reborn: It starts anew under its id: at once, and with nothing of before. Once only.
         cold_s: It turns cold for so long, from now on.
     """
 
     refuse: bool = False
+    asks_rest_s: float = 0.0
     fail: bool = False
     cut_after: int = -1
     leaving: bool = False
@@ -168,7 +170,16 @@
         self._reports.append((now, self._state()))
         while len(self._reports) > 1 and self._reports[1][0] < now - _REPORT_LAG_S:
             del self._reports[0]
-        return json_response(msgspec.json.encode(self._reports[0][1]))
+        return self._answer(msgspec.json.encode(self._reports[0][1]))
+
+    def _answer(
+        self, body: bytes, *, status: int = 200, headers: dict[str, str] | None = None
+    ) -> Any:
+        """Return an answer with what each answer tells of the replica."""
+        return json_response(body, status=status, headers={**(headers or {}), **self._said()})
+
+    def _said(self) -> dict[str, str]:
+        return {names.LEAVING: "1"} if self._fault.leaving else {}
 
     def _state(self) -> dict[str, Any]:
         model = self._settings.base_model
@@ -188,12 +199,12 @@
     def _post_order(self) -> Any:
         order = msgspec.json.decode(bottle.request.body.read())
         if bottle.request.get_header(names.EXPECT_INSTANCE, self._instance) != self._instance:
-            return json_response(b"{}", status=421)
+            return self._answer(b"{}", status=421)
         if order["fencingToken"] < self._fence:
-            return json_response(b"{}", status=412)
+            return self._answer(b"{}", status=412)
         self._fence = order["fencingToken"]
         if order.get("expected", self._sequence) != self._sequence:
-            return json_response(b"{}", status=409)
+            return self._answer(b"{}", status=409)
         adapter = order["adapter"]
         if order["operation"] == "load":
             return self._load(adapter, order.get("version", _FIRST_VERSION))
@@ -201,16 +212,16 @@
 
     def _load(self, adapter: str, version: int) -> Any:
         if self._adapters.get(adapter, 0) >= version:
-            return json_response(b"{}", status=200)
+            return self._answer(b"{}", status=200)
         if self._coming.get(adapter, 0) >= version:
-            return json_response(b"{}", status=202)
+            return self._answer(b"{}", status=202)
         self._sequence += 1
         held = self._adapters.keys() | self._coming.keys()
         if adapter not in held and len(held) >= self._settings.adapter_slots:
             self._violate("too_many_adapters")
         self._coming[adapter] = version
         gevent.spawn_later(self._settings.load_s, self._arrive, adapter, self._born_ms)
-        return json_response(b"{}", status=202)
+        return self._answer(b"{}", status=202)
 
     def _arrive(self, adapter: str, born_ms: int) -> None:
         version = self._coming.pop(adapter, None) if born_ms == self._born_ms else None
@@ -229,7 +240,7 @@
                 age_s=monotonic() - run.began_at,
             )
         self._adapters.pop(adapter, None)
-        return json_response(b"{}", status=200)
+        return self._answer(b"{}", status=200)
 
     # Requests.
 
@@ -241,11 +252,11 @@
         adapter = request.get_header(names.MODEL, "").partition("/")[2]
         if not self._is_meant(adapter):
             self._note_request(ReplicaEventKind.MISDIRECTED, adapter)
-            return json_response(b"", status=421, headers=headers)
+            return self._answer(b"", status=421, headers=headers)
         self._arrivals.append(monotonic())
         if self._fault.refuse:
             self._note_request(ReplicaEventKind.REFUSED, adapter)
-            return json_response(b"", status=503, headers={**headers, names.NOT_EXECUTED: "1"})
+            return self._answer(b"", status=503, headers={**headers, **self._refusal()})
         self.runs[request_id] += 1
         self._sockets.add(request.environ[SOCKET_KEY])
         self.teams[request_id] = request.get_header(names.TEAM, "")
@@ -256,13 +267,20 @@
             self._violate("key_passed_on")
         headers[_SEAL] = f"seal-of-{request_id}"
         if self._fault.fail:
-            return json_response(b"failed", status=500, headers=headers)
+            return self._answer(b"failed", status=500, headers=headers)
         if self._settings.base_model:
             headers["Content-Type"] = "text/event-stream"
             first = int(request.get_header(names.LAST_EVENT_ID) or "0") + 1
+            headers |= self._said()
             return bottle.HTTPResponse(self._events(adapter, first), headers=headers)
         gevent.sleep(self._settings.work_ms / 1000)
-        return json_response(f"{request.method} /{path} {len(body)}".encode(), headers=headers)
+        return self._answer(f"{request.method} /{path} {len(body)}".encode(), headers=headers)
+
+    def _refusal(self) -> dict[str, str]:
+        refusal = {names.NOT_EXECUTED: "1"}
+        if self._fault.asks_rest_s:
+            refusal[names.RETRY_AFTER] = str(self._fault.asks_rest_s)
+        return refusal
 
     def _crashes_on(self, path: str, body: bytes) -> bool:
         """Whether a request ends the process that begins to run it."""
