Rests: a replica that asks for rest with its refusal gets it

Cause: a refusal was taken for a moment's lack of room (half-life 0.05 s at the box, 0.3 s at the placer, and no more than a preference); the time that the replica named was read by no part.

Ruled out: that only grants pass it over. The plain replica, which boxes choose by themselves, got as many.

Change: the seconds of Retry-After on a replica's 503 are read by one reader (retry_after, which the engines' driver of serve uses too) and bind this box: an obstacle of its own, looked at when a replica is chosen and again when the request's bytes are about to go, never passed over for want of another. It is kept by the replica's id, over a start or a row that went. A placer is told with the end of the use (a last field of Over, 0 by default), grants the engine to that box no more until then, and to others only for want of another; nothing is loaded there while another engine has room. A grant that was overtaken is asked for again. Who can go nowhere for a rest is told at once, and when it is over, spread over 0.5 s.

Before: 92 requests of one box within one rest of 3 s. The bound on the time that a client is told was half wrong (it had to be under the rest): it is now not before the rest is over, and within the spread after it.

--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -20,6 +20,7 @@
     WrongAnswer,
 )
 from springrock.plugins import drivers
+from springrock.retry_after import RetryAfterUnreadable, read_retry_after
 from springrock.settings import UpstreamSection, split_address
 from springrock.wire import engine as wire
 
@@ -276,6 +277,6 @@
 
 def _retry_after_of(response: urllib3.BaseHTTPResponse) -> float:
     try:
-        return max(0.0, float(response.headers.get("Retry-After", 0)))
-    except ValueError:
+        return read_retry_after(response.headers.get("Retry-After", "0"))
+    except RetryAfterUnreadable:
         return 0.0
--- a/springrock/forwarding/adapters.py
+++ b/springrock/forwarding/adapters.py
@@ -79,8 +79,13 @@
     def began(self) -> None:
         """Note that the first event of the answer came."""
 
-    def end(self, outcome: UseOutcome) -> None:
-        """Note the end; safe to call again."""
+    def end(self, outcome: UseOutcome, *, backoff_s: float = 0.0) -> None:
+        """Note the end; safe to call again.
+
+        Args:
+            outcome: How it ended.
+            backoff_s: For how long the replica asked this box for rest.
+        """
 
 
 class Adapters(Protocol):
--- a/springrock/forwarding/balancing.py
+++ b/springrock/forwarding/balancing.py
@@ -114,7 +114,13 @@
         self, replica: Replica, *, bounds: Bounds, permitted: bool = False
     ) -> Obstacle | None:
         """Return why a request may not be sent to a replica now, however it did of late."""
-        return obstacle_of(replica.record, bounds=bounds, world=self._world(), permitted=permitted)
+        return obstacle_of(
+            replica.record,
+            bounds=bounds,
+            world=self._world(),
+            backing_off=replica.health.backing_off,
+            permitted=permitted,
+        )
 
     def _cost(self, replica: Replica, world: World, carried: Carried) -> float:
         health = replica.health
@@ -125,4 +131,11 @@
 
 
 def _obstacle(replica: Replica, bounds: Bounds, world: World) -> Obstacle | None:
-    return obstacle_of(replica.record, bounds=bounds, world=world, resting=replica.health.resting)
+    health = replica.health
+    return obstacle_of(
+        replica.record,
+        bounds=bounds,
+        world=world,
+        backing_off=health.backing_off,
+        resting=health.resting,
+    )
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -36,6 +37,15 @@
 
 _SHORT_DEADLINE = 0.93
 
+_ASKS_AT_MOST = 3
+"""So often a placer is asked whose grant has been overtaken by a replica's own word."""
+
+_RETURN_SPREAD_S = 0.5
+"""Over so long clients come back that were turned away for a rest: else all are there as it ends,
+and the replica turns them away again."""
+
+_TOLD_BY_REPLICAS = (Obstacle.LEAVING, Obstacle.BACKING_OFF)
+
 _BINDING = (Obstacle.OUTSIDE_REGIONS, Obstacle.EVACUATED)
 """Where these stand in the way of every replica no placer can help."""
 
@@ -136,6 +146,7 @@
         self._budget_of = budget_of
         self._permits = permits
         self._deadlines = _UsualDeadlines()
+        self._chance = random.Random()
 
     def note_request(self, journey: Journey) -> None:
         """Count a new request."""
@@ -231,33 +242,39 @@
 
     def _find_granted(self, journey: Journey, key: AdapterKey, *, until: float) -> Chosen | None:
         """Return the replica that a placer grants; None if no placer is heard."""
+        for _ in range(_ASKS_AT_MOST):
+            use = self._adapters.find(self._wish(journey, key, until=until))
+            if use is None:
+                return None
+            replica = self._directory.find(use.instance)
+            obstacle = None
+            if replica is not None:
+                obstacle = self._balancer.obstacle(replica, bounds=journey.bounds, permitted=True)
+                if obstacle is None:
+                    return self._permitted(journey, replica, use)
+            # The placer knows more, or less, than this box: go by what this box knows.
+            use.end(UseOutcome.ENDED)
+            if obstacle not in _TOLD_BY_REPLICAS:
+                return None
+            # The replica has said so since the ask; the next one names it among what it avoids.
+        return None
+
+    def _wish(self, journey: Journey, key: AdapterKey, *, until: float) -> Wish:
         # The placer may not know yet what this box knows, and would grant what it cannot use.
         unusable = [
             replica.instance
             for replica in self._directory.of_service(journey.service)
-            if replica.health.resting or replica.record.leaving or not replica.record.understood
+            if _is_unusable(replica)
         ]
-        use = self._adapters.find(
-            Wish(
-                request_id=journey.request.request_id,
-                key=key,
-                terms=self._wait_terms(journey, until=until),
-                prompt=journey.request.prompt,
-                avoid=journey.tried.union(unusable),
-                failed_at=journey.failed_at,
-                bounds=journey.bounds,
-            )
+        return Wish(
+            request_id=journey.request.request_id,
+            key=key,
+            terms=self._wait_terms(journey, until=until),
+            prompt=journey.request.prompt,
+            avoid=journey.tried.union(unusable),
+            failed_at=journey.failed_at.difference(unusable),
+            bounds=journey.bounds,
         )
-        if use is None:
-            return None
-        replica = self._directory.find(use.instance)
-        if replica is None or self._balancer.obstacle(
-            replica, bounds=journey.bounds, permitted=True
-        ):
-            # The placer knows more, or less, than this box: go by what this box knows.
-            use.end(UseOutcome.ENDED)
-            return None
-        return self._permitted(journey, replica, use)
 
     def _permitted(self, journey: Journey, replica: Replica, use: Use) -> Chosen | None:
         """Return a granted engine, with a permit if it is cold; None if there is none for it."""
@@ -331,8 +348,15 @@
         if found.total() < len(replicas) or not found:
             return NoReplica("no_replica", RETRY_AFTER_S)
         [(commonest, _)] = found.most_common(1)
+        if commonest is Obstacle.BACKING_OFF:
+            return NoReplica(commonest, self._return_after_rest_s(replicas))
         return NoReplica(commonest, RETRY_AFTER_S)
 
+    def _return_after_rest_s(self, replicas: list[Replica]) -> float:
+        """Return when a client may come back whom only resting replicas could serve."""
+        left_s = [item.health.backoff_left_s for item in replicas if item.health.backing_off]
+        return min(left_s, default=RETRY_AFTER_S) + self._chance.uniform(0.0, _RETURN_SPREAD_S)
+
     def _wait_terms(self, journey: Journey, *, until: float) -> WaitTerms:
         last_try = journey.resuming or self.is_returning(journey)
         return WaitTerms(
@@ -351,6 +375,12 @@
     return max(SHORTEST_SEND_S, journey.first_event_by - monotonic())
 
 
+def _is_unusable(replica: Replica) -> bool:
+    """Whether this box knows that a replica takes no request of it now, wherever that runs."""
+    health, record = replica.health, replica.record
+    return health.resting or health.backing_off or record.leaving or not record.understood
+
+
 def _worth_of(priority: int) -> float:
     """Return what a request is worth beside others; the more urgent the more."""
     return _WORTH_OF_FIRST_PRIORITY / (1 + max(0, priority))
--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -132,6 +132,7 @@
         self._replicas: dict[str, Replica] = {}
         self._by_id: dict[str, str] = {}
         self._starts: Remembered[int] = Remembered(at_most=_INCARNATIONS_KEPT)
+        self._backoffs: Remembered[float] = Remembered(at_most=_INCARNATIONS_KEPT)
         self._left: Remembered[None] = Remembered(at_most=_INCARNATIONS_KEPT)
         self._passed_over: Remembered[int | None] = Remembered(at_most=_INCARNATIONS_KEPT)
         self._held_back: dict[str, ReplicaRecord] = {}
@@ -182,6 +183,18 @@
         elif not known.record.leaving:
             self._take(msgspec.structs.replace(known.record, leaving=True), sign=sign)
 
+    def note_backoff(self, replica_id: str, seconds: float) -> None:
+        """Learn that the replica of an id wants nothing from this box for so long.
+
+        It holds for whatever start stands under the id, and after its row went for a while: what
+        asked for rest may be a start whose row is yet to be read.
+        """
+        until = max(monotonic() + seconds, self._backoffs.get(replica_id, 0.0))
+        self._backoffs.note(replica_id, until)
+        known = self.find_id(replica_id)
+        if known is not None:
+            known.health.back_off(until=until)
+
     def note_not_understood(self, replica_id: str) -> None:
         """Learn that what stands under an id is not understood: it gets no new work.
 
@@ -266,7 +279,8 @@
             self._starts.note(record.replica_id, record.born_ms)
         known = self._replicas.get(record.instance)
         if known is None:
-            self._replicas[record.instance] = Replica(record)
+            replica = self._replicas[record.instance] = Replica(record)
+            replica.health.back_off(until=self._backoffs.get(record.replica_id, 0.0))
             self._by_id[record.replica_id] = record.instance
             self._say(record, "Saw a replica.")
         else:
--- a/springrock/forwarding/eligibility.py
+++ b/springrock/forwarding/eligibility.py
@@ -24,6 +24,8 @@
     """Its zone is evacuated."""
     OUTSIDE_REGIONS = "outside_regions"
     """It stands in no region where the request may be served."""
+    BACKING_OFF = "backing_off"
+    """It turned a request of this box away and asked for rest, which is not over."""
     COLD = "cold"
     """It has started lately, and there is no permit to send it the request."""
     RESTING = "resting"
@@ -69,6 +71,7 @@
     *,
     bounds: Bounds,
     world: World,
+    backing_off: bool = False,
     resting: bool = False,
     permitted: bool = False,
 ) -> Obstacle | None:
@@ -78,6 +81,7 @@
         record: What the replica says of itself.
         bounds: What the request allows.
         world: What is known beside that.
+        backing_off: Whether the replica has asked the box that would send for rest.
         resting: Whether the replica is left alone, as requests failed there lately.
         permitted: Whether there is a permit to send the request although the replica is cold.
     """
@@ -88,6 +92,8 @@
     of_zone = zone_obstacle_of(record.zone, bounds=bounds, world=world)
     if of_zone is not None:
         return of_zone
+    if backing_off:
+        return Obstacle.BACKING_OFF
     if not permitted and world.is_cold(record):
         return Obstacle.COLD
     return Obstacle.RESTING if resting else None
--- a/springrock/forwarding/notices.py
+++ b/springrock/forwarding/notices.py
@@ -45,6 +45,16 @@
                 instance=replica.instance,
                 said=notice.unreadable,
             )
+        if notice.backoff_s:
+            self._count("backoff")
+            self._directory.note_backoff(replica.record.replica_id, notice.backoff_s)
+            self._log.say(
+                "A replica asks for rest.",
+                instance=replica.instance,
+                service=replica.record.service,
+                seconds=round(notice.backoff_s, 3),
+                running=replica.running,
+            )
         # One whose row went may come back: what it said is remembered of its incarnation.
         if notice.leaving and not self._directory.is_leaving(replica.instance):
             self._count("leaving")
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -98,7 +98,10 @@
         chosen.replica.running -= 1
         self._count_attempt(attempt.outcome)
         if chosen.use is not None:
-            chosen.use.end(_USE_OUTCOMES.get(attempt.outcome, UseOutcome.ENDED))
+            chosen.use.end(
+                _USE_OUTCOMES.get(attempt.outcome, UseOutcome.ENDED),
+                backoff_s=attempt.notice.backoff_s,
+            )
 
     def send(
         self,
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection
 from itertools import count
 from typing import NamedTuple, NoReturn
@@ -105,9 +106,9 @@
         """Note that the first event of the answer came."""
         self._book.note_began(self.number, monotonic() - self._sent_at)
 
-    def end(self, outcome: UseOutcome) -> None:
+    def end(self, outcome: UseOutcome, *, backoff_s: float = 0.0) -> None:
         """Note the end; safe to call again."""
-        self._book.note_end(self.number, outcome)
+        self._book.note_end(self.number, outcome, backoff_s=backoff_s)
 
 
 class DemandBook:
@@ -186,14 +187,14 @@
             self._news.began.append(Began(number, round(after_s * 1000)))
             self._tell()
 
-    def note_end(self, number: int, outcome: UseOutcome) -> None:
+    def note_end(self, number: int, outcome: UseOutcome, *, backoff_s: float = 0.0) -> None:
         """Note the end of a use; what has ended is passed over."""
         if self._uses.pop(number, None) is None:
             return
         if number in self._news.uses:
             self._news.uses.discard(number)
             return
-        self._tell_over(Over(number, _OUTCOMES[outcome]))
+        self._tell_over(Over(number, _OUTCOMES[outcome], math.ceil(1000 * backoff_s)))
 
     def _withdraw(self, number: int) -> None:
         if number in self._news.asks:
--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -110,7 +110,7 @@
             return None
         unread = sum(tokens for _, tokens in prompt) - work.kept.kept(key, prompt)
         wait_s = work.wait_s + unread * work.token_s + _FAILURE_S * work.health.failure_rate
-        if work.is_full or work.health.resting:
+        if work.is_full or work.backing_off or work.health.resting:
             wait_s += _AVOIDED_S
         return Choice(instance, wait_s, unread)
 
@@ -166,6 +166,8 @@
             work.runs -= 1
             work.unread -= 0 if begun else run.unread
             self._learn(work, run, over.outcome)
+            if over.backoff_ms:
+                work.note_backoff(over.backoff_ms / 1000)
         return run
 
     def forget_box(self, box: str) -> None:
@@ -179,8 +181,14 @@
         return list(self.crowded)
 
     def waits(self) -> dict[str, float]:
-        """Return how long a first event would wait at each engine, without its own prompt."""
-        return {instance: work.wait_s for instance, work in self._work.items()}
+        """Return how long a first event would wait at each engine, without its own prompt.
+
+        One that asked a box for rest has no room for others either, most likely.
+        """
+        return {
+            instance: work.wait_s + (_AVOIDED_S if work.backing_off else 0.0)
+            for instance, work in self._work.items()
+        }
 
     def _add(self, name: tuple[str, int], run: _Run) -> None:
         self._runs[name] = run
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -99,10 +99,15 @@
 
 
 class Over(Struct, frozen=True, array_like=True):
-    """An ask that was given up, or a use that ended."""
+    """An ask that was given up, or a use that ended.
+
+    Attributes:
+        backoff_ms: For how long the engine asked the box for rest.
+    """
 
     number: int
     outcome: Outcome = Outcome.ENDED
+    backoff_ms: int = 0
 
 
 class Promise(Struct, frozen=True, array_like=True):
--- a/springrock/placement/requests.py
+++ b/springrock/placement/requests.py
@@ -19,6 +19,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
 from springrock.placement.ask_book import AskBook, WaitingAsk
+from springrock.placement.backoffs import Backoffs
 from springrock.placement.dispatcher import Dispatcher
 from springrock.placement.forecasts import Forecasts
 from springrock.placement.keeper import Keeper
@@ -91,12 +92,14 @@
         self.asks = AskBook()
         self.forecasts = Forecasts(send)
         self.dispatchers: dict[str, Dispatcher] = {}
+        self._backoffs = Backoffs()
 
     def clear(self) -> None:
         """Forget all, as when the lease is lost."""
         self.asks = AskBook()
         self.forecasts.keep_only(())
         self.dispatchers.clear()
+        self._backoffs = Backoffs()
         self._near.clear()
 
     def take_demand(self, box: str, demand: Demand) -> None:
@@ -124,6 +127,7 @@
     def forget_box(self, box: str) -> None:
         """Drop what a box wanted and used; its requests are gone or will be told anew."""
         self.asks.forget_box(box)
+        self._backoffs.forget_box(box)
         for dispatcher in self.dispatchers.values():
             dispatcher.forget_box(box)
 
@@ -153,8 +157,11 @@
         now = monotonic()
         dispatcher = self.dispatcher(service)
         bounds = ask.bounds
-        holders = self.holders(key, avoid=ask.tried, bounds=bounds) or self._holders_again(
-            dispatcher, ask, key
+        # The ask may have waited here while another request of its box was asked for rest.
+        backing_off = self._backoffs.of(waiting.box)
+        avoid = backing_off.union(ask.tried)
+        holders = self.holders(key, avoid=avoid, bounds=bounds) or self._holders_again(
+            dispatcher, ask, key, avoid=backing_off
         )
         choice = dispatcher.choose(key, ask.prompt, holders, target_in_s=waiting.target_at - now)
         if choice is None:
@@ -222,7 +229,9 @@
             return False
         return self._permits.grant(waiting.box, waiting.ask.number, waiting.ask.request, record)
 
-    def _holders_again(self, dispatcher: Dispatcher, ask: Ask, key: AdapterKey) -> list[str]:
+    def _holders_again(
+        self, dispatcher: Dispatcher, ask: Ask, key: AdapterKey, *, avoid: Collection[str]
+    ) -> list[str]:
         """Return the engines that failed a request and are still better for it than a load.
 
         What is lost there is the request's worth as much more often as the engine fails more
@@ -240,7 +249,7 @@
         load_cost = 0.0 if at_hand else COLD_COST
         return [
             instance
-            for instance in self.holders(key, bounds=ask.bounds)
+            for instance in self.holders(key, avoid=avoid, bounds=ask.bounds)
             if instance in ask.failed_at
             and ask.worth * dispatcher.excess_failures(instance) <= load_cost
         ]
@@ -251,6 +260,8 @@
             keeper = self._keepers.get(run.instance) if run is not None else None
             if keeper is not None and over.outcome in _DOUBTFUL:
                 keeper.doubt()
+            if run is not None and over.backoff_ms:
+                self._backoffs.note(box, run.instance, seconds=over.backoff_ms / 1000)
 
     def _service_of(self, key: AdapterKey) -> str | None:
         """Return the service whose engines hold the base model of an adapter."""
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -8,7 +8,6 @@
 from springrock.forwarding.message import AnswerHead, ClientRequest, Header, Headers, PromptPart
 from springrock.platform import names
 from springrock.platform.notices import notice_from
-from springrock.platform.numbers import read_number
 
 _SET_BY_THE_BOX = (
     names.DEADLINE_MS,
@@ -58,7 +57,7 @@
             headers=headers,
             body=body,
             received_at=received_at,
-            deadline_s=None if deadline_ms is None else read_number(deadline_ms) / 1000,
+            deadline_s=None if deadline_ms is None else _number(deadline_ms) / 1000,
             model=model,
             adapter=adapter,
             tokens=_token_count(headers.get(names.TOKEN_COUNT)),
@@ -131,7 +130,7 @@
 
 
 def _tokens(value: str) -> int:
-    number = read_number(value)
+    number = _number(value)
     if number > _MOST_TOKENS:
         raise BadRequest(f"{value!r} is more than a request can hold")
     return int(number)
@@ -148,3 +147,13 @@
             return ()
         parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
+
+
+def _number(value: str) -> float:
+    try:
+        number = float(value)
+    except ValueError:
+        raise BadRequest(f"{value!r} is not a number") from None
+    if not 0 <= number < float("inf"):
+        raise BadRequest(f"{value!r} is out of range")
+    return number
--- a/springrock/platform/notices.py
+++ b/springrock/platform/notices.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from springrock.errors import BadRequest
 from springrock.forwarding.dialect import NO_NOTICE, ReplicaNotice
 from springrock.forwarding.message import Headers
 from springrock.platform import names
-from springrock.platform.numbers import read_number
+from springrock.retry_after import RetryAfterUnreadable, read_retry_after
 
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
@@ -36,6 +35,6 @@
     if not stated:
         return ReplicaNotice(leaving) if leaving else NO_NOTICE
     try:
-        return ReplicaNotice(leaving, backoff_s=max(read_number(value) for value in stated))
-    except BadRequest:
+        return ReplicaNotice(leaving, backoff_s=max(read_retry_after(value) for value in stated))
+    except RetryAfterUnreadable:
         return ReplicaNotice(leaving, unreadable=f"{names.RETRY_AFTER}: {stated[0][:_SHOWN]}")
--- /dev/null
+++ b/springrock/retry_after.py
@@ -0,0 +1,30 @@
+"""The one reader of ``Retry-After``, by which an upstream says for how long it wants nothing."""
+
+from __future__ import annotations
+
+from springrock.errors import SpringrockError
+
+LONGEST_S = 3600.0
+"""One that names a longer time is asked again after this: a wrong number does not cost it for good,
+and no upstream that is overloaded knows as much in advance."""
+
+
+class RetryAfterUnreadable(SpringrockError):
+    """A value that names no time in seconds."""
+
+
+def read_retry_after(value: str) -> float:
+    """Return the seconds that a value names, fractions included, `LONGEST_S` at most.
+
+    Dates, which RFC 9110 allows as well, are not read: the time of day of a box may jump.
+
+    Raises:
+        RetryAfterUnreadable: If it is not a number of seconds, or negative.
+    """
+    try:
+        seconds = float(value)
+    except ValueError:
+        raise RetryAfterUnreadable(f"{value!r} is no number of seconds") from None
+    if not 0 <= seconds < float("inf"):
+        raise RetryAfterUnreadable(f"{value!r} is out of range")
+    return min(seconds, LONGEST_S)
--- a/tests/forwarding/test_choosing.py
+++ b/tests/forwarding/test_choosing.py
@@ -14,7 +14,7 @@
 from springrock.forwarding.configuration import BaseModel, Configuration, Engine, Service
 from springrock.forwarding.directory import Directory, LeavingSign, Replica, ReplicaRecord
 from springrock.forwarding.errors import NoReplica
-from springrock.forwarding.journey import Journey
+from springrock.forwarding.journey import AttemptOutcome, Journey
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
 from springrock.slow_start.choice import NoPermits
@@ -34,7 +34,7 @@
     def began(self) -> None:
         """Nothing to note."""
 
-    def end(self, outcome: UseOutcome) -> None:
+    def end(self, outcome: UseOutcome, *, backoff_s: float = 0.0) -> None:
         """Nothing to note."""
 
 
@@ -68,7 +68,12 @@
 
 
 def find(
-    adapters: ScriptedAdapters, *, evacuated: tuple[str, ...] = (), leaving: bool = False
+    adapters: ScriptedAdapters,
+    *,
+    evacuated: tuple[str, ...] = (),
+    leaving: bool = False,
+    backoff_s: float = 0.0,
+    failed_before: bool = False,
 ) -> str:
     """Return the instance that a request for the adapter is sent to."""
     engine = Engine(
@@ -80,6 +85,7 @@
     directory.update(record)
     if leaving:
         directory.note_leaving("i-1", LeavingSign.ANSWER)
+    directory.note_backoff("i-1", backoff_s)
     chooser = ReplicaChooser(
         configuration=lambda: configuration,
         directory=directory,
@@ -89,7 +95,9 @@
         permits=NoPermits(),
     )
     request = make_request(model=KEY.model, adapter=KEY.adapter, deadline_s=5.0)
-    journey = Journey(request, make_route(), "s")
+    journey = Journey(request, make_route(attempts=3), "s")
+    if failed_before:
+        journey.begin("i-1", record_age_s=0.0).outcome = AttemptOutcome.FAILED
     return chooser.next_replica(journey, until=monotonic() + 1.0).replica.instance
 
 
@@ -122,4 +130,18 @@
     adapters = ScriptedAdapters(waits=0)
     with pytest.raises(NoReplica):
         find(adapters, leaving=True)
-    assert [wish.avoid for wish in adapters.wishes] == [{"i-1"}]
+    assert {wish.avoid for wish in adapters.wishes} == {frozenset({"i-1"})}
+
+
+def test_an_engine_that_asked_for_rest_meanwhile_is_not_used_though_a_placer_grants_it() -> None:
+    adapters = ScriptedAdapters(waits=0)
+    with pytest.raises(NoReplica):
+        find(adapters, backoff_s=5.0)
+    assert {wish.avoid for wish in adapters.wishes} == {frozenset({"i-1"})}
+
+
+def test_no_placer_is_told_to_grant_again_where_a_request_failed_and_rest_was_asked_for() -> None:
+    adapters = ScriptedAdapters(waits=0)
+    with pytest.raises(NoReplica):
+        find(adapters, backoff_s=5.0, failed_before=True)
+    assert {wish.failed_at for wish in adapters.wishes} == {frozenset()}
--- a/tests/forwarding/test_regions.py
+++ b/tests/forwarding/test_regions.py
@@ -37,7 +37,7 @@
     def began(self) -> None:
         """Nothing to note."""
 
-    def end(self, outcome: UseOutcome) -> None:
+    def end(self, outcome: UseOutcome, *, backoff_s: float = 0.0) -> None:
         self.ended = True
 
 
--- a/tests/placement/test_demand.py
+++ b/tests/placement/test_demand.py
@@ -196,3 +196,12 @@
     assert decode(encode(book.take_news())) == Demand(leaving=["i-1"])
     assert book.take_news() == Demand()
     assert book.whole().leaving == ["i-1", "i-2"]
+
+
+def test_how_long_an_engine_wants_rest_is_told_with_the_end_of_its_use() -> None:
+    book = make_book()
+    task = find(book, wish())
+    book.note_grant(book.take_news().asks[0].number, "i-1")
+    task.get(timeout=10).end(UseOutcome.FULL, backoff_s=2.0005)
+    [over] = decode(encode(book.take_news())).over
+    assert (over.outcome, over.backoff_ms) == (Outcome.FULL, 2001)
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -175,3 +175,17 @@
     assert dispatcher.excess_failures("i-1") > 0
     assert dispatcher.excess_failures("i-3") < 0
     assert dispatcher.excess_failures("i-1") == pytest.approx(dispatcher.excess_failures("i-2"))
+
+
+def test_an_engine_that_asked_a_box_for_rest_gets_others_requests_for_want_of_another(
+    pass_time: Pass,
+) -> None:
+    requests = Requests()
+    assert requests.send("i-1") == "i-1"
+    requests.dispatcher.note_over("box", Over(requests.sent, Outcome.FULL, 2000))
+    for _ in range(3):
+        assert requests.send("i-1", "i-2") == "i-2"
+    assert requests.dispatcher.waits()["i-1"] > requests.dispatcher.waits()["i-2"] + 1.0
+    assert requests.send("i-1") == "i-1"
+    pass_time(2.1)
+    assert requests.send("i-1", "i-2") == "i-1"
--- a/tests/routed/test_rest.py
+++ b/tests/routed/test_rest.py
@@ -34,6 +34,9 @@
 STRAY = 2
 """So many may reach a replica within its rest all the same."""
 
+SPREAD_S = 0.5
+"""Over so long after a rest those come back whom it turned away."""
+
 WATCHED_S = 3.5
 PAUSE_S = 0.02
 
@@ -130,6 +133,7 @@
 def test_who_can_go_nowhere_for_a_rest_is_told_at_once_and_when_to_come_back(
     deployment: Deployment,
 ) -> None:
+    began_at = monotonic()
     for name in ("rosters-1", "rosters-2"):
         deployment.fault(name, refuse=True, asks_rest_s=REST_S)
 
@@ -139,4 +143,6 @@
 
     refused = wait_until(_all_rest, what="both replicas rest")
     assert refused.status == 503
-    assert 0 < float(refused.headers["Retry-After"]) <= REST_S
+    back_in_s = float(refused.headers["Retry-After"])
+    assert back_in_s >= began_at + REST_S - monotonic(), "sooner it would be turned away again"
+    assert back_in_s <= REST_S + SPREAD_S
