--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -200,6 +200,8 @@
     response = connection.getresponse()
     attempt.status = response.status
     attempt.seal = response.getheader("Springrock-Response-Seal", "")
+    attempt.instance = response.getheader(names.INSTANCE_ID, "")
+    attempt.says_leaving = response.getheader(names.LEAVING) == "1"
     attempt.echoed_id = response.getheader(names.REQUEST_ID, "")
     retry_after = response.getheader("Retry-After")
     attempt.retry_after_s = None if retry_after is None else float(retry_after)
--- a/bench/soak/faults/__init__.py
+++ b/bench/soak/faults/__init__.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from bench.soak.faults import boxes, configuration, links, replicas, requests, store
+from bench.soak.faults import boxes, configuration, links, replicas, requests, store, words
 from bench.soak.faults.fault import FAULTS, Fault
 
-__all__ = ["FAULTS", "Fault", "boxes", "configuration", "links", "replicas", "requests", "store"]
+__all__ = [
+    "FAULTS",
+    "Fault",
+    "boxes",
+    "configuration",
+    "links",
+    "replicas",
+    "requests",
+    "store",
+    "words",
+]
--- a/bench/soak/judges/__init__.py
+++ b/bench/soak/judges/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.soak.judges import answers, crashes, placement, runs, service, teams
+from bench.soak.judges import answers, crashes, placement, runs, service, teams, words
 from bench.soak.judges.judge import JUDGES, Finding, Judge, Verdict
 
 __all__ = [
@@ -16,4 +16,5 @@
     "runs",
     "service",
     "teams",
+    "words",
 ]
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -103,3 +103,10 @@
 
     CrashBook.quarantined_for_s = lambda self, fingerprint: None  # type: ignore[method-assign]
     CrashBook.may_be_retried = lambda self, fingerprint: True  # type: ignore[method-assign]
+
+
+@_takes_out("replicas_words")
+def _pass_over_what_answers_tell() -> None:
+    from springrock.forwarding.notices import ReplicaNotices
+
+    ReplicaNotices.take = lambda self, replica, notice: None  # type: ignore[method-assign]
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -22,6 +22,8 @@
         key: The name of the key; empty for none.
         status: 0 if no answer came.
         whole: Whether the answer ended as its framing says.
+        instance: The replica that answered, as its answer tells.
+        says_leaving: Whether the answer says that this replica leaves.
         of_request: The path of a request that comes again under new ids; empty for any other.
     """
 
@@ -40,6 +42,8 @@
     whole: bool = False
     retry_after_s: float | None = None
     error: str = ""
+    instance: str = ""
+    says_leaving: bool = False
     of_request: str = ""
 
     @property
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -21,6 +21,9 @@
 _TOGETHER = 0.5
 """How often a second fault begins with the first."""
 
+_DRAWS_APART = 8
+"""So often a fault with a generator of its own is drawn that meets others."""
+
 _REST_S = 1.0
 """What was befallen is left alone for so long, as processes that start take some time."""
 
@@ -69,7 +72,7 @@
         ends_s = starts_s + length_s - QUIET_S
         planned += _draw_cycle(rng, shape, starts_s + _LEAD_S, ends_s)
         apart = random.Random(f"{seed}/{number}")
-        planned += _draw_apart(apart, shape, starts_s + _LEAD_S, ends_s)
+        planned += _draw_apart(apart, shape, starts_s + _LEAD_S, ends_s, planned)
         quiets.append((ends_s, starts_s + length_s))
     return Schedule(seed, seconds, tuple(sorted(planned)), tuple(quiets))
 
@@ -88,19 +91,35 @@
     return planned
 
 
-def _draw_apart(rng: random.Random, shape: Shape, start_s: float, end_s: float) -> list[Planned]:
-    """Draw the faults that have a generator of their own, each once at most."""
-    planned = []
+def _draw_apart(
+    rng: random.Random, shape: Shape, start_s: float, end_s: float, beside: list[Planned]
+) -> list[Planned]:
+    """Draw the faults that have a generator of their own, each once at most.
+
+    One that would befall what another fault befalls meanwhile is drawn again, or left out.
+    """
+    planned: list[Planned] = []
     for fault in FAULTS:
         if rng.random() >= fault.drawn_apart or end_s - start_s < fault.shortest_s:
             continue
-        begins_s = rng.uniform(start_s, end_s - fault.shortest_s)
-        ends_s = min(end_s, begins_s + rng.uniform(fault.shortest_s, fault.longest_s))
-        targets = fault.targets(rng, shape)
-        planned.append(Planned(round(begins_s, 3), round(ends_s, 3), fault.name, targets))
+        for _ in range(_DRAWS_APART):
+            begins_s = rng.uniform(start_s, end_s - fault.shortest_s)
+            ends_s = min(end_s, begins_s + rng.uniform(fault.shortest_s, fault.longest_s))
+            targets = fault.targets(rng, shape)
+            one = Planned(round(begins_s, 3), round(ends_s, 3), fault.name, targets)
+            if not any(_meet(one, other) for other in (*beside, *planned)):
+                planned.append(one)
+                break
     return planned
 
 
+def _meet(one: Planned, other: Planned) -> bool:
+    """Whether two faults befall the same thing at once, or one right after the other."""
+    apart = one.ends_s + _REST_S <= other.begins_s or other.ends_s + _REST_S <= one.begins_s
+    claimed = FAULTS[one.fault].claims(one.targets) & FAULTS[other.fault].claims(other.targets)
+    return not apart and bool(claimed)
+
+
 def _draw_one(
     rng: random.Random, shape: Shape, now_s: float, end_s: float, taken: dict[str, float]
 ) -> Planned | None:
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -255,7 +255,8 @@
             return self._answer(b"", status=421, headers=headers)
         self._arrivals.append(monotonic())
         if self._fault.refuse:
-            self._note_request(ReplicaEventKind.REFUSED, adapter)
+            rest_s = self._fault.asks_rest_s
+            self._note_request(ReplicaEventKind.REFUSED, adapter, asked_rest_s=rest_s)
             return self._answer(b"", status=503, headers={**headers, **self._refusal()})
         self.runs[request_id] += 1
         self._sockets.add(request.environ[SOCKET_KEY])
@@ -324,7 +325,7 @@
         self.violations[detail] += 1
         self._note(ReplicaEventKind.VIOLATION, detail=detail)
 
-    def _note_request(self, kind: ReplicaEventKind, adapter: str) -> None:
+    def _note_request(self, kind: ReplicaEventKind, adapter: str, **more: Any) -> None:
         request = bottle.request
         self._note(
             kind,
@@ -334,6 +335,7 @@
             adapter=adapter,
             version=self._adapters.get(adapter, 0),
             first_event=int(request.get_header(names.LAST_EVENT_ID) or "0") + 1,
+            **more,
         )
 
     def _note(self, kind: ReplicaEventKind, **more: Any) -> None:
--- a/springrock/emulator/replica_events.py
+++ b/springrock/emulator/replica_events.py
@@ -34,6 +34,7 @@
         version: The version of that adapter.
         first_event: The number of the first event of a stream; 1 unless it was resumed.
         detail: The name of a violation.
+        asked_rest_s: For how long the refusal asked its sender for rest.
         age_s: How long the run of the request had gone on that an unload came under.
     """
 
@@ -49,6 +50,7 @@
     first_event: int = 1
     detail: str = ""
     age_s: float = 0.0
+    asked_rest_s: float = 0.0
 
 
 class ReplicaEventFile:
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -335,3 +335,63 @@
     again = attempt("c1", route="join", of_request="/join/crashing")
     given = {"attempts": [again], "replica_events": [run(again, path="/join/crashing")]}
     assert found("nothing_unasked", **given) == []
+
+
+LEAVES = {"instance": "i-1", "says_leaving": True}
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "box", "instance", "findings"),
+    [
+        (11.0, "box-1", "i-1", 0),
+        (12.5, "box-1", "i-1", 1),
+        (12.5, "box-2", "i-1", 0),
+        (12.5, "box-1", "i-2", 0),
+    ],
+)
+def test_what_goes_to_a_replica_long_after_its_word_is_found(
+    sent_at: float, box: str, instance: str, findings: int
+) -> None:
+    passed_on = attempt("r1", **LEAVES)
+    late = attempt("r2", sent_at=sent_at, box=box)
+    given = {
+        "attempts": [passed_on, late],
+        "replica_events": [run(passed_on), run(late, instance=instance)],
+    }
+    assert len(found("leaving_answer_is_heeded", **given)) == findings
+
+
+def test_a_box_that_ended_since_may_have_forgotten_what_a_replica_told_it() -> None:
+    passed_on, late = attempt("r1", **LEAVES), attempt("r2", sent_at=14.0)
+    given = {
+        "attempts": [passed_on, late],
+        "replica_events": [run(passed_on), run(late)],
+        "spans": [span("killed_box", "box/box-1", began_at=11.0, ended_at=11.5)],
+    }
+    assert found("leaving_answer_is_heeded", **given) == []
+
+
+@pytest.mark.parametrize(
+    ("after_s", "box", "findings"),
+    [
+        ([0.1, 0.2, 0.3, 0.4], "box-1", 0),
+        ([0.6, 0.7], "box-1", 0),
+        ([0.6, 0.7, 1.9], "box-1", 1),
+        ([0.6, 0.7, 2.1], "box-1", 0),
+        ([0.6, 0.7, 1.9], "box-2", 0),
+    ],
+)
+def test_what_reaches_a_replica_within_its_rest_is_counted(
+    after_s: list[float], box: str, findings: int
+) -> None:
+    first = refused("r0", sent_at=10.0)
+    later = [
+        attempt(f"r{at}", sent_at=10.0 + seconds, box=box)
+        for at, seconds in enumerate(after_s, start=1)
+    ]
+    asked = run(first, at=10.0, kind=ReplicaEventKind.REFUSED, asked_rest_s=2.0)
+    given = {
+        "attempts": [first, *later],
+        "replica_events": [asked, *(run(one, at=one.sent_at) for one in later)],
+    }
+    assert len(found("rest_is_given", **given)) == findings
