--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -26,6 +26,7 @@
 from springrock.log import Log
 from springrock.metrics import Metrics
 from springrock.settings import PeersSection, split_address
+from springrock.unknown_messages import UnknownKind, UnknownMessages
 from springrock.wire import peer as wire
 
 Handler = Callable[[Link, Any], "wire.Answer | None"]
@@ -196,7 +197,7 @@
                     raise PeerRejected(f"answered as {link.box}")
                 ready.set(link)
                 self._read_link(link)
-        except (*SOCKET_FAILURES, PeerRejected) as error:
+        except (*SOCKET_FAILURES, PeerRejected, UnknownKind) as error:
             if not ready.ready():
                 ready.set_exception(PeerUnreachable(f"{member.box}: {error}"))
 
@@ -230,7 +231,7 @@
     def _serve_link(self, connection: ServerConnection) -> None:
         try:
             link = self._shake_hands(connection)
-        except (*SOCKET_FAILURES, PeerRejected) as error:
+        except (*SOCKET_FAILURES, PeerRejected, UnknownKind) as error:
             self._log.say("Rejected a link.", error=str(error))
             connection.close()
             return
@@ -262,9 +263,17 @@
         link.close()
 
     def _read_link(self, link: Link) -> None:
+        unknown = UnknownMessages(
+            link.box, log=self._log, count=self._metrics.count_unknown_message
+        )
         try:
             while True:
-                self._take(link, link.receive())
+                try:
+                    message = link.receive()
+                except UnknownKind as kind:
+                    unknown.note(kind)
+                    continue
+                self._take(link, message)
         except SOCKET_FAILURES:
             pass
         except PeerRejected as error:
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -89,15 +89,30 @@
             ["kind", "result"],
             registry=registry,
         )
+        self._unknown_messages = unknown_messages_in(registry)
         self.lease_held = Gauge(
             "springrock_lease_held", "1 while this box may act as an owner.", registry=registry
         )
 
+    def count_unknown_message(self, kind: int) -> None:
+        """Count a message of a kind that this build does not know."""
+        self._unknown_messages.labels(str(kind)).inc()
+
     def render(self) -> bytes:
         """Return the text that Prometheus scrapes."""
         return generate_latest(self.registry)
 
 
+def unknown_messages_in(registry: CollectorRegistry) -> Counter:
+    """Return the count of what other boxes sent that this build does not know."""
+    return Counter(
+        "springrock_unknown_messages",
+        "Messages of other boxes of a kind that this build does not know, by kind.",
+        ["kind"],
+        registry=registry,
+    )
+
+
 class ForwardingMetrics:
     """Metrics of a box that forwards routed requests, in a registry of its own."""
 
@@ -139,6 +154,7 @@
             ["cause"],
             registry=registry,
         )
+        self._unknown_messages = unknown_messages_in(registry)
         self.replica_notices = Counter(
             "springrock_forwarding_replica_notices",
             "What replicas told of themselves in their answers and this box had not known.",
@@ -260,6 +276,10 @@
             self._teams.add(team)
         self._charges.labels(team, "taken" if taken else "no_room").inc()
 
+    def count_unknown_message(self, kind: int) -> None:
+        """Count a message of a kind that this build does not know."""
+        self._unknown_messages.labels(str(kind)).inc()
+
     def count_permit(self, granted: bool) -> None:
         """Count the answer to an ask for a permit."""
         self._permits.labels("granted" if granted else "no_room").inc()
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -16,6 +16,7 @@
 from springrock.placement.link_server import CLOSE_S, FRAME_LIMIT_BYTES, LINK_FAILURES
 from springrock.placement.messages import Demand, Hello, Message, decode, encode
 from springrock.settings import split_address
+from springrock.unknown_messages import UnknownKind, UnknownMessages
 
 _DIAL_S = 0.6
 _SILENCE_S = 1.3
@@ -38,6 +39,7 @@
         on_lost: Called when the link is gone.
         log: The log to write to.
         count_sent: Called with the bytes of each frame.
+        count_unknown: Called with the kind of each message that this build does not know.
     """
 
     def __init__(
@@ -52,7 +54,9 @@
         on_lost: Callable[[], None],
         log: Log,
         count_sent: Callable[[float], None] = count_nothing,
+        count_unknown: Callable[[int], None] = count_nothing,
     ) -> None:
+        self._count_unknown = count_unknown
         self._box = box
         self._home_zone = home_zone
         self._zone = zone
@@ -94,7 +98,7 @@
             hello = Hello(self._box, incarnation, self._zone, self._home_zone, self._strength)
             connection.send(encode(hello))
             first = decode(connection.recv(timeout=_DIAL_S))
-        except LINK_FAILURES as error:
+        except (*LINK_FAILURES, UnknownKind) as error:
             self._log.say(
                 "The placer did not accept this box.",
                 zone=self._zone,
@@ -116,10 +120,17 @@
 
     def _run(self, connection: ClientConnection, address: str) -> None:
         writer = gevent.spawn(self._write, connection)
+        unknown = UnknownMessages(address, log=self._log, count=self._count_unknown)
         self._log.say("Linked to the placer.", zone=self._zone, address=address)
         try:
             while True:
-                self._on_message(decode(connection.recv(timeout=_SILENCE_S)))
+                frame = connection.recv(timeout=_SILENCE_S)
+                try:
+                    message = decode(frame)
+                except UnknownKind as kind:
+                    unknown.note(kind)
+                    continue
+                self._on_message(message)
         except LINK_FAILURES as error:
             self._log.say("Lost the placer.", zone=self._zone, address=address, error=str(error))
         finally:
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -27,6 +27,7 @@
     encode,
 )
 from springrock.settings import split_address
+from springrock.unknown_messages import UnknownKind, UnknownMessages
 
 CLOSE_S = 0.1
 FRAME_LIMIT_BYTES = 1_048_576
@@ -115,6 +116,7 @@
         log: The log to write to.
         count_sent_to: Returns what counts the bytes of frames to the boxes of a zone.
         is_far: Whether a box's zone is of another region.
+        count_unknown: Called with the kind of each message that this build does not know.
     """
 
     def __init__(
@@ -124,7 +126,9 @@
         log: Log,
         count_sent_to: Callable[[str], Callable[[float], None]] = lambda zone: count_nothing,
         is_far: Callable[[str], bool] = lambda zone: False,
+        count_unknown: Callable[[int], None] = count_nothing,
     ) -> None:
+        self._count_unknown = count_unknown
         self._host = host
         self._log = log
         self._count_sent_to = count_sent_to
@@ -220,8 +224,14 @@
             gevent.spawn(older.connection.close)
 
     def _read(self, box: str, link: _Link) -> None:
+        unknown = UnknownMessages(box, log=self._log, count=self._count_unknown)
         while True:
-            message = decode(link.connection.recv(timeout=_SILENCE_S))
+            frame = link.connection.recv(timeout=_SILENCE_S)
+            try:
+                message = decode(frame)
+            except UnknownKind as kind:
+                unknown.note(kind)
+                continue
             if not isinstance(message, Demand):
                 raise PeerRejected(f"an unexpected {type(message).__name__}")
             if self._links.get(box) is not link:
@@ -277,7 +287,7 @@
     def _serve_box(self, connection: ServerConnection) -> None:
         try:
             hello = decode(connection.recv(timeout=_HELLO_S))
-        except LINK_FAILURES as error:
+        except (*LINK_FAILURES, UnknownKind) as error:
             self._log.say("Rejected a link.", error=str(error))
             return
         if not isinstance(hello, Hello) or hello.incarnation != self._incarnation:
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -19,6 +19,7 @@
 from springrock.placement.handover_messages import Handover
 from springrock.quotas.messages import Charge, Charged, GiveBack
 from springrock.slow_start.messages import PermitAsk, Permitted, Sighting
+from springrock.unknown_messages import check_kind, kinds_of
 
 
 class Hello(Struct, frozen=True, array_like=True, tag=1):
@@ -299,6 +300,7 @@
     Grant | Forecast | Heartbeat | Residents | TableNews | Charged | WriteFor | Handover | Permitted
 )
 Message = Hello | Demand | FromPlacer
+_KINDS = kinds_of(Message)
 
 
 def encode(message: Message) -> bytes:
@@ -314,6 +316,7 @@
 
     Raises:
         PeerRejected: If it is malformed.
+        UnknownKind: If a later build may have sent it; the link is sound.
     """
     if isinstance(frame, str):
         raise PeerRejected("a text frame")
@@ -321,6 +324,7 @@
         loaded = cbor2.loads(frame)
         if isinstance(loaded, bytes):
             loaded = cbor2.loads(_unpacked(loaded))
+        check_kind(loaded, _KINDS)
         message: Message = msgspec.convert(loaded, Message)
     except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, zlib.error) as error:
         raise PeerRejected(f"a malformed frame: {error}") from None
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -91,6 +91,7 @@
             log=around.log_of("link"),
             count_sent_to=self._counting_to,
             is_far=lambda home_zone: is_far(self._topology, zone, home_zone),
+            count_unknown=around.metrics.count_unknown_message,
         )
         self._writes = RelayedWrites(helpers=self.links.some, send=self._send)
         self._lease = PlacerLease(
@@ -143,6 +144,7 @@
             on_lost=self._placer_lost,
             log=around.log_of("link"),
             count_sent=self._counting_to(zone),
+            count_unknown=around.metrics.count_unknown_message,
         )
         self._election = Election(
             zone,
--- a/springrock/wire/peer.py
+++ b/springrock/wire/peer.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from springrock.errors import PeerRejected, Refusal
+from springrock.unknown_messages import check_kind, kinds_of
 
 
 class Hello(Struct, frozen=True, array_like=True, tag=1):
@@ -266,6 +267,9 @@
 PeerMessage = Question | Answer | Notice
 
 
+_KINDS = kinds_of(PeerMessage)
+
+
 def encode(message: PeerMessage) -> bytes:
     """Encode a message as one frame."""
     return cbor2.dumps(msgspec.to_builtins(message, order="deterministic"))
@@ -276,11 +280,13 @@
 
     Raises:
         PeerRejected: If the frame is not a message.
+        UnknownKind: If a later build may have sent it; the link is sound.
     """
     if isinstance(frame, str):
         raise PeerRejected("a text frame")
     try:
         builtins: Any = cbor2.loads(frame)
+        check_kind(builtins, _KINDS)
         message: PeerMessage = msgspec.convert(builtins, PeerMessage)
     except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, RecursionError) as error:
         raise PeerRejected(f"a malformed frame: {error}") from None
--- a/tests/placement/test_link_server.py
+++ b/tests/placement/test_link_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import cbor2
 import gevent
 from gevent.event import Event
 from gevent.queue import Queue
@@ -150,3 +151,19 @@
         outbox.put(message, encode(message))
     assert outbox.take() == [encode(messages[at]) for at in (2, 1, 3, 4)]
     assert outbox.take() == []
+
+
+def test_a_message_of_an_unknown_kind_is_counted_and_the_link_stays() -> None:
+    counted: list[int] = []
+    host, connection = Host(), Connection()
+    links = BoxLinks(host, log=Log("link", "test"), count_unknown=counted.append)
+    gevent.spawn(links.serve, Hello("box-1", "1", "zone-1", "zone-1"), connection)
+    for _ in range(2):
+        connection.frames.put(cbor2.dumps([200, "what a later build tells"]))
+    connection.frames.put(asking(1))
+    assert wait_for(host, 1) == [("box-1", [1])]
+    assert counted == [200, 200]
+    assert links.count == 1
+    connection.frames.put(cbor2.dumps([2, "no list of asks"]))
+    assert wait_for(host, 2)[-1] == "forget box-1", "a malformed frame cuts the link"
+    connection.close()
--- a/tests/placement/test_messages.py
+++ b/tests/placement/test_messages.py
@@ -8,6 +8,8 @@
 import cbor2
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from springrock.errors import PeerRejected
 from springrock.forwarding.directory import HeldAdapter
@@ -24,6 +26,7 @@
     encode,
 )
 from springrock.slow_start.messages import PermitAsk, Permitted, PermitVerdict, Sighting
+from springrock.unknown_messages import UnknownKind
 
 ROUTES = [
     {
@@ -115,3 +118,27 @@
     fields = cbor2.loads(encode(demand))
     assert decode(cbor2.dumps(fields[:-1])) == Demand(stopping=True)
     assert decode(cbor2.dumps([*fields, "what a later build tells"])) == demand
+
+
+@pytest.mark.parametrize("compressed", [False, True])
+def test_a_kind_that_a_later_build_sends_is_told_from_a_malformed_frame(compressed: bool) -> None:
+    frame = cbor2.dumps([200, "something", {"new": 1}])
+    if compressed:
+        frame = cbor2.dumps(zlib.compress(frame))
+    with pytest.raises(UnknownKind) as unknown:
+        decode(frame)
+    assert unknown.value.kind == 200
+
+
+@pytest.mark.parametrize("kind", [0, -1, 256, 2**40, True, "5", None, 2.0, [], {}])
+def test_what_is_no_kind_is_malformed(kind: object) -> None:
+    with pytest.raises(PeerRejected):
+        decode(cbor2.dumps([kind, 1, 2]))
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_a_message_or_rejected_or_unknown(frame: bytes) -> None:
+    try:
+        decode(frame)
+    except (PeerRejected, UnknownKind):
+        pass
