--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -9,6 +9,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import urllib3
@@ -37,6 +38,7 @@
 from springrock.emulator.replica import CRASHED
 from springrock.emulator.replica_events import ReplicaEvent, read_replica_events
 from springrock.platform import names
+from tests.builds import LAST_LANDING, build_at
 from tests.processes import Processes, wait_until
 from tests.routed.deployment import MODEL, Deployment
 
@@ -85,6 +87,7 @@
         self.crashing_attempts: list[Attempt] = []
         self._crashing: dict[str, CrashingCaller] = {}
         self._given_away: set[str] = set()
+        self._earlier: Path | None = None
         self._restarting = threading.RLock()
 
     # Start.
@@ -105,6 +108,24 @@
             self.start_box(box)
         self.wait_ready(replicas=len(self.shape.replicas))
 
+    def restart_with_earlier_build(self, box: str) -> None:
+        """Kill a box and start it with the build of the last landing.
+
+        A box that does without a mechanism stays one: only this build can be told so.
+        """
+        if self.box_module != Deployment.box_module:
+            self.processes.restart(box)
+            return
+        if self._earlier is None:
+            self._earlier = build_at(LAST_LANDING, self.folder)
+        self.processes.use_build(box, self._earlier)
+        self.processes.restart(box)
+
+    def restart_with_this_build(self, box: str) -> None:
+        """Kill a box and start it with this build."""
+        self.processes.use_build(box, None)
+        self.processes.restart(box)
+
     def store_address_of(self, box: str) -> str:
         """Where a box reaches the store: through the proxy."""
         return self._routes[f"{box}>store"]
--- a/bench/soak/faults/fault.py
+++ b/bench/soak/faults/fault.py
@@ -20,6 +20,8 @@
         longest_s: The most that it lasts.
         drawn_apart: If above 0, how likely it is drawn once in a cycle, by a generator of its own,
             so that it does not change what else a seed draws.
+        drawn_after: Of the faults drawn apart those with a higher number are drawn later, so that
+            one that joins does not change what earlier ones draw.
     """
 
     name = ""
@@ -27,6 +29,7 @@
     shortest_s = 1.0
     longest_s = 3.0
     drawn_apart = 0.0
+    drawn_after = 0
 
     @abstractmethod
     def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
--- a/bench/soak/faults/words.py
+++ b/bench/soak/faults/words.py
@@ -20,6 +20,7 @@
 
     weight = 0.0
     drawn_apart = 0.5
+    drawn_after = 1
 
     def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
         """Draw what it befalls."""
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -99,7 +99,7 @@
     One that would befall what another fault befalls meanwhile is drawn again, or left out.
     """
     planned: list[Planned] = []
-    for fault in FAULTS:
+    for fault in sorted(FAULTS, key=lambda fault: fault.drawn_after):
         if rng.random() >= fault.drawn_apart or end_s - start_s < fault.shortest_s:
             continue
         for _ in range(_DRAWS_APART):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -42,7 +42,7 @@
         self._guard = guard
         self._running: dict[str, subprocess.Popen[bytes]] = {}
         self._commands: dict[str, list[str]] = {}
-        self._builds: dict[str, Path] = {}
+        self._builds: dict[str, Path | None] = {}
 
     def __getitem__(self, name: str) -> subprocess.Popen[bytes]:
         return self._running[name]
@@ -65,10 +65,7 @@
             module: The module that is run.
             build: The tree of the build that is run; this one if it is left out.
         """
-        if build is not None:
-            self._builds[name] = build
-        else:
-            self._builds.pop(name, None)
+        self._builds[name] = build
         path = self._folder / f"{name}.jsonc"
         path.write_text(json.dumps(settings, indent=1))
         self._commands[name] = [sys.executable, "-m", module, *command, str(path)]
@@ -79,6 +76,10 @@
         self.kill(name)
         self._start(name)
 
+    def use_build(self, name: str, build: Path | None) -> None:
+        """Let one run the build of a tree from its next start on; this build for None."""
+        self._builds[name] = build
+
     def stop(self) -> None:
         """Kill all that still run."""
         for process in self._running.values():
