Services: one that asks for rest with its refusal is left alone, in springrock serve as well

The one reader of the time now serves all three places; a replica that named one is not chosen until it is over, and where all rest a call is refused at once with the time that is left. Nothing else of the refusal changes.

--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -20,7 +20,7 @@
     WrongAnswer,
 )
 from springrock.plugins import drivers
-from springrock.retry_after import RetryAfterUnreadable, read_retry_after
+from springrock.retry_after import retry_after_in
 from springrock.settings import UpstreamSection, split_address
 from springrock.wire import engine as wire
 
@@ -168,7 +168,7 @@
             return EngineStream(response, request, max(0, request.resume_from))
         reason = _reason_of(response)
         if response.status in _NOT_RUN_STATUSES:
-            raise UpstreamSaidNo(reason, _retry_after_of(response))
+            raise UpstreamSaidNo(reason, retry_after_in(response.headers))
         raise UpstreamBroke(f"status {response.status}: {reason}")
 
     def resume(self, request: wire.EngineRequest, position: int) -> EngineStream:
@@ -273,10 +273,3 @@
     finally:
         response.close()
     return said.get("reason", "no reason given")
-
-
-def _retry_after_of(response: urllib3.BaseHTTPResponse) -> float:
-    try:
-        return read_retry_after(response.headers.get("Retry-After", "0"))
-    except RetryAfterUnreadable:
-        return 0.0
--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -9,6 +9,7 @@
 
 from springrock.errors import UpstreamBroke, UpstreamSaidNo, UpstreamUnreachable
 from springrock.plugins import drivers
+from springrock.retry_after import retry_after_in
 from springrock.settings import UpstreamSection
 
 _CONNECTIONS = 64
@@ -73,6 +74,6 @@
         if len(data) > _ANSWER_LIMIT_BYTES:
             raise UpstreamBroke("the answer is over the size limit")
         if response.status in (429, 503):
-            raise UpstreamSaidNo(f"status {response.status}", 1.0)
+            raise UpstreamSaidNo(f"status {response.status}", retry_after_in(response.headers))
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceAnswer(response.status, content_type, data)
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -19,6 +19,7 @@
 import urllib3
 from msgspec import Struct
 
+from springrock import retry_after
 from springrock.bottle_app import json_response, new_app
 from springrock.clock import monotonic
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventFile, ReplicaEventKind
@@ -280,7 +281,7 @@
     def _refusal(self) -> dict[str, str]:
         refusal = {names.NOT_EXECUTED: "1"}
         if self._fault.asks_rest_s:
-            refusal[names.RETRY_AFTER] = str(self._fault.asks_rest_s)
+            refusal[retry_after.HEADER] = str(self._fault.asks_rest_s)
         return refusal
 
     def _crashes_on(self, path: str, body: bytes) -> bool:
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -32,8 +32,6 @@
 LEAVING = "Server-Leaving"
 """Set to 1 on all answers of a replica that leaves."""
 
-RETRY_AFTER = "Retry-After"
-
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
 READINESS_PATH = "/v1/readiness"
--- a/springrock/platform/notices.py
+++ b/springrock/platform/notices.py
@@ -5,13 +5,13 @@
 from springrock.forwarding.dialect import NO_NOTICE, ReplicaNotice
 from springrock.forwarding.message import Headers
 from springrock.platform import names
-from springrock.retry_after import RetryAfterUnreadable, read_retry_after
+from springrock.retry_after import HEADER, RetryAfterUnreadable, read_retry_after
 
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _IS_LEAVING = "1"
 _LEAVING = names.LEAVING.lower()
-_RETRY_AFTER = names.RETRY_AFTER.lower()
+_RETRY_AFTER = HEADER.lower()
 
 _SHOWN = 40
 """So many signs of a value that cannot be read are shown in logs."""
@@ -37,4 +37,4 @@
     try:
         return ReplicaNotice(leaving, backoff_s=max(read_retry_after(value) for value in stated))
     except RetryAfterUnreadable:
-        return ReplicaNotice(leaving, unreadable=f"{names.RETRY_AFTER}: {stated[0][:_SHOWN]}")
+        return ReplicaNotice(leaving, unreadable=f"{HEADER}: {stated[0][:_SHOWN]}")
--- a/springrock/retry_after.py
+++ b/springrock/retry_after.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from springrock.errors import SpringrockError
 
+HEADER = "Retry-After"
+
 LONGEST_S = 3600.0
 """One that names a longer time is asked again after this: a wrong number does not cost it for good,
 and no upstream that is overloaded knows as much in advance."""
@@ -28,3 +32,11 @@
     if not 0 <= seconds < float("inf"):
         raise RetryAfterUnreadable(f"{value!r} is out of range")
     return min(seconds, LONGEST_S)
+
+
+def retry_after_in(headers: Mapping[str, str]) -> float:
+    """Return the seconds that the headers of an answer name; 0 if they name none."""
+    try:
+        return read_retry_after(headers.get(HEADER, "0"))
+    except RetryAfterUnreadable:
+        return 0.0
--- a/springrock/serving/services.py
+++ b/springrock/serving/services.py
@@ -59,6 +59,7 @@
         self._running: Counter[str] = Counter()
         self._failures: Counter[str] = Counter()
         self._ejected_until: dict[str, float] = {}
+        self._rests_until: dict[str, float] = {}
         self._drivers = {
             upstream.name: ServiceDriver(upstream)
             for pool in self._pools.values()
@@ -115,6 +116,7 @@
         for _ in range(_TRIES):
             upstream = self._choose(pool, tried) or self._choose(pool, set())
             if upstream is None:
+                refusal = self._rested(pool) or refusal
                 break
             self._log.say(
                 f"Route {headers[REQUEST_ID_HEADER]} to {upstream.name}.",
@@ -153,6 +155,7 @@
             self._note_failure(upstream.name)
             return Error(_failed(Cause.NO_UPSTREAM, str(error), RunState.NOT_RUN))
         except UpstreamSaidNo as error:
+            self._note_refusal(upstream.name, error.retry_after_s)
             return Error(_failed(Cause.UPSTREAM_REFUSED, error.reason, RunState.NOT_RUN))
         except UpstreamBroke as error:
             self._note_failure(upstream.name)
@@ -167,11 +170,33 @@
         able = [
             upstream
             for upstream in pool.replicas
-            if upstream.name not in tried and not self._out_of_service(upstream.name)
+            if upstream.name not in tried
+            and not self._out_of_service(upstream.name)
+            and self._rest_left_s(upstream.name) == 0.0
         ]
         healthy = [item for item in able if self._ejected_until.get(item.name, 0.0) <= now]
         return min(healthy or able, key=self._load, default=None)
 
+    def _rest_left_s(self, name: str) -> float:
+        """Return for how much longer a replica wants nothing from this box."""
+        return max(0.0, self._rests_until.get(name, 0.0) - monotonic())
+
+    def _note_refusal(self, name: str, rest_s: float) -> None:
+        """Leave a replica alone that turned a call away, for as long as it asked."""
+        if rest_s <= self._rest_left_s(name):
+            return
+        self._rests_until[name] = monotonic() + rest_s
+        self._log.say("A service asks for rest.", replica=name, for_s=round(rest_s, 3))
+
+    def _rested(self, pool: PoolSection) -> Refusal | None:
+        """Return the refusal that says when the first rest in a pool is over; None without one."""
+        rests = [self._rest_left_s(upstream.name) for upstream in pool.replicas]
+        left_s = min((rest for rest in rests if rest), default=None)
+        if left_s is None:
+            return None
+        detail = f"the replicas of {pool.name} ask for rest"
+        return Refusal(Cause.UPSTREAM_REFUSED, detail, RunState.NOT_RUN, left_s)
+
     def _load(self, upstream: UpstreamSection) -> tuple[float, str]:
         far = upstream.availability_zone != self._zone
         return self._running[upstream.name] + (0.5 if far else 0.0), upstream.name
