Choosing: what rests after failures may yet get a request again that it failed

Found on rereading: with what leaves or asks for rest, an ask named no engine any more that rests after failures among those that may get the request again. That was allowed before and is meant so (a load elsewhere can cost more): only what must get nothing is taken out. The test fails without this (no engine is named).

--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -261,18 +261,16 @@
 
     def _wish(self, journey: Journey, key: AdapterKey, *, until: float) -> Wish:
         # The placer may not know yet what this box knows, and would grant what it cannot use.
-        unusable = [
-            replica.instance
-            for replica in self._directory.of_service(journey.service)
-            if _is_unusable(replica)
-        ]
+        replicas = self._directory.of_service(journey.service)
+        unusable = {replica.instance for replica in replicas if _is_unusable(replica)}
+        resting = {replica.instance for replica in replicas if replica.health.resting}
         return Wish(
             request_id=journey.request.request_id,
             key=key,
             terms=self._wait_terms(journey, until=until),
             prompt=journey.request.prompt,
-            avoid=journey.tried.union(unusable),
-            failed_at=journey.failed_at.difference(unusable),
+            avoid=journey.tried | unusable | resting,
+            failed_at=journey.failed_at - unusable,
             bounds=journey.bounds,
         )
 
@@ -376,9 +374,9 @@
 
 
 def _is_unusable(replica: Replica) -> bool:
-    """Whether this box knows that a replica takes no request of it now, wherever that runs."""
-    health, record = replica.health, replica.record
-    return health.resting or health.backing_off or record.leaving or not record.understood
+    """Whether this box must send a replica nothing, even for want of another."""
+    record = replica.record
+    return replica.health.backing_off or record.leaving or not record.understood
 
 
 def _worth_of(priority: int) -> float:
--- a/tests/forwarding/test_choosing.py
+++ b/tests/forwarding/test_choosing.py
@@ -74,6 +74,7 @@
     leaving: bool = False,
     backoff_s: float = 0.0,
     failed_before: bool = False,
+    failures: int = 0,
 ) -> str:
     """Return the instance that a request for the adapter is sent to."""
     engine = Engine(
@@ -86,12 +87,16 @@
     if leaving:
         directory.note_leaving("i-1", LeavingSign.ANSWER)
     directory.note_backoff("i-1", backoff_s)
+    replica = directory.find("i-1")
+    assert replica is not None
+    for _ in range(failures):
+        replica.health.note_failure()
     chooser = ReplicaChooser(
         configuration=lambda: configuration,
         directory=directory,
         balancer=Balancer(world=lambda: make_world(evacuated=evacuated), chance=random.Random(1)),
         adapters=adapters,
-        budget_of=lambda service: RetryBudget(lambda: RetryLimits(0.1, 1.0, 10.0)),
+        budget_of=lambda service: RetryBudget(lambda: RetryLimits(0.1, 10.0, 10.0)),
         permits=NoPermits(),
     )
     request = make_request(model=KEY.model, adapter=KEY.adapter, deadline_s=5.0)
@@ -145,3 +150,10 @@
     with pytest.raises(NoReplica):
         find(adapters, backoff_s=5.0, failed_before=True)
     assert {wish.failed_at for wish in adapters.wishes} == {frozenset()}
+
+
+def test_an_engine_that_rests_after_failures_may_get_a_request_again_that_it_failed() -> None:
+    adapters = ScriptedAdapters(waits=0)
+    assert find(adapters, failed_before=True, failures=2) == "i-1"
+    [wish] = adapters.wishes
+    assert wish.avoid == wish.failed_at == {"i-1"}
