Planner: what only a resting engine holds is loaded elsewhere at once

Cause: a request whose box was asked for rest waits although its adapter stands ready; the planner took that for served until the want had stood 0.3 s. Change: an engine that asked a box for rest does not count as one where a waiting want is served. Where no engine names a time nothing changes.

--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -180,6 +180,10 @@
         self.crowded = {key: noted for key, noted in self.crowded.items() if noted >= at}
         return list(self.crowded)
 
+    def backing_off(self) -> frozenset[str]:
+        """Return the engines that asked some box for rest, which is not over."""
+        return frozenset(instance for instance, work in self._work.items() if work.backing_off)
+
     def waits(self) -> dict[str, float]:
         """Return how long a first event would wait at each engine, without its own prompt.
 
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -367,6 +367,7 @@
                 waits=dispatcher.waits(),
                 crowded=dispatcher.crowded_since(now - _CROWDED_S),
                 near=self._copy_wishes.standing(),
+                backing_off=dispatcher.backing_off(),
             )
             for assignment in plan.assignments:
                 if assignment.want.saves:
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -120,6 +120,7 @@
         self._wanted: frozenset[AdapterKey] = frozenset()
         self._running: Counter[str] = Counter()
         self._waits: Mapping[str, float] = {}
+        self._backing_off: Collection[str] = ()
         self._victims_of: dict[str, list[AdapterKey]] = {}
         self._turnover = Turnover()
         self.loads = LoadPace()
@@ -134,6 +135,7 @@
         waits: Mapping[str, float] | None = None,
         crowded: Collection[AdapterKey] = (),
         near: Mapping[AdapterKey, float] | None = None,
+        backing_off: Collection[str] = (),
     ) -> Plan:
         """Return what to order now.
 
@@ -145,11 +147,14 @@
             waits: How long a first event would wait at each engine, in seconds.
             crowded: Adapters whose every holder lets first events wait for long.
             near: What copies save in loads that would spare requests a long way.
+            backing_off: Engines that asked a box for rest: who waits although one of them holds
+                the adapter is most likely of that box, and needs it elsewhere.
         """
         plan = Plan([], {})
         self._running = _running_by_engine(used)
         index = PlanIndex(engines)
         self._waits = waits or {}
+        self._backing_off = backing_off
         self._victims_of.clear()
         wants = list(wants)
         self._wanted = frozenset(want.key for want in wants if want.waiting)
@@ -302,6 +307,8 @@
         for engine in index.holding(key):
             if want.is_copy or not engine.is_ready(key, version=newest):
                 continue
+            if engine.instance in self._backing_off:
+                continue
             stood_s = now - max(want.since, engine.places[key].since)
             if not want.waiting or stood_s < _UNREACHED_S:
                 times.append(0.0)
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -260,3 +260,14 @@
     both = {("i-1", key("x")): 1, ("i-1", key("y")): 1}
     assert planner.pressure(engine, used=both, now=now) == math.inf
     assert planner.pressure(make_engine("i-2", "x"), used={}, now=now) == 0.0
+
+
+def test_who_waits_although_an_engine_that_rests_holds_the_adapter_gets_it_elsewhere_at_once() -> (
+    None
+):
+    engines = [make_engine("i-1", "a"), make_engine("i-2")]
+    planner = make_planner()
+    now = monotonic()
+    plan = planner.plan([want("a")], engines, used={}, now=now, backing_off={"i-1"})
+    assert [item.engine.instance for item in plan.assignments] == ["i-2"]
+    assert planner.plan([want("a")], engines, used={}, now=now).ready_in_s[key("a")] == 0.0
