Backoffs: the rest that an upstream asks for is one value, not five

Until when an upstream wants nothing stood five times: in the health of a replica, copied there from the directory's memory by id, in an engine's work, in the placer's book and in the plain services of springrock serve, each with its own larger-of. Now they hold one small value; the directory and the replica share it, so that a new start or a row that came back has nothing to copy.

--- a/springrock/forwarding/balancing.py
+++ b/springrock/forwarding/balancing.py
@@ -118,7 +118,7 @@
             replica.record,
             bounds=bounds,
             world=self._world(),
-            backing_off=replica.health.backing_off,
+            backing_off=replica.backoff.active,
             permitted=permitted,
         )
 
@@ -131,11 +131,10 @@
 
 
 def _obstacle(replica: Replica, bounds: Bounds, world: World) -> Obstacle | None:
-    health = replica.health
     return obstacle_of(
         replica.record,
         bounds=bounds,
         world=world,
-        backing_off=health.backing_off,
-        resting=health.resting,
+        backing_off=replica.backoff.active,
+        resting=replica.health.resting,
     )
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -352,7 +352,7 @@
 
     def _return_after_rest_s(self, replicas: list[Replica]) -> float:
         """Return when a client may come back whom only resting replicas could serve."""
-        left_s = [item.health.backoff_left_s for item in replicas if item.health.backing_off]
+        left_s = [replica.backoff.left_s for replica in replicas if replica.backoff.active]
         return min(left_s, default=RETRY_AFTER_S) + self._chance.uniform(0.0, _RETURN_SPREAD_S)
 
     def _wait_terms(self, journey: Journey, *, until: float) -> WaitTerms:
@@ -376,7 +376,7 @@
 def _is_unusable(replica: Replica) -> bool:
     """Whether this box must send a replica nothing, even for want of another."""
     record = replica.record
-    return replica.health.backing_off or record.leaving or not record.understood
+    return replica.backoff.active or record.leaving or not record.understood
 
 
 def _worth_of(priority: int) -> float:
--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Struct
 
+from springrock.backoff import Backoff
 from springrock.clock import monotonic
 from springrock.forwarding.connection import ConnectionPool
 from springrock.forwarding.health import Health
@@ -99,14 +100,16 @@
         record: What it last said of itself.
         recorded_at: When this box learnt that, on the local monotonic clock.
         health: What requests have seen of it.
+        backoff: The rest that it asks this box for.
         pool: The connections of this box to it.
         running: Requests of this box that it now works on.
     """
 
-    def __init__(self, record: ReplicaRecord) -> None:
+    def __init__(self, record: ReplicaRecord, backoff: Backoff | None = None) -> None:
         self.record = record
         self.recorded_at = monotonic()
         self.health = Health()
+        self.backoff = backoff or Backoff()
         self.pool = ConnectionPool(record.address)
         self.running = 0
 
@@ -132,7 +135,7 @@
         self._replicas: dict[str, Replica] = {}
         self._by_id: dict[str, str] = {}
         self._starts: Remembered[int] = Remembered(at_most=_INCARNATIONS_KEPT)
-        self._backoffs: Remembered[float] = Remembered(at_most=_INCARNATIONS_KEPT)
+        self._backoffs: Remembered[Backoff] = Remembered(at_most=_INCARNATIONS_KEPT)
         self._left: Remembered[None] = Remembered(at_most=_INCARNATIONS_KEPT)
         self._passed_over: Remembered[int | None] = Remembered(at_most=_INCARNATIONS_KEPT)
         self._held_back: dict[str, ReplicaRecord] = {}
@@ -189,11 +192,11 @@
         It holds for whatever start stands under the id, and after its row went for a while: what
         asked for rest may be a start whose row is yet to be read.
         """
-        until = max(monotonic() + seconds, self._backoffs.get(replica_id, 0.0))
-        self._backoffs.note(replica_id, until)
         known = self.find_id(replica_id)
-        if known is not None:
-            known.health.back_off(until=until)
+        remembered = self._backoffs.get(replica_id) if known is None else known.backoff
+        backoff = remembered or Backoff()
+        backoff.extend(seconds)
+        self._backoffs.note(replica_id, backoff)
 
     def note_not_understood(self, replica_id: str) -> None:
         """Learn that what stands under an id is not understood: it gets no new work.
@@ -279,8 +282,8 @@
             self._starts.note(record.replica_id, record.born_ms)
         known = self._replicas.get(record.instance)
         if known is None:
-            replica = self._replicas[record.instance] = Replica(record)
-            replica.health.back_off(until=self._backoffs.get(record.replica_id, 0.0))
+            backoff = self._backoffs.get(record.replica_id)
+            self._replicas[record.instance] = Replica(record, backoff)
             self._by_id[record.replica_id] = record.instance
             self._say(record, "Saw a replica.")
         else:
--- a/springrock/forwarding/health.py
+++ b/springrock/forwarding/health.py
@@ -36,7 +36,6 @@
         self._in_a_row = 0
         self._rests = 0
         self._rest_until = 0.0
-        self._backoff_until = 0.0
         self.failure_rate = 0.0
 
     @property
@@ -49,16 +48,6 @@
         """Seconds until it is tried again."""
         return max(0.0, self._rest_until - monotonic())
 
-    @property
-    def backing_off(self) -> bool:
-        """Whether the replica has asked this box for rest, which is not over."""
-        return monotonic() < self._backoff_until
-
-    @property
-    def backoff_left_s(self) -> float:
-        """Seconds until the rest is over that the replica asked for."""
-        return max(0.0, self._backoff_until - monotonic())
-
     @property
     def doubt(self) -> float:
         """The failure rate, the less so the longer ago this box saw the last outcome."""
@@ -77,14 +66,6 @@
         """Note that the replica did not run a request for want of room."""
         self._full_at = monotonic()
 
-    def back_off(self, *, until: float) -> None:
-        """Note that the replica wants nothing from this box until then, on the monotonic clock.
-
-        Unlike a rest that this box gives it after failures, it is the replica's own word and holds
-        whatever else there is to choose from.
-        """
-        self._backoff_until = max(self._backoff_until, until)
-
     def note_success(self) -> None:
         """Note an answer."""
         self._noted_at = monotonic()
--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -110,7 +110,7 @@
             return None
         unread = sum(tokens for _, tokens in prompt) - work.kept.kept(key, prompt)
         wait_s = work.wait_s + unread * work.token_s + _FAILURE_S * work.health.failure_rate
-        if work.is_full or work.backing_off or work.health.resting:
+        if work.is_full or work.backoff.active or work.health.resting:
             wait_s += _AVOIDED_S
         return Choice(instance, wait_s, unread)
 
@@ -167,7 +167,7 @@
             work.unread -= 0 if begun else run.unread
             self._learn(work, run, over.outcome)
             if over.backoff_ms:
-                work.note_backoff(over.backoff_ms / 1000)
+                work.backoff.extend(over.backoff_ms / 1000)
         return run
 
     def forget_box(self, box: str) -> None:
@@ -182,7 +182,7 @@
 
     def backing_off(self) -> frozenset[str]:
         """Return the engines that asked some box for rest, which is not over."""
-        return frozenset(instance for instance, work in self._work.items() if work.backing_off)
+        return frozenset(instance for instance, work in self._work.items() if work.backoff.active)
 
     def waits(self) -> dict[str, float]:
         """Return how long a first event would wait at each engine, without its own prompt.
@@ -190,7 +190,7 @@
         One that asked a box for rest has no room for others either, most likely.
         """
         return {
-            instance: work.wait_s + (_AVOIDED_S if work.backing_off else 0.0)
+            instance: work.wait_s + (_AVOIDED_S if work.backoff.active else 0.0)
             for instance, work in self._work.items()
         }
 
--- a/springrock/placement/engine_work.py
+++ b/springrock/placement/engine_work.py
@@ -6,6 +6,7 @@
 from collections.abc import Container, Iterable
 from math import exp, log
 
+from springrock.backoff import Backoff
 from springrock.clock import monotonic
 from springrock.forwarding.health import Health
 from springrock.forwarding.message import AdapterKey
@@ -58,6 +59,7 @@
         runs: How many requests run or wait there.
         unread: Tokens of prompts that were sent there and whose answers have not begun.
         health: What requests of all boxes have seen of it.
+        backoff: The longest rest that it asks any box for.
     """
 
     def __init__(self, usual: ReadingSpeed, *, memory_tokens: int) -> None:
@@ -65,7 +67,7 @@
         self._slowness = 1.0
         self._slowness_at = monotonic()
         self._full_until = 0.0
-        self._backoff_until = 0.0
+        self.backoff = Backoff()
         self._denied: dict[AdapterKey, float] = {}
         self.kept = KeptPrompts(tokens_at_most=int(memory_tokens * _KEPT_PART))
         self.health = Health()
@@ -77,11 +79,6 @@
         """Whether the engine said just now that it has no room."""
         return monotonic() < self._full_until
 
-    @property
-    def backing_off(self) -> bool:
-        """Whether the engine has asked some box for rest, which is not over."""
-        return monotonic() < self._backoff_until
-
     @property
     def wait_s(self) -> float:
         """How long a request of no tokens would wait there for its first event, about."""
@@ -96,10 +93,6 @@
         """Learn that the engine has no room."""
         self._full_until = monotonic() + _FULL_S
 
-    def note_backoff(self, seconds: float) -> None:
-        """Learn that the engine asked a box for so long a rest."""
-        self._backoff_until = max(self._backoff_until, monotonic() + seconds)
-
     def note_lacking(self, key: AdapterKey) -> None:
         """Learn from the engine itself that it does not hold an adapter."""
         self._denied[key] = monotonic() + _DENIED_S
--- a/springrock/serving/services.py
+++ b/springrock/serving/services.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 
 import gevent
 from expression import Error, Ok, Result
 
+from springrock.backoff import Backoff
 from springrock.clock import Deadline, monotonic
 from springrock.coordination.claims import Claims
 from springrock.drivers.service import ServiceAnswer, ServiceDriver
@@ -59,7 +60,7 @@
         self._running: Counter[str] = Counter()
         self._failures: Counter[str] = Counter()
         self._ejected_until: dict[str, float] = {}
-        self._rests_until: dict[str, float] = {}
+        self._backoffs: defaultdict[str, Backoff] = defaultdict(Backoff)
         self._drivers = {
             upstream.name: ServiceDriver(upstream)
             for pool in self._pools.values()
@@ -172,30 +173,27 @@
             for upstream in pool.replicas
             if upstream.name not in tried
             and not self._out_of_service(upstream.name)
-            and self._rest_left_s(upstream.name) == 0.0
+            and not self._backoffs[upstream.name].active
         ]
         healthy = [item for item in able if self._ejected_until.get(item.name, 0.0) <= now]
         return min(healthy or able, key=self._load, default=None)
 
-    def _rest_left_s(self, name: str) -> float:
-        """Return for how much longer a replica wants nothing from this box."""
-        return max(0.0, self._rests_until.get(name, 0.0) - monotonic())
-
     def _note_refusal(self, name: str, rest_s: float) -> None:
         """Leave a replica alone that turned a call away, for as long as it asked."""
-        if rest_s <= self._rest_left_s(name):
+        backoff = self._backoffs[name]
+        if rest_s <= backoff.left_s:
             return
-        self._rests_until[name] = monotonic() + rest_s
+        backoff.extend(rest_s)
         self._log.say("A service asks for rest.", replica=name, for_s=round(rest_s, 3))
 
     def _rested(self, pool: PoolSection) -> Refusal | None:
         """Return the refusal that says when the first rest in a pool is over; None without one."""
-        rests = [self._rest_left_s(upstream.name) for upstream in pool.replicas]
-        left_s = min((rest for rest in rests if rest), default=None)
-        if left_s is None:
+        backoffs = [self._backoffs[upstream.name] for upstream in pool.replicas]
+        left_s = [backoff.left_s for backoff in backoffs if backoff.active]
+        if not left_s:
             return None
         detail = f"the replicas of {pool.name} ask for rest"
-        return Refusal(Cause.UPSTREAM_REFUSED, detail, RunState.NOT_RUN, left_s)
+        return Refusal(Cause.UPSTREAM_REFUSED, detail, RunState.NOT_RUN, min(left_s))
 
     def _load(self, upstream: UpstreamSection) -> tuple[float, str]:
         far = upstream.availability_zone != self._zone
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -100,11 +100,11 @@
     assert replica is not None
     box.notices.take(replica, ReplicaNotice(backoff_s=3.0))
     box.notices.take(replica, ReplicaNotice(backoff_s=1.0))
-    assert 2.0 < replica.health.backoff_left_s <= 3.0
+    assert 2.0 < replica.backoff.left_s <= 3.0
     box.start(6)
     restarted = box.directory.find("i-1@6")
-    assert restarted is not None and restarted.health.backing_off
+    assert restarted is not None and restarted.backoff.active
     box.directory.remove("i-1")
     box.start(6)
     back = box.directory.find("i-1@6")
-    assert back is not None and back is not restarted and back.health.backing_off
+    assert back is not None and back is not restarted and back.backoff.active
--- a/tests/forwarding/test_notices_model.py
+++ b/tests/forwarding/test_notices_model.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from springrock import backoff as backoff_module
 from springrock.forwarding import directory as directory_module
 from springrock.forwarding import health as health_module
 from springrock.forwarding.balancing import Balancer
@@ -149,6 +150,7 @@
     with (
         patch.object(health_module, "monotonic", lambda: box.now),
         patch.object(directory_module, "monotonic", lambda: box.now),
+        patch.object(backoff_module, "monotonic", lambda: box.now),
     ):
         for step in steps:
             box.take(step)
--- a/tests/placement/test_backoffs.py
+++ b/tests/placement/test_backoffs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from springrock.placement import backoffs as backoffs_module
+from springrock import backoff as backoff_module
 from springrock.placement.backoffs import Backoffs
 
 
@@ -12,7 +12,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     now = 100.0
-    monkeypatch.setattr(backoffs_module, "monotonic", lambda: now)
+    monkeypatch.setattr(backoff_module, "monotonic", lambda: now)
     backoffs = Backoffs()
     backoffs.note("box-1", "i-1", seconds=3.0)
     backoffs.note("box-1", "i-1", seconds=1.0)
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from springrock import backoff as backoff_module
 from springrock.forwarding.message import AdapterKey
 from springrock.placement import dispatcher as dispatcher_module
 from springrock.placement import engine_work as engine_work_module
@@ -21,7 +22,7 @@
 @pytest.fixture
 def pass_time(monkeypatch: pytest.MonkeyPatch) -> Pass:
     now = [1000.0]
-    for module in (dispatcher_module, engine_work_module):
+    for module in (dispatcher_module, engine_work_module, backoff_module):
         monkeypatch.setattr(module, "monotonic", lambda: now[0])
 
     def _pass(seconds: float) -> None:
