Unknown messages: one loop passes them over, and one counter counts them

The same try, note and look again stood in the readers of three links, and the same method in both sets of metrics. UnknownMessages.next_known is that loop; the counter is made by one function. What is said, counted and left is the same. The tests of both link protocols, of frames and of two builds pass.

--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -268,12 +268,7 @@
         )
         try:
             while True:
-                try:
-                    message = link.receive()
-                except UnknownKind as kind:
-                    unknown.note(kind)
-                    continue
-                self._take(link, message)
+                self._take(link, unknown.next_known(link.receive))
         except SOCKET_FAILURES:
             pass
         except PeerRejected as error:
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -89,28 +89,25 @@
             ["kind", "result"],
             registry=registry,
         )
-        self._unknown_messages = unknown_messages_in(registry)
+        self.count_unknown_message = _counting_unknown_messages(registry)
         self.lease_held = Gauge(
             "springrock_lease_held", "1 while this box may act as an owner.", registry=registry
         )
 
-    def count_unknown_message(self, kind: int) -> None:
-        """Count a message of a kind that this build does not know."""
-        self._unknown_messages.labels(str(kind)).inc()
-
     def render(self) -> bytes:
         """Return the text that Prometheus scrapes."""
         return generate_latest(self.registry)
 
 
-def unknown_messages_in(registry: CollectorRegistry) -> Counter:
-    """Return the count of what other boxes sent that this build does not know."""
-    return Counter(
+def _counting_unknown_messages(registry: CollectorRegistry) -> Callable[[int], None]:
+    """Return what counts a message of a kind that this build does not know, by its kind."""
+    counter = Counter(
         "springrock_unknown_messages",
         "Messages of other boxes of a kind that this build does not know, by kind.",
         ["kind"],
         registry=registry,
     )
+    return lambda kind: counter.labels(str(kind)).inc()
 
 
 class ForwardingMetrics:
@@ -154,7 +151,7 @@
             ["cause"],
             registry=registry,
         )
-        self._unknown_messages = unknown_messages_in(registry)
+        self.count_unknown_message = _counting_unknown_messages(registry)
         self.replica_notices = Counter(
             "springrock_forwarding_replica_notices",
             "What replicas told of themselves in their answers and this box had not known.",
@@ -276,10 +273,6 @@
             self._teams.add(team)
         self._charges.labels(team, "taken" if taken else "no_room").inc()
 
-    def count_unknown_message(self, kind: int) -> None:
-        """Count a message of a kind that this build does not know."""
-        self._unknown_messages.labels(str(kind)).inc()
-
     def count_permit(self, granted: bool) -> None:
         """Count the answer to an ask for a permit."""
         self._permits.labels("granted" if granted else "no_room").inc()
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -121,16 +121,14 @@
     def _run(self, connection: ClientConnection, address: str) -> None:
         writer = gevent.spawn(self._write, connection)
         unknown = UnknownMessages(address, log=self._log, count=self._count_unknown)
+
+        def _receive() -> Message:
+            return decode(connection.recv(timeout=_SILENCE_S))
+
         self._log.say("Linked to the placer.", zone=self._zone, address=address)
         try:
             while True:
-                frame = connection.recv(timeout=_SILENCE_S)
-                try:
-                    message = decode(frame)
-                except UnknownKind as kind:
-                    unknown.note(kind)
-                    continue
-                self._on_message(message)
+                self._on_message(unknown.next_known(_receive))
         except LINK_FAILURES as error:
             self._log.say("Lost the placer.", zone=self._zone, address=address, error=str(error))
         finally:
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -225,13 +225,12 @@
 
     def _read(self, box: str, link: _Link) -> None:
         unknown = UnknownMessages(box, log=self._log, count=self._count_unknown)
+
+        def _receive() -> Message:
+            return decode(link.connection.recv(timeout=_SILENCE_S))
+
         while True:
-            frame = link.connection.recv(timeout=_SILENCE_S)
-            try:
-                message = decode(frame)
-            except UnknownKind as kind:
-                unknown.note(kind)
-                continue
+            message = unknown.next_known(_receive)
             if not isinstance(message, Demand):
                 raise PeerRejected(f"an unexpected {type(message).__name__}")
             if self._links.get(box) is not link:
--- a/springrock/unknown_messages.py
+++ b/springrock/unknown_messages.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, get_args
+from typing import Any, TypeVar, get_args
 
 from springrock.errors import SpringrockError
 from springrock.log import Log
 
+T = TypeVar("T")
+
 _HIGHEST_KIND = 255
 """Kinds are numbered from 1 in the order in which they came; a frame that claims more is no frame
 of a later build."""
@@ -61,7 +63,19 @@
         self._count = count
         self._said: set[int] = set()
 
-    def note(self, unknown: UnknownKind) -> None:
+    def next_known(self, receive: Callable[[], T]) -> T:
+        """Return the next message that this build knows.
+
+        Args:
+            receive: Waits for a message; raises `UnknownKind` for one that is not known.
+        """
+        while True:
+            try:
+                return receive()
+            except UnknownKind as unknown:
+                self._note(unknown)
+
+    def _note(self, unknown: UnknownKind) -> None:
         """Note one message; the first of its kind on the link is said."""
         self._count(unknown.kind)
         if unknown.kind not in self._said:
