--- a/springrock/forwarding/notices.py
+++ b/springrock/forwarding/notices.py
@@ -12,6 +12,9 @@
 from springrock.forwarding.directory import Directory, LeavingSign, Replica
 from springrock.log import Log
 
+NoticeTaker = Callable[[ReplicaNotice], None]
+"""Takes what the answer to one call told of the replica that the call was sent to."""
+
 
 class ReplicaNotices:
     """Notes what answers tell of replicas, before anything else becomes of the answers.
@@ -62,14 +65,14 @@
             for listener in self.on_leaving:
                 listener(replica.instance)
 
-    def taker(self, replica_id: str) -> Callable[[ReplicaNotice], None]:
+    def taker(self, replica_id: str) -> NoticeTaker:
         """Return what takes the answer to a call that is about to be sent to the replica of an id.
 
         It binds the start that is known now: by the time of the answer a later one may stand there.
         """
         replica = self._directory.find_id(replica_id)
-        return _forget if replica is None else partial(self.take, replica)
+        return pass_over if replica is None else partial(self.take, replica)
 
 
-def _forget(notice: ReplicaNotice) -> None:
-    """Pass over what a replica told that is not known."""
+def pass_over(notice: ReplicaNotice) -> None:
+    """Take the notice of a replica that is not known, or of which nobody learns."""
--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -8,9 +8,9 @@
 import urllib3
 from msgspec import UNSET, Struct, UnsetType, field
 
-from springrock.forwarding.dialect import ReplicaNotice
 from springrock.forwarding.directory import HeldAdapter
 from springrock.forwarding.message import Headers
+from springrock.forwarding.notices import NoticeTaker, pass_over
 from springrock.placement.control import (
     ControlUnanswered,
     EngineState,
@@ -68,7 +68,7 @@
     def __init__(
         self,
         *,
-        notice_taker: Callable[[str], Callable[[ReplicaNotice], None]] = lambda replica_id: _pass,
+        notice_taker: Callable[[str], NoticeTaker] = lambda replica_id: pass_over,
     ) -> None:
         self._notice_taker = notice_taker
         self._pool = urllib3.PoolManager(retries=False, num_pools=64, maxsize=2)
@@ -149,10 +149,6 @@
         return response
 
 
-def _pass(notice: ReplicaNotice) -> None:
-    """Take what nobody learns from."""
-
-
 def _coming_from(text: str) -> HeldAdapter:
     """Read MODEL/NAME@VERSION."""
     model, _, adapter = text.partition("/")
