Soak: the newer faults stand beside their kin

Three faults had written the targets, claims and ends of _BoxFault, _ReplicaFault and _EndingReplica again, in modules of their own that only kept an order of drawing which drawn_after keeps now.

--- a/bench/soak/faults/__init__.py
+++ b/bench/soak/faults/__init__.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-from bench.soak.faults import boxes, builds, configuration, links, replicas, requests, store, words
+from bench.soak.faults import boxes, configuration, links, replicas, requests, store
 from bench.soak.faults.fault import FAULTS, Fault
 
 __all__ = [
     "FAULTS",
     "Fault",
     "boxes",
-    "builds",
     "configuration",
     "links",
     "replicas",
     "requests",
     "store",
-    "words",
 ]
--- a/bench/soak/faults/boxes.py
+++ b/bench/soak/faults/boxes.py
@@ -74,3 +74,25 @@
         """Switch it on."""
         for box in targets:
             deployment.processes.signal(box, signal.SIGTERM)
+
+
+@FAULTS.register
+class EarlierBuild(_BoxFault):
+    """Boxes are killed and come back with the build of the last landing, and then with this one."""
+
+    name = "earlier_build"
+    weight = 0.0
+    drawn_apart = 0.5
+    drawn_after = 2
+    shortest_s = 4.0
+    longest_s = 12.0
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Switch it on."""
+        for box in targets:
+            deployment.restart_with_earlier_build(box)
+
+    def end(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Switch it off."""
+        for box in targets:
+            deployment.restart_with_this_build(box)
--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -10,6 +10,7 @@
 from bench.soak.shape import Shape
 
 _CUT_AFTER_EVENTS = 3
+_REST_S = 2.0
 _FOREIGN_INSTANCE = "i-foreign"
 
 
@@ -127,6 +128,46 @@
             deployment.fault(replica, leaving=True)
 
 
+class _SpokenFault(_ReplicaFault):
+    """Befalls one replica, which tells of it in its answers only."""
+
+    weight = 0.0
+    drawn_apart = 0.5
+    drawn_after = 1
+
+    def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
+        """Draw what it befalls."""
+        return (rng.choice(shape.replicas_of(rng.choice(self.services))),)
+
+
+@FAULTS.register
+class LeavingOnlySaid(_SpokenFault, _EndingReplica):
+    """A replica says in its answers that it leaves, while its record stands, and ends."""
+
+    name = "leaving_only_said"
+    shortest_s = 4.0
+    longest_s = 8.0
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Switch it on."""
+        for replica in targets:
+            deployment.fault(replica, leaving=True, silent=True)
+
+
+@FAULTS.register
+class RestAskedFor(_SpokenFault):
+    """A replica turns requests away and asks for rest each time."""
+
+    name = "rest_asked_for"
+    shortest_s = 3.0
+    longest_s = 6.0
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Switch it on."""
+        for replica in targets:
+            deployment.fault(replica, refuse=True, asks_rest_s=_REST_S)
+
+
 @FAULTS.register
 class ReusedAddress(_ReplicaFault):
     """A replica's address is taken by one of a service that no route goes to."""
