Tests: clients in the background are started and stopped by one class

The one that kept a bound on how long a client may take to end (30 s, and none alive) gives it to all.

--- a/tests/routed/test_builds.py
+++ b/tests/routed/test_builds.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import threading
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -13,6 +12,7 @@
 from springrock.clock import monotonic
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind, read_replica_events
 from tests.builds import LAST_LANDING, HistoryMissing, build_at
+from tests.clients import BackgroundClients
 from tests.processes import wait_until
 from tests.routed.deployment import REPLICAS, Answer, Deployment
 
@@ -73,29 +73,20 @@
         assert deployment.breaches() == []
 
 
-class Callers:
+class Callers(BackgroundClients):
     """Clients that call all boxes that are ready until told to stop."""
 
     def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
         self._deployment = deployment
-        self._stop = threading.Event()
-        self._threads = [threading.Thread(target=self._call, args=way, daemon=True) for way in WAYS]
+        for way in WAYS:
+            self.add(self._call, *way)
         self.away: set[str] = set()
         self.answers: list[Answer] = []
         self.failed: list[str] = []
 
-    def __enter__(self) -> Callers:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
-
     def _call(self, path: str, adapter: str) -> None:
-        while not self._stop.wait(timeout=PAUSE_S):
+        while not self.stop.wait(timeout=PAUSE_S):
             for box in sorted(self._deployment.clients.keys() - self.away):
                 self._call_box(box, path, adapter)
 
--- a/tests/routed/test_evacuation.py
+++ b/tests/routed/test_evacuation.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import threading
 import time
 from collections.abc import Iterator
 
 import pytest
 
 from springrock.clock import monotonic
+from tests.clients import BackgroundClients
 from tests.processes import wait_until
 from tests.routed.deployment import ROUTES, Answer, Deployment
 
@@ -19,25 +19,15 @@
 """No more than one engine holds, so that every zone can take all of them."""
 
 
-class Load:
+class Load(BackgroundClients):
     """Clients that send to every box until they are stopped, adapters and plain requests."""
 
     def __init__(self, deployment: Deployment, *boxes: str) -> None:
+        super().__init__()
         self._deployment = deployment
-        self._boxes = boxes or tuple(deployment.clients)
-        self._stopped = threading.Event()
         self.answers: list[tuple[float, Answer]] = []
-        self._threads = [threading.Thread(target=self._send, args=(box,)) for box in self._boxes]
-
-    def __enter__(self) -> Load:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
+        for box in boxes or tuple(deployment.clients):
+            self.add(self._send, box)
 
     def served_after(self, at: float) -> list[bool]:
         """Whether each request that was sent after a moment was served."""
@@ -45,7 +35,7 @@
 
     def _send(self, box: str) -> None:
         number = 0
-        while not self._stopped.is_set():
+        while not self.stop.is_set():
             number += 1
             sent_at = monotonic()
             try:
--- a/tests/routed/test_reborn.py
+++ b/tests/routed/test_reborn.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.clients import BackgroundClients
 from tests.processes import wait_until
 from tests.routed.deployment import REPLICAS, Answer, Deployment
 
@@ -37,34 +38,21 @@
     deployment.wait_ready(replicas=REPLICAS)
 
 
-class Load:
+class Load(BackgroundClients):
     """Clients that send until they are told to stop, each request with an id of its own.
 
     The adapters that are asked for all the time need the places of both engines.
     """
 
     def __init__(self, deployment: Deployment) -> None:
+        super().__init__()
         self._deployment = deployment
-        self._stop = threading.Event()
         self._lock = threading.Lock()
-        self._threads = [
-            threading.Thread(target=self._send, args=(box, path, adapter), daemon=True)
-            for box in deployment.clients
-            for path, adapter in (("join", ""), *(("minutes", name) for name in ADAPTERS))
-        ]
+        for box in deployment.clients:
+            for path, adapter in (("join", ""), *(("minutes", name) for name in ADAPTERS)):
+                self.add(self._send, box, path, adapter)
         self.answers: dict[str, Answer] = {}
 
-    def __enter__(self) -> Load:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._stop.set()
-        for thread in self._threads:
-            thread.join(timeout=30)
-        assert not any(thread.is_alive() for thread in self._threads)
-
     @property
     def served(self) -> int:
         """How many requests were answered whole with a success."""
@@ -74,7 +62,7 @@
 
     def _send(self, box: str, path: str, adapter: str) -> None:
         number = 0
-        while not self._stop.is_set():
+        while not self.stop.is_set():
             number += 1
             request_id = f"{box}-{path}-{adapter}-{number}"
             answer = self._deployment.send(
--- a/tests/routed/test_rest.py
+++ b/tests/routed/test_rest.py
@@ -16,13 +16,13 @@
 
 from __future__ import annotations
 
-import threading
 import time
 from collections.abc import Iterator
 
 import pytest
 
 from springrock.clock import monotonic
+from tests.clients import BackgroundClients
 from tests.processes import wait_until
 from tests.routed.deployment import REPLICAS, Answer, Deployment
 
@@ -56,31 +56,19 @@
         assert deployment.violations() == {}
 
 
-class Callers:
+class Callers(BackgroundClients):
     """Clients of one box that send one request after the other."""
 
     def __init__(self, deployment: Deployment, box: str) -> None:
+        super().__init__()
         self._deployment = deployment
         self._box = box
-        self._stop = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._send, args=wish, daemon=True)
-            for wish in (*PLAIN, *STREAMS)
-        ]
+        for wish in (*PLAIN, *STREAMS):
+            self.add(self._send, *wish)
         self.answers: list[Answer] = []
 
-    def __enter__(self) -> Callers:
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
-
     def _send(self, path: str, adapter: str) -> None:
-        while not self._stop.wait(timeout=PAUSE_S):
+        while not self.stop.wait(timeout=PAUSE_S):
             self.answers.append(self._deployment.send(self._box, path, adapter=adapter))
 
 
