--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -6,6 +6,7 @@
 from springrock.forwarding.dialect import ReplicaNotice, SendTerms
 from springrock.forwarding.keys import digest_of
 from springrock.forwarding.message import AnswerHead, ClientRequest, Header, Headers, PromptPart
+from springrock.non_negative import read_non_negative
 from springrock.platform import names
 from springrock.platform.notices import notice_from
 
@@ -150,10 +151,7 @@
 
 
 def _number(value: str) -> float:
-    try:
-        number = float(value)
-    except ValueError:
-        raise BadRequest(f"{value!r} is not a number") from None
-    if not 0 <= number < float("inf"):
-        raise BadRequest(f"{value!r} is out of range")
+    number = read_non_negative(value)
+    if number is None:
+        raise BadRequest(f"{value!r} is no number, or out of range")
     return number
--- a/springrock/retry_after.py
+++ b/springrock/retry_after.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from springrock.errors import SpringrockError
+from springrock.non_negative import read_non_negative
 
 HEADER = "Retry-After"
 
@@ -25,12 +26,9 @@
     Raises:
         RetryAfterUnreadable: If it is not a number of seconds, or negative.
     """
-    try:
-        seconds = float(value)
-    except ValueError:
-        raise RetryAfterUnreadable(f"{value!r} is no number of seconds") from None
-    if not 0 <= seconds < float("inf"):
-        raise RetryAfterUnreadable(f"{value!r} is out of range")
+    seconds = read_non_negative(value)
+    if seconds is None:
+        raise RetryAfterUnreadable(f"{value!r} names no time in seconds")
     return min(seconds, LONGEST_S)
 
 
