--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,7 +7,7 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_LANDING = "453030239511"
+LAST_LANDING = "e68fd97b5235"
 """What users may run when they begin to upgrade to this build."""
 
 _TREE = Path(__file__).parent.parent
