Notices: what an answer says of its replica's limit is read, logged and counted

Now 'A replica names its limit' is said once a change, the attempts of an answered request tell it, and springrock_forwarding_replica_notices_total{notice="limit"} counts. No decision looks at it yet. Of several values of one field the readable ones count now; before one that could not be read voided the others. tests/forwarding, tests/platform and tests/routed/test_rest pass.

--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -39,11 +39,14 @@
         leaving: Whether the replica gets no new work any more.
         backoff_s: For how long, from now on, it wants nothing from this box; 0 if it said nothing.
         unreadable: What it said that cannot be understood, for logs.
+        limit_per_s: How many requests a second it takes from all boxes together, for as long as
+            it says so; None if it says nothing of it.
     """
 
     leaving: bool = False
     backoff_s: float = 0.0
     unreadable: str = ""
+    limit_per_s: float | None = None
 
 
 NO_NOTICE = ReplicaNotice()
--- a/springrock/forwarding/journey.py
+++ b/springrock/forwarding/journey.py
@@ -71,6 +71,8 @@
         said = ", says it leaves" if self.notice.leaving else ""
         if self.notice.backoff_s:
             said += f", asks for {self.notice.backoff_s:.2f} s of rest"
+        if self.notice.limit_per_s is not None:
+            said += f", takes {self.notice.limit_per_s:.2f} requests a second"
         return (
             f"{self.instance} {self.outcome} at {self.began_s} s, "
             f"record of {self.record_age_s} s{said}"
--- a/springrock/forwarding/notices.py
+++ b/springrock/forwarding/notices.py
@@ -58,6 +58,16 @@
                 seconds=round(notice.backoff_s, 3),
                 running=replica.running,
             )
+        if notice.limit_per_s is not None and notice.limit_per_s != replica.limit_per_s:
+            self._count("limit")
+            replica.limit_per_s = notice.limit_per_s
+            self._log.say(
+                "A replica names its limit.",
+                instance=replica.instance,
+                service=replica.record.service,
+                per_s=notice.limit_per_s,
+                running=replica.running,
+            )
         # One whose row went may come back: what it said is remembered of its incarnation.
         if notice.leaving and not self._directory.is_leaving(replica.instance):
             self._count("leaving")
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -32,6 +32,10 @@
 LEAVING = "Server-Leaving"
 """Set to 1 on all answers of a replica that leaves."""
 
+LIMIT = "Server-Limit"
+"""Requests a second, a decimal number, on all answers of a replica that takes no more than so many
+from all boxes together."""
+
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
 READINESS_PATH = "/v1/readiness"
--- a/springrock/platform/notices.py
+++ b/springrock/platform/notices.py
@@ -4,6 +4,7 @@
 
 from springrock.forwarding.dialect import NO_NOTICE, ReplicaNotice
 from springrock.forwarding.message import Headers
+from springrock.non_negative import read_non_negative
 from springrock.platform import names
 from springrock.retry_after import HEADER, RetryAfterUnreadable, read_retry_after
 
@@ -11,7 +12,9 @@
 _UNAVAILABLE = 503
 _IS_LEAVING = "1"
 _LEAVING = names.LEAVING.lower()
+_LIMIT = names.LIMIT.lower()
 _RETRY_AFTER = HEADER.lower()
+_TOLD_OF = frozenset((_LEAVING, _LIMIT, _RETRY_AFTER))
 
 _SHOWN = 40
 """So many signs of a value that cannot be read are shown in logs."""
@@ -24,17 +27,28 @@
     """
     if status == _MISDIRECTED:
         return NO_NOTICE
-    leaving = False
-    stated: list[str] = []
-    for name, value in headers:
-        lowered = name.lower()
-        if lowered == _LEAVING:
-            leaving = leaving or value.strip() == _IS_LEAVING
-        elif lowered == _RETRY_AFTER and status == _UNAVAILABLE:
-            stated.append(value)
-    if not stated:
-        return ReplicaNotice(leaving) if leaving else NO_NOTICE
-    try:
-        return ReplicaNotice(leaving, backoff_s=max(read_retry_after(value) for value in stated))
-    except RetryAfterUnreadable:
-        return ReplicaNotice(leaving, unreadable=f"{HEADER}: {stated[0][:_SHOWN]}")
+    told = [(lowered, value) for name, value in headers if (lowered := name.lower()) in _TOLD_OF]
+    if not told:
+        return NO_NOTICE
+    backoffs: list[float] = []
+    limits: list[float] = []
+    unreadable = ""
+    for name, value in told:
+        if name == _LIMIT:
+            limit = read_non_negative(value)
+            if limit is None:
+                unreadable = f"{names.LIMIT}: {value[:_SHOWN]}"
+            else:
+                limits.append(limit)
+        elif name == _RETRY_AFTER and status == _UNAVAILABLE:
+            try:
+                backoffs.append(read_retry_after(value))
+            except RetryAfterUnreadable:
+                unreadable = f"{HEADER}: {value[:_SHOWN]}"
+    # Of several words the one that spares the replica most.
+    return ReplicaNotice(
+        leaving=any(name == _LEAVING and value.strip() == _IS_LEAVING for name, value in told),
+        backoff_s=max(backoffs, default=0.0),
+        unreadable=unreadable,
+        limit_per_s=min(limits, default=None),
+    )
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -84,7 +84,11 @@
 @given(
     status=st.integers(100, 599),
     headers=st.lists(
-        st.tuples(st.sampled_from(["Server-Leaving", "retry-after", "X"]), st.text()), max_size=6
+        st.tuples(
+            st.sampled_from(["Server-Leaving", "retry-after", "server-limit", "X"]),
+            st.text() | st.floats().map(str),
+        ),
+        max_size=6,
     ),
 )
 def test_any_head_tells_something_or_nothing(status: int, headers: list[tuple[str, str]]) -> None:
@@ -93,6 +97,20 @@
     says = any(name == "Server-Leaving" and value.strip() == "1" for name, value in headers)
     assert notice.leaving == (says and status != 421)
     assert not notice.backoff_s or status == 503
+    assert notice.limit_per_s is None or 0.0 <= notice.limit_per_s < float("inf")
+    assert notice.limit_per_s is None or status != 421
+
+
+def test_what_an_answer_says_of_its_limit_is_read() -> None:
+    def _read(status: int, *values: str) -> ReplicaNotice:
+        return notice_from(status, Headers.from_pairs(("Server-Limit", value) for value in values))
+
+    assert _read(200, "1.3").limit_per_s == 1.3
+    assert _read(503, "0").limit_per_s == 0.0
+    assert _read(200, "2", "1.5").limit_per_s == 1.5
+    assert _read(421, "1.3").limit_per_s is None
+    assert _read(200, "few") == ReplicaNotice(unreadable="Server-Limit: few")
+    assert _read(200, "-1").limit_per_s is None
 
 
 def test_a_rest_is_kept_by_whatever_start_stands_under_the_id(box: Box) -> None:
