--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -54,6 +54,7 @@
         silent: It does not record itself.
         reborn: It starts anew under its id: at once, and with nothing of before. Once only.
         cold_s: It turns cold for so long, from now on.
+        limit_per_s: All its answers name this limit; negative for none.
     """
 
     refuse: bool = False
@@ -64,6 +65,7 @@
     silent: bool = False
     reborn: bool = False
     cold_s: float = 0.0
+    limit_per_s: float = -1.0
 
 
 class _Run(NamedTuple):
@@ -180,7 +182,10 @@
         return json_response(body, status=status, headers={**(headers or {}), **self._said()})
 
     def _said(self) -> dict[str, str]:
-        return {names.LEAVING: "1"} if self._fault.leaving else {}
+        said = {names.LEAVING: "1"} if self._fault.leaving else {}
+        if self._fault.limit_per_s >= 0:
+            said[names.LIMIT] = str(self._fault.limit_per_s)
+        return said
 
     def _state(self) -> dict[str, Any]:
         model = self._settings.base_model
