Permits: the room that counts out what one replica may get bears its name

springrock/slow_start becomes springrock/permits, as it is about to answer for a stated limit what it answers for a cold start: may this replica get one more now, and who counts. Names of settings, metrics and logs stay; nothing else changes.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -28,6 +28,8 @@
 from springrock.forwarding.way_bytes import WayBytes
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.permits import Permits
+from springrock.permits.warmth import Warmth
 from springrock.placement.placement import Placement
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import KEY_PREFIX as PLACERS_PREFIX
@@ -44,8 +46,6 @@
 from springrock.quotas.charging import Charging
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import POLL_WAIT_S, ListenersByKey, TableFollower, TableReading
-from springrock.slow_start.permits import Permits
-from springrock.slow_start.warmth import Warmth
 from springrock.store_clock import StoreClock
 
 _QUIET_S = 0.3
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -9,9 +9,9 @@
 from springrock.forwarding.distance_cost import DistanceCosts, DistancePrices
 from springrock.forwarding.evacuations import DEFAULT_WITHIN_S
 from springrock.forwarding.keys import KeyTerms
+from springrock.permits.terms import SlowStartTerms
 from springrock.quarantine.terms import QuarantineTerms
 from springrock.settings import Section
-from springrock.slow_start.terms import SlowStartTerms
 from springrock.topology import Topology
 
 
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -18,8 +18,8 @@
 from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.journey import Journey
 from springrock.forwarding.message import AdapterKey
-from springrock.slow_start.choice import AsksPermits, Pick, pick
-from springrock.slow_start.terms import LEAST_PERMIT_S
+from springrock.permits.choice import AsksPermits, Pick, pick
+from springrock.permits.terms import LEAST_PERMIT_S
 
 SHORTEST_SEND_S = 0.02
 """With less time left a request is not sent any more."""
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -25,8 +25,8 @@
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.way_bytes import WayBytes
 from springrock.log import Log
+from springrock.permits.warmth import Warmth
 from springrock.quarantine.witness import Witness
-from springrock.slow_start.warmth import Warmth
 
 _OUTCOMES: tuple[tuple[type[ExchangeError], AttemptOutcome], ...] = (
     (ReplicaUnreachable, AttemptOutcome.UNREACHABLE),
--- a/springrock/slow_start/choice.py
+++ b/springrock/permits/choice.py
@@ -8,7 +8,7 @@
 from springrock.forwarding.directory import Replica, ReplicaRecord
 from springrock.forwarding.eligibility import Obstacle
 from springrock.forwarding.errors import NoReplica
-from springrock.slow_start.permits import Permit
+from springrock.permits.permits import Permit
 
 _ASKS_AT_MOST = 2
 """For how many cold replicas a request asks in turn; each may take a round trip in a zone."""
--- a/springrock/slow_start/counter.py
+++ b/springrock/permits/counter.py
@@ -12,9 +12,9 @@
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import ReplicaRecord
 from springrock.log import Log
+from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict
+from springrock.permits.terms import SlowStartTerms, limits_of
 from springrock.quotas.bucket import TokenBucket
-from springrock.slow_start.messages import PermitAsk, Permitted, PermitVerdict
-from springrock.slow_start.terms import SlowStartTerms, limits_of
 
 _LONGEST_RETURN_S = 5.0
 """Nobody is told to come back later than so; by then a replica may be warm."""
--- a/springrock/slow_start/permit_book.py
+++ b/springrock/permits/permit_book.py
@@ -9,8 +9,8 @@
 
 from springrock.clock import monotonic
 from springrock.errors import SpringrockError
-from springrock.slow_start.messages import PermitAsk, Permitted, PermitVerdict, Sighting
-from springrock.slow_start.terms import PERMIT_LIFE_S
+from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict, Sighting
+from springrock.permits.terms import PERMIT_LIFE_S
 
 _NO_ANSWER_S = 0.05
 """How long a request waits for the placer's word: a third of a permit's life, of which the rest is
--- a/springrock/slow_start/permits.py
+++ b/springrock/permits/permits.py
@@ -7,8 +7,8 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding.directory import ReplicaRecord
-from springrock.slow_start.messages import PermitVerdict
-from springrock.slow_start.permit_book import PermitsUnheard
+from springrock.permits.messages import PermitVerdict
+from springrock.permits.permit_book import PermitsUnheard
 
 _LEFT_ALONE_S = 0.3
 """How long a zone whose placer did not answer an ask is not asked again: each ask in vain holds a
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -13,6 +13,8 @@
 from springrock.forwarding.adapters import UseOutcome, Wish
 from springrock.forwarding.errors import NoReplica
 from springrock.forwarding.message import AdapterKey
+from springrock.permits.permit_book import PermitBook
+from springrock.permits.terms import PERMIT_LIFE_S
 from springrock.placement.ask_book import RETURN_GRACE_S
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.messages import (
@@ -27,8 +29,6 @@
 )
 from springrock.placement.messages import Use as UseMessage
 from springrock.quotas.charge_book import ChargeBook
-from springrock.slow_start.permit_book import PermitBook
-from springrock.slow_start.terms import PERMIT_LIFE_S
 
 _SILENCE_S = 0.2
 """How long a request waits to hear anything of the placer before it asks elsewhere."""
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -16,9 +16,9 @@
 from springrock.errors import PeerRejected
 from springrock.forwarding.directory import HeldAdapter
 from springrock.forwarding.eligibility import Bounds
+from springrock.permits.messages import PermitAsk, Permitted, Sighting
 from springrock.placement.handover_messages import Handover
 from springrock.quotas.messages import Charge, Charged, GiveBack
-from springrock.slow_start.messages import PermitAsk, Permitted, Sighting
 from springrock.unknown_messages import check_kind, kinds_of
 
 
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -23,6 +23,8 @@
 from springrock.ids import new_id
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.terms import SlowStartTerms
+from springrock.permits.warmth import Warmth
 from springrock.placement.control import EngineControl
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.handover import HandoverDesk
@@ -36,8 +38,6 @@
 from springrock.placement.zone_choice import ZoneView, choose_zone
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import Change, Removed, Row, RowStore, TableReading
-from springrock.slow_start.terms import SlowStartTerms
-from springrock.slow_start.warmth import Warmth
 from springrock.topology import Distance
 
 _LIKELY_HEARD_S = 1.0
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -17,6 +17,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.counter import GrantsPermits
 from springrock.placement.control import EngineControl
 from springrock.placement.engine_book import EngineBook
 from springrock.placement.handover import AheadWants, handover_of
@@ -38,7 +39,6 @@
 from springrock.placement.requests import Requests
 from springrock.placement.residency import Versions
 from springrock.placement.spread import Spread
-from springrock.slow_start.counter import GrantsPermits
 
 _PLAN_EVERY_S = 0.05
 """How often is planned while somebody waits, beside each time that something changed."""
--- a/springrock/placement/requests.py
+++ b/springrock/placement/requests.py
@@ -18,6 +18,7 @@
 )
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
+from springrock.permits.counter import GrantsPermits
 from springrock.placement.ask_book import AskBook, WaitingAsk
 from springrock.placement.backoffs import Backoffs
 from springrock.placement.dispatcher import Dispatcher
@@ -28,7 +29,6 @@
 from springrock.placement.planner import COLD_COST
 from springrock.placement.popularity import Popularity
 from springrock.placement.residency import Versions
-from springrock.slow_start.counter import GrantsPermits
 
 _DOUBTFUL = (Outcome.LACKING, Outcome.UNREACHABLE, Outcome.FAILED)
 """After these the engine is asked itself what it holds, so that one box's trouble with it is not
--- a/springrock/placement/surroundings.py
+++ b/springrock/placement/surroundings.py
@@ -11,6 +11,8 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.terms import SlowStartTerms
+from springrock.permits.warmth import Warmth
 from springrock.placement.control import EngineControl
 from springrock.placement.handover_messages import Handover
 from springrock.placement.messages import TableNews
@@ -18,8 +20,6 @@
 from springrock.placement.residency import Residency, Versions
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import RowStore
-from springrock.slow_start.terms import SlowStartTerms
-from springrock.slow_start.warmth import Warmth
 
 
 class Surroundings(NamedTuple):
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -10,6 +10,9 @@
 from springrock.forwarding.directory import LeavingSign
 from springrock.forwarding.message import AdapterKey
 from springrock.metrics import BytesKind
+from springrock.permits.counter import PermitCounter
+from springrock.permits.messages import Permitted, PermitVerdict
+from springrock.permits.permit_book import PermitsUnheard
 from springrock.placement.demand import DemandBook
 from springrock.placement.election import Election
 from springrock.placement.handover_messages import Handover
@@ -35,9 +38,6 @@
 from springrock.quotas.charge_book import CounterSilent
 from springrock.quotas.messages import Charged, Verdict
 from springrock.quotas.part_counter import PartCounter
-from springrock.slow_start.counter import PermitCounter
-from springrock.slow_start.messages import Permitted, PermitVerdict
-from springrock.slow_start.permit_book import PermitsUnheard
 from springrock.topology import Distance
 
 _RESIDENTS_EVERY_S = 0.05
--- a/tests/forwarding/test_choosing.py
+++ b/tests/forwarding/test_choosing.py
@@ -17,7 +17,7 @@
 from springrock.forwarding.journey import AttemptOutcome, Journey
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
-from springrock.slow_start.choice import NoPermits
+from springrock.permits.choice import NoPermits
 from tests.forwarding.test_values import make_request, make_route
 from tests.worlds import make_world
 
--- /dev/null
+++ b/tests/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of springrock.permits."""
--- a/tests/slow_start/test_bound.py
+++ b/tests/permits/test_bound.py
@@ -13,10 +13,10 @@
 
 from springrock.forwarding.configuration import Configuration, Service, SlowStart
 from springrock.log import Log
-from springrock.slow_start import counter as module
-from springrock.slow_start.counter import PermitCounter
-from springrock.slow_start.messages import PermitAsk, Permitted
-from springrock.slow_start.terms import PERMIT_LIFE_S, SlowStartTerms, bound_of
+from springrock.permits import counter as module
+from springrock.permits.counter import PermitCounter
+from springrock.permits.messages import PermitAsk, Permitted
+from springrock.permits.terms import PERMIT_LIFE_S, SlowStartTerms, bound_of
 
 LENGTH_S = 6.0
 STATED = SlowStart(lasts_s=5.0, per_s=20.0)
--- a/tests/slow_start/test_choosing.py
+++ b/tests/permits/test_choosing.py
@@ -15,7 +15,7 @@
 from springrock.forwarding.errors import NoReplica
 from springrock.forwarding.journey import Journey
 from springrock.log import Log
-from springrock.slow_start.permits import Permit
+from springrock.permits.permits import Permit
 from tests.forwarding.test_choosing import ScriptedAdapters, ScriptedUse
 from tests.forwarding.test_values import make_request, make_route
 from tests.worlds import make_world
--- a/tests/slow_start/test_counter.py
+++ b/tests/permits/test_counter.py
@@ -7,10 +7,10 @@
 from springrock.forwarding.configuration import Configuration, Service, SlowStart
 from springrock.forwarding.directory import ReplicaRecord
 from springrock.log import Log
-from springrock.slow_start import counter as module
-from springrock.slow_start.counter import PermitCounter
-from springrock.slow_start.messages import PermitAsk, Permitted
-from springrock.slow_start.terms import SlowStartTerms
+from springrock.permits import counter as module
+from springrock.permits.counter import PermitCounter
+from springrock.permits.messages import PermitAsk, Permitted
+from springrock.permits.terms import SlowStartTerms
 
 RECORD = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-1")
 PLAIN = ReplicaRecord(instance="i-9", service="plain", address="127.0.0.1:1", zone="zone-1")
--- a/tests/slow_start/test_permits.py
+++ b/tests/permits/test_permits.py
@@ -8,11 +8,11 @@
 from springrock.clock import monotonic
 from springrock.forwarding.directory import Replica, ReplicaRecord
 from springrock.forwarding.errors import NoReplica
-from springrock.slow_start.choice import pick
-from springrock.slow_start.messages import PermitAsk, Permitted, PermitVerdict, Sighting
-from springrock.slow_start.permit_book import PermitBook, PermitsUnheard
-from springrock.slow_start.permits import Permit, Permits
-from springrock.slow_start.terms import PERMIT_LIFE_S
+from springrock.permits.choice import pick
+from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict, Sighting
+from springrock.permits.permit_book import PermitBook, PermitsUnheard
+from springrock.permits.permits import Permit, Permits
+from springrock.permits.terms import PERMIT_LIFE_S
 
 
 def replica(instance: str) -> Replica:
--- a/tests/slow_start/test_returns.py
+++ b/tests/permits/test_returns.py
@@ -16,13 +16,13 @@
 from springrock.forwarding.configuration import Configuration, Service, SlowStart
 from springrock.forwarding.directory import ReplicaRecord
 from springrock.log import Log
-from springrock.slow_start import counter as counter_module
-from springrock.slow_start import warmth as warmth_module
-from springrock.slow_start.counter import PermitCounter
-from springrock.slow_start.messages import PermitAsk, Permitted
-from springrock.slow_start.terms import SlowStartTerms, bound_of
-from springrock.slow_start.warmth import Warmth
-from tests.slow_start.test_bound import most_in_a_second
+from springrock.permits import counter as counter_module
+from springrock.permits import warmth as warmth_module
+from springrock.permits.counter import PermitCounter
+from springrock.permits.messages import PermitAsk, Permitted
+from springrock.permits.terms import SlowStartTerms, bound_of
+from springrock.permits.warmth import Warmth
+from tests.permits.test_bound import most_in_a_second
 
 TICK_S = 0.01
 LENGTH_S = 16.0
--- a/tests/slow_start/test_sightings.py
+++ b/tests/permits/test_sightings.py
@@ -23,8 +23,8 @@
 from springrock.forwarding.way_bytes import WayBytes
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.warmth import Warmth
 from springrock.platform.dialect import PlatformDialect
-from springrock.slow_start.warmth import Warmth
 from springrock.topology import Topology
 from tests.forwarding.test_choosing import ScriptedAdapters
 from tests.forwarding.test_values import make_request, make_route
--- a/tests/slow_start/test_warmth.py
+++ b/tests/permits/test_warmth.py
@@ -8,8 +8,8 @@
 from springrock.forwarding.configuration import Configuration, Service, SlowStart
 from springrock.forwarding.directory import ReplicaRecord
 from springrock.log import Log
-from springrock.slow_start import warmth as module
-from springrock.slow_start.warmth import ROW_DELAY_S, Warmth
+from springrock.permits import warmth as module
+from springrock.permits.warmth import ROW_DELAY_S, Warmth
 
 LASTS_S = 8.0
 RECORD = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-1")
--- a/tests/placement/test_messages.py
+++ b/tests/placement/test_messages.py
@@ -13,6 +13,7 @@
 
 from springrock.errors import PeerRejected
 from springrock.forwarding.directory import HeldAdapter
+from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict, Sighting
 from springrock.placement import messages as messages_module
 from springrock.placement.messages import (
     Demand,
@@ -25,7 +26,6 @@
     decode,
     encode,
 )
-from springrock.slow_start.messages import PermitAsk, Permitted, PermitVerdict, Sighting
 from springrock.unknown_messages import UnknownKind
 
 ROUTES = [
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -16,6 +16,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.terms import SlowStartTerms
 from springrock.placement import placement as placement_module
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.messages import TableNews
@@ -28,7 +29,6 @@
 from springrock.placement.surroundings import Surroundings
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import Row, TableReading
-from springrock.slow_start.terms import SlowStartTerms
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
 from tests.worlds import make_warmth, make_world
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -8,6 +8,7 @@
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.terms import SlowStartTerms
 from springrock.placement.messages import Demand, Heartbeat, TableNews, TableRow, decode, encode
 from springrock.placement.outlook import Outlook
 from springrock.placement.placer_board import PlacerBoard
@@ -16,7 +17,6 @@
 from springrock.placement.surroundings import Surroundings
 from springrock.placement.zone import ZonePlacement
 from springrock.quotas.shares import QuotaTerms
-from springrock.slow_start.terms import SlowStartTerms
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
 from tests.worlds import make_warmth, make_world
--- a/tests/slow_start/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of springrock.slow_start."""
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -10,11 +10,11 @@
 from springrock.forwarding.eligibility import World
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.log import Log
+from springrock.permits.warmth import Warmth
 from springrock.quarantine.book import CrashBook
 from springrock.quarantine.report import CrashReport
 from springrock.quarantine.terms import QuarantineTerms
 from springrock.quarantine.witness import Witness
-from springrock.slow_start.warmth import Warmth
 from springrock.topology import Topology
 
 
