Notices: a word of a replica that no part reads is counted, and shown once for each replica and name

Headers of that kind (they begin alike) that this build does not know are counted and logged once a replica and name; a thousand pairs are remembered. Test of it, and two routed ones of limits: the placer that counts is killed, and a box of this build beside placers of the last landing. tests/forwarding/test_notices, platform, routed/test_limit pass.

--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -42,6 +42,7 @@
         limit_per_s: How many requests a second it takes from all boxes together, for as long as
             it says so; None if it says nothing of it.
         of_replica: Whether it is the replica that was meant that answers.
+        unknown: Names under which it says something that this build does not know.
     """
 
     leaving: bool = False
@@ -49,6 +50,7 @@
     unreadable: str = ""
     limit_per_s: float | None = None
     of_replica: bool = True
+    unknown: tuple[str, ...] = ()
 
 
 NOTHING_SAID = ReplicaNotice()
--- a/springrock/forwarding/notices.py
+++ b/springrock/forwarding/notices.py
@@ -13,6 +13,10 @@
 from springrock.forwarding.directory import Directory, LeavingSign, Replica
 from springrock.log import Log
 from springrock.permits.named_limits import NamedLimits
+from springrock.remembered import Remembered
+
+_UNKNOWN_KEPT = 1000
+"""So many replicas with a name that this build does not know are remembered as shown."""
 
 _SAYS_NOTHING = (NO_NOTICE, NOTHING_SAID)
 
@@ -46,6 +50,7 @@
         self._limits = limits
         self._log = log
         self._count = count
+        self._unknown: Remembered[None] = Remembered(at_most=_UNKNOWN_KEPT)
         self.on_leaving: list[Callable[[str], None]] = []
 
     def take_answer(self, replica: Replica, notice: ReplicaNotice, *, sent_at: float) -> None:
@@ -81,6 +86,8 @@
         if notice.limit_per_s is not None:
             self._count("limit")
             self._limits.note_named(replica.instance, notice.limit_per_s, sent_at=sent_at)
+        for word in notice.unknown:
+            self._note_unknown(replica, word)
         # One whose row went may come back: what it said is remembered of its incarnation.
         if notice.leaving and not self._directory.is_leaving(replica.instance):
             self._count("leaving")
@@ -88,6 +95,20 @@
             for listener in self.on_leaving:
                 listener(replica.instance)
 
+    def _note_unknown(self, replica: Replica, word: str) -> None:
+        """Show that a replica says what no part reads, once for each replica and name."""
+        said = f"{replica.instance} {word}"
+        if said in self._unknown:
+            return
+        self._unknown.note(said, None)
+        self._count("unknown")
+        self._log.say(
+            "A replica says what this build does not know.",
+            instance=replica.instance,
+            service=replica.record.service,
+            said=word,
+        )
+
     def taker(self, replica_id: str) -> NoticeTaker:
         """Return what takes the answer to a call that is about to be sent to the replica of an id.
 
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -36,6 +36,9 @@
 """Requests a second, a decimal number, on all answers of a replica that takes no more than so many
 from all boxes together."""
 
+WORD_PREFIX = "Server-"
+"""So begin the headers in which replicas tell of themselves, those to come as well."""
+
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
 READINESS_PATH = "/v1/readiness"
--- a/springrock/platform/notices.py
+++ b/springrock/platform/notices.py
@@ -14,7 +14,9 @@
 _LEAVING = names.LEAVING.lower()
 _LIMIT = names.LIMIT.lower()
 _RETRY_AFTER = HEADER.lower()
-_TOLD_OF = frozenset((_LEAVING, _LIMIT, _RETRY_AFTER))
+_PREFIX = names.WORD_PREFIX.lower()
+
+_KNOWN = frozenset((_LEAVING, _LIMIT, _RETRY_AFTER))
 
 _SHOWN = 40
 """So many signs of a value that cannot be read are shown in logs."""
@@ -27,7 +29,11 @@
     """
     if status == _MISDIRECTED:
         return NO_NOTICE
-    told = [(lowered, value) for name, value in headers if (lowered := name.lower()) in _TOLD_OF]
+    told = [
+        (lowered, value)
+        for name, value in headers
+        if (lowered := name.lower()) == _RETRY_AFTER or lowered.startswith(_PREFIX)
+    ]
     if not told:
         return NOTHING_SAID
     backoffs: list[float] = []
@@ -51,4 +57,5 @@
         backoff_s=max(backoffs, default=0.0),
         unreadable=unreadable,
         limit_per_s=min(limits, default=None),
+        unknown=tuple(name[:_SHOWN] for name, _ in told if name not in _KNOWN),
     )
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -13,7 +13,7 @@
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.log import Log
 from springrock.platform.notices import notice_from
-from tests.worlds import make_notices
+from tests.worlds import make_limits, make_notices
 
 LEAVES = ReplicaNotice(leaving=True)
 
@@ -127,3 +127,25 @@
     box.start(6)
     back = box.directory.find("i-1@6")
     assert back is not None and back is not restarted and back.backoff.active
+
+
+def test_a_word_that_no_part_reads_is_shown_once_for_each_replica(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    counted: list[str] = []
+    shown: list[object] = []
+    monkeypatch.setattr(
+        Log, "say", lambda self, sentence, **fields: shown.append(fields.get("said"))
+    )
+    box = Box()
+    box.notices = ReplicaNotices(
+        box.directory, limits=make_limits(), log=Log("directory", "box-1"), count=counted.append
+    )
+    box.start(5)
+    replica = box.directory.find("i-1@5")
+    assert replica is not None
+    headers = Headers.from_pairs([("Server-Mood", "low"), ("Server", "x"), ("Server-Limit", "2")])
+    for _ in range(3):
+        box.notices.take(replica, notice_from(200, headers), sent_at=monotonic())
+    assert counted.count("unknown") == 1
+    assert shown.count("server-mood") == 1
--- a/tests/routed/test_limit.py
+++ b/tests/routed/test_limit.py
@@ -23,9 +23,10 @@
 import pytest
 
 from springrock.clock import monotonic
+from tests.builds import LAST_LANDING, build_at
 from tests.clients import BackgroundClients
 from tests.processes import wait_until
-from tests.routed.deployment import REPLICAS, Answer, Deployment
+from tests.routed.deployment import REPLICAS, ZONES, Answer, Deployment
 
 LIMIT_PER_S = 1.5
 WINDOW_S = 4.0
@@ -54,12 +55,12 @@
 
 
 class Callers(BackgroundClients):
-    """Clients of all boxes that send one request after the other."""
+    """Clients of some boxes, else of all, that send one request after the other."""
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, deployment: Deployment, *boxes: str) -> None:
         super().__init__()
         self._deployment = deployment
-        for box in deployment.clients:
+        for box in boxes or deployment.clients:
             for wish in (*PLAIN, *STREAMS):
                 self.add(self._send, box, *wish)
         self.answers: list[Answer] = []
@@ -129,3 +130,43 @@
             lambda: most_in_a_window(arrivals_since(deployment, "rosters-1", began_at)) > 2 * BOUND,
             what="rosters-1 is used fully",
         )
+
+
+def test_a_placer_that_is_killed_is_followed_by_one_that_counts_on(deployment: Deployment) -> None:
+    placer, _ = deployment.placer_and_other("zone-1")
+    names = ("rosters-1", "engine-1")
+    others = [box for box in deployment.clients if box != placer]
+    with limited(deployment, *names) as since, Callers(deployment, *others) as callers:
+        time.sleep(KNOWN_AFTER_S + 2.0)
+        deployment.processes.kill(placer)
+        killed_at = monotonic()
+        time.sleep(WATCHED_S)
+        arrivals = {name: arrivals_since(deployment, name, since) for name in names}
+    for name in names:
+        assert most_in_a_window(arrivals[name]) <= BOUND
+        assert sum(at > killed_at for at in arrivals[name]) >= LIMIT_PER_S * WATCHED_S / 3
+    served = sum(answer.status == 200 for answer in callers.answers)
+    assert served > 0.9 * len(callers.answers)
+
+
+def test_beside_placers_of_the_last_landing_a_box_keeps_to_its_share(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    earlier = build_at(LAST_LANDING, tmp_path_factory.mktemp("build"))
+    builds = {"box-1": earlier, "box-2": earlier}
+    folder = tmp_path_factory.mktemp("mixed")
+    names = ("rosters-1", "engine-1")
+    with Deployment(folder, boxes=2, build_of=builds) as mixed:
+        mixed.configure()
+        mixed.wait_ready(replicas=REPLICAS)
+        for zone in ZONES:
+            mixed.placer_and_other(zone)
+        mixed.start_box("box-3")
+        wait_until(lambda: mixed.is_ready("box-3"), what="box-3 is ready")
+        with limited(mixed, *names) as since, Callers(mixed, "box-3") as callers:
+            time.sleep(KNOWN_AFTER_S + WATCHED_S)
+            arrivals = {name: arrivals_since(mixed, name, since) for name in names}
+        assert all(most_in_a_window(arrivals[name]) <= BOUND for name in names)
+        served = sum(answer.status == 200 for answer in callers.answers)
+        assert served > 0.9 * len(callers.answers)
+        assert mixed.violations() == {}
