--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -11,6 +11,7 @@
 
 _CUT_AFTER_EVENTS = 3
 _REST_S = 2.0
+_LIMIT_PER_S = 1.5
 _FOREIGN_INSTANCE = "i-foreign"
 
 
@@ -168,6 +169,21 @@
             deployment.fault(replica, refuse=True, asks_rest_s=_REST_S)
 
 
+@FAULTS.register
+class LimitNamed(_SpokenFault):
+    """A replica names in its answers how many requests a second it takes."""
+
+    name = "limit_named"
+    drawn_after = 2
+    shortest_s = 7.0
+    longest_s = 10.0
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Switch it on."""
+        for replica in targets:
+            deployment.fault(replica, limit_per_s=_LIMIT_PER_S)
+
+
 @FAULTS.register
 class ReusedAddress(_ReplicaFault):
     """A replica's address is taken by one of a service that no route goes to."""
--- a/bench/soak/judges/words.py
+++ b/bench/soak/judges/words.py
@@ -15,6 +15,14 @@
 STRAY = 2
 """The users' bound: so many may reach a replica within its rest, after what was under way."""
 
+LIMIT_KNOWN_AFTER_S = 3.0
+"""The users' bound on how long news may take from box to box."""
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_TIMES = 1.5
+LIMIT_BESIDE = 5
+"""The users' bound: in any window so many times the limit, and so many beside."""
+
 _ARRIVALS = (ReplicaEventKind.RAN, ReplicaEventKind.REFUSED)
 
 
@@ -75,6 +83,54 @@
         return Verdict(looked_at=looked_at, findings=findings)
 
 
+@JUDGES.register
+class LimitIsKept(Judge):
+    """Counts what reaches a replica that names a limit, from all boxes that passed it on."""
+
+    name = "limit_is_kept"
+    promise = (
+        f"within {LIMIT_WINDOW_S} s a replica gets {LIMIT_TIMES} times the limit that it names and "
+        f"{LIMIT_BESIDE} requests at most"
+    )
+
+    def judge(self, seen: Observations) -> Verdict:
+        """Judge a play."""
+        by_replica: dict[str, list[ReplicaEvent]] = defaultdict(list)
+        for event in _arrivals(seen):
+            by_replica[event.instance].append(event)
+        looked_at = 0
+        findings = []
+        for instance, arrivals in by_replica.items():
+            first_at = min((e.at for e in arrivals if e.named_per_s >= 0), default=float("inf"))
+            counted = _from_told_boxes(seen, arrivals)
+            for event in counted:
+                if event.named_per_s < 0 or event.at < first_at + LIMIT_KNOWN_AFTER_S:
+                    continue
+                looked_at += 1
+                within = [e for e in counted if event.at - LIMIT_WINDOW_S < e.at <= event.at]
+                borne = LIMIT_TIMES * LIMIT_WINDOW_S * event.named_per_s + LIMIT_BESIDE
+                if len(within) > borne:
+                    text = f"{instance} names {event.named_per_s} a second, got {len(within)}"
+                    findings.append(Finding(at=event.at, text=text, request_id=event.request_id))
+        return Verdict(looked_at=looked_at, findings=findings)
+
+
+def _from_told_boxes(seen: Observations, arrivals: list[ReplicaEvent]) -> list[ReplicaEvent]:
+    """Return the arrivals from boxes that had passed the limit on, and were untouched since."""
+    told_at: dict[str, float] = {}
+    for event in arrivals:
+        attempt = seen.attempt_of[event.request_id]
+        if event.named_per_s >= 0 and attempt.seal and attempt.instance == event.instance:
+            told_at[attempt.box] = min(told_at.get(attempt.box, float("inf")), attempt.ended_at)
+    counted = []
+    for event in arrivals:
+        box = seen.attempt_of[event.request_id].box
+        at = told_at.get(box, float("inf"))
+        if event.at >= at + UNDER_WAY_S and not _is_excused(seen, box, at, event.at):
+            counted.append(event)
+    return counted
+
+
 def _arrivals(seen: Observations) -> list[ReplicaEvent]:
     """Return what callers sent and a replica ran or turned away, in order."""
     found = [
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -109,4 +109,15 @@
 def _pass_over_what_answers_tell() -> None:
     from springrock.forwarding.notices import ReplicaNotices
 
-    ReplicaNotices.take = lambda self, replica, notice: None  # type: ignore[method-assign]
+    ReplicaNotices.take = (  # type: ignore[method-assign]
+        lambda self, replica, notice, *, sent_at: None
+    )
+
+
+@_takes_out("named_limits")
+def _know_no_limit() -> None:
+    from springrock.permits.named_limits import NamedLimits
+
+    NamedLimits.note_named = (  # type: ignore[method-assign]
+        lambda self, instance, per_s, *, sent_at: None
+    )
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -340,6 +340,7 @@
             team=request.get_header(names.TEAM, ""),
             adapter=adapter,
             version=self._adapters.get(adapter, 0),
+            named_per_s=self._fault.limit_per_s,
             first_event=int(request.get_header(names.LAST_EVENT_ID) or "0") + 1,
             **more,
         )
--- a/springrock/emulator/replica_events.py
+++ b/springrock/emulator/replica_events.py
@@ -35,6 +35,7 @@
         first_event: The number of the first event of a stream; 1 unless it was resumed.
         detail: The name of a violation.
         asked_rest_s: For how long the refusal asked its sender for rest.
+        named_per_s: The limit that the answer named; negative for none.
         age_s: How long the run of the request had gone on that an unload came under.
     """
 
@@ -51,6 +52,7 @@
     detail: str = ""
     age_s: float = 0.0
     asked_rest_s: float = 0.0
+    named_per_s: float = -1.0
 
 
 class ReplicaEventFile:
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -395,3 +395,29 @@
         "replica_events": [asked, *(run(one, at=one.sent_at) for one in later)],
     }
     assert len(found("rest_is_given", **given)) == findings
+
+
+@pytest.mark.parametrize(
+    ("every_s", "named", "box", "findings"),
+    [
+        (0.6, 1.0, "box-1", False),
+        (0.3, 1.0, "box-1", True),
+        (0.3, 3.0, "box-1", False),
+        (0.3, 1.0, "box-2", False),
+        (0.3, -1.0, "box-1", False),
+    ],
+)
+def test_what_reaches_a_replica_that_names_a_limit_is_counted(
+    every_s: float, named: float, box: str, findings: bool
+) -> None:
+    first = attempt("r0", sent_at=10.0, instance="i-1")
+    later = [
+        attempt(f"r{at}", sent_at=10.0 + at * every_s, box=box, seal="") for at in range(1, 40)
+    ]
+    given = {
+        "attempts": [first, *later],
+        "replica_events": [run(one, at=one.sent_at, named_per_s=named) for one in (first, *later)],
+    }
+    assert bool(found("limit_is_kept", **given)) is findings
+    held = span("paused_box", f"box/{box}", began_at=10.2, ended_at=10.3)
+    assert not found("limit_is_kept", **given, spans=[held])
