Keeper: an unload without an answer keeps its place leaving until it is answered

Cause: without an answer an order was taken for refused, though it may be carried out yet. Change: the place stays leaving and is granted to nobody; the order is given again, unless a run uses the adapter, until it is answered or the adapter is seen to be gone; a conflict may be with the earlier order and settles nothing. Why it holds: what may still be carried out is never granted. The model of places, with orders lost and late, finds an unload of what may be granted on the code before (test_places_model failed) and none after; nothing more is overbooked.

--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -35,6 +35,8 @@
         since: When it came into its state, on the local monotonic clock.
         expected_at: When one that is coming should be there.
         cold: Whether one that is coming comes from the weight store.
+        unanswered: Whether it is leaving by an order without an answer, which may be carried out
+            yet, or never.
     """
 
     version: int
@@ -42,6 +44,7 @@
     since: float
     expected_at: float = 0.0
     cold: bool = False
+    unanswered: bool = False
 
 
 class Arrival(NamedTuple):
@@ -181,11 +184,27 @@
         if place is not None and place.state is PlaceState.READY:
             place.state = PlaceState.LEAVING
 
+    def unload_unanswered(self, key: AdapterKey) -> None:
+        """Note that an order to unload got no answer.
+
+        The engine may carry it out at any moment, so the adapter is granted to nobody until the
+        order was given again and answered, or the adapter is seen to be gone.
+        """
+        place = self.places.get(key)
+        if place is not None and place.state is PlaceState.LEAVING:
+            place.unanswered = True
+
+    @property
+    def unanswered_unloads(self) -> list[AdapterKey]:
+        """The adapters whose orders to unload got no answer and are to be given again."""
+        return [key for key, place in self.places.items() if place.unanswered]
+
     def unload_failed(self, key: AdapterKey) -> None:
-        """Note that the engine did not take an order to unload, as far as is known."""
+        """Note that the engine did not take an order to unload."""
         place = self.places.get(key)
         if place is not None and place.state is PlaceState.LEAVING:
             place.state = PlaceState.READY
+            place.unanswered = False
 
     def unload_taken(self, key: AdapterKey) -> None:
         """Note that the engine took an order to unload."""
@@ -193,6 +212,7 @@
         if place is not None:
             self._remember(key, place.version)
             place.state = PlaceState.LEAVING
+            place.unanswered = False
             place.since = monotonic()
 
     def loaded(self, key: AdapterKey, *, version: int = 0) -> None:
--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -215,6 +215,9 @@
             return self._load_model()
         # An unload that has to wait for runs keeps the engine from any other order.
         used = self._used()
+        for key in book.unanswered_unloads:
+            if (book.instance, key) not in used:
+                return self._order(OrderKind.UNLOAD, key)
         outdated = self._first_assigned(
             lambda key: (
                 book.is_outdated(key, version=self._newest(key))
@@ -281,7 +284,8 @@
         try:
             answer = self._give(order)
         except ControlUnanswered as error:
-            book.unload_failed(key)
+            if kind is OrderKind.UNLOAD:
+                book.unload_unanswered(key)
             self._say(order, "unanswered", error=str(error))
             self._stale = True
             gevent.sleep(_LOOK_S)
@@ -307,7 +311,10 @@
         if answer in (OrderAnswer.TAKEN, OrderAnswer.DONE):
             self._note_taken(order, answer, sent_at)
             return
-        book.unload_failed(order.key)
+        place = book.places.get(order.key)
+        if answer is not OrderAnswer.CONFLICT or place is None or not place.unanswered:
+            # A conflict may be with the earlier order of which no answer came.
+            book.unload_failed(order.key)
         self._stale = True
         if answer is OrderAnswer.OLDER_FENCE:
             self._lease.lose(reason="an engine saw a newer fence")
--- a/tests/placement/test_keeper.py
+++ b/tests/placement/test_keeper.py
@@ -406,3 +406,19 @@
     assert not book.is_ready(key("x"), version=0)
     book.unload_failed(key("x"))
     assert book.is_ready(key("x"), version=0)
+
+
+def test_an_adapter_whose_unload_got_no_answer_is_granted_to_nobody_and_asked_about_again() -> None:
+    book = EngineBook(
+        ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="z"), slots=SLOTS
+    )
+    book.loaded(key("x"))
+    book.unload_begins(key("x"))
+    book.unload_unanswered(key("x"))
+    assert not book.is_ready(key("x"), version=0)
+    assert book.unanswered_unloads == [key("x")]
+    report = EngineState(sequence=1, models=frozenset("m"), adapters=(HeldAdapter("m", "x", 1),))
+    book.take_report(report)
+    assert not book.is_ready(key("x"), version=0), "the order may be carried out yet"
+    book.unload_taken(key("x"))
+    assert book.unanswered_unloads == []
--- a/tests/placement/test_places_model.py
+++ b/tests/placement/test_places_model.py
@@ -53,6 +53,7 @@
         self._late: list[LateOrder] = []
         self._history: list[tuple[float, EngineState]] = [(clock.now, self._state())]
         self.overbooked = 0
+        self.unloaded_while_granted = 0
 
     def report(self, address: str, *, instance: str) -> EngineState:
         """Return the state as it was a moment ago."""
@@ -91,6 +92,7 @@
             return OrderAnswer.CONFLICT
         self._sequence += 1
         if order.kind is OrderKind.UNLOAD:
+            self.unloaded_while_granted += self._world.book.is_ready(order.key, version=0)
             self._ready_at.pop(order.key, None)
             self._note()
             return OrderAnswer.DONE
@@ -186,6 +188,10 @@
     def no_place_is_taken_twice(self) -> None:
         assert self.engine.overbooked == 0
 
+    @invariant()
+    def nothing_is_unloaded_that_may_be_granted(self) -> None:
+        assert self.engine.unloaded_while_granted == 0
+
     def teardown(self) -> None:
         self.patch.undo()
 
