--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -215,9 +215,9 @@
             return self._load_model()
         # An unload that has to wait for runs keeps the engine from any other order.
         used = self._used()
-        for key in book.unanswered_unloads:
-            if (book.instance, key) not in used:
-                return self._order(OrderKind.UNLOAD, key)
+        for leaving in book.unanswered_unloads:
+            if (book.instance, leaving) not in used:
+                return self._order(OrderKind.UNLOAD, leaving)
         outdated = self._first_assigned(
             lambda key: (
                 book.is_outdated(key, version=self._newest(key))
