Permits: one value says what is asked, from the box's choice to the placer

What a box asks of a placer was handed on as seven arguments through four signatures; it is the message itself now, which gets its number where it is told. Behaviour as it was. Two descriptions of the package and the counter name limits. tests/permits, placement, routed/test_limit and test_slow_start, test_build_frames pass (502).

--- a/springrock/permits/__init__.py
+++ b/springrock/permits/__init__.py
@@ -1,1 +1,1 @@
-"""Replicas that have started lately get no more than they bear, from all boxes together."""
+"""What one replica gets from all boxes together: while it is cold, and within a limit it names."""
--- a/springrock/permits/counter.py
+++ b/springrock/permits/counter.py
@@ -90,7 +90,9 @@
 
 
 class PermitCounter:
-    """Answers asks for permits while this box surely holds the zone's lease.
+    """Answers asks for permits while this box may count for the zone.
+
+    For cold replicas that is while it surely holds the lease; for limits, also while it goes on.
 
     Args:
         zone: The availability zone.
--- a/springrock/permits/permit_book.py
+++ b/springrock/permits/permit_book.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from itertools import count
 
+import msgspec
 from gevent.event import AsyncResult
 
 from springrock.clock import monotonic
@@ -35,17 +36,7 @@
         self._new: list[PermitAsk] = []
         self._seen: list[Sighting] = []
 
-    def ask(
-        self,
-        service: str,
-        instance: str,
-        *,
-        request: str,
-        returns: bool,
-        grant: int = 0,
-        cold: bool = True,
-        limit_per_s: float | None = None,
-    ) -> tuple[PermitVerdict, float]:
+    def ask(self, wish: PermitAsk) -> tuple[PermitVerdict, float]:
         """Ask for a permit; return the answer and until when it is good, on the local clock.
 
         It is good for its life from before the ask, so that no delay on the way lengthens it.
@@ -54,9 +45,7 @@
             PermitsUnheard: If no answer comes. What the placer may have taken out is lost.
         """
         good_until = monotonic() + PERMIT_LIFE_S
-        ask = PermitAsk(
-            next(self._numbers), request, service, instance, returns, grant, cold, limit_per_s
-        )
+        ask = msgspec.structs.replace(wish, number=next(self._numbers))
         answer = self._asked[ask.number] = AsyncResult()
         self._new.append(ask)
         self._on_news(True)
--- a/springrock/permits/permits.py
+++ b/springrock/permits/permits.py
@@ -7,7 +7,7 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding.directory import ReplicaRecord
-from springrock.permits.messages import PermitVerdict
+from springrock.permits.messages import PermitAsk, PermitVerdict
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.own_shares import OwnShares
 from springrock.permits.permit_book import PermitsUnheard
@@ -24,19 +24,12 @@
 class Permitting(Protocol):
     """Counts out the permits of one zone."""
 
-    def permit(
-        self,
-        service: str,
-        instance: str,
-        *,
-        request: str,
-        returns: bool,
-        grant: int = 0,
-        cold: bool = True,
-        limit_per_s: float | None = None,
-    ) -> tuple[PermitVerdict, float]:
+    def permit(self, wish: PermitAsk) -> tuple[PermitVerdict, float]:
         """Ask for a permit; return the answer and until when it is good.
 
+        Args:
+            wish: What is asked, with no number yet.
+
         Raises:
             PermitsUnheard: If no answer comes.
         """
@@ -102,16 +95,18 @@
         no_room_until = self._no_room_until.get(record.instance, 0.0)
         if not returns and not grant and now < no_room_until:
             return Permit(None, no_room_until - now)
+        wish = PermitAsk(
+            0,
+            request,
+            record.service,
+            record.instance,
+            returns=returns,
+            grant=grant,
+            cold=cold,
+            limit_per_s=limit_per_s,
+        )
         try:
-            verdict, good_until = self._counter(record.zone).permit(
-                record.service,
-                record.instance,
-                request=request,
-                returns=returns,
-                grant=grant,
-                cold=cold,
-                limit_per_s=limit_per_s,
-            )
+            verdict, good_until = self._counter(record.zone).permit(wish)
         except PermitsUnheard:
             self._on_unheard()
             self._left_alone_until[record.zone] = monotonic() + _LEFT_ALONE_S
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -11,7 +11,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.metrics import BytesKind
 from springrock.permits.counter import PermitCounter
-from springrock.permits.messages import Permitted, PermitVerdict
+from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict
 from springrock.permits.permit_book import PermitsUnheard
 from springrock.placement.demand import DemandBook
 from springrock.placement.election import Election
@@ -252,17 +252,7 @@
         """Undo a charge whose request did not run."""
         self.demand.charges.give_back(number)
 
-    def permit(
-        self,
-        service: str,
-        instance: str,
-        *,
-        request: str,
-        returns: bool,
-        grant: int = 0,
-        cold: bool = True,
-        limit_per_s: float | None = None,
-    ) -> tuple[PermitVerdict, float]:
+    def permit(self, wish: PermitAsk) -> tuple[PermitVerdict, float]:
         """Ask the zone's placer whether a request may be sent to a cold or limited replica.
 
         Raises:
@@ -270,15 +260,7 @@
         """
         if not self.reachable:
             raise PermitsUnheard()
-        return self.demand.permits.ask(
-            service,
-            instance,
-            request=request,
-            returns=returns,
-            grant=grant,
-            cold=cold,
-            limit_per_s=limit_per_s,
-        )
+        return self.demand.permits.ask(wish)
 
     # The placer's word.
 
--- a/tests/permits/limit_world.py
+++ b/tests/permits/limit_world.py
@@ -74,22 +74,11 @@
         if self.linked and self.world.placer is not None:
             self.world.placer.limits.take_word(word)
 
-    def permit(
-        self,
-        service: str,
-        instance: str,
-        *,
-        request: str,
-        returns: bool,
-        grant: int = 0,
-        cold: bool = True,
-        limit_per_s: float | None = None,
-    ) -> tuple[PermitVerdict, float]:
+    def permit(self, wish: PermitAsk) -> tuple[PermitVerdict, float]:
         placer = self.world.placer
         if not self.linked or placer is None:
             raise PermitsUnheard()
-        ask = PermitAsk(1, request, service, instance, returns, grant, cold, limit_per_s)
-        verdict = placer.ask(ask)
+        verdict = placer.ask(wish)
         if verdict is None:
             raise PermitsUnheard()
         return verdict, self.world.now + PERMIT_LIFE_S
--- a/tests/permits/test_permits.py
+++ b/tests/permits/test_permits.py
@@ -35,7 +35,7 @@
     urgent: list[bool] = []
     book = PermitBook(on_news=urgent.append)
     asked_at = monotonic()
-    asking = gevent.spawn(book.ask, "s", "i-1", request="r", returns=True)
+    asking = gevent.spawn(book.ask, PermitAsk(0, "r", "s", "i-1", True))
     gevent.sleep(0.02)
     assert (book.take_news(), urgent) == (([PermitAsk(1, "r", "s", "i-1", True)], []), [True])
     book.note_permitted(Permitted(1, counts=True, granted=True))
@@ -47,7 +47,7 @@
 @pytest.mark.parametrize("permitted", [None, Permitted(1, counts=False)])
 def test_who_hears_nobody_that_counts_has_no_permit(permitted: Permitted | None) -> None:
     book = PermitBook(on_news=lambda urgent: None)
-    asking = gevent.spawn(book.ask, "s", "i-1", request="r", returns=False)
+    asking = gevent.spawn(book.ask, PermitAsk(0, "r", "s", "i-1", False))
     gevent.sleep(0)
     if permitted is not None:
         book.note_permitted(permitted)
@@ -60,7 +60,7 @@
 def test_a_placer_that_is_lost_ends_all_asks_at_once() -> None:
     book = PermitBook(on_news=lambda urgent: None)
     book.note_sighting("i-1", answered=False)
-    asking = gevent.spawn(book.ask, "s", "i-1", request="r", returns=False)
+    asking = gevent.spawn(book.ask, PermitAsk(0, "r", "s", "i-1", False))
     gevent.sleep(0)
     book.forget_placer()
     with pytest.raises(PermitsUnheard):
@@ -85,17 +85,7 @@
         self.verdicts = list(verdicts)
         self.asked = 0
 
-    def permit(
-        self,
-        service: str,
-        instance: str,
-        *,
-        request: str,
-        returns: bool,
-        grant: int = 0,
-        cold: bool = True,
-        limit_per_s: float | None = None,
-    ) -> tuple[PermitVerdict, float]:
+    def permit(self, wish: PermitAsk) -> tuple[PermitVerdict, float]:
         self.asked += 1
         if not self.verdicts:
             raise PermitsUnheard()
