Tests: that a box doubts a replica is read from what it counts as cold, not from a line

Traced by its logs: box-1 and box-3 wrote that they doubt; box-2, told by the placer's heartbeat before it had tried the replica, sent it nothing more for the 20 s and wrote no line, as only a doubt of its own has one. So the boxes did right, and the condition was wrong: it stood so before this landing. It now asks each box's count of replicas that it takes for cold, as strict and nearer to what is meant.

--- a/tests/routed/test_slow_start.py
+++ b/tests/routed/test_slow_start.py
@@ -172,9 +172,11 @@
             what="it is used as a warm one",
         )
         deployment.processes.kill("rosters-3")
+        # A box that is told of the doubt before it has tried the replica itself writes no line.
         wait_until(
             lambda: all(
-                "A replica may come back cold" in deployment.log(box) for box in deployment.clients
+                deployment.metric(box, "springrock_slow_start_cold_replicas") == 1
+                for box in deployment.clients
             ),
             what="all boxes doubt it",
         )
