Tests: one set of callers for what replicas say, one start of a placer that holds an adapter

Found on rereading: test_limit had written test_rest's fixture of callers again, and two tests of the placer the wait that start_holding has.

--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -161,10 +161,11 @@
     told: list[Told],
     *,
     world: Callable[[], World] = make_world,
+    permits: ScriptedPermits | None = None,
     home_zone_of: Callable[[str], str | None] = lambda box: None,
 ) -> Placer:
     """Start a placer and wait until it has heard that its engine holds the adapter x."""
-    placer = make_placer(control, told, world=world, home_zone_of=home_zone_of)
+    placer = make_placer(control, told, world=world, permits=permits, home_zone_of=home_zone_of)
     placer.start()
     with gevent.Timeout(10):
         while not placer.requests.holders(AdapterKey("m", "x")):
@@ -489,17 +490,13 @@
 def test_a_cold_engine_is_granted_as_far_as_there_are_permits(told: list[Told]) -> None:
     cold: list[str] = []
     permits = ScriptedPermits()
-    placer = make_placer(
+    placer = start_holding(
         SlowEngine("m", adapters=("x",)),
         told,
         world=lambda: make_world(is_cold=lambda record: record.instance in cold),
         permits=permits,
     )
-    placer.start()
     try:
-        with gevent.Timeout(10):
-            while not placer.requests.holders(AdapterKey("m", "x")):
-                gevent.sleep(0.01)
         placer.take_demand("box-2", asking("x", number=1))
         cold.append("i-1")
         placer.take_demand("box-2", asking("x", number=2))
@@ -530,17 +527,13 @@
 ) -> None:
     limited: list[str] = []
     permits = ScriptedPermits()
-    placer = make_placer(
+    placer = start_holding(
         SlowEngine("m", adapters=("x",)),
         told,
         world=lambda: make_world(is_limited=lambda record: record.instance in limited),
         permits=permits,
     )
-    placer.start()
     try:
-        with gevent.Timeout(10):
-            while not placer.requests.holders(AdapterKey("m", "x")):
-                gevent.sleep(0.01)
         limited.append("i-1")
         placer.take_demand("box-2", asking("x", number=1))
         [(_, forecast), *_] = wait_for(told, Forecast, count=1)
--- a/tests/routed/test_limit.py
+++ b/tests/routed/test_limit.py
@@ -24,9 +24,9 @@
 
 from springrock.clock import monotonic
 from tests.builds import LAST_LANDING, build_at
-from tests.clients import BackgroundClients
 from tests.processes import wait_until
-from tests.routed.deployment import REPLICAS, ZONES, Answer, Deployment
+from tests.routed.callers import Callers
+from tests.routed.deployment import REPLICAS, ZONES, Deployment
 
 LIMIT_PER_S = 1.5
 WINDOW_S = 4.0
@@ -37,10 +37,10 @@
 """By then all boxes have passed on an answer that names the limit, or been told of it."""
 
 WATCHED_S = 7.0
-PAUSE_S = 0.02
 
 PLAIN = (("/lookup/x", ""), ("/join/x", ""))
 STREAMS = tuple((f"/{route}/x", f"a{n}") for route in ("items", "minutes") for n in range(2))
+WISHES = (*PLAIN, *STREAMS)
 
 
 @pytest.fixture
@@ -48,28 +48,12 @@
     with Deployment(tmp_path_factory.mktemp("limit"), boxes=4) as deployment:
         deployment.configure()
         deployment.wait_ready(replicas=REPLICAS)
-        for path, adapter in (*PLAIN, *STREAMS):
+        for path, adapter in WISHES:
             deployment.served("box-1", path, adapter=adapter)
         yield deployment
         assert deployment.violations() == {}
 
 
-class Callers(BackgroundClients):
-    """Clients of some boxes, else of all, that send one request after the other."""
-
-    def __init__(self, deployment: Deployment, *boxes: str) -> None:
-        super().__init__()
-        self._deployment = deployment
-        for box in boxes or deployment.clients:
-            for wish in (*PLAIN, *STREAMS):
-                self.add(self._send, box, *wish)
-        self.answers: list[Answer] = []
-
-    def _send(self, box: str, path: str, adapter: str) -> None:
-        while not self.stop.wait(timeout=PAUSE_S):
-            self.answers.append(self._deployment.send(box, path, adapter=adapter))
-
-
 @contextmanager
 def limited(deployment: Deployment, *replicas: str) -> Iterator[float]:
     """Let replicas name the limit; yield the time from which on it holds."""
@@ -96,7 +80,10 @@
 def test_a_replica_that_names_a_limit_gets_no_more_and_is_not_forsaken(
     deployment: Deployment, name: str
 ) -> None:
-    with limited(deployment, name) as since, Callers(deployment) as callers:
+    with (
+        limited(deployment, name) as since,
+        Callers(deployment, deployment.clients, WISHES) as callers,
+    ):
         time.sleep(KNOWN_AFTER_S + WATCHED_S)
         arrivals = arrivals_since(deployment, name, since)
     assert most_in_a_window(arrivals) <= BOUND
@@ -109,7 +96,10 @@
     deployment: Deployment,
 ) -> None:
     names = ("rosters-1", "rosters-2")
-    with limited(deployment, *names) as since, Callers(deployment) as callers:
+    with (
+        limited(deployment, *names) as since,
+        Callers(deployment, deployment.clients, WISHES) as callers,
+    ):
         time.sleep(KNOWN_AFTER_S + WATCHED_S)
         arrivals = {name: arrivals_since(deployment, name, since) for name in names}
     for name in names:
@@ -122,9 +112,9 @@
 
 
 def test_a_replica_that_names_its_limit_no_more_gets_all_it_can(deployment: Deployment) -> None:
-    with limited(deployment, "rosters-1"), Callers(deployment):
+    with limited(deployment, "rosters-1"), Callers(deployment, deployment.clients, WISHES):
         time.sleep(KNOWN_AFTER_S)
-    with Callers(deployment):
+    with Callers(deployment, deployment.clients, WISHES):
         began_at = monotonic()
         wait_until(
             lambda: most_in_a_window(arrivals_since(deployment, "rosters-1", began_at)) > 2 * BOUND,
@@ -136,7 +126,7 @@
     placer, _ = deployment.placer_and_other("zone-1")
     names = ("rosters-1", "engine-1")
     others = [box for box in deployment.clients if box != placer]
-    with limited(deployment, *names) as since, Callers(deployment, *others) as callers:
+    with limited(deployment, *names) as since, Callers(deployment, others, WISHES) as callers:
         time.sleep(KNOWN_AFTER_S + 2.0)
         deployment.processes.kill(placer)
         killed_at = monotonic()
@@ -163,7 +153,7 @@
             mixed.placer_and_other(zone)
         mixed.start_box("box-3")
         wait_until(lambda: mixed.is_ready("box-3"), what="box-3 is ready")
-        with limited(mixed, *names) as since, Callers(mixed, "box-3") as callers:
+        with limited(mixed, *names) as since, Callers(mixed, ["box-3"], WISHES) as callers:
             time.sleep(KNOWN_AFTER_S + WATCHED_S)
             arrivals = {name: arrivals_since(mixed, name, since) for name in names}
         assert all(most_in_a_window(arrivals[name]) <= BOUND for name in names)
--- a/tests/routed/test_rest.py
+++ b/tests/routed/test_rest.py
@@ -22,8 +22,8 @@
 import pytest
 
 from springrock.clock import monotonic
-from tests.clients import BackgroundClients
 from tests.processes import wait_until
+from tests.routed.callers import Callers
 from tests.routed.deployment import REPLICAS, Answer, Deployment
 
 REST_S = 3.0
@@ -38,11 +38,11 @@
 """Over so long after a rest those come back whom it turned away."""
 
 WATCHED_S = 3.5
-PAUSE_S = 0.02
 
 PLAIN = (("/lookup/x", ""), ("/join/x", ""))
 STREAMS = tuple((f"/{route}/x", f"a{n}") for route in ("items", "minutes") for n in range(4))
 """As many adapters as both engines have places: who cannot go to one engine needs a load."""
+WISHES = (*PLAIN, *STREAMS)
 
 
 @pytest.fixture
@@ -50,28 +50,12 @@
     with Deployment(tmp_path_factory.mktemp("rest")) as deployment:
         deployment.configure()
         deployment.wait_ready(replicas=REPLICAS)
-        for path, adapter in (*PLAIN, *STREAMS):
+        for path, adapter in WISHES:
             deployment.served("box-1", path, adapter=adapter)
         yield deployment
         assert deployment.violations() == {}
 
 
-class Callers(BackgroundClients):
-    """Clients of one box that send one request after the other."""
-
-    def __init__(self, deployment: Deployment, box: str) -> None:
-        super().__init__()
-        self._deployment = deployment
-        self._box = box
-        for wish in (*PLAIN, *STREAMS):
-            self.add(self._send, *wish)
-        self.answers: list[Answer] = []
-
-    def _send(self, path: str, adapter: str) -> None:
-        while not self.stop.wait(timeout=PAUSE_S):
-            self.answers.append(self._deployment.send(self._box, path, adapter=adapter))
-
-
 def most_within_a_rest(arrivals: list[float]) -> int:
     """The most requests that came within one rest; each of them was turned away and began one."""
     return max(
@@ -87,7 +71,7 @@
 def test_a_replica_that_asked_for_rest_gets_it(deployment: Deployment, name: str) -> None:
     began_at = monotonic()
     deployment.fault(name, refuse=True, asks_rest_s=REST_S)
-    with Callers(deployment, "box-1") as callers:
+    with Callers(deployment, ["box-1"], WISHES) as callers:
         time.sleep(WATCHED_S)
     arrivals = [at for at in deployment.counters(name)["arrivals"] if at > began_at]
     assert arrivals, "it was tried at all"
