--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,9 +7,12 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_LANDING = "e68fd97b5235"
+LAST_LANDING = "1b39547f579f"
 """What users may run when they begin to upgrade to this build."""
 
+BEFORE_LIMITS = "e68fd97b5235"
+"""The last landing whose placers count nothing out to replicas that name a limit."""
+
 _TREE = Path(__file__).parent.parent
 
 
--- a/tests/routed/test_limit.py
+++ b/tests/routed/test_limit.py
@@ -23,7 +23,7 @@
 import pytest
 
 from springrock.clock import monotonic
-from tests.builds import LAST_LANDING, build_at
+from tests.builds import BEFORE_LIMITS, build_at
 from tests.processes import wait_until
 from tests.routed.callers import Callers
 from tests.routed.deployment import REPLICAS, ZONES, Deployment
@@ -139,10 +139,10 @@
     assert served > 0.9 * len(callers.answers)
 
 
-def test_beside_placers_of_the_last_landing_a_box_keeps_to_its_share(
+def test_beside_placers_that_know_no_limits_a_box_keeps_to_its_share(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> None:
-    earlier = build_at(LAST_LANDING, tmp_path_factory.mktemp("build"))
+    earlier = build_at(BEFORE_LIMITS, tmp_path_factory.mktemp("build"))
     builds = {"box-1": earlier, "box-2": earlier}
     folder = tmp_path_factory.mktemp("mixed")
     names = ("rosters-1", "engine-1")
