Lease: a placer that stops while the store is silent hands its role over by a link

Cause: a stopping placer wrote its role back to a store that answered nobody, and counted it as given up all the same (`PlacerLease.give_up`).

Change: if the store does not answer, the placer names a successor among the linked boxes in its last heartbeat. The successor goes on under the same lease until the store answers. Each handover takes the next one, and whoever takes the lease by the store, of either build, is above all of them. Engines refuse the older fence, so nothing is handed over where they look at none. - The successor orders only after the store has not answered it either; it has no time on the lease, so quotas and permits are counted by nobody until the store confirms it, as by a placer that goes on in an outage. - Its first write to the store is a lease of its own, under the condition that the row is still of the lease that was handed over; a late write of a box that went before is recognised.

Weighed: the stop merely waits (bounded by the grace of the stop, then the same); the successor only grants what stands (what stands nowhere stays refused); the same fence for both (two holders under one fence). Fields come last with a default; only a box that told its process and address in Hello, which does not, is chosen.

Tests: test_succession, test_succession_model (any order of stops, starts, lost, late and repeated words, outages and late writes). The model finds, each on its own: the fence not counted on; no fences reserved; a handover taken twice. It does not find `follows` accepting any row; the unit test does. test_lease compared with fence + 1 four times: it now says last_fence + 1, the next one that is free.

--- a/springrock/placement/election.py
+++ b/springrock/placement/election.py
@@ -14,6 +14,7 @@
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import PlacerRow, key_of
 from springrock.placement.settings import PlacementSettings
+from springrock.placement.succession import Successor
 
 _HEARTBEAT_S = 0.4
 _FIRST_LOOK_S = 0.1
@@ -58,6 +59,9 @@
     def tell_heartbeat(self) -> None:
         """Tell all linked boxes that the placer lives."""
 
+    def tell_successor(self, successor: Successor) -> None:
+        """Tell all linked boxes who goes on in this one's stead."""
+
 
 class Election:
     """Looks for the zone's placer and links to it, or takes the lease and keeps it.
@@ -120,9 +124,15 @@
         if placing:
             # First the lease: who loses the link then finds it free.
             successor = self._links.hold(self._zone, for_s=0.0)
-            self._lease.give_up(reason="a planned stop", successor=successor)
+            self._leave(reason="a planned stop", successor=successor)
             self._holder.end_placing()
 
+    def adopt(self, handover: Successor) -> None:
+        """Go on in the stead of a placer that hands its role over to this box."""
+        if not self._stopping and self._lease.adopt(handover):
+            # What waits for the link to be lost places from now on.
+            self._client.close()
+
     def has_better_box(self) -> bool:
         """Whether a box of the zone itself can place it, while this one stands elsewhere or is
         much weaker."""
@@ -141,9 +151,18 @@
         courtesy_s = 0.0 if settings.zone == self._zone else _COURTESY_S
         return courtesy_s + weakness * _WEAKNESS_S
 
+    def _leave(self, *, reason: str, successor: bool) -> None:
+        """Give the lease up, or hand it over while the store takes nothing back."""
+        heir = self._links.heir(self._zone)
+        handover = self._lease.give_up(reason=reason, successor=successor, heir=heir)
+        if handover is not None:
+            self._holder.tell_successor(handover)
+
     def _hold(self) -> None:
         """Place under the lease, and renew it, until it is lost."""
         self._holder.begin_placing()
+        if not self._lease.confirmed:
+            self._lease.renew()
         renew_every_s = self._settings.lease_s / _RENEWALS_PER_LEASE
         renewed_at = monotonic()
         while self._lease.held and not self._stopping:
@@ -153,13 +172,14 @@
                 renewed_at = monotonic()
                 self._lease.renew()
             if self._lease.held and self.has_better_box():
-                self._lease.give_up(reason="another box does better", successor=True)
+                self._leave(reason="another box does better", successor=True)
         if not self._stopping:
             self._holder.end_placing()
 
     def _find_placer(self) -> None:
         standing = self._lease.look()
-        if standing is not None and self._is_other(standing) and self._link_to(standing):
+        holder = self._board.holder(key_of(self._zone))
+        if holder is not None and self._is_other(holder) and self._link_to(holder):
             return
         if self._stopping or self._lease.challenge(standing, courtesy_s=self.courtesy_s()):
             return
@@ -173,8 +193,8 @@
         timeout_s = min(pause_s, max(_FIRST_LOOK_S, free_in_s))
         self._board.wait(key_of(self._zone), timeout_s=timeout_s)
 
-    def _link_to(self, standing: PlacerRow) -> bool:
-        return self._client.link(standing.address, incarnation=standing.incarnation)
+    def _link_to(self, holder: PlacerRow | Successor) -> bool:
+        return self._client.link(holder.address, incarnation=holder.incarnation)
 
-    def _is_other(self, standing: PlacerRow) -> bool:
-        return bool(standing.incarnation) and standing.incarnation != self._incarnation
+    def _is_other(self, holder: PlacerRow | Successor) -> bool:
+        return holder.incarnation != self._incarnation
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -2,7 +2,7 @@
 
 Only durations on the local monotonic clock are used. The holder counts from before it sent the
 last renewal that the store confirmed; a challenger from when it first saw that renewal, plus a
-margin. Each holder's fence is one above that of the holder before.
+margin. Each holder's fence is above all that the lease before had reserved.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from springrock.clock import monotonic
 from springrock.log import Condition, Log
 from springrock.placement.placer_row import TABLE, PlacerRow, key_of, placer_row_from
+from springrock.placement.succession import RESERVED_FENCES, Heir, Successor, Tenure
 from springrock.rows import (
     ABSENT_VERSION,
     HelpersSilent,
@@ -106,17 +107,22 @@
         self._address = address
         self._held_until = 0.0
         self._unanswered_at = 0.0
-        self._own: PlacerRow | None = None
-        self._version = ABSENT_VERSION
+        self._own: Tenure | None = None
+        self._adopted_fence = 0
         self._seen_version = -1
         self._seen_at = 0.0
         self._looked_version = -1
 
     @property
     def fence(self) -> int:
-        """The fence of the own lease."""
+        """The fence under which this box orders; 0 if it does not hold the lease."""
         return self._own.fence if self._own is not None else 0
 
+    @property
+    def last_fence(self) -> int:
+        """The highest fence that the own lease has reserved; 0 if this box does not hold it."""
+        return self._own.row.fence if self._own is not None else 0
+
     @property
     def holds(self) -> bool:
         """Whether this box may give orders now."""
@@ -133,10 +139,18 @@
         """Whether this box took the lease and does not know it lost."""
         return self._own is not None
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the store has confirmed that this box holds the lease.
+
+        If not, it was handed over, and its time counts for nothing yet.
+        """
+        return self._own is not None and self._own.handed is None
+
     @property
     def version(self) -> int:
         """The version of the row with the own lease."""
-        return self._version
+        return self._own.version if self._own is not None else ABSENT_VERSION
 
     @property
     def left_s(self) -> float:
@@ -172,27 +186,58 @@
         self._own = None
         self._held_until = 0.0
 
-    def give_up(self, *, reason: str, successor: bool) -> None:
+    def give_up(
+        self, *, reason: str, successor: bool, heir: Heir | None = None
+    ) -> Successor | None:
         """Let another box take the lease at once.
 
         Args:
             reason: Why, for the log.
             successor: Whether a box of the zone itself can take it, so that others leave it to it.
+            heir: Who is to go on if the store does not answer, as nobody can take it then.
+
+        Returns:
+            The handover, which the linked boxes are to be told; None if there is none.
         """
         own = self._own
-        self.lose(reason=reason)
         if own is None:
-            return
-        if not self._checks_fence:
-            # What was ordered just before must not arrive after a successor's orders.
-            gevent.sleep(_ORDER_TAKES_S)
-        free = msgspec.structs.replace(
-            own, incarnation="", renewal=own.renewal + 1, successor=successor
+            return None
+        handover = self._handover(own, heir)
+        is_silent = self._store_is_silent
+        self.lose(reason=reason)
+        if handover is None or not is_silent:
+            if not self._checks_fence:
+                # What was ordered just before must not arrive after a successor's orders.
+                gevent.sleep(_ORDER_TAKES_S)
+            if self._free_row(own, successor=successor):
+                return None
+        if handover is not None:
+            self._log.say(
+                "Handed the placer's lease over.",
+                row=self._key,
+                to=handover.box,
+                fence=handover.fence,
+            )
+        return handover
+
+    def adopt(self, handover: Successor) -> bool:
+        """Go on under a lease that was handed over to this box; return whether it does.
+
+        It may order only once the store has not answered it either.
+        """
+        if self._own is not None or not self._checks_fence:
+            return False
+        if handover.fence <= self._adopted_fence:
+            # Heard of once more, after this box has handed it on.
+            return False
+        self._adopted_fence = handover.fence
+        self._own = Tenure.from_handover(handover)
+        self._held_until = 0.0
+        self._unanswered_at = float("-inf")
+        self._log.say(
+            "Goes on under a lease that was handed over.", row=self._key, fence=handover.fence
         )
-        try:
-            self._write(free, expected=self._version, writer=self._store)
-        except (RowStoreUnavailable, RowConflict):
-            return
+        return True
 
     def look(self) -> PlacerRow | None:
         """Return the row as far as it is known; None if there is none or nothing is known.
@@ -225,10 +270,13 @@
         fence = standing.fence + 1 if standing is not None else 1
         sent_at = monotonic()
         own = PlacerRow(
-            box=self._box, incarnation=self._incarnation, address=self._address, fence=fence
+            box=self._box,
+            incarnation=self._incarnation,
+            address=self._address,
+            fence=fence + RESERVED_FENCES,
         )
         try:
-            self._version = self._write(own, expected=self._looked_version, writer=self._store)
+            version = self._write(own, expected=self._looked_version, writer=self._store)
         except (RowStoreUnavailable, RowConflict) as error:
             self._log.say(
                 "Did not get the placer's lease.", row=self._key, fence=fence, error=str(error)
@@ -236,7 +284,7 @@
             if isinstance(error, RowConflict) and error.row is not None:
                 self._rows.note(error.row)
             return False
-        self._own = own
+        self._own = Tenure.from_row(own, version)
         self._held_until = sent_at + self._lease_s
         self._log.say("Took the placer's lease.", row=self._key, fence=fence)
         return True
@@ -271,34 +319,66 @@
 
     def _settle(self, row: Row | None) -> bool:
         """Learn from a failed renewal whether an earlier one took effect unanswered."""
+        own = self._own
         standing = placer_row_from(row) if row is not None else None
-        if row is None or standing is None or standing.incarnation != self._incarnation:
+        settled = None
+        if own is not None and row is not None and standing is not None:
+            settled = own.settled(standing, row.version)
+        if own is None or settled is None:
             self.lose(reason="another box holds it")
             return False
         self._log.say(
             "Found the lease at another version.",
             row=self._key,
-            fence=standing.fence,
-            version=row.version,
-            expected=self._version,
+            fence=settled.fence,
+            version=settled.version,
+            expected=own.version,
         )
-        self._version = row.version
-        self._own = standing
+        self._own = settled
+        return True
+
+    @property
+    def _store_is_silent(self) -> bool:
+        """Whether the store did not answer the last renewal, a short time ago."""
+        renewed_at = self._held_until - self._lease_s
+        silent_s = monotonic() - self._unanswered_at
+        return self._unanswered_at > renewed_at and silent_s < self._lease_s / 2
+
+    def _handover(self, own: Tenure, heir: Heir | None) -> Successor | None:
+        """Return the handover to another box; None if none may go on."""
+        stands = self.holds or own.handed is not None
+        if heir is None or not self._checks_fence or not stands:
+            return None
+        handover = own.handover(heir)
+        if handover is None:
+            self._log.say("Cannot hand over, as no fence is left.", row=self._key, fence=own.fence)
+        return handover
+
+    def _free_row(self, own: Tenure, *, successor: bool) -> bool:
+        """Write that nobody holds the lease; return whether the store answered."""
+        free = msgspec.structs.replace(
+            own.row, incarnation="", renewal=own.row.renewal + 1, successor=successor
+        )
+        try:
+            self._write(free, expected=own.version, writer=self._store)
+        except RowConflict:
+            return True
+        except RowStoreUnavailable:
+            return False
         return True
 
     def _write_renewal(self) -> None:
         own = self._own
         assert own is not None
-        renewed = msgspec.structs.replace(own, renewal=own.renewal + 1)
-        sent_at, version = self._renewed(renewed)
+        renewed = own.renewal()
+        sent_at, version = self._renewed(renewed, expected=own.version)
         if self._own is not own:
             # Lost meanwhile, as by a refused order.
             raise RowStoreUnavailable("the lease was given up meanwhile")
-        self._version = version
-        self._own = renewed
+        self._own = Tenure.from_row(renewed, version)
         self._held_until = sent_at + self._lease_s
 
-    def _renewed(self, renewed: PlacerRow) -> tuple[float, int]:
+    def _renewed(self, renewed: PlacerRow, *, expected: int) -> tuple[float, int]:
         """Write a renewal by the store or by linked boxes; return when it was sent, and as what.
 
         Only one of them is tried each time: heartbeats wait for it, and both together may take
@@ -307,7 +387,7 @@
         writer = self._next_writer()
         sent_at = monotonic()
         try:
-            version = self._write(renewed, expected=self._version, writer=writer)
+            version = self._write(renewed, expected=expected, writer=writer)
         except RowStoreUnavailable as error:
             if writer is self._store:
                 self._store_failed_at = sent_at
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -34,6 +34,8 @@
         home_zone: The zone in which this box stands.
         zone: The zone whose placer is meant.
         strength: The processor that this box has, in cores.
+        address: Where this box serves links.
+        process: This process.
         demand: What this box asks and uses.
         on_message: Called with each message of the placer.
         on_lost: Called when the link is gone.
@@ -49,6 +51,8 @@
         home_zone: str,
         zone: str,
         strength: float,
+        address: str,
+        process: str,
         demand: DemandBook,
         on_message: Callable[[Message], None],
         on_lost: Callable[[], None],
@@ -61,6 +65,8 @@
         self._home_zone = home_zone
         self._zone = zone
         self._strength = strength
+        self._address = address
+        self._process = process
         self._demand = demand
         self._on_message = on_message
         self._on_lost = on_lost
@@ -95,8 +101,7 @@
             )
             return False
         try:
-            hello = Hello(self._box, incarnation, self._zone, self._home_zone, self._strength)
-            connection.send(encode(hello))
+            connection.send(encode(self._hello(incarnation)))
             first = decode(connection.recv(timeout=_DIAL_S))
         except (*LINK_FAILURES, UnknownKind) as error:
             self._log.say(
@@ -113,6 +118,17 @@
         gevent.spawn(self._run, connection, address)
         return True
 
+    def _hello(self, incarnation: str) -> Hello:
+        return Hello(
+            self._box,
+            incarnation,
+            self._zone,
+            self._home_zone,
+            self._strength,
+            self._address,
+            self._process,
+        )
+
     def close(self) -> None:
         """Close the link."""
         if self._connection is not None:
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -26,6 +26,7 @@
     decode,
     encode,
 )
+from springrock.placement.succession import Heir
 from springrock.settings import split_address
 from springrock.unknown_messages import UnknownKind, UnknownMessages
 
@@ -46,6 +47,8 @@
         self._frames: OrderedDict[tuple[object, ...], bytes] = OrderedDict()
         self._count = 0
         self.filled = Event()
+        self.sent = Event()
+        self.sent.set()
 
     def put(self, message: Message, frame: bytes) -> None:
         """Add a message with its frame, which all boxes may share."""
@@ -59,6 +62,7 @@
                 self._count += 1
                 matter = (self._count,)
         self._frames[matter] = frame
+        self.sent.clear()
         self.filled.set()
 
     def take(self) -> list[bytes]:
@@ -68,6 +72,11 @@
         self.filled.clear()
         return frames
 
+    def note_sent(self) -> None:
+        """Learn that all frames that were taken are sent."""
+        if not self._frames:
+            self.sent.set()
+
 
 class _Link:
     """One linked box.
@@ -75,6 +84,7 @@
     Attributes:
         home_zone: The zone in which the box stands.
         strength: The processor that the box has, in cores.
+        heir: The box as one to which the role can be handed over; None if it cannot.
         since: When it linked, on the local monotonic clock.
         stopping: Whether it is about to stop.
         count_sent: Called with the bytes of each frame.
@@ -91,6 +101,7 @@
         self.outbox = Outbox()
         self.home_zone = hello.home_zone
         self.strength = hello.strength
+        self.heir = Heir(hello.box, hello.process, hello.address) if hello.process else None
         self.since = monotonic()
         self.stopping = False
 
@@ -171,6 +182,23 @@
             for link in self._links.values()
         )
 
+    def heir(self, home_zone: str) -> Heir | None:
+        """Return the box to which the role is best handed over; None if there is none.
+
+        One of the zone itself comes first, then the strongest, then the one linked for longest.
+        """
+        links = [link for link in self._links.values() if link.heir and not link.stopping]
+        best = max(
+            links,
+            key=lambda link: (link.home_zone == home_zone, link.strength, -link.since),
+            default=None,
+        )
+        return None if best is None else best.heir
+
+    def flush(self, *, within_s: float) -> None:
+        """Wait until all messages are sent, as before the links are closed."""
+        gevent.wait([link.outbox.sent for link in self._links.values()], timeout=within_s)
+
     def tell(self, box: str, message: Message) -> None:
         """Send a message to one box; one that is not linked has lost its placer."""
         link = self._links.get(box)
@@ -307,5 +335,6 @@
             for frame in link.outbox.take():
                 link.connection.send(frame)
                 link.count_sent(len(frame))
+            link.outbox.note_sent()
     except LINK_FAILURES:
         return
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -18,6 +18,7 @@
 from springrock.forwarding.eligibility import Bounds
 from springrock.permits.messages import LimitWord, NamedLimit, PermitAsk, Permitted, Sighting
 from springrock.placement.handover_messages import Handover
+from springrock.placement.succession import Successor
 from springrock.quotas.messages import Charge, Charged, GiveBack
 from springrock.unknown_messages import check_kind, kinds_of
 
@@ -30,6 +31,8 @@
         zone: The zone whose engines are meant.
         home_zone: The zone in which the box stands.
         strength: The processor that the box has, in cores.
+        address: Where the box serves links, if a placer may hand its role over to it.
+        process: The incarnation of the box itself, by which others ask for its links.
     """
 
     box: str
@@ -37,6 +40,8 @@
     zone: str
     home_zone: str = ""
     strength: float = 1.0
+    address: str = ""
+    process: str = ""
 
 
 class Ask(Struct, frozen=True, array_like=True):
@@ -240,6 +245,7 @@
         wait_ms: How long a first event would wait at a usual engine.
         limits: The limits that replicas of the zone have named and that stand.
         home_boxes: How many boxes stand in the zone, as far as they are linked; 0 if not told.
+        successor: Who goes on in the placer's stead, as it stops while the store is silent.
     """
 
     row_version: int
@@ -253,6 +259,7 @@
     wait_ms: int = 0
     limits: tuple[NamedLimit, ...] = ()
     home_boxes: int = 0
+    successor: Successor | None = None
 
 
 class EngineHolds(Struct, frozen=True, array_like=True):
--- a/springrock/placement/placer_board.py
+++ b/springrock/placement/placer_board.py
@@ -6,7 +6,8 @@
 
 from gevent.event import Event
 
-from springrock.placement.placer_row import placer_row_from
+from springrock.placement.placer_row import PlacerRow, placer_row_from
+from springrock.placement.succession import Successor
 from springrock.rows import Row, RowStoreUnavailable
 
 _STALE_S = 3.0
@@ -24,6 +25,7 @@
     def __init__(self, *, age_s: Callable[[], float]) -> None:
         self._age_s = age_s
         self._rows: dict[str, Row] = {}
+        self._successors: dict[str, Successor] = {}
         self._news: dict[str, Event] = {}
         self._known = Event()
 
@@ -39,6 +41,25 @@
             raise RowStoreUnavailable(f"the placers' rows were last read {age_s:.1f} s ago")
         return self._rows.get(key)
 
+    def holder(self, key: str) -> PlacerRow | Successor | None:
+        """Return who was last known to place; None if nobody was.
+
+        That may be long ago: whoever is asked for a link knows whether it still places.
+        """
+        row = self._rows.get(key)
+        standing = None if row is None else placer_row_from(row)
+        successor = self._successors.get(key)
+        if successor is not None and (standing is None or successor.follows(standing)):
+            return successor
+        return standing if standing is not None and standing.incarnation else None
+
+    def note_successor(self, key: str, successor: Successor) -> None:
+        """Learn that a placer has handed its role over; what is older is passed over."""
+        known = self._successors.get(key)
+        if known is None or successor.fence > known.fence:
+            self._successors[key] = successor
+            self._event(key).set()
+
     def wait(self, key: str, *, timeout_s: float) -> None:
         """Wait until a row changes that `standing` has returned, or the time is over."""
         self._event(key).wait(timeout=timeout_s)
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+import msgspec
 
 from springrock.forwarding.directory import LeavingSign
 from springrock.forwarding.message import AdapterKey
@@ -31,9 +32,11 @@
 )
 from springrock.placement.outlook import Outlook
 from springrock.placement.placer import Placer
+from springrock.placement.placer_row import key_of
 from springrock.placement.relayed_writes import RelayedWrites, write_for
 from springrock.placement.residents_news import ResidentsNews, is_far
 from springrock.placement.settings import PlacementSettings
+from springrock.placement.succession import Successor
 from springrock.placement.surroundings import Surroundings
 from springrock.quotas.charge_book import CounterSilent
 from springrock.quotas.messages import Charged, Verdict
@@ -41,6 +44,9 @@
 from springrock.topology import Distance
 
 _RESIDENTS_EVERY_S = 0.05
+_TOLD_WITHIN_S = 0.2
+"""So long a placer that stops keeps its links open for its last word."""
+
 _RESIDENTS_FRAMES_PER_S = 150
 """How often boxes are told what engines hold: they choose a zone by it, and a placer with many
 boxes can tell each less often."""
@@ -79,6 +85,7 @@
         self._on_placer_heard = around.on_placer_heard
         self._on_placer_lost = around.on_placer_lost
         self._on_copy_pays = around.on_copy_pays
+        self._board = around.board
         self.demand = DemandBook(
             has_placer=lambda: self.reachable,
             leaving=around.directory.leaving,
@@ -146,6 +153,8 @@
             home_zone=settings.zone,
             zone=zone,
             strength=settings.strength,
+            address=settings.address if settings.checks_fence else "",
+            process=around.incarnation if settings.checks_fence else "",
             demand=self.demand,
             on_message=self.take,
             on_lost=self._placer_lost,
@@ -203,6 +212,12 @@
         """Whether this box is the placer now."""
         return self._placer.active and self._lease.holds
 
+    @property
+    def takes_links(self) -> bool:
+        """Whether boxes may link here: to a placer, or to who goes on in the stead of one."""
+        goes_on = self._lease.held and not self._lease.confirmed
+        return self._placer.active and (goes_on or self._lease.holds)
+
     def tell_handover(self, boxes: Collection[str]) -> None:
         """Tell boxes what was asked for in the zone."""
         handover = self._placer.handover()
@@ -328,9 +343,16 @@
             case TableNews():
                 self._on_table_news(self._zone, message)
             case Heartbeat():
+                if message.successor is not None:
+                    self._take_successor(message.successor)
                 self._lease.note_heartbeat(message.row_version, message.lease_left_ms / 1000)
                 self._note_heartbeat(message)
 
+    def _take_successor(self, successor: Successor) -> None:
+        self._board.note_successor(key_of(self._zone), successor)
+        if successor.incarnation == self._incarnation:
+            self._election.adopt(successor)
+
     def _take_grant(self, grant: Grant) -> None:
         key = self.demand.note_grant(grant.number, grant.instance, permitted=grant.permitted)
         if grant.saves and key is not None:
@@ -402,3 +424,12 @@
         heartbeat = self._heartbeat()
         self._note_heartbeat(heartbeat)
         self.links.tell_all(heartbeat)
+
+    def tell_successor(self, successor: Successor) -> None:
+        """Tell all linked boxes who goes on in this one's stead."""
+        self._board.note_successor(key_of(self._zone), successor)
+        heartbeat = msgspec.structs.replace(
+            self._heartbeat(), row_version=successor.version, successor=successor
+        )
+        self.links.tell_all(heartbeat)
+        self.links.flush(within_s=_TOLD_WITHIN_S)
--- a/tests/placement/test_election.py
+++ b/tests/placement/test_election.py
@@ -15,6 +15,7 @@
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import key_of
 from springrock.placement.settings import PlacementSettings
+from springrock.placement.succession import Heir, Successor
 from springrock.rows import Row
 from tests.placement.test_lease import Store
 
@@ -55,6 +56,9 @@
     def hold(self, home_zone: str, *, for_s: float, strength: float = 0.0) -> bool:
         return False
 
+    def heir(self, home_zone: str) -> Heir | None:
+        return None
+
 
 class Recorder:
     """Notes who places."""
@@ -72,6 +76,9 @@
     def tell_heartbeat(self) -> None:
         """Nobody to tell."""
 
+    def tell_successor(self, successor: Successor) -> None:
+        """Nobody to tell."""
+
 
 def start_box(store: CountingStore, box: str, placing: list[str], *, strength: float = 2.0) -> None:
     """Start a box's part in the election, the rows still unread."""
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -102,7 +102,7 @@
     clock.now += 0.5
     assert not one.holds
     assert two.challenge(two.look())
-    assert two.fence == one.fence + 1
+    assert two.fence == one.last_fence + 1
     assert not one.renew()
     assert not one.held
 
@@ -201,10 +201,11 @@
     store = Store()
     one, two = make_lease(store, "one"), make_lease(store, "two")
     assert one.challenge(one.look())
+    reserved = one.last_fence
     one.give_up(reason="a test", successor=True)
     assert not one.holds
     assert two.challenge(two.look())
-    assert two.fence == 2
+    assert two.fence == reserved + 1
 
 
 def test_boxes_of_other_zones_leave_a_lease_given_up_to_a_successor(clock: Clock) -> None:
@@ -238,7 +239,7 @@
     assert before.challenge(before.look())
     after = make_lease(store, "one", incarnation="one-2")
     assert after.challenge(after.look())
-    assert after.fence == before.fence + 1
+    assert after.fence == before.last_fence + 1
     assert not before.renew()
 
 
@@ -314,7 +315,7 @@
     assert not two.challenge(two.look()), "the lease stands"
     clock.now += LEASE_S + 0.5
     assert two.challenge(two.look())
-    assert two.fence == one.fence + 1
+    assert two.fence == one.last_fence + 1
 
 
 def test_a_holder_that_learns_its_row_s_version_from_a_conflict_renews_at_once(
--- a/tests/placement/test_link_server.py
+++ b/tests/placement/test_link_server.py
@@ -21,6 +21,7 @@
     Message,
     encode,
 )
+from springrock.placement.succession import Heir
 
 
 class Connection:
@@ -138,6 +139,33 @@
         connection.close()
 
 
+def test_a_role_goes_to_a_box_of_the_zone_that_can_take_it_and_its_last_word_is_sent() -> None:
+    links = BoxLinks(Host(), log=Log("link", "test"))
+    hellos = [
+        Hello("earlier", "1", "zone-1", "zone-1", 9.0),
+        Hello("away", "1", "zone-1", "zone-2", 9.0, "127.0.0.1:1", "a"),
+        Hello("weak", "1", "zone-1", "zone-1", 0.5, "127.0.0.1:2", "b"),
+        Hello("strong", "1", "zone-1", "zone-1", 2.0, "127.0.0.1:3", "c"),
+    ]
+    connections = {hello.box: Connection() for hello in hellos}
+    for hello in hellos:
+        gevent.spawn(links.serve, hello, connections[hello.box])
+    with gevent.Timeout(10):
+        while links.count < len(hellos):
+            gevent.sleep(0.01)
+    assert links.heir("zone-1") == Heir("strong", "c", "127.0.0.1:3")
+    for box in ("strong", "weak"):
+        connections[box].frames.put(encode(Demand(stopping=True)))
+    with gevent.Timeout(10):
+        while links.heir("zone-1") != Heir("away", "a", "127.0.0.1:1"):
+            gevent.sleep(0.01)
+    links.tell_all(Grant(1, "i-1"))
+    links.flush(within_s=10.0)
+    assert all(connection.sent for connection in connections.values())
+    for connection in connections.values():
+        connection.close()
+
+
 def test_only_the_newest_forecast_of_an_adapter_goes_out_and_every_grant() -> None:
     outbox = Outbox()
     messages: list[Message] = [
--- a/tests/placement/test_placer_board.py
+++ b/tests/placement/test_placer_board.py
@@ -8,6 +8,7 @@
 
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import PlacerRow, key_of, placer_row_from
+from springrock.placement.succession import Successor
 from springrock.rows import Row, RowStoreUnavailable
 
 KEY = key_of("zone-1")
@@ -83,3 +84,30 @@
     board.change(half_written)
     assert placer_row_from(half_written) is None
     assert board.boxes() == set()
+
+
+def successor(fence: int, *, last_fence: int, after: list[str]) -> Successor:
+    return Successor("box-2", "2", "127.0.0.1:2", fence, last_fence, 4, after)
+
+
+def test_who_placed_last_is_asked_for_a_link_however_old_the_news() -> None:
+    board = PlacerBoard(age_s=lambda: 60.0)
+    assert board.holder(KEY) is None
+    board.replace([row(4)])
+    assert board.holder(KEY) == placer_row_from(row(4))
+    board.change(row(5, incarnation=""))
+    assert board.holder(KEY) is None, "it was given up"
+
+
+def test_a_successor_counts_until_the_store_tells_of_a_later_holder() -> None:
+    board = PlacerBoard(age_s=lambda: 60.0)
+    board.replace([row(4)])
+    first = successor(2, last_fence=4, after=["1"])
+    second = successor(3, last_fence=4, after=["1", "2"])
+    board.note_successor(KEY, second)
+    board.note_successor(KEY, first)
+    assert board.holder(KEY) == second
+    board.change(row(5, incarnation="2"))
+    assert board.holder(KEY) == second, "a late write of who went before"
+    board.change(row(6, incarnation="3"))
+    assert board.holder(KEY) == placer_row_from(row(6, incarnation="3"))
