Start: a box that starts while the store is silent learns from boxes that run

Cause: a box believed the store alone (`EntryBox.ready` waits for three tables), although its peers know all of it, and the platform tells it where to ask (`seeds`, for roles that serve `control`).

Change: a box that the store does not answer, or not within 0.25 s, asks its seeds. Each tells in one message all three tables, who goes on in a placer's stead, and which replicas leave. Each table comes with the age that it has at the box that tells it, counted here from before the question, so that keys, doubts and evacuations count from the store's word and not from the copy; a copy of a copy is no younger. The newest version wins, and the store's word replaces it. Not believed: a box that does not know all tables, one whose deployment has other zones, whatever speaks another protocol; a box tells eight others a second and says when to ask again. The links listen at `control` now, where seeds point.

Weighed: readings relayed by the zone's placer (a box that starts has no placer yet); asking only what a request needs (each of three tables decides nearly every request). Calm costs one task that ends.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -104,6 +104,7 @@
             self._start_planned(plan)
         self.processes.spawn("proxy", ["standin", "proxy"], self._proxy_settings())
         self.change()
+        self.assign_links(self.shape.boxes)
         for box in self.shape.boxes:
             self.start_box(box)
         self.wait_ready(replicas=len(self.shape.replicas))
@@ -119,11 +120,21 @@
         if self._earlier is None:
             self._earlier = build_at(LAST_LANDING, self.folder)
         self.processes.use_build(box, self._earlier)
-        self.processes.restart(box)
+        self._restart_knowing_seeds(box, [])
 
     def restart_with_this_build(self, box: str) -> None:
         """Kill a box and start it with this build."""
         self.processes.use_build(box, None)
+        self._restart_knowing_seeds(box, self.seeds_of(box))
+
+    def _restart_knowing_seeds(self, box: str, seeds: list[str]) -> None:
+        """Restart a box; one of the last landing, which knows no such setting, is told none."""
+        path = self.folder / f"{box}.jsonc"
+        settings = json.loads(path.read_text())
+        settings.pop("start", None)
+        if seeds:
+            settings["start"] = {"seeds": seeds}
+        path.write_text(json.dumps(settings, indent=1))
         self.processes.restart(box)
 
     def store_address_of(self, box: str) -> str:
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -32,12 +32,15 @@
 from springrock.permits.own_shares import OwnShares
 from springrock.permits.permits import Permits
 from springrock.permits.warmth import Warmth
+from springrock.placement.messages import Hello, KnownState
 from springrock.placement.placement import Placement
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import KEY_PREFIX as PLACERS_PREFIX
 from springrock.placement.placer_row import TABLE as PLACERS_TABLE
 from springrock.placement.residency import Versions
 from springrock.placement.settings import PlacementSettings
+from springrock.placement.state_asker import StateAsker, fetch_state
+from springrock.placement.state_teller import StateTeller
 from springrock.platform import names
 from springrock.platform.dialect import PlatformDialect
 from springrock.platform.engine import PlatformEngines
@@ -123,6 +126,7 @@
         self._log.say("Start.", zone=place.availability_zone)
         for follower in self._followers:
             follower.start()
+        self._asking = gevent.spawn(self._state_asker.run)
         self._placement.start()
         self._quarantine.start()
         self._door.start()
@@ -162,6 +166,7 @@
         self._door.stop()
         self._readiness.stop()
         self._metrics_page.stop()
+        self._asking.kill()
         self._placement.stop()
         self._quarantine.stop()
         for follower in self._followers:
@@ -264,9 +269,25 @@
             slow_start_terms=lambda: self.settings.slow_start.terms,
             warmth=self._warmth,
             limits=self._limits,
+            tell_state=StateTeller(
+                zones=settings.box.zones,
+                followers=self._followers,
+                board=self._board,
+                directory=self.directory,
+                log=self._log_of("state"),
+            ).answer,
             log_of=self._log_of,
             metrics=self.metrics,
         )
+        self._state_asker = StateAsker(
+            [seed for seed in settings.start.seeds if seed != settings.listen.boxes_address],
+            fetch=self._fetch_state,
+            zones=settings.box.zones,
+            followers=self._followers,
+            board=self._board,
+            directory=self.directory,
+            log=self._log_of("state"),
+        )
         self._notices.on_leaving.append(self._placement.tell_leaving)
         self._share_readings()
         self._follow_evacuations()
@@ -335,6 +356,11 @@
         )
         self._metrics_page = MetricsPage(settings.listen.metrics_address, self.metrics)
 
+    def _fetch_state(self, seed: str) -> KnownState:
+        place = self.settings.box
+        hello = Hello(place.name, "", "", place.availability_zone, asks_state=True)
+        return fetch_state(seed, hello)
+
     def _share_readings(self) -> None:
         """Let boxes go by what a placer's box reads of the store."""
         for follower in self._followers:
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -214,6 +214,16 @@
         return QuarantineTerms(self.crashes, self.for_s)
 
 
+class StartSection(Section, frozen=True, kw_only=True):
+    """A start while the store answers nobody.
+
+    Attributes:
+        seeds: Where other boxes listen for boxes; they may be gone, or be something else.
+    """
+
+    seeds: tuple[str, ...] = ()
+
+
 class StopSection(Section, frozen=True, kw_only=True):
     """A planned stop.
 
@@ -241,4 +251,5 @@
     slow_start: SlowStartSection = field(default_factory=SlowStartSection)
     evacuation: EvacuationSection = field(default_factory=EvacuationSection)
     quarantine: QuarantineSection = field(default_factory=QuarantineSection)
+    start: StartSection = field(default_factory=StartSection)
     stop: StopSection = field(default_factory=StopSection)
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -22,6 +22,7 @@
     Forecast,
     Heartbeat,
     Hello,
+    KnownState,
     Message,
     decode,
     encode,
@@ -278,6 +279,7 @@
         address: Where to listen.
         incarnation: This process; a box that means another one is turned away.
         links_of: Returns the links of a zone, if this box places it now.
+        tell_state: Returns what a box that asks for it is told of what is known.
         log: The log to write to.
     """
 
@@ -287,11 +289,13 @@
         *,
         incarnation: str,
         links_of: Callable[[str], BoxLinks | None],
+        tell_state: Callable[[Hello], KnownState],
         log: Log,
     ) -> None:
         self._address = address
         self._incarnation = incarnation
         self._links_of = links_of
+        self._tell_state = tell_state
         self._log = log
         self._server: Server | None = None
         self._task: gevent.Greenlet[..., Any] | None = None
@@ -321,12 +325,23 @@
         except (*LINK_FAILURES, UnknownKind) as error:
             self._log.say("Rejected a link.", error=str(error))
             return
-        if not isinstance(hello, Hello) or hello.incarnation != self._incarnation:
+        if not isinstance(hello, Hello):
+            return
+        if hello.asks_state:
+            self._answer_state(hello, connection)
+            return
+        if hello.incarnation != self._incarnation:
             return
         links = self._links_of(hello.zone)
         if links is not None:
             links.serve(hello, connection)
 
+    def _answer_state(self, hello: Hello, connection: ServerConnection) -> None:
+        try:
+            connection.send(encode(self._tell_state(hello)))
+        except LINK_FAILURES as error:
+            self._log.say("Could not tell what is known.", peer=hello.box, error=str(error))
+
 
 def _write_forever(link: _Link) -> None:
     try:
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -33,6 +33,7 @@
         strength: The processor that the box has, in cores.
         address: Where the box serves links, if a placer may hand its role over to it.
         process: The incarnation of the box itself, by which others ask for its links.
+        asks_state: Whether the box means no placer, but asks whoever it reaches for what is known.
     """
 
     box: str
@@ -42,6 +43,7 @@
     strength: float = 1.0
     address: str = ""
     process: str = ""
+    asks_state: bool = False
 
 
 class Ask(Struct, frozen=True, array_like=True):
@@ -304,6 +306,37 @@
     as_of_ms: int | None = None
 
 
+class KnownTable(Struct, frozen=True, array_like=True):
+    """A table as a box knows it.
+
+    Attributes:
+        news: All of it.
+        age_ms: How long ago it was surely the newest, as the message was made; None if it never
+            surely was.
+    """
+
+    news: TableNews
+    age_ms: int | None = None
+
+
+class KnownState(Struct, frozen=True, array_like=True, tag=12):
+    """What a box knows, told to one that asked for it in its `Hello`.
+
+    Attributes:
+        zones: All availability zones of the deployment, sorted.
+        tables: The tables of the store; none if the box does not know them all.
+        successors: Who goes on in a placer's stead, each with the key of the placer's row.
+        leaving: Replicas that leave, perhaps by another sign than their row.
+        retry_after_ms: When to ask again, if too many ask now; nothing is told then.
+    """
+
+    zones: list[str]
+    tables: list[KnownTable] = []
+    successors: list[tuple[str, Successor]] = []
+    leaving: list[str] = []
+    retry_after_ms: int = 0
+
+
 _LARGE_BYTES = 256
 """A longer message is compressed. A whole configuration of 1,400 routes, told to 39 boxes a few
 times a second, is reckoned to fill the link of the placer's box: 105 of 596 orders to engines
@@ -319,7 +352,7 @@
 FromPlacer = (
     Grant | Forecast | Heartbeat | Residents | TableNews | Charged | WriteFor | Handover | Permitted
 )
-Message = Hello | Demand | FromPlacer
+Message = Hello | Demand | FromPlacer | KnownState
 _KINDS = kinds_of(Message)
 
 
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
 from gevent.event import Event
@@ -31,15 +30,16 @@
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.handover import HandoverDesk
 from springrock.placement.link_server import BoxLinks, LinkServer
-from springrock.placement.messages import TableNews, TableRow
+from springrock.placement.messages import Hello, KnownState, TableNews
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
 from springrock.placement.settings import PlacementSettings
 from springrock.placement.surroundings import Surroundings
+from springrock.placement.table_news import news_from, reading_from
 from springrock.placement.zone import ZonePlacement
 from springrock.placement.zone_choice import ZoneView, choose_zone
 from springrock.quotas.shares import QuotaTerms
-from springrock.rows import Change, Removed, Row, RowStore, TableReading
+from springrock.rows import RowStore, TableReading
 from springrock.topology import Distance
 
 _LIKELY_HEARD_S = 1.0
@@ -68,6 +68,7 @@
         slow_start_terms: Returns how strictly the bound on cold replicas is meant.
         warmth: Which replicas are cold.
         limits: The limits that replicas have named.
+        tell_state: Returns what a box that asks for it is told of what is known.
         log_of: Returns the log of a part.
         metrics: The metrics to count in.
 
@@ -93,6 +94,7 @@
         slow_start_terms: Callable[[], SlowStartTerms],
         warmth: Warmth,
         limits: NamedLimits,
+        tell_state: Callable[[Hello], KnownState],
         log_of: Callable[[str], Log],
         metrics: ForwardingMetrics,
     ) -> None:
@@ -145,6 +147,7 @@
             settings.address,
             incarnation=self._around.incarnation,
             links_of=self._links_of,
+            tell_state=tell_state,
             log=log_of("link"),
         )
         self._stopping = False
@@ -199,7 +202,7 @@
         zone = self._zones.get(self._settings.zone)
         if zone is not None:
             placers = self._board.boxes() if is_own else ()
-            zone.tell_table(_news_from(reading), also=placers)
+            zone.tell_table(news_from(reading), also=placers)
 
     def _take_news(self, zone: str, news: TableNews) -> None:
         """Learn what the placer's box of a zone has read.
@@ -209,7 +212,7 @@
         """
         home = self._settings.zone
         relied_on = zone == home or (self.reads_for_others and zone < home)
-        self.on_reading(_reading_from(news), relied_on)
+        self.on_reading(reading_from(news), relied_on)
 
     def _placer_lost(self, zone: str) -> None:
         if not self._hears_any:
@@ -399,24 +402,3 @@
 def _may_serve(replica: Replica, bounds: Bounds, world: World) -> bool:
     """Whether a request may go to a replica; its zone's placer counts what a metered one gets."""
     return obstacle_of(replica.record, bounds=bounds, world=world, permitted=True) is None
-
-
-def _news_from(reading: TableReading) -> TableNews:
-    rows = [
-        TableRow(change.key, change.value, change.version)
-        if isinstance(change, Row)
-        else TableRow(change.key, b"", change.version, gone=True)
-        for change in reading.changes
-    ]
-    # Rounded down: a moment must never be told as later than it was.
-    as_of_ms = None if reading.as_of_s is None else math.floor(reading.as_of_s * 1000)
-    return TableNews(reading.table, reading.after, reading.version, rows, reading.whole, as_of_ms)
-
-
-def _reading_from(news: TableNews) -> TableReading:
-    changes: list[Change] = [
-        Removed(row.key, row.version) if row.gone else Row(row.key, row.value, row.version)
-        for row in news.rows
-    ]
-    as_of_s = None if news.as_of_ms is None else news.as_of_ms / 1000
-    return TableReading(news.table, news.after, news.version, changes, news.whole, as_of_s)
--- a/springrock/placement/placer_board.py
+++ b/springrock/placement/placer_board.py
@@ -60,6 +60,10 @@
             self._successors[key] = successor
             self._event(key).set()
 
+    def successors(self) -> list[tuple[str, Successor]]:
+        """Return who goes on in the stead of a placer, each with the key of the placer's row."""
+        return list(self._successors.items())
+
     def wait(self, key: str, *, timeout_s: float) -> None:
         """Wait until a row changes that `standing` has returned, or the time is over."""
         self._event(key).wait(timeout=timeout_s)
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -260,6 +260,7 @@
         self._poll_wait_s = poll_wait_s
         self._clock = StoreClock() if clock is None else clock
         self._newest_at = float("-inf")
+        self._rows: dict[str, Row] = {}
         self._store = store
         self.table = table
         self._listener = listener
@@ -318,6 +319,31 @@
         if self.sharing():
             self.shared_with(reading, False)
 
+    @property
+    def unread(self) -> bool:
+        """Whether the store did not answer the last read."""
+        return self._unread.holds
+
+    def known(self) -> TableReading | None:
+        """Return the whole table as it is known; None if it is not."""
+        if self._version is None:
+            return None
+        rows = list(self._rows.values())
+        return TableReading(self.table, 0, self._version, rows, whole=True)
+
+    def take_copy(self, reading: TableReading, *, newest_at: float) -> None:
+        """Learn the whole table from another box, as old as it may be; never what is older.
+
+        Args:
+            reading: The whole table.
+            newest_at: When it was surely the newest, on the local monotonic clock.
+        """
+        if reading.version < (self._version or 0):
+            return
+        self._apply(reading)
+        self._newest_at = max(self._newest_at, newest_at)
+        self.read_at = newest_at if self.read_at is None else max(self.read_at, newest_at)
+
     def read_alone(self) -> None:
         """Read the store at once, as nobody tells any more."""
         self._told_until = 0.0
@@ -382,16 +408,20 @@
         known = self._version or 0
         if reading.whole:
             if self._version is None or reading.version > known:
-                self._listener.replace([row for row in reading.changes if isinstance(row, Row)])
+                rows = [row for row in reading.changes if isinstance(row, Row)]
+                self._rows = {row.key: row for row in rows}
+                self._listener.replace(rows)
             self._version = max(known, reading.version)
             return
         for change in reading.changes:
             if change.version and change.version <= known:
                 continue
             match change:
-                case Row():
+                case Row(key=key):
+                    self._rows[key] = change
                     self._listener.change(change)
                 case Removed(key=key):
+                    self._rows.pop(key, None)
                     self._listener.remove(key)
         self._version = max(known, reading.version)
 
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -5,6 +5,7 @@
 import base64
 import http.client
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -21,6 +22,9 @@
 ZONES = ("zone-1", "zone-2")
 REPLICAS = 4
 
+SEEDS = 3
+"""The platform tells a machine the addresses of up to so many others."""
+
 
 def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
     """Return a route as the operator writes it."""
@@ -87,6 +91,7 @@
     clients: dict[str, str] = field(default_factory=dict)
     readiness: dict[str, str] = field(default_factory=dict)
     metrics: dict[str, str] = field(default_factory=dict)
+    links: dict[str, str] = field(default_factory=dict)
     version: int = 0
     tenants: list[dict[str, Any]] | None = None
     more_of_replicas: dict[str, Any] = field(default_factory=dict)
@@ -109,8 +114,14 @@
         for number, zone in enumerate(self.zones, start=1):
             self.start_replica(f"rosters-{number}", "rosters", zone)
             self.start_replica(f"engine-{number}", "language", zone, base_model=MODEL)
-        for number in range(1, self.boxes + 1):
-            self.start_box(f"box-{number}")
+        names = [f"box-{number}" for number in range(1, self.boxes + 1)]
+        self.assign_links(names)
+        for name in names:
+            self.start_box(name)
+
+    def assign_links(self, boxes: Sequence[str]) -> None:
+        """Choose where boxes listen for each other, so that the first can be told of the last."""
+        self.links.update(zip(boxes, free_addresses(len(boxes)), strict=True))
 
     def start_replica(self, name: str, service: str, zone: str, **more: Any) -> None:
         """Start a replica, at the address that it had if it ran before."""
@@ -129,8 +140,10 @@
         """Start a box, whose number gives it its zone."""
         zone = self.zones[(int(name.rpartition("-")[2]) - 1) % len(self.zones)]
         clients, readiness, boxes, metrics = free_addresses(4)
+        if name not in self.clients:
+            boxes = self.links.get(name, boxes)
         self.clients[name], self.readiness[name] = clients, readiness
-        self.metrics[name] = metrics
+        self.metrics[name], self.links[name] = metrics, boxes
         settings = {
             "box": {
                 "name": name,
@@ -150,6 +163,9 @@
             "stop": {"within_s": 8.0, "notice_s": 0.2},
             **self.more_settings,
         }
+        if name not in self.build_of:
+            # The last landing knows no such setting.
+            settings["start"] = {"seeds": self.seeds_of(name)}
         self.processes.spawn(
             name,
             [*self.box_command],
@@ -158,6 +174,11 @@
             build=self.build_of.get(name),
         )
 
+    def seeds_of(self, box: str) -> list[str]:
+        """Where a box may ask others, as the platform tells it at the start of the box."""
+        others = [address for name, address in self.links.items() if name != box]
+        return others[:SEEDS]
+
     def store_address_of(self, box: str) -> str:
         """Where a box reaches the store."""
         return self.addresses["store"]
