Election: a box that stops stays linked, and places on while nobody could follow

Change: a stopping box takes part until it ends, but takes no lease. A placer leaves its role as soon as a box that stays is linked or the store answers, each zone for itself, and at its very end to a box that ends a little later.

--- a/springrock/placement/election.py
+++ b/springrock/placement/election.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import gevent
+from gevent.event import Event
 
 from springrock.clock import monotonic
 from springrock.placement.lease import PlacerLease
@@ -14,7 +15,7 @@
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import PlacerRow, key_of
 from springrock.placement.settings import PlacementSettings
-from springrock.placement.succession import Successor
+from springrock.placement.succession import Heir, Successor
 
 _HEARTBEAT_S = 0.4
 _FIRST_LOOK_S = 0.1
@@ -99,12 +100,13 @@
         self._holder = holder
         self._look_s = _LOOK_S
         self._stopping = False
+        self._wake = Event()
 
     def run(self) -> None:
-        """Take part until `stop`."""
+        """Take part until the task is killed; a box that stops takes no lease any more."""
         self._board.wait_known()
         gevent.sleep(random.uniform(0.0, _FIRST_LOOK_S))
-        while not self._stopping:
+        while True:
             if self._lease.held:
                 self._hold()
                 self._look_s = _LOOK_S
@@ -114,22 +116,20 @@
             else:
                 self._find_placer()
 
-    def stop(self, *, placing: bool) -> None:
-        """Take part no more.
-
-        Args:
-            placing: Whether this box places now, and so leaves the lease to another.
-        """
+    def stop(self) -> None:
+        """Be no placer any more as soon as another box can be, and stay linked to that one."""
         self._stopping = True
-        if placing:
-            # First the lease: who loses the link then finds it free.
-            successor = self._links.hold(self._zone, for_s=0.0)
-            self._leave(reason="a planned stop", successor=successor)
-            self._holder.end_placing()
+        self._wake.set()
+
+    def end(self) -> None:
+        """Leave the role, if this box still has it, to whoever ends a little later."""
+        heir = self._links.heir(self._zone, staying=False)
+        if self._lease.held and heir is not None:
+            self._leave(reason="the end", heir=heir)
 
     def adopt(self, handover: Successor) -> None:
         """Go on in the stead of a placer that hands its role over to this box."""
-        if not self._stopping and self._lease.adopt(handover):
+        if self._lease.adopt(handover):
             # What waits for the link to be lost places from now on.
             self._client.close()
 
@@ -151,9 +151,16 @@
         courtesy_s = 0.0 if settings.zone == self._zone else _COURTESY_S
         return courtesy_s + weakness * _WEAKNESS_S
 
-    def _leave(self, *, reason: str, successor: bool) -> None:
-        """Give the lease up, or hand it over while the store takes nothing back."""
+    def _leave_if_followed(self) -> None:
+        """Leave the role as this box stops, unless nobody could take it."""
         heir = self._links.heir(self._zone)
+        if heir is None and self._lease.store_is_silent:
+            return
+        self._leave(reason="a planned stop", heir=heir)
+
+    def _leave(self, *, reason: str, heir: Heir | None) -> None:
+        """Give the lease up, or hand it over while the store takes nothing back."""
+        successor = self._links.hold(self._zone, for_s=0.0)
         handover = self._lease.give_up(reason=reason, successor=successor, heir=heir)
         if handover is not None:
             self._holder.tell_successor(handover)
@@ -165,23 +172,27 @@
             self._lease.renew()
         renew_every_s = self._settings.lease_s / _RENEWALS_PER_LEASE
         renewed_at = monotonic()
-        while self._lease.held and not self._stopping:
+        while self._lease.held:
             self._holder.tell_heartbeat()
-            gevent.sleep(_HEARTBEAT_S)
+            self._wake.wait(timeout=_HEARTBEAT_S)
+            self._wake.clear()
             if self._lease.held and monotonic() - renewed_at >= renew_every_s:
                 renewed_at = monotonic()
                 self._lease.renew()
-            if self._lease.held and self.has_better_box():
-                self._leave(reason="another box does better", successor=True)
-        if not self._stopping:
-            self._holder.end_placing()
+            if self._lease.held and self._stopping:
+                self._leave_if_followed()
+            elif self._lease.held and self.has_better_box():
+                self._leave(reason="another box does better", heir=self._links.heir(self._zone))
+        # Only now: who loses the link finds the lease free, or knows who goes on.
+        self._holder.end_placing()
 
     def _find_placer(self) -> None:
         standing = self._lease.look()
         holder = self._board.holder(key_of(self._zone))
         if holder is not None and self._is_other(holder) and self._link_to(holder):
             return
-        if self._stopping or self._lease.challenge(standing, courtesy_s=self.courtesy_s()):
+        courtesy_s = self.courtesy_s()
+        if not self._stopping and self._lease.challenge(standing, courtesy_s=courtesy_s):
             return
         self._pause_before_look(standing)
 
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -157,6 +157,13 @@
         """Seconds that the own lease stands yet."""
         return max(0.0, self._held_until - monotonic())
 
+    @property
+    def store_is_silent(self) -> bool:
+        """Whether the store did not answer the last renewal, a short time ago."""
+        renewed_at = self._held_until - self._lease_s
+        silent_s = monotonic() - self._unanswered_at
+        return self._unanswered_at > renewed_at and silent_s < self._lease_s / 2
+
     def note_heartbeat(self, version: int, left_s: float) -> None:
         """Learn from the holder how long its lease stands; what was sent earlier lapses earlier."""
         self._seen_version = version
@@ -203,7 +210,7 @@
         if own is None:
             return None
         handover = self._handover(own, heir)
-        is_silent = self._store_is_silent
+        is_silent = self.store_is_silent
         self.lose(reason=reason)
         if handover is None or not is_silent:
             if not self._checks_fence:
@@ -337,13 +344,6 @@
         self._own = settled
         return True
 
-    @property
-    def _store_is_silent(self) -> bool:
-        """Whether the store did not answer the last renewal, a short time ago."""
-        renewed_at = self._held_until - self._lease_s
-        silent_s = monotonic() - self._unanswered_at
-        return self._unanswered_at > renewed_at and silent_s < self._lease_s / 2
-
     def _handover(self, own: Tenure, heir: Heir | None) -> Successor | None:
         """Return the handover to another box; None if none may go on."""
         stands = self.holds or own.handed is not None
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -183,12 +183,18 @@
             for link in self._links.values()
         )
 
-    def heir(self, home_zone: str) -> Heir | None:
+    def heir(self, home_zone: str, *, staying: bool = True) -> Heir | None:
         """Return the box to which the role is best handed over; None if there is none.
 
         One of the zone itself comes first, then the strongest, then the one linked for longest.
+
+        Args:
+            home_zone: The zone.
+            staying: Whether it must not be about to stop itself.
         """
-        links = [link for link in self._links.values() if link.heir and not link.stopping]
+        links = [
+            link for link in self._links.values() if link.heir and not (staying and link.stopping)
+        ]
         best = max(
             links,
             key=lambda link: (link.home_zone == home_zone, link.strength, -link.since),
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -192,10 +192,11 @@
         """Let another box become the placer, as this one is about to stop."""
         self.demand.stopping = True
         self.demand.changed.set()
-        self._election.stop(placing=self._placer.active)
+        self._election.stop()
 
     def stop(self) -> None:
         """End all tasks and links."""
+        self._election.end()
         for task in self._tasks:
             task.kill()
         self._placer.stop()
