Lease: the store is asked beside linked boxes, so that an outage is known all the time

Callers saw: while the store answered nobody, adapters came later than they need.

Cause: a placer that the store does not answer has every second renewal written by linked boxes. If the store is silent for all, they answer too late (0.5 s, a call takes 0.8 s), which proves nothing (`HelpersSilent`), and the last proof of the outage is older than half a lease before the next: the placer does not hold, and so orders nothing, for up to a second in every 2.4 s. Evidence: "Did not renew the placer's lease", `goes_on` false, in the logs of boxes restarted while the store is silent.

Change: linked boxes and the store are asked at the same time. A store that is silent still is proof, whatever linked boxes say, and the renewal takes no longer than one call.

Test: test_a_placer_goes_on_all_the_time_while_nobody_answers failed before.

--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -22,6 +22,7 @@
     Row,
     RowConflict,
     RowStore,
+    RowStoreError,
     RowStoreUnavailable,
     RowWriter,
 )
@@ -172,6 +173,8 @@
     def renew(self) -> bool:
         """Renew the own lease; return whether it still stands as far as is known."""
         for _ in range(_RENEWAL_TRIES):
+            if self._own is None:
+                return False
             try:
                 self._write_renewal()
             except RowStoreUnavailable as error:
@@ -381,25 +384,43 @@
     def _renewed(self, renewed: PlacerRow, *, expected: int) -> tuple[float, int]:
         """Write a renewal by the store or by linked boxes; return when it was sent, and as what.
 
-        Only one of them is tried each time: heartbeats wait for it, and both together may take
-        longer than the silence after which boxes take a placer for lost.
+        Both are asked at the same time, not in turn: heartbeats wait for it, and that must not
+        take longer than the silence after which boxes take a placer for lost.
         """
-        writer = self._next_writer()
+        sent_at = monotonic()
+        relay = self._next_relay()
+        self._relay_failed = False
+        if relay is not None:
+            # That the store is silent yet is what lets this box go on if linked boxes say nothing.
+            beside = gevent.spawn(self._asked_store, renewed, expected)
+            try:
+                version = self._write(renewed, expected=expected, writer=relay)
+            except RowStoreUnavailable as error:
+                self._relay_failed = True
+                if not isinstance(error, HelpersSilent):
+                    self._note_unanswered(sent_at)
+                outcome = beside.get()
+            else:
+                self._relayed.begin(row=self._key)
+                return sent_at, version
+        else:
+            outcome = self._asked_store(renewed, expected)
+        if isinstance(outcome, RowStoreError):
+            raise outcome
+        self._relayed.end(row=self._key)
+        return sent_at, outcome
+
+    def _asked_store(self, renewed: PlacerRow, expected: int) -> int | RowStoreError:
+        """Write a renewal; return its version, or what came instead."""
         sent_at = monotonic()
         try:
-            version = self._write(renewed, expected=expected, writer=writer)
+            return self._write(renewed, expected=expected, writer=self._store)
+        except RowConflict as conflict:
+            return conflict
         except RowStoreUnavailable as error:
-            if writer is self._store:
-                self._store_failed_at = sent_at
-            self._relay_failed = writer is not self._store
-            if not isinstance(error, HelpersSilent):
-                self._note_unanswered(sent_at)
-            raise
-        if writer is self._store:
-            self._relayed.end(row=self._key)
-        else:
-            self._relayed.begin(row=self._key)
-        return sent_at, version
+            self._store_failed_at = sent_at
+            self._note_unanswered(sent_at)
+            return error
 
     def _note_unanswered(self, sent_at: float) -> None:
         """Learn that the store did not answer a renewal, and so that it is out.
@@ -421,12 +442,10 @@
             error=str(error),
         )
 
-    def _next_writer(self) -> RowWriter:
-        """Return the store, or linked boxes while it did not answer lately and they did."""
+    def _next_relay(self) -> RowWriter | None:
+        """Return the linked boxes if the store did not answer lately and they did; else None."""
         store_fails = monotonic() - self._store_failed_at < _STORE_LEFT_ALONE_S
-        if self._relay is None or self._relay_failed or not store_fails:
-            return self._store
-        return self._relay
+        return None if self._relay_failed or not store_fails else self._relay
 
     def _write(self, value: PlacerRow, *, expected: int, writer: RowWriter) -> int:
         return writer.write(TABLE, self._key, msgspec.json.encode(value), expected=expected)
--- a/tests/placement/test_lease_relayed.py
+++ b/tests/placement/test_lease_relayed.py
@@ -81,3 +81,53 @@
     one.renew()
     assert not one.holds, "linked boxes that are silent tell nothing of the store"
     assert not one.renew(), "the store is asked next"
+
+
+class Round:
+    """A renewal that waits for whoever does not answer, as long as each of them is waited for."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.began_at = clock.now
+
+    def wait(self, seconds: float) -> None:
+        self._clock.now = max(self._clock.now, self.began_at + seconds)
+
+
+class SlowToFail(Store):
+    """A store that is waited for in vain while it is down."""
+
+    def __init__(self, round_: Round) -> None:
+        super().__init__()
+        self._round = round_
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        if self.down:
+            self._round.wait(0.8)
+        return super().write(table, key, value, expected=expected)
+
+
+class SlowSilent(Silent):
+    """Linked boxes that are waited for in vain."""
+
+    def __init__(self, round_: Round) -> None:
+        self._round = round_
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        self._round.wait(0.5)
+        return super().write(table, key, value, expected=expected)
+
+
+def test_a_placer_goes_on_all_the_time_while_nobody_answers(clock: Clock) -> None:
+    """It stood still in every second renewal, as linked boxes that are silent prove nothing."""
+    round_ = Round(clock)
+    store = SlowToFail(round_)
+    lease = make_lease(store, "one", relay=SlowSilent(round_))
+    assert lease.challenge(lease.look())
+    store.down = True
+    # The lease lapses between two renewals: one that is under way then proves nothing.
+    round_.began_at -= LEASE_S * 0.1
+    for _ in range(30):
+        clock.now = round_.began_at = round_.began_at + LEASE_S * 0.4
+        assert lease.holds
+        assert lease.renew()
