Loop watch: boxes and stand-ins say how late their loop runs

No log told a stall of the process from a stall of the other side.

Each process looks twice a second at how late its loop is: a histogram in boxes, springrock_loop_late_seconds, and in boxes and stand-ins a line above 0.25 s, at most one in 5 s, with how many were not said. A stand-in's log goes where its output goes.

--- a/springrock/cli.py
+++ b/springrock/cli.py
@@ -62,8 +62,12 @@
     """
     from springrock.emulator import make_standin
     from springrock.emulator.platform import serve_forever
+    from springrock.log import Log, log_to
+    from springrock.loop_watch import LoopWatch
 
     gevent.signal_handler(signal.SIGTERM, sys.exit, 0)
+    log_to()
+    LoopWatch(Log("loop", kind)).start()
     serve_forever(make_standin(kind, settings))
     return 0
 
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -27,6 +27,7 @@
 from springrock.forwarding.streaming import StreamRelay
 from springrock.forwarding.way_bytes import WayBytes
 from springrock.log import Log
+from springrock.loop_watch import LoopWatch
 from springrock.metrics import ForwardingMetrics
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.own_shares import OwnShares
@@ -87,6 +88,9 @@
         self.stopped = Event()
         self._stopping = False
         self._log = self._log_of("box")
+        self._loop_watch = LoopWatch(
+            self._log_of("loop"), observe=self.metrics.loop_late_seconds.observe
+        )
         self._routes = RouteTable(Configuration())
         self._is_unreadable = False
         self._budgets: dict[str, RetryBudget] = {}
@@ -124,6 +128,7 @@
         """Start every part and return."""
         place = self.settings.box
         self._log.say("Start.", zone=place.availability_zone)
+        self._loop_watch.start()
         for follower in self._followers:
             follower.start()
         self._asking = gevent.spawn(self._state_asker.run)
@@ -167,6 +172,7 @@
         self._readiness.stop()
         self._metrics_page.stop()
         self._asking.kill()
+        self._loop_watch.stop()
         self._placement.stop()
         self._quarantine.stop()
         for follower in self._followers:
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -164,6 +164,12 @@
             ["table"],
             registry=registry,
         )
+        self.loop_late_seconds = Histogram(
+            "springrock_loop_late_seconds",
+            "By how much this process's loop was late, looked at twice a second.",
+            buckets=(0.005, 0.025, 0.1, 0.25, 0.5, 1.0, 2.5),
+            registry=registry,
+        )
         self.orders = Counter(
             "springrock_placement_orders",
             "Orders given to engines.",
