Keeper: a new placer unloads nothing at an engine that runs more than it was told of

What callers may see: an engine that takes no order until a run has ended, or 421 and a retry.

Cause (docs/incidents/unload-crosses-a-grant.md, traced earlier): a new placer waits 0.15 s for the engines' reports, not for the boxes' word on what runs. A box that has sent a request without a placer's word links up to 0.6 s later, and what it runs counts as unused until then.

Change: an engine's report tells how many requests it runs. As long as it has reported more than boxes have told, it is let unload nothing, for 0.7 s at most from when the placer began. Engines without such runs, and loads into free places, wait for nothing.

Tests: test_a_new_placer_unloads_nothing_under_a_run_that_no_box_has_told_of_yet; without the change the unload was ordered at once.

--- a/springrock/placement/keeper.py
+++ b/springrock/placement/keeper.py
@@ -47,6 +47,10 @@
 _AUDIT_S = 5.0
 """How often an engine is asked while nothing is on its way."""
 
+_WORD_WITHIN_S = 0.7
+"""So long a new placer lets an engine that runs more than it was told of unload nothing: boxes look
+for their placer every 0.6 s, and tell it on linking what they run."""
+
 _ASSIGNMENT_S = 2.0
 """How long an assignment is tried before it is given back to the planner."""
 
@@ -60,6 +64,7 @@
         lease: The lease under whose fence it orders.
         planner: Chooses what gives way.
         used: Returns which adapters requests now use, and where.
+        known_runs: Returns how many requests run at the engine, as boxes have told.
         newest: Returns the newest version of an adapter.
         wanted_model: Returns the base model that an empty engine is to load now, if any may be.
         takes_orders: Whether the engine is given orders at all.
@@ -77,6 +82,7 @@
         lease: PlacerLease,
         planner: Planner,
         used: Callable[[], Collection[tuple[str, AdapterKey]]],
+        known_runs: Callable[[], int],
         newest: Callable[[AdapterKey], int],
         wanted_model: Callable[[], str | None],
         holder: str,
@@ -91,6 +97,9 @@
         self._lease = lease
         self._planner = planner
         self._used = used
+        self._known_runs = known_runs
+        self._reported_runs = 0
+        self._began_at = 0.0
         self._newest = newest
         self._wanted_model = wanted_model
         self._holder = holder
@@ -110,6 +119,7 @@
 
     def start(self) -> None:
         """Begin keeping."""
+        self._began_at = monotonic()
         self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -163,6 +173,7 @@
         self._unreachable.end()
         book.reachable = True
         self._reported_at = monotonic()
+        self._reported_runs = state.running + state.queued
         if book.take_report(state):
             self._stale = False
         else:
@@ -218,9 +229,11 @@
         for leaving in book.unanswered_unloads:
             if (book.instance, leaving) not in used:
                 return self._order(OrderKind.UNLOAD, leaving)
+        may_unload = not self._awaits_word()
         outdated = self._first_assigned(
             lambda key: (
-                book.is_outdated(key, version=self._newest(key))
+                may_unload
+                and book.is_outdated(key, version=self._newest(key))
                 and (book.instance, key) not in used
             )
         )
@@ -232,10 +245,15 @@
         if book.free > 0:
             return self._order(OrderKind.LOAD, key)
         victim = self._planner.victim(book, used=used, now=monotonic())
-        if victim is None:
+        if victim is None or not may_unload:
             return False
         return self._order(OrderKind.UNLOAD, victim)
 
+    def _awaits_word(self) -> bool:
+        """Whether requests may run here that no box has told this placer of yet."""
+        is_new = monotonic() - self._began_at < _WORD_WITHIN_S
+        return is_new and self._reported_runs > self._known_runs()
+
     def _first_assigned(self, fits: Callable[[AdapterKey], bool]) -> AdapterKey | None:
         return next((key for key in self.book.assigned if fits(key)), None)
 
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -305,6 +305,7 @@
             lease=self._lease,
             planner=self._planner(service),
             used=lambda: self.requests.dispatcher(service).used,
+            known_runs=lambda: self.requests.dispatcher(service).work(replica.instance).runs,
             newest=self._versions.newest,
             wanted_model=lambda: self._models.wanted(service, self._books()),
             takes_orders=lambda: not self._is_evacuated,
--- a/tests/placement/test_keeper.py
+++ b/tests/placement/test_keeper.py
@@ -14,6 +14,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.placement import keeper as keeper_module
 from springrock.placement.control import (
     ControlUnanswered,
     EngineState,
@@ -52,6 +53,7 @@
         self.adapters: set[str] = set()
         self.coming: set[str] = set()
         self.models = frozenset({"m"})
+        self.running = 0
         self.newest_fence = 0
         self.lose_order = False
         self.lose_answer = False
@@ -64,6 +66,7 @@
             models=self.models,
             adapters=tuple(HeldAdapter("m", name, 1) for name in self.adapters),
             coming=tuple(HeldAdapter("m", name, 1) for name in self.coming),
+            running=self.running,
         )
 
     def order(self, address: str, *, instance: str, order: Order) -> OrderAnswer:
@@ -109,6 +112,7 @@
     newest: int = 0,
     used: set[tuple[str, AdapterKey]] | None = None,
     takes_orders: Callable[[], bool] = lambda: True,
+    known_runs: Callable[[], int] = lambda: 0,
 ) -> Keeper:
     record = ReplicaRecord(
         instance="i-1",
@@ -123,6 +127,7 @@
         lease=lease,  # type: ignore[arg-type]
         planner=Planner(Popularity(), lambda key: newest),
         used=lambda: set(used or ()),
+        known_runs=known_runs,
         newest=lambda key: newest,
         wanted_model=lambda: "m",
         holder="box",
@@ -180,6 +185,37 @@
     keeper.stop()
 
 
+def test_a_new_placer_unloads_nothing_under_a_run_that_no_box_has_told_of_yet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Boxes send without a placer's word too, and link to a new placer a little later."""
+    monkeypatch.setattr(keeper_module, "_WORD_WITHIN_S", 60.0)
+    engine, told, known = Engine(), [], [0]
+    engine.adapters, engine.running = {"x", "y"}, 2
+    keeper = make_keeper(engine, Lease(), told, known_runs=lambda: known[0])
+    keeper.start()
+    assign(keeper, "a")
+    wait_for(lambda: bool(told), "the engine's report is read")
+    gevent.sleep(0.2)
+    assert engine.orders == []
+    known[0] = 2
+    wait_for(lambda: "a" in engine.adapters, "a is there once all runs are known")
+    keeper.stop()
+
+
+def test_a_new_placer_waits_for_word_of_runs_only_so_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(keeper_module, "_WORD_WITHIN_S", 0.1)
+    engine, told = Engine(), []
+    engine.adapters, engine.running = {"x", "y"}, 2
+    keeper = make_keeper(engine, Lease(), told)
+    keeper.start()
+    assign(keeper, "a")
+    wait_for(lambda: "a" in engine.adapters, "a is there, as nobody told of the runs")
+    keeper.stop()
+
+
 def test_a_newer_fence_ends_the_orders() -> None:
     engine, lease, told = Engine(), Lease(), []
     keeper = make_keeper(engine, lease, told)
--- a/tests/placement/test_places_model.py
+++ b/tests/placement/test_places_model.py
@@ -140,6 +140,7 @@
             lease=SimpleNamespace(holds=True, fence=1),  # type: ignore[arg-type]
             planner=self.planner,
             used=lambda: set(),
+            known_runs=lambda: 0,
             newest=lambda key: 0,
             wanted_model=lambda: None,
             holder="box",
