Rows: a copy of one table that the store had already told gives way to the store's next word

Found on rereading. A box that has read one table asks others while it misses another, and takes over whatever is newer. Now every copy that is newer is followed by a whole read.

--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -354,7 +354,7 @@
         """
         if reading.version < (self._version or 0):
             return
-        self._copied = self._copied or self._version is None
+        self._copied = self._copied or self._version != reading.version
         self._apply(reading)
         self._newest_at = max(self._newest_at, newest_at)
         self.read_at = newest_at if self.read_at is None else max(self.read_at, newest_at)
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -334,3 +334,23 @@
     follower.start()
     wait_for_value(listener, b"store")
     follower.stop()
+
+
+def test_a_copy_that_is_newer_than_the_store_s_own_word_gives_way_to_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One table may be read already while a box asks others for the rest."""
+    monkeypatch.setattr(rows_module, "_COPY_KEPT_S", 0.05)
+    listener = Listener()
+    follower = TableFollower(
+        OneTable(6), TABLE, listener, pause_s=0.01, log=Log("rows", "test"), poll_wait_s=lambda: 0.0
+    )
+    follower.start()
+    wait_for_value(listener, b"store")
+    follower.stop()
+    told = TableReading(TABLE, 0, 7, [Row("a", b"copy", 7)], whole=True)
+    follower.take_copy(told, newest_at=monotonic())
+    assert listener.rows == {"a": b"copy"}
+    follower.start()
+    wait_for_value(listener, b"store")
+    follower.stop()
