Rows: lines and metrics that tell a store of another history from a silent one

The record of CONFIG, DRAIN names neither versions nor eras nor who told a reading, so that a box told by another history, one whose version was passed before it asked, and a sum of waits leave the same lines.

A configuration in force and a leaving replica now name the version of the table before, who told it and how old it was; a box that is told less than it knows says so once, with both versions; the era of the store is a line whenever it changes and a metric. No decision goes by any of it yet.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -93,8 +93,11 @@
         )
         self._routes = RouteTable(Configuration())
         self._is_unreadable = False
+        self._store_era: int | None = None
         self._budgets: dict[str, RetryBudget] = {}
-        self.directory = Directory(self._log_of("directory"))
+        self.directory = Directory(
+            self._log_of("directory"), rows_origin=lambda: self._replica_table.origin
+        )
         self._versions = Versions()
         self._topology = settings.box.topology
         self._evacuations = Evacuations(
@@ -112,7 +115,8 @@
         self.directory.on_change.append(self._warmth.take_record)
         self._limits = NamedLimits(self._log_of("permits"))
         self._store = CountedStore(
-            PlatformStore(settings.store.address), calls=self.metrics.store_calls
+            PlatformStore(settings.store.address, on_era=self._note_era),
+            calls=self.metrics.store_calls,
         )
         self._build_followers()
         self._build_serving()
@@ -242,6 +246,14 @@
 
     def _show_age(self, table: str, follower: TableFollower) -> None:
         self.metrics.table_age_seconds.labels(table).set_function(lambda: follower.age_s)
+        self.metrics.table_version.labels(table).set_function(lambda: float(follower.version))
+
+    def _note_era(self, era: int) -> None:
+        if era == self._store_era:
+            return
+        self._log_of("store").say("The store is in another era.", era=era, before=self._store_era)
+        self._store_era = era
+        self.metrics.store_era.set(era)
 
     def _build_serving(self) -> None:
         settings = self.settings
@@ -376,9 +388,10 @@
             )
         by_table = {follower.table: follower for follower in self._followers}
 
-        def _take(reading: TableReading, relied_on: bool) -> None:
+        def _take(reading: TableReading, relied_on: bool, teller: str) -> None:
             if reading.table in by_table:
-                by_table[reading.table].take_reading(reading, relied_on=relied_on)
+                follower = by_table[reading.table]
+                follower.take_reading(reading, relied_on=relied_on, teller=teller)
 
         self._placement.on_reading = _take
         self._placement.on_alone = lambda: by_table[PLACERS_TABLE].read_alone()
@@ -408,6 +421,7 @@
             version=configuration.version,
             routes=len(configuration.routes),
             teams=None if configuration.teams is None else len(configuration.teams),
+            **self._operator_table.origin,
         )
         if any(team.limited for team in configuration.teams or ()) and not self._quota_zones():
             self._log.say("Teams have quotas, but the settings do not list the zones.")
--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 
 import msgspec
@@ -124,14 +124,16 @@
 
     Args:
         log: The log to write to.
+        rows_origin: Returns where the newest of the replicas' rows comes from, for logs.
 
     Attributes:
         on_change: Called with each new or changed record, or with None and the incarnation that
             is gone. A replica that started anew is told as gone first.
     """
 
-    def __init__(self, log: Log) -> None:
+    def __init__(self, log: Log, *, rows_origin: Callable[[], Mapping[str, object]] = dict) -> None:
         self._log = log
+        self._rows_origin = rows_origin
         self._replicas: dict[str, Replica] = {}
         self._by_id: dict[str, str] = {}
         self._starts: Remembered[int] = Remembered(at_most=_INCARNATIONS_KEPT)
@@ -335,6 +337,7 @@
             sign=sign,
             running=replica.running,
             record_age_s=round(monotonic() - recorded_at, 3),
+            **self._rows_origin(),
         )
 
     def _tell(self, record: ReplicaRecord | None, instance: str) -> None:
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -164,6 +164,17 @@
             ["table"],
             registry=registry,
         )
+        self.table_version = Gauge(
+            "springrock_forwarding_table_version",
+            "The version of the store up to which a table is known.",
+            ["table"],
+            registry=registry,
+        )
+        self.store_era = Gauge(
+            "springrock_store_era",
+            "How often the store has come back from a copy, as its last answer said.",
+            registry=registry,
+        )
         self.loop_late_seconds = Histogram(
             "springrock_loop_late_seconds",
             "By how much this process's loop was late, looked at twice a second.",
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -73,8 +73,8 @@
         metrics: The metrics to count in.
 
     Attributes:
-        on_reading: Called with what a placer's box has read of a table, and whether this box may
-            rely on being told what follows.
+        on_reading: Called with what a placer's box has read of a table, whether this box may
+            rely on being told what follows, and the placer's zone.
         on_alone: Called when the box that told readings is lost.
         handovers: Learns of evacuated zones, and has what was asked for there brought elsewhere.
     """
@@ -107,7 +107,9 @@
         self._heard = Event()
         self._unheard_since = monotonic()
         self._board = board
-        self.on_reading: Callable[[TableReading, bool], None] = lambda reading, relied_on: None
+        self.on_reading: Callable[[TableReading, bool, str], None] = (
+            lambda reading, relied_on, teller: None
+        )
         self.on_alone: Callable[[], None] = lambda: None
         self._around = Surroundings(
             incarnation=new_id(),
@@ -212,7 +214,7 @@
         """
         home = self._settings.zone
         relied_on = zone == home or (self.reads_for_others and zone < home)
-        self.on_reading(reading_from(news), relied_on)
+        self.on_reading(reading_from(news), relied_on, zone)
 
     def _placer_lost(self, zone: str) -> None:
         if not self._hears_any:
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -47,6 +47,9 @@
 ROWS_FEED_PATH = "/v1/rows-feed"
 ROWS_TX_PATH = "/v1/rows-tx"
 
+ERA_HEADER = "Store-Era"
+"""In all answers of the store: how often it has come back from a copy."""
+
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
@@ -28,6 +29,8 @@
 _OK = 200
 _CONFLICT = 412
 _GONE = 410
+_ERA_DIGITS = 5
+_ERA_SHOWN = 40
 
 
 class _Row(Struct, omit_defaults=True):
@@ -73,9 +76,11 @@
 
     Args:
         address: ``HOST:PORT`` of the store.
+        on_era: Called with the era that each answer names.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, on_era: Callable[[int], None] = lambda era: None) -> None:
+        self._on_era = on_era
         self._url = f"http://{address}"
         self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
 
@@ -130,17 +135,27 @@
         timeout = urllib3.Timeout(connect=_CONNECT_S, read=_ANSWER_S + wait_s)
         headers = {"Content-Type": "application/json"} if body is not None else None
         try:
-            return self._pool.request(
+            response = self._pool.request(
                 method, f"{self._url}{path}", body=body, headers=headers, timeout=timeout
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise RowStoreUnavailable(f"{path.partition('?')[0]}: {error}") from None
+        self._on_era(_era_of(response))
+        return response
 
 
 def _seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
 
 
+def _era_of(response: urllib3.BaseHTTPResponse) -> int:
+    """Return the era that an answer names; 0 if it names none."""
+    told = response.headers.get(names.ERA_HEADER, "0")
+    if not (told.isascii() and told.isdecimal() and len(told) <= _ERA_DIGITS):
+        raise RowStoreUnavailable(f"the store's era cannot be read: {told[:_ERA_SHOWN]!r}")
+    return int(told)
+
+
 def _checked(response: urllib3.BaseHTTPResponse) -> urllib3.BaseHTTPResponse:
     if response.status != _OK:
         raise RowStoreUnavailable(f"the store answered {response.status}")
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple, Protocol
@@ -281,6 +282,12 @@
         )
         self._task: gevent.Greenlet[..., Any] | None = None
         self._told_until = 0.0
+        self._told_by = ""
+        self._behind = Condition(
+            log,
+            begins=f"Is told of the table {table} what is behind what is known.",
+            ends=f"Is told of the table {table} what follows what is known.",
+        )
         self._alone = Event()
         self.read_at: float | None = None
         self.sharing: Callable[[], bool] = lambda: False
@@ -309,16 +316,36 @@
         """
         return monotonic() - self._newest_at
 
-    def take_reading(self, reading: TableReading, *, relied_on: bool = True) -> None:
+    @property
+    def version(self) -> int:
+        """The version up to which the table is known; 0 if it is not."""
+        return self._version or 0
+
+    @property
+    def origin(self) -> dict[str, object]:
+        """Where the newest of what is known comes from, as fields of a log line."""
+        stale_s = self.staleness_s
+        return {
+            "table_version": self.version,
+            "told_by": self._told_by,
+            "table_stale_ms": round(1000 * stale_s) if math.isfinite(stale_s) else None,
+        }
+
+    def take_reading(
+        self, reading: TableReading, *, relied_on: bool = True, teller: str = ""
+    ) -> None:
         """Learn what another box has read just now.
 
         Args:
             reading: What it read.
+            teller: The zone whose placer's box told it, for logs.
             relied_on: Whether it will tell what follows, so that this box need not read. A box
                 that the store does not answer relies on whoever tells.
         """
         if self._version is None or reading.after > self._version:
             return
+        self._note_behind(reading, teller)
+        self._told_by = teller
         self._apply(reading)
         self._note_newest(reading)
         self.read_at = monotonic()
@@ -395,6 +422,7 @@
             self._clock.note(store_s, sent_at=asked_at, received_at=monotonic())
         if self._copied and not self._replaces_copy(reading):
             return
+        self._told_by = ""
         self._apply(reading)
         self._newest_at = max(self._newest_at, asked_at)
         if self.sharing():
@@ -432,6 +460,13 @@
         self._copied = False
         return True
 
+    def _note_behind(self, reading: TableReading, teller: str) -> None:
+        """Say when a box tells less than is known, and when it no longer does."""
+        if reading.version < self.version:
+            self._behind.begin(teller=teller, told=reading.version, known=self.version)
+        else:
+            self._behind.end(teller=teller, told=reading.version, known=self.version)
+
     def _note_newest(self, reading: TableReading) -> None:
         """Learn up to when what another box has read was the newest."""
         if reading.as_of_s is None:
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -298,7 +298,7 @@
     placement._settings = placement._settings._replace(zone=home)
     deployment.zones[home].tells_home = places
     taken: list[tuple[TableReading, bool]] = []
-    placement.on_reading = lambda reading, relied_on: taken.append((reading, relied_on))
+    placement.on_reading = lambda reading, relied_on, teller: taken.append((reading, relied_on))
     deployment.placement.tell_reading(READING, is_own=True)
     ((news, _),) = deployment.zones[home].told
     deployment.zones[teller].around.on_table_news(teller, news)
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -9,7 +9,7 @@
 
 from springrock import rows as rows_module
 from springrock.clock import monotonic
-from springrock.log import Log
+from springrock.log import Journal, Log
 from springrock.rows import (
     Change,
     Changes,
@@ -106,6 +106,19 @@
     follower.stop()
 
 
+def test_a_box_that_tells_less_than_is_known_is_named_once() -> None:
+    journal = Journal()
+    log = Log("test", "box", journal=journal)
+    follower = TableFollower(ScriptedStore(), TABLE, Listener(), pause_s=0.0, log=log)
+    follower.take_copy(TableReading(TABLE, 0, 9, [], whole=True), newest_at=monotonic())
+    for version in (5, 6, 9):
+        follower.take_reading(TableReading(TABLE, 4, version, []), teller="zone-2")
+    told = [
+        (line.fields["told"], line.fields["known"]) for line in journal.about("teller", "zone-2")
+    ]
+    assert told == [(5, 9), (9, 9)]
+
+
 class CountingStore(ScriptedStore):
     """Counts how often it is asked for changes, and never has any."""
 
