Tests: changes after the store came back from a copy are missed

The stand-in of the store gains the drill: it comes back from a copy of s seconds ago, its versions go back and are given out again, a read from one that it does not have gets 410, and each answer names the era.

--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -390,6 +390,7 @@
             "arrivals": list(self._arrivals),
             "cold_left_s": self._cold_left_s,
             "warm_at": self._cold_until,
+            "leaving_acknowledged": self._leaving_acknowledged,
         }
         return json_response(msgspec.json.encode(counters))
 
--- a/springrock/emulator/rowstore.py
+++ b/springrock/emulator/rowstore.py
@@ -19,6 +19,7 @@
 from springrock.platform import names
 
 _LONGEST_WAIT_S = 30.0
+_FIRST_ERA = 1
 _STORE_TABLES = frozenset({names.OPERATOR_TABLE, names.REPLICA_TABLE})
 """Tables that the system itself may not write to."""
 
@@ -42,6 +43,16 @@
     later_versions: bool = False
 
 
+class Return(Struct, frozen=True, kw_only=True):
+    """The store comes back from a copy; what was written since is gone, its versions with it.
+
+    Attributes:
+        copy_s: How old the copy is.
+    """
+
+    copy_s: float
+
+
 class StoredRow(Struct):
     """A row as it lies in the store."""
 
@@ -73,6 +84,9 @@
         self._rows: dict[tuple[str, str, str], StoredRow] = {}
         self._history: list[StoredRow] = []
         self._version = 0
+        self._era = _FIRST_ERA
+        self._tells_era = settings.tells_era
+        self._written_at: list[tuple[float, int]] = [(monotonic(), 0)]
         self._changed = Event()
         self._fault = RowStoreFault()
         self.server = HttpServer(self._build_app(), settings.address)
@@ -92,6 +106,7 @@
         app.post(names.ROWS_TX_PATH)(lambda: self._post_transaction(operator=False))
         app.post("/standin/transaction")(lambda: self._post_transaction(operator=True))
         app.post("/standin/faults")(self._post_fault)
+        app.post("/standin/return")(self._post_return)
         return app
 
     # Reading.
@@ -99,7 +114,7 @@
     def _get_rows(self) -> Any:
         gevent.sleep(self._fault.slow_s)
         if self._fault.busy:
-            return json_response(b"{}", status=503)
+            return self._refusal(503)
         query = bottle.request.query
         chosen = [
             row
@@ -111,21 +126,23 @@
     def _get_feed(self) -> Any:
         gevent.sleep(self._fault.slow_s)
         if self._fault.busy:
-            return json_response(b"{}", status=503)
+            return self._refusal(503)
         if self._fault.forget_history:
             self._fault = msgspec.structs.replace(self._fault, forget_history=False)
-            return json_response(b"{}", status=410)
+            return self._refusal(410)
         query = bottle.request.query
         after = int(query.after)
         ends_at = monotonic() + min(_LONGEST_WAIT_S, int(query.waitMs) / 1000)
         while not self._fault.busy:
+            if after > self._version:
+                return self._refusal(410)
             changed = self._changed
             found = self._changes(query.table, after)
             left_s = ends_at - monotonic()
             if found or left_s <= 0:
                 return self._answer(found)
             changed.wait(timeout=left_s)
-        return json_response(b"{}", status=503)
+        return self._refusal(503)
 
     def _changes(self, table: str, after: int) -> list[StoredRow]:
         """Return what changed in a table since a version, without a look at all that is older."""
@@ -134,7 +151,15 @@
 
     def _answer(self, rows: list[StoredRow]) -> Any:
         page = {"rows": rows, "more": False, "ver": self._version}
-        return json_response(msgspec.json.encode({**page, "now_ms": round(monotonic() * 1000)}))
+        body = msgspec.json.encode({**page, "now_ms": round(monotonic() * 1000)})
+        return self._response(body)
+
+    def _refusal(self, status: int) -> Any:
+        return self._response(b"{}", status=status)
+
+    def _response(self, body: bytes, *, status: int = 200) -> Any:
+        headers = {names.ERA_HEADER: str(self._era)} if self._tells_era else {}
+        return json_response(body, status=status, headers=headers)
 
     # Writing.
 
@@ -142,31 +167,35 @@
         if not operator:
             gevent.sleep(self._fault.slow_s)
         if self._fault.busy and not operator:
-            return json_response(b"{}", status=503)
+            return self._refusal(503)
         transaction = msgspec.json.decode(bottle.request.body.read(), type=_Transaction)
         if not operator and any(row.table in _STORE_TABLES for row in transaction.put):
-            return json_response(b"{}", status=403)
+            return self._refusal(403)
         standing = [self._standing(item) for item in transaction.expected]
         if any(
             row.ver != item.ver for row, item in zip(standing, transaction.expected, strict=True)
         ):
             body = msgspec.json.encode({"rows": standing, "ver": self._version})
-            return json_response(body, status=412)
+            return self._response(body, status=412)
         self._apply(transaction)
         if self._fault.lose_answers and not operator:
             left = self._fault.lose_answers - 1
             self._fault = msgspec.structs.replace(self._fault, lose_answers=left)
             raise CallerGone("the answer is lost")
         if self._fault.later_versions:
-            self._version += 1
+            self._next_version()
         return self._answer([])
 
     def _standing(self, item: _Expected) -> StoredRow:
         absent = StoredRow(table=item.table, part=item.part, key=item.key)
         return self._rows.get((item.table, item.part, item.key), absent)
 
-    def _apply(self, transaction: _Transaction) -> None:
+    def _next_version(self) -> None:
         self._version += 1
+        self._written_at.append((monotonic(), self._version))
+
+    def _apply(self, transaction: _Transaction) -> None:
+        self._next_version()
         for row in transaction.put:
             stored = StoredRow(row.table, row.key, row.part, row.value, self._version)
             self._rows[(row.table, row.part, row.key)] = stored
@@ -187,3 +216,25 @@
         self._fault = msgspec.json.decode(bottle.request.body.read(), type=RowStoreFault)
         self._wake_readers()
         return b""
+
+    def _post_return(self) -> Any:
+        copy = msgspec.json.decode(bottle.request.body.read(), type=Return)
+        self._restore(monotonic() - copy.copy_s)
+        self._wake_readers()
+        return b""
+
+    def _restore(self, copied_at: float) -> None:
+        """Become what the store was at a moment, in the next era."""
+        kept = bisect_right(self._written_at, copied_at, key=lambda written: written[0])
+        self._written_at = self._written_at[: max(1, kept)]
+        self._version = self._written_at[-1][1]
+        kept = bisect_right(self._history, self._version, key=lambda row: row.ver)
+        self._history = self._history[:kept]
+        self._rows = {}
+        for row in self._history:
+            place = (row.table, row.part, row.key)
+            if row.gone:
+                self._rows.pop(place, None)
+            else:
+                self._rows[place] = row
+        self._era += 1
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -64,9 +64,14 @@
 
 
 class RowStoreStandinSettings(Section, frozen=True, kw_only=True):
-    """The stand-in for the users' metadata store."""
+    """The stand-in for the users' metadata store.
+
+    Attributes:
+        tells_era: Whether its answers name the era.
+    """
 
     address: str
+    tells_era: bool = True
 
 
 class ReplicaStandinSettings(Section, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/platform/test_store_return.py
@@ -0,0 +1,174 @@
+"""Followers of a store that comes back from a copy, against the stand-in in its own process."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator, Sequence
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+import urllib3
+
+from springrock.emulator.ports import free_addresses
+from springrock.log import Log
+from springrock.placement.messages import TableNews, decode, encode
+from springrock.placement.table_news import news_from, reading_from
+from springrock.platform.store import PlatformStore
+from springrock.rows import (
+    Changes,
+    Row,
+    RowStoreUnavailable,
+    Snapshot,
+    TableFollower,
+    TableReading,
+)
+from tests.processes import Processes, wait_until
+
+TABLE = "replicas"
+LATER_S = 30.0
+COPY_S = 1.0
+
+
+class Listener:
+    """Keeps the rows as it is told of them."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes] = {}
+
+    def replace(self, rows: Sequence[Row]) -> None:
+        self.rows = {row.key: row.value for row in rows}
+
+    def change(self, row: Row) -> None:
+        self.rows[row.key] = row.value
+
+    def remove(self, key: str) -> None:
+        self.rows.pop(key, None)
+
+
+class BesideStore:
+    """Asks the store in threads, as the sockets of a test process block its loop."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    def read_all(self, table: str) -> Snapshot:
+        snapshot: Snapshot = _beside(lambda: self._store.read_all(table))
+        return snapshot
+
+    def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
+        ask = partial(self._store.changes, table, after=after, wait_s=wait_s)
+        changes: Changes = _beside(ask)
+        return changes
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        raise NotImplementedError
+
+
+def _beside(call: Callable[[], Any]) -> Any:
+    return gevent.get_hub().threadpool.apply(call)
+
+
+class ReturningStore:
+    """The stand-in, and what an operator and a drill do to it."""
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}/standin"
+        self.client = BesideStore(PlatformStore(address))
+
+    def put(self, key: str, value: str) -> None:
+        self._post("transaction", {"put": [{"table": TABLE, "key": key, "value": value}]})
+
+    def remove(self, key: str) -> None:
+        self._post("transaction", {"remove": [{"table": TABLE, "key": key}]})
+
+    def busy(self, busy: bool) -> None:
+        self._post("faults", {"busy": busy})
+
+    def return_from_copy(self, copy_s: float = COPY_S) -> None:
+        self._post("return", {"copy_s": copy_s})
+
+    def _post(self, what: str, body: object) -> None:
+        assert urllib3.request("POST", f"{self._url}/{what}", body=json.dumps(body)).status == 200
+
+
+@pytest.fixture
+def store(tmp_path: Path) -> Iterator[ReturningStore]:
+    (address,) = free_addresses(1)
+    processes = Processes(tmp_path)
+    processes.spawn("store", ["standin", "rowstore"], {"address": address})
+    try:
+        wait_until(lambda: answers(PlatformStore(address)), what="the store answers")
+        yield ReturningStore(address)
+    finally:
+        processes.stop()
+
+
+def answers(store: PlatformStore) -> bool:
+    try:
+        store.read_all(TABLE)
+    except RowStoreUnavailable:
+        return False
+    return True
+
+
+def follow(store: ReturningStore, *, pause_s: float) -> tuple[TableFollower, Listener]:
+    """Return a follower that waits so long between two reads."""
+    listener = Listener()
+    follower = TableFollower(store.client, TABLE, listener, pause_s=pause_s, log=Log("test", "box"))
+    return follower, listener
+
+
+def tell(told: TableFollower) -> Callable[[TableReading, bool], None]:
+    """Return what tells a follower each reading over a link."""
+
+    def _tell(reading: TableReading, is_own: bool) -> None:
+        news = decode(encode(news_from(reading)))
+        assert isinstance(news, TableNews)
+        told.take_reading(reading_from(news))
+
+    return _tell
+
+
+def eventually(condition: Callable[[], bool], what: str, within_s: float = 2.0) -> None:
+    """Wait for a condition; the store's bound on how late a change may be known."""
+    with gevent.Timeout(within_s, TimeoutError(what)):
+        while not condition():
+            gevent.sleep(0.02)
+
+
+def test_a_box_that_is_told_by_one_that_read_the_returned_store_misses_no_change(
+    store: ReturningStore,
+) -> None:
+    teller, _ = follow(store, pause_s=0.0)
+    told, listener = follow(store, pause_s=LATER_S)
+    for number in range(5):
+        store.put(f"before-{number}", "aaaa")
+    told.start()
+    eventually(lambda: "before-4" in listener.rows, "the table is read")
+    teller.sharing = lambda: True
+    teller.shared_with = tell(told)
+    teller.start()
+    gevent.sleep(0.2)
+    store.return_from_copy(copy_s=COPY_S + 5.0)
+    store.put("after", "bbbb")
+    eventually(lambda: "after" in listener.rows, "a change after the return is known")
+    teller.stop()
+    told.stop()
+
+
+def test_a_box_that_asks_only_after_versions_were_given_out_again_misses_no_change(
+    store: ReturningStore,
+) -> None:
+    follower, listener = follow(store, pause_s=1.0)
+    for number in range(3):
+        store.put(f"before-{number}", "aaaa")
+    follower.start()
+    eventually(lambda: "before-2" in listener.rows, "the table is read")
+    store.return_from_copy(copy_s=COPY_S + 5.0)
+    for number in range(5):
+        store.put(f"after-{number}", "bbbb")
+    eventually(lambda: "after-0" in listener.rows, "the first change after the return is known")
+    follower.stop()
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -231,6 +231,11 @@
         url = f"http://{self.addresses[name]}/standin/faults"
         assert self._pool.request("POST", url, body=json.dumps(fault)).status == 200
 
+    def return_from_copy(self, copy_s: float) -> None:
+        """Let the store come back from a copy so old."""
+        url = f"http://{self.addresses['store']}/standin/return"
+        assert self._pool.request("POST", url, body=json.dumps({"copy_s": copy_s})).status == 200
+
     def counters(self, name: str) -> dict[str, Any]:
         url = f"http://{self.addresses[name]}/standin/counters"
         counters: dict[str, Any] = self._pool.request("GET", url).json()
