Rows: versions are ordered by the store's era first

Cause: the store comes back from a copy, its versions go back and are given out again, and every comparison of versions took two histories for one. A box that is told readings under lower versions left out each change and still counted itself as told; a box that asked only after the versions had passed its own was told nothing of what was written below.

A version is now the era of the answer and the number in one. An answer or a told reading of an earlier era is not believed, nor is a told reading that knows less relied on; one of a later era is read whole. Conditional writes on a number of an era that is over are settled by reading the row; one that took effect in another era says so. What a returned store lacks can be kept for a while, which no table does yet. Messages tell numbers as before and the era as their last field; an earlier build tells none, and counts for nothing once the store has told one. A store that names no era counts as before.

--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -132,13 +132,15 @@
 
     Attributes:
         number: The placer's own number for it.
-        expected: The version that the row must have.
+        expected: The number that the row must have as its version.
+        era: The store's era in which it has it; 0 if that is not known.
     """
 
     number: int
     key: str
     value: bytes
     expected: int
+    era: int = 0
 
 
 class Written(Struct, frozen=True, array_like=True):
@@ -146,9 +148,10 @@
 
     Attributes:
         answered: Whether the store answered.
-        version: The version of the row; 0 if there is none.
+        version: The number of the row's version; 0 if there is none.
         conflict: Whether the row had another version than expected.
         value: The row as it stands.
+        era: The store's era; 0 if it is not known.
     """
 
     number: int
@@ -156,6 +159,7 @@
     version: int = 0
     conflict: bool = False
     value: bytes = b""
+    era: int = 0
 
 
 class CopyWish(Struct, frozen=True, array_like=True):
@@ -235,7 +239,7 @@
     """The placer lives.
 
     Attributes:
-        row_version: The version of its lease's row.
+        row_version: The number of the version of its lease's row.
         lease_left_ms: How much longer the lease stands, as of sending.
         room: How many more adapters its engines could take now.
         boxes: How many boxes are linked to the placer, its own included.
@@ -248,6 +252,7 @@
         limits: The limits that replicas of the zone have named and that stand.
         home_boxes: How many boxes stand in the zone, as far as they are linked; 0 if not told.
         successor: Who goes on in the placer's stead, as it stops while the store is silent.
+        row_era: The store's era of that version; 0 if it is not known.
     """
 
     row_version: int
@@ -262,6 +267,7 @@
     limits: tuple[NamedLimit, ...] = ()
     home_boxes: int = 0
     successor: Successor | None = None
+    row_era: int = 0
 
 
 class EngineHolds(Struct, frozen=True, array_like=True):
@@ -290,12 +296,13 @@
     """What the placer's box has read of one of the store's tables.
 
     Attributes:
-        after: The version after which the rows changed.
-        version: The version up to which the table is told.
+        after: The number of the version after which the rows changed.
+        version: The number of the version up to which the table is told.
         rows: What changed, in order.
         whole: Whether it is the whole table, and what is not in it is gone.
         as_of_ms: A moment of the store's steady clock at which nothing newer had been written; a
             message that was held up on its way so tells its own age. None if it is not known.
+        era: The store's era of all versions; 0 if it is not known.
     """
 
     table: str
@@ -304,6 +311,7 @@
     rows: list[TableRow] = []
     whole: bool = False
     as_of_ms: int | None = None
+    era: int = 0
 
 
 class KnownTable(Struct, frozen=True, array_like=True):
--- a/springrock/placement/relayed_writes.py
+++ b/springrock/placement/relayed_writes.py
@@ -13,9 +13,18 @@
 
 from gevent.event import Event
 
+from springrock.eras import UNTOLD_ERA, era_of, number_of, told_version
+from springrock.errors import PeerRejected
 from springrock.placement.messages import Message, WriteFor, Written
 from springrock.placement.placer_row import TABLE
-from springrock.rows import HelpersSilent, Row, RowConflict, RowStore, RowStoreUnavailable
+from springrock.rows import (
+    HelpersSilent,
+    Row,
+    RowConflict,
+    RowStore,
+    RowStoreUnavailable,
+    WrittenInAnotherEra,
+)
 
 _HELPERS = 3
 """Boxes that are asked at once: of a third that the store does not answer, so many are all cut off
@@ -63,7 +72,7 @@
         waiting = self._waiting[number] = _Round(len(helpers))
         try:
             for box in helpers:
-                self._send(box, WriteFor(number, key, value, expected))
+                self._send(box, WriteFor(number, key, value, number_of(expected), era_of(expected)))
             if helpers:
                 waiting.over.wait(timeout=_ANSWERS_WITHIN_S)
         finally:
@@ -73,10 +82,18 @@
             raise HelpersSilent("no linked box answered")
         if written is None:
             raise RowStoreUnavailable("no linked box could write")
+        # A box of an earlier build does not tell the era.
+        era = written.era or era_of(expected)
+        try:
+            version = told_version(era, written.version)
+        except PeerRejected as error:
+            raise RowStoreUnavailable(str(error)) from None
         if written.conflict:
-            row = Row(key, written.value, written.version) if written.version else None
-            raise RowConflict(row)
-        return written.version
+            row = Row(key, written.value, version) if written.version else None
+            raise RowConflict(row, version=version)
+        if era_of(expected) not in (UNTOLD_ERA, era):
+            raise WrittenInAnotherEra(version)
+        return version
 
     def note_written(self, written: Written) -> None:
         """Learn what a box could do; what comes too late is passed over."""
@@ -110,12 +127,20 @@
 def write_for(store: RowStore, asked: WriteFor) -> Written:
     """Write for a placer; return what came of it."""
     try:
-        version = store.write(TABLE, asked.key, asked.value, expected=asked.expected)
+        expected = told_version(asked.era, asked.expected)
+        version = store.write(TABLE, asked.key, asked.value, expected=expected)
     except RowConflict as conflict:
-        row = conflict.row
-        if row is None:
-            return Written(asked.number, answered=True, conflict=True)
-        return Written(asked.number, True, row.version, conflict=True, value=row.value)
-    except RowStoreUnavailable:
+        row = conflict.row or Row(asked.key, b"", 0)
+        return Written(
+            asked.number,
+            answered=True,
+            version=number_of(row.version),
+            conflict=True,
+            value=row.value,
+            era=era_of(conflict.version),
+        )
+    except WrittenInAnotherEra as written:
+        version = written.version
+    except (RowStoreUnavailable, PeerRejected):
         return Written(asked.number)
-    return Written(asked.number, True, version, value=asked.value)
+    return Written(asked.number, True, number_of(version), value=asked.value, era=era_of(version))
--- a/springrock/placement/succession.py
+++ b/springrock/placement/succession.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Struct
 
+from springrock.eras import era_of, number_of, told_version
 from springrock.placement.placer_row import PlacerRow
 
 RESERVED_FENCES = 64
@@ -39,8 +40,9 @@
         address: Where it serves links.
         fence: Under which it orders until the store has confirmed it.
         last_fence: The highest that the lease has reserved.
-        version: The version of the row, as the last holder knew it.
+        version: The number of the row's version, as the last holder knew it.
         after: The processes that went before under the lease; the row may name any of them.
+        era: The store's era of that version; 0 if it is not known.
     """
 
     box: str
@@ -50,6 +52,7 @@
     last_fence: int
     version: int
     after: list[str]
+    era: int = 0
 
     def follows(self, row: PlacerRow) -> bool:
         """Whether a row of the store is of the lease that was handed over, and not a newer one."""
@@ -85,7 +88,7 @@
             address=handed.address,
             fence=handed.last_fence,
         )
-        return cls(row, handed.version, handed.fence, handed)
+        return cls(row, told_version(handed.era, handed.version), handed.fence, handed)
 
     def renewal(self) -> PlacerRow:
         """Return what the next renewal writes.
@@ -117,6 +120,7 @@
             address=heir.address,
             fence=self.fence + 1,
             last_fence=self.row.fence,
-            version=self.version,
+            version=number_of(self.version),
+            era=era_of(self.version),
             after=[*before, self.row.incarnation],
         )
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -8,6 +8,7 @@
 import gevent
 import msgspec
 
+from springrock.eras import era_of, number_of, told_version
 from springrock.forwarding.directory import LeavingSign
 from springrock.forwarding.message import AdapterKey
 from springrock.metrics import BytesKind
@@ -291,7 +292,8 @@
     def _heartbeat(self) -> Heartbeat:
         outlook = self._placer.outlook()
         return Heartbeat(
-            row_version=self._lease.version,
+            row_version=number_of(self._lease.version),
+            row_era=era_of(self._lease.version),
             lease_left_ms=round(self._lease.left_s * 1000),
             room=self._placer.room(),
             boxes=self.links.count + 1,
@@ -346,7 +348,9 @@
             case Heartbeat():
                 if message.successor is not None:
                     self._take_successor(message.successor)
-                self._lease.note_heartbeat(message.row_version, message.lease_left_ms / 1000)
+                self._lease.note_heartbeat(
+                    told_version(message.row_era, message.row_version), message.lease_left_ms / 1000
+                )
                 self._note_heartbeat(message)
 
     def _take_successor(self, successor: Successor) -> None:
@@ -430,7 +434,10 @@
         """Tell all linked boxes who goes on in this one's stead."""
         self._board.note_successor(key_of(self._zone), successor)
         heartbeat = msgspec.structs.replace(
-            self._heartbeat(), row_version=successor.version, successor=successor
+            self._heartbeat(),
+            row_version=successor.version,
+            row_era=successor.era,
+            successor=successor,
         )
         self.links.tell_all(heartbeat)
         self.links.flush(within_s=_TOLD_WITHIN_S)
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import msgspec
 import urllib3
 from msgspec import Struct, field
 
+from springrock.eras import UNTOLD_ERA, VersionOutOfRange, era_of, number_of, version_in
 from springrock.platform import names
 from springrock.rows import (
+    Change,
     Changes,
     HistoryGone,
     Removed,
@@ -18,6 +20,7 @@
     RowConflict,
     RowStoreUnavailable,
     Snapshot,
+    WrittenInAnotherEra,
 )
 
 T = TypeVar("T")
@@ -71,63 +74,112 @@
     remove: list[_Expected] = field(default_factory=list)
 
 
+class _Page(NamedTuple):
+    """One answer about rows, and the era that it was given in."""
+
+    era: int
+    page: _Rows
+
+    @property
+    def version(self) -> int:
+        """The newest version."""
+        return _version_in(self.era, self.page.ver)
+
+    def rows_in_era(self) -> list[Row]:
+        """Return the rows."""
+        return [self._row(row) for row in self.page.rows]
+
+    def changes_in_era(self) -> list[Change]:
+        """Return the rows as what changed."""
+        return [self._removed(row) if row.gone else self._row(row) for row in self.page.rows]
+
+    def _removed(self, row: _Row) -> Removed:
+        return Removed(row.key, _version_in(self.era, row.ver) if row.ver else 0)
+
+    def _row(self, row: _Row) -> Row:
+        return Row(row.key, row.value, _version_in(self.era, row.ver))
+
+
 class PlatformStore:
     """Implements `springrock.rows.RowStore`.
 
+    Versions are those of `springrock.eras`; no answer of an earlier era is taken after one of a
+    later era.
+
     Args:
         address: ``HOST:PORT`` of the store.
-        on_era: Called with the era that each answer names.
+        on_era: Called with the era of each answer.
     """
 
     def __init__(self, address: str, *, on_era: Callable[[int], None] = lambda era: None) -> None:
         self._on_era = on_era
+        self._era = UNTOLD_ERA
         self._url = f"http://{address}"
         self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
 
     def read_all(self, table: str) -> Snapshot:
         """Read all rows of a table; pages after the first may be newer."""
-        rows: list[_Row] = []
         query = f"table={table}&part=&limit={_PAGE}"
-        page = self._rows(names.ROWS_GET_PATH, query)
-        first = page
-        rows += page.rows
-        while page.more and page.rows:
+        first = page = self._rows(names.ROWS_GET_PATH, query)
+        rows = page.rows_in_era()
+        while page.page.more and page.page.rows:
             # Keys are read from the one just above the last.
-            page = self._rows(names.ROWS_GET_PATH, f"{query}&from={page.rows[-1].key}%00")
-            rows += page.rows
-        return Snapshot([_row_from(row) for row in rows], first.ver, _seconds(first.now_ms))
+            page = self._rows(names.ROWS_GET_PATH, f"{query}&from={page.page.rows[-1].key}%00")
+            if page.era != first.era:
+                raise HistoryGone("the store came back from a copy between two pages")
+            rows += page.rows_in_era()
+        return Snapshot(rows, first.version, _seconds(first.page.now_ms))
 
     def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
         """Wait for changes of a table after a version."""
-        query = f"table={table}&after={after}&waitMs={round(wait_s * 1000)}"
+        query = f"table={table}&after={number_of(after)}&waitMs={round(wait_s * 1000)}"
         page = self._rows(names.ROWS_FEED_PATH, query, wait_s=wait_s)
-        changes = [Removed(row.key, row.ver) if row.gone else _row_from(row) for row in page.rows]
-        return Changes(changes, page.ver, _seconds(page.now_ms))
+        if page.era > era_of(after):
+            raise HistoryGone("the store came back from a copy")
+        if page.era < era_of(after):
+            raise RowStoreUnavailable(f"era {page.era} of the store, after {era_of(after)}")
+        return Changes(page.changes_in_era(), page.version, _seconds(page.page.now_ms))
 
     def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
         """Write a row if it has the expected version; return the store's newest one after it."""
-        row = _Expected(table, "", key, expected)
-        return self._transact(key, _Transaction(expected=[row], put=[_Put(table, "", key, value)]))
+        row = _Expected(table, "", key, number_of(expected))
+        transaction = _Transaction(expected=[row], put=[_Put(table, "", key, value)])
+        return self._transact(row, transaction, era=era_of(expected))
 
     def remove(self, table: str, key: str, *, expected: int) -> None:
         """Remove a row if it has the expected version."""
-        row = _Expected(table, "", key, expected)
-        self._transact(key, _Transaction(expected=[row], put=[], remove=[row]))
+        row = _Expected(table, "", key, number_of(expected))
+        transaction = _Transaction(expected=[row], put=[], remove=[row])
+        self._transact(row, transaction, era=era_of(expected))
+
+    def _transact(self, expected: _Expected, transaction: _Transaction, *, era: int) -> int:
+        """Have a transaction on one row done; return the store's newest version after it.
 
-    def _transact(self, key: str, transaction: _Transaction) -> int:
-        """Have a transaction on one row done; return the store's newest version after it."""
+        Numbers are given out again in a later era, so that there the condition says nothing.
+        """
+        if UNTOLD_ERA < era < self._era:
+            raise self._conflict(expected)
         response = self._call("POST", names.ROWS_TX_PATH, body=msgspec.json.encode(transaction))
         if response.status == _CONFLICT:
-            standing = _decoded(response, _Rows).rows
-            row = next((_row_from(row) for row in standing if row.ver and row.key == key), None)
-            raise RowConflict(row)
-        return _decoded(_checked(response), _Rows).ver
-
-    def _rows(self, path: str, query: str, *, wait_s: float = 0.0) -> _Rows:
+            raise _conflict_from(self._page(response), expected.key)
+        page = self._page(_checked(response))
+        if era not in (UNTOLD_ERA, page.era):
+            raise WrittenInAnotherEra(page.version)
+        return page.version
+
+    def _conflict(self, expected: _Expected) -> RowConflict:
+        """Return the conflict with a row as it now stands, without a write."""
+        query = f"table={expected.table}&part=&from={expected.key}&limit=1"
+        return _conflict_from(self._rows(names.ROWS_GET_PATH, query), expected.key)
+
+    def _rows(self, path: str, query: str, *, wait_s: float = 0.0) -> _Page:
         response = self._call("GET", f"{path}?{query}", wait_s=wait_s)
         if response.status == _GONE:
             raise HistoryGone("the history asked for is gone")
-        return _decoded(_checked(response), _Rows)
+        return self._page(_checked(response))
+
+    def _page(self, response: urllib3.BaseHTTPResponse) -> _Page:
+        return _Page(_era_of(response), _decoded(response, _Rows))
 
     def _call(
         self, method: str, path: str, *, body: bytes | None = None, wait_s: float = 0.0
@@ -140,20 +192,29 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise RowStoreUnavailable(f"{path.partition('?')[0]}: {error}") from None
-        self._on_era(_era_of(response))
+        self._note_era(_era_of(response))
         return response
 
+    def _note_era(self, era: int) -> None:
+        if era < self._era:
+            raise RowStoreUnavailable(f"a late answer of the store's era {era}, after {self._era}")
+        self._era = era
+        self._on_era(era)
+
 
 def _seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
 
 
 def _era_of(response: urllib3.BaseHTTPResponse) -> int:
-    """Return the era that an answer names; 0 if it names none."""
-    told = response.headers.get(names.ERA_HEADER, "0")
+    """Return the era of an answer."""
+    told = response.headers.get(names.ERA_HEADER)
+    if told is None:
+        return UNTOLD_ERA
     if not (told.isascii() and told.isdecimal() and len(told) <= _ERA_DIGITS):
         raise RowStoreUnavailable(f"the store's era cannot be read: {told[:_ERA_SHOWN]!r}")
-    return int(told)
+    # The store may begin with 0, which is not the era of one that names none.
+    return int(told) + 1
 
 
 def _checked(response: urllib3.BaseHTTPResponse) -> urllib3.BaseHTTPResponse:
@@ -169,5 +230,15 @@
         raise RowStoreUnavailable(f"the store's answer cannot be read: {error}") from None
 
 
-def _row_from(row: _Row) -> Row:
-    return Row(row.key, row.value, row.ver)
+def _conflict_from(page: _Page, key: str) -> RowConflict:
+    row = next(
+        (row for row in page.rows_in_era() if number_of(row.version) and row.key == key), None
+    )
+    return RowConflict(row, version=page.version)
+
+
+def _version_in(era: int, number: int) -> int:
+    try:
+        return version_in(era, number)
+    except VersionOutOfRange as error:
+        raise RowStoreUnavailable(str(error)) from None
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -11,8 +11,10 @@
 from gevent.event import Event
 
 from springrock.clock import monotonic
+from springrock.eras import era_of, number_of, version_in
 from springrock.errors import SpringrockError
 from springrock.log import Condition, Log
+from springrock.remembered import Remembered
 from springrock.store_clock import StoreClock
 
 POLL_WAIT_S = 1.8
@@ -40,6 +42,9 @@
 _LONGEST_UNKNOWN_RETRY_S = 0.4
 """A box that knows nothing of a table yet serves nobody, and so asks more often."""
 
+_REMOVED_KEPT = 2_000
+"""So many removed rows of a table are remembered, for a store that comes back from a copy."""
+
 ABSENT_VERSION = 0
 """The expected version of a row that must not exist."""
 
@@ -52,6 +57,20 @@
     """No usable answer came; a write may or may not have taken effect."""
 
 
+class WrittenInAnotherEra(RowStoreUnavailable):
+    """A write that took effect in a store which had come back from a copy since it was meant.
+
+    Its condition named a number that the store has given out again, or that the copy has.
+
+    Args:
+        version: The newest of the store after it.
+    """
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+        super().__init__("the store came back from a copy before the write")
+
+
 class HelpersSilent(RowStoreUnavailable):
     """No box that was to ask the store answered, so that nothing is known of the store."""
 
@@ -61,10 +80,12 @@
 
     Args:
         row: The row as it stands, or None if there is none.
+        version: The newest of the store; 0 if it is not told.
     """
 
-    def __init__(self, row: Row | None) -> None:
+    def __init__(self, row: Row | None, *, version: int = 0) -> None:
         self.row = row
+        self.version = version
         super().__init__("the row was changed meanwhile")
 
 
@@ -76,7 +97,8 @@
     """One row of a table.
 
     Attributes:
-        version: From one counter of the store, which rises with each transaction.
+        version: From one counter of the store, which rises with each transaction; see
+            `springrock.eras`.
     """
 
     key: str
@@ -187,6 +209,18 @@
         """
 
 
+class KeptS(NamedTuple):
+    """How long what is known of a row outlasts a store that came back from a copy without it.
+
+    Attributes:
+        missing: A row that the copy lacks: removed before, or not written again yet.
+        removed: The removal of a row that the copy has: undone by it, or put again since.
+    """
+
+    missing: float = 0.0
+    removed: float = 0.0
+
+
 class TableListener(Protocol):
     """Learns what stands in a table."""
 
@@ -229,11 +263,27 @@
         return [item for prefix, item in self._listeners.items() if key.startswith(prefix)]
 
 
+class _Doubted(NamedTuple):
+    """A row that is known otherwise than a store tells that came back from a copy.
+
+    Attributes:
+        told: The row that the store has; None if it has none.
+        until: When the store's word is taken, on the local monotonic clock.
+    """
+
+    told: Row | None
+    until: float
+
+
 class TableFollower:
     """Keeps a listener up to date with one table, in a task of its own.
 
     Another box may tell what it reads of the same table; as long as it does, this one does not
-    ask the store. What it told last must join what is known here, else it is passed over.
+    ask the store. What it told last must join what is known here, else it is passed over, and so
+    is what tells less than is known, as the store may have come back from a copy.
+
+    A store that did so is read whole. Its rows are taken, as those who wrote others write them
+    again; what it lacks or has got back stays as it is known for a while.
 
     Args:
         store: The store.
@@ -244,12 +294,15 @@
             itself.
         clock: The store's steady clock, shared by the followers of a box.
         eager: Whether changes are waited for at once after the whole table was read.
+        kept_s: Returns how long what is known of a row outlasts a copy that the store came back
+            from.
         log: The log to write to.
 
     Attributes:
         table: The name of the table.
         sharing: Says whether other boxes go by what this one learns.
         shared_with: Told of each reading while `sharing`, and whether it was this box's own.
+        on_lost: Called with the rows that a store lacks that came back from a copy.
     """
 
     def __init__(
@@ -263,7 +316,12 @@
         poll_wait_s: Callable[[], float] = lambda: POLL_WAIT_S,
         clock: StoreClock | None = None,
         eager: bool = False,
+        kept_s: Callable[[str], KeptS] = lambda key: KeptS(),
     ) -> None:
+        self._kept_s = kept_s
+        self._doubted: dict[str, _Doubted] = {}
+        self._removed: Remembered[None] = Remembered(at_most=_REMOVED_KEPT)
+        self._whole_stands = False
         self._poll_wait_s = poll_wait_s
         self._clock = StoreClock() if clock is None else clock
         self._newest_at = float("-inf")
@@ -292,6 +350,7 @@
         self.read_at: float | None = None
         self.sharing: Callable[[], bool] = lambda: False
         self.shared_with: Callable[[TableReading, bool], None] = lambda reading, is_own: None
+        self.on_lost: Callable[[Sequence[Row]], None] = lambda rows: None
 
     def start(self) -> None:
         """Begin to follow."""
@@ -342,9 +401,15 @@
             relied_on: Whether it will tell what follows, so that this box need not read. A box
                 that the store does not answer relies on whoever tells.
         """
-        if self._version is None or reading.after > self._version:
+        if self._version is None:
+            return
+        if reading.after > self._version:
+            if era_of(reading.after) > era_of(self._version):
+                self.read_alone()
             return
         self._note_behind(reading, teller)
+        if reading.version < self._version:
+            return
         self._told_by = teller
         self._apply(reading)
         self._note_newest(reading)
@@ -369,9 +434,14 @@
         """Return the whole table as it is known; None if it is not."""
         if self._version is None:
             return None
-        rows = list(self._rows.values())
+        rows = [self._in_era(row) for row in self._rows.values()]
         return TableReading(self.table, 0, self._version, rows, whole=True)
 
+    def _in_era(self, row: Row) -> Row:
+        """Return a row as others are told of it; one of an earlier era is older than all."""
+        era = era_of(self.version)
+        return row if era_of(row.version) == era else row._replace(version=version_in(era, 0))
+
     def take_copy(self, reading: TableReading, *, newest_at: float) -> None:
         """Learn the whole table from another box, as old as it may be; never what is older.
 
@@ -408,22 +478,26 @@
                 if was_known or not self._eager:
                     gevent.sleep(self._pause_now_s())
             except HistoryGone:
-                self._version = None
+                self._whole_stands = True
             except RowStoreUnavailable as error:
                 self._unread.begin(error=str(error), age_s=round(self.age_s, 1))
                 gevent.sleep(retry_s * random.uniform(0.8, 1.0))
-                longest_s = _LONGEST_UNKNOWN_RETRY_S if self._version is None else _LONGEST_RETRY_S
+                is_known = self._version is not None
+                longest_s = _LONGEST_RETRY_S if is_known else _LONGEST_UNKNOWN_RETRY_S
                 retry_s = min(longest_s, retry_s * 1.5)
 
     def _step(self) -> None:
         asked_at = monotonic()
         reading, store_s = self._read()
         if store_s is not None:
-            self._clock.note(store_s, sent_at=asked_at, received_at=monotonic())
+            era = era_of(reading.version)
+            self._clock.note(store_s, sent_at=asked_at, received_at=monotonic(), era=era)
         if self._copied and not self._replaces_copy(reading):
             return
+        self._check_era(reading)
         self._told_by = ""
         self._apply(reading)
+        self._whole_stands = False
         self._newest_at = max(self._newest_at, asked_at)
         if self.sharing():
             as_of_s = self._clock.earliest_store(asked_at)
@@ -432,7 +506,7 @@
     def _read(self) -> tuple[TableReading, float | None]:
         """Ask the store; return what it told, and its clock."""
         after = self._version
-        if after is None or self._copied:
+        if after is None or self._copied or self._whole_stands:
             # The store itself has never told this box a whole table.
             snapshot = self._store.read_all(self.table)
             whole = TableReading(self.table, 0, snapshot.version, snapshot.rows, whole=True)
@@ -458,6 +532,7 @@
             )
             self._version = None
         self._copied = False
+        self._whole_stands = True
         return True
 
     def _note_behind(self, reading: TableReading, teller: str) -> None:
@@ -471,32 +546,101 @@
         """Learn up to when what another box has read was the newest."""
         if reading.as_of_s is None:
             return
-        newest_at = self._clock.earliest_local(reading.as_of_s)
+        newest_at = self._clock.earliest_local(reading.as_of_s, era=era_of(reading.version))
         if newest_at is not None and newest_at <= monotonic():
             self._newest_at = max(self._newest_at, newest_at)
 
+    def _check_era(self, reading: TableReading) -> None:
+        """Raise `RowStoreUnavailable` if a reading is of an earlier era than what is known."""
+        if era_of(reading.version) < era_of(self.version):
+            raise RowStoreUnavailable(
+                f"version {number_of(reading.version)} of era {era_of(reading.version)}, "
+                f"known is era {era_of(self.version)}"
+            )
+
     def _apply(self, reading: TableReading) -> None:
         """Hand on what is newer than what is known."""
-        known = self._version or 0
         if reading.whole:
-            if self._version is None or reading.version > known:
-                rows = [row for row in reading.changes if isinstance(row, Row)]
-                self._rows = {row.key: row for row in rows}
-                self._listener.replace(rows)
-            self._version = max(known, reading.version)
+            self._take_whole(reading)
+        else:
+            self._take_changes(reading)
+        self._settle_doubted()
+
+    def _take_whole(self, reading: TableReading) -> None:
+        known = self._version
+        rows = [row for row in reading.changes if isinstance(row, Row)]
+        if known is not None and era_of(reading.version) > era_of(known):
+            self._take_return(rows, version=reading.version)
+        elif known is None or reading.version > known or self._whole_stands:
+            self._replace(rows)
+        else:
             return
+        self._version = reading.version
+
+    def _replace(self, rows: Sequence[Row]) -> None:
+        present = {row.key: row for row in rows}
+        for key in self._rows.keys() - present.keys():
+            self._removed.note(key, None)
+        for key in present:
+            self._removed.pop(key, None)
+        self._doubted.clear()
+        self._rows = present
+        self._listener.replace(rows)
+
+    def _take_changes(self, reading: TableReading) -> None:
+        known = self.version
         for change in reading.changes:
-            if change.version and change.version <= known:
-                continue
-            match change:
-                case Row(key=key):
-                    self._rows[key] = change
-                    self._listener.change(change)
-                case Removed(key=key):
-                    self._rows.pop(key, None)
-                    self._listener.remove(key)
+            if not change.version or change.version > known:
+                self._take(change)
         self._version = max(known, reading.version)
 
+    def _take(self, change: Change) -> None:
+        self._doubted.pop(change.key, None)
+        match change:
+            case Row(key=key):
+                self._removed.pop(key, None)
+                self._rows[key] = change
+                self._listener.change(change)
+            case Removed(key=key):
+                self._removed.note(key, None)
+                self._rows.pop(key, None)
+                self._listener.remove(key)
+
+    def _take_return(self, rows: Sequence[Row], *, version: int) -> None:
+        """Take the whole table of a store that came back from a copy."""
+        now = monotonic()
+        told = {row.key: row for row in rows}
+        lost = [row for key, row in self._rows.items() if key not in told]
+        self._doubted.clear()
+        for key in (row.key for row in lost):
+            self._doubt(key, None, until=now + self._kept_s(key).missing)
+        for row in rows:
+            if row.key in self._removed:
+                self._doubt(row.key, row, until=now + self._kept_s(row.key).removed)
+            else:
+                self._take(row)
+        self._log.say(
+            "The store came back from a copy.",
+            table=self.table,
+            version=version,
+            known=self.version,
+            lost=len(lost),
+            doubted=len(self._doubted),
+            told_by=self._told_by,
+        )
+        self.on_lost(lost)
+
+    def _doubt(self, key: str, told: Row | None, *, until: float) -> None:
+        """Keep what is known of a row until a moment; that may be now."""
+        self._doubted[key] = _Doubted(told, until)
+
+    def _settle_doubted(self) -> None:
+        """Take the store's word of rows that nobody has written again in time."""
+        now = monotonic()
+        for key, doubted in list(self._doubted.items()):
+            if doubted.until <= now:
+                self._take(Removed(key) if doubted.told is None else doubted.told)
+
     def _pause_now_s(self) -> float:
         return min(self._pause_s, _SHARED_PAUSE_AT_MOST_S) if self.sharing() else self._pause_s
 
--- a/springrock/store_clock.py
+++ b/springrock/store_clock.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from springrock.clock import monotonic
+from springrock.eras import UNTOLD_ERA
 
 _DRIFT = 0.0005
 """How far two steady clocks may part, in seconds a second: ten times what crystals do."""
@@ -22,18 +23,25 @@
     """Bounds of the store's clock, learnt from this box's own calls."""
 
     def __init__(self) -> None:
+        self._era = UNTOLD_ERA
         self._least_ahead: float | None = None
         self._most_ahead = 0.0
         self._noted_at = 0.0
 
-    def note(self, store_s: float, *, sent_at: float, received_at: float) -> None:
+    def note(
+        self, store_s: float, *, sent_at: float, received_at: float, era: int = UNTOLD_ERA
+    ) -> None:
         """Learn from one call.
 
         Args:
             store_s: What the store's clock read in the answer.
             sent_at: Before the question was sent, on the local monotonic clock.
             received_at: After the answer had come.
+            era: The store's era; another one may have another clock.
         """
+        if era != self._era:
+            self._era = era
+            self._least_ahead = None
         least, most = sent_at - store_s, received_at - store_s
         if self._least_ahead is not None:
             wider_s = _DRIFT * max(0.0, received_at - self._noted_at)
@@ -43,9 +51,14 @@
         self._least_ahead, self._most_ahead = least, max(least, most)
         self._noted_at = received_at
 
-    def earliest_local(self, store_s: float) -> float | None:
-        """Return the local time before which the store's clock had not read so; None if unknown."""
-        if self._least_ahead is None:
+    def earliest_local(self, store_s: float, *, era: int = UNTOLD_ERA) -> float | None:
+        """Return the local time before which the store's clock had not read so; None if unknown.
+
+        Args:
+            store_s: What the clock read.
+            era: The store's era then.
+        """
+        if self._least_ahead is None or era != self._era:
             return None
         return store_s + self._least_ahead - self._drift_s()
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from springrock.emulator.ports import free_addresses
+from springrock.eras import era_of, number_of, version_in
 from springrock.platform.store import PlatformStore
 from springrock.rows import Removed, Row, RowStoreUnavailable
 from tests.processes import Processes, wait_until
@@ -46,9 +47,10 @@
 def test_the_store_tells_changes_in_their_order(address: str) -> None:
     store = PlatformStore(address)
     first = store.write(TABLE, "a", b"1", expected=0)
-    remove(address, "a", version=first)
+    remove(address, "a", version=number_of(first))
     second = store.write(TABLE, "a", b"2", expected=0)
-    changes = store.changes(TABLE, after=0, wait_s=0.0)
+    before = version_in(era_of(first), 0)
+    changes = store.changes(TABLE, after=before, wait_s=0.0)
     assert changes.changes == [
         Row("a", b"1", first),
         Removed("a", first + 1),
--- a/tests/platform/test_store_return.py
+++ b/tests/platform/test_store_return.py
@@ -13,17 +13,21 @@
 import urllib3
 
 from springrock.emulator.ports import free_addresses
+from springrock.eras import number_of
 from springrock.log import Log
 from springrock.placement.messages import TableNews, decode, encode
 from springrock.placement.table_news import news_from, reading_from
 from springrock.platform.store import PlatformStore
 from springrock.rows import (
     Changes,
+    HistoryGone,
     Row,
+    RowConflict,
     RowStoreUnavailable,
     Snapshot,
     TableFollower,
     TableReading,
+    WrittenInAnotherEra,
 )
 from tests.processes import Processes, wait_until
 
@@ -95,8 +99,12 @@
 
 
 @pytest.fixture
-def store(tmp_path: Path) -> Iterator[ReturningStore]:
-    (address,) = free_addresses(1)
+def address() -> str:
+    return free_addresses(1)[0]
+
+
+@pytest.fixture
+def store(tmp_path: Path, address: str) -> Iterator[ReturningStore]:
     processes = Processes(tmp_path)
     processes.spawn("store", ["standin", "rowstore"], {"address": address})
     try:
@@ -139,6 +147,46 @@
             gevent.sleep(0.02)
 
 
+def test_a_condition_on_a_number_that_was_given_out_again_writes_nothing_or_says_so(
+    store: ReturningStore, address: str
+) -> None:
+    knowing, unknowing = PlatformStore(address), PlatformStore(address)
+    # Of 0 to 2 the copy has none.
+    store.return_from_copy(copy_s=60.0)
+    first = knowing.write(TABLE, "lease", b"first", expected=0)
+    unknowing.read_all(TABLE)
+    store.return_from_copy(copy_s=60.0)
+    second = knowing.write(TABLE, "lease", b"second", expected=0)
+    assert number_of(first) == number_of(second)
+    with pytest.raises(RowConflict) as conflict:
+        knowing.write(TABLE, "lease", b"stale", expected=first)
+    assert conflict.value.row == Row("lease", b"second", second)
+    with pytest.raises(WrittenInAnotherEra):
+        unknowing.write(TABLE, "lease", b"late", expected=first)
+    with pytest.raises(RowConflict):
+        unknowing.remove(TABLE, "lease", expected=first)
+
+
+def test_an_answer_of_an_earlier_era_is_not_believed(store: ReturningStore, address: str) -> None:
+    client = PlatformStore(address)
+    client.read_all(TABLE)
+    store.return_from_copy()
+    client.read_all(TABLE)
+    client._era += 1
+    with pytest.raises(RowStoreUnavailable):
+        client.read_all(TABLE)
+
+
+def test_changes_after_a_version_of_an_earlier_era_must_be_read_whole(
+    store: ReturningStore, address: str
+) -> None:
+    client = PlatformStore(address)
+    version = client.read_all(TABLE).version
+    store.return_from_copy()
+    with pytest.raises(HistoryGone):
+        client.changes(TABLE, after=version, wait_s=0.0)
+
+
 def test_a_box_that_is_told_by_one_that_read_the_returned_store_misses_no_change(
     store: ReturningStore,
 ) -> None:
--- /dev/null
+++ b/tests/test_eras.py
@@ -0,0 +1,22 @@
+"""Versions that order eras first."""
+
+from __future__ import annotations
+
+import pytest
+
+from springrock.eras import VersionOutOfRange, era_of, number_of, told_version, version_in
+from springrock.errors import PeerRejected
+
+
+def test_a_later_era_is_above_every_number_of_an_earlier_one() -> None:
+    assert version_in(2, 1) > version_in(1, 10**12)
+    assert version_in(0, 812) == 812, "a store that tells no era counts as before"
+    assert (era_of(version_in(3, 812)), number_of(version_in(3, 812))) == (3, 812)
+
+
+@pytest.mark.parametrize(("era", "number"), [(-1, 0), (0, -1), (1 << 19, 0), (0, 1 << 44)])
+def test_what_no_store_can_have_is_refused(era: int, number: int) -> None:
+    with pytest.raises(VersionOutOfRange):
+        version_in(era, number)
+    with pytest.raises(PeerRejected):
+        told_version(era, number)
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -9,10 +9,12 @@
 
 from springrock import rows as rows_module
 from springrock.clock import monotonic
+from springrock.eras import version_in
 from springrock.log import Journal, Log
 from springrock.rows import (
     Change,
     Changes,
+    KeptS,
     Removed,
     Row,
     RowStore,
@@ -367,3 +369,115 @@
     follower.start()
     wait_for_value(listener, b"store")
     follower.stop()
+
+
+ERA = 3
+
+
+class ReturnedStore(ScriptedStore):
+    """Came back from a copy that lacks the second row, and tells nothing more."""
+
+    def __init__(self, *rows: Row) -> None:
+        super().__init__()
+        self.rows = rows
+
+    def read_all(self, table: str) -> Snapshot:
+        return Snapshot(self.rows, version_in(ERA, 1))
+
+
+def known(store: RowStore, kept: KeptS, *changes: Change) -> tuple[TableFollower, Listener]:
+    """Return a follower that knows two rows of the era before, and some changes of them."""
+    listener = Listener()
+    follower = TableFollower(
+        store, TABLE, listener, pause_s=0.0, kept_s=lambda key: kept, log=Log("test", "box")
+    )
+    before = version_in(ERA - 1, 100)
+    rows = [Row("a", b"new", before), Row("b", b"new", before)]
+    whole = TableReading(TABLE, 0, before, rows, whole=True)
+    follower.take_copy(whole, newest_at=monotonic())
+    reading = TableReading(TABLE, before, before + 9, changes)
+    follower.take_reading(reading, relied_on=False)
+    return follower, listener
+
+
+def returned(number: int, *changes: Change) -> TableReading:
+    """Return what another box read of the store after its return."""
+    return TableReading(TABLE, 0, version_in(ERA, number), changes, whole=True)
+
+
+COPIED = Row("a", b"old", version_in(ERA, 1))
+
+
+def test_a_row_that_a_returned_store_lacks_stays_until_nobody_has_written_it_again() -> None:
+    follower, listener = known(ScriptedStore(), KeptS(missing=0.1))
+    lost: list[str] = []
+    follower.on_lost = lambda rows: lost.extend(row.key for row in rows)
+    follower.take_reading(returned(1, COPIED))
+    assert listener.rows == {"a": b"old", "b": b"new"}
+    assert lost == ["b"]
+    follower.take_reading(TableReading(TABLE, version_in(ERA, 1), version_in(ERA, 2), []))
+    assert "b" in listener.rows
+    gevent.sleep(0.15)
+    follower.take_reading(TableReading(TABLE, version_in(ERA, 2), version_in(ERA, 3), []))
+    assert listener.rows == {"a": b"old"}
+
+
+def test_a_row_that_is_written_again_stays() -> None:
+    follower, listener = known(ScriptedStore(), KeptS(missing=0.1))
+    follower.take_reading(returned(1, COPIED))
+    again = Row("b", b"again", version_in(ERA, 2))
+    follower.take_reading(TableReading(TABLE, version_in(ERA, 1), version_in(ERA, 2), [again]))
+    gevent.sleep(0.15)
+    follower.take_reading(TableReading(TABLE, version_in(ERA, 2), version_in(ERA, 3), []))
+    assert listener.rows == {"a": b"old", "b": b"again"}
+
+
+def test_a_row_that_was_removed_does_not_come_back_with_the_copy_at_once() -> None:
+    removed = Removed("a", version_in(ERA - 1, 105))
+    follower, listener = known(ScriptedStore(), KeptS(missing=9.0, removed=0.1), removed)
+    follower.take_reading(returned(1, COPIED))
+    assert listener.rows == {"b": b"new"}
+    gevent.sleep(0.15)
+    follower.take_reading(TableReading(TABLE, version_in(ERA, 1), version_in(ERA, 3), []))
+    assert listener.rows == {"a": b"old", "b": b"new"}
+
+
+def test_where_nothing_is_kept_the_copy_counts_at_once() -> None:
+    removed = Removed("a", version_in(ERA - 1, 105))
+    follower, listener = known(ScriptedStore(), KeptS(), removed)
+    follower.take_reading(returned(1, COPIED))
+    assert listener.rows == {"a": b"old"}
+
+
+def test_who_tells_of_an_earlier_era_is_not_relied_on() -> None:
+    follower, listener = known(ScriptedStore(), KeptS())
+    follower.take_reading(returned(1, COPIED))
+    read_at = follower.read_at
+    for era in (0, ERA - 1):
+        row = Row("a", b"stale", version_in(era, 500))
+        follower.take_reading(TableReading(TABLE, 0, version_in(era, 500), [row], whole=True))
+    assert listener.rows == {"a": b"old"}
+    assert follower.read_at == read_at, "the box reads for itself"
+
+
+def test_a_starting_box_takes_the_returned_store_in_place_of_an_older_copy_at_once() -> None:
+    store = ReturnedStore(COPIED)
+    follower, listener = known(store, KeptS())
+    follower.start()
+    with gevent.Timeout(1.0):
+        while listener.rows != {"a": b"old"}:
+            gevent.sleep(0.01)
+    follower.stop()
+
+
+def test_a_store_of_an_earlier_era_than_another_box_told_is_not_taken() -> None:
+    store = ReturnedStore(COPIED)
+    follower, listener = known(store, KeptS())
+    later = Row("a", b"later", version_in(ERA + 1, 1))
+    whole = TableReading(TABLE, 0, version_in(ERA + 1, 1), [later], whole=True)
+    follower.take_reading(whole, relied_on=False)
+    follower.start()
+    gevent.sleep(0.1)
+    assert listener.rows == {"a": b"later"}
+    assert follower.staleness_s > 0.05
+    follower.stop()
