Lease: a store that comes back from a copy makes no second placer

A copy may name an earlier holder, an earlier fence or nobody. Before, a box could take such a lease at once while its holder still ordered for up to a renewal, and under a fence that the lost rows had given out or reserved already, which an engine cannot tell apart; and a renewal that found an older row of its own process went back to that row's fence.

Now a holder whose lease stands writes it again at its next renewal, under its own fence; nobody takes a lease before it could have, which is a lease and its margin from when a box saw the return; and each new holder's fence is above what was reserved in the eras since the row's fence was given, by a thousand leases an era. A renewal that met its number given out again is settled by whether the lease still stands.

Not covered: a process that starts just after a return and finds a free row, or that of an earlier process of its box, takes it at once, as it cannot know when the store came back.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -201,7 +201,9 @@
             log=self._log_of("directory"),
         )
         clock = StoreClock()
-        self._board = PlacerBoard(age_s=lambda: placers.age_s)
+        self._board = PlacerBoard(
+            age_s=lambda: placers.age_s, version=lambda: placers.version
+        )
         self._quarantine = Quarantine(
             box=self.settings.box.name,
             store=self._store,
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from springrock.clock import monotonic
+from springrock.eras import era_of, version_in
 from springrock.log import Condition, Log
 from springrock.placement.placer_row import TABLE, PlacerRow, key_of, placer_row_from
 from springrock.placement.succession import RESERVED_FENCES, Heir, Successor, Tenure
@@ -25,6 +26,7 @@
     RowStoreError,
     RowStoreUnavailable,
     RowWriter,
+    WrittenInAnotherEra,
 )
 
 _MARGIN_S = 0.3
@@ -44,9 +46,18 @@
 it may name that of a later transaction: without it a third of the lease would pass unrenewed."""
 
 
+_FENCES_OF_AN_ERA = 65_536
+"""By so much are fences above those that a store which came back from a copy still knows: it may
+have lost a thousand leases with all that each had reserved."""
+
+
 class PlacerRows(Protocol):
     """The placers' rows as far as they are known."""
 
+    @property
+    def era(self) -> int:
+        """The store's era of the rows."""
+
     def standing(self, key: str) -> Row | None:
         """Return a row; None if there is none.
 
@@ -113,6 +124,8 @@
         self._seen_version = -1
         self._seen_at = 0.0
         self._looked_version = -1
+        self._looked_era: int | None = None
+        self._returned_at = float("-inf")
 
     @property
     def fence(self) -> int:
@@ -177,11 +190,13 @@
                 return False
             try:
                 self._write_renewal()
+            except WrittenInAnotherEra as written:
+                return self._settle_written(written.version)
             except RowStoreUnavailable as error:
                 self._say_not_renewed(error)
                 return True
             except RowConflict as conflict:
-                if not self._settle(conflict.row):
+                if not self._settle(conflict):
                     return False
             else:
                 return True
@@ -259,7 +274,9 @@
         except RowStoreUnavailable:
             self._looked_version = -1
             return None
-        self._looked_version = ABSENT_VERSION if row is None else row.version
+        self._note_era(self._rows.era)
+        absent = version_in(self._rows.era, ABSENT_VERSION)
+        self._looked_version = absent if row is None else row.version
         if row is None or row.version > self._seen_version:
             # A heartbeat may have told of a newer one.
             self._note_seen(self._looked_version)
@@ -277,13 +294,14 @@
         """
         if not self._free(standing, courtesy_s):
             return False
-        fence = standing.fence + 1 if standing is not None else 1
+        fence = self._next_fence(standing)
         sent_at = monotonic()
         own = PlacerRow(
             box=self._box,
             incarnation=self._incarnation,
             address=self._address,
             fence=fence + RESERVED_FENCES,
+            era=era_of(self._looked_version),
         )
         try:
             version = self._write(own, expected=self._looked_version, writer=self._store)
@@ -305,9 +323,24 @@
             return 0.0
         return max(0.0, self._seen_at + self._lease_s + _MARGIN_S - monotonic())
 
+    def _next_fence(self, standing: PlacerRow | None) -> int:
+        """Return a fence above all that were ever given, those of rows that were lost too."""
+        known, given_in = (0, 0) if standing is None else (standing.fence, standing.era)
+        eras = max(0, era_of(self._looked_version) - given_in)
+        return known + 1 + eras * _FENCES_OF_AN_ERA
+
+    def _note_era(self, era: int) -> None:
+        """Learn when the store came back from a copy."""
+        if self._looked_era is not None and era > self._looked_era:
+            self._returned_at = monotonic()
+        self._looked_era = era
+
     def _free(self, standing: PlacerRow | None, courtesy_s: float) -> bool:
         if self._seen_version < 0 or self._looked_version < 0:
             return False
+        if monotonic() - self._returned_at <= self._lease_s + _MARGIN_S:
+            # Whoever held it may have been lost with the row, and writes it again.
+            return False
         unchanged_s = monotonic() - self._seen_at
         lapsed = unchanged_s > self._lease_s + _MARGIN_S + courtesy_s
         if self._looked_version != self._seen_version:
@@ -327,13 +360,10 @@
             self._seen_version = version
             self._seen_at = monotonic()
 
-    def _settle(self, row: Row | None) -> bool:
+    def _settle(self, conflict: RowConflict) -> bool:
         """Learn from a failed renewal whether an earlier one took effect unanswered."""
         own = self._own
-        standing = placer_row_from(row) if row is not None else None
-        settled = None
-        if own is not None and row is not None and standing is not None:
-            settled = own.settled(standing, row.version)
+        settled = None if own is None else self._settled(own, conflict)
         if own is None or settled is None:
             self.lose(reason="another box holds it")
             return False
@@ -347,6 +377,37 @@
         self._own = settled
         return True
 
+    def _settle_written(self, version: int) -> bool:
+        """Learn that a renewal met a row of a store that came back from a copy.
+
+        While the lease stands that can only be its own row, as nobody takes it before it lapses.
+        """
+        own = self._own
+        if own is None or self._has_lapsed(own):
+            self.lose(reason="the store came back from a copy")
+            return False
+        self._own = own._replace(version=version)
+        return True
+
+    def _has_lapsed(self, own: Tenure) -> bool:
+        return own.handed is None and monotonic() >= self._held_until
+
+    def _settled(self, own: Tenure, conflict: RowConflict) -> Tenure | None:
+        row = conflict.row
+        standing = None if row is None else placer_row_from(row)
+        if row is not None and standing is None:
+            return None
+        era = era_of(conflict.version)
+        if era > era_of(own.version):
+            # The store came back from a copy, whose row is older than this lease.
+            if self._has_lapsed(own):
+                return None
+            absent = version_in(era, ABSENT_VERSION)
+            return own.reclaimed(standing, absent if row is None else row.version)
+        if row is None or standing is None:
+            return None
+        return own.settled(standing, row.version)
+
     def _handover(self, own: Tenure, heir: Heir | None) -> Successor | None:
         """Return the handover to another box; None if none may go on."""
         stands = self.holds or own.handed is not None
@@ -415,8 +476,8 @@
         sent_at = monotonic()
         try:
             return self._write(renewed, expected=expected, writer=self._store)
-        except RowConflict as conflict:
-            return conflict
+        except (RowConflict, WrittenInAnotherEra) as outcome:
+            return outcome
         except RowStoreUnavailable as error:
             self._store_failed_at = sent_at
             self._note_unanswered(sent_at)
--- a/springrock/placement/placer_board.py
+++ b/springrock/placement/placer_board.py
@@ -6,6 +6,7 @@
 
 from gevent.event import Event
 
+from springrock.eras import era_of
 from springrock.placement.placer_row import PlacerRow, placer_row_from
 from springrock.placement.succession import Successor
 from springrock.rows import Row, RowStoreUnavailable
@@ -20,10 +21,14 @@
 
     Args:
         age_s: Returns the seconds since the rows were last known to be current.
+        version: Returns the version up to which they are known.
     """
 
-    def __init__(self, *, age_s: Callable[[], float]) -> None:
+    def __init__(
+        self, *, age_s: Callable[[], float], version: Callable[[], int] = lambda: 0
+    ) -> None:
         self._age_s = age_s
+        self._version = version
         self._rows: dict[str, Row] = {}
         self._successors: dict[str, Successor] = {}
         self._news: dict[str, Event] = {}
@@ -41,6 +46,11 @@
             raise RowStoreUnavailable(f"the placers' rows were last read {age_s:.1f} s ago")
         return self._rows.get(key)
 
+    @property
+    def era(self) -> int:
+        """The store's era of the rows."""
+        return era_of(self._version())
+
     def holder(self, key: str) -> PlacerRow | Successor | None:
         """Return who was last known to place; None if nobody was.
 
--- a/springrock/placement/placer_row.py
+++ b/springrock/placement/placer_row.py
@@ -20,6 +20,7 @@
         fence: The holder's fence.
         renewal: Counts the holder's renewals, so that each writes something new.
         successor: Of one that was given up: whether a box of the zone itself can take it.
+        era: The store's era in which the fence was given; 0 if it is not known.
     """
 
     box: str
@@ -28,6 +29,7 @@
     fence: int
     renewal: int = 0
     successor: bool = True
+    era: int = 0
 
 
 def key_of(zone: str) -> str:
--- a/springrock/placement/succession.py
+++ b/springrock/placement/succession.py
@@ -109,6 +109,18 @@
         standing = msgspec.structs.replace(self.row, fence=row.fence)
         return self._replace(row=standing, version=version)
 
+    def reclaimed(self, row: PlacerRow | None, version: int) -> Tenure | None:
+        """Return the lease in a store that came back from a copy; None if another box holds it.
+
+        Args:
+            row: The row in the copy; None if there is none. It is older than this lease, unless a
+                box has taken the lease since, above all fences of before.
+            version: Its version there.
+        """
+        if row is not None and row.fence > self.row.fence:
+            return None
+        return self._replace(version=version)
+
     def handover(self, heir: Heir) -> Successor | None:
         """Return the handover to another box; None if no fence is left."""
         if self.fence >= self.row.fence:
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from springrock.eras import era_of
 from springrock.log import Log
 from springrock.placement import lease as lease_module
 from springrock.placement.lease import PlacerLease
@@ -50,6 +51,10 @@
     def __init__(self, store: Store) -> None:
         self._store = store
 
+    @property
+    def era(self) -> int:
+        return era_of(self._store.read_all(TABLE).version)
+
     def standing(self, key: str) -> Row | None:
         rows = self._store.read_all(TABLE).rows
         return next((row for row in rows if row.key == key), None)
