Rows: what is known outlasts a copy until it could be written again

The same cause elsewhere: a returned store was read like any other, so that a zone whose evacuation the copy lacks was used again, a replica that had left came back, one whose row was written after the copy was lost for seconds, and a request was let run again that had crashed three replicas.

Configurations, versions of adapters and the leaving of a replica never regressed and do not. Crash reports are written again: by their box at once, also those it had not read yet, by another within 4 s.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -26,6 +26,7 @@
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay
 from springrock.forwarding.way_bytes import WayBytes
+from springrock.kept_rows import kept_operator_row, kept_own_row, kept_replica
 from springrock.log import Log
 from springrock.loop_watch import LoopWatch
 from springrock.metrics import ForwardingMetrics
@@ -201,9 +202,7 @@
             log=self._log_of("directory"),
         )
         clock = StoreClock()
-        self._board = PlacerBoard(
-            age_s=lambda: placers.age_s, version=lambda: placers.version
-        )
+        self._board = PlacerBoard(age_s=lambda: placers.age_s, version=lambda: placers.version)
         self._quarantine = Quarantine(
             box=self.settings.box.name,
             store=self._store,
@@ -219,8 +218,10 @@
             pause_s=_PLACERS_PAUSE_S,
             clock=clock,
             eager=True,
+            kept_s=kept_own_row,
             log=self._log_of("placers"),
         )
+        placers.on_lost = self._quarantine.write_again
         self._operator_table = TableFollower(
             self._store,
             names.OPERATOR_TABLE,
@@ -228,6 +229,7 @@
             pause_s=_CONFIGURATION_PAUSE_S,
             poll_wait_s=self._configuration_poll_s,
             clock=clock,
+            kept_s=kept_operator_row,
             log=self._log_of("configuration"),
         )
         self._replica_table = TableFollower(
@@ -236,6 +238,7 @@
             replicas,
             pause_s=_REPLICAS_PAUSE_S,
             clock=clock,
+            kept_s=kept_replica,
             log=self._log_of("directory"),
         )
         self._followers = [self._operator_table, self._replica_table, placers]
--- a/springrock/quarantine/book.py
+++ b/springrock/quarantine/book.py
@@ -143,6 +143,11 @@
             return
         self._hold(row.key, report, version=row.version)
 
+    def version(self, key: str) -> int:
+        """Return the version of the row of a report as it was last read; 0 if it was not."""
+        held = self._held.get(key)
+        return 0 if held is None else held.version
+
     def remove(self, key: str) -> None:
         """Learn that a report is gone."""
         self._drop(key)
--- a/springrock/quarantine/quarantine.py
+++ b/springrock/quarantine/quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
@@ -10,7 +10,7 @@
 from springrock.quarantine.reporter import Reporter
 from springrock.quarantine.terms import QuarantineTerms
 from springrock.quarantine.witness import Witness
-from springrock.rows import RowKeeper
+from springrock.rows import Row, RowKeeper
 
 
 class Quarantine:
@@ -41,9 +41,13 @@
     ) -> None:
         self.book = CrashBook(terms=terms, log=log)
         metrics.quarantined.set_function(lambda: float(self.book.quarantined_count))
-        self._reporter = Reporter(store, table=table, book=self.book, terms=terms, log=log)
+        self._reporter = Reporter(store, box=box, table=table, book=self.book, terms=terms, log=log)
         self.witness = Witness(box=box, book=self.book, reports=self._reporter, log=log)
 
+    def write_again(self, rows: Sequence[Row]) -> None:
+        """Have the reports among some rows written that a store lacks after its return."""
+        self._reporter.write_again(rows)
+
     def start(self) -> None:
         """Begin to report."""
         self._reporter.start()
--- a/springrock/quarantine/reporter.py
+++ b/springrock/quarantine/reporter.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import gevent
@@ -13,9 +13,10 @@
 
 from springrock.log import Condition, Log
 from springrock.quarantine.book import CrashBook
-from springrock.quarantine.report import CrashReport
+from springrock.quarantine.report import KEY_PREFIX, CrashReport, report_from
 from springrock.quarantine.terms import QuarantineTerms
-from springrock.rows import RowConflict, RowKeeper, RowStoreUnavailable
+from springrock.remembered import Remembered
+from springrock.rows import Row, RowConflict, RowKeeper, RowStoreUnavailable
 
 _WAITING_AT_MOST = 200
 """Reports that wait for a store that does not answer; of more the oldest are given up."""
@@ -23,6 +24,10 @@
 _FIRST_RETRY_S = 0.25
 _LONGEST_RETRY_S = 2.0
 
+_OTHERS_AFTER_S = 1.0
+_OTHERS_WITHIN_S = 4.0
+"""Over this time boxes write reports of others again: the first of them is read by the rest."""
+
 _SWEEP_EVERY_S = 30.0
 _SWEEP_LATENESS = 2.0
 """Each box leaves old rows to others up to so many times their life: the most eager one removes
@@ -38,6 +43,7 @@
 
     Args:
         store: The store.
+        box: The name of this box.
         table: The table that all boxes follow.
         book: Knows which rows are old.
         terms: Returns how long reports count.
@@ -48,17 +54,20 @@
         self,
         store: RowKeeper,
         *,
+        box: str,
         table: str,
         book: CrashBook,
         terms: Callable[[], QuarantineTerms],
         log: Log,
     ) -> None:
         self._store = store
+        self._box = box
         self._table = table
         self._book = book
         self._terms = terms
         self._log = log
         self._waiting: OrderedDict[str, CrashReport] = OrderedDict()
+        self._unread: Remembered[CrashReport] = Remembered(at_most=_WAITING_AT_MOST)
         self._filled = Event()
         self._unwritten = Condition(
             log,
@@ -85,6 +94,28 @@
             self._log.say("Gave a crash report up.", key=given_up)
         self._filled.set()
 
+    def write_again(self, rows: Sequence[Row]) -> None:
+        """Have reports written that a store lacks which came back from a copy.
+
+        Each box writes its own at once, and those of others, which may be gone, a little later.
+        """
+        for key, report in self._unread.items():
+            if not self._book.version(key):
+                self.publish(key, report)
+        for row in rows:
+            lost = report_from(row) if row.key.startswith(KEY_PREFIX) else None
+            if lost is None:
+                continue
+            if lost.box == self._box:
+                self.publish(row.key, lost)
+            else:
+                later_s = random.uniform(_OTHERS_AFTER_S, _OTHERS_WITHIN_S)
+                gevent.spawn_later(later_s, self._write_if_lost, row, lost)
+
+    def _write_if_lost(self, row: Row, report: CrashReport) -> None:
+        if self._book.version(row.key) == row.version:
+            self.publish(row.key, report)
+
     def sweep(self) -> None:
         """Remove the rows that may go; what is not removed now is tried again later."""
         for row in self._book.stale(older_than_s=self._terms().for_s * self._lateness):
@@ -120,6 +151,7 @@
                 retry_s = min(_LONGEST_RETRY_S, retry_s * 1.5)
 
     def _write(self, key: str, report: CrashReport) -> None:
+        self._unread.note(key, report)
         try:
             self._store.write(self._table, key, msgspec.json.encode(report), expected=0)
         except RowConflict:
--- a/tests/quarantine/test_reporter.py
+++ b/tests/quarantine/test_reporter.py
@@ -62,7 +62,12 @@
         terms = QuarantineTerms(for_s=0.0)
         self.book = CrashBook(terms=lambda: terms, log=Log("quarantine", "box-1"))
         self.reporter = Reporter(
-            self.store, table=TABLE, book=self.book, terms=lambda: terms, log=Log("q", "box-1")
+            self.store,
+            box="box-1",
+            table=TABLE,
+            book=self.book,
+            terms=lambda: terms,
+            log=Log("q", "box-1"),
         )
         self.reporter.start()
 
@@ -109,6 +114,31 @@
     assert set(scene.store.rows) == {"crash/2", "crash/3"}
 
 
+def test_own_reports_that_a_returned_store_lacks_are_written_again_at_once(scene: Scene) -> None:
+    for number in (1, 2):
+        scene.reporter.publish(f"crash/{number}", REPORT)
+    settled(scene, 2)
+    scene.book.replace([scene.store.rows["crash/1"]])
+    lost = [scene.store.rows.pop(key) for key in ("crash/1", "crash/2")]
+    scene.reporter.write_again(lost[:1])
+    settled(scene, 2)
+
+
+def test_reports_of_a_box_that_is_gone_are_written_again_by_another(
+    scene: Scene, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(reporter_module, "_OTHERS_AFTER_S", 0.1)
+    monkeypatch.setattr(reporter_module, "_OTHERS_WITHIN_S", 0.2)
+    value = msgspec.json.encode(CrashReport("box-gone", "i-2", []))
+    lost = [Row(f"crash/{number}", value, number) for number in (1, 2)]
+    scene.book.replace(lost)
+    scene.reporter.write_again(lost)
+    # The second is read again before it is this box's turn.
+    scene.book.change(Row("crash/2", value, 9))
+    settled(scene, 1)
+    assert set(scene.store.rows) == {"crash/1"}
+
+
 def test_old_rows_are_removed_whoever_wrote_them(scene: Scene) -> None:
     fingerprint = str(Fingerprint("b" * 32))
     value = msgspec.json.encode(CrashReport("box-gone", "i-2", [fingerprint]))
--- a/tests/routed/test_store_return.py
+++ b/tests/routed/test_store_return.py
@@ -15,6 +15,9 @@
 """By so long after its acknowledgement a change counts on every box: the users' bound."""
 
 COPY_S = 8.0
+EVACUATED_S = 5.0
+"""The bound on evacuations of the settings."""
+
 AWAY_S = 1.0
 RETURNS = 3
 VERSION = "springrock_forwarding_configuration_version"
@@ -83,3 +86,20 @@
         if at > acknowledged_at + IN_FORCE_S
     ]
     assert not late
+
+
+def test_an_evacuated_zone_stays_so_until_the_operator_writes_it_again(
+    deployment: Deployment,
+) -> None:
+    time.sleep(1.0)
+    zone = deployment.zones[0]
+    evacuated_at = deployment.evacuate(zone)
+    time.sleep(EVACUATED_S)
+    come_back(deployment)
+    returned_at = monotonic()
+    while monotonic() - returned_at < 3.0:
+        for box in deployment.clients:
+            deployment.send(box, "/lookup/x")
+    deployment.evacuate(zone)
+    late = [at for at in deployment.arrivals(zone) if at > evacuated_at + EVACUATED_S]
+    assert not late
