Rows: what is kept after a return outlasts a second reading of the same copy

A box that was told of the return and then read the table for itself took the copy whole, and what it was to keep for 10 s was gone at once. Found on rereading; the new test of test_rows fails without.

Logs show a version as the era that the store names and the number. The clock of a refused answer is no longer taken.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -10,6 +10,7 @@
 from springrock.clock import Deadline, monotonic
 from springrock.counted_store import CountedStore
 from springrock.entry_settings import EntrySettings
+from springrock.eras import number_of
 from springrock.forwarding.balancing import Balancer
 from springrock.forwarding.budget import RetryBudget, RetryLimits
 from springrock.forwarding.choosing import ReplicaChooser
@@ -251,14 +252,16 @@
 
     def _show_age(self, table: str, follower: TableFollower) -> None:
         self.metrics.table_age_seconds.labels(table).set_function(lambda: follower.age_s)
-        self.metrics.table_version.labels(table).set_function(lambda: float(follower.version))
+        self.metrics.table_version.labels(table).set_function(
+            lambda: float(number_of(follower.version))
+        )
 
-    def _note_era(self, era: int) -> None:
-        if era == self._store_era:
+    def _note_era(self, told: int | None) -> None:
+        if told is None or told == self._store_era:
             return
-        self._log_of("store").say("The store is in another era.", era=era, before=self._store_era)
-        self._store_era = era
-        self.metrics.store_era.set(era)
+        self._log_of("store").say("The store is in another era.", era=told, before=self._store_era)
+        self._store_era = told
+        self.metrics.store_era.set(told)
 
     def _build_serving(self) -> None:
         settings = self.settings
--- a/springrock/eras.py
+++ b/springrock/eras.py
@@ -53,6 +53,17 @@
         raise PeerRejected(str(error)) from None
 
 
+def shown(version: int) -> str:
+    """Return a version as logs show it: the era as the store names it, and the number."""
+    era = era_of(version)
+    return str(number_of(version)) if era == UNTOLD_ERA else f"{era - 1}:{number_of(version)}"
+
+
+def era_from_told(told: int | None) -> int:
+    """Return the era that a store names; it may begin with 0, and another may name none."""
+    return UNTOLD_ERA if told is None else told + 1
+
+
 def era_of(version: int) -> int:
     """Return the era of a version."""
     return version >> _NUMBER_BITS
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from springrock.clock import monotonic
-from springrock.eras import era_of, version_in
+from springrock.eras import era_of, shown, version_in
 from springrock.log import Condition, Log
 from springrock.placement.placer_row import TABLE, PlacerRow, key_of, placer_row_from
 from springrock.placement.succession import RESERVED_FENCES, Heir, Successor, Tenure
@@ -371,8 +371,8 @@
             "Found the lease at another version.",
             row=self._key,
             fence=settled.fence,
-            version=settled.version,
-            expected=own.version,
+            version=shown(settled.version),
+            expected=shown(own.version),
         )
         self._own = settled
         return True
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -9,7 +9,15 @@
 import urllib3
 from msgspec import Struct, field
 
-from springrock.eras import UNTOLD_ERA, VersionOutOfRange, era_of, number_of, version_in
+from springrock.eras import (
+    UNTOLD_ERA,
+    VersionOutOfRange,
+    era_from_told,
+    era_of,
+    number_of,
+    shown,
+    version_in,
+)
 from springrock.platform import names
 from springrock.rows import (
     Change,
@@ -108,10 +116,12 @@
 
     Args:
         address: ``HOST:PORT`` of the store.
-        on_era: Called with the era of each answer.
+        on_era: Called with the era as each answer names it; None if it does not.
     """
 
-    def __init__(self, address: str, *, on_era: Callable[[int], None] = lambda era: None) -> None:
+    def __init__(
+        self, address: str, *, on_era: Callable[[int | None], None] = lambda told: None
+    ) -> None:
         self._on_era = on_era
         self._era = UNTOLD_ERA
         self._url = f"http://{address}"
@@ -137,7 +147,7 @@
         if page.era > era_of(after):
             raise HistoryGone("the store came back from a copy")
         if page.era < era_of(after):
-            raise RowStoreUnavailable(f"era {page.era} of the store, after {era_of(after)}")
+            raise RowStoreUnavailable(f"changes after {shown(after)} up to {shown(page.version)}")
         return Changes(page.changes_in_era(), page.version, _seconds(page.page.now_ms))
 
     def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
@@ -179,7 +189,7 @@
         return self._page(_checked(response))
 
     def _page(self, response: urllib3.BaseHTTPResponse) -> _Page:
-        return _Page(_era_of(response), _decoded(response, _Rows))
+        return _Page(era_from_told(_told_era(response)), _decoded(response, _Rows))
 
     def _call(
         self, method: str, path: str, *, body: bytes | None = None, wait_s: float = 0.0
@@ -192,29 +202,29 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise RowStoreUnavailable(f"{path.partition('?')[0]}: {error}") from None
-        self._note_era(_era_of(response))
+        self._note_era(_told_era(response))
         return response
 
-    def _note_era(self, era: int) -> None:
+    def _note_era(self, told: int | None) -> None:
+        era = era_from_told(told)
         if era < self._era:
-            raise RowStoreUnavailable(f"a late answer of the store's era {era}, after {self._era}")
+            raise RowStoreUnavailable(f"a late answer of the store's era {told}")
         self._era = era
-        self._on_era(era)
+        self._on_era(told)
 
 
 def _seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
 
 
-def _era_of(response: urllib3.BaseHTTPResponse) -> int:
-    """Return the era of an answer."""
+def _told_era(response: urllib3.BaseHTTPResponse) -> int | None:
+    """Return the era that an answer names; None if it names none."""
     told = response.headers.get(names.ERA_HEADER)
     if told is None:
-        return UNTOLD_ERA
+        return None
     if not (told.isascii() and told.isdecimal() and len(told) <= _ERA_DIGITS):
         raise RowStoreUnavailable(f"the store's era cannot be read: {told[:_ERA_SHOWN]!r}")
-    # The store may begin with 0, which is not the era of one that names none.
-    return int(told) + 1
+    return int(told)
 
 
 def _checked(response: urllib3.BaseHTTPResponse) -> urllib3.BaseHTTPResponse:
--- a/springrock/rows.py
+++ b/springrock/rows.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from springrock.clock import monotonic
-from springrock.eras import era_of, number_of, version_in
+from springrock.eras import era_of, shown, version_in
 from springrock.errors import SpringrockError
 from springrock.log import Condition, Log
 from springrock.remembered import Remembered
@@ -28,7 +28,8 @@
 _SHARED_PAUSE_AT_MOST_S = 0.4
 _TOLD_FRESH_S = 1.3
 """How long what another box read counts as fresh: a little more than its longest time between two
-reads. With a read of the own after it, a change is known in under two seconds all the same."""
+reads. With a read of the own after it, a change is known in under two seconds all the same, if the
+store answers at once."""
 
 _PATIENCE_S = 0.4
 """How much longer at most those wait who tell nobody, so that one who does reads first."""
@@ -385,7 +386,7 @@
         """Where the newest of what is known comes from, as fields of a log line."""
         stale_s = self.staleness_s
         return {
-            "table_version": self.version,
+            "table_version": shown(self.version),
             "told_by": self._told_by,
             "table_stale_ms": round(1000 * stale_s) if math.isfinite(stale_s) else None,
         }
@@ -489,12 +490,12 @@
     def _step(self) -> None:
         asked_at = monotonic()
         reading, store_s = self._read()
-        if store_s is not None:
-            era = era_of(reading.version)
-            self._clock.note(store_s, sent_at=asked_at, received_at=monotonic(), era=era)
         if self._copied and not self._replaces_copy(reading):
             return
         self._check_era(reading)
+        if store_s is not None:
+            era = era_of(reading.version)
+            self._clock.note(store_s, sent_at=asked_at, received_at=monotonic(), era=era)
         self._told_by = ""
         self._apply(reading)
         self._whole_stands = False
@@ -527,8 +528,8 @@
             self._log.say(
                 "The store tells less than another box did.",
                 table=self.table,
-                version=reading.version,
-                told=known,
+                version=shown(reading.version),
+                told=shown(known),
             )
             self._version = None
         self._copied = False
@@ -538,9 +539,11 @@
     def _note_behind(self, reading: TableReading, teller: str) -> None:
         """Say when a box tells less than is known, and when it no longer does."""
         if reading.version < self.version:
-            self._behind.begin(teller=teller, told=reading.version, known=self.version)
+            self._behind.begin(
+                teller=teller, told=shown(reading.version), known=shown(self.version)
+            )
         else:
-            self._behind.end(teller=teller, told=reading.version, known=self.version)
+            self._behind.end(teller=teller, told=shown(reading.version), known=shown(self.version))
 
     def _note_newest(self, reading: TableReading) -> None:
         """Learn up to when what another box has read was the newest."""
@@ -554,8 +557,7 @@
         """Raise `RowStoreUnavailable` if a reading is of an earlier era than what is known."""
         if era_of(reading.version) < era_of(self.version):
             raise RowStoreUnavailable(
-                f"version {number_of(reading.version)} of era {era_of(reading.version)}, "
-                f"known is era {era_of(self.version)}"
+                f"the store tells version {shown(reading.version)}, known is {shown(self.version)}"
             )
 
     def _apply(self, reading: TableReading) -> None:
@@ -578,14 +580,24 @@
         self._version = reading.version
 
     def _replace(self, rows: Sequence[Row]) -> None:
+        """Take the whole table but for what is doubted and stands as it did."""
         present = {row.key: row for row in rows}
+        self._doubted = {
+            key: doubted
+            for key, doubted in self._doubted.items()
+            if present.get(key) == doubted.told
+        }
+        for key, doubted in self._doubted.items():
+            if doubted.told is None:
+                present[key] = self._rows[key]
+            else:
+                del present[key]
         for key in self._rows.keys() - present.keys():
             self._removed.note(key, None)
         for key in present:
             self._removed.pop(key, None)
-        self._doubted.clear()
         self._rows = present
-        self._listener.replace(rows)
+        self._listener.replace(list(present.values()))
 
     def _take_changes(self, reading: TableReading) -> None:
         known = self.version
@@ -622,8 +634,8 @@
         self._log.say(
             "The store came back from a copy.",
             table=self.table,
-            version=version,
-            known=self.version,
+            version=shown(version),
+            known=shown(self.version),
             lost=len(lost),
             doubted=len(self._doubted),
             told_by=self._told_by,
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -118,7 +118,7 @@
     told = [
         (line.fields["told"], line.fields["known"]) for line in journal.about("teller", "zone-2")
     ]
-    assert told == [(5, 9), (9, 9)]
+    assert told == [("5", "9"), ("9", "9")]
 
 
 class CountingStore(ScriptedStore):
@@ -442,6 +442,20 @@
     assert listener.rows == {"a": b"old", "b": b"new"}
 
 
+def test_what_is_kept_outlasts_a_second_reading_of_the_same_copy() -> None:
+    removed = Removed("a", version_in(ERA - 1, 105))
+    store = ReturnedStore(COPIED)
+    follower, listener = known(store, KeptS(missing=9.0, removed=9.0), removed)
+    follower.take_reading(returned(1, COPIED), relied_on=False)
+    # The store itself has not told this box a whole table yet.
+    follower.start()
+    gevent.sleep(0.1)
+    assert not follower.unread
+    assert listener.told[-1] == "all"
+    assert listener.rows == {"b": b"new"}
+    follower.stop()
+
+
 def test_where_nothing_is_kept_the_copy_counts_at_once() -> None:
     removed = Removed("a", version_in(ERA - 1, 105))
     follower, listener = known(ScriptedStore(), KeptS(), removed)
