Soak: the store comes back from a copy

The operator writes again what stands, and removes again what it had removed. The mechanism store_eras takes the eras out of the boxes.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -81,6 +81,7 @@
         }
         self._configured = Configured()
         self._named: dict[str, int] = {}
+        self._removed_rows: set[str] = set()
         self._plans = {plan.name: plan for plan in self.shape.replicas}
         self._routes: dict[str, str] = {}
         self._proxy = ""
@@ -192,6 +193,14 @@
             NamedVersion(acknowledged_at=monotonic(), adapter=adapter, version=version)
         )
 
+    def write_again(self) -> None:
+        """Write what a store lacks that came back from a copy, as the operator does."""
+        self.configure(self._configured.routes(), self.version)
+        for adapter, version in self._named.items():
+            self.name_version(adapter, version)
+        for instance in sorted(self._removed_rows):
+            self.remove_replica_row(instance)
+
     # Faults.
 
     def fault(self, name: str, **fault: Any) -> None:
@@ -259,6 +268,7 @@
 
     def write_foreign_row(self, instance: str, *, at: str, service: str) -> None:
         """Write a record that names another service's replica."""
+        self._removed_rows.discard(instance)
         value = {
             "service": service,
             "address": self._routes[f">{at}"],
@@ -270,6 +280,7 @@
 
     def remove_replica_row(self, instance: str) -> None:
         """Drop a record."""
+        self._removed_rows.add(instance)
         self._transact({"remove": [{"table": names.REPLICA_TABLE, "key": instance}]})
 
     def _drop_records_of(self, name: str) -> None:
--- a/bench/soak/faults/store.py
+++ b/bench/soak/faults/store.py
@@ -10,6 +10,7 @@
 
 _SLOW_S = 0.4
 _LOST_ANSWERS = 5
+_COPY_AGES_S = ("0.5", "3", "8")
 
 
 class _StoreFault(Fault):
@@ -72,3 +73,33 @@
     def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
         """Switch it on."""
         deployment.fault("store", forget_history=True)
+
+
+@FAULTS.register
+class StoreReturns(_StoreFault):
+    """The store is away, and comes back from a copy; what was written since is written again."""
+
+    name = "store_returns"
+    weight = 0.0
+    drawn_apart = 0.5
+    drawn_after = 3
+    shortest_s = 0.5
+    longest_s = 2.0
+
+    def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
+        """Draw what it befalls, and the age of the copy in seconds."""
+        return ("store", rng.choice(_COPY_AGES_S))
+
+    def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
+        """Return what no other fault may befall meanwhile."""
+        return frozenset(targets[:1])
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Switch it on."""
+        deployment.fault("store", busy=True)
+
+    def end(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Switch it off."""
+        deployment.return_from_copy(float(targets[1]))
+        super().end(deployment, targets)
+        deployment.write_again()
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -46,6 +46,13 @@
     _drop_header(names.LAST_EVENT_ID)
 
 
+@_takes_out("store_eras")
+def _know_no_era() -> None:
+    from springrock.platform import store
+
+    store.era_from_told = lambda told: 0
+
+
 @_takes_out("retry_budget")
 def _spend_without_limit() -> None:
     from springrock.forwarding.budget import RetryBudget
