Rows: the follower and what it doubts leave the module of the store's types

Types and protocols stay, TableFollower is in table_follower.py, and what stays as it was known after a return is a class of its own, in doubted_rows.py. No behaviour changes; tests/test_rows.py becomes tests/test_table_follower.py.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -53,8 +53,9 @@
 from springrock.quarantine.report import KEY_PREFIX as CRASHES_PREFIX
 from springrock.quotas.charging import Charging
 from springrock.quotas.shares import QuotaTerms
-from springrock.rows import POLL_WAIT_S, ListenersByKey, TableFollower, TableReading
+from springrock.rows import ListenersByKey, TableReading
 from springrock.store_clock import StoreClock
+from springrock.table_follower import POLL_WAIT_S, TableFollower
 
 _QUIET_S = 0.3
 _END_MARGIN_S = 0.5
--- a/springrock/placement/state_asker.py
+++ b/springrock/placement/state_asker.py
@@ -16,7 +16,7 @@
 from springrock.placement.messages import Hello, KnownState, decode, encode
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.table_news import reading_from
-from springrock.rows import TableFollower
+from springrock.table_follower import TableFollower
 from springrock.unknown_messages import UnknownKind
 
 _STORE_FIRST_S = 0.25
--- a/springrock/placement/state_teller.py
+++ b/springrock/placement/state_teller.py
@@ -12,7 +12,7 @@
 from springrock.placement.messages import Hello, KnownState, KnownTable
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.table_news import news_from
-from springrock.rows import TableFollower
+from springrock.table_follower import TableFollower
 
 _ANSWERS = 8
 _WINDOW_S = 1.0
--- a/tests/forwarding/test_evacuation_model.py
+++ b/tests/forwarding/test_evacuation_model.py
@@ -9,15 +9,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from springrock import rows as rows_module
 from springrock import store_clock as store_clock_module
+from springrock import table_follower as follower_module
 from springrock.forwarding import evacuations as evacuations_module
 from springrock.forwarding.evacuations import Evacuations
 from springrock.log import Log
 from springrock.platform.tables import OperatorTable
-from springrock.rows import Changes, HistoryGone, Removed, Row, Snapshot, TableFollower
+from springrock.rows import Changes, HistoryGone, Removed, Row, Snapshot
 from springrock.rows import TableReading as Reading
 from springrock.store_clock import StoreClock
+from springrock.table_follower import TableFollower
 from springrock.topology import Topology
 
 ZONES = ("z-1", "z-2")
@@ -200,7 +201,7 @@
 ) -> None:
     world = World()
     with pytest.MonkeyPatch.context() as patch:
-        for module in (rows_module, store_clock_module, evacuations_module):
+        for module in (follower_module, store_clock_module, evacuations_module):
             patch.setattr(module, "monotonic", lambda: world.now)
         run = Run(world)
         for step in taken:
--- a/tests/forwarding/test_evacuations.py
+++ b/tests/forwarding/test_evacuations.py
@@ -13,10 +13,11 @@
 from springrock.forwarding.evacuations import Evacuations
 from springrock.log import Log
 from springrock.platform.tables import OperatorTable
-from springrock.rows import Removed, Row, TableFollower, TableReading
+from springrock.rows import Removed, Row, TableReading
 from springrock.store_clock import StoreClock
+from springrock.table_follower import TableFollower
 from springrock.topology import Topology
-from tests.test_rows import ScriptedStore
+from tests.test_table_follower import ScriptedStore
 
 ZONES = ("z-1", "z-2", "z-3")
 WITHIN_S = 5.0
--- a/tests/placement/test_known_state.py
+++ b/tests/placement/test_known_state.py
@@ -17,8 +17,9 @@
 from springrock.placement.state_asker import StateAsker
 from springrock.placement.state_teller import StateTeller
 from springrock.placement.succession import Successor
-from springrock.rows import Row, TableFollower, TableReading
-from tests.test_rows import Listener, ScriptedStore
+from springrock.rows import Row, TableReading
+from springrock.table_follower import TableFollower
+from tests.test_table_follower import Listener, ScriptedStore
 
 ZONES = ("zone-1", "zone-2")
 TABLES = ("op", "replicas")
--- a/tests/platform/test_store_return.py
+++ b/tests/platform/test_store_return.py
@@ -25,10 +25,10 @@
     RowConflict,
     RowStoreUnavailable,
     Snapshot,
-    TableFollower,
     TableReading,
     WrittenInAnotherEra,
 )
+from springrock.table_follower import TableFollower
 from tests.processes import Processes, wait_until
 
 TABLE = "replicas"
--- a/tests/quarantine/test_quarantine_model.py
+++ b/tests/quarantine/test_quarantine_model.py
@@ -13,25 +13,18 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from springrock import rows as rows_module
 from springrock import store_clock as store_clock_module
+from springrock import table_follower as follower_module
 from springrock.forwarding.fingerprint import Fingerprint
 from springrock.log import Log
 from springrock.quarantine import book as book_module
 from springrock.quarantine.book import CrashBook
 from springrock.quarantine.report import KEY_PREFIX, CrashReport, new_key
 from springrock.quarantine.terms import QuarantineTerms
-from springrock.rows import (
-    Changes,
-    HistoryGone,
-    ListenersByKey,
-    Removed,
-    Row,
-    Snapshot,
-    TableFollower,
-)
+from springrock.rows import Changes, HistoryGone, ListenersByKey, Removed, Row, Snapshot
 from springrock.rows import TableReading as Reading
 from springrock.store_clock import StoreClock
+from springrock.table_follower import TableFollower
 
 TERMS = QuarantineTerms(crashes=3, for_s=60.0)
 GUILTY = Fingerprint("f" * 32)
@@ -234,7 +227,7 @@
 ) -> None:
     world = World()
     with pytest.MonkeyPatch.context() as patch:
-        for module in (book_module, rows_module, store_clock_module):
+        for module in (book_module, follower_module, store_clock_module):
             patch.setattr(module, "monotonic", lambda: world.now)
         of_world = [Box(world) for _ in range(BOXES)]
         for step in taken:
@@ -251,7 +244,7 @@
     """Each try is at any box, which may have started anew before; the others read meanwhile."""
     world = World()
     with pytest.MonkeyPatch.context() as patch:
-        for module in (book_module, rows_module, store_clock_module):
+        for module in (book_module, follower_module, store_clock_module):
             patch.setattr(module, "monotonic", lambda: world.now)
         of_world = [Box(world) for _ in range(BOXES)]
         for number, is_new in taken:
--- a/tests/test_kept_rows.py
+++ b/tests/test_kept_rows.py
@@ -8,8 +8,9 @@
 import msgspec
 import pytest
 
-from springrock import rows as rows_module
+from springrock import doubted_rows
 from springrock.clock import monotonic
+from springrock.doubted_rows import KeptS
 from springrock.eras import version_in
 from springrock.forwarding.directory import Directory
 from springrock.forwarding.evacuations import Evacuations
@@ -19,16 +20,8 @@
 from springrock.quarantine.book import CrashBook
 from springrock.quarantine.report import CrashReport
 from springrock.quarantine.terms import QuarantineTerms
-from springrock.rows import (
-    Change,
-    KeptS,
-    Removed,
-    Row,
-    RowStore,
-    TableFollower,
-    TableListener,
-    TableReading,
-)
+from springrock.rows import Change, Removed, Row, RowStore, TableListener, TableReading
+from springrock.table_follower import TableFollower
 from springrock.topology import Topology
 
 LOG = Log("test", "box")
@@ -61,7 +54,7 @@
         nonlocal offset_s
         offset_s += seconds
 
-    monkeypatch.setattr(rows_module, "monotonic", lambda: monotonic() + offset_s)
+    monkeypatch.setattr(doubted_rows, "monotonic", lambda: monotonic() + offset_s)
     return _pass
 
 
--- a/tests/test_rows.py
+++ b/tests/test_table_follower.py
@@ -7,23 +7,23 @@
 import gevent
 import pytest
 
-from springrock import rows as rows_module
+from springrock import table_follower as follower_module
 from springrock.clock import monotonic
+from springrock.doubted_rows import KeptS
 from springrock.eras import version_in
 from springrock.log import Journal, Log
 from springrock.rows import (
     Change,
     Changes,
-    KeptS,
     Removed,
     Row,
     RowStore,
     RowStoreUnavailable,
     Snapshot,
-    TableFollower,
     TableReading,
 )
 from springrock.store_clock import StoreClock
+from springrock.table_follower import TableFollower
 
 TABLE = "replicas"
 
@@ -139,7 +139,7 @@
 def test_the_store_is_not_asked_while_another_box_tells_and_again_when_it_stops(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(rows_module, "_TOLD_FRESH_S", 0.3)
+    monkeypatch.setattr(follower_module, "_TOLD_FRESH_S", 0.3)
     store = CountingStore()
     follower, listener = follow(store)
     told(listener, count=1)
@@ -344,7 +344,7 @@
 def test_a_store_that_stays_behind_a_copy_is_another_one_and_right(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(rows_module, "_COPY_KEPT_S", 0.05)
+    monkeypatch.setattr(follower_module, "_COPY_KEPT_S", 0.05)
     follower, listener = copied(OneTable(6), 7)
     follower.start()
     wait_for_value(listener, b"store")
@@ -355,7 +355,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """One table may be read already while a box asks others for the rest."""
-    monkeypatch.setattr(rows_module, "_COPY_KEPT_S", 0.05)
+    monkeypatch.setattr(follower_module, "_COPY_KEPT_S", 0.05)
     listener = Listener()
     follower = TableFollower(
         OneTable(6), TABLE, listener, pause_s=0.01, log=Log("rows", "test"), poll_wait_s=lambda: 0.0
