--- a/tests/routed/test_store_return.py
+++ b/tests/routed/test_store_return.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 import pytest
 
 from springrock.clock import monotonic
+from tests.builds import LAST_LANDING, build_at
 from tests.processes import wait_until
 from tests.routed.deployment import REPLICAS, Deployment
 
@@ -20,6 +21,7 @@
 
 AWAY_S = 1.0
 RETURNS = 3
+NEW_BOXES = ("box-3", "box-4")
 VERSION = "springrock_forwarding_configuration_version"
 
 
@@ -42,16 +44,17 @@
     deployment.configure()
 
 
-def in_force_after_s(deployment: Deployment, version: int, *, at_most_s: float) -> dict[str, float]:
-    """Return how long each box takes to have a configuration in force, or more than the bound."""
+def in_force_after_s(deployment: Deployment, boxes: Collection[str]) -> dict[str, float]:
+    """Return how long boxes take to have a new configuration in force, or more than the bound."""
+    version = deployment.configure()
     acknowledged_at = monotonic()
     after_s: dict[str, float] = {}
-    while len(after_s) < len(deployment.clients) and monotonic() - acknowledged_at <= at_most_s:
-        for box in deployment.clients.keys() - after_s.keys():
+    while len(after_s) < len(boxes) and monotonic() - acknowledged_at <= IN_FORCE_S:
+        for box in set(boxes) - after_s.keys():
             if deployment.metric(box, VERSION) >= version:
                 after_s[box] = monotonic() - acknowledged_at
         time.sleep(0.02)
-    return {box: after_s.get(box, float("inf")) for box in deployment.clients}
+    return {box: after_s.get(box, float("inf")) for box in boxes}
 
 
 def test_configurations_count_on_all_boxes_in_time_after_the_store_returned_from_a_copy(
@@ -61,11 +64,33 @@
     for _ in range(RETURNS):
         come_back(deployment)
         for _ in range(4):
-            lag_s = in_force_after_s(deployment, deployment.configure(), at_most_s=IN_FORCE_S)
+            lag_s = in_force_after_s(deployment, deployment.clients)
             assert max(lag_s.values()) <= IN_FORCE_S, lag_s
             time.sleep(0.5)
 
 
+def test_beside_placers_of_the_last_landing_boxes_of_this_build_miss_no_configuration(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    earlier = build_at(LAST_LANDING, tmp_path_factory.mktemp("build"))
+    placing = {"box-1": earlier, "box-2": earlier}
+    folder = tmp_path_factory.mktemp("mixed")
+    with Deployment(folder, boxes=len(placing), build_of=placing) as deployment:
+        deployment.configure()
+        deployment.wait_ready(replicas=REPLICAS)
+        deployment.placer_and_other(deployment.zones[0])
+        for box in NEW_BOXES:
+            deployment.start_box(box)
+        deployment.wait_ready(replicas=REPLICAS)
+        time.sleep(COPY_S)
+        for _ in range(RETURNS):
+            come_back(deployment)
+            for _ in range(4):
+                lag_s = in_force_after_s(deployment, NEW_BOXES)
+                assert max(lag_s.values()) <= IN_FORCE_S, lag_s
+                time.sleep(0.5)
+
+
 def test_a_replica_that_leaves_after_the_store_returned_from_a_copy_gets_nothing_more(
     deployment: Deployment,
 ) -> None:
