Tests: one start of the store's stand-in, one handover in an outage

The fixture that starts the stand-in and waits for its answer stood in test_store and again in test_store_return; it is the folder's own now. Two tests of test_lease_return wrote the same handover out; it is a method of their scene. No assertion changes. Run on it: tests/platform, test_lease_return, test_imports, lint and types; not the whole suite.

--- a/tests/placement/test_lease_return.py
+++ b/tests/placement/test_lease_return.py
@@ -6,7 +6,7 @@
 
 from springrock.placement.lease import PlacerLease
 from springrock.placement.placer_row import placer_row_from
-from springrock.placement.succession import Heir
+from springrock.placement.succession import Heir, Successor
 from tests.placement.conftest import Clock
 from tests.placement.test_lease import LEASE_S, ReadRows, make_lease
 from tests.placement.test_return_model import Client, ReturningStore
@@ -29,6 +29,17 @@
         client = Client(self.store)
         return make_lease(client, box, rows=ReadRows(client))
 
+    def hand_over_in_an_outage(self) -> Successor:
+        """Let the second box go on in the stead of the first, and the store answer again."""
+        self.store.down = True
+        self.one.renew()
+        heir = Heir("two", "two-1", "127.0.0.1:1")
+        handover = self.one.give_up(reason="a test", successor=True, heir=heir)
+        assert handover is not None
+        assert self.two.adopt(handover)
+        self.store.down = False
+        return handover
+
     @property
     def holder(self) -> str:
         row = Client(self.store).row
@@ -91,14 +102,7 @@
 def test_a_successor_yields_to_who_took_the_lease_in_the_returned_store(
     at: Boxes, clock: Clock
 ) -> None:
-    at.store.down = True
-    at.one.renew()
-    handover = at.one.give_up(
-        reason="a test", successor=True, heir=Heir("two", "two-1", "127.0.0.1:1")
-    )
-    assert handover is not None
-    assert at.two.adopt(handover)
-    at.store.down = False
+    at.hand_over_in_an_outage()
     at.store.return_from(EMPTY)
     at.store.pass_over()
     at.three.look()
@@ -110,14 +114,7 @@
 
 
 def test_a_successor_confirms_its_role_in_the_returned_store(at: Boxes, clock: Clock) -> None:
-    at.store.down = True
-    at.one.renew()
-    handover = at.one.give_up(
-        reason="a test", successor=True, heir=Heir("two", "two-1", "127.0.0.1:1")
-    )
-    assert handover is not None
-    assert at.two.adopt(handover)
-    at.store.down = False
+    handover = at.hand_over_in_an_outage()
     at.store.return_from(EMPTY)
     assert at.two.renew()
     assert at.two.confirmed
--- a/tests/platform/test_store_return.py
+++ b/tests/platform/test_store_return.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
-from pathlib import Path
 from typing import Any
 
 import gevent
 import pytest
 import urllib3
 
-from springrock.emulator.ports import free_addresses
 from springrock.eras import number_of
 from springrock.log import Log
 from springrock.placement.messages import TableNews, decode, encode
@@ -29,9 +27,8 @@
     WrittenInAnotherEra,
 )
 from springrock.table_follower import TableFollower
-from tests.processes import Processes, wait_until
+from tests.platform.conftest import TABLE
 
-TABLE = "replicas"
 LATER_S = 30.0
 COPY_S = 1.0
 
@@ -99,27 +96,8 @@
 
 
 @pytest.fixture
-def address() -> str:
-    return free_addresses(1)[0]
-
-
-@pytest.fixture
-def store(tmp_path: Path, address: str) -> Iterator[ReturningStore]:
-    processes = Processes(tmp_path)
-    processes.spawn("store", ["standin", "rowstore"], {"address": address})
-    try:
-        wait_until(lambda: answers(PlatformStore(address)), what="the store answers")
-        yield ReturningStore(address)
-    finally:
-        processes.stop()
-
-
-def answers(store: PlatformStore) -> bool:
-    try:
-        store.read_all(TABLE)
-    except RowStoreUnavailable:
-        return False
-    return True
+def store(address: str) -> ReturningStore:
+    return ReturningStore(address)
 
 
 def follow(store: ReturningStore, *, pause_s: float) -> tuple[TableFollower, Listener]:
