Forwarder: a request that gets 404 leaves the configuration that it was judged by

A 404 wrote no line, so that an old configuration, one that another box told and one that was known late looked alike. The line names the configuration in force, the table's version, the zone that told it and how old it is at the most. No logic changes.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -383,6 +383,7 @@
             sender=sender,
             relay=StreamRelay(chooser=chooser, sender=sender, log=log),
             log=log,
+            configuration_origin=lambda: self._operator_table.origin,
         )
         self._door = ForwardingDoor(
             settings.listen.clients_address,
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -59,6 +59,8 @@
         sender: Sends requests to them.
         relay: Relays streams.
         log: The log to write to.
+        configuration_origin: Returns the version, source and age of the operator's table, as fields
+            of a log line.
     """
 
     def __init__(
@@ -71,7 +73,9 @@
         sender: Sender,
         relay: StreamRelay,
         log: Log,
+        configuration_origin: Callable[[], dict[str, object]] = dict,
     ) -> None:
+        self._configuration_origin = configuration_origin
         self._routes = routes
         self._gate = gate
         self._charging = charging
@@ -88,6 +92,7 @@
             return own_reply(503, "no_configuration", retry_after_s=RETRY_AFTER_S)
         route = table.find(request.host, request.path)
         if route is None:
+            self._log_no_route(request, table.configuration.version)
             return own_reply(404, "no_route")
         try:
             admission = self._gate.admit(table, route, request.key_digest)
@@ -166,6 +171,14 @@
                 return relayed_reply(head, self._relay.relay(progress, run))
             failure_reply = _read_failed_stream(head, run)
 
+    def _log_no_route(self, request: ClientRequest, version: int) -> None:
+        self._log.info(
+            "Found no route for a request.",
+            request=request.request_id,
+            configuration=version,
+            **self._configuration_origin(),
+        )
+
     def _log_not_admitted(
         self, request: ClientRequest, route: Route, rejection: Rejection, version: int
     ) -> None:
--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import threading
 from collections.abc import Iterator
@@ -50,6 +51,22 @@
     assert deployment.runs(request_id) == 0
 
 
+def test_the_log_names_the_configuration_by_which_a_request_got_404(
+    deployment: Deployment,
+) -> None:
+    request_id = deployment.new_id()
+    deployment.send("box-1", "/nowhere/x", request_id=request_id)
+
+    def _logged() -> dict[str, object] | None:
+        lines = [json.loads(line) for line in deployment.log("box-1").splitlines()]
+        return next((line for line in lines if line.get("request") == request_id), None)
+
+    line = wait_until(_logged, what="the refusal is logged")
+    assert line["configuration"] == deployment.version
+    assert line["table_version"]
+    assert line["table_stale_ms"] is not None
+
+
 def test_an_adapter_is_loaded_for_a_stream(deployment: Deployment) -> None:
     for box in deployment.clients:
         answer = deployment.send_until_served(box, "/items/x", adapter="a1")
