Retry budget: each decision is logged and counted with what it was made by

A box logged which requests were retried, but neither what its budget held nor by how many boxes it divided the allowance, so that a box that divides by too few and one that has forgotten what it spent looked alike. The line names requests and retries of the window, the part of the allowance and the boxes that share it; springrock_forwarding_retries_total counts by service and outcome. No logic changes.

tests/forwarding, tests/permits, tests/routed/test_path.py pass; the new test of the decision's fields fails without them.

--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -57,7 +57,7 @@
 def _ignore_retry_budget() -> None:
     from springrock.forwarding.budget import RetryBudget
 
-    RetryBudget.try_spend = lambda self: True  # type: ignore[method-assign]
+    RetryBudget.try_spend = lambda self, *, request="": True  # type: ignore[method-assign]
 
 
 @_disables("key_freshness")
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -12,7 +12,7 @@
 from springrock.entry_settings import EntrySettings
 from springrock.eras import number_of
 from springrock.forwarding.balancing import Balancer
-from springrock.forwarding.budget import RetryBudget, RetryLimits
+from springrock.forwarding.budget import RetryBudget, RetryDecision, RetryLimits
 from springrock.forwarding.choosing import ReplicaChooser
 from springrock.forwarding.configuration import Configuration, RouteTable
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
@@ -496,10 +496,26 @@
     def _budget_of(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._retry_limits)
+            budget = RetryBudget(
+                self._retry_limits,
+                on_decision=lambda decision: self._record_retry_decision(service, decision),
+            )
             self._budgets[service] = budget
         return budget
 
+    def _record_retry_decision(self, service: str, decision: RetryDecision) -> None:
+        outcome = "allowed" if decision.allowed else "refused"
+        self.metrics.retries.labels(service, outcome).inc()
+        self._log_of("retries").info(
+            "Allowed a retry." if decision.allowed else "Refused a retry.",
+            request=decision.request,
+            service=service,
+            requests=decision.requests,
+            retries=decision.retries,
+            allowance=round(decision.allowance, 2),
+            boxes=self._placement.boxes,
+        )
+
     def _retry_limits(self) -> RetryLimits:
         """Return the retry limits of this box, with its share of the fixed allowance."""
         retries = self.settings.retries
--- a/springrock/forwarding/budget.py
+++ b/springrock/forwarding/budget.py
@@ -30,15 +30,44 @@
     window_s: float
 
 
+class RetryDecision(NamedTuple):
+    """Whether a retry was allowed, and by what.
+
+    Attributes:
+        request: The id of the request.
+        allowed: Whether the retry was allowed.
+        requests: The requests counted in the window.
+        retries: The retries spent in the window before.
+        allowance: This box's part of the fixed allowance.
+    """
+
+    request: str
+    allowed: bool
+    requests: int
+    retries: int
+    allowance: float
+
+
+def _ignore_decision(decision: RetryDecision) -> None:
+    pass
+
+
 class RetryBudget:
     """Counts requests and retries in a sliding window.
 
     Args:
         limits: Returns the current limits; a change keeps the requests and retries counted so far.
+        on_decision: Called with each decision on a retry.
     """
 
-    def __init__(self, limits: Callable[[], RetryLimits]) -> None:
+    def __init__(
+        self,
+        limits: Callable[[], RetryLimits],
+        *,
+        on_decision: Callable[[RetryDecision], None] = _ignore_decision,
+    ) -> None:
         self._limits = limits
+        self._on_decision = on_decision
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -46,15 +75,23 @@
         """Count a client's request."""
         self._requests.append(monotonic())
 
-    def try_spend(self) -> bool:
-        """Spend one retry if the budget allows it; return whether it does."""
+    def try_spend(self, *, request: str = "") -> bool:
+        """Spend one retry if the budget allows it; return whether it does.
+
+        Args:
+            request: The id of the request.
+        """
         limits = self._limits()
         self._drop_expired(older_than_s=limits.window_s)
-        allowed = (limits.ratio * len(self._requests) + limits.allowance) * _SAFETY_FACTOR
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(monotonic())
-        return True
+        retries = len(self._retries)
+        limit = (limits.ratio * len(self._requests) + limits.allowance) * _SAFETY_FACTOR
+        allowed = retries + 1 <= limit
+        self._on_decision(
+            RetryDecision(request, allowed, len(self._requests), retries, limits.allowance)
+        )
+        if allowed:
+            self._retries.append(monotonic())
+        return allowed
 
     def _drop_expired(self, *, older_than_s: float) -> None:
         oldest_kept = monotonic() - older_than_s
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -216,9 +216,13 @@
         self._check_quarantine(progress)
         if not progress.resuming:
             self._check_key(progress)
-        if progress.arrivals and not self._budget_of(progress.service).try_spend():
+        if progress.arrivals and not self._may_retry(progress):
             raise NoReplica("retry_budget", RETRY_AFTER_S)
 
+    def _may_retry(self, progress: RequestProgress) -> bool:
+        budget = self._budget_of(progress.service)
+        return budget.try_spend(request=progress.request.request_id)
+
     def _check_quarantine(self, progress: RequestProgress) -> None:
         """Raise if this box or another one found that the request crashes replicas."""
         left_s = self._quarantine.quarantined_for_s(progress.fingerprint)
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -249,6 +249,12 @@
             "The most boxes seen at once; they share the fixed allowance of retries.",
             registry=registry,
         )
+        self.retries = Counter(
+            "springrock_forwarding_retries",
+            "Retries that the budget of a service allowed or refused.",
+            ["service", "outcome"],
+            registry=registry,
+        )
         self.zone_evacuated = Gauge(
             "springrock_evacuation_zone",
             "1 while a zone is evacuated, as this box knows.",
--- a/tests/forwarding/test_values.py
+++ b/tests/forwarding/test_values.py
@@ -11,7 +11,7 @@
 from springrock.forwarding import budget as budget_module
 from springrock.forwarding import health as health_module
 from springrock.forwarding.balancing import Balancer
-from springrock.forwarding.budget import RetryBudget, RetryLimits
+from springrock.forwarding.budget import RetryBudget, RetryDecision, RetryLimits
 from springrock.forwarding.configuration import (
     Configuration,
     Route,
@@ -148,6 +148,20 @@
     assert not budget.try_spend()
 
 
+def test_each_decision_on_a_retry_names_what_it_was_made_by() -> None:
+    decisions: list[RetryDecision] = []
+    budget = RetryBudget(
+        lambda: RetryLimits(ratio=0.2, allowance=1.5, window_s=10.0), on_decision=decisions.append
+    )
+    budget.record_request()
+    budget.try_spend(request="r-1")
+    budget.try_spend(request="r-2")
+    assert decisions == [
+        RetryDecision("r-1", allowed=True, requests=1, retries=0, allowance=1.5),
+        RetryDecision("r-2", allowed=False, requests=1, retries=1, allowance=1.5),
+    ]
+
+
 def test_a_request_that_may_have_run_runs_again_only_within_its_attempts() -> None:
     progress = RequestProgress(make_request(), make_route(attempts=2), "s")
     first = progress.start_attempt("i-1", record_age_s=0.0)
