Failing test: a box relies without end on readings that arrive late

A box that is sent readings of the store 3 s after they were made counts the time for which it skips its own reads from their arrival, and so knows no change for as long as they come.

--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -296,6 +296,36 @@
     follower.stop()
 
 
+class ChangingStore(ScriptedStore):
+    """Has one change, which its next answer contains."""
+
+    def read_all(self, table: str) -> Snapshot:
+        return Snapshot([Row("a", b"1", 1)], 1)
+
+    def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
+        if after >= 2:
+            gevent.sleep(60)
+        return Changes([Row("a", b"2", 2)], 2)
+
+
+def test_a_box_does_not_rely_on_readings_that_arrive_long_after_they_were_made() -> None:
+    clock, listener = StoreClock(), Listener()
+    follower = TableFollower(
+        ChangingStore(), TABLE, listener, pause_s=0.3, clock=clock, log=Log("test", "box")
+    )
+    follower.start()
+    wait_for_calls(listener, count=1)
+    now = monotonic()
+    clock.record(500.0, sent_at=now, received_at=now)
+    ends_at = now + 3.0
+    while monotonic() < ends_at and listener.rows["a"] != b"2":
+        made_at = 500.0 + monotonic() - now - 3.0
+        follower.apply_reading(TableReading(TABLE, 1, 1, [], as_of_s=made_at))
+        gevent.sleep(0.1)
+    follower.stop()
+    assert listener.rows == {"a": b"2"}
+
+
 class OneTable(ScriptedStore):
     """Answers with a full table of one version, which tests raise."""
 
