Tables: a delayed reading is not relied on for longer than one made now

What callers may see: a box that is told readings of the store late applies a configuration as late, for as long as the readings come. Cause: the time for which a box skips its own reads counted from a reading's arrival, so that the delays of a chain of boxes and links add to it without a bound. It now also ends 1.8 s after the reading was made, by the store's clock that the reading carries (a publisher's poll of 0.5 s and the 1.3 s of before), so that a reading without delay is relied on as before. Readings without a time (earlier builds, another era) count from their arrival as before.

Not shown: that this was the cause of the reported refusals.

--- a/springrock/table_follower.py
+++ b/springrock/table_follower.py
@@ -43,6 +43,10 @@
 longest time between two reads of that box. With an own read afterwards, a change is still known in
 under two seconds, if the store answers at once."""
 
+_PEER_READING_MAX_AGE_S = 1.8
+"""How long after it was made a reading from another box is relied on at most. A poll of a
+publishing box may take up to its wait; a reading that is older on arrival was delayed."""
+
 _MAX_EXTRA_WAIT_S = 0.4
 """Upper limit on the extra wait of boxes that do not publish, so that a publishing box reads
 first."""
@@ -195,14 +199,23 @@
             return
         self._source_zone = source_zone
         self._apply(reading)
-        self._record_newest(reading)
+        made_at = self._local_time_of(reading)
+        if made_at is not None:
+            self._newest_at = max(self._newest_at, made_at)
         self.read_at = monotonic()
         if relied_on or self._read_failing.holds:
-            extra_wait_s = 0.0 if self.publishes() else random.uniform(0.5, 1.0) * _MAX_EXTRA_WAIT_S
-            self._skip_reads_until = self.read_at + _PEER_READING_VALID_S + extra_wait_s
+            self._skip_reads(made_at, received_at=self.read_at)
         if self.publishes():
             self.publisher(reading, False)
 
+    def _skip_reads(self, made_at: float | None, *, received_at: float) -> None:
+        """Skip own reads for a time after a reading from another box, made at a local time."""
+        valid_until = received_at + _PEER_READING_VALID_S
+        if made_at is not None:
+            valid_until = min(valid_until, made_at + _PEER_READING_MAX_AGE_S)
+        extra_wait_s = 0.0 if self.publishes() else random.uniform(0.5, 1.0) * _MAX_EXTRA_WAIT_S
+        self._skip_reads_until = valid_until + extra_wait_s
+
     @property
     def last_read_failed(self) -> bool:
         """Whether the store did not answer the last read."""
@@ -337,13 +350,12 @@
                 known=format_version(self.version),
             )
 
-    def _record_newest(self, reading: TableReading) -> None:
-        """Update the time at which the known table was up to date, from another box's reading."""
+    def _local_time_of(self, reading: TableReading) -> float | None:
+        """Return the earliest local time at which another box's reading was made, if known."""
         if reading.as_of_s is None:
-            return
-        newest_at = self._clock.earliest_local(reading.as_of_s, era=era_of(reading.version))
-        if newest_at is not None and newest_at <= monotonic():
-            self._newest_at = max(self._newest_at, newest_at)
+            return None
+        made_at = self._clock.earliest_local(reading.as_of_s, era=era_of(reading.version))
+        return made_at if made_at is not None and made_at <= monotonic() else None
 
     def _reject_earlier_era(self, reading: TableReading) -> None:
         """Raise `RowStoreUnavailable` if a reading is of an earlier era than the known table."""
