Retry budget: a box that starts again has not what it may have spent before

Cause: each box counts its retries in the memory of its process, so that each start gives the box its part of the allowance, and the ratio on new requests, anew within the same window. The class: a limit over time that is kept by something that lives for less than that time.

Change: in its first window a process has no part of the allowance, and a quarter of the usual ratio: what four fifths of the budget, which an earlier process may have spent, leave of it. Nothing but the clock is needed, so it holds without links and store.

A count kept by placers, told to a box that links, was not built: it does not hold where none is heard.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -12,7 +12,7 @@
 from springrock.entry_settings import EntrySettings
 from springrock.eras import number_of
 from springrock.forwarding.balancing import Balancer
-from springrock.forwarding.budget import RetryBudget, RetryDecision, RetryLimits
+from springrock.forwarding.budget import RetryBudget, RetryDecision
 from springrock.forwarding.choosing import ReplicaChooser
 from springrock.forwarding.configuration import Configuration, RouteTable
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
@@ -25,6 +25,7 @@
 from springrock.forwarding.keys import KeyGate
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
+from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay
 from springrock.kept_rows import operator_row_retention, own_row_retention, replica_retention
@@ -110,6 +111,7 @@
         self._is_unreadable = False
         self._store_era: int | None = None
         self._budgets: dict[str, RetryBudget] = {}
+        self._retry_limits = OwnRetryLimits(self._retry_terms, boxes=lambda: self._placement.boxes)
         self.directory = Directory(
             self._log_of("directory"), rows_origin=lambda: self._replica_table.origin
         )
@@ -334,6 +336,7 @@
         self._connect_readings()
         self._follow_evacuations()
         self.metrics.boxes.set_function(lambda: float(self._placement.boxes))
+        self.metrics.retry_allowance.set_function(lambda: self._retry_limits.current().allowance)
         gate = KeyGate(
             routes=lambda: self._routes,
             staleness_s=self._staleness_s,
@@ -497,7 +500,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(
-                self._retry_limits,
+                self._retry_limits.current,
                 on_decision=lambda decision: self._record_retry_decision(service, decision),
             )
             self._budgets[service] = budget
@@ -516,8 +519,6 @@
             boxes=self._placement.boxes,
         )
 
-    def _retry_limits(self) -> RetryLimits:
-        """Return the retry limits of this box, with its share of the fixed allowance."""
+    def _retry_terms(self) -> RetryTerms:
         retries = self.settings.retries
-        boxes = max(retries.boxes, self._placement.boxes)
-        return RetryLimits(retries.ratio, retries.allowance / boxes, retries.window_s)
+        return RetryTerms(retries.ratio, retries.allowance, retries.window_s, retries.boxes)
--- a/springrock/forwarding/budget.py
+++ b/springrock/forwarding/budget.py
@@ -1,7 +1,7 @@
 """The retry budget of a service, which all boxes together do not exceed.
 
 No communication between boxes is needed: each box spends only the retries that its own requests
-allow, plus its share of the fixed allowance.
+allow, plus its part of the fixed allowance.
 """
 
 from __future__ import annotations
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -255,6 +255,11 @@
             ["service", "outcome"],
             registry=registry,
         )
+        self.retry_allowance = Gauge(
+            "springrock_forwarding_retry_allowance",
+            "This box's part of the allowance of retries; 0 in its first window.",
+            registry=registry,
+        )
         self.zone_evacuated = Gauge(
             "springrock_evacuation_zone",
             "1 while a zone is evacuated, as this box knows.",
