Retry budget: a box that does not know how many share the allowance spends none

Second cause, another fault: a box divided the allowance by the boxes that the last heartbeat named, and by retries.boxes (12) until it heard one. A box that heard no placer since its start spent a twelfth where it was one of 75; one that heard a placer which had just begun, or one that is cut off with its zone, divided by those that had linked there.

Change: a box has no part until a placer's heartbeat has told the number for a window, by when all that live have linked, and counts at least as many boxes in each zone as its own zone's placer has. Where there are no engines and so no placers, retries.boxes is what it divides by, as before. The count is recorded with each heartbeat, not when somebody asks for it.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -111,7 +111,9 @@
         self._is_unreadable = False
         self._store_era: int | None = None
         self._budgets: dict[str, RetryBudget] = {}
-        self._retry_limits = OwnRetryLimits(self._retry_terms, boxes=lambda: self._placement.boxes)
+        self._retry_limits = OwnRetryLimits(
+            self._retry_terms, boxes=lambda known_for_s: self._placement.sharing_boxes(known_for_s)
+        )
         self.directory = Directory(
             self._log_of("directory"), rows_origin=lambda: self._replica_table.origin
         )
@@ -516,7 +518,7 @@
             requests=decision.requests,
             retries=decision.retries,
             allowance=round(decision.allowance, 2),
-            boxes=self._placement.boxes,
+            boxes=self._placement.sharing_boxes(0.0),
         )
 
     def _retry_terms(self) -> RetryTerms:
--- a/springrock/forwarding/retry_limits.py
+++ b/springrock/forwarding/retry_limits.py
@@ -40,10 +40,13 @@
 
     Args:
         terms: Returns the current terms.
-        boxes: Returns how many boxes share the allowance, as far as this box knows.
+        boxes: Returns how many boxes share the allowance, if this box has known it for at least the
+            given seconds; else None.
     """
 
-    def __init__(self, terms: Callable[[], RetryTerms], *, boxes: Callable[[], int]) -> None:
+    def __init__(
+        self, terms: Callable[[], RetryTerms], *, boxes: Callable[[float], int | None]
+    ) -> None:
         self._terms = terms
         self._boxes = boxes
         self._started_at = monotonic()
@@ -53,5 +56,6 @@
         terms = self._terms()
         if monotonic() - self._started_at < terms.window_s:
             return RetryLimits(terms.ratio * _FIRST_WINDOW_FRACTION, 0.0, terms.window_s)
-        part = terms.allowance / max(terms.least_boxes, self._boxes())
+        boxes = self._boxes(terms.window_s)
+        part = 0.0 if boxes is None else terms.allowance / max(terms.least_boxes, boxes)
         return RetryLimits(terms.ratio, part, terms.window_s)
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -246,7 +246,7 @@
         )
         self.boxes = Gauge(
             "springrock_placement_boxes",
-            "The most boxes seen at once; they share the fixed allowance of retries.",
+            "The most boxes that one placer had linked.",
             registry=registry,
         )
         self.retries = Counter(
@@ -257,7 +257,7 @@
         )
         self.retry_allowance = Gauge(
             "springrock_forwarding_retry_allowance",
-            "This box's part of the allowance of retries; 0 in its first window.",
+            "This box's part of the allowance of retries; 0 until it knows how many share it.",
             registry=registry,
         )
         self.zone_evacuated = Gauge(
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -26,6 +26,7 @@
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.terms import SlowStartTerms
 from springrock.permits.warmup import WarmupTracker
+from springrock.placement.box_count import BoxCount
 from springrock.placement.control import EngineControl
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.handover import HandoverCoordinator
@@ -113,6 +114,7 @@
             lambda reading, relied_on, source_zone: None
         )
         self.on_reader_lost: Callable[[], None] = lambda: None
+        self._box_count = BoxCount(len(routing_state().topology.zones))
         self._dependencies = ZoneDependencies(
             incarnation=new_id(),
             store=store,
@@ -127,6 +129,7 @@
             slow_start_terms=slow_start_terms,
             warmup=warmup,
             limits=limits,
+            box_count=self._box_count,
             on_table_news=self._apply_updates,
             on_placer_contact=self._placer_contact.set,
             on_placer_lost=self._placer_lost,
@@ -155,7 +158,6 @@
             log=log_of("link"),
         )
         self._stopping = False
-        self._max_boxes = 1
 
     def start(self) -> None:
         """Start to accept links and to join zones as their engines become known."""
@@ -178,12 +180,19 @@
 
     @property
     def boxes(self) -> int:
-        """The highest number of boxes linked to one placer so far, this one included.
+        """The highest number of boxes linked to one placer so far, this one included."""
+        return self._box_count.most
 
-        It never falls, as boxes behind a network cut still spend their share of common budgets.
+    def sharing_boxes(self, heard_for_s: float) -> int | None:
+        """Return the number of boxes that common budgets are divided by.
+
+        Args:
+            heard_for_s: How long ago a placer must have reported it first.
+
+        Returns:
+            None if no placer has; 1 if there are no engines, and so no placers.
         """
-        self._max_boxes = max(self._max_boxes, *(zone.boxes for zone in self._zones.values()), 1)
-        return self._max_boxes
+        return self._box_count.sharing(heard_for_s=heard_for_s) if self._zones else 1
 
     # Readings, observations and limits shared between boxes.
 
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -66,7 +66,6 @@
         prefetch: The adapters to prefetch into the zone while this box is its placer.
         links: The boxes linked to this one as the zone's placer.
         room: How many more adapters the engines could load, by the placer's last heartbeat.
-        boxes: How many boxes the placer had linked at its last heartbeat, its own included.
         home_boxes: How many of them are in the zone; 0 before the first heartbeat.
         spread: The adapters, as MODEL/NAME, that each zone should serve itself, by the last
             heartbeat.
@@ -96,7 +95,7 @@
             limits=lambda: dependencies.limits.reports_for(self._instances()),
         )
         self.room = 0
-        self.boxes = 1
+        self._box_count = dependencies.box_count
         self.home_boxes = 0
         self.spread: frozenset[str] = frozenset()
         self.wait_estimate = WaitEstimate()
@@ -371,7 +370,6 @@
 
     def _record_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.room = heartbeat.room
-        self.boxes = heartbeat.boxes
         self.spread = frozenset(heartbeat.spread)
         self.wait_estimate = WaitEstimate(heartbeat.pressure / 100, heartbeat.wait_ms / 1000)
         for instance in heartbeat.leaving:
@@ -380,6 +378,8 @@
         self._limits.apply_placer_limits(self._zone, heartbeat.limits)
         # A placer with an earlier build sends only the number of all boxes.
         self.home_boxes = heartbeat.home_boxes or heartbeat.boxes
+        is_home = self._zone == self._settings.zone
+        self._box_count.record(heartbeat.boxes, home=self.home_boxes if is_home else 0)
         self._on_placer_contact()
 
     def _handle_placer_lost(self) -> None:
--- a/springrock/placement/zone_dependencies.py
+++ b/springrock/placement/zone_dependencies.py
@@ -14,6 +14,7 @@
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.terms import SlowStartTerms
 from springrock.permits.warmup import WarmupTracker
+from springrock.placement.box_count import BoxCount
 from springrock.placement.control import EngineControl
 from springrock.placement.handover_messages import Handover
 from springrock.placement.messages import TableNews
@@ -40,6 +41,7 @@
         slow_start_terms: Returns the rules for the bound on requests to cold replicas.
         warmup: Which replicas are cold.
         limits: The limits that replicas have named.
+        box_count: Records how many boxes the placers report.
         on_table_news: Called with a zone and a reading of the store's tables by its placer.
         on_placer_contact: Called after each heartbeat of a zone's placer.
         on_placer_lost: Called with a zone when this box has lost its placer.
@@ -63,6 +65,7 @@
     slow_start_terms: Callable[[], SlowStartTerms]
     warmup: WarmupTracker
     limits: NamedLimits
+    box_count: BoxCount
     on_table_news: Callable[[str, TableNews], None]
     on_placer_contact: Callable[[], None]
     on_placer_lost: Callable[[str], None]
--- a/tests/forwarding/test_retry_budget_model.py
+++ b/tests/forwarding/test_retry_budget_model.py
@@ -87,7 +87,7 @@
 
 def new_budget(kind: type[OwnRetryLimits]) -> RetryBudget:
     """Return the budget of a process that starts now."""
-    return RetryBudget(kind(lambda: TERMS, boxes=lambda: BOXES).current)
+    return RetryBudget(kind(lambda: TERMS, boxes=lambda known_for_s: BOXES).current)
 
 
 def play(seed: int, clock: Clock, kind: type[OwnRetryLimits]) -> Play:
@@ -138,8 +138,16 @@
 
 
 def test_a_process_has_its_part_after_its_first_window(clock: Clock) -> None:
-    limits = OwnRetryLimits(lambda: TERMS, boxes=lambda: 2 * BOXES)
+    limits = OwnRetryLimits(lambda: TERMS, boxes=lambda known_for_s: 2 * BOXES)
     clock.now += WINDOW_S - 0.01
     assert limits.current() == RetryLimits(RATIO / 4, 0.0, WINDOW_S)
     clock.now += 0.01
     assert limits.current() == RetryLimits(RATIO, ALLOWANCE / (2 * BOXES), WINDOW_S)
+
+
+def test_a_box_that_does_not_know_how_many_share_the_allowance_has_no_part(clock: Clock) -> None:
+    limits = OwnRetryLimits(
+        lambda: TERMS, boxes=lambda known_for_s: None if known_for_s >= WINDOW_S else BOXES
+    )
+    clock.now += 2 * WINDOW_S
+    assert limits.current() == RetryLimits(RATIO, 0.0, WINDOW_S)
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -49,7 +49,6 @@
         self.reachable = True
         self.silent = False
         self.room = 1
-        self.boxes = 3
         self.spread: frozenset[str] = frozenset()
         self.wait_estimate = WaitEstimate()
         self.requested_copies: list[tuple[AdapterKey, int]] = []
@@ -271,14 +270,6 @@
     assert deployment.find() == "zone-1"
 
 
-def test_the_number_of_boxes_never_falls(deployment: Deployment) -> None:
-    assert deployment.placement.boxes == 3
-    deployment.zones["zone-2"].boxes = 7
-    assert deployment.placement.boxes == 7
-    deployment.zones["zone-2"].boxes = 1
-    assert deployment.placement.boxes == 7
-
-
 READING = TableReading("op", 3, 4, [Row("config", b"{}", 4)])
 
 
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -9,6 +9,7 @@
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.permits.terms import SlowStartTerms
+from springrock.placement.box_count import BoxCount
 from springrock.placement.messages import Demand, Heartbeat, TableNews, TableRow, decode, encode
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
@@ -24,7 +25,11 @@
 RECORD = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-2")
 
 
-def make_zone(directory: Directory, updates: list[TableNews] | None = None) -> ZonePlacement:
+def make_zone(
+    directory: Directory,
+    updates: list[TableNews] | None = None,
+    box_count: BoxCount | None = None,
+) -> ZonePlacement:
     versions = Versions()
     dependencies = ZoneDependencies(
         incarnation="1",
@@ -40,6 +45,7 @@
         slow_start_terms=lambda: SlowStartTerms(1.0, 0.0),
         warmup=make_warmup(),
         limits=make_limits(),
+        box_count=box_count or BoxCount(3),
         on_table_news=lambda zone, reported: None if updates is None else updates.append(reported),
         on_placer_contact=lambda: None,
         on_placer_lost=lambda zone: None,
@@ -54,7 +60,8 @@
 def test_a_heartbeat_updates_the_zone_and_its_leaving_replicas() -> None:
     directory = Directory(Log("directory", "box-1"))
     directory.update(RECORD)
-    zone = make_zone(directory)
+    box_count = BoxCount(3)
+    zone = make_zone(directory, box_count=box_count)
     heartbeat = Heartbeat(
         row_version=3,
         lease_left_ms=900,
@@ -66,7 +73,7 @@
         wait_ms=40,
     )
     zone.handle(decode(encode(heartbeat)))
-    assert (zone.room, zone.boxes, zone.spread) == (4, 7, frozenset({"m/hot"}))
+    assert (zone.room, box_count.most, zone.spread) == (4, 7, frozenset({"m/hot"}))
     assert zone.wait_estimate == WaitEstimate(pressure=1.3, wait_s=0.04)
     assert directory.leaving() == ("i-1",)
     directory.update(msgspec.structs.replace(RECORD, instance="i-2"))
--- a/tests/routed/test_retry_budget.py
+++ b/tests/routed/test_retry_budget.py
@@ -56,3 +56,26 @@
         total += repeats(deployment, "box-1")
     windows = math.ceil((monotonic() - began_at) / WINDOW_S)
     assert total <= windows * ALLOWANCE
+
+
+def test_a_box_that_hears_no_placer_spends_no_part_of_the_allowance(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    retries = {"ratio": 0.0, "allowance": ALLOWANCE, "window_s": 1.0, "boxes": 1}
+    folder = tmp_path_factory.mktemp("unheard")
+    with Deployment(folder, boxes=4, box_settings={"retries": retries}) as deployment:
+        deployment.configure()
+        deployment.wait_ready(replicas=REPLICAS)
+        deployment.placer_and_other(deployment.zones[0])
+        placers = set(deployment.placers().values())
+        started, *_ = sorted(set(deployment.clients) - placers)
+        for name in ("rosters-1", "rosters-2"):
+            deployment.fault(name, fail=True)
+        deployment.fault("store", busy=True)
+        for box in placers:
+            deployment.processes.kill(box)
+        deployment.processes.restart(started)
+        wait_until(lambda: deployment.is_ready(started), what=f"{started} is ready")
+        ready_at = monotonic()
+        wait_until(lambda: monotonic() > ready_at + 2.0, what=f"{started} is over a window old")
+        assert repeats(deployment, started) == 0
