--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,7 +7,7 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_RELEASE = "0235fbf0bb83"
+LAST_RELEASE = "924fd91cc65e"
 """The previous release, which users upgrade from."""
 
 BEFORE_LIMITS = "e68fd97b5235"
