Reach: a box tells when it is cut off from all replicas

Each failed attempt was a line of its own, and nothing told a box with some failed replicas from one that reaches none, nor when that began and ended. A connection that fails, or a second of silence while requests wait, now makes a box probe one replica and, if that fails, three more; if all fail it says that it reaches none, until any replica is heard. A line for begin and end, a gauge; nothing else depends on it yet.

The probes cost connections: at most four in a quarter of a second while requests wait in silence.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -25,6 +25,8 @@
 from springrock.forwarding.keys import KeyGate
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
+from springrock.forwarding.reach_probe import ReachProbe
+from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay
@@ -125,6 +127,8 @@
             staleness_s=lambda: self._operator_table.staleness_s,
             log=self._log_of("evacuations"),
         )
+        self._reach = ReplicaReach(self._log_of("reach"))
+        self._reach_probe = ReachProbe(self._reach, self.directory)
         self._warmup = WarmupTracker(
             configuration=lambda: self._routes.configuration,
             rows_as_of=lambda: monotonic() - self._replica_table.staleness_s,
@@ -158,6 +162,7 @@
         self._state_fetch_task = gevent.spawn(self._state_fetcher.run)
         self._placement.start()
         self._quarantine.start()
+        self._reach_probe.start()
         self._door.start()
         self._readiness.start()
         self._metrics_page.start()
@@ -199,6 +204,7 @@
         self._loop_watch.stop()
         self._placement.stop()
         self._quarantine.stop()
+        self._reach_probe.stop()
         for follower in self._followers:
             follower.stop()
         self.stopped.set()
@@ -337,6 +343,7 @@
         self._notices.on_leaving.append(self._placement.announce_leaving)
         self._connect_readings()
         self._follow_evacuations()
+        self.metrics.cut_off.set_function(lambda: float(self._reach.cut_off))
         self.metrics.boxes.set_function(lambda: float(self._placement.boxes))
         self.metrics.retry_allowance.set_function(lambda: self._retry_limits.current().allowance)
         gate = KeyGate(
@@ -378,6 +385,7 @@
             log=log,
             crash_detector=self._quarantine.crash_detector,
             notices=self._notices,
+            reach=self._reach,
             count_attempt=lambda outcome: self.metrics.attempts.labels(outcome).inc(),
         )
         forwarder = Forwarder(
--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -164,6 +164,10 @@
         """Return the known replicas of a service, including leaving ones."""
         return [item for item in self._replicas.values() if item.record.service == service]
 
+    def all_replicas(self) -> list[Replica]:
+        """Return the replicas of all services."""
+        return list(self._replicas.values())
+
     def in_zone(self, zone: str) -> list[Replica]:
         """Return the known replicas of a zone, including leaving ones."""
         return [item for item in self._replicas.values() if item.record.zone == zone]
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -33,6 +33,10 @@
     """Do nothing: the default of `on_close`."""
 
 
+def _ignore_data() -> None:
+    """Do nothing: the default of `on_data`."""
+
+
 def _ignore_head(head: AnswerHead) -> None:
     """Do nothing: the default of `on_head`."""
 
@@ -45,9 +49,15 @@
     """
 
     def __init__(
-        self, head: AnswerHead, connection: Connection, pool: ConnectionPool, on_close: OnClose
+        self,
+        head: AnswerHead,
+        connection: Connection,
+        pool: ConnectionPool,
+        on_close: OnClose,
+        on_data: Callable[[], None] = _ignore_data,
     ) -> None:
         self.head = head
+        self._on_data = on_data
         self._connection = connection
         self._pool = pool
         self._on_close = on_close
@@ -66,6 +76,7 @@
         data = self._connection.read(timeout_s=timeout_s)
         self._complete = not data
         self._received_bytes += len(data)
+        self._on_data()
         return data
 
     def read_all(self, *, deadline: Deadline) -> bytes:
@@ -102,6 +113,7 @@
     may_send: Callable[[], bool] = lambda: True,
     on_close: OnClose = _ignore_bytes,
     on_head: Callable[[AnswerHead], None] = _ignore_head,
+    on_data: Callable[[], None] = _ignore_data,
 ) -> Answer:
     """Send a request to a replica and return its answer, to be closed by the caller.
 
@@ -116,6 +128,7 @@
             open, as opening it may have taken long.
         on_close: Called when the answer is closed.
         on_head: Called with the head of the request's own answer, whatever its status.
+        on_data: Called when the head or a part of the body has arrived.
 
     Raises:
         ReplicaUnreachable: If nothing was sent.
@@ -138,8 +151,9 @@
             timeout_s=head_timeout_s,
         )
         head = _receive_own_head(connection, request, dialect, Deadline(head_timeout_s))
+        on_data()
         on_head(head)
-        answer = Answer(head, connection, pool, on_close)
+        answer = Answer(head, connection, pool, on_close, on_data)
         if not dialect.not_run(head):
             return answer
         answer.read_all(deadline=Deadline(_SURPLUS_READ_TIMEOUT_S))
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -23,6 +23,7 @@
 )
 from springrock.forwarding.exchange import Answer, exchange
 from springrock.forwarding.notices import ReplicaNotices
+from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.request_progress import Attempt, AttemptOutcome, RequestProgress
 from springrock.log import Log
 from springrock.permits.warmup import WarmupTracker
@@ -64,6 +65,7 @@
         byte_counters: Counts the bytes exchanged with replicas of other zones.
         crash_detector: Receives the outcomes that show whether a request crashes replicas.
         notices: Receives what the heads of answers say about their replicas.
+        reach: Receives what shows whether this box reaches replicas at all.
         count_attempt: Called with the outcome of each attempt.
     """
 
@@ -78,6 +80,7 @@
         log: Log,
         crash_detector: CrashDetector,
         notices: ReplicaNotices,
+        reach: ReplicaReach,
         count_attempt: Callable[[AttemptOutcome], None] = lambda outcome: None,
     ) -> None:
         self._dialect = dialect
@@ -88,11 +91,13 @@
         self._byte_counters = byte_counters
         self._crash_detector = crash_detector
         self._notices = notices
+        self._reach = reach
         self._count_attempt = count_attempt
 
     def start_attempt(self, progress: RequestProgress, replica: Replica) -> Attempt:
         """Start an attempt at a replica; the caller must pass it to `finish_attempt`."""
         replica.running += 1
+        self._reach.begin_wait()
         return progress.start_attempt(
             replica.instance, record_age_s=monotonic() - replica.recorded_at
         )
@@ -100,6 +105,7 @@
     def finish_attempt(self, chosen: ChosenReplica, attempt: Attempt) -> None:
         """Finish an attempt: release its place at the replica and report its outcome."""
         chosen.replica.running -= 1
+        self._reach.end_wait()
         self._count_attempt(attempt.outcome)
         if chosen.use is not None:
             chosen.use.end(
@@ -150,6 +156,7 @@
             on_head=lambda head: self._handle_notice(
                 progress, replica, attempt, self._dialect.notice(head)
             ),
+            on_data=self._reach.record_heard,
         )
 
     def _handle_notice(
@@ -226,6 +233,7 @@
             refused = isinstance(error, ConnectionRefused)
             self._warmup.record_failed(replica.record, refused=refused)
             replica.health.record_unreachable()
+            self._reach.record_unreachable()
         elif isinstance(error, AnswerSilent) and progress.age_s < _MIN_SILENCE_AS_FAILURE_S:
             return
         elif isinstance(error, OutcomeUnknown):
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -249,6 +249,11 @@
             "The most boxes that one placer had linked.",
             registry=registry,
         )
+        self.cut_off = Gauge(
+            "springrock_forwarding_cut_off",
+            "1 while this box reaches no replica.",
+            registry=registry,
+        )
         self.retries = Counter(
             "springrock_forwarding_retries",
             "Retries that the budget of a service allowed or refused.",
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -9,6 +9,7 @@
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.forwarding.eligibility import RoutingState
 from springrock.forwarding.notices import ReplicaNotices
+from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.log import Log
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.warmup import WarmupTracker
@@ -66,6 +67,11 @@
     return ReplicaNotices(directory or Directory(log), limits=limits or make_limits(), log=log)
 
 
+def make_reach() -> ReplicaReach:
+    """Return the state of a box that reaches replicas."""
+    return ReplicaReach(Log("reach", "box-1"))
+
+
 class RecordingPublisher:
     """Implements `springrock.quarantine.crash_detector.Publisher`; records what is published."""
 
--- a/tests/forwarding/test_sending.py
+++ b/tests/forwarding/test_sending.py
@@ -16,7 +16,7 @@
 from springrock.metrics import ForwardingMetrics
 from springrock.platform.dialect import PlatformDialect
 from springrock.topology import Topology
-from tests.factories import make_crash_detector, make_notices, make_warmup
+from tests.factories import make_crash_detector, make_notices, make_reach, make_warmup
 from tests.forwarding.scripted import ScriptedReplica, read_request
 from tests.forwarding.test_choosing import ScriptedAdapters
 from tests.forwarding.test_values import make_request, make_route
@@ -32,6 +32,7 @@
         warmup=make_warmup(),
         crash_detector=make_crash_detector(),
         notices=make_notices(),
+        reach=make_reach(),
         may_send=lambda progress, chosen: False,
         log=Log("test", "box-1"),
         byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
--- a/tests/permits/test_observations.py
+++ b/tests/permits/test_observations.py
@@ -26,7 +26,7 @@
 from springrock.permits.warmup import WarmupTracker
 from springrock.platform.dialect import PlatformDialect
 from springrock.topology import Topology
-from tests.factories import make_crash_detector, make_notices, make_warmup
+from tests.factories import make_crash_detector, make_notices, make_reach, make_warmup
 from tests.forwarding.test_choosing import ScriptedAdapters
 from tests.forwarding.test_values import make_request, make_route
 
@@ -50,6 +50,7 @@
             warmup=self.warmup,
             crash_detector=make_crash_detector(),
             notices=make_notices(),
+            reach=make_reach(),
             may_send=lambda progress, chosen: True,
             log=Log("forwarder", "box-1"),
             byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
