Passing on: a box that reaches no replica serves by way of a box that does

Cause: a box knew its replicas one by one. Each attempt waited 0.6 s for its connection, then the next, until the client's time was over; nothing concluded that no attempt could succeed, and nothing else was tried. The class: a failure of the observer taken for as many failures of what it observes.

Change: a box that is cut off passes a request that no replica has received to a box that reaches replicas, over that box's own door, and relays its reply. The other box checks the key, charges the quota and counts the retries, so each is counted once; a header keeps it from passing the request on again, and never reaches a replica. A hop that breaks leaves the outcome unknown and nothing is sent twice. A request whose connections have all failed is passed on instead of being rejected also if the box is not cut off from all. Boxes tell the placers their address (Hello) and whether they are cut off (Demand); heartbeats name three boxes that reach replicas; all last fields with a default, so that boxes of earlier builds are neither asked nor told anything new. A cut-off box is no target for a handover and no better placer.

Weighed: saying that the box is not ready does not help open connections, nor a zone most of which is cut off, as the balancer then uses all of its boxes; tunnels over the links would need new messages and a second kind of stream.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -25,6 +25,7 @@
 from springrock.forwarding.keys import KeyGate
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
+from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.reach_probe import ReachProbe
 from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
@@ -127,7 +128,9 @@
             staleness_s=lambda: self._operator_table.staleness_s,
             log=self._log_of("evacuations"),
         )
-        self._reach = ReplicaReach(self._log_of("reach"))
+        self._reach = ReplicaReach(
+            self._log_of("reach"), on_change=lambda: self._placement.announce_reach()
+        )
         self._reach_probe = ReachProbe(self._reach, self.directory)
         self._warmup = WarmupTracker(
             configuration=lambda: self._routes.configuration,
@@ -309,6 +312,7 @@
                 ceiling_burst=_LOAD_RATE_SLACK,
                 strength=settings.processor.strength,
                 prices=settings.distance.prices,
+                clients_address=settings.listen.clients_address,
             ),
             store=self._store,
             board=self._board,
@@ -328,6 +332,7 @@
                 directory=self.directory,
                 log=self._log_of("state"),
             ).answer,
+            cut_off=lambda: self._reach.cut_off,
             log_of=self._log_of,
             metrics=self.metrics,
         )
@@ -395,6 +400,9 @@
             chooser=chooser,
             sender=sender,
             relay=StreamRelay(chooser=chooser, sender=sender, log=log),
+            passing_on=PassingOn(
+                reach=self._reach, peers=self._placement.peer_boxes, dialect=dialect, log=log
+            ),
             log=log,
             configuration_origin=lambda: self._operator_table.origin,
         )
--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -75,6 +75,12 @@
     def request_headers(self, request: ClientRequest, terms: SendTerms) -> Headers:
         """Return the headers of the request to a replica."""
 
+    def passed_on_headers(self, request: ClientRequest, *, left_s: float) -> Headers:
+        """Return the headers of a request that is passed on to another box."""
+
+    def is_passed_on(self, request: ClientRequest) -> bool:
+        """Whether a request was passed on by another box."""
+
     def answers(self, head: AnswerHead, request_id: str) -> bool:
         """Whether an answer carries the id of a request."""
 
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -17,9 +17,10 @@
     ReplicaChooser,
 )
 from springrock.forwarding.configuration import Route, RouteTable, Team
-from springrock.forwarding.errors import ExchangeError, OutcomeUnknown, Rejection
+from springrock.forwarding.errors import ExchangeError, NoReplica, OutcomeUnknown, Rejection
 from springrock.forwarding.keys import KeyGate, digest_prefix
 from springrock.forwarding.message import AnswerHead, ClientRequest
+from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.reply import Reply, own_reply, rejection_reply, relayed_reply
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
@@ -58,6 +59,7 @@
         chooser: Chooses replicas.
         sender: Sends requests to them.
         relay: Relays streams.
+        passing_on: Passes requests on to other boxes while this one reaches no replica.
         log: The log to write to.
         configuration_origin: Returns the version, source and age of the operator's table, as fields
             of a log line.
@@ -72,6 +74,7 @@
         chooser: ReplicaChooser,
         sender: Sender,
         relay: StreamRelay,
+        passing_on: PassingOn,
         log: Log,
         configuration_origin: Callable[[], dict[str, object]] = dict,
     ) -> None:
@@ -82,6 +85,7 @@
         self._chooser = chooser
         self._sender = sender
         self._relay = relay
+        self._passing_on = passing_on
         self._log = log
         self._random = random.Random()
 
@@ -100,6 +104,10 @@
             self._log_not_admitted(request, route, rejection, table.configuration.version)
             return rejection_reply(rejection)
         progress = RequestProgress(request, route, route.pick_service(self._random), admission)
+        if self._passing_on.is_due(progress):
+            passed_on = self._passing_on.forward(progress)
+            if passed_on is not None:
+                return passed_on
         self._chooser.record_request(progress)
         reply = self._charge_and_forward(progress)
         self._log_reply(progress, reply, table.configuration.version)
@@ -128,10 +136,11 @@
         failure_reply: Reply | None = None
         while True:
             try:
+                self._check_reach(progress)
                 chosen = self._chooser.next_replica(progress, until=progress.ends_at)
                 reply = self._attempt_plain(progress, chosen)
             except Rejection as rejection:
-                return failure_reply or _reply_without_answer(progress, rejection)
+                return failure_reply or self._reply_to_rejected(progress, rejection)
             except ExchangeError:
                 continue
             if reply.head.status < 500 or not progress.may_run_again:
@@ -162,15 +171,29 @@
         failure_reply: Reply | None = None
         while True:
             try:
+                self._check_reach(progress)
                 head, run = self._relay.open(progress, until=progress.first_event_deadline)
             except Rejection as rejection:
-                return failure_reply or _reply_without_answer(progress, rejection)
+                return failure_reply or self._reply_to_rejected(progress, rejection)
             except ExchangeError:
                 continue
             if head.status < 500 or not progress.may_run_again:
                 return relayed_reply(head, self._relay.relay(progress, run))
             failure_reply = _read_failed_stream(head, run)
 
+    def _check_reach(self, progress: RequestProgress) -> None:
+        """Raise if a request that no replica received should rather be passed on."""
+        if progress.attempts and self._passing_on.is_due(progress):
+            raise NoReplica("cut_off", RETRY_AFTER_S)
+
+    def _reply_to_rejected(self, progress: RequestProgress, rejection: Rejection) -> Reply:
+        """Return the reply of another box if this one has reached no replica for the request."""
+        if self._passing_on.is_last_resort(progress):
+            passed_on = self._passing_on.forward(progress)
+            if passed_on is not None:
+                return passed_on
+        return _reply_without_answer(progress, rejection)
+
     def _log_no_route(self, request: ClientRequest, version: int) -> None:
         self._log.info(
             "Found no route for a request.",
--- /dev/null
+++ b/springrock/forwarding/passing_on.py
@@ -0,0 +1,157 @@
+"""Passes requests on to another box while this one reaches no replica."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from springrock.bounded_dict import BoundedDict
+from springrock.clock import Deadline
+from springrock.errors import AnswerCut
+from springrock.forwarding.connection import ConnectionPool
+from springrock.forwarding.dialect import Dialect
+from springrock.forwarding.errors import AnswerSilent, OutcomeUnknown, ReplicaUnreachable
+from springrock.forwarding.exchange import Answer
+from springrock.forwarding.message import AnswerHead
+from springrock.forwarding.replica_reach import ReplicaReach
+from springrock.forwarding.reply import Reply, own_reply, relayed_reply
+from springrock.forwarding.request_progress import RequestProgress
+from springrock.log import Log
+
+_MAX_BOXES_TRIED = 2
+_MAX_POOLS = 100
+
+
+class Peers(Protocol):
+    """The boxes that reach replicas."""
+
+    def pick(self) -> str | None:
+        """Return the address of one of them; None if there is none."""
+
+    def record_failed(self, address: str) -> None:
+        """Record that a box could not be reached."""
+
+
+class PassingOn:
+    """Passes requests on to boxes that reach replicas.
+
+    The other box handles the request as its own: it checks the key, charges the quota and counts
+    the retries. It passes nothing on that was passed on to it.
+
+    Args:
+        reach: Whether this box reaches replicas.
+        peers: The boxes that do.
+        dialect: Writes the request to the other box.
+        log: The log to write to.
+    """
+
+    def __init__(self, *, reach: ReplicaReach, peers: Peers, dialect: Dialect, log: Log) -> None:
+        self._reach = reach
+        self._peers = peers
+        self._dialect = dialect
+        self._log = log
+        self._pools: BoundedDict[ConnectionPool] = BoundedDict(at_most=_MAX_POOLS)
+
+    def is_due(self, progress: RequestProgress) -> bool:
+        """Whether a request that has not been sent to a replica should be passed on now."""
+        return self._reach.cut_off and self._may_pass(progress)
+
+    def is_last_resort(self, progress: RequestProgress) -> bool:
+        """Whether a request that is about to be rejected should be passed on instead.
+
+        That is the case if every connection for it failed, as with a cut that not every replica or
+        connection is affected by.
+        """
+        return bool(progress.attempts) and self._may_pass(progress)
+
+    def _may_pass(self, progress: RequestProgress) -> bool:
+        return not progress.arrivals and not self._dialect.is_passed_on(progress.request)
+
+    def forward(self, progress: RequestProgress) -> Reply | None:
+        """Return the reply of another box; None if none could be reached, and nothing was sent."""
+        for _ in range(_MAX_BOXES_TRIED):
+            address = self._peers.pick()
+            if address is None:
+                return None
+            try:
+                answer = self._send(progress, address)
+            except ReplicaUnreachable:
+                self._peers.record_failed(address)
+                continue
+            except OutcomeUnknown as error:
+                self._peers.record_failed(address)
+                self._log_passed(progress, address, status=0, error=str(error))
+                return own_reply(504 if isinstance(error, AnswerSilent) else 502, "outcome_unknown")
+            self._log_passed(progress, address, status=answer.head.status)
+            return self._reply(progress, answer)
+        return None
+
+    def _send(self, progress: RequestProgress, address: str) -> Answer:
+        """Send the request and return the answer once its head has arrived.
+
+        Raises:
+            ReplicaUnreachable: If nothing was sent.
+            OutcomeUnknown: If the request may have run and no answer arrived.
+        """
+        request = progress.request
+        pool = self._pools.get(address) or ConnectionPool(address)
+        self._pools.record(address, pool)
+        deadline = Deadline(progress.left_s)
+        connection = pool.acquire(
+            conservative=not progress.route.repeatable, timeout_s=deadline.left_s
+        )
+        try:
+            connection.send(
+                method=request.method,
+                target=request.target,
+                headers=self._dialect.passed_on_headers(request, left_s=progress.left_s),
+                body=request.body,
+                timeout_s=deadline.left_s,
+            )
+            head: AnswerHead = connection.receive_head(timeout_s=deadline.left_s)
+        except BaseException:
+            connection.close()
+            raise
+        return Answer(head, connection, pool, lambda sent, received: None)
+
+    def _reply(self, progress: RequestProgress, answer: Answer) -> Reply:
+        if progress.streaming and answer.head.succeeded:
+            return relayed_reply(answer.head, self._relay(progress, answer))
+        try:
+            body = answer.read_all(deadline=Deadline(progress.left_s))
+        except OutcomeUnknown:
+            return own_reply(502, "outcome_unknown")
+        finally:
+            answer.close()
+        return relayed_reply(answer.head, [body])
+
+    def _relay(self, progress: RequestProgress, answer: Answer) -> Iterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            AnswerCut: If it breaks.
+        """
+        try:
+            while data := answer.read(
+                timeout_s=min(progress.event_timeout_s, max(0.0, progress.left_s))
+            ):
+                yield data
+        except OutcomeUnknown as error:
+            raise AnswerCut(str(error)) from None
+        finally:
+            answer.close()
+
+    def _log_passed(
+        self, progress: RequestProgress, address: str, *, status: int, error: str = ""
+    ) -> None:
+        self._log.info(
+            "Passed a request on to another box.",
+            request=progress.request.request_id,
+            route=progress.route.name,
+            to=address,
+            status=status,
+            error=error,
+            cut_off=self._reach.cut_off,
+            attempts=progress.attempt_summaries(),
+            age_ms=round(progress.age_s * 1000),
+        )
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -124,6 +124,7 @@
         leaving: Returns the known replicas that are leaving; sent in full to a newly linked placer.
         limits: Returns the limits of the zone's replicas as read from answers; sent in full to a
             newly linked placer.
+        cut_off: Returns whether this box reaches no replica.
 
     Attributes:
         stopping: Whether this box is about to stop.
@@ -139,10 +140,12 @@
         has_placer: Callable[[], bool],
         leaving: Callable[[], Collection[str]] = tuple,
         limits: Callable[[], Collection[LimitReport]] = tuple,
+        cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._has_placer = has_placer
         self._leaving = leaving
         self._limits = limits
+        self._cut_off = cut_off
         self._numbers = count(1)
         self._requesters: dict[int, _Requester] = {}
         self._uses: dict[int, _ActiveUse] = {}
@@ -409,6 +412,7 @@
             copies=[CopyRequest(*key, saves) for key, saves in updates.copies.items()],
             leaving=sorted(updates.leaving),
             limits=list(updates.limits.values()),
+            cut_off=self._cut_off(),
         )
 
 
--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -33,6 +33,7 @@
         strength: The processor cores of this box.
         address: The address at which this box accepts links; empty if it cannot take a lease over.
         process: The id of this process; empty if it cannot take a lease over.
+        clients_address: Where this box accepts requests that other boxes pass on.
         demand: This box's requests for engines of the zone, and its uses of them.
         on_message: Called with each message of the placer.
         on_lost: Called when the link is broken.
@@ -53,6 +54,7 @@
         strength: float,
         address: str,
         process: str,
+        clients_address: str,
         demand: DemandBook,
         on_message: Callable[[Message], None],
         on_lost: Callable[[], None],
@@ -67,6 +69,7 @@
         self._strength = strength
         self._address = address
         self._process = process
+        self._clients_address = clients_address
         self._demand = demand
         self._on_message = on_message
         self._on_lost = on_lost
@@ -121,6 +124,7 @@
             self._strength,
             self._address,
             self._process,
+            clients_address=self._clients_address,
         )
 
     def close(self) -> None:
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -96,6 +96,8 @@
         handover_target: The box as a target for a handover of the lease; None if it cannot be one.
         since: When it linked, on the local monotonic clock.
         stopping: Whether it is about to stop.
+        clients_address: Where it accepts requests that other boxes pass on; empty if it does not.
+        cut_off: Whether it reaches no replica.
         count_sent: Called with the number of bytes of each frame sent.
     """
 
@@ -115,6 +117,8 @@
         )
         self.since = monotonic()
         self.stopping = False
+        self.clients_address = hello.clients_address
+        self.cut_off = False
 
 
 class LinkHost(Protocol):
@@ -176,8 +180,17 @@
         staying = [box for box, link in self._links.items() if not link.stopping]
         return random.sample(staying, min(max_count, len(staying)))
 
+    def sample_reaching(self, max_count: int) -> list[str]:
+        """Return the addresses of a sample of the boxes that may be passed requests."""
+        addresses = [
+            link.clients_address
+            for link in self._links.values()
+            if link.clients_address and not link.cut_off and not link.stopping
+        ]
+        return random.sample(addresses, min(max_count, len(addresses)))
+
     def has_linked_box(self, home_zone: str, *, for_s: float, strength: float = 0.0) -> bool:
-        """Whether some box of a zone has been linked for long enough and is not stopping.
+        """Whether a box of a zone that can place is linked: not stopping, and not cut off.
 
         Args:
             home_zone: The zone.
@@ -189,6 +202,7 @@
             link.home_zone == home_zone
             and link.strength >= strength
             and not link.stopping
+            and not link.cut_off
             and now - link.since >= for_s
             for link in self._links.values()
         )
@@ -198,7 +212,8 @@
     ) -> HandoverTarget | None:
         """Return the best box to hand the lease over to; None if there is none.
 
-        Boxes of the zone itself come first, then the strongest, then the one linked for longest.
+        Boxes that reach replicas come first, then those of the zone itself, then the strongest,
+        then the one linked for longest.
 
         Args:
             home_zone: The zone.
@@ -211,7 +226,12 @@
         ]
         best = max(
             links,
-            key=lambda link: (link.home_zone == home_zone, link.strength, -link.since),
+            key=lambda link: (
+                not link.cut_off,
+                link.home_zone == home_zone,
+                link.strength,
+                -link.since,
+            ),
             default=None,
         )
         return None if best is None else best.handover_target
@@ -295,6 +315,7 @@
             if self._links.get(box) is not link:
                 return
             link.stopping = message.stopping
+            link.cut_off = message.cut_off
             self._host.apply_demand(box, message)
 
 
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -41,6 +41,8 @@
         process: The incarnation of the box itself; other boxes name it when they link to the box.
         asks_state: Whether the box asks any box that it reaches for its known state, rather than
             linking to a placer.
+        clients_address: Where the box accepts requests that other boxes pass on; empty if it does
+            not.
     """
 
     box: str
@@ -51,6 +53,7 @@
     address: str = ""
     process: str = ""
     asks_state: bool = False
+    clients_address: str = ""
 
 
 class Ask(Struct, frozen=True, array_like=True):
@@ -201,6 +204,7 @@
         copies: Adapters whose copy in this zone is worthwhile.
         leaving: Replicas that said in an answer that they are leaving.
         limits: Limits that the zone's replicas named in answers to this box.
+        cut_off: Whether the box reaches no replica.
     """
 
     asks: list[Ask] = []
@@ -217,6 +221,7 @@
     copies: list[CopyRequest] = []
     leaving: list[str] = []
     limits: list[LimitReport] = []
+    cut_off: bool = False
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=3):
@@ -268,6 +273,7 @@
         successor: The box that takes the role over if the placer stops while the store does not
             answer.
         row_era: The store's era of `row_version`; 0 if unknown.
+        reaching: Addresses of some boxes that reach replicas and accept requests of others.
     """
 
     row_version: int
@@ -283,6 +289,7 @@
     home_boxes: int = 0
     successor: Successor | None = None
     row_era: int = 0
+    reaching: tuple[str, ...] = ()
 
 
 class EngineHolds(Struct, frozen=True, array_like=True):
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -32,6 +32,7 @@
 from springrock.placement.handover import HandoverCoordinator
 from springrock.placement.link_server import BoxLinks, LinkServer
 from springrock.placement.messages import Hello, KnownState, TableNews
+from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
 from springrock.placement.settings import PlacementSettings
@@ -71,6 +72,7 @@
         warmup: Knows which replicas are cold.
         limits: The limits that replicas have named.
         state_for: Returns the state to send to a box that asks for it.
+        cut_off: Returns whether this box reaches no replica.
         log_of: Returns the log of a part.
         metrics: The metrics to count in.
 
@@ -79,6 +81,7 @@
             on it to send the following readings, and the placer's zone.
         on_reader_lost: Called when the link to the home zone's placer, which sends readings, is
             lost.
+        peer_boxes: The boxes that reach replicas.
         handovers: Has the adapters of evacuated zones that are in demand loaded in other zones.
     """
 
@@ -98,6 +101,7 @@
         warmup: WarmupTracker,
         limits: NamedLimits,
         state_for: Callable[[Hello], KnownState],
+        cut_off: Callable[[], bool],
         log_of: Callable[[str], Log],
         metrics: ForwardingMetrics,
     ) -> None:
@@ -114,6 +118,9 @@
             lambda reading, relied_on, source_zone: None
         )
         self.on_reader_lost: Callable[[], None] = lambda: None
+        self.peer_boxes = PeerBoxes(
+            settings.clients_address, distance=lambda zone: routing_state().topology.distance(zone)
+        )
         self._box_count = BoxCount(len(routing_state().topology.zones))
         self._dependencies = ZoneDependencies(
             incarnation=new_id(),
@@ -130,6 +137,8 @@
             warmup=warmup,
             limits=limits,
             box_count=self._box_count,
+            peer_boxes=self.peer_boxes,
+            cut_off=cut_off,
             on_table_news=self._apply_updates,
             on_placer_contact=self._placer_contact.set,
             on_placer_lost=self._placer_lost,
@@ -245,6 +254,12 @@
         if replica is not None:
             self._zone(replica.record.zone).demand.record_limit(limit)
 
+    def announce_reach(self) -> None:
+        """Report at once to the placers that this box begins or ceases to reach replicas."""
+        for zone in self._zones.values():
+            zone.demand.changed.set()
+            zone.demand.urgent.set()
+
     def announce_leaving(self, instance: str) -> None:
         """Report a leaving replica to the placers of all zones, which inform their boxes.
 
--- a/springrock/placement/settings.py
+++ b/springrock/placement/settings.py
@@ -20,6 +20,7 @@
         ceiling_burst: Burst of model loads that the rate limit allows.
         strength: The processor cores of this box.
         prices: The cost of bytes sent between zones, in loads.
+        clients_address: Where this box accepts requests that other boxes pass on.
     """
 
     box: str
@@ -31,3 +32,4 @@
     ceiling_burst: float
     strength: float = 1.0
     prices: DistancePrices = DEFAULT_PRICES
+    clients_address: str = ""
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -53,6 +53,10 @@
 zone. The rate counts the reports to all boxes together, so that with many boxes each gets fewer."""
 
 
+_MAX_REACHING = 3
+"""Boxes that a heartbeat names as reaching replicas: enough to spread requests, and few bytes."""
+
+
 class ZonePlacement:
     """Takes part in the election of a zone's placer, and links to the placer or acts as it.
 
@@ -93,9 +97,12 @@
             has_placer=lambda: self.reachable,
             leaving=dependencies.directory.leaving,
             limits=lambda: dependencies.limits.reports_for(self._instances()),
+            cut_off=dependencies.cut_off,
         )
         self.room = 0
         self._box_count = dependencies.box_count
+        self._peer_boxes = dependencies.peer_boxes
+        self._cut_off = dependencies.cut_off
         self.home_boxes = 0
         self.spread: frozenset[str] = frozenset()
         self.wait_estimate = WaitEstimate()
@@ -158,6 +165,7 @@
             strength=settings.strength,
             address=settings.address if settings.checks_fence else "",
             process=dependencies.incarnation if settings.checks_fence else "",
+            clients_address=settings.clients_address,
             demand=self.demand,
             on_message=self.handle,
             on_lost=self._handle_placer_lost,
@@ -306,8 +314,16 @@
             wait_ms=round(1000 * wait_estimate.wait_s),
             limits=self._limits.in_force(self._instances()),
             home_boxes=self.links.count_of(self._zone) + (self._settings.zone == self._zone),
+            reaching=tuple(self._reaching_boxes()),
         )
 
+    def _reaching_boxes(self) -> list[str]:
+        """Return addresses of some boxes that reach replicas, this one included."""
+        addresses = self.links.sample_reaching(_MAX_REACHING)
+        if not self._cut_off() and self._settings.clients_address:
+            addresses.append(self._settings.clients_address)
+        return addresses
+
     def _instances(self) -> list[str]:
         return [replica.instance for replica in self._directory.in_zone(self._zone)]
 
@@ -379,6 +395,7 @@
         # A placer with an earlier build sends only the number of all boxes.
         self.home_boxes = heartbeat.home_boxes or heartbeat.boxes
         is_home = self._zone == self._settings.zone
+        self._peer_boxes.record(self._zone, heartbeat.reaching)
         self._box_count.record(heartbeat.boxes, home=self.home_boxes if is_home else 0)
         self._on_placer_contact()
 
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -20,6 +20,7 @@
     names.KV_BACKUP,
     names.KV_FROM,
     names.KV_FETCH,
+    names.PASSED_ON,
     "content-length",
 )
 """Headers to a replica that only a box may set; a client's own values are dropped."""
@@ -90,6 +91,23 @@
             added.append(Header("Content-Length", str(len(request.body))))
         return Headers((*kept, *added))
 
+    def passed_on_headers(self, request: ClientRequest, *, left_s: float) -> Headers:
+        """Return the headers of a request that is passed on to another box."""
+        kept = request.headers.end_to_end().without(
+            (names.DEADLINE_MS, names.PASSED_ON, "content-length")
+        )
+        added = [
+            Header(names.DEADLINE_MS, str(max(1, int(left_s * 1000)))),
+            Header(names.PASSED_ON, "1"),
+        ]
+        if request.body or request.method not in ("GET", "HEAD"):
+            added.append(Header("Content-Length", str(len(request.body))))
+        return Headers((*kept, *added))
+
+    def is_passed_on(self, request: ClientRequest) -> bool:
+        """Whether a request was passed on by another box."""
+        return request.headers.get(names.PASSED_ON) is not None
+
     def answers(self, head: AnswerHead, request_id: str) -> bool:
         """Whether an answer carries the id of a request."""
         return head.headers.get(names.REQUEST_ID) == request_id
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -27,6 +27,10 @@
 KV_FROM = "Kv-From"
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
+
+PASSED_ON = "Springrock-Passed-On"
+"""Set on a request that a box passes on to another one, which passes it on to none."""
+
 INSTANCE_ID = "Springrock-Instance-Id"
 
 LEAVING = "Server-Leaving"
--- /dev/null
+++ b/tests/forwarding/test_passing_on.py
@@ -0,0 +1,149 @@
+"""Requests that a box without a path to replicas passes on to another box."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from springrock.errors import AnswerCut
+from springrock.forwarding.configuration import RouteKind
+from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.message import Header, Headers
+from springrock.forwarding.passing_on import PassingOn
+from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
+from springrock.log import Log
+from springrock.platform import names
+from springrock.platform.dialect import PlatformDialect
+from tests.factories import make_reach
+from tests.forwarding.scripted import ScriptedReplica, read_request
+from tests.forwarding.test_values import make_request, make_route
+
+SERVED = b"HTTP/1.1 200 OK\r\nSpringrock-Response-Seal: s\r\nContent-Length: 2\r\n\r\nhi"
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 40\r\n\r\n"
+
+
+class ScriptedPeers:
+    """Names boxes one after the other, leaving out those that failed."""
+
+    def __init__(self, *addresses: str) -> None:
+        self._addresses = list(addresses)
+        self.failed: list[str] = []
+
+    def pick(self) -> str | None:
+        return next((item for item in self._addresses if item not in self.failed), None)
+
+    def record_failed(self, address: str) -> None:
+        self.failed.append(address)
+
+
+class Script:
+    """Answers each connection's first request with the same bytes, and keeps what it received."""
+
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
+        self.received: list[bytes] = []
+
+    def __call__(self, connection: socket.socket) -> None:
+        self.received.append(read_request(connection))
+        connection.sendall(self._answer)
+
+
+def make_passing_on(peers: ScriptedPeers, *, cut_off: bool = True) -> PassingOn:
+    reach = make_reach()
+    if cut_off:
+        reach.record_probes_failed(4)
+    return PassingOn(reach=reach, peers=peers, dialect=PlatformDialect(), log=Log("test", "box-1"))
+
+
+def progress_of(
+    kind: RouteKind = RouteKind.SAFE, headers: Headers | None = None
+) -> RequestProgress:
+    request = make_request(deadline_s=2.0, headers=headers or Headers())
+    return RequestProgress(request, make_route(kind=kind), "s")
+
+
+def closed_address() -> str:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+def test_the_reply_of_the_other_box_is_returned_unchanged() -> None:
+    script = Script(SERVED)
+    headers = Headers(
+        [
+            Header(names.REQUEST_ID, "r1"),
+            Header(names.DEADLINE_MS, "2000"),
+            Header(names.API_KEY, "k"),
+        ]
+    )
+    with ScriptedReplica(script) as box:
+        reply = make_passing_on(ScriptedPeers(box.address)).forward(progress_of(headers=headers))
+    assert reply is not None
+    assert (reply.head.status, b"".join(reply.body)) == (200, b"hi")
+    assert reply.head.headers.get("Springrock-Response-Seal") == "s"
+    lines = script.received[0].decode().split("\r\n")
+    assert f"{names.API_KEY}: k" in lines, "the other box checks the key"
+    assert f"{names.PASSED_ON}: 1" in lines
+    [deadline] = [line for line in lines if line.startswith(names.DEADLINE_MS)]
+    assert int(deadline.split()[1]) <= 2000
+
+
+def test_a_request_is_passed_on_once_and_only_while_no_replica_received_it() -> None:
+    passing_on = make_passing_on(ScriptedPeers())
+    assert passing_on.is_due(progress_of())
+    passed = progress_of(headers=Headers([Header(names.PASSED_ON, "1")]))
+    assert not passing_on.is_due(passed)
+    sent = progress_of()
+    sent.start_attempt("i-1", record_age_s=0.0).outcome = AttemptOutcome.SILENT
+    assert not passing_on.is_due(sent)
+    assert not passing_on.is_last_resort(sent)
+    unreached = progress_of()
+    unreached.start_attempt("i-1", record_age_s=0.0).outcome = AttemptOutcome.UNREACHABLE
+    connected = make_passing_on(ScriptedPeers(), cut_off=False)
+    assert not connected.is_due(unreached)
+    assert connected.is_last_resort(unreached)
+    assert not connected.is_last_resort(progress_of())
+
+
+def test_replicas_are_not_told_that_a_request_was_passed_on() -> None:
+    request = make_request(headers=Headers([Header(names.PASSED_ON, "1")]))
+    sent = PlatformDialect().request_headers(request, SendTerms("i-1", 1.0))
+    assert sent.get(names.PASSED_ON) is None
+
+
+def test_a_box_that_cannot_be_reached_is_left_out_for_the_next() -> None:
+    unreachable = closed_address()
+    with ScriptedReplica(Script(SERVED)) as box:
+        peers = ScriptedPeers(unreachable, box.address)
+        reply = make_passing_on(peers).forward(progress_of(RouteKind.UNSAFE))
+    assert reply is not None
+    assert reply.head.status == 200
+    assert peers.failed == [unreachable]
+
+
+def test_without_another_box_nothing_is_replied() -> None:
+    assert make_passing_on(ScriptedPeers()).forward(progress_of()) is None
+    assert make_passing_on(ScriptedPeers(closed_address())).forward(progress_of()) is None
+
+
+def test_a_request_whose_hop_breaks_is_unknown_and_sent_to_no_other_box() -> None:
+    broken, other = Script(b""), Script(SERVED)
+    with ScriptedReplica(broken) as box, ScriptedReplica(other) as second:
+        peers = ScriptedPeers(box.address, second.address)
+        reply = make_passing_on(peers).forward(progress_of(RouteKind.UNSAFE))
+    assert reply is not None
+    assert (reply.head.status, reply.reason) == (502, "outcome_unknown")
+    assert len(broken.received) == 1
+    assert not other.received
+
+
+def test_a_stream_that_breaks_on_its_way_does_not_appear_complete() -> None:
+    with ScriptedReplica(Script(STREAM_HEAD + b"id: 1\ndata: a\n\n")) as box:
+        reply = make_passing_on(ScriptedPeers(box.address)).forward(
+            progress_of(RouteKind.STREAMING)
+        )
+        assert reply is not None
+        with pytest.raises(AnswerCut):
+            b"".join(reply.body)
--- a/tests/placement/test_messages.py
+++ b/tests/placement/test_messages.py
@@ -14,7 +14,6 @@
 from springrock.errors import PeerRejected
 from springrock.forwarding.directory import HeldAdapter
 from springrock.permits.messages import (
-    LimitReport,
     PermitAsk,
     Permitted,
     PermitVerdict,
@@ -121,7 +120,7 @@
 
 
 def test_a_message_of_an_older_or_a_newer_build_is_understood() -> None:
-    demand = Demand(stopping=True, limits=[LimitReport("i-1", 1.5, 20)])
+    demand = Demand(stopping=True, cut_off=True)
     fields = cbor2.loads(encode(demand))
     assert decode(cbor2.dumps(fields[:-1])) == Demand(stopping=True)
     assert decode(cbor2.dumps([*fields, "what a later build tells"])) == demand
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -101,6 +101,7 @@
             warmup=make_warmup(lambda: configuration),
             limits=make_limits(),
             state_for=lambda hello: KnownState([]),
+            cut_off=lambda: False,
             log_of=lambda part: Log(part, "box-1"),
             metrics=ForwardingMetrics(),
         )
--- a/tests/placement/test_strength.py
+++ b/tests/placement/test_strength.py
@@ -22,9 +22,20 @@
     return zone
 
 
-def link(zone: ZonePlacement, *, home: str, strength: float, since_s: float = 60.0) -> None:
+def link(
+    zone: ZonePlacement,
+    *,
+    home: str,
+    strength: float,
+    since_s: float = 60.0,
+    cut_off: bool = False,
+) -> None:
     zone.links._links[f"{home}-{strength}"] = SimpleNamespace(  # type: ignore[assignment]
-        home_zone=home, strength=strength, stopping=False, since=monotonic() - since_s
+        home_zone=home,
+        strength=strength,
+        stopping=False,
+        cut_off=cut_off,
+        since=monotonic() - since_s,
     )
 
 
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -11,6 +11,7 @@
 from springrock.permits.terms import SlowStartTerms
 from springrock.placement.box_count import BoxCount
 from springrock.placement.messages import Demand, Heartbeat, TableNews, TableRow, decode, encode
+from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
 from springrock.placement.settings import PlacementSettings
@@ -18,6 +19,7 @@
 from springrock.placement.zone import ZonePlacement
 from springrock.placement.zone_dependencies import ZoneDependencies
 from springrock.quotas.shares import QuotaTerms
+from springrock.topology import Distance
 from tests.factories import make_limits, make_routing_state, make_warmup
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
@@ -46,6 +48,8 @@
         warmup=make_warmup(),
         limits=make_limits(),
         box_count=box_count or BoxCount(3),
+        peer_boxes=PeerBoxes("127.0.0.1:1", distance=lambda zone: Distance.OWN_REGION),
+        cut_off=lambda: False,
         on_table_news=lambda zone, reported: None if updates is None else updates.append(reported),
         on_placer_contact=lambda: None,
         on_placer_lost=lambda zone: None,
--- a/tests/routed/cut_box.py
+++ b/tests/routed/cut_box.py
@@ -1,7 +1,7 @@
-"""Runs a box that is cut off from all replicas while a file beside its settings exists.
+"""Runs a box that is cut off from the replicas whose addresses a file beside its settings lists.
 
-The file is named like the settings file with the suffix ``.cut``. Open connections to replicas
-fall silent and new ones are not answered; callers, the store and other boxes are reached.
+The file is named like the settings file with the suffix ``.cut``. Open connections to these
+replicas fall silent and new ones are not answered; callers, the store and other boxes are reached.
 """
 
 from __future__ import annotations
@@ -24,27 +24,31 @@
     from springrock.forwarding import connection as module
     from springrock.forwarding.errors import AnswerSilent, ReplicaUnreachable
 
-    def _wait_while_cut(timeout_s: float) -> bool:
+    def _is_cut(address: str) -> bool:
+        return flag.exists() and address in flag.read_text().split()
+
+    def _wait_while_cut(address: str, timeout_s: float) -> bool:
         """Return whether the cut lasted for the whole time."""
         with gevent.Timeout(max(0.0, timeout_s), False):
-            while flag.exists():
+            while _is_cut(address):
                 gevent.sleep(_POLL_S)
             return False
         return True
 
     class CutConnection(module.Connection):
         def __init__(self, address: str, *, connect_timeout_s: float) -> None:
-            if _wait_while_cut(connect_timeout_s):
+            self._address = address
+            if _wait_while_cut(address, connect_timeout_s):
                 raise ReplicaUnreachable(f"{address}: timed out")
             super().__init__(address, connect_timeout_s=connect_timeout_s)
 
         def receive_head(self, *, timeout_s: float) -> Any:
-            if _wait_while_cut(timeout_s):
+            if _wait_while_cut(self._address, timeout_s):
                 raise AnswerSilent("no answer began within the timeout")
             return super().receive_head(timeout_s=timeout_s)
 
         def read(self, *, timeout_s: float) -> bytes:
-            if _wait_while_cut(timeout_s):
+            if _wait_while_cut(self._address, timeout_s):
                 raise AnswerSilent("no more of the answer arrived within the timeout")
             return super().read(timeout_s=timeout_s)
 
--- a/tests/routed/test_cut_off.py
+++ b/tests/routed/test_cut_off.py
@@ -35,7 +35,8 @@
 
 def cut(deployment: Deployment, box: str) -> None:
     """Cut a box off from all replicas."""
-    (deployment.folder / f"{box}.jsonc.cut").touch()
+    replicas = [address for name, address in deployment.addresses.items() if name != "store"]
+    (deployment.folder / f"{box}.jsonc.cut").write_text("\n".join(replicas))
 
 
 def heal(deployment: Deployment, box: str) -> None:
