Placer: a box that reaches no replica leaves its zone's lease to one that does

What callers saw: a zone whose placer is cut off from the engines gets no adapters for as long, and its grants are for engines that their boxes may not reach. Cause: a lease depends on the store alone.

Change: a placer that is cut off leaves the lease as soon as any linked box reaches replicas, is handed none, and takes a free one 3 s later than others. An engine that does not answer the placer is a reason to probe, as a failed connection of a request is.

tests/placement/test_strength.py: two new tests, failing before; tests/placement, tests/platform, tests/forwarding, tests/routed/test_cut_off.py pass.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -320,7 +320,10 @@
             directory=self.directory,
             versions=self._versions,
             routing_state=self._routing_state,
-            control=PlatformEngines(notice_handler_for=self._notices.notice_handler),
+            control=PlatformEngines(
+                notice_handler_for=self._notices.notice_handler,
+                on_outcome=self._reach.record_control_call,
+            ),
             quota_terms=self._quota_terms,
             slow_start_terms=lambda: self.settings.slow_start.terms,
             warmup=self._warmup,
--- a/springrock/forwarding/replica_reach.py
+++ b/springrock/forwarding/replica_reach.py
@@ -62,6 +62,13 @@
         """Record that a connection to a replica could not be opened."""
         self._is_suspected = True
 
+    def record_control_call(self, answered: bool) -> None:
+        """Record whether an engine answered a call of this box's placer."""
+        if answered:
+            self.record_heard()
+        else:
+            self.record_unreachable()
+
     def record_probes_failed(self, probed: int) -> None:
         """Record that none of the probed replicas accepted a connection."""
         if self.cut_off_since is not None or not probed:
--- a/springrock/placement/election.py
+++ b/springrock/placement/election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -51,6 +52,10 @@
 a stronger box would take over later, and a change of the placer breaks the links of all boxes."""
 
 
+_CUT_OFF_DELAY_S = 3.0
+"""How much longer a box that reaches no replica leaves a free lease to others."""
+
+
 class PlacerRole(Protocol):
     """Places the zone's adapters while this box holds the lease."""
 
@@ -79,6 +84,7 @@
         links: The boxes that are linked to this one as the placer.
         incarnation: The id of this process.
         role: Places the zone's adapters while this box holds the lease.
+        cut_off: Returns whether this box reaches no replica.
     """
 
     def __init__(
@@ -92,6 +98,7 @@
         links: BoxLinks,
         incarnation: str,
         role: PlacerRole,
+        cut_off: Callable[[], bool],
     ) -> None:
         self._zone = zone
         self._settings = settings
@@ -101,6 +108,7 @@
         self._links = links
         self._incarnation = incarnation
         self._role = role
+        self._cut_off = cut_off
         self._poll_interval_s = _POLL_INTERVAL_S
         self._stopping = False
         self._wake = Event()
@@ -142,9 +150,12 @@
     def has_better_box(self) -> bool:
         """Whether a linked box of the zone itself is a better placer than this one.
 
-        That is the case if this box is in another zone or has far fewer processor cores.
+        That is the case if this box is in another zone or has far fewer processor cores. If this
+        box reaches no replica, any box that does is better.
         """
         settings = self._settings
+        if self._cut_off():
+            return self._links.has_reaching_box
         if settings.zone != self._zone:
             return self._links.has_linked_box(self._zone, for_s=_HAND_BACK_DELAY_S)
         if settings.strength >= _SUFFICIENT_CORES:
@@ -157,6 +168,7 @@
         settings = self._settings
         missing_fraction = max(0.0, 1.0 - settings.strength / _SUFFICIENT_CORES)
         takeover_delay_s = 0.0 if settings.zone == self._zone else _OTHER_ZONE_DELAY_S
+        takeover_delay_s += _CUT_OFF_DELAY_S if self._cut_off() else 0.0
         return takeover_delay_s + missing_fraction * _WEAKEST_BOX_DELAY_S
 
     def _leave_unless_irreplaceable(self) -> None:
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -189,6 +189,11 @@
         ]
         return random.sample(addresses, min(max_count, len(addresses)))
 
+    @property
+    def has_reaching_box(self) -> bool:
+        """Whether some linked box that is not stopping reaches replicas."""
+        return any(not link.cut_off and not link.stopping for link in self._links.values())
+
     def has_linked_box(self, home_zone: str, *, for_s: float, strength: float = 0.0) -> bool:
         """Whether a box of a zone that can place is linked: not stopping, and not cut off.
 
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -182,6 +182,7 @@
             links=self.links,
             incarnation=dependencies.incarnation,
             role=self,
+            cut_off=dependencies.cut_off,
         )
         self._quota_counter = QuotaCounter(
             zone,
--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -63,13 +63,16 @@
     Args:
         notice_handler_for: Called with an engine's id before each call to the engine; returns the
             handler for the notice in the answer.
+        on_outcome: Called with whether the engine answered, after each call.
     """
 
     def __init__(
         self,
         *,
         notice_handler_for: Callable[[str], NoticeHandler] = lambda replica_id: ignore_notice,
+        on_outcome: Callable[[bool], None] = lambda answered: None,
     ) -> None:
+        self._on_outcome = on_outcome
         self._notice_handler_for = notice_handler_for
         self._pool = urllib3.PoolManager(retries=False, num_pools=64, maxsize=2)
 
@@ -145,7 +148,9 @@
                 timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=timeout_s),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
+            self._on_outcome(False)
             raise ControlUnanswered(f"{address}: {error}") from None
+        self._on_outcome(True)
         answered = Headers.from_pairs(response.headers.items())
         handle_notice(notice_from(response.status, answered))
         return response
--- a/tests/placement/test_election.py
+++ b/tests/placement/test_election.py
@@ -104,6 +104,7 @@
         links=links,  # type: ignore[arg-type]
         incarnation=box,
         role=RecordingRole(box, placing),
+        cut_off=lambda: False,
     )
     gevent.spawn(election.run)
 
--- a/tests/placement/test_strength.py
+++ b/tests/placement/test_strength.py
@@ -59,6 +59,26 @@
     assert zone._election.has_better_box() is hands_back
 
 
+@pytest.mark.parametrize("home", ["zone-1", "zone-2"])
+def test_a_placer_that_reaches_no_replica_leaves_the_lease_to_any_box_that_does(home: str) -> None:
+    zone = zone_of(home="zone-2", strength=2.0)
+    zone._election._cut_off = lambda: True
+    assert not zone._election.has_better_box()
+    link(zone, home="zone-2", strength=4.0, cut_off=True)
+    assert not zone._election.has_better_box()
+    link(zone, home=home, strength=0.5, since_s=0.0)
+    assert zone._election.has_better_box()
+
+
+def test_a_box_that_reaches_no_replica_is_no_better_placer_and_waits_for_others() -> None:
+    zone = zone_of(home="zone-1", strength=0.5)
+    link(zone, home="zone-2", strength=2.0, cut_off=True)
+    assert not zone._election.has_better_box()
+    delay_s = zone._election.takeover_delay_s()
+    zone._election._cut_off = lambda: True
+    assert zone._election.takeover_delay_s() == delay_s + 3.0
+
+
 def test_the_lease_is_not_handed_to_a_box_that_has_just_linked() -> None:
     zone = zone_of(home="zone-2", strength=0.5)
     link(zone, home="zone-2", strength=2.0, since_s=0.5)
