Passing on: only where another box can take the request, and for no other reason

Found on rereading: a box that counts itself cut off rejected a request after its first unreachable replica although no other box could take it; a request that was withheld or quarantined was passed on, past this box's own reason. Now a box that knows no box that reaches replicas goes on trying its own, and a request is passed on instead of a rejection only if all its attempts were unreachable and nothing but a lack of replicas rejects it. tests/forwarding/test_passing_on.py: cases that fail without this.

--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -188,7 +188,7 @@
 
     def _reply_to_rejected(self, progress: RequestProgress, rejection: Rejection) -> Reply:
         """Return the reply of another box if this one has reached no replica for the request."""
-        if self._passing_on.is_last_resort(progress):
+        if self._passing_on.is_last_resort(progress, rejection):
             passed_on = self._passing_on.forward(progress)
             if passed_on is not None:
                 return passed_on
--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -10,12 +10,18 @@
 from springrock.errors import AnswerCut
 from springrock.forwarding.connection import ConnectionPool
 from springrock.forwarding.dialect import Dialect
-from springrock.forwarding.errors import AnswerSilent, OutcomeUnknown, ReplicaUnreachable
+from springrock.forwarding.errors import (
+    AnswerSilent,
+    NoReplica,
+    OutcomeUnknown,
+    Rejection,
+    ReplicaUnreachable,
+)
 from springrock.forwarding.exchange import Answer
 from springrock.forwarding.message import AnswerHead
 from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.reply import Reply, own_reply, relayed_reply
-from springrock.forwarding.request_progress import RequestProgress
+from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.log import Log
 
 _MAX_BOXES_TRIED = 2
@@ -25,6 +31,10 @@
 class Peers(Protocol):
     """The boxes that reach replicas."""
 
+    @property
+    def any_usable(self) -> bool:
+        """Whether there is one that may be passed requests."""
+
     def pick(self) -> str | None:
         """Return the address of one of them; None if there is none."""
 
@@ -54,15 +64,20 @@
 
     def is_due(self, progress: RequestProgress) -> bool:
         """Whether a request that has not been sent to a replica should be passed on now."""
-        return self._reach.cut_off and self._may_pass(progress)
+        return self._reach.cut_off and self._may_pass(progress) and self._peers.any_usable
 
-    def is_last_resort(self, progress: RequestProgress) -> bool:
+    def is_last_resort(self, progress: RequestProgress, rejection: Rejection) -> bool:
         """Whether a request that is about to be rejected should be passed on instead.
 
         That is the case if every connection for it failed, as with a cut that not every replica or
         connection is affected by.
         """
-        return bool(progress.attempts) and self._may_pass(progress)
+        return (
+            isinstance(rejection, NoReplica)
+            and bool(progress.attempts)
+            and all(item.outcome is AttemptOutcome.UNREACHABLE for item in progress.attempts)
+            and self._may_pass(progress)
+        )
 
     def _may_pass(self, progress: RequestProgress) -> bool:
         return not progress.arrivals and not self._dialect.is_passed_on(progress.request)
--- a/tests/forwarding/test_passing_on.py
+++ b/tests/forwarding/test_passing_on.py
@@ -9,6 +9,7 @@
 from springrock.errors import AnswerCut
 from springrock.forwarding.configuration import RouteKind
 from springrock.forwarding.dialect import SendTerms
+from springrock.forwarding.errors import NoReplica, Quarantined, Rejection
 from springrock.forwarding.message import Header, Headers
 from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
@@ -30,6 +31,10 @@
         self._addresses = list(addresses)
         self.failed: list[str] = []
 
+    @property
+    def any_usable(self) -> bool:
+        return self.pick() is not None
+
     def pick(self) -> str | None:
         return next((item for item in self._addresses if item not in self.failed), None)
 
@@ -90,21 +95,39 @@
     assert int(deadline.split()[1]) <= 2000
 
 
+def attempted(*outcomes: AttemptOutcome) -> RequestProgress:
+    progress = progress_of()
+    for outcome in outcomes:
+        progress.start_attempt("i-1", record_age_s=0.0).outcome = outcome
+    return progress
+
+
 def test_a_request_is_passed_on_once_and_only_while_no_replica_received_it() -> None:
-    passing_on = make_passing_on(ScriptedPeers())
+    passing_on = make_passing_on(ScriptedPeers("box:1"))
     assert passing_on.is_due(progress_of())
+    assert not make_passing_on(ScriptedPeers()).is_due(progress_of())
+    assert not make_passing_on(ScriptedPeers("box:1"), cut_off=False).is_due(progress_of())
     passed = progress_of(headers=Headers([Header(names.PASSED_ON, "1")]))
     assert not passing_on.is_due(passed)
-    sent = progress_of()
-    sent.start_attempt("i-1", record_age_s=0.0).outcome = AttemptOutcome.SILENT
-    assert not passing_on.is_due(sent)
-    assert not passing_on.is_last_resort(sent)
-    unreached = progress_of()
-    unreached.start_attempt("i-1", record_age_s=0.0).outcome = AttemptOutcome.UNREACHABLE
-    connected = make_passing_on(ScriptedPeers(), cut_off=False)
-    assert not connected.is_due(unreached)
-    assert connected.is_last_resort(unreached)
-    assert not connected.is_last_resort(progress_of())
+    assert not passing_on.is_due(attempted(AttemptOutcome.SILENT))
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "rejection", "expected"),
+    [
+        ([AttemptOutcome.UNREACHABLE], NoReplica("no_replica", 0.5), True),
+        ([AttemptOutcome.UNREACHABLE] * 2, NoReplica("out_of_time", 0.5), True),
+        ([], NoReplica("no_replica", 0.5), False),
+        ([AttemptOutcome.UNREACHABLE], Quarantined(1.0), False),
+        ([AttemptOutcome.WITHHELD], NoReplica("no_replica", 0.5), False),
+        ([AttemptOutcome.UNREACHABLE, AttemptOutcome.SILENT], NoReplica("x", 0.5), False),
+    ],
+)
+def test_a_request_whose_connections_all_failed_is_passed_on_instead_of_rejected(
+    outcomes: list[AttemptOutcome], rejection: Rejection, expected: bool
+) -> None:
+    passing_on = make_passing_on(ScriptedPeers("box:1"), cut_off=False)
+    assert passing_on.is_last_resort(attempted(*outcomes), rejection) is expected
 
 
 def test_replicas_are_not_told_that_a_request_was_passed_on() -> None:
