Golden sessions: the box earns the retry that a refused request needs

Not load: it fails alone too. The session sends one request to a box that has just started and has both replicas refuse it; since a box has no part of the allowance in its first window, the reply named the retry budget instead of the replicas. The deployment now sends requests first, by which the box earns the retry; the golden file is unchanged.

--- a/tests/golden/test_routed_sessions.py
+++ b/tests/golden/test_routed_sessions.py
@@ -27,6 +27,7 @@
         deployment.wait_ready(replicas=4)
         for adapter in ("a1", "a2"):
             deployment.send_until_served(BOX, "/items/x", adapter=adapter)
+        deployment.earn_retry(BOX, "/lookup/x", method="GET")
         yield deployment
 
 
