Routed tests: a retry is earned with another adapter than the one that is tested

The stream was cut twice: the 25 requests by which the box earns a retry made the adapter busy enough for a second copy, so that both engines held it and both were told to cut their next stream.

--- a/tests/routed/test_path.py
+++ b/tests/routed/test_path.py
@@ -82,7 +82,8 @@
 
 
 def test_a_resumable_stream_continues_at_the_next_event(deployment: Deployment) -> None:
-    deployment.earn_retry("box-1", "/items/x", adapter="a1")
+    deployment.earn_retry("box-1", "/items/x", adapter="a2")
+    deployment.send_until_served("box-1", "/items/x", adapter="a1")
     request_id = deployment.new_id()
     for engine in deployment.holders("a1"):
         deployment.fault(engine, cut_after=2)
--- a/tests/routed/test_teams.py
+++ b/tests/routed/test_teams.py
@@ -89,7 +89,8 @@
 
 def test_a_stream_that_is_resumed_stays_with_its_team(deployment: TeamsDeployment) -> None:
     headers = {"Api-Key": TWO}
-    deployment.earn_retry("box-1", "/items/x", adapter="a1", extra_headers=headers)
+    deployment.earn_retry("box-1", "/items/x", adapter="a2", extra_headers=headers)
+    deployment.send_until_served("box-1", "/items/x", adapter="a1", extra_headers=headers)
     for engine in deployment.holders("a1"):
         deployment.fault(engine, cut_after=2)
     request_id = deployment.new_id()
