Forwarder: logs how a stream ended, and by what its end was recognized

Boxes logged nothing at the end of a stream, so that the incident's hypotheses could not be told apart: an answer without length that ends inside an event, one that ends between events, or a reply that the box ends although it knows of the break. The line names the end marker of the replica's answer and the bytes after its last whole event.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -20,7 +20,7 @@
     ConnectionRefused,
     ReplicaUnreachable,
 )
-from springrock.forwarding.message import AnswerHead, Headers
+from springrock.forwarding.message import AnswerHead, BodyEnd, Headers
 from springrock.settings import split_address
 
 _READ_BYTES = 65_536
@@ -130,7 +130,7 @@
         self._response = response
         headers = Headers.from_pairs(response.getheaders())
         self._record_idle_timeout(headers.get("keep-alive"))
-        return AnswerHead(response.status, response.reason, headers)
+        return AnswerHead(response.status, response.reason, headers, _body_end_of(response))
 
     def read(self, *, timeout_s: float) -> bytes:
         """Return the next bytes of the answer's body as they arrive; empty at its complete end.
@@ -217,6 +217,12 @@
             return True
 
 
+def _body_end_of(response: HTTPResponse) -> BodyEnd:
+    if response.chunked:
+        return BodyEnd.CHUNKS
+    return BodyEnd.CLOSE if response.length is None else BodyEnd.LENGTH
+
+
 class ConnectionPool:
     """The idle connections to one replica.
 
--- a/springrock/forwarding/message.py
+++ b/springrock/forwarding/message.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import NamedTuple
 
 from msgspec import Struct
@@ -123,12 +124,26 @@
         return AdapterKey(self.model, self.adapter) if self.adapter else None
 
 
+class BodyEnd(StrEnum):
+    """What marks the end of an answer's body (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+    """The end of the connection, which an answer that broke off may have as well."""
+
+
 class AnswerHead(NamedTuple):
-    """The status line and headers of an answer."""
+    """The status line and headers of an answer.
+
+    Attributes:
+        body_end: What marks the end of the body.
+    """
 
     status: int
     reason: str
     headers: Headers
+    body_end: BodyEnd = BodyEnd.LENGTH
 
     @property
     def succeeded(self) -> bool:
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -15,7 +15,7 @@
 from springrock.forwarding.errors import ExchangeError, OutcomeUnknown, Rejection
 from springrock.forwarding.events import EventSplitter
 from springrock.forwarding.exchange import Answer
-from springrock.forwarding.message import AnswerHead
+from springrock.forwarding.message import AnswerHead, BodyEnd
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
 from springrock.log import Log
@@ -34,6 +34,9 @@
         sender: Sends the request.
         progress: The request.
         chosen: The replica that runs it.
+
+    Attributes:
+        incomplete_bytes: Length of the incomplete event at the end of the stream, if any.
     """
 
     def __init__(self, sender: Sender, progress: RequestProgress, chosen: ChosenReplica) -> None:
@@ -46,6 +49,12 @@
         self._attempt = sender.start_attempt(progress, chosen.replica)
         self._closed = False
         self._answer: Answer | None = None
+        self.incomplete_bytes = 0
+
+    @property
+    def body_end(self) -> BodyEnd | None:
+        """What marks the end of the answer's body; None without an answer."""
+        return None if self._answer is None else self._answer.head.body_end
 
     def open(self) -> AnswerHead:
         """Send the request, read up to the first complete event, and return the head.
@@ -115,7 +124,9 @@
         while True:
             data = answer.read(timeout_s=deadline.left_s)
             if not data:
-                return self._splitter.drain_incomplete()
+                incomplete = self._splitter.drain_incomplete()
+                self.incomplete_bytes = len(incomplete)
+                return incomplete
             events = self._splitter.feed(data)
             for event in events:
                 if event.event_id:
@@ -158,6 +169,7 @@
         while True:
             try:
                 yield from run
+                self._log_end(progress, run)
                 return
             except OutcomeUnknown as error:
                 break_error = error
@@ -181,6 +193,17 @@
         self._log_stream("Cut a stream.", progress, break_error)
         raise AnswerCut(str(break_error))
 
+    def _log_end(self, progress: RequestProgress, run: StreamRun) -> None:
+        self._log.info(
+            "A stream ended.",
+            request=progress.request.request_id,
+            last_event=progress.last_event_id,
+            body_end=run.body_end,
+            incomplete_bytes=run.incomplete_bytes,
+            attempts=progress.attempt_summaries(),
+            age_ms=round(progress.age_s * 1000),
+        )
+
     def _log_stream(
         self, sentence: str, progress: RequestProgress, break_error: OutcomeUnknown
     ) -> None:
