Forwarder: a stream that ends inside an event has been broken off

Callers saw a part of a stream framed as the whole: 200, the replica's seal, and a last chunk of the box after half an event.

Cause: at the end of a replica's body the relay sent on what was left of an incomplete event and took the stream for complete. Where an answer has neither length nor chunks, the body of a replica that crashes ends like any other. Class: the framing of an answer is trusted where only its content tells whether it is whole.

Now such a stream counts as broken, whatever its framing: resumed where that is allowed, else cut without a last chunk, and evidence of a crash and against the replica's health like any other break. A failure without events on a stream route is sent on as before. Blank lines of mixed line ends end an event, so that a whole stream is not taken for a broken one.

--- a/springrock/forwarding/events.py
+++ b/springrock/forwarding/events.py
@@ -5,7 +5,7 @@
 import re
 from typing import NamedTuple
 
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\r\n|\n\n|\r\r")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -12,7 +12,7 @@
     ReplicaChooser,
     first_event_wait_s,
 )
-from springrock.forwarding.errors import ExchangeError, OutcomeUnknown, Rejection
+from springrock.forwarding.errors import AnswerBroken, ExchangeError, OutcomeUnknown, Rejection
 from springrock.forwarding.events import EventSplitter
 from springrock.forwarding.exchange import Answer
 from springrock.forwarding.message import AnswerHead, BodyEnd
@@ -119,14 +119,12 @@
             raise
 
     def _read_events(self, answer: Answer, *, timeout_s: float) -> bytes:
-        """Return the next complete events; at the end of the stream the remaining bytes, if any."""
+        """Return the next complete events; at the end of the stream what `_read_end` returns."""
         deadline = Deadline(max(MIN_SEND_TIME_S, timeout_s))
         while True:
             data = answer.read(timeout_s=deadline.left_s)
             if not data:
-                incomplete = self._splitter.drain_incomplete()
-                self.incomplete_bytes = len(incomplete)
-                return incomplete
+                return self._read_end(answer)
             events = self._splitter.feed(data)
             for event in events:
                 if event.event_id:
@@ -134,6 +132,19 @@
             if events:
                 return b"".join(event.raw for event in events)
 
+    def _read_end(self, answer: Answer) -> bytes:
+        """Return what is left at the end of the body: nothing, or a failure without events.
+
+        Raises:
+            AnswerBroken: If a stream ended inside an event. No framing shows that it is complete:
+                the replica may have broken off before anyone in between stated its end.
+        """
+        incomplete = self._splitter.drain_incomplete()
+        self.incomplete_bytes = len(incomplete)
+        if incomplete.strip(b"\r\n") and answer.head.succeeded:
+            raise AnswerBroken(f"the stream ended inside an event, after {len(incomplete)} bytes")
+        return incomplete
+
 
 class StreamRelay:
     """Opens streams and relays them to clients, resuming at other replicas where that is allowed.
