Failing test: an answer without length passes for whole although its replica is gone

Three cases fail on this code: a plain answer and two streams that end between events, each with neither length nor chunks, whose replica accepts no connection any more. That a replica which lives on gives whole answers, and that a refusal needs no confirmation, passes already.

--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -30,6 +30,10 @@
         self._thread.start()
         return self
 
+    def stop_listening(self) -> None:
+        """Refuse all further connections, as after a crash."""
+        self._listener.close()
+
     def __exit__(
         self,
         kind: type[BaseException] | None,
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -152,6 +152,41 @@
         assert body_of(send(ConnectionPool(replica.address))) == b"all of it"
 
 
+def test_an_answer_without_length_is_broken_if_its_replica_is_gone_at_the_end() -> None:
+    def _crash(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\npart of it")
+        replica.stop_listening()
+
+    with ScriptedReplica(_crash) as replica, pytest.raises(AnswerBroken):
+        body_of(send(ConnectionPool(replica.address)))
+
+
+def test_the_connection_that_confirms_an_answer_without_length_carries_the_next_request() -> None:
+    data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
+    with ScriptedReplica(script_sending(data), script_sending(answer("r2", b"x"))) as replica:
+        pool = ConnectionPool(replica.address)
+        assert body_of(send(pool)) == b"all of it"
+        assert body_of(send(pool, "r2")) == b"x"
+        assert pool.opened == 2
+
+
+def test_a_refusal_without_length_needs_no_confirmation() -> None:
+    def _refuse(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(
+            b"HTTP/1.1 503 Full\r\nSpringrock-Request-Id: r1\r\n"
+            b"Springrock-Not-Executed: 1\r\n\r\nfull"
+        )
+        replica.stop_listening()
+
+    with ScriptedReplica(_refuse) as replica:
+        pool = ConnectionPool(replica.address)
+        with pytest.raises(ReplicaFull):
+            send(pool)
+        assert pool.opened == 1
+
+
 def test_an_answer_without_length_that_is_reset_is_broken() -> None:
     read = threading.Event()
 
--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -165,3 +165,34 @@
         received, cut = collect(Stream(replica.address, resumable=False).events())
     assert b"".join(received) == b"".join(EVENTS).replace(b"\n", b"\r\n")
     assert not cut
+
+
+def test_a_stream_without_length_is_cut_if_its_replica_is_gone_at_the_end() -> None:
+    def _crash(connection: socket.socket) -> None:
+        sending(unframed(b"".join(EVENTS[:2])))(connection)
+        replica.stop_listening()
+
+    with ScriptedReplica(_crash) as replica:
+        received, cut = collect(Stream(replica.address, resumable=False).events())
+    assert b"".join(received) == b"".join(EVENTS[:2])
+    assert cut
+
+
+def test_a_resumable_stream_without_length_goes_on_elsewhere_if_its_replica_is_gone() -> None:
+    def _crash(connection: socket.socket) -> None:
+        sending(unframed(b"".join(EVENTS[:2])))(connection)
+        first.stop_listening()
+
+    with (
+        ScriptedReplica(_crash) as first,
+        ScriptedReplica(sending(chunked(b"".join(EVENTS[2:])))) as second,
+    ):
+        stream = Stream(first.address, second.address, resumable=True)
+        assert collect(stream.events()) == ([b"".join(EVENTS[:2]), b"".join(EVENTS[2:])], False)
+
+
+def test_a_stream_without_length_is_complete_if_its_replica_lives_on() -> None:
+    with ScriptedReplica(sending(unframed(b"".join(EVENTS)))) as replica:
+        received, cut = collect(Stream(replica.address, resumable=False).events())
+    assert b"".join(received) == b"".join(EVENTS)
+    assert not cut
