Forwarder: an answer without length is whole only if its replica lives on

Callers got a part of a plain answer, or a stream up to some event, as a whole one: a replica that crashes ends an answer without length or chunks like one that has finished (RFC 9112, 6.3 and 8).

The box now opens the connection that has to replace the one that ended. Where the replica accepts none, the answer counts as broken: run again where that is allowed, else 502, a stream resumed or cut. The connection is kept for the next request, so that a healthy replica costs none more (test). A refusal that says that nothing ran needs no such proof.

Weighed: sending such an answer on without a length, which leaves the caller to guess and costs its connection; holding it for a time, which costs time for each. Not told apart: a replica that crashes and accepts connections again at once.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -256,19 +256,36 @@
             if connection.is_usable(conservative=conservative):
                 return connection
             connection.close()
-        self.opened += 1
-        return Connection(self.address, connect_timeout_s=min(self._connect_timeout_s, timeout_s))
+        return self._open(timeout_s=timeout_s)
+
+    def open_spare(self, *, timeout_s: float) -> None:
+        """Open a connection now that a later request can use.
+
+        Raises:
+            ReplicaUnreachable: If no connection can be opened.
+        """
+        self._keep(self._open(timeout_s=timeout_s))
 
     def release(self, connection: Connection) -> None:
         """Keep a connection for another request if it is reusable, else close it."""
-        if self._closed or not connection.reusable or len(self._idle) >= _MAX_IDLE_CONNECTIONS:
+        if connection.reusable:
+            self._keep(connection)
+        else:
             connection.close()
-            return
-        connection.mark_idle()
-        self._idle.append(connection)
 
     def close(self) -> None:
         """Close the idle connections, and from now on those released."""
         self._closed = True
         while self._idle:
             self._idle.pop().close()
+
+    def _open(self, *, timeout_s: float) -> Connection:
+        self.opened += 1
+        return Connection(self.address, connect_timeout_s=min(self._connect_timeout_s, timeout_s))
+
+    def _keep(self, connection: Connection) -> None:
+        if self._closed or len(self._idle) >= _MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        connection.mark_idle()
+        self._idle.append(connection)
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -16,15 +16,19 @@
     ForeignAnswer,
     ReplicaChanged,
     ReplicaFull,
+    ReplicaUnreachable,
     SendingForbidden,
 )
-from springrock.forwarding.message import AnswerHead, ClientRequest
+from springrock.forwarding.message import AnswerHead, BodyEnd, ClientRequest
 
 _MAX_SURPLUS_ANSWERS = 2
 """How many answers to earlier requests are discarded on a connection."""
 
 _SURPLUS_READ_TIMEOUT_S = 0.5
 
+_MIN_CONFIRM_TIMEOUT_S = 0.02
+"""Least time to open the connection that confirms a complete answer."""
+
 OnClose = Callable[[int, int], None]
 """Receives the bytes of the request and the bytes read of the answer's body."""
 
@@ -74,9 +78,11 @@
         if self._complete:
             return b""
         data = self._connection.read(timeout_s=timeout_s)
-        self._complete = not data
         self._received_bytes += len(data)
         self._on_data()
+        if not data:
+            self._confirm_end(timeout_s)
+            self._complete = True
         return data
 
     def read_all(self, *, deadline: Deadline) -> bytes:
@@ -93,6 +99,29 @@
                 return b"".join(chunks)
             chunks.append(data)
 
+    def skip(self, *, deadline: Deadline) -> None:
+        """Read the body to its end, complete or not.
+
+        Raises:
+            AnswerBroken: If a stated length or chunk is missing.
+            AnswerSilent: If the body did not end by the deadline.
+        """
+        while data := self._connection.read(timeout_s=deadline.left_s):
+            self._received_bytes += len(data)
+        self._complete = True
+
+    def _confirm_end(self, timeout_s: float) -> None:
+        """Raise if a body that ends with its connection may have been broken off by a crash."""
+        if self.head.body_end is not BodyEnd.CLOSE:
+            return
+        try:
+            # The connection that ended is to be replaced anyway.
+            self._pool.open_spare(timeout_s=max(_MIN_CONFIRM_TIMEOUT_S, timeout_s))
+        except ReplicaUnreachable as error:
+            raise AnswerBroken(
+                f"the answer ended with its connection, and its replica accepts no other: {error}"
+            ) from None
+
     def close(self) -> None:
         """Return the connection to the pool if the answer was read completely, else close it."""
         self._on_close(self._connection.sent_bytes, self._received_bytes)
@@ -156,7 +185,7 @@
         answer = Answer(head, connection, pool, on_close, on_data)
         if not dialect.not_run(head):
             return answer
-        answer.read_all(deadline=Deadline(_SURPLUS_READ_TIMEOUT_S))
+        answer.skip(deadline=Deadline(_SURPLUS_READ_TIMEOUT_S))
     except BaseException:
         connection.close()
         raise
