HTTP server: a reply without chunks that breaks off is reset

A caller of HTTP/1.0 gets a stream without chunks, which ends with its connection. The close is a reset now.

--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import struct
 from typing import Any
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -53,11 +56,22 @@
     def handle_error(self, kind: Any, value: Any, traceback: Any) -> None:
         """Handle an error; close the connection without a last chunk if the answer broke off."""
         if isinstance(value, AnswerCut | CallerGone):
+            if not self.response_use_chunked:
+                _reset_on_close(self.socket)
             self.close_connection = True
             return
         super().handle_error(kind, value, traceback)
 
 
+def _reset_on_close(connection: Any) -> None:
+    """Make the close of a connection a reset.
+
+    Without chunks, a caller takes any other close for the end of its answer.
+    """
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 class HttpServer:
     """Serves a WSGI application on one address.
 
