Service driver: an answer without length is whole only if the service lives on

The cause of the incident in springrock serve: an answer with neither length nor chunks counted as whole wherever its connection ended. The driver now sees whether the service still accepts a connection, and says that the outcome is unknown if it does not. Refusals need no such proof.

Looked at and left: streams of engines, which state their last token and a closing event; reports, orders and the store, whose JSON does not decode when cut; a caller's own body, whose early end pywsgi reports.

--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import NamedTuple
 
 import urllib3
@@ -10,11 +11,13 @@
 from springrock.errors import UpstreamBroke, UpstreamSaidNo, UpstreamUnreachable
 from springrock.plugins import drivers
 from springrock.retry_after import retry_after_in
-from springrock.settings import UpstreamSection
+from springrock.settings import UpstreamSection, split_address
 
 _CONNECTIONS = 64
 _CONNECT_TIMEOUT_S = 2.0
 _MAX_ANSWER_BYTES = 8_388_608
+_NO_BODY_STATUSES = (204, 304)
+_NOT_RUN_STATUSES = (429, 503)
 
 
 class ServiceAnswer(NamedTuple):
@@ -34,6 +37,7 @@
     """
 
     def __init__(self, upstream: UpstreamSection) -> None:
+        self._address = split_address(upstream.address)
         self._base_url = f"http://{upstream.address}"
         self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
 
@@ -64,6 +68,8 @@
             data = response.read(_MAX_ANSWER_BYTES + 1)
             response.drain_conn()
             response.release_conn()
+            if _ends_with_connection(response) and response.status not in _NOT_RUN_STATUSES:
+                self._check_alive()
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise UpstreamUnreachable(str(error)) from None
         except (HTTPError, OSError) as error:
@@ -73,7 +79,22 @@
                 pool.clear()
         if len(data) > _MAX_ANSWER_BYTES:
             raise UpstreamBroke("the answer exceeds the size limit")
-        if response.status in (429, 503):
+        if response.status in _NOT_RUN_STATUSES:
             raise UpstreamSaidNo(f"status {response.status}", retry_after_in(response.headers))
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceAnswer(response.status, content_type, data)
+
+    def _check_alive(self) -> None:
+        """Raise if the service accepts no connection, as after a crash in the middle of an answer.
+
+        Raises:
+            OSError: If it accepts none.
+        """
+        socket.create_connection(self._address, timeout=_CONNECT_TIMEOUT_S).close()
+
+
+def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
+    """Whether neither a length nor chunks mark the end of an answer that may have a body."""
+    headers = response.headers
+    framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+    return not framed and response.status not in _NO_BODY_STATUSES
