Forwarder: logs the software versions of replicas and what a stream takes up

Logs could not tell a stream that a box resumed at another software version from one that its caller took up there. The version of a row, checked and dropped before, is kept as text; a long one as its digest.

--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -69,6 +69,8 @@
             recently.
         understood: Whether the latest row of the replica could be read. If not, the replica gets
             no new work until a readable row arrives.
+        software: The version of the replica's software, empty if unknown. What two versions write
+            does not fit together in one stream.
     """
 
     instance: str
@@ -83,6 +85,7 @@
     sequence: int = 0
     cold_s: float = 0.0
     understood: bool = True
+    software: str = ""
 
     @property
     def replica_id(self) -> str:
@@ -373,4 +376,5 @@
             service=record.service,
             address=record.address,
             zone=record.zone,
+            software=record.software,
         )
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -235,6 +235,8 @@
             target_ms=round(progress.route.target_s * 1000),
             deadline_ms=round((progress.request.deadline_s or 0.0) * 1000),
             returning=self._chooser.is_client_retry(progress),
+            resumes=progress.request.resumes,
+            resumes_after=progress.request.last_event_id,
             attempts=progress.attempt_summaries(),
         )
 
--- a/springrock/forwarding/message.py
+++ b/springrock/forwarding/message.py
@@ -96,6 +96,8 @@
         key_digest: The digest of the client's key; None if it sent none.
         last_event_id: Id of the event after which a stream is to be resumed, or empty.
         prompt: The parts of the prompt in order; empty if unknown.
+        resumes: Id of the request that brought the first event of the stream that this one takes
+            up, or empty.
     """
 
     request_id: str
@@ -112,6 +114,7 @@
     key_digest: bytes | None = None
     last_event_id: str = ""
     prompt: tuple[PromptPart, ...] = ()
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/springrock/forwarding/request_progress.py
+++ b/springrock/forwarding/request_progress.py
@@ -58,6 +58,7 @@
         began_s: Start of the attempt, in seconds after the request was received.
         record_age_s: Age of the replica's record at that time, in seconds.
         notice: What the head of the answer says about the replica itself.
+        software: The version of the replica's software at that time, empty if unknown.
     """
 
     instance: str
@@ -65,6 +66,7 @@
     record_age_s: float
     outcome: AttemptOutcome = AttemptOutcome.UNDER_WAY
     notice: ReplicaNotice = NO_NOTICE
+    software: str = ""
 
     def __str__(self) -> str:
         """Return a summary of the attempt for log lines."""
@@ -73,9 +75,10 @@
             notice_text += f", asks for {self.notice.backoff_s:.2f} s of rest"
         if self.notice.limit_per_s is not None:
             notice_text += f", takes {self.notice.limit_per_s:.2f} requests a second"
+        software_text = f", software {self.software}" if self.software else ""
         return (
             f"{self.instance} {self.outcome} at {self.began_s} s, "
-            f"record of {self.record_age_s} s{notice_text}"
+            f"record of {self.record_age_s} s{software_text}{notice_text}"
         )
 
 
@@ -160,10 +163,13 @@
         """Seconds since the request was received."""
         return monotonic() - self.request.received_at
 
-    def start_attempt(self, instance: str, *, record_age_s: float) -> Attempt:
+    def start_attempt(self, instance: str, *, record_age_s: float, software: str = "") -> Attempt:
         """Add an attempt at a replica and return it."""
         attempt = Attempt(
-            instance=instance, began_s=round(self.age_s, 4), record_age_s=round(record_age_s, 3)
+            instance=instance,
+            began_s=round(self.age_s, 4),
+            record_age_s=round(record_age_s, 3),
+            software=software,
         )
         self.attempts.append(attempt)
         return attempt
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -99,7 +99,9 @@
         replica.running += 1
         self._reach.begin_wait()
         return progress.start_attempt(
-            replica.instance, record_age_s=monotonic() - replica.recorded_at
+            replica.instance,
+            record_age_s=monotonic() - replica.recorded_at,
+            software=replica.record.software,
         )
 
     def finish_attempt(self, chosen: ChosenReplica, attempt: Attempt) -> None:
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -66,6 +66,7 @@
             key_digest=_key_digest(headers),
             prompt=_parse_prompt_parts(headers.get(names.PROMPT_PARTS)),
             last_event_id=headers.get(names.LAST_EVENT_ID) or "",
+            resumes=headers.get(names.RESUMES) or "",
         )
 
     def request_headers(self, request: ClientRequest, terms: SendTerms) -> Headers:
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -28,6 +28,9 @@
 KV_FETCH = "Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
 
+RESUMES = "Resumes"
+"""On a request that takes a stream up: the id of the request that brought its first event."""
+
 PASSED_ON = "Springrock-Passed-On"
 """Set on a request that a box passes on to another one, which passes it on to none."""
 
--- a/springrock/platform/replica_rows.py
+++ b/springrock/platform/replica_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 from collections.abc import Callable
 from enum import StrEnum
@@ -66,6 +67,9 @@
 _MAX_TEXT_CHARS = 200
 """The limit of the store's keys, and so of replica ids, services and zones."""
 
+_MAX_SOFTWARE_CHARS = 40
+"""Shorter than a digest, so that no version equals the digest of another one."""
+
 _HOST_LABEL = r"[A-Za-z0-9_](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
 _ADDRESS = re.compile(
     rf"(?:{_HOST_LABEL}(?:\.{_HOST_LABEL})*|[0-9A-Fa-f:]*:[0-9A-Fa-f:.]*):([0-9]{{1,5}})"
@@ -91,8 +95,7 @@
     born_ms = fields.integer_or_none("born", at_most=_MAX_START_MS)
     _check_id(row.key, born_ms)
     models = _models_from(fields.value_or("models", []))
-    # These values are unused, but a wrong type shows that something else wrote the row.
-    fields.check_types("version", (str, int, float))
+    # The value is unused, but a wrong type shows that something else wrote the row.
     fields.check_types("stage", (str,))
     return ReplicaRecord(
         instance=incarnation_of(row.key, born_ms),
@@ -106,6 +109,7 @@
         born_ms=born_ms,
         sequence=fields.integer_or_none("sequence", at_most=_MAX_SEQUENCE) or 0,
         cold_s=fields.number_or_zero("coldRemainingMs", at_most=_MAX_COLD_MS) / 1000,
+        software=_parse_software(fields),
     )
 
 
@@ -201,6 +205,18 @@
     return zone
 
 
+def _parse_software(fields: _Fields) -> str:
+    """Return the software version as text; a long one as its digest, empty if it is missing.
+
+    Versions are compared only for equality, and numbers are equal to their decimal text.
+    """
+    fields.check_types("version", (str, int, float))
+    text = str(fields.value_or("version", ""))
+    if len(text) <= _MAX_SOFTWARE_CHARS:
+        return text
+    return hashlib.sha256(text.encode("utf-8", "surrogatepass")).hexdigest()
+
+
 def _parse_leaving(fields: _Fields) -> bool:
     state = fields.text("state")
     if state not in _IS_LEAVING_BY_STATE:
--- a/tests/platform/test_replica_rows.py
+++ b/tests/platform/test_replica_rows.py
@@ -86,10 +86,35 @@
         born_ms=1_764_000_000_123,
         sequence=7,
         cold_s=1.5005,
+        software="1.2",
     )
     assert record.replica_id == ID
 
 
+@pytest.mark.parametrize(
+    ("value", "software"),
+    [("v1", "v1"), ("1", "1"), (1, "1"), (1.5, "1.5"), ("1.0", "1.0"), ("", "")],
+)
+def test_a_software_version_is_kept_as_text(value: object, software: str) -> None:
+    record = replica_from(row({**VALID, "version": value}), knows_zone=KNOWS_ZONE)
+    assert record.software == software
+
+
+def test_long_software_versions_stay_different_from_each_other_and_from_their_digests() -> None:
+    texts = ["x" * 10_000, "x" * 10_001]
+    found = [
+        replica_from(row({**VALID, "version": text}), knows_zone=KNOWS_ZONE).software
+        for text in texts
+    ]
+    again = replica_from(row({**VALID, "version": found[0]}), knows_zone=KNOWS_ZONE).software
+    assert len({*found, again}) == 3
+    assert all(len(text) == 64 for text in found)
+
+
+def test_a_row_without_a_software_version_has_an_unknown_one() -> None:
+    assert replica_from(row(without("version")), knows_zone=KNOWS_ZONE).software == ""
+
+
 def test_a_row_without_a_start_time_has_its_id_as_instance() -> None:
     value = without("born", "models", "sequence", "coldRemainingMs", "version", "stage")
     record = replica_from(row({**value, "state": "draining"}), knows_zone=KNOWS_ZONE)
