Failing test: streams go on at any software version

Three tests fail on this code: a broken stream is resumed at a replica of another software version, also where no other replica has its own; and a caller that takes a stream up is served by any version.

--- /dev/null
+++ b/tests/forwarding/test_software_versions.py
@@ -0,0 +1,199 @@
+"""Streams go on only at the software version that began them."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+
+import pytest
+
+from springrock.errors import AnswerCut
+from springrock.forwarding.balancing import Balancer
+from springrock.forwarding.budget import RetryBudget, RetryLimits
+from springrock.forwarding.choosing import ReplicaChooser
+from springrock.forwarding.configuration import Configuration, RouteKind, RouteTable, Team
+from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
+from springrock.forwarding.directory import Directory, ReplicaRecord
+from springrock.forwarding.forwarder import Forwarder
+from springrock.forwarding.keys import KeyGate, KeyTerms
+from springrock.forwarding.passing_on import PassingOn
+from springrock.forwarding.request_progress import RequestProgress
+from springrock.forwarding.sending import Sender
+from springrock.forwarding.streaming import StreamRelay
+from springrock.log import Log
+from springrock.metrics import ForwardingMetrics
+from springrock.permits.choice import NoPermits
+from springrock.platform.dialect import PlatformDialect
+from springrock.topology import Topology
+from tests.factories import (
+    make_crash_detector,
+    make_notices,
+    make_reach,
+    make_routing_state,
+    make_warmup,
+)
+from tests.forwarding.scripted import Script, ScriptedReplica, read_request
+from tests.forwarding.test_choosing import ScriptedAdapters
+from tests.forwarding.test_passing_on import ScriptedPeers
+from tests.forwarding.test_values import make_request, make_route
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+LAST_EVENT = 4
+TERMS = KeyTerms(revoke_s=1.0, fail_closed=True)
+ROUTE = make_route(kind=RouteKind.STREAMING, attempts=3, resumable=True)
+
+
+def event(number: int, software: str) -> bytes:
+    return b"id: %d\ndata: %s\n\n" % (number, software.encode())
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def first_number(request: bytes) -> int:
+    for line in request.split(b"\r\n"):
+        name, _, value = line.partition(b": ")
+        if name == b"Last-Event-Id":
+            return int(value) + 1
+    return 1
+
+
+def writing(software: str, *, breaks_after: int = LAST_EVENT) -> Script:
+    """Return a replica's script: it writes the rest of a stream, or breaks off after an event."""
+
+    def script(connection: socket.socket) -> None:
+        request = read_request(connection)
+        if not request:
+            return
+        connection.sendall(HEAD)
+        for number in range(first_number(request), LAST_EVENT + 1):
+            connection.sendall(chunk(event(number, software)))
+            if number == breaks_after:
+                return
+        connection.sendall(b"0\r\n\r\n")
+
+    return script
+
+
+class NoCharging:
+    """Charges nothing; implements `QuotaCharger`."""
+
+    def charge(self, team: Team | None, *, tokens: int | None, request: str) -> NoCharging:
+        return self
+
+    def refund(self) -> None:
+        """Do nothing."""
+
+
+class Box:
+    """The parts of a box that forward streams to the replicas in its directory."""
+
+    def __init__(self) -> None:
+        log = Log("test", "box-1")
+        self.directory = Directory(log)
+        self.chooser = ReplicaChooser(
+            configuration=Configuration,
+            directory=self.directory,
+            balancer=Balancer(routing_state=make_routing_state, rng=random.Random()),
+            adapters=ScriptedAdapters(waits=0),
+            budget_of=lambda service: RetryBudget(lambda: RetryLimits(0.1, 10.0, 10.0)),
+            permits=NoPermits(),
+        )
+        sender = Sender(
+            dialect=PlatformDialect(),
+            adapters=ScriptedAdapters(waits=0),
+            warmup=make_warmup(),
+            crash_detector=make_crash_detector(),
+            notices=make_notices(self.directory),
+            reach=make_reach(),
+            may_send=lambda progress, chosen: True,
+            log=log,
+            byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
+        )
+        self.relay = StreamRelay(chooser=self.chooser, sender=sender, log=log)
+        table = RouteTable(Configuration(version=1, routes=(ROUTE,)))
+        self.forwarder = Forwarder(
+            routes=lambda: table,
+            gate=KeyGate(routes=lambda: table, staleness_s=lambda: 0.0, terms=lambda: TERMS),
+            charging=NoCharging(),
+            chooser=self.chooser,
+            sender=sender,
+            relay=self.relay,
+            passing_on=PassingOn(
+                reach=make_reach(), peers=ScriptedPeers(), dialect=PlatformDialect(), log=log
+            ),
+            log=log,
+        )
+
+    def add(self, instance: str, replica: ScriptedReplica, software: str) -> None:
+        self.directory.update(
+            ReplicaRecord(
+                instance=instance,
+                service="s",
+                address=replica.address,
+                zone="zone-1",
+                software=software,
+            )
+        )
+
+    def stream(self) -> Iterator[bytes]:
+        progress = RequestProgress(make_request(deadline_s=5.0), ROUTE, "s")
+        _, run = self.relay.open(progress, until=progress.ends_at)
+        yield from self.relay.relay(progress, run)
+
+
+@contextmanager
+def box_with(*replicas: tuple[str, Script]) -> Iterator[Box]:
+    """Yield a box; each replica is given by its software version and its script."""
+    box = Box()
+    with ExitStack() as stack:
+        for number, (software, script) in enumerate(replicas, 1):
+            scripted = stack.enter_context(ScriptedReplica(script, script, script))
+            box.add(f"i-{number}", scripted, software)
+        yield box
+
+
+def test_a_broken_stream_goes_on_only_at_the_version_that_began_it() -> None:
+    for _ in range(12):
+        with box_with(
+            ("v1", writing("v1", breaks_after=2)),
+            ("v2", writing("v2", breaks_after=2)),
+            ("v1", writing("v1", breaks_after=2)),
+            ("v2", writing("v2", breaks_after=2)),
+        ) as box:
+            received = b"".join(box.stream())
+        assert received in [
+            b"".join(event(number, software) for number in range(1, LAST_EVENT + 1))
+            for software in ("v1", "v2")
+        ]
+
+
+def test_a_broken_stream_is_cut_if_no_other_replica_has_its_version() -> None:
+    received = []
+    with box_with(
+        ("v1", writing("v1", breaks_after=2)),
+        ("v2", writing("v2", breaks_after=2)),
+    ) as box:
+        stream = box.stream()
+        with pytest.raises(AnswerCut):
+            for data in stream:
+                received.append(data)
+    assert b"".join(received) in [
+        event(1, software) + event(2, software) for software in ("v1", "v2")
+    ]
+
+
+def test_a_stream_of_an_unknown_version_is_refused_while_several_versions_serve() -> None:
+    with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
+        reply = box.forwarder.forward(
+            make_request(request_id="r1", resumes="r0", last_event_id="2", deadline_s=5.0)
+        )
+    assert reply.head.status == 503
+    assert reply.head.headers.get("Retry-After") is not None
+    assert b"".join(reply.body) == b'{"error":"stream_origin_unknown"}'
