Forwarder: a broken stream goes on only at the software version that began it

Cause: what a request is restricted to knew regions only. Bounds now hold the software version too, set by the run whose first event was sent on, and are asked wherever a replica is chosen, granted and sent to. Asks carry the version to placers; one of the previous release, which leaves the field, is told to avoid the other versions' engines, and a grant beyond the bounds is not used. Where no replica of the version serves, the stream is cut at once.

--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -13,7 +13,7 @@
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, Replica
 from springrock.forwarding.distance_cost import RequestSize
-from springrock.forwarding.eligibility import METERED, Obstacle
+from springrock.forwarding.eligibility import ANYWHERE, METERED, Obstacle
 from springrock.forwarding.errors import NoReplica, Quarantined, Rejection
 from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.message import AdapterKey
@@ -233,7 +233,7 @@
 
     def _find(self, progress: RequestProgress, *, until: float) -> ChosenReplica:
         key = progress.request.adapter_key
-        self._check_regions(progress)
+        self._check_bounds(progress)
         if key is None or not self._has_engines(progress.service):
             picked = self._choose(progress)
             return ChosenReplica(picked.replica, None, picked.send_by)
@@ -249,13 +249,20 @@
                 ):
                     raise
 
-    def _check_regions(self, progress: RequestProgress) -> None:
-        """Raise without a wait if no replica is in a region where the request may be served."""
-        if progress.bounds.regions is None:
+    def _check_bounds(self, progress: RequestProgress) -> None:
+        """Raise without a wait if the request is restricted to replicas that do not exist."""
+        bounds = progress.bounds
+        if bounds == ANYWHERE:
             return
         replicas = self._directory.of_service(progress.service)
-        if replicas and not self._balancer.in_bounds(replicas, bounds=progress.bounds):
+        if not replicas:
+            return
+        allowed = self._balancer.in_bounds(replicas, bounds=bounds)
+        if not allowed:
             raise NoReplica(Obstacle.OUTSIDE_REGIONS, RETRY_AFTER_S)
+        fitting = [item for item in allowed if bounds.allow_software(item.record)]
+        if bounds.software is not None and all(item.record.leaving for item in fitting):
+            raise NoReplica(Obstacle.OTHER_SOFTWARE, RETRY_AFTER_S)
 
     def _find_granted(
         self, progress: RequestProgress, key: AdapterKey, *, until: float
@@ -294,6 +301,12 @@
         replicas = self._directory.of_service(progress.service)
         unusable = {replica.instance for replica in replicas if _is_unusable(replica)}
         resting = {replica.instance for replica in replicas if replica.health.resting}
+        # A placer of an earlier build heeds this list, but no software version.
+        unusable |= {
+            replica.instance
+            for replica in replicas
+            if not progress.bounds.allow_software(replica.record)
+        }
         return AdapterRequest(
             request_id=progress.request.request_id,
             key=key,
--- a/springrock/forwarding/eligibility.py
+++ b/springrock/forwarding/eligibility.py
@@ -24,6 +24,8 @@
     """The replica's zone is evacuated."""
     OUTSIDE_REGIONS = "outside_regions"
     """The replica is in no region where the request may be served."""
+    OTHER_SOFTWARE = "other_software"
+    """The replica runs another software version than the one that began the request's stream."""
     BACKING_OFF = "backing_off"
     """The replica refused a request of this box and asked for a back-off that has not ended."""
     COLD = "cold"
@@ -39,18 +41,24 @@
 
 
 class Bounds(NamedTuple):
-    """The regions that a request is restricted to.
+    """The replicas that a request is restricted to.
 
     Attributes:
         regions: The regions where it may be served; None for any.
+        software: The software version that began its stream; None for any.
     """
 
     regions: frozenset[str] | None = None
+    software: str | None = None
 
     def allow(self, zone: str, topology: Topology) -> bool:
         """Whether a request may be served in a zone; a zone of unknown region is in no region."""
         return self.regions is None or topology.region_of(zone) in self.regions
 
+    def allow_software(self, record: ReplicaRecord) -> bool:
+        """Whether a replica has the software version that the request needs."""
+        return self.software is None or record.software == self.software
+
 
 class RoutingState(NamedTuple):
     """The state that routing depends on, apart from the replicas themselves.
@@ -93,7 +101,7 @@
 
     Args:
         record: The replica's record.
-        bounds: The regions where the request may be served.
+        bounds: The replicas that the request is restricted to.
         routing_state: The state of zones and permits that routing depends on.
         backing_off: Whether the replica has asked the sending box for a back-off.
         resting: Whether the replica cools down after recent failures.
@@ -107,6 +115,8 @@
     zone_obstacle = zone_obstacle_of(record.zone, bounds=bounds, routing_state=routing_state)
     if zone_obstacle is not None:
         return zone_obstacle
+    if not bounds.allow_software(record):
+        return Obstacle.OTHER_SOFTWARE
     if backing_off:
         return Obstacle.BACKING_OFF
     metered = None if permitted else routing_state.permit_obstacle(record)
--- a/springrock/forwarding/request_progress.py
+++ b/springrock/forwarding/request_progress.py
@@ -100,7 +100,8 @@
             local monotonic clock.
         last_event_id: Id of the last event sent to the client or about to be sent.
         resuming: Whether this box has sent events of the stream to the client.
-        bounds: The regions where the request may be served.
+        bounds: The regions, and for a stream that has begun the software version, that the
+            request is restricted to.
     """
 
     def __init__(
@@ -179,6 +180,10 @@
         self.last_event_id = event_id
         self.resuming = True
 
+    def bind_software(self, software: str) -> None:
+        """Restrict the request to a software version, the one that began its stream."""
+        self.bounds = self.bounds._replace(software=software)
+
     def attempt_summaries(self) -> list[str]:
         """Return one summary per attempt, for log lines."""
         return [str(attempt) for attempt in self.attempts]
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -73,6 +73,8 @@
             self.close()
             raise
         self._sender.record_answer(self._progress, self._replica, self._attempt, answer.head.status)
+        if self._progress.resuming:
+            self._progress.bind_software(self._attempt.software)
         if self._chosen.use is not None and answer.head.succeeded:
             self._chosen.use.record_first_event()
         return answer.head
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -445,4 +445,5 @@
         regions=None
         if adapter_request.bounds.regions is None
         else sorted(adapter_request.bounds.regions),
+        software=adapter_request.bounds.software,
     )
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -68,6 +68,7 @@
         tried: Engines that it must not be sent to while another one holds its adapter.
         failed_at: Those of `tried` that were reached and failed the request.
         regions: The regions where it may be served; None for all.
+        software: The software version that began its stream; None for any.
     """
 
     number: int
@@ -80,11 +81,13 @@
     tried: list[str] = []
     failed_at: list[str] = []
     regions: list[str] | None = None
+    software: str | None = None
 
     @property
     def bounds(self) -> Bounds:
         """Where the request may be served."""
-        return Bounds(None if self.regions is None else frozenset(self.regions))
+        regions = None if self.regions is None else frozenset(self.regions)
+        return Bounds(regions, self.software)
 
 
 class Use(Struct, frozen=True, array_like=True):
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -328,9 +328,12 @@
     def _zone_views(self, bounds: Bounds, routing_state: RoutingState) -> list[ZoneView]:
         """Return the current state of the zones with engines that a request may go to."""
         views = []
-        for name, records in self._engines_by_zone().items():
+        for name, all_records in self._engines_by_zone().items():
             if zone_obstacle_of(name, bounds=bounds, routing_state=routing_state) is not None:
                 continue
+            records = [record for record in all_records if bounds.allow_software(record)]
+            if not records:
+                continue
             zone = self._zone(name)
             view = ZoneView(
                 name=name,
@@ -348,7 +351,11 @@
     def _choose_zone(self, adapter_request: AdapterRequest, silent: set[str]) -> str | None:
         """Return the zone whose placer to ask; None if none can be reached."""
         routing_state = self._routing_state()
-        holders = self._residency.holders(adapter_request.key)
+        holders = [
+            replica
+            for replica in self._residency.holders(adapter_request.key)
+            if adapter_request.bounds.allow_software(replica.record)
+        ]
         allowed = [
             replica
             for replica in holders
@@ -369,7 +376,8 @@
         views = self._zone_views(adapter_request.bounds, routing_state)
         home = self._settings.zone
         loadable = {view.name for view in views} - routing_state.announced
-        if self._is_spread(adapter_request.key) and home in loadable:
+        bound = adapter_request.bounds.software is not None
+        if self._is_spread(adapter_request.key) and home in loadable and not bound:
             holding = {home}
         cached_in = {
             replica.record.zone
--- a/tests/forwarding/test_eligibility.py
+++ b/tests/forwarding/test_eligibility.py
@@ -49,6 +49,24 @@
     assert obstacle_of(make_record(zone="b-1"), bounds=bounds, routing_state=routing_state) is None
 
 
+def test_another_software_version_is_an_obstacle_even_with_a_permit() -> None:
+    routing_state = make_routing_state("a-1", regions=REGIONS)
+
+    def _obstacle(software: str, needed: str | None) -> Obstacle | None:
+        return obstacle_of(
+            make_record(software=software),
+            bounds=Bounds(software=needed),
+            routing_state=routing_state,
+            permitted=True,
+        )
+
+    assert _obstacle("v1", "v2") is Obstacle.OTHER_SOFTWARE
+    assert _obstacle("", "v2") is Obstacle.OTHER_SOFTWARE
+    assert _obstacle("v1", "") is Obstacle.OTHER_SOFTWARE
+    assert _obstacle("v1", "v1") is None
+    assert _obstacle("v1", None) is None
+
+
 def test_a_zone_of_unknown_region_is_outside_all_regions() -> None:
     bounds = Bounds(frozenset({"a"}))
     found = zone_obstacle_of(
