Planner: loads an adapter for a stream on an engine of its software version

A stream that waits to go on at its version is not helped by an adapter that another version's engine holds. A want whose requests all need a version is met by engines of that version alone, the most valuable one's where they differ.

--- a/springrock/placement/ask_book.py
+++ b/springrock/placement/ask_book.py
@@ -35,6 +35,18 @@
         return AdapterKey(self.ask.model, self.ask.adapter)
 
 
+def _needed_software(waiting: Iterable[WaitingAsk]) -> str | None:
+    """Return the version that the most valuable ask needs; None if some ask needs none.
+
+    An engine of any version serves the asks that need none. They are granted first, so that the
+    others come next.
+    """
+    asks = [item.ask for item in waiting]
+    if not asks or any(ask.software is None for ask in asks):
+        return None
+    return max(asks, key=lambda ask: ask.worth).software
+
+
 class _Expected(NamedTuple):
     """A client that was given a time at which to retry."""
 
@@ -127,6 +139,7 @@
             worth=sum(item.ask.worth for item in waiting) + sum(item.worth for item in expected),
             since=min((item.asked_at for item in waiting), default=now),
             target_at=min(targets),
+            software=_needed_software(waiting),
         )
 
     def _drop_missed_retries(self, now: float) -> None:
--- a/springrock/placement/planner.py
+++ b/springrock/placement/planner.py
@@ -89,6 +89,8 @@
         is_copy: Whether it asks for one more copy of an adapter that is already loaded.
         saves: Loads that a copy nearer to its callers saves in traffic between zones; 0 if the
             want is not for such a copy.
+        software: The software version that the engine must have, as streams of it wait to go on;
+            None for any.
     """
 
     key: AdapterKey
@@ -99,6 +101,11 @@
     target_at: float
     is_copy: bool = False
     saves: float = 0.0
+    software: str | None = None
+
+    def fits(self, engine: EngineBook) -> bool:
+        """Whether an engine has the software version that the waiting requests need."""
+        return self.software is None or engine.record.software == self.software
 
 
 class Assignment(NamedTuple):
@@ -328,7 +335,7 @@
         newest = self._newest(key)
         times: list[float] = []
         for engine in index.holding(key):
-            if want.is_copy or not engine.is_ready(key, version=newest):
+            if want.is_copy or not engine.is_ready(key, version=newest) or not want.fits(engine):
                 continue
             if engine.instance in self._backing_off:
                 continue
@@ -336,7 +343,7 @@
             if not want.waiting or ready_for_s < _UNREACHABLE_AFTER_S:
                 times.append(0.0)
         for engine in index.assigned(key):
-            is_excluded = want.is_copy and key in engine.places
+            is_excluded = (want.is_copy and key in engine.places) or not want.fits(engine)
             if not is_excluded and not engine.is_ready(key, version=newest):
                 left_s = engine.assigned[key] + COLD_LOAD_S - now
                 times.append(max(0.05, left_s))
@@ -373,6 +380,7 @@
             engine
             for engine in engines
             if key.model in engine.models
+            and want.fits(engine)
             and (key not in engine.places or self._is_replaceable(engine, key, used))
             and not (want.is_copy and self._waits.get(engine.instance, 0.0) > _MAX_WAIT_AT_COPY_S)
             and index.load_count(engine) < _MAX_LOADS_PER_ENGINE
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -4,6 +4,8 @@
 
 import math
 
+import msgspec
+
 from springrock.clock import monotonic
 from springrock.forwarding.directory import HeldAdapter, ReplicaRecord
 from springrock.forwarding.message import AdapterKey
@@ -17,8 +19,10 @@
     return AdapterKey("m", name)
 
 
-def make_engine(instance: str, *adapters: str, slots: int = 2) -> EngineBook:
-    record = ReplicaRecord(instance=instance, service="s", address="127.0.0.1:1", zone="z")
+def make_engine(instance: str, *adapters: str, slots: int = 2, software: str = "") -> EngineBook:
+    record = ReplicaRecord(
+        instance=instance, service="s", address="127.0.0.1:1", zone="z", software=software
+    )
     book = EngineBook(record, slots=slots)
     held = tuple(HeldAdapter("m", name, 1) for name in adapters)
     book.apply_report(EngineState(sequence=0, models=frozenset({"m"}), adapters=held))
@@ -50,6 +54,22 @@
     assert plan.ready_in_s[key("a")] > 0
 
 
+def test_an_adapter_for_a_stream_is_loaded_on_an_engine_of_its_version() -> None:
+    holder = make_engine("i-1", "a", software="v1")
+    crowded = make_engine("i-2", "x", software="v2")
+    free = make_engine("i-3", software="v1")
+    bound = msgspec.structs.replace(want("a"), software="v2")
+    plan = make_planner().plan([bound], [holder, crowded, free], used={}, now=monotonic())
+    assert [(item.key, item.engine.instance) for item in plan.assignments] == [(key("a"), "i-2")]
+
+
+def test_an_adapter_that_its_version_holds_is_not_loaded_for_a_stream() -> None:
+    engines = [make_engine("i-1", "a", software="v1"), make_engine("i-2", software="v2")]
+    bound = msgspec.structs.replace(want("a"), software="v1")
+    plan = make_planner().plan([bound], engines, used={}, now=monotonic())
+    assert (plan.assignments, plan.ready_in_s[key("a")]) == ([], 0.0)
+
+
 def test_an_assigned_adapter_is_not_assigned_again() -> None:
     engines = [make_engine("i-1"), make_engine("i-2")]
     planner = make_planner()
