Forwarder: a stream that a client takes up goes on only at the version that began it

Cause: which version began a stream was known nowhere. Each box records it for its streams under the id that clients name in `Resumes`. Where the rows of replicas do not show that only one version can have served, boxes tell their streams to the placers of two zones, and a box that a client comes back to asks all placers. What nobody knows is refused, not guessed.

Messages: Demand and Heartbeat have new last fields, OriginFound (kind 13) answers a question only.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -30,6 +30,8 @@
 from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
 from springrock.forwarding.sending import Sender
+from springrock.forwarding.software_history import SoftwareHistory
+from springrock.forwarding.stream_origins import OriginBook, StreamOrigins
 from springrock.forwarding.streaming import StreamRelay
 from springrock.kept_rows import operator_row_retention, own_row_retention, replica_retention
 from springrock.log import Log
@@ -139,6 +141,9 @@
             log=self._log_of("slow_start"),
         )
         self.directory.on_change.append(self._warmup.apply_record)
+        self._software_history = SoftwareHistory(age_s=lambda: self._replica_table.age_s)
+        self.directory.on_change.append(self._software_history.apply_record)
+        self._own_origins = OriginBook()
         self._limits = NamedLimits(self._log_of("permits"))
         self._store = CountedStore(
             PlatformStore(settings.store.address, on_era=self._record_era),
@@ -336,6 +341,8 @@
                 log=self._log_of("state"),
             ).answer,
             cut_off=lambda: self._reach.cut_off,
+            origins=self._own_origins,
+            software_history=self._software_history,
             log_of=self._log_of,
             metrics=self.metrics,
         )
@@ -396,13 +403,23 @@
             reach=self._reach,
             count_attempt=lambda outcome: self.metrics.attempts.labels(outcome).inc(),
         )
+        origins = StreamOrigins(
+            own=self._own_origins,
+            history=self._software_history,
+            other_boxes=self._placement.origins,
+            log=log,
+            count=lambda source: self.metrics.stream_origins.labels(source).inc(),
+        )
         forwarder = Forwarder(
             routes=lambda: self._routes,
             gate=gate,
             charging=QuotaCharger(zones=self._quota_zones, counter=self._placement.counter),
             chooser=chooser,
             sender=sender,
-            relay=StreamRelay(chooser=chooser, sender=sender, log=log),
+            relay=StreamRelay(
+                chooser=chooser, sender=sender, log=log, on_begun=origins.record_begun
+            ),
+            origins=origins,
             passing_on=PassingOn(
                 reach=self._reach, peers=self._placement.peer_boxes, dialect=dialect, log=log
             ),
--- a/springrock/forwarding/errors.py
+++ b/springrock/forwarding/errors.py
@@ -73,6 +73,17 @@
     """No replica can take the request now."""
 
 
+class StreamOriginUnknown(Rejection):
+    """The request takes a stream up, and which software version began it is not known.
+
+    Args:
+        retry_after_s: Seconds after which a retry may succeed, here or at another box.
+    """
+
+    def __init__(self, retry_after_s: float) -> None:
+        super().__init__("stream_origin_unknown", retry_after_s)
+
+
 class Quarantined(Rejection):
     """The request has crashed replicas that ran it and is not sent to any other.
 
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from springrock.forwarding.reply import Reply, own_reply, rejection_reply, relayed_reply
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
+from springrock.forwarding.stream_origins import StreamOrigins
 from springrock.forwarding.streaming import StreamRelay, StreamRun
 from springrock.log import Log
 
@@ -60,6 +61,7 @@
         sender: Sends requests to them.
         relay: Relays streams.
         passing_on: Passes requests on to other boxes while this one reaches no replica.
+        origins: Finds the software versions that began streams.
         log: The log to write to.
         configuration_origin: Returns the version, source and age of the operator's table, as fields
             of a log line.
@@ -75,6 +77,7 @@
         sender: Sender,
         relay: StreamRelay,
         passing_on: PassingOn,
+        origins: StreamOrigins,
         log: Log,
         configuration_origin: Callable[[], dict[str, object]] = dict,
     ) -> None:
@@ -86,6 +89,7 @@
         self._sender = sender
         self._relay = relay
         self._passing_on = passing_on
+        self._origins = origins
         self._log = log
         self._random = random.Random()
 
@@ -117,6 +121,7 @@
         """Charge a request to its team and forward it; refund the charge if it never ran."""
         team, request = progress.admission.team, progress.request
         try:
+            self._origins.bind(progress)
             receipt = self._charging.charge(team, tokens=request.tokens, request=request.request_id)
         except Rejection as rejection:
             return rejection_reply(rejection)
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from springrock.clock import Deadline, monotonic
 from springrock.errors import AnswerCut
@@ -27,6 +27,9 @@
 """Time allowed for resuming a broken stream at another replica."""
 
 
+OnBegun = Callable[[RequestProgress, str], None]
+
+
 class StreamRun:
     """One run of a stream at one replica; yields its complete events, several at a time.
 
@@ -34,12 +37,22 @@
         sender: Sends the request.
         progress: The request.
         chosen: The replica that runs it.
+        on_begun: Called with the request and the replica's software version before the first
+            events of the run are yielded.
 
     Attributes:
         incomplete_bytes: Length of the incomplete event at the end of the stream, if any.
     """
 
-    def __init__(self, sender: Sender, progress: RequestProgress, chosen: ChosenReplica) -> None:
+    def __init__(
+        self,
+        sender: Sender,
+        progress: RequestProgress,
+        chosen: ChosenReplica,
+        *,
+        on_begun: OnBegun,
+    ) -> None:
+        self._on_begun = on_begun
         self._sender = sender
         self._progress = progress
         self._chosen = chosen
@@ -75,6 +88,7 @@
         self._sender.record_answer(self._progress, self._replica, self._attempt, answer.head.status)
         if self._progress.resuming:
             self._progress.bind_software(self._attempt.software)
+            self._on_begun(self._progress, self._attempt.software)
         if self._chosen.use is not None and answer.head.succeeded:
             self._chosen.use.record_first_event()
         return answer.head
@@ -155,9 +169,18 @@
         chooser: Chooses replicas.
         sender: Sends requests to them.
         log: The log to write to.
+        on_begun: See `StreamRun`.
     """
 
-    def __init__(self, *, chooser: ReplicaChooser, sender: Sender, log: Log) -> None:
+    def __init__(
+        self,
+        *,
+        chooser: ReplicaChooser,
+        sender: Sender,
+        log: Log,
+        on_begun: OnBegun = lambda progress, software: None,
+    ) -> None:
+        self._on_begun = on_begun
         self._chooser = chooser
         self._sender = sender
         self._log = log
@@ -170,7 +193,7 @@
             ExchangeError: If the replica gave no answer.
         """
         chosen = self._chooser.next_replica(progress, until=until)
-        run = StreamRun(self._sender, progress, chosen)
+        run = StreamRun(self._sender, progress, chosen, on_begun=self._on_begun)
         return run.open(), run
 
     def relay(self, progress: RequestProgress, run: StreamRun) -> Iterator[bytes]:
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -163,6 +163,12 @@
             ["notice"],
             registry=registry,
         )
+        self.stream_origins = Counter(
+            "springrock_forwarding_stream_origins",
+            "Streams that clients took up, by where the version that began them was found.",
+            ["source"],
+            registry=registry,
+        )
         self.table_age_seconds = Gauge(
             "springrock_forwarding_table_age_seconds",
             "Seconds since a table of the store was last read.",
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from itertools import count
 from typing import NamedTuple, NoReturn
 
@@ -13,6 +13,7 @@
 from springrock.forwarding.adapters import AdapterRequest, UseOutcome
 from springrock.forwarding.errors import NoReplica
 from springrock.forwarding.message import AdapterKey
+from springrock.forwarding.stream_origins import Origin
 from springrock.permits.messages import LimitReport
 from springrock.permits.permit_book import PermitBook
 from springrock.permits.terms import PERMIT_LIFE_S
@@ -20,6 +21,7 @@
 from springrock.placement.errors import PlacerSilent
 from springrock.placement.messages import (
     Ask,
+    BegunStreams,
     CopyRequest,
     Demand,
     Ended,
@@ -29,6 +31,7 @@
     Written,
 )
 from springrock.placement.messages import Use as UseMessage
+from springrock.placement.origin_questions import OriginQuestions
 from springrock.quotas.charge_book import ChargeBook
 
 _PLACER_TIMEOUT_S = 0.2
@@ -130,6 +133,7 @@
         stopping: Whether this box is about to stop.
         charges: The charges of this box's requests to their teams.
         permits: The permits of this box's requests to cold or limited replicas.
+        origin_questions: The questions for the origins of streams that clients take up here.
         changed: Set while there are updates to send.
         urgent: Set while there are updates that a request waits for.
     """
@@ -155,6 +159,8 @@
         self._written: list[Written] = []
         self.charges = ChargeBook(on_update=lambda urgent: self._mark_changed(urgent=urgent))
         self.permits = PermitBook(on_update=lambda urgent: self._mark_changed(urgent=urgent))
+        self.origin_questions = OriginQuestions(on_update=lambda: self._mark_changed(urgent=True))
+        self._begun: dict[Origin, list[str]] = {}
         self.stopping = False
         self.changed = Event()
         self.urgent = Event()
@@ -339,9 +345,17 @@
             self._updates.limits[limit.instance] = limit
             self._mark_changed()
 
+    def record_begun(self, origins: Iterable[tuple[str, Origin]]) -> None:
+        """Tell the placer the origins of streams, by the ids of their requests."""
+        for request_id, origin in origins:
+            self._begun.setdefault(origin, []).append(request_id)
+        self._mark_changed()
+
     def forget_placer(self) -> None:
-        """Drop the forecasts and the state of charges and permits of a placer that was lost."""
+        """Drop what only the placer that was lost was to know or to answer."""
         self._forecasts.clear()
+        self._begun.clear()
+        self.origin_questions.forget_placer()
         self.charges.forget_placer()
         self.permits.forget_placer()
         for requester in self._requesters.values():
@@ -382,6 +396,7 @@
         charges, refunds = self.charges.drain_updates()
         permits, observations = self.permits.drain_updates()
         written, self._written = self._written, []
+        begun, self._begun = self._begun, {}
         wanted = {requester.adapter_request.key for requester in self._requesters.values()}
         for key in [key for key in self._forecasts if key not in wanted]:
             del self._forecasts[key]
@@ -413,6 +428,8 @@
             leaving=sorted(updates.leaving),
             limits=list(updates.limits.values()),
             cut_off=self._cut_off(),
+            begun=[BegunStreams(*origin, requests) for origin, requests in begun.items()],
+            origin_questions=self.origin_questions.drain_updates(),
         )
 
 
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -189,6 +189,46 @@
     saves: int
 
 
+class BegunStreams(Struct, frozen=True, array_like=True):
+    """Streams of one box that began at one software version.
+
+    Attributes:
+        requests: The ids of the requests that brought their first events.
+    """
+
+    service: str
+    software: str
+    requests: list[str]
+
+
+class OriginQuestion(Struct, frozen=True, array_like=True):
+    """A stream that a client takes up at a box that does not know which version began it.
+
+    Attributes:
+        number: The number that the box assigned to the question.
+        request: The id of the request that brought its first event.
+        service: The service that the stream would go on at.
+    """
+
+    number: int
+    request: str
+    service: str
+
+
+class OriginFound(Struct, frozen=True, array_like=True, tag=13):
+    """The answer to an `OriginQuestion`.
+
+    Attributes:
+        number: The number of the question.
+        service: The service that began the stream.
+        software: The software version that began it; None if unknown.
+    """
+
+    number: int
+    service: str = ""
+    software: str | None = None
+
+
 class Demand(Struct, frozen=True, array_like=True, tag=2):
     """Changes in the demand of a box.
 
@@ -208,6 +248,8 @@
         leaving: Replicas that said in an answer that they are leaving.
         limits: Limits that the zone's replicas named in answers to this box.
         cut_off: Whether the box reaches no replica.
+        begun: Streams whose origins the placer is to keep.
+        origin_questions: Streams whose origins the box asks for.
     """
 
     asks: list[Ask] = []
@@ -225,6 +267,8 @@
     leaving: list[str] = []
     limits: list[LimitReport] = []
     cut_off: bool = False
+    begun: list[BegunStreams] = []
+    origin_questions: list[OriginQuestion] = []
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=3):
@@ -277,6 +321,7 @@
             answer.
         row_era: The store's era of `row_version`; 0 if unknown.
         reaching: Addresses of some boxes that reach replicas and accept requests of others.
+        keeps_origins: Whether the placer keeps the origins of streams and answers questions.
     """
 
     row_version: int
@@ -293,6 +338,7 @@
     successor: Successor | None = None
     row_era: int = 0
     reaching: tuple[str, ...] = ()
+    keeps_origins: bool = False
 
 
 class EngineHolds(Struct, frozen=True, array_like=True):
@@ -384,7 +430,16 @@
 """The fastest zlib level; it still shrinks 1,400 routes to less than a tenth."""
 
 FromPlacer = (
-    Grant | Forecast | Heartbeat | Residents | TableNews | Charged | WriteFor | Handover | Permitted
+    Grant
+    | Forecast
+    | Heartbeat
+    | Residents
+    | TableNews
+    | Charged
+    | WriteFor
+    | Handover
+    | Permitted
+    | OriginFound
 )
 Message = Hello | Demand | FromPlacer | KnownState
 _KINDS = kinds_of(Message)
--- /dev/null
+++ b/springrock/placement/origin_exchange.py
@@ -0,0 +1,147 @@
+"""Keeps the origins of streams at other boxes, which outlive the box that serves them.
+
+A box tells the origins of its streams to the placers of two zones, as long as a service has had
+several software versions lately, or may have had. It asks the placers of all zones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import gevent
+from gevent.queue import Empty, Queue
+
+from springrock.clock import Deadline
+from springrock.forwarding.software_history import SoftwareHistory
+from springrock.forwarding.stream_origins import Origin, OriginBook
+from springrock.placement.messages import BegunStreams, OriginFound, OriginQuestion
+from springrock.placement.origin_questions import OriginQuestions
+
+_KEEPERS = 2
+"""Placers that are told of each stream: one may be lost together with the stream's own box."""
+
+_ANSWER_TIMEOUT_S = 0.2
+_UPDATE_INTERVAL_S = 0.5
+
+
+class Keeper(Protocol):
+    """The link to one zone's placer."""
+
+    @property
+    def questions(self) -> OriginQuestions:
+        """This box's questions at the placer."""
+
+    @property
+    def keeps_origins(self) -> bool:
+        """Whether the zone's placer is reached, is another box, and keeps origins."""
+
+    def tell(self, origins: Iterable[tuple[str, Origin]]) -> None:
+        """Tell the placer the origins of streams, by the ids of their requests."""
+
+
+class OriginExchange:
+    """Implements `springrock.forwarding.stream_origins.OtherBoxes`.
+
+    Args:
+        own: The origins of this box's own streams.
+        history: The versions that replicas have had lately.
+        keepers: Returns the zones in the order in which they are preferred as keepers.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: OriginBook,
+        history: SoftwareHistory,
+        keepers: Callable[[], dict[str, Keeper]],
+    ) -> None:
+        self._own = own
+        self._history = history
+        self._keepers = keepers
+        self._kept = OriginBook()
+        self._told: set[tuple[str, str]] = set()
+
+    def run(self) -> None:
+        """Tell origins as services get several versions and as placers change, until killed."""
+        while True:
+            self.update()
+            gevent.sleep(_UPDATE_INTERVAL_S)
+
+    def update(self) -> None:
+        """Tell the placers that keep origins those that they have not been told yet."""
+        self._history.update()
+        services = {origin.service for _, origin in self._own.recent()}
+        chosen = self._chosen()
+        wanted = {
+            (zone, service)
+            for service in services
+            if self._history.only_version(service) is None
+            for zone in chosen
+        }
+        for zone, service in wanted - self._told:
+            self._tell_all(chosen[zone], service)
+        self._told = wanted
+
+    def forget_placer(self, zone: str) -> None:
+        """Record that a zone's placer was lost, and with it what it was told."""
+        self._told = {told for told in self._told if told[0] != zone}
+
+    # Implementation of `OtherBoxes`.
+
+    def tell_origin(self, request_id: str, origin: Origin) -> None:
+        """Tell other boxes the origin of a stream, unless the service has only one version."""
+        if self._history.only_version(origin.service) is not None:
+            return
+        for zone, keeper in self._chosen().items():
+            if (zone, origin.service) in self._told:
+                keeper.tell([(request_id, origin)])
+            else:
+                self._tell_all(keeper, origin.service)
+                self._told.add((zone, origin.service))
+
+    def ask_origin(self, request_id: str, service: str) -> Origin | None:
+        """Ask the placers of all zones at once; return the first origin that one of them knows."""
+        kept = self._kept.find(request_id)
+        if kept is not None:
+            return kept
+        answers: Queue[Origin | None] = Queue()
+        asked = [
+            (keeper.questions, keeper.questions.ask(request_id, service, answers=answers))
+            for keeper in self._keepers().values()
+            if keeper.keeps_origins
+        ]
+        deadline = Deadline(_ANSWER_TIMEOUT_S)
+        try:
+            for _ in asked:
+                found = answers.get(timeout=max(0.0, deadline.left_s))
+                if found is not None:
+                    return found
+        except Empty:
+            pass
+        finally:
+            for questions, number in asked:
+                questions.withdraw(number)
+        return None
+
+    # Called while this box places.
+
+    def keep(self, begun: BegunStreams) -> None:
+        """Keep the origins of streams of another box."""
+        for request_id in begun.requests:
+            self._kept.record(request_id, Origin(begun.service, begun.software))
+
+    def answer(self, question: OriginQuestion) -> OriginFound:
+        """Return the answer to a question of another box."""
+        found = self._kept.find(question.request) or self._own.find(question.request)
+        if found is not None:
+            return OriginFound(question.number, found.service, found.software)
+        only = self._history.only_version(question.service)
+        return OriginFound(question.number, question.service, only)
+
+    def _chosen(self) -> dict[str, Keeper]:
+        usable = {zone: keeper for zone, keeper in self._keepers().items() if keeper.keeps_origins}
+        return dict(list(usable.items())[:_KEEPERS])
+
+    def _tell_all(self, keeper: Keeper, service: str) -> None:
+        keeper.tell(item for item in self._own.recent() if item[1].service == service)
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+import gevent
 from gevent.event import Event
 
 from springrock.clock import monotonic
@@ -19,6 +20,8 @@
     zone_obstacle_of,
 )
 from springrock.forwarding.message import AdapterKey
+from springrock.forwarding.software_history import SoftwareHistory
+from springrock.forwarding.stream_origins import OriginBook
 from springrock.ids import new_id
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
@@ -32,6 +35,7 @@
 from springrock.placement.handover import HandoverCoordinator
 from springrock.placement.link_server import BoxLinks, LinkServer
 from springrock.placement.messages import Hello, KnownState, TableNews
+from springrock.placement.origin_exchange import Keeper, OriginExchange
 from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
@@ -73,6 +77,8 @@
         limits: The limits that replicas have named.
         state_for: Returns the state to send to a box that asks for it.
         cut_off: Returns whether this box reaches no replica.
+        origins: The origins of this box's own streams.
+        software_history: The software versions that replicas have had lately.
         log_of: Returns the log of a part.
         metrics: The metrics to count in.
 
@@ -82,6 +88,7 @@
         on_reader_lost: Called when the link to the home zone's placer, which sends readings, is
             lost.
         peer_boxes: The boxes that reach replicas.
+        origins: The origins of streams that boxes keep for each other.
         handovers: Has the adapters of evacuated zones that are in demand loaded in other zones.
     """
 
@@ -104,6 +111,8 @@
         cut_off: Callable[[], bool],
         log_of: Callable[[str], Log],
         metrics: ForwardingMetrics,
+        origins: OriginBook,
+        software_history: SoftwareHistory,
     ) -> None:
         self._settings = settings
         self._versions = versions
@@ -122,6 +131,9 @@
             settings.clients_address, distance=lambda zone: routing_state().topology.distance(zone)
         )
         self._box_count = BoxCount(len(routing_state().topology.zones))
+        self.origins = OriginExchange(
+            own=origins, history=software_history, keepers=self._origin_keepers
+        )
         self._dependencies = ZoneDependencies(
             incarnation=new_id(),
             store=store,
@@ -139,6 +151,7 @@
             box_count=self._box_count,
             peer_boxes=self.peer_boxes,
             cut_off=cut_off,
+            origins=self.origins,
             on_table_news=self._apply_updates,
             on_placer_contact=self._placer_contact.set,
             on_placer_lost=self._placer_lost,
@@ -171,6 +184,7 @@
     def start(self) -> None:
         """Start to accept links and to join zones as their engines become known."""
         self._server.start()
+        self._origins_task = gevent.spawn(self.origins.run)
         self._directory.on_change.append(self._replica_changed)
         self._warmup.on_observation.append(self._notify_observation)
         self._limits.on_limit_report.append(self._notify_limit)
@@ -183,6 +197,7 @@
 
     def stop(self) -> None:
         """Stop all tasks and links."""
+        self._origins_task.kill()
         for zone in self._zones.values():
             zone.stop()
         self._server.stop()
@@ -436,6 +451,15 @@
                 zone.start()
         return zone
 
+    def _origin_keepers(self) -> dict[str, Keeper]:
+        """Return the zones in the order in which they keep origins.
+
+        It begins with the own zone and goes on by name, so that the zones share the work.
+        """
+        home = self._settings.zone
+        names = sorted(self._zones, key=lambda name: (name < home, name))
+        return {name: self._zones[name] for name in names}
+
     def _links_of(self, name: str) -> BoxLinks | None:
         zone = self._zones.get(name)
         return zone.links if zone is not None and zone.accepts_links else None
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Any
 
 import gevent
@@ -11,6 +11,7 @@
 from springrock.eras import era_of, number_of, peer_version
 from springrock.forwarding.directory import LeavingSource
 from springrock.forwarding.message import AdapterKey
+from springrock.forwarding.stream_origins import Origin
 from springrock.metrics import BytesKind
 from springrock.permits.counter import PermitCounter
 from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict
@@ -27,10 +28,12 @@
     Grant,
     Heartbeat,
     Message,
+    OriginFound,
     Residents,
     TableNews,
     WriteFor,
 )
+from springrock.placement.origin_questions import OriginQuestions
 from springrock.placement.placer import Placer
 from springrock.placement.placer_row import key_of
 from springrock.placement.relayed_writes import RelayedWrites, write_for
@@ -103,6 +106,8 @@
         self._box_count = dependencies.box_count
         self._peer_boxes = dependencies.peer_boxes
         self._cut_off = dependencies.cut_off
+        self._origins = dependencies.origins
+        self._placer_keeps_origins = False
         self.home_boxes = 0
         self.spread: frozenset[str] = frozenset()
         self.wait_estimate = WaitEstimate()
@@ -255,6 +260,10 @@
             self._directory.record_leaving(instance, LeavingSource.BOX)
         for report in demand.limits:
             self._limits.apply_limit_report(report)
+        for begun in demand.begun:
+            self._origins.keep(begun)
+        for question in demand.origin_questions:
+            self._send(box, self._origins.answer(question))
         for written in demand.written:
             self._relayed_writes.record_written(written)
         self._placer.apply_demand(box, demand)
@@ -316,6 +325,7 @@
             limits=self._limits.in_force(self._instances()),
             home_boxes=self.links.count_of(self._zone) + (self._settings.zone == self._zone),
             reaching=tuple(self._reaching_boxes()),
+            keeps_origins=True,
         )
 
     def _reaching_boxes(self) -> list[str]:
@@ -362,6 +372,8 @@
                 self._on_handover(self._zone, message)
             case Permitted():
                 self.demand.permits.record_permitted(message)
+            case OriginFound():
+                self.questions.record_found(message)
             case TableNews():
                 self._on_table_news(self._zone, message)
             case Heartbeat():
@@ -396,11 +408,30 @@
         # A placer with an earlier build sends only the number of all boxes.
         self.home_boxes = heartbeat.home_boxes or heartbeat.boxes
         is_home = self._zone == self._settings.zone
+        self._placer_keeps_origins = heartbeat.keeps_origins
         self._peer_boxes.record(self._zone, heartbeat.reaching)
         self._box_count.record(heartbeat.boxes, home=self.home_boxes if is_home else 0)
         self._on_placer_contact()
 
+    # Implementation of `Keeper`.
+
+    @property
+    def questions(self) -> OriginQuestions:
+        """This box's questions for origins of streams at the placer."""
+        return self.demand.origin_questions
+
+    @property
+    def keeps_origins(self) -> bool:
+        """Whether the zone's placer is reached, is another box, and keeps origins of streams."""
+        return self._client.linked and self._placer_keeps_origins
+
+    def tell(self, origins: Iterable[tuple[str, Origin]]) -> None:
+        """Tell the placer the origins of streams."""
+        self.demand.record_begun(origins)
+
     def _handle_placer_lost(self) -> None:
+        self._placer_keeps_origins = False
+        self._origins.forget_placer(self._zone)
         self.spread = frozenset()
         self._residency.forget_reported(self._zone)
         self.demand.forget_placer()
--- a/springrock/placement/zone_dependencies.py
+++ b/springrock/placement/zone_dependencies.py
@@ -18,6 +18,7 @@
 from springrock.placement.control import EngineControl
 from springrock.placement.handover_messages import Handover
 from springrock.placement.messages import TableNews
+from springrock.placement.origin_exchange import OriginExchange
 from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
@@ -45,6 +46,7 @@
         box_count: Records how many boxes the placers report.
         peer_boxes: Records the boxes that reach replicas, as placers report them.
         cut_off: Returns whether this box reaches no replica.
+        origins: The origins of streams that boxes keep for each other.
         on_table_news: Called with a zone and a reading of the store's tables by its placer.
         on_placer_contact: Called after each heartbeat of a zone's placer.
         on_placer_lost: Called with a zone when this box has lost its placer.
@@ -71,6 +73,7 @@
     box_count: BoxCount
     peer_boxes: PeerBoxes
     cut_off: Callable[[], bool]
+    origins: OriginExchange
     on_table_news: Callable[[str, TableNews], None]
     on_placer_contact: Callable[[], None]
     on_placer_lost: Callable[[str], None]
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from springrock.clock import monotonic
 from springrock.errors import AnswerCut
+from springrock.forwarding import software_history
 from springrock.forwarding.balancing import Balancer
 from springrock.forwarding.budget import RetryBudget, RetryLimits
 from springrock.forwarding.choosing import ReplicaChooser
@@ -21,6 +23,8 @@
 from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
+from springrock.forwarding.software_history import STREAM_LIFE_S, SoftwareHistory
+from springrock.forwarding.stream_origins import Origin, OriginBook, StreamOrigins
 from springrock.forwarding.streaming import StreamRelay
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
@@ -41,7 +45,7 @@
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
-    b"Transfer-Encoding: chunked\r\n\r\n"
+    b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 LAST_EVENT = 4
 TERMS = KeyTerms(revoke_s=1.0, fail_closed=True)
@@ -64,7 +68,7 @@
     return 1
 
 
-def writing(software: str, *, breaks_after: int = LAST_EVENT) -> Script:
+def writing(software: str, *, breaks_after: int = 0) -> Script:
     """Return a replica's script: it writes the rest of a stream, or breaks off after an event."""
 
     def script(connection: socket.socket) -> None:
@@ -91,6 +95,21 @@
         """Do nothing."""
 
 
+class ScriptedBoxes:
+    """Other boxes that know given origins; implements `OtherBoxes`."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, Origin] = {}
+        self.asked: list[str] = []
+
+    def tell_origin(self, request_id: str, origin: Origin) -> None:
+        self.known[request_id] = origin
+
+    def ask_origin(self, request_id: str, service: str) -> Origin | None:
+        self.asked.append(request_id)
+        return self.known.get(request_id)
+
+
 class Box:
     """The parts of a box that forward streams to the replicas in its directory."""
 
@@ -116,7 +135,16 @@
             log=log,
             byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
         )
-        self.relay = StreamRelay(chooser=self.chooser, sender=sender, log=log)
+        self.row_age_s = 0.0
+        self.history = SoftwareHistory(age_s=lambda: self.row_age_s)
+        self.directory.on_change.append(self.history.apply_record)
+        self.others = ScriptedBoxes()
+        self.origins = StreamOrigins(
+            own=OriginBook(), history=self.history, other_boxes=self.others, log=log
+        )
+        self.relay = StreamRelay(
+            chooser=self.chooser, sender=sender, log=log, on_begun=self.origins.record_begun
+        )
         table = RouteTable(Configuration(version=1, routes=(ROUTE,)))
         self.forwarder = Forwarder(
             routes=lambda: table,
@@ -128,6 +156,7 @@
             passing_on=PassingOn(
                 reach=make_reach(), peers=ScriptedPeers(), dialect=PlatformDialect(), log=log
             ),
+            origins=self.origins,
             log=log,
         )
 
@@ -197,3 +226,75 @@
     assert reply.head.status == 503
     assert reply.head.headers.get("Retry-After") is not None
     assert b"".join(reply.body) == b'{"error":"stream_origin_unknown"}'
+
+
+def take_up(box: Box, **fields: object) -> tuple[int, bytes]:
+    """Return the status and the body of the reply to a client that takes a stream up."""
+    request = make_request(
+        **{"request_id": "r1", "resumes": "r0", "last_event_id": "2", "deadline_s": 5.0, **fields}
+    )
+    reply = box.forwarder.forward(request)
+    return reply.head.status, b"".join(reply.body)
+
+
+def rest_from(software: str) -> bytes:
+    return event(3, software) + event(4, software)
+
+
+@pytest.mark.parametrize("software", ["v1", "v2"])
+def test_a_stream_of_this_box_is_taken_up_at_the_version_that_began_it(software: str) -> None:
+    other = "v2" if software == "v1" else "v1"
+    for _ in range(6):
+        with box_with((other, writing(other)), (software, writing(software))) as box:
+            progress = RequestProgress(make_request(request_id="r0"), ROUTE, "s")
+            box.origins.record_begun(progress, software)
+            assert take_up(box) == (200, rest_from(software))
+            assert box.others.asked == []
+
+
+def test_a_stream_of_another_box_is_taken_up_at_the_version_that_it_knows() -> None:
+    for _ in range(6):
+        with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
+            box.others.known["r0"] = Origin("s", "v2")
+            assert take_up(box) == (200, rest_from("v2"))
+
+
+def test_a_stream_that_is_taken_up_again_is_known_by_its_first_request() -> None:
+    with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
+        box.others.known["r0"] = Origin("s", "v2")
+        take_up(box)
+        box.others.known.clear()
+        assert take_up(box, last_event_id="3") == (200, event(4, "v2"))
+
+
+def test_what_is_known_of_another_service_does_not_decide() -> None:
+    with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
+        box.others.known["r0"] = Origin("other", "v2")
+        assert take_up(box)[0] == 503
+
+
+def test_a_stream_whose_version_is_gone_is_refused_at_once() -> None:
+    with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
+        box.others.known["r0"] = Origin("s", "v3")
+        began_at = monotonic()
+        status, body = take_up(box)
+        assert (status, body) == (503, b'{"error":"other_software"}')
+        assert monotonic() - began_at < 1.0
+
+
+def test_a_stream_without_a_first_request_goes_on_only_while_one_version_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for versions, status in ((("v1", "v1"), 200), (("v1", "v2"), 503)):
+        with box_with(*((software, writing(software)) for software in versions)) as box:
+            box.history.update()
+            with monkeypatch.context() as patched:
+                later = monotonic() + STREAM_LIFE_S
+                patched.setattr(software_history, "monotonic", lambda at=later: at)
+                assert take_up(box, resumes="")[0] == status
+            assert box.others.asked == []
+
+
+def test_a_request_that_takes_nothing_up_needs_no_origin() -> None:
+    with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
+        assert take_up(box, resumes="", last_event_id="")[0] == 200
--- a/tests/placement/test_messages.py
+++ b/tests/placement/test_messages.py
@@ -25,6 +25,7 @@
     EngineHolds,
     Grant,
     Heartbeat,
+    OriginQuestion,
     Residents,
     TableNews,
     TableRow,
@@ -120,7 +121,7 @@
 
 
 def test_a_message_of_an_older_or_a_newer_build_is_understood() -> None:
-    demand = Demand(stopping=True, cut_off=True)
+    demand = Demand(stopping=True, origin_questions=[OriginQuestion(1, "r", "s")])
     fields = cbor2.loads(encode(demand))
     assert decode(cbor2.dumps(fields[:-1])) == Demand(stopping=True)
     assert decode(cbor2.dumps([*fields, "what a later build tells"])) == demand
--- /dev/null
+++ b/tests/placement/test_origin_exchange.py
@@ -0,0 +1,151 @@
+"""Boxes that keep the origins of streams for each other, through the placers of zones."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import gevent
+import pytest
+from gevent.queue import Queue
+
+from springrock.clock import monotonic
+from springrock.forwarding import software_history
+from springrock.forwarding.directory import ReplicaRecord
+from springrock.forwarding.software_history import STREAM_LIFE_S, SoftwareHistory
+from springrock.forwarding.stream_origins import Origin, OriginBook
+from springrock.placement.messages import BegunStreams, Demand, encode
+from springrock.placement.origin_exchange import OriginExchange
+from springrock.placement.origin_questions import OriginQuestions
+
+V1, V2 = Origin("s", "v1"), Origin("s", "v2")
+
+
+class Box:
+    """One box with its part of the exchange; it may be the placer of zones."""
+
+    def __init__(self, *versions: str) -> None:
+        self.own = OriginBook()
+        self.history = SoftwareHistory(age_s=lambda: 0.0)
+        for number, software in enumerate(versions):
+            record = ReplicaRecord(
+                instance=f"i-{number}", service="s", address="h:1", zone="z", software=software
+            )
+            self.history.apply_record(record, record.instance)
+        self.links: dict[str, Link] = {}
+        self.exchange = OriginExchange(
+            own=self.own, history=self.history, keepers=lambda: dict(self.links)
+        )
+
+    def begin(self, request_id: str, origin: Origin) -> None:
+        self.own.record(request_id, origin)
+        self.exchange.tell_origin(request_id, origin)
+
+
+class Link:
+    """A link to the box that places a zone; implements `Keeper`."""
+
+    def __init__(self, placer: Box, *, answers: bool = True) -> None:
+        self._placer = placer
+        self._answers = answers
+        self.keeps_origins = True
+        self.told: list[str] = []
+        self.questions = OriginQuestions(on_update=lambda: gevent.spawn(self._deliver) and None)
+
+    def tell(self, origins: Iterable[tuple[str, Origin]]) -> None:
+        for request_id, origin in origins:
+            self.told.append(request_id)
+            self._placer.exchange.keep(BegunStreams(*origin, [request_id]))
+
+    def _deliver(self) -> None:
+        for question in self.questions.drain_updates():
+            if self._answers:
+                self.questions.record_found(self._placer.exchange.answer(question))
+
+
+def linked(box: Box, placers: Iterable[Box]) -> Box:
+    box.links = {f"zone-{number}": Link(placer) for number, placer in enumerate(placers)}
+    return box
+
+
+def test_two_placers_are_told_and_any_box_finds_a_stream_by_either() -> None:
+    placers = [Box("v1", "v2") for _ in range(3)]
+    first = linked(Box("v1", "v2"), placers)
+    first.begin("r0", V2)
+    assert [link.told for link in first.links.values()] == [["r0"], ["r0"], []]
+    for lost in placers[:2]:
+        other = linked(Box("v1", "v2"), [placer for placer in placers if placer is not lost])
+        assert other.exchange.ask_origin("r0", "s") == V2
+
+
+def test_an_unknown_stream_is_answered_as_unknown_by_placers_that_know_several_versions() -> None:
+    box = linked(Box(), [Box("v1", "v2"), Box("v1", "v2")])
+    assert box.exchange.ask_origin("r0", "s") is None
+
+
+def test_a_placer_that_vouches_for_one_version_answers_for_a_box_that_has_just_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    placer = Box("v1")
+    placer.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    box = linked(Box("v1"), [placer])
+    assert box.exchange.ask_origin("r0", "s") == V1
+
+
+def test_nothing_is_told_while_a_service_has_one_version_and_all_of_it_once_it_has_two(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    placer, box = Box("v1"), Box("v1")
+    linked(box, [placer])
+    box.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    box.begin("r0", V1)
+    box.exchange.update()
+    assert box.links["zone-0"].told == []
+    second = ReplicaRecord(instance="i-9", service="s", address="h:1", zone="z", software="v2")
+    box.history.apply_record(second, "i-9")
+    box.exchange.update()
+    box.exchange.update()
+    assert box.links["zone-0"].told == ["r0"]
+
+
+def test_a_placer_that_was_lost_is_told_everything_once_it_is_linked_again() -> None:
+    box = linked(Box("v1", "v2"), [Box("v1", "v2")])
+    link = box.links["zone-0"]
+    box.begin("r0", V1)
+    box.exchange.forget_placer("zone-0")
+    box.begin("r1", V2)
+    assert sorted(link.told) == ["r0", "r0", "r1"]
+
+
+def test_a_zone_takes_the_place_of_one_that_was_lost() -> None:
+    box = linked(Box("v1", "v2"), [Box("v1", "v2") for _ in range(3)])
+    box.begin("r0", V1)
+    box.links["zone-0"].keeps_origins = False
+    box.exchange.update()
+    assert box.links["zone-2"].told == ["r0"]
+
+
+def test_silent_placers_delay_a_request_only_briefly() -> None:
+    box = Box("v1", "v2")
+    box.links = {"zone-0": Link(Box(), answers=False), "zone-1": Link(Box(), answers=False)}
+    began_at = monotonic()
+    assert box.exchange.ask_origin("r0", "s") is None
+    assert monotonic() - began_at < 0.5
+
+
+def test_a_lost_placer_answers_its_questions_with_unknown() -> None:
+    answers: Queue[Origin | None] = Queue()
+    questions = OriginQuestions(on_update=lambda: None)
+    questions.ask("r0", "s", answers=answers)
+    questions.forget_placer()
+    assert answers.get_nowait() is None
+    assert questions.drain_updates() == []
+
+
+def test_a_stream_costs_few_bytes_to_tell() -> None:
+    requests = [f"{number:016x}" for number in range(1000)]
+    told = len(encode(Demand(begun=[BegunStreams("kati84a", "v1.2", requests)])))
+    assert told < 20 * len(requests)
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -14,6 +14,8 @@
 from springrock.forwarding.directory import Directory, HeldAdapter, ReplicaRecord
 from springrock.forwarding.eligibility import Bounds
 from springrock.forwarding.message import AdapterKey
+from springrock.forwarding.software_history import SoftwareHistory
+from springrock.forwarding.stream_origins import OriginBook
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.permits.terms import SlowStartTerms
@@ -104,6 +106,8 @@
             cut_off=lambda: False,
             log_of=lambda part: Log(part, "box-1"),
             metrics=ForwardingMetrics(),
+            origins=OriginBook(),
+            software_history=SoftwareHistory(age_s=lambda: 0.0),
         )
         for zone in ZONES:
             self.record(zone)
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -6,11 +6,14 @@
 
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, ReplicaRecord
+from springrock.forwarding.software_history import SoftwareHistory
+from springrock.forwarding.stream_origins import OriginBook
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.permits.terms import SlowStartTerms
 from springrock.placement.box_count import BoxCount
 from springrock.placement.messages import Demand, Heartbeat, TableNews, TableRow, decode, encode
+from springrock.placement.origin_exchange import OriginExchange
 from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
@@ -50,6 +53,9 @@
         box_count=box_count or BoxCount(3),
         peer_boxes=PeerBoxes("127.0.0.1:1", distance=lambda zone: Distance.OWN_REGION),
         cut_off=lambda: False,
+        origins=OriginExchange(
+            own=OriginBook(), history=SoftwareHistory(age_s=lambda: 0.0), keepers=dict
+        ),
         on_table_news=lambda zone, reported: None if updates is None else updates.append(reported),
         on_placer_contact=lambda: None,
         on_placer_lost=lambda zone: None,
