Failing test: an answer cut off inside its head passes for whole

Three cases fail on this code, each with a replica that lives on: a head that ends between two headers, or inside one, counts as a whole answer without a body (200, nothing else), and a chunk size cut after its leading zero as the last chunk.

--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -146,6 +146,22 @@
             body_of(found)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n",
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Len",
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0005\r\nabcde\r\n00",
+    ],
+    ids=["between headers", "inside a header", "inside a chunk size"],
+)
+def test_an_answer_cut_off_inside_a_line_of_its_framing_is_broken(data: bytes) -> None:
+    still_alive = script_sending(b"")
+    with ScriptedReplica(script_sending(data), still_alive) as replica, pytest.raises(AnswerBroken):
+        body_of(send(ConnectionPool(replica.address)))
+
+
 def test_an_answer_without_length_ends_with_its_connection() -> None:
     data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
     with ScriptedReplica(script_sending(data)) as replica:
