Connections: an answer that is cut off inside its head is broken

Callers could get a 200 with the seal and no body where a replica, or the path to it, had broken off inside the head: the cause of the incident, an end of the connection taken for the end of an answer, where the replica lives on and confirms it.

Cause: the standard library ends a head at the end of the connection as at its blank line, and reads a chunk size that is cut after leading zeros as 0. The reader now raises where the connection ends inside a line, and the head of an answer needs its blank line. A chunked answer that ends after the line of its last chunk is whole as before (RFC 9112, 8). A refusal that is cut off inside its head is no promise any more.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -34,7 +34,29 @@
 
 
 class _PersistentReader(io.BufferedReader):
-    """A buffered reader that stays open after an answer has been parsed from it."""
+    """A buffered reader that stays open after an answer has been parsed from it.
+
+    Attributes:
+        ended: Whether the connection ended where a line was to be read.
+    """
+
+    def __init__(self, raw: io.RawIOBase) -> None:
+        super().__init__(raw)
+        self.ended = False
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line; `HTTPResponse` reads the head and the sizes of chunks by it.
+
+        Raises:
+            EOFError: If the connection ended inside the line.
+        """
+        line = super().readline(size)
+        if line.endswith(b"\n") or len(line) == size:
+            return line
+        self.ended = True
+        if line:
+            raise EOFError("the connection ended inside a line")
+        return line
 
     def close(self) -> None:
         """Do nothing: `HTTPResponse` closes its reader after each answer."""
@@ -127,6 +149,8 @@
             raise AnswerSilent("no answer began within the timeout") from None
         except _BROKEN_ANSWER_ERRORS as error:
             raise AnswerBroken(f"no answer: {type(error).__name__}: {error}") from None
+        if self._reader.ended:
+            raise AnswerBroken("the connection ended inside the head of the answer")
         self._response = response
         headers = Headers.from_pairs(response.getheaders())
         self._record_idle_timeout(headers.get("keep-alive"))
