Failing test: a refusal whose body is cut short counts as unknown

Two cases fail on this code, with a length and with chunks: the head says that nothing ran, yet the request counts as one that may have run, and an unsafe one gets 502 instead of another replica.

--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -203,6 +203,24 @@
         assert pool.opened == 1
 
 
+@pytest.mark.parametrize(
+    "body",
+    [b"Content-Length: 10\r\n\r\nfu", b"Transfer-Encoding: chunked\r\n\r\n5\r\nfu"],
+    ids=["length", "chunks"],
+)
+def test_a_refusal_whose_body_is_cut_short_still_promises_that_nothing_ran(body: bytes) -> None:
+    refusal = (
+        b"HTTP/1.1 503 Full\r\nSpringrock-Request-Id: r1\r\nSpringrock-Not-Executed: 1\r\n" + body
+    )
+    own = script_sending(answer("r2", b"x"))
+    with ScriptedReplica(script_sending(refusal), own) as replica:
+        pool = ConnectionPool(replica.address)
+        with pytest.raises(ReplicaFull):
+            send(pool, repeatable=False)
+        assert body_of(send(pool, "r2")) == b"x"
+        assert pool.opened == 2
+
+
 def test_an_answer_without_length_that_is_reset_is_broken() -> None:
     read = threading.Event()
 
