Exchange: a refusal whose body is cut short still promises that nothing ran

A request that a replica had refused counted as one that may have run where the refusal's body was cut short, reset or silent: an unsafe one was answered 502 instead of being sent to another replica, and the replica's health and the crash detector got a failure. The head has arrived whole and makes the promise; the body is discarded whatever becomes of it, and a connection on which it did not end is closed.

--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -14,6 +14,7 @@
 from springrock.forwarding.errors import (
     AnswerBroken,
     ForeignAnswer,
+    OutcomeUnknown,
     ReplicaChanged,
     ReplicaFull,
     ReplicaUnreachable,
@@ -100,14 +101,12 @@
             chunks.append(data)
 
     def skip(self, *, deadline: Deadline) -> None:
-        """Read the body to its end, complete or not.
-
-        Raises:
-            AnswerBroken: If a stated length or chunk is missing.
-            AnswerSilent: If the body did not end by the deadline.
-        """
-        while data := self._connection.read(timeout_s=deadline.left_s):
-            self._received_bytes += len(data)
+        """Discard the body; the connection is not used again if it did not end by the deadline."""
+        try:
+            while data := self._connection.read(timeout_s=deadline.left_s):
+                self._received_bytes += len(data)
+        except OutcomeUnknown:
+            return
         self._complete = True
 
     def _confirm_end(self, timeout_s: float) -> None:
