--- a/tests/forwarding/test_passing_on.py
+++ b/tests/forwarding/test_passing_on.py
@@ -170,3 +170,18 @@
         assert reply is not None
         with pytest.raises(AnswerCut):
             b"".join(reply.body)
+
+
+def test_a_stream_that_another_box_ends_inside_an_event_does_not_appear_complete() -> None:
+    body = b"id: 1\ndata: a\n\nid: 2\nda"
+    ended = STREAM_HEAD.replace(b"40", b"%d" % len(body)) + body
+    received = []
+    with ScriptedReplica(Script(ended)) as box:
+        reply = make_passing_on(ScriptedPeers(box.address)).forward(
+            progress_of(RouteKind.STREAMING)
+        )
+        assert reply is not None
+        with pytest.raises(AnswerCut):
+            for data in reply.body:
+                received.append(data)
+    assert b"".join(received) == b"id: 1\ndata: a\n\n"
