Passing on: a stream that another box ends inside an event is cut

It now relays whole events only and cuts a reply that ends inside one, as for streams of replicas; both ask the splitter.

--- a/springrock/forwarding/events.py
+++ b/springrock/forwarding/events.py
@@ -38,6 +38,11 @@
             events.append(Event(raw, found.group(1).decode("latin-1") if found else ""))
         return events
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether a stream that ends now ends inside an event, so that it has been broken off."""
+        return bool(self._incomplete.strip(b"\r\n"))
+
     def drain_incomplete(self) -> bytes:
         """Return and clear the bytes of an incomplete event, at the end of the stream."""
         incomplete, self._incomplete = self._incomplete, b""
--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -17,6 +17,7 @@
     Rejection,
     ReplicaUnreachable,
 )
+from springrock.forwarding.events import EventSplitter
 from springrock.forwarding.exchange import Answer
 from springrock.forwarding.message import AnswerHead
 from springrock.forwarding.replica_reach import ReplicaReach
@@ -141,20 +142,26 @@
         return relayed_reply(answer.head, [body])
 
     def _relay(self, progress: RequestProgress, answer: Answer) -> Iterator[bytes]:
-        """Yield the body as it arrives.
+        """Yield complete events as they arrive.
 
         Raises:
-            AnswerCut: If it breaks.
+            AnswerCut: If the stream breaks, or ends inside an event, whatever the other box says.
         """
+        splitter = EventSplitter()
         try:
             while data := answer.read(
                 timeout_s=min(progress.event_timeout_s, max(0.0, progress.left_s))
             ):
-                yield data
+                events = splitter.feed(data)
+                if events:
+                    yield b"".join(event.raw for event in events)
         except OutcomeUnknown as error:
             raise AnswerCut(str(error)) from None
         finally:
             answer.close()
+        if splitter.inside_event:
+            raise AnswerCut("the stream of the other box ended inside an event")
+        yield splitter.drain_incomplete()
 
     def _log_passed(
         self, progress: RequestProgress, address: str, *, status: int, error: str = ""
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -139,9 +139,10 @@
             AnswerBroken: If a stream ended inside an event. No framing shows that it is complete:
                 the replica may have broken off before anyone in between stated its end.
         """
+        broken_off = self._splitter.inside_event and answer.head.succeeded
         incomplete = self._splitter.drain_incomplete()
         self.incomplete_bytes = len(incomplete)
-        if incomplete.strip(b"\r\n") and answer.head.succeeded:
+        if broken_off:
             raise AnswerBroken(f"the stream ended inside an event, after {len(incomplete)} bytes")
         return incomplete
 
