Failing test: a long event is searched again with each read

Fails on this code: 5.2 MB searched for an event of 100 kB in reads of 1 kB. Measured: one event in reads of 64 KiB takes 0.08 s of the event loop at 1 MB, 1.36 s at 4 MB, 20.7 s at 16 MB, 79.8 s at 32 MB.

--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
 
+from springrock.forwarding import events as events_module
 from springrock.forwarding.events import EventSplitter
 
 
@@ -24,3 +27,27 @@
     splitter = EventSplitter()
     assert len(splitter.feed(b"id: 1\ndata: x\n\nid: 2\ndata: y\n")) == 1
     assert splitter.drain_incomplete() == b"id: 2\ndata: y\n"
+
+
+class CountingPattern:
+    """Counts the bytes that a pattern is given to search."""
+
+    def __init__(self, pattern: re.Pattern[bytes]) -> None:
+        self._pattern = pattern
+        self.searched = 0
+
+    def search(self, data: bytes, at: int = 0) -> re.Match[bytes] | None:
+        self.searched += len(data) - at
+        return self._pattern.search(data, at)
+
+
+def test_a_long_event_is_not_searched_again_with_each_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    pattern = CountingPattern(events_module._EVENT_END)
+    monkeypatch.setattr(events_module, "_EVENT_END", pattern)
+    splitter = EventSplitter()
+    parts = [b"data: ", *[b"x" * 1000] * 100, b"\n", b"\n"]
+    [event] = [event for part in parts for event in splitter.feed(part)]
+    assert event.raw == b"".join(parts)
+    assert pattern.searched < 2 * len(b"".join(parts))
