Events: bytes of an incomplete event are searched once

A replica that sent a long event, or bytes that never form one, held the event loop, and with it all requests of the box: every read searched and copied the whole of the incomplete event again. Only the new bytes and the last three before them are searched now.

The length of an event is still bounded by the time for it alone.

--- a/springrock/forwarding/events.py
+++ b/springrock/forwarding/events.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
@@ -25,17 +26,19 @@
     """Buffers bytes and returns complete events."""
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete."""
+        begin, search_from = 0, max(0, len(self._incomplete) - _MAX_END_BYTES + 1)
         self._incomplete += data
         events: list[Event] = []
-        while match := _EVENT_END.search(self._incomplete):
-            raw = self._incomplete[: match.end()]
-            self._incomplete = self._incomplete[match.end() :]
+        while match := _EVENT_END.search(self._incomplete, search_from):
+            raw = bytes(self._incomplete[begin : match.end()])
             found = _ID_LINE.search(raw)
             events.append(Event(raw, found.group(1).decode("latin-1") if found else ""))
+            begin = search_from = match.end()
+        del self._incomplete[:begin]
         return events
 
     @property
@@ -45,5 +48,5 @@
 
     def drain_incomplete(self) -> bytes:
         """Return and clear the bytes of an incomplete event, at the end of the stream."""
-        incomplete, self._incomplete = self._incomplete, b""
+        incomplete, self._incomplete = bytes(self._incomplete), bytearray()
         return incomplete
