Failing test: a spare connection outlives the idle time of its replica

Fails on this code: the connection that confirms an answer without length counts as usable for the default of 4 s (2 s for an unsafe request) where the connection that it replaces was told a shorter time.

--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -187,6 +187,16 @@
         assert pool.opened == 2
 
 
+def test_a_connection_opened_to_confirm_an_answer_is_kept_no_longer_than_the_one_before() -> None:
+    data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nKeep-Alive: timeout=0\r\n\r\nall of it"
+    own = script_sending(answer("r2", b"x"))
+    with ScriptedReplica(script_sending(data), own, own) as replica:
+        pool = ConnectionPool(replica.address)
+        assert body_of(send(pool)) == b"all of it"
+        assert body_of(send(pool, "r2", repeatable=False)) == b"x"
+        assert pool.opened == 3
+
+
 def test_a_refusal_without_length_needs_no_confirmation() -> None:
     def _refuse(connection: socket.socket) -> None:
         read_request(connection)
