Connections: a spare one is held idle as long as the one that it replaces

The connection that confirms an answer without length carries no answer itself, so that its replica's idle timeout stayed at the default of 4 s. Where the replica closes earlier, an unsafe request could be sent on it as it closed and be answered 502. It now takes over the time that the connection before it was told, as for any kept connection.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -86,6 +86,7 @@
 
     Attributes:
         sent_bytes: Length of the latest request, head included.
+        idle_timeout_s: How long the replica keeps the connection open while it is idle.
 
     Raises:
         ReplicaUnreachable: If the connection cannot be opened.
@@ -108,7 +109,7 @@
         self._request_sent = False
         self.sent_bytes = 0
         self._idle_since = 0.0
-        self._idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
+        self.idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
         self.closed = False
 
     def send(
@@ -197,9 +198,7 @@
                 have been idle for less than half of the replica's idle timeout.
         """
         idle_s = monotonic() - self._idle_since
-        limit_s = (
-            self._idle_timeout_s / 2 if conservative else self._idle_timeout_s - _IDLE_MARGIN_S
-        )
+        limit_s = self.idle_timeout_s / 2 if conservative else self.idle_timeout_s - _IDLE_MARGIN_S
         return idle_s < limit_s and not self._has_unread_input() and not self._has_buffered_input()
 
     def close(self) -> None:
@@ -219,7 +218,7 @@
         for part in keep_alive.split(","):
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and value.strip().isdigit():
-                self._idle_timeout_s = float(value)
+                self.idle_timeout_s = float(value)
 
     def _has_unread_input(self) -> bool:
         """Whether the socket has unread bytes, was closed by the replica, or failed."""
@@ -282,13 +281,19 @@
             connection.close()
         return self._open(timeout_s=timeout_s)
 
-    def open_spare(self, *, timeout_s: float) -> None:
+    def open_spare(self, *, ended: Connection, timeout_s: float) -> None:
         """Open a connection now that a later request can use.
 
+        Args:
+            ended: The connection that it replaces; the replica's idle timeout is taken from it.
+            timeout_s: Upper bound of the timeout for opening the connection.
+
         Raises:
             ReplicaUnreachable: If no connection can be opened.
         """
-        self._keep(self._open(timeout_s=timeout_s))
+        spare = self._open(timeout_s=timeout_s)
+        spare.idle_timeout_s = ended.idle_timeout_s
+        self._keep(spare)
 
     def release(self, connection: Connection) -> None:
         """Keep a connection for another request if it is reusable, else close it."""
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -115,7 +115,9 @@
             return
         try:
             # The connection that ended is to be replaced anyway.
-            self._pool.open_spare(timeout_s=max(_MIN_CONFIRM_TIMEOUT_S, timeout_s))
+            self._pool.open_spare(
+                ended=self._connection, timeout_s=max(_MIN_CONFIRM_TIMEOUT_S, timeout_s)
+            )
         except ReplicaUnreachable as error:
             raise AnswerBroken(
                 f"the answer ended with its connection, and its replica accepts no other: {error}"
