--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -29,13 +29,16 @@
     [("1.0", ConnectionResetError), ("1.1", type(None))],
     ids=["without framing", "chunked"],
 )
+@pytest.mark.parametrize(
+    "fault", [AnswerCut("injected fault"), RuntimeError("injected fault")], ids=["cut", "defect"]
+)
 def test_a_reply_that_breaks_off_never_looks_complete(
-    version: str, expected: type[BaseException] | None
+    version: str, expected: type[BaseException] | None, fault: Exception
 ) -> None:
     def _break_off(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterator[bytes]:
         start_response("200 OK", [])
         yield b"part"
-        raise AnswerCut("injected fault")
+        raise fault
 
     server = HttpServer(_break_off, "127.0.0.1:0")
     server.start()
