HTTP server: a reply without chunks that a defect ends is reset

A caller of HTTP/1.0 took a stream that ended with an unexpected error of the box for a whole one: only known cuts reset its connection. Every error after the head of a reply without chunks does so now; before the head nothing looks like an answer, and the connection closes in order.

Left: a box whose process is killed ends such a stream in order, as the kernel closes its connections.

--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -55,9 +55,9 @@
 
     def handle_error(self, kind: Any, value: Any, traceback: Any) -> None:
         """Handle an error; close the connection without a last chunk if the answer broke off."""
+        if self.headers_sent and not self.response_use_chunked:
+            _reset_on_close(self.socket)
         if isinstance(value, AnswerCut | CallerGone):
-            if not self.response_use_chunked:
-                _reset_on_close(self.socket)
             self.close_connection = True
             return
         super().handle_error(kind, value, traceback)
