Failing tests: the service driver misjudges what marks the end of an answer

An answer to HEAD without a length is taken for broken where the service is gone, although it can have no body. An unusable length, and a coding other than chunks, count as a mark of the end. An answer cut off inside its head, or inside a chunk size that begins with 0, counts as whole although the service lives on.

--- a/tests/drivers/test_service.py
+++ b/tests/drivers/test_service.py
@@ -57,3 +57,43 @@
     with ScriptedReplica(answer_without_length) as service:
         found = driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=5.0)
     assert found.body == b"body"
+
+
+def call_service_that_dies(method: str, data: bytes) -> bytes:
+    """Call a service that answers and is gone at the end of its answer; return the body."""
+
+    def _crash(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(data)
+        service.stop_listening()
+
+    with ScriptedReplica(_crash) as service:
+        return driver_for(service).call(method, "/x", body=b"", headers={}, timeout_s=5.0).body
+
+
+def test_an_answer_that_can_have_no_body_is_whole_although_its_service_is_gone() -> None:
+    assert call_service_that_dies("HEAD", b"HTTP/1.1 200 OK\r\n\r\n") == b""
+    assert call_service_that_dies("GET", b"HTTP/1.1 204 None\r\n\r\n") == b""
+
+
+@pytest.mark.parametrize("header", [b"Content-Length: x", b"Transfer-Encoding: identity"])
+def test_a_header_that_marks_no_end_does_not_make_an_answer_whole(header: bytes) -> None:
+    with pytest.raises(UpstreamBroke):
+        call_service_that_dies("GET", b"HTTP/1.1 200 OK\r\n%s\r\n\r\nbody" % header)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0004\r\nbody\r\n00",
+    ],
+    ids=["head", "chunk size"],
+)
+def test_an_answer_cut_off_inside_a_line_of_its_framing_is_broken(data: bytes) -> None:
+    def _cut_off(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(data)
+
+    with ScriptedReplica(_cut_off) as service, pytest.raises(UpstreamBroke):
+        driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=5.0)
