Service driver: what marks the end of an answer is read from its framing

The driver looked for two headers only. An answer to HEAD without a length counted as one that ends with its connection, and so as broken where the service is gone; one with an unusable length, or a coding other than chunks, counted as framed, and so as whole. The framing that the client library worked out tells now, method and status included.

--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -16,7 +16,6 @@
 _CONNECTIONS = 64
 _CONNECT_TIMEOUT_S = 2.0
 _MAX_ANSWER_BYTES = 8_388_608
-_NO_BODY_STATUSES = (204, 304)
 _NOT_RUN_STATUSES = (429, 503)
 
 
@@ -95,6 +94,4 @@
 
 def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
     """Whether neither a length nor chunks mark the end of an answer that may have a body."""
-    headers = response.headers
-    framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-    return not framed and response.status not in _NO_BODY_STATUSES
+    return response.length_remaining is None and not response.chunked
