--- a/tests/drivers/test_service.py
+++ b/tests/drivers/test_service.py
@@ -97,3 +97,20 @@
 
     with ScriptedReplica(_cut_off) as service, pytest.raises(UpstreamBroke):
         driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=5.0)
+
+
+def test_a_service_is_not_waited_for_longer_than_its_call_may_take(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    timeouts: list[float] = []
+    connect = socket.create_connection
+
+    def _record(address: tuple[str, int], timeout: float) -> socket.socket:
+        timeouts.append(timeout)
+        return connect(address, timeout)
+
+    with ScriptedReplica(answer_without_length) as service:
+        monkeypatch.setattr(socket, "create_connection", _record)
+        driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=0.5)
+    assert len(timeouts) == 1
+    assert timeouts[0] <= 0.5
