Service driver: checks that a service is alive within its call's deadline

The check took up to 2 s, whatever was left of the call, where a service stopped answering at all at the end of its answer. It takes at most what is left now.

--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -8,6 +8,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from springrock.clock import Deadline
 from springrock.errors import UpstreamBroke, UpstreamSaidNo, UpstreamUnreachable
 from springrock.plugins import drivers
 from springrock.retry_after import retry_after_in
@@ -15,6 +16,7 @@
 
 _CONNECTIONS = 64
 _CONNECT_TIMEOUT_S = 2.0
+_MIN_CHECK_TIMEOUT_S = 0.02
 _MAX_ANSWER_BYTES = 8_388_608
 _NOT_RUN_STATUSES = (429, 503)
 
@@ -50,6 +52,7 @@
             UpstreamSaidNo: If the service refused before running it (status 503 or 429).
             UpstreamBroke: If it is unknown whether the service ran the call.
         """
+        deadline = Deadline(timeout_s)
         timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
         # The service closes this connection after the answer; a call that reused it would be reset.
         single_use = headers.get("Connection") == "close"
@@ -68,7 +71,7 @@
             response.drain_conn()
             response.release_conn()
             if _ends_with_connection(response) and response.status not in _NOT_RUN_STATUSES:
-                self._check_alive()
+                self._check_alive(timeout_s=max(_MIN_CHECK_TIMEOUT_S, deadline.left_s))
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise UpstreamUnreachable(str(error)) from None
         except (HTTPError, OSError) as error:
@@ -83,13 +86,14 @@
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceAnswer(response.status, content_type, data)
 
-    def _check_alive(self) -> None:
+    def _check_alive(self, *, timeout_s: float) -> None:
         """Raise if the service accepts no connection, as after a crash in the middle of an answer.
 
         Raises:
             OSError: If it accepts none.
         """
-        socket.create_connection(self._address, timeout=_CONNECT_TIMEOUT_S).close()
+        timeout_s = min(_CONNECT_TIMEOUT_S, timeout_s)
+        socket.create_connection(self._address, timeout=timeout_s).close()
 
 
 def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
