Failing test: the end of a connection counts as a replica heard

Fails on this code: the end of an answer without length is reported as something heard before it is known whether the replica accepts another connection, so that a box that is cut off may count itself connected.

--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -178,6 +178,29 @@
         body_of(send(ConnectionPool(replica.address)))
 
 
+def test_the_end_of_a_connection_to_a_replica_that_is_gone_is_no_sign_of_life() -> None:
+    def _crash(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\n")
+        replica.stop_listening()
+
+    heard: list[None] = []
+    with ScriptedReplica(_crash) as replica:
+        found = exchange(
+            request(),
+            pool=ConnectionPool(replica.address),
+            terms=TERMS,
+            dialect=PlatformDialect(),
+            repeatable=True,
+            head_timeout_s=2.0,
+            on_data=lambda: heard.append(None),
+        )
+        assert len(heard) == 1, "the head"
+        with pytest.raises(AnswerBroken):
+            body_of(found)
+    assert len(heard) == 1
+
+
 def test_the_connection_that_confirms_an_answer_without_length_carries_the_next_request() -> None:
     data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
     with ScriptedReplica(script_sending(data), script_sending(answer("r2", b"x"))) as replica:
