Exchange: an end counts as a replica heard only once it is confirmed

The end of an answer without length was reported to the box's reach before the connection that confirms it was tried. A box whose links are closed by a cut could count itself connected by that.

--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -80,10 +80,10 @@
             return b""
         data = self._connection.read(timeout_s=timeout_s)
         self._received_bytes += len(data)
-        self._on_data()
         if not data:
             self._confirm_end(timeout_s)
             self._complete = True
+        self._on_data()
         return data
 
     def read_all(self, *, deadline: Deadline) -> bytes:
