Failing test: the log does not tell what ended a stream that broke

Fails on this code: `body_end` stands in the line of a stream that counts as complete only. There `incomplete_bytes` is always 0, as the end is read twice and the second time nothing is left.

--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -196,3 +196,15 @@
         received, cut = collect(Stream(replica.address, resumable=False).events())
     assert b"".join(received) == b"".join(EVENTS)
     assert not cut
+
+
+def test_the_log_tells_what_marked_the_end_of_a_stream_that_broke(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(Log, "info", lambda self, text, **fields: lines.append((text, fields)))
+    with ScriptedReplica(sending(chunked(b"".join(EVENTS[:2]) + HALF))) as replica:
+        collect(Stream(replica.address, resumable=False).events())
+    [fields] = [fields for text, fields in lines if text == "Cut a stream."]
+    assert fields["body_end"] == "chunks"
+    assert f"{len(HALF)} bytes" in str(fields["error"])
