Forwarder: logs what marked the end of a stream that broke

The line of a stream that broke did not name the end marker of the replica's answer. `incomplete_bytes` was always 0 (the end is read twice), and since a stream that ends inside an event counts as broken, nothing is left for it to count: the error names the bytes.

--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -34,9 +34,6 @@
         sender: Sends the request.
         progress: The request.
         chosen: The replica that runs it.
-
-    Attributes:
-        incomplete_bytes: Length of the incomplete event at the end of the stream, if any.
     """
 
     def __init__(self, sender: Sender, progress: RequestProgress, chosen: ChosenReplica) -> None:
@@ -49,7 +46,6 @@
         self._attempt = sender.start_attempt(progress, chosen.replica)
         self._closed = False
         self._answer: Answer | None = None
-        self.incomplete_bytes = 0
 
     @property
     def body_end(self) -> BodyEnd | None:
@@ -141,7 +137,6 @@
         """
         broken_off = self._splitter.inside_event and answer.head.succeeded
         incomplete = self._splitter.drain_incomplete()
-        self.incomplete_bytes = len(incomplete)
         if broken_off:
             raise AnswerBroken(f"the stream ended inside an event, after {len(incomplete)} bytes")
         return incomplete
@@ -187,9 +182,11 @@
                 break_error = error
             finally:
                 run.close()
-            run = self._resume(progress, break_error)
+            run = self._resume(progress, run, break_error)
 
-    def _resume(self, progress: RequestProgress, break_error: OutcomeUnknown) -> StreamRun:
+    def _resume(
+        self, progress: RequestProgress, broken: StreamRun, break_error: OutcomeUnknown
+    ) -> StreamRun:
         until = min(progress.ends_at, monotonic() + _RESUME_TIMEOUT_S)
         while progress.resuming and progress.may_run_again:
             try:
@@ -199,10 +196,10 @@
             except ExchangeError:
                 continue
             if head.succeeded:
-                self._log_stream("Resumed a stream.", progress, break_error)
+                self._log_break("Resumed a stream.", progress, broken, break_error)
                 return run
             run.close()
-        self._log_stream("Cut a stream.", progress, break_error)
+        self._log_break("Cut a stream.", progress, broken, break_error)
         raise AnswerCut(str(break_error))
 
     def _log_end(self, progress: RequestProgress, run: StreamRun) -> None:
@@ -211,18 +208,22 @@
             request=progress.request.request_id,
             last_event=progress.last_event_id,
             body_end=run.body_end,
-            incomplete_bytes=run.incomplete_bytes,
             attempts=progress.attempt_summaries(),
             age_ms=round(progress.age_s * 1000),
         )
 
-    def _log_stream(
-        self, sentence: str, progress: RequestProgress, break_error: OutcomeUnknown
+    def _log_break(
+        self,
+        sentence: str,
+        progress: RequestProgress,
+        broken: StreamRun,
+        break_error: OutcomeUnknown,
     ) -> None:
         self._log.info(
             sentence,
             request=progress.request.request_id,
             after_event=progress.last_event_id,
+            body_end=broken.body_end,
             error=str(break_error),
             attempts=progress.attempt_summaries(),
             age_ms=round(progress.age_s * 1000),
