--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -14,6 +14,7 @@
 from springrock.forwarding.errors import (
     AnswerBroken,
     ForeignAnswer,
+    OutcomeUnknown,
     ReplicaChanged,
     ReplicaFull,
     ReplicaUnreachable,
@@ -79,10 +80,10 @@
             return b""
         data = self._connection.read(timeout_s=timeout_s)
         self._received_bytes += len(data)
-        self._on_data()
         if not data:
             self._confirm_end(timeout_s)
             self._complete = True
+        self._on_data()
         return data
 
     def read_all(self, *, deadline: Deadline) -> bytes:
@@ -100,14 +101,12 @@
             chunks.append(data)
 
     def skip(self, *, deadline: Deadline) -> None:
-        """Read the body to its end, complete or not.
-
-        Raises:
-            AnswerBroken: If a stated length or chunk is missing.
-            AnswerSilent: If the body did not end by the deadline.
-        """
-        while data := self._connection.read(timeout_s=deadline.left_s):
-            self._received_bytes += len(data)
+        """Discard the body; the connection is not used again if it did not end by the deadline."""
+        try:
+            while data := self._connection.read(timeout_s=deadline.left_s):
+                self._received_bytes += len(data)
+        except OutcomeUnknown:
+            return
         self._complete = True
 
     def _confirm_end(self, timeout_s: float) -> None:
@@ -116,7 +115,9 @@
             return
         try:
             # The connection that ended is to be replaced anyway.
-            self._pool.open_spare(timeout_s=max(_MIN_CONFIRM_TIMEOUT_S, timeout_s))
+            self._pool.open_spare(
+                ended=self._connection, timeout_s=max(_MIN_CONFIRM_TIMEOUT_S, timeout_s)
+            )
         except ReplicaUnreachable as error:
             raise AnswerBroken(
                 f"the answer ended with its connection, and its replica accepts no other: {error}"
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -39,9 +39,6 @@
         chosen: The replica that runs it.
         on_begun: Called with the request and the replica's software version before the first
             events of the run are yielded.
-
-    Attributes:
-        incomplete_bytes: Length of the incomplete event at the end of the stream, if any.
     """
 
     def __init__(
@@ -62,7 +59,6 @@
         self._attempt = sender.start_attempt(progress, chosen.replica)
         self._closed = False
         self._answer: Answer | None = None
-        self.incomplete_bytes = 0
 
     @property
     def body_end(self) -> BodyEnd | None:
@@ -155,9 +151,9 @@
             AnswerBroken: If a stream ended inside an event. No framing shows that it is complete:
                 the replica may have broken off before anyone in between stated its end.
         """
+        broken_off = self._splitter.inside_event and answer.head.succeeded
         incomplete = self._splitter.drain_incomplete()
-        self.incomplete_bytes = len(incomplete)
-        if incomplete.strip(b"\r\n") and answer.head.succeeded:
+        if broken_off:
             raise AnswerBroken(f"the stream ended inside an event, after {len(incomplete)} bytes")
         return incomplete
 
@@ -211,9 +207,11 @@
                 break_error = error
             finally:
                 run.close()
-            run = self._resume(progress, break_error)
+            run = self._resume(progress, run, break_error)
 
-    def _resume(self, progress: RequestProgress, break_error: OutcomeUnknown) -> StreamRun:
+    def _resume(
+        self, progress: RequestProgress, broken: StreamRun, break_error: OutcomeUnknown
+    ) -> StreamRun:
         until = min(progress.ends_at, monotonic() + _RESUME_TIMEOUT_S)
         while progress.resuming and progress.may_run_again:
             try:
@@ -223,10 +221,10 @@
             except ExchangeError:
                 continue
             if head.succeeded:
-                self._log_stream("Resumed a stream.", progress, break_error)
+                self._log_break("Resumed a stream.", progress, broken, break_error)
                 return run
             run.close()
-        self._log_stream("Cut a stream.", progress, break_error)
+        self._log_break("Cut a stream.", progress, broken, break_error)
         raise AnswerCut(str(break_error))
 
     def _log_end(self, progress: RequestProgress, run: StreamRun) -> None:
@@ -235,18 +233,22 @@
             request=progress.request.request_id,
             last_event=progress.last_event_id,
             body_end=run.body_end,
-            incomplete_bytes=run.incomplete_bytes,
             attempts=progress.attempt_summaries(),
             age_ms=round(progress.age_s * 1000),
         )
 
-    def _log_stream(
-        self, sentence: str, progress: RequestProgress, break_error: OutcomeUnknown
+    def _log_break(
+        self,
+        sentence: str,
+        progress: RequestProgress,
+        broken: StreamRun,
+        break_error: OutcomeUnknown,
     ) -> None:
         self._log.info(
             sentence,
             request=progress.request.request_id,
             after_event=progress.last_event_id,
+            body_end=broken.body_end,
             error=str(break_error),
             attempts=progress.attempt_summaries(),
             age_ms=round(progress.age_s * 1000),
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -146,6 +146,22 @@
             body_of(found)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n",
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Len",
+        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"0005\r\nabcde\r\n00",
+    ],
+    ids=["between headers", "inside a header", "inside a chunk size"],
+)
+def test_an_answer_cut_off_inside_a_line_of_its_framing_is_broken(data: bytes) -> None:
+    still_alive = script_sending(b"")
+    with ScriptedReplica(script_sending(data), still_alive) as replica, pytest.raises(AnswerBroken):
+        body_of(send(ConnectionPool(replica.address)))
+
+
 def test_an_answer_without_length_ends_with_its_connection() -> None:
     data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
     with ScriptedReplica(script_sending(data)) as replica:
@@ -162,6 +178,29 @@
         body_of(send(ConnectionPool(replica.address)))
 
 
+def test_the_end_of_a_connection_to_a_replica_that_is_gone_is_no_sign_of_life() -> None:
+    def _crash(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\n")
+        replica.stop_listening()
+
+    heard: list[None] = []
+    with ScriptedReplica(_crash) as replica:
+        found = exchange(
+            request(),
+            pool=ConnectionPool(replica.address),
+            terms=TERMS,
+            dialect=PlatformDialect(),
+            repeatable=True,
+            head_timeout_s=2.0,
+            on_data=lambda: heard.append(None),
+        )
+        assert len(heard) == 1, "the head"
+        with pytest.raises(AnswerBroken):
+            body_of(found)
+    assert len(heard) == 1
+
+
 def test_the_connection_that_confirms_an_answer_without_length_carries_the_next_request() -> None:
     data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
     with ScriptedReplica(script_sending(data), script_sending(answer("r2", b"x"))) as replica:
@@ -171,6 +210,16 @@
         assert pool.opened == 2
 
 
+def test_a_connection_opened_to_confirm_an_answer_is_kept_no_longer_than_the_one_before() -> None:
+    data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nKeep-Alive: timeout=0\r\n\r\nall of it"
+    own = script_sending(answer("r2", b"x"))
+    with ScriptedReplica(script_sending(data), own, own) as replica:
+        pool = ConnectionPool(replica.address)
+        assert body_of(send(pool)) == b"all of it"
+        assert body_of(send(pool, "r2", repeatable=False)) == b"x"
+        assert pool.opened == 3
+
+
 def test_a_refusal_without_length_needs_no_confirmation() -> None:
     def _refuse(connection: socket.socket) -> None:
         read_request(connection)
@@ -187,6 +236,24 @@
         assert pool.opened == 1
 
 
+@pytest.mark.parametrize(
+    "body",
+    [b"Content-Length: 10\r\n\r\nfu", b"Transfer-Encoding: chunked\r\n\r\n5\r\nfu"],
+    ids=["length", "chunks"],
+)
+def test_a_refusal_whose_body_is_cut_short_still_promises_that_nothing_ran(body: bytes) -> None:
+    refusal = (
+        b"HTTP/1.1 503 Full\r\nSpringrock-Request-Id: r1\r\nSpringrock-Not-Executed: 1\r\n" + body
+    )
+    own = script_sending(answer("r2", b"x"))
+    with ScriptedReplica(script_sending(refusal), own) as replica:
+        pool = ConnectionPool(replica.address)
+        with pytest.raises(ReplicaFull):
+            send(pool, repeatable=False)
+        assert body_of(send(pool, "r2")) == b"x"
+        assert pool.opened == 2
+
+
 def test_an_answer_without_length_that_is_reset_is_broken() -> None:
     read = threading.Event()
 
