Replica stand-in: answers that end with their connection, whole or broken

A replica's answer may come with neither a length nor chunks and end with its connection; no stand-in could answer so. ReplicaFault gets five fields, last and with defaults: unframed answers, and how many of them break, after how many events, inside an event or between two, by a close or by a reset. A plain answer breaks in the middle of its body. The proxy passes a reset on as a reset; it closed the other side properly, so that boxes behind it never saw one.

--- a/springrock/emulator/proxy.py
+++ b/springrock/emulator/proxy.py
@@ -12,6 +12,7 @@
 
 from springrock.bottle_app import new_app
 from springrock.emulator.settings import ProxySettings, RouteSettings
+from springrock.emulator.unframed import reset_on_close
 from springrock.httpd import HttpServer
 from springrock.settings import split_address
 
@@ -96,6 +97,8 @@
                     return
                 sink.sendall(block)
                 forwarded_bytes += len(block)
+        except ConnectionResetError:
+            reset_on_close(sink)
         except OSError:
             return
 
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -24,6 +24,7 @@
 from springrock.clock import monotonic
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventFile, ReplicaEventKind
 from springrock.emulator.settings import ReplicaStandinSettings
+from springrock.emulator.unframed import UNFRAMED_KEY, UnframedAnswers, broken, broken_body
 from springrock.errors import AnswerCut
 from springrock.httpd import SOCKET_KEY, HttpServer
 from springrock.platform import names
@@ -55,6 +56,12 @@
         reborn: The replica restarts once, at once, with the same id and without any earlier state.
         cold_s: The replica reports itself as cold for this long from now on.
         limit_per_s: The rate limit that all answers name; negative for none.
+        unframed: Answers of runs have neither a length nor chunks; their connection ends them.
+        breaks: Number of next unframed answers that break: a stream after `break_after` events,
+            any other in the middle of its body.
+        break_after: Number of whole events that a breaking stream sends; at least 1.
+        break_inside: Whether a breaking stream also sends a part of its next event.
+        break_resets: Whether a break resets the connection, rather than closes it.
     """
 
     refuse: bool = False
@@ -66,6 +73,11 @@
     reborn: bool = False
     cold_s: float = 0.0
     limit_per_s: float = -1.0
+    unframed: bool = False
+    breaks: int = 0
+    break_after: int = 3
+    break_inside: bool = False
+    break_resets: bool = False
 
 
 class _StreamRun(NamedTuple):
@@ -98,7 +110,7 @@
         self._cold_until = monotonic() + settings.cold_s
         self._events_file = ReplicaEventFile(settings.events_path)
         self._leaving_acknowledged = False
-        self.server = HttpServer(self._build_app(), settings.address)
+        self.server = HttpServer(UnframedAnswers(self._build_app()), settings.address)
 
     def start(self) -> None:
         """Start the HTTP server and the loop that writes the record."""
@@ -275,6 +287,7 @@
         if request.get_header(names.API_KEY) is not None:
             self._record_violation("key_passed_on")
         headers[_SEAL_HEADER] = f"seal-of-{request_id}"
+        request.environ[UNFRAMED_KEY] = self._fault.unframed
         if self._fault.fail:
             return self._answer(b"failed", status=500, headers=headers)
         if self._settings.base_model:
@@ -283,7 +296,22 @@
             headers |= self._status_headers()
             return bottle.HTTPResponse(self._stream_events(adapter, first_number), headers=headers)
         gevent.sleep(self._settings.work_ms / 1000)
-        return self._answer(f"{request.method} /{path} {len(body)}".encode(), headers=headers)
+        return self._plain_answer(f"{request.method} /{path} {len(body)}".encode(), headers)
+
+    def _plain_answer(self, body: bytes, headers: dict[str, str]) -> Any:
+        resets = self._fault.break_resets
+        if not self._take_break():
+            return self._answer(body, headers=headers)
+        return bottle.HTTPResponse(
+            broken_body(body, resets=resets), headers={**headers, **self._status_headers()}
+        )
+
+    def _take_break(self) -> bool:
+        """Whether an unframed answer breaks; if so, count it."""
+        if not bottle.request.environ[UNFRAMED_KEY] or self._fault.breaks <= 0:
+            return False
+        self._fault = msgspec.structs.replace(self._fault, breaks=self._fault.breaks - 1)
+        return True
 
     def _refusal_headers(self) -> dict[str, str]:
         refusal = {names.NOT_EXECUTED: "1"}
@@ -312,6 +340,8 @@
             self._fault.cut_after,
             msgspec.structs.replace(self._fault, cut_after=-1),
         )
+        fault = self._fault
+        break_after = fault.break_after if self._take_break() else -1
         streams = self._streams
         run = _StreamRun(bottle.request.get_header(names.REQUEST_ID, ""), monotonic())
         streams[adapter].append(run)
@@ -322,6 +352,10 @@
                 if number - first_number == cut_after:
                     yield b"id: %d\nda" % number
                     raise AnswerCut("injected fault")
+                if number - first_number == break_after:
+                    if fault.break_inside:
+                        yield b"id: %d\nda" % number
+                    raise broken(resets=fault.break_resets)
                 yield b"id: %d\ndata: token %d\n\n" % (number, number)
                 gevent.sleep(self._settings.event_pause_ms / 1000)
         finally:
--- /dev/null
+++ b/springrock/emulator/unframed.py
@@ -0,0 +1,94 @@
+"""Sends selected answers without a length or chunks, so that their connection ends them."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from springrock.errors import AnswerCut
+from springrock.httpd import SOCKET_KEY
+
+UNFRAMED_KEY = "springrock.unframed"
+"""Set in the WSGI environment by an application whose answer must be sent without a framing."""
+
+_LINGER_NOT = struct.pack("ii", 1, 0)
+
+
+class AnswerReset(AnswerCut):
+    """An answer ends with a reset of its connection."""
+
+
+class UnframedAnswers:
+    """WSGI middleware that sends an answer itself if the application asks for it.
+
+    Args:
+        app: The WSGI application.
+    """
+
+    def __init__(self, app: Any) -> None:
+        self._app = app
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer a request.
+
+        Raises:
+            AnswerCut: After an unframed answer, so that the server closes the connection.
+        """
+        head: list[Any] = []
+
+        def _hold_head(*arguments: Any) -> None:
+            head[:] = arguments
+
+        body: Iterable[bytes] = self._app(environ, _hold_head)
+        if not environ.get(UNFRAMED_KEY):
+            start_response(*head)
+            return body
+        try:
+            _send(environ[SOCKET_KEY], head[0], head[1], body)
+        except AnswerReset:
+            reset_on_close(environ[SOCKET_KEY])
+            raise
+        finally:
+            _close(body)
+        raise AnswerCut("the answer ends with its connection")
+
+
+def reset_on_close(connection: Any) -> None:
+    """Make the closing of a connection reset it."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+
+
+def broken_body(body: bytes, *, resets: bool) -> Iterator[bytes]:
+    """Yield the first half of a body, then break.
+
+    Raises:
+        AnswerCut: Always, after the first half.
+    """
+    yield body[: len(body) // 2]
+    raise broken(resets=resets)
+
+
+def broken(*, resets: bool) -> AnswerCut:
+    """Return the exception that ends an answer by closing or by resetting its connection."""
+    return AnswerReset("injected reset") if resets else AnswerCut("injected break")
+
+
+def _send(
+    connection: Any, status: str, headers: list[tuple[str, str]], body: Iterable[bytes]
+) -> None:
+    kept = [pair for pair in headers if pair[0].lower() not in ("content-length", "connection")]
+    lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in kept)]
+    head = "\r\n".join([*lines, "Connection: close", "", ""])
+    connection.sendall(head.encode("latin-1"))
+    for block in body:
+        connection.sendall(block)
+
+
+def _close(body: Iterable[bytes]) -> None:
+    close = getattr(body, "close", None)
+    if close is not None:
+        close()
