Soak: answers without a length, and judges that see a short one pass for whole

A replica's answer that ends with its connection may be a part of one, and a box frames what it passes on itself. No fault drew that, and a caller of the soak took an answer without a length for complete.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -8,7 +8,7 @@
 import time
 from typing import NamedTuple
 
-from bench.soak.observations import Attempt, Call
+from bench.soak.observations import Attempt, Call, Framing
 from bench.soak.shape import ADAPTERS, KEYS, MOVABLE, STREAMS
 from springrock.clock import monotonic
 from springrock.platform import names
@@ -208,12 +208,19 @@
     attempt.echoed_id = response.getheader(names.REQUEST_ID, "")
     retry_after = response.getheader("Retry-After")
     attempt.retry_after_s = None if retry_after is None else float(retry_after)
+    attempt.framing = _framing_of(response)
     while block := response.read1(_READ_BYTES):
         attempt.body += block
-    attempt.is_complete = response.length in (None, 0)
+    attempt.is_complete = attempt.framing is Framing.CHUNKS or response.length == 0
     response.close()
 
 
+def _framing_of(response: http.client.HTTPResponse) -> Framing:
+    if response.chunked:
+        return Framing.CHUNKS
+    return Framing.CONNECTION if response.length is None else Framing.LENGTH
+
+
 def _headers_of(attempt: Attempt, left_s: float) -> dict[str, str]:
     headers = {
         "Host": HOST,
--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+from typing import Any
 
 from bench.soak.deployment import SoakDeployment
 from bench.soak.faults.fault import FAULTS, Fault, sample_targets
@@ -13,6 +14,14 @@
 _BACK_OFF_S = 2.0
 _LIMIT_PER_S = 1.5
 _FOREIGN_INSTANCE = "i-foreign"
+_BREAKS = 8
+_BREAKS_UNFRAMED: dict[str, dict[str, Any]] = {
+    "inside": {"breaks": _BREAKS, "break_inside": True},
+    "between": {"breaks": _BREAKS},
+    "reset": {"breaks": _BREAKS, "break_inside": True, "break_resets": True},
+    "crash": {},
+}
+"""How unframed answers break; those of a crash when their replica is killed."""
 
 
 class _ReplicaFault(Fault):
@@ -184,6 +193,36 @@
             deployment.fault(replica, limit_per_s=_LIMIT_PER_S)
 
 
+@FAULTS.register
+class UnframedAnswers(_ReplacedReplica):
+    """Replicas answer without a length or chunks, break some of these answers, and then crash."""
+
+    name = "unframed_answers"
+    weight = 0.0
+    separate_probability = 0.5
+    separate_order = 4
+    shortest_s = 2.0
+    longest_s = 5.0
+
+    def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
+        """Draw the replicas and how their answers break."""
+        return (*super().targets(rng, shape), rng.choice(sorted(_BREAKS_UNFRAMED)))
+
+    def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
+        """Return the resources that no other fault may affect at the same time."""
+        return super().claims(targets[:-1])
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Start the fault."""
+        *replicas, how = targets
+        for replica in replicas:
+            deployment.fault(replica, unframed=True, **_BREAKS_UNFRAMED[how])
+
+    def end(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """End the fault."""
+        super().end(deployment, targets[:-1])
+
+
 @FAULTS.register
 class ReusedAddress(_ReplicaFault):
     """A replica of a service without routes takes over the address of another one."""
--- a/bench/soak/judges/answers.py
+++ b/bench/soak/judges/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bench.soak.bodies import event_ids, foreign_bytes, plain_body
 from bench.soak.judges.judge import JUDGES, Finding, Judge, Verdict
 from bench.soak.observations import Attempt, Observations
 from bench.soak.shape import STREAM_EVENTS, STREAMS
@@ -32,8 +33,9 @@
         return f"has request id {attempt.echoed_id!r}"
     if attempt.route in STREAMS or not attempt.is_complete:
         return ""
-    expected = f"POST /{attempt.route}/{attempt.request_id} 5".encode()
-    return "" if attempt.body == expected else f"has body {attempt.body[:60]!r}"
+    if attempt.body == plain_body(f"/{attempt.route}/{attempt.request_id}"):
+        return ""
+    return f"framed by {attempt.framing}, has body {attempt.body[:60]!r}"
 
 
 @JUDGES.register
@@ -63,7 +65,34 @@
         return Verdict(checked=len(attempts), findings=findings)
 
 
-def event_ids(body: bytes) -> list[int]:
-    """Return the numbers of the complete events of a stream."""
-    complete, _, _ = body.rpartition(b"\n\n")
-    return [int(line[4:]) for line in complete.split(b"\n") if line.startswith(b"id: ")]
+@JUDGES.register
+class WholeEvents(Judge):
+    """Looks for bytes of streams that are not part of a whole event."""
+
+    name = "whole_events"
+    promise = "a stream consists of whole events, even if it breaks off"
+
+    def judge(self, observations: Observations) -> Verdict:
+        """Check the promise against the observations of one play."""
+        attempts = [
+            attempt
+            for attempt in observations.attempts
+            if attempt.status == 200 and attempt.route in STREAMS
+        ]
+        findings = []
+        for attempt in attempts:
+            foreign = foreign_bytes(attempt.body)
+            if foreign and not _ended_by_its_box(observations, attempt):
+                text = f"has {foreign[:40]!r} after {len(event_ids(attempt.body))} events"
+                findings.append(
+                    Finding(at=attempt.ended_at, request_id=attempt.request_id, text=text)
+                )
+        return Verdict(checked=len(attempts), findings=findings)
+
+
+def _ended_by_its_box(observations: Observations, attempt: Attempt) -> bool:
+    """Whether an answer broke off while a fault held its box, which may end in a write."""
+    return not attempt.is_complete and any(
+        f"box/{attempt.box}" in span.claimed and span.began_at <= attempt.ended_at <= span.ended_at
+        for span in observations.spans
+    )
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -4,16 +4,28 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
+from enum import StrEnum
 from functools import cached_property
 
 from msgspec import Struct
 
-from bench.soak.shape import REPEATABLE, SoakConfiguration
+from bench.soak.bodies import is_whole_stream, plain_body
+from bench.soak.shape import REPEATABLE, STREAMS, SoakConfiguration
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind
 
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+class Framing(StrEnum):
+    """How an answer tells its caller where its body ends."""
+
+    UNKNOWN = ""
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """By the end of its connection, so that a complete body looks like one that broke off."""
+
+
 class Attempt(Struct, kw_only=True):
     """One attempt at a call, as its caller saw it; times are of the machine's monotonic clock.
 
@@ -22,7 +34,9 @@
         call: The id of the call; a call may take several attempts.
         key: The name of the API key; empty for none.
         status: 0 if no answer came.
-        is_complete: Whether the answer is complete according to its framing.
+        framing: How the answer was framed.
+        is_complete: Whether the answer is complete according to its framing; never if its
+            connection ends it.
         seal: The seal header; only answers of replicas have one.
         echoed_id: The request id in the answer.
         instance: The instance id of the replica, from the header of the answer.
@@ -48,6 +62,7 @@
     instance: str = ""
     says_leaving: bool = False
     repeated_path: str = ""
+    framing: Framing = Framing.UNKNOWN
 
     @property
     def path(self) -> str:
@@ -56,8 +71,16 @@
 
     @property
     def answered(self) -> bool:
-        """Whether the caller got a complete success."""
-        return self.status == 200 and self.is_complete
+        """Whether the caller got a complete success, by its framing or else by its content."""
+        is_unframed = self.framing is Framing.CONNECTION
+        return self.status == 200 and (self.is_complete or (is_unframed and self.is_whole))
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the body is the whole answer to this request, whatever its framing says."""
+        if self.route in STREAMS:
+            return is_whole_stream(self.body)
+        return self.body == plain_body(self.path)
 
     @property
     def promised_not_run(self) -> bool:
--- a/tests/soak/made_up.py
+++ b/tests/soak/made_up.py
@@ -5,7 +5,14 @@
 from typing import Any
 
 from bench.soak.judges import JUDGES, Finding
-from bench.soak.observations import Attempt, Call, ConfigurationChange, FaultSpan, Observations
+from bench.soak.observations import (
+    Attempt,
+    Call,
+    ConfigurationChange,
+    FaultSpan,
+    Framing,
+    Observations,
+)
 from bench.soak.shape import SERVICE_OF_ROUTE, STREAM_EVENTS, SoakConfiguration
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind
 
@@ -33,6 +40,7 @@
         "echoed_id": request_id,
         "body": body,
         "is_complete": True,
+        "framing": Framing.LENGTH,
     }
     return Attempt(request_id=request_id, **{**defaults, **more})
 
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -8,7 +8,13 @@
 from bench.soak.judges.placement import CONFIGURATION_APPLY_S, LEAVING_APPLY_S, ORDER_TRANSIT_S
 from bench.soak.judges.service import RECOVERY_S
 from bench.soak.judges.teams import QUOTA_APPLY_S
-from bench.soak.observations import ConfigurationChange, Pause, PublishedVersion, QuietSpan
+from bench.soak.observations import (
+    ConfigurationChange,
+    Framing,
+    Pause,
+    PublishedVersion,
+    QuietSpan,
+)
 from bench.soak.shape import (
     LIMITED_TEAM_PER_S,
     QUOTA_WINDOW_S,
@@ -133,6 +139,43 @@
     assert len(findings_of("exact_continuation", attempts=[ended])) == 1
 
 
+@pytest.mark.parametrize("route", ["lookup", "items"])
+def test_a_short_answer_may_only_come_without_a_complete_framing(route: str) -> None:
+    judges = {"lookup": "own_whole_answer", "items": "exact_continuation"}
+    short = {"lookup": b"POST /loo", "items": events([1, 2, 3])}[route]
+    unframed = attempt(route=route, body=short, is_complete=False, framing=Framing.CONNECTION)
+    assert findings_of(judges[route], attempts=[unframed]) == []
+    assert not unframed.answered
+    framed = attempt(route=route, body=short, framing=Framing.CHUNKS)
+    assert len(findings_of(judges[route], attempts=[framed])) == 1
+
+
+@pytest.mark.parametrize("route", ["lookup", "items"])
+def test_an_answer_without_framing_is_a_success_if_it_is_whole(route: str) -> None:
+    assert attempt(route=route, is_complete=False, framing=Framing.CONNECTION).answered
+    assert not attempt(route=route, is_complete=False, framing=Framing.CHUNKS).answered
+
+
+@pytest.mark.parametrize(
+    ("body", "findings"),
+    [
+        (events([1, 2, 3]), 0),
+        (events([1, 2]) + b"id: 3\nda", 1),
+        (events([1, 2]) + b"id: 3\nda" + events([3, 4]), 1),
+        (events([1]) + b"id: 2\ndata: token 3\n\n", 1),
+    ],
+)
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_a_part_of_an_event_in_a_stream_is_found(
+    body: bytes, findings: int, is_complete: bool
+) -> None:
+    one = attempt(route="items", body=body, is_complete=is_complete)
+    assert len(findings_of("whole_events", attempts=[one])) == findings
+    killed = span("killed_box", "box/box-1", began_at=10.0, ended_at=10.5)
+    excused = 0 if not is_complete else findings
+    assert len(findings_of("whole_events", attempts=[one], spans=[killed])) == excused
+
+
 @pytest.mark.parametrize("wrong", [{"adapter": "a2"}, {"version": 0}])
 def test_a_run_on_a_wrong_adapter_or_without_a_version_is_found(wrong: dict[str, object]) -> None:
     one = attempt(route="items")
