--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -20,7 +20,7 @@
     ConnectionRefused,
     ReplicaUnreachable,
 )
-from springrock.forwarding.message import AnswerHead, Headers
+from springrock.forwarding.message import AnswerHead, BodyEnd, Headers
 from springrock.settings import split_address
 
 _READ_BYTES = 65_536
@@ -130,7 +130,7 @@
         self._response = response
         headers = Headers.from_pairs(response.getheaders())
         self._record_idle_timeout(headers.get("keep-alive"))
-        return AnswerHead(response.status, response.reason, headers)
+        return AnswerHead(response.status, response.reason, headers, _body_end_of(response))
 
     def read(self, *, timeout_s: float) -> bytes:
         """Return the next bytes of the answer's body as they arrive; empty at its complete end.
@@ -217,6 +217,12 @@
             return True
 
 
+def _body_end_of(response: HTTPResponse) -> BodyEnd:
+    if response.chunked:
+        return BodyEnd.CHUNKS
+    return BodyEnd.CLOSE if response.length is None else BodyEnd.LENGTH
+
+
 class ConnectionPool:
     """The idle connections to one replica.
 
@@ -250,19 +256,36 @@
             if connection.is_usable(conservative=conservative):
                 return connection
             connection.close()
-        self.opened += 1
-        return Connection(self.address, connect_timeout_s=min(self._connect_timeout_s, timeout_s))
+        return self._open(timeout_s=timeout_s)
+
+    def open_spare(self, *, timeout_s: float) -> None:
+        """Open a connection now that a later request can use.
+
+        Raises:
+            ReplicaUnreachable: If no connection can be opened.
+        """
+        self._keep(self._open(timeout_s=timeout_s))
 
     def release(self, connection: Connection) -> None:
         """Keep a connection for another request if it is reusable, else close it."""
-        if self._closed or not connection.reusable or len(self._idle) >= _MAX_IDLE_CONNECTIONS:
+        if connection.reusable:
+            self._keep(connection)
+        else:
             connection.close()
-            return
-        connection.mark_idle()
-        self._idle.append(connection)
 
     def close(self) -> None:
         """Close the idle connections, and from now on those released."""
         self._closed = True
         while self._idle:
             self._idle.pop().close()
+
+    def _open(self, *, timeout_s: float) -> Connection:
+        self.opened += 1
+        return Connection(self.address, connect_timeout_s=min(self._connect_timeout_s, timeout_s))
+
+    def _keep(self, connection: Connection) -> None:
+        if self._closed or len(self._idle) >= _MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        connection.mark_idle()
+        self._idle.append(connection)
