Proxy stand-in: refuses connections while its target refuses them

Behind the proxy a dead replica looked alive: the proxy accepted each connection and closed it, so that a box that tells a crash by a refused connection could not. Ruled out: a reset right after the accept, as the connection has opened by then. The proxy stops listening when its target refuses, before callers see their connections end, and listens again once the target accepts. tests/emulator/test_proxy.py: both tests failed before and pass now; tests/faults/test_peers.py passed.

--- a/springrock/emulator/proxy.py
+++ b/springrock/emulator/proxy.py
@@ -20,6 +20,7 @@
 _BLOCK_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 2.0
 _BLOCKED_POLL_INTERVAL_S = 0.05
+_ACCEPTS_POLL_INTERVAL_S = 0.05
 
 
 class RouteFault(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,13 +44,30 @@
 
 
 class _Route:
-    """A listening address with its target and its current fault."""
+    """A listening address with its target and its current fault.
+
+    While the target refuses connections, the route refuses them as well.
+    """
 
     def __init__(self, settings: RouteSettings) -> None:
+        self._address = split_address(settings.address)
         self._target = split_address(settings.target_address)
         self._open_sockets: set[Any] = set()
+        self._is_stopped = False
         self.fault = RouteFault(routes=[])
-        self.server = StreamServer(split_address(settings.address), self._serve)
+        self._server = self._new_server()
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening, without waiting for open connections."""
+        self._is_stopped = True
+        self._server.stop(timeout=0)
+
+    def _new_server(self) -> Any:
+        return StreamServer(self._address, self._serve)
 
     def set_fault(self, fault: RouteFault) -> None:
         self.fault = fault
@@ -64,6 +82,7 @@
         try:
             target = create_connection(self._target, timeout=_CONNECT_TIMEOUT_S)
         except OSError:
+            self._refuse_with_target()
             caller.close()
             return
         if self.fault.cut:
@@ -78,11 +97,36 @@
             gevent.spawn(self._pump, target, caller, "to_caller"),
         ]
         gevent.joinall(tasks, count=1)
+        if tasks[1].ready():
+            # A caller that sees the end of its connection must find a dead target refusing.
+            self._refuse_with_target()
         caller.close()
         target.close()
         self._open_sockets -= {caller, target}
         gevent.killall(tasks)
 
+    def _refuse_with_target(self) -> None:
+        """Stop listening if the target refuses connections, until it accepts them again."""
+        if self._server.started and self._target_refuses():
+            self._server.close()
+            gevent.spawn(self._listen_with_target)
+
+    def _listen_with_target(self) -> None:
+        while self._target_refuses():
+            gevent.sleep(_ACCEPTS_POLL_INTERVAL_S)
+        if not self._is_stopped:
+            self._server = self._new_server()
+            self._server.start()
+
+    def _target_refuses(self) -> bool:
+        try:
+            create_connection(self._target, timeout=_CONNECT_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def _pump(self, source: Any, sink: Any, direction: Direction) -> None:
         forwarded_bytes = 0
         try:
@@ -122,13 +166,13 @@
     def start(self) -> None:
         """Start forwarding on all routes, and the control server."""
         for route in self._routes.values():
-            route.server.start()
+            route.start()
         self.server.start()
 
     def stop(self) -> None:
         """Stop at once, without waiting for open connections."""
         for route in self._routes.values():
-            route.server.stop(timeout=0)
+            route.stop()
         self.server.stop(finish_within_s=0)
 
     def set_fault(self, fault: RouteFault) -> None:
