Soak: unframed answers break in a crash too; early ends at live replicas apart; mutations

Plain answers go out in one piece, so that killing their replica never broke one in its middle. A stand-in now exits itself after half of a body or between two events (broken_by, which replaces break_resets). One fault becomes three: streams (inside an event, reset, crash), plain answers (reset, crash), and early ends at replicas that live on, which the content alone could tell.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -35,8 +35,8 @@
 )
 from springrock.clock import monotonic
 from springrock.emulator.ports import free_addresses
-from springrock.emulator.replica import CRASH_EXIT_STATUS
 from springrock.emulator.replica_events import ReplicaEvent, read_replica_events
+from springrock.emulator.unframed import CRASH_EXIT_STATUS
 from springrock.platform import names
 from tests.builds import LAST_RELEASE, build_at
 from tests.processes import Processes, wait_until
--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -9,6 +9,7 @@
 from bench.soak.deployment import SoakDeployment
 from bench.soak.faults.fault import FAULTS, Fault, sample_targets
 from bench.soak.shape import Shape
+from springrock.emulator.unframed import BrokenBy
 
 _CUT_AFTER_EVENTS = 3
 _BACK_OFF_S = 2.0
@@ -16,12 +17,12 @@
 _FOREIGN_INSTANCE = "i-foreign"
 _BREAKS = 8
 _BREAKS_UNFRAMED: dict[str, dict[str, Any]] = {
+    "crash": {"breaks": 1, "broken_by": BrokenBy.CRASH},
     "inside": {"breaks": _BREAKS, "break_inside": True},
-    "between": {"breaks": _BREAKS},
-    "reset": {"breaks": _BREAKS, "break_inside": True, "break_resets": True},
-    "crash": {},
+    "reset": {"breaks": _BREAKS, "break_inside": True, "broken_by": BrokenBy.RESET},
+    "early": {"breaks": _BREAKS},
 }
-"""How unframed answers break; those of a crash when their replica is killed."""
+"""How replicas break their unframed answers."""
 
 
 class _ReplicaFault(Fault):
@@ -193,20 +194,19 @@
             deployment.fault(replica, limit_per_s=_LIMIT_PER_S)
 
 
-@FAULTS.register
-class UnframedAnswers(_ReplacedReplica):
-    """Replicas answer without a length or chunks, break some of these answers, and then crash."""
+class _UnframedAnswers(_ReplacedReplica):
+    """Replicas answer without a length or chunks, break some of these answers, and then end."""
 
-    name = "unframed_answers"
     weight = 0.0
     separate_probability = 0.5
     separate_order = 4
     shortest_s = 2.0
     longest_s = 5.0
+    breaks: tuple[str, ...] = ("crash",)
 
     def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
         """Draw the replicas and how their answers break."""
-        return (*super().targets(rng, shape), rng.choice(sorted(_BREAKS_UNFRAMED)))
+        return (*super().targets(rng, shape), rng.choice(self.breaks))
 
     def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
         """Return the resources that no other fault may affect at the same time."""
@@ -223,6 +223,33 @@
         super().end(deployment, targets[:-1])
 
 
+@FAULTS.register
+class UnframedStreams(_UnframedAnswers):
+    """Streams without chunks break inside an event, with a reset or in a crash."""
+
+    name = "unframed_streams"
+    services = ("language",)
+    breaks = ("crash", "inside", "reset")
+
+
+@FAULTS.register
+class UnframedPlainAnswers(_UnframedAnswers):
+    """Plain answers without a length break with a reset or in a crash."""
+
+    name = "unframed_plain_answers"
+    services = ("rosters", "catalog")
+    breaks = ("crash", "reset")
+
+
+@FAULTS.register
+class UnframedEarlyEnds(_UnframedAnswers):
+    """Replicas that live end answers early: streams between two events, others in their body."""
+
+    name = "unframed_early_ends"
+    separate_probability = 0.25
+    breaks = ("early",)
+
+
 @FAULTS.register
 class ReusedAddress(_ReplicaFault):
     """A replica of a service without routes takes over the address of another one."""
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -128,3 +128,19 @@
     NamedLimits.record_limit_named = (  # type: ignore[method-assign]
         lambda self, instance, per_s, *, sent_at: None
     )
+
+
+@_disables("confirmed_ends")
+def _take_every_close_for_an_end() -> None:
+    from springrock.forwarding.exchange import Answer
+
+    Answer._confirm_end = lambda self, timeout_s: None  # type: ignore[method-assign]
+
+
+@_disables("whole_events")
+def _pass_on_incomplete_events() -> None:
+    from springrock.forwarding.streaming import StreamRun
+
+    StreamRun._read_end = (  # type: ignore[method-assign]
+        lambda self, answer: self._splitter.drain_incomplete()
+    )
--- a/springrock/emulator/proxy.py
+++ b/springrock/emulator/proxy.py
@@ -21,6 +21,8 @@
 _CONNECT_TIMEOUT_S = 2.0
 _BLOCKED_POLL_INTERVAL_S = 0.05
 _ACCEPTS_POLL_INTERVAL_S = 0.05
+_EXIT_S = 0.01
+"""Time in which a process that exits closes its listener, before or after its connections."""
 
 
 class RouteFault(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,6 +101,7 @@
         gevent.joinall(tasks, count=1)
         if tasks[1].ready():
             # A caller that sees the end of its connection must find a dead target refusing.
+            gevent.sleep(_EXIT_S)
             self._refuse_with_target()
         caller.close()
         target.close()
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -24,7 +24,14 @@
 from springrock.clock import monotonic
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventFile, ReplicaEventKind
 from springrock.emulator.settings import ReplicaStandinSettings
-from springrock.emulator.unframed import UNFRAMED_KEY, UnframedAnswers, broken, broken_body
+from springrock.emulator.unframed import (
+    CRASH_EXIT_STATUS,
+    UNFRAMED_KEY,
+    BrokenBy,
+    UnframedAnswers,
+    break_off,
+    broken_body,
+)
 from springrock.errors import AnswerCut
 from springrock.httpd import SOCKET_KEY, HttpServer
 from springrock.platform import names
@@ -36,9 +43,6 @@
 _DEFAULT_VERSION = 1
 """The adapter version that a load order without a version loads."""
 
-CRASH_EXIT_STATUS = 70
-"""Exit status of a replica that a request crashed, to distinguish it from a killed one."""
-
 _MAX_ARRIVALS = 10_000
 """Number of most recent requests whose arrival times the counters report."""
 
@@ -61,7 +65,7 @@
             any other in the middle of its body.
         break_after: Number of whole events that a breaking stream sends; at least 1.
         break_inside: Whether a breaking stream also sends a part of its next event.
-        break_resets: Whether a break resets the connection, rather than closes it.
+        broken_by: What ends a breaking answer.
     """
 
     refuse: bool = False
@@ -77,7 +81,7 @@
     breaks: int = 0
     break_after: int = 3
     break_inside: bool = False
-    break_resets: bool = False
+    broken_by: BrokenBy = BrokenBy.CLOSE
 
 
 class _StreamRun(NamedTuple):
@@ -299,11 +303,11 @@
         return self._plain_answer(f"{request.method} /{path} {len(body)}".encode(), headers)
 
     def _plain_answer(self, body: bytes, headers: dict[str, str]) -> Any:
-        resets = self._fault.break_resets
+        broken_by = self._fault.broken_by
         if not self._take_break():
             return self._answer(body, headers=headers)
         return bottle.HTTPResponse(
-            broken_body(body, resets=resets), headers={**headers, **self._status_headers()}
+            broken_body(body, by=broken_by), headers={**headers, **self._status_headers()}
         )
 
     def _take_break(self) -> bool:
@@ -355,7 +359,7 @@
                 if number - first_number == break_after:
                     if fault.break_inside:
                         yield b"id: %d\nda" % number
-                    raise broken(resets=fault.break_resets)
+                    break_off(fault.broken_by)
                 yield b"id: %d\ndata: token %d\n\n" % (number, number)
                 gevent.sleep(self._settings.event_pause_ms / 1000)
         finally:
--- a/springrock/emulator/unframed.py
+++ b/springrock/emulator/unframed.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
+from enum import StrEnum
+from typing import Any, NoReturn
 
 from springrock.errors import AnswerCut
 from springrock.httpd import SOCKET_KEY
@@ -13,9 +15,21 @@
 UNFRAMED_KEY = "springrock.unframed"
 """Set in the WSGI environment by an application whose answer must be sent without a framing."""
 
+CRASH_EXIT_STATUS = 70
+"""Exit status of a replica that a request crashed, to distinguish it from a killed one."""
+
 _LINGER_NOT = struct.pack("ii", 1, 0)
 
 
+class BrokenBy(StrEnum):
+    """What ends the connection of an answer that breaks off."""
+
+    CLOSE = "close"
+    RESET = "reset"
+    CRASH = "crash"
+    """The exit of the replica's process, which also stops listening."""
+
+
 class AnswerReset(AnswerCut):
     """An answer ends with a reset of its connection."""
 
@@ -62,19 +76,23 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
 
 
-def broken_body(body: bytes, *, resets: bool) -> Iterator[bytes]:
-    """Yield the first half of a body, then break.
-
-    Raises:
-        AnswerCut: Always, after the first half.
-    """
+def broken_body(body: bytes, *, by: BrokenBy) -> Iterator[bytes]:
+    """Yield the first half of a body, then break."""
     yield body[: len(body) // 2]
-    raise broken(resets=resets)
+    break_off(by)
+
 
+def break_off(by: BrokenBy) -> NoReturn:
+    """End the answer that is being sent.
 
-def broken(*, resets: bool) -> AnswerCut:
-    """Return the exception that ends an answer by closing or by resetting its connection."""
-    return AnswerReset("injected reset") if resets else AnswerCut("injected break")
+    Raises:
+        AnswerCut: Unless the process exits.
+    """
+    if by is BrokenBy.CRASH:
+        os._exit(CRASH_EXIT_STATUS)
+    if by is BrokenBy.RESET:
+        raise AnswerReset("injected reset")
+    raise AnswerCut("injected break")
 
 
 def _send(
--- a/tests/emulator/test_replica_answers.py
+++ b/tests/emulator/test_replica_answers.py
@@ -6,6 +6,7 @@
 import json
 import socket
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import pytest
@@ -23,8 +24,8 @@
     through_proxy: str
 
 
-@pytest.fixture(scope="module", params=["", "base"], ids=["plain", "engine"])
-def standins(request: pytest.FixtureRequest, tmp_path_factory: Any) -> Iterator[Standins]:
+@pytest.fixture(params=["", "base"], ids=["plain", "engine"])
+def standins(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Standins]:
     replica, proxied, control, nowhere = free_addresses(4)
     settings = {
         "address": replica,
@@ -35,7 +36,7 @@
         "needs_instance": False,
     }
     route = {"name": "r", "address": proxied, "target_address": replica}
-    processes = Processes(tmp_path_factory.mktemp("standins"))
+    processes = Processes(tmp_path)
     processes.spawn("replica", ["standin", "replica"], settings)
     processes.spawn("proxy", ["standin", "proxy"], {"address": control, "routes": [route]})
     try:
@@ -96,23 +97,31 @@
 
 
 @pytest.mark.parametrize("break_inside", [False, True])
-@pytest.mark.parametrize("break_resets", [False, True])
+@pytest.mark.parametrize("broken_by", ["close", "reset"])
 def test_an_unframed_answer_breaks_where_the_fault_says(
-    standins: Standins, break_inside: bool, break_resets: bool
+    standins: Standins, break_inside: bool, broken_by: str
 ) -> None:
     whole = whole_body(standins)
     fault = {"breaks": 1, "break_after": 2, "break_inside": break_inside}
-    set_fault(standins, unframed=True, break_resets=break_resets, **fault)
+    set_fault(standins, unframed=True, broken_by=broken_by, **fault)
     _, body, was_reset = received_from(standins.replica)
     events = event(1) + event(2)
-    if not break_resets:
+    if broken_by == "close":
         # A reset may discard bytes that have not been read.
         assert body in (b"POST", events + (b"id: 3\nda" if break_inside else b""))
     assert whole.startswith(body)
-    assert was_reset is break_resets
+    assert was_reset is (broken_by == "reset")
     assert received_from(standins.replica)[1] == whole
 
 
 def test_a_reset_passes_through_the_proxy(standins: Standins) -> None:
-    set_fault(standins, unframed=True, breaks=1, break_resets=True)
+    set_fault(standins, unframed=True, breaks=1, broken_by="reset")
     assert received_from(standins.through_proxy)[2]
+
+
+def test_a_crash_ends_the_answer_and_the_replica(standins: Standins) -> None:
+    set_fault(standins, unframed=True, breaks=1, break_after=2, broken_by="crash")
+    _, body, _ = received_from(standins.through_proxy)
+    assert body in (b"POST", event(1) + event(2))
+    with pytest.raises(ConnectionRefusedError):
+        received_from(standins.through_proxy)
