Soak: software versions, streams that callers take up, and judges for both

Replicas of several software versions serve side by side, and nothing in the tests had a version. The stand-in of a replica has one now, as a text or a number in its row, as text in the data of its events and in its event file; tests/routed starts replicas with one (software_of). The fault release starts two engines of a new version beside the old ones, one of which leaves; it is drawn apart from all others. Callers of the soak take a stream that broke off up at another box with Last-Event-Id and Resumes, as often as their time allows; three new callers close connections of their own accord. one_software_version finds every stream of two versions, where the users' rule allows two; taken_up_goes_on compares what goes on with what begins. A run counts as resumed for the judges of keys and leaving only if its box resumed it, not if its caller took the stream up.

--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -250,6 +250,35 @@
     breaks = ("early",)
 
 
+@FAULTS.register
+class Release(_ReplicaFault):
+    """Engines of a new software version start beside the old ones, one of which leaves."""
+
+    name = "release"
+    weight = 0.0
+    separate_probability = 0.6
+    separate_order = 5
+    shortest_s = 6.0
+    longest_s = 12.0
+    services = ("language",)
+
+    def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
+        """Draw the engine that leaves."""
+        return (rng.choice(shape.replicas_of("language")),)
+
+    def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
+        """Return the resources that no other fault may affect at the same time."""
+        return super().claims(targets) | {"release"}
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Start the fault."""
+        deployment.begin_release(targets[0])
+
+    def end(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """End the fault."""
+        deployment.end_release(targets[0])
+
+
 @FAULTS.register
 class ReusedAddress(_ReplicaFault):
     """A replica of a service without routes takes over the address of another one."""
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from bench.soak.bodies import is_whole_stream, plain_body
+from bench.soak.bodies import event_ids, is_whole_stream, plain_body
 from bench.soak.shape import REPEATABLE, STREAMS, SoakConfiguration
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind
 
@@ -42,6 +42,9 @@
         instance: The instance id of the replica, from the header of the answer.
         says_leaving: Whether the answer's header says that the replica is leaving.
         repeated_path: The path of a request that is repeated under new ids; empty for any other.
+        last_event_id: The number of the event after which a stream is taken up; 0 for a new one.
+        resumes: The id of the attempt that brought the first event of the stream that is taken up.
+        leaves_after: The number of events after which the caller closes its connection; 0 never.
     """
 
     request_id: str
@@ -63,6 +66,9 @@
     says_leaving: bool = False
     repeated_path: str = ""
     framing: Framing = Framing.UNKNOWN
+    last_event_id: int = 0
+    resumes: str = ""
+    leaves_after: int = 0
 
     @property
     def path(self) -> str:
@@ -79,9 +85,20 @@
     def is_whole(self) -> bool:
         """Whether the body is the whole answer to this request, whatever its framing says."""
         if self.route in STREAMS:
-            return is_whole_stream(self.body)
+            return is_whole_stream(self.body, after=self.last_event_id)
         return self.body == plain_body(self.path)
 
+    @property
+    def stream(self) -> str:
+        """The id of the attempt that began the stream, or would have if it was answered."""
+        return self.resumes or self.request_id
+
+    @property
+    def last_event(self) -> int:
+        """The number of the last event that the caller has, over all attempts at the stream."""
+        ids = event_ids(self.body) if self.status == 200 else []
+        return ids[-1] if ids else self.last_event_id
+
     @property
     def promised_not_run(self) -> bool:
         """Whether the box promised that the request has not run and will not run."""
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -97,6 +97,8 @@
     def __init__(self, settings: ReplicaStandinSettings) -> None:
         self._settings = settings
         self._instance = settings.instance or f"i-{secrets.token_hex(4)}"
+        version = settings.software_version
+        self._software = str(msgspec.json.decode(version)) if version else ""
         self._fault = ReplicaFault()
         self._started_ms = _now_ms()
         self._sockets: WeakSet[Any] = WeakSet()
@@ -160,6 +162,8 @@
             **self._reported_start(),
             "coldRemainingMs": round(self._cold_left_s * 1000),
         }
+        if settings.software_version:
+            value["version"] = msgspec.json.decode(settings.software_version)
         encoded = base64.b64encode(msgspec.json.encode(value)).decode()
         row = {"table": names.REPLICA_TABLE, "key": self._instance, "value": encoded}
         answer = self._store.request(
@@ -360,11 +364,15 @@
                     if fault.break_inside:
                         yield b"id: %d\nda" % number
                     break_off(fault.broken_by)
-                yield b"id: %d\ndata: token %d\n\n" % (number, number)
+                yield self._event(number)
                 gevent.sleep(self._settings.event_pause_ms / 1000)
         finally:
             streams[adapter].remove(run)
 
+    def _event(self, number: int) -> bytes:
+        software = self._software
+        return f"id: {number}\ndata: token {number}{software and f' by {software}'}\n\n".encode()
+
     # Events and violations.
 
     def _record_violation(self, detail: str) -> None:
@@ -392,6 +400,7 @@
                 at=monotonic(),
                 instance=self._instance,
                 service=self._settings.service,
+                software=self._software,
                 **fields,
             )
         )
--- a/springrock/emulator/replica_events.py
+++ b/springrock/emulator/replica_events.py
@@ -37,6 +37,7 @@
         asked_rest_s: The `Retry-After` time that the refusal named.
         named_per_s: The rate limit that the answer named; negative for none.
         age_s: How long the request had been running when its adapter was unloaded.
+        software: The version of the replica's software as text; empty for none.
     """
 
     kind: ReplicaEventKind
@@ -53,6 +54,7 @@
     age_s: float = 0.0
     asked_rest_s: float = 0.0
     named_per_s: float = -1.0
+    software: str = ""
 
 
 class ReplicaEventFile:
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -97,6 +97,8 @@
         needs_instance: Whether a request without an expected instance is also answered with 421.
         crashes_on: The process exits when it begins to run a request with this text in its path or
             body; empty for none.
+        software_version: The version of the replica's software, as JSON, as its row may hold a
+            text or a number; it is also in the data of its events. Empty for none.
     """
 
     address: str
@@ -116,6 +118,7 @@
     events_path: str = ""
     needs_instance: bool = True
     crashes_on: str = ""
+    software_version: str = ""
 
 
 class RouteSettings(Section, frozen=True, kw_only=True):
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -86,6 +86,12 @@
             int(line[4:]) for line in self.body.decode().splitlines() if line.startswith("id: ")
         ]
 
+    @property
+    def event_software(self) -> list[str]:
+        """The software version that wrote each streamed event; empty where it names none."""
+        data_lines = [line for line in self.body.decode().splitlines() if line.startswith("data: ")]
+        return [line.partition(" by ")[2] for line in data_lines]
+
 
 @dataclass
 class Deployment(ProcessDeployment):
@@ -110,6 +116,8 @@
     box_command: tuple[str, ...] = ("entry", "--settings")
     build_of: dict[str, Path] = field(default_factory=dict)
     configures_seeds: bool = True
+    software_of: dict[str, str | int] = field(default_factory=dict)
+    """Versions of the software of replicas, by name; a replica that is missing has none."""
 
     def __post_init__(self) -> None:
         self.processes = Processes(self.folder)
@@ -139,6 +147,9 @@
             "service": service,
             "store_address": self.addresses["store"],
             "availability_zone": zone,
+            "software_version": json.dumps(self.software_of[name])
+            if name in self.software_of
+            else "",
             **self.replica_settings,
             **fields,
         }
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from bench.soak.judges import JUDGES
 from bench.soak.judges.placement import CONFIGURATION_APPLY_S, LEAVING_APPLY_S, ORDER_TRANSIT_S
 from bench.soak.judges.service import RECOVERY_S
+from bench.soak.judges.software import MIN_TAKEN_UP
 from bench.soak.judges.teams import QUOTA_APPLY_S
 from bench.soak.observations import (
+    Attempt,
     ConfigurationChange,
     Framing,
     Pause,
@@ -20,6 +24,7 @@
     QUOTA_WINDOW_S,
     RETRY_ALLOWANCE,
     REVOKE_S,
+    STREAM_EVENTS,
     SoakConfiguration,
 )
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind
@@ -482,3 +487,144 @@
     assert bool(findings_of("limit_is_kept", **given)) is findings
     paused = span("paused_box", f"box/{box}", began_at=10.2, ended_at=10.3)
     assert not findings_of("limit_is_kept", **given, spans=[paused])
+
+
+def taken_up(request_id: str, *, of: str, after: int, software: str, **more: Any) -> Attempt:
+    """Return an attempt that took up a stream and got five events of a software version."""
+    body = events(range(after + 1, after + 6), software=software)
+    given = {"body": body, "is_complete": False, "last_event_id": after, "resumes": of, **more}
+    return attempt(request_id, route="items", **given)
+
+
+def begun(request_id: str, *, events_by: tuple[str, ...] = ("1",), **more: Any) -> Attempt:
+    """Return an attempt at a new stream with two events of each software version, then a break."""
+    body = b"".join(
+        events([2 * number + 1, 2 * number + 2], software=version)
+        for number, version in enumerate(events_by)
+    )
+    return attempt(request_id, route="items", **{"body": body, "is_complete": False, **more})
+
+
+@pytest.mark.parametrize(
+    ("attempts", "findings"),
+    [
+        ([begun("r1"), taken_up("r2", of="r1", after=2, software="1")], 0),
+        ([begun("r1"), taken_up("r2", of="r1", after=2, software="2")], 1),
+        ([begun("r1", events_by=("1", "2"))], 1),
+        ([begun("r1", events_by=("1", "1"))], 0),
+        ([begun("r1"), begun("r2", events_by=("2",))], 0),
+        (
+            [
+                begun("r1"),
+                taken_up("r2", of="r1", after=2, software="1"),
+                taken_up("r3", of="r1", after=7, software="2"),
+            ],
+            1,
+        ),
+        ([begun("r1"), taken_up("r2", of="r1", after=2, software="2", status=503)], 0),
+    ],
+)
+def test_a_stream_over_two_software_versions_is_found(
+    attempts: list[Attempt], findings: int
+) -> None:
+    found = findings_of("one_software_version", attempts=attempts)
+    assert len(found) == findings
+    assert [finding.request_id for finding in found] == ["r1"] * findings
+
+
+def serving(instance: str, *, software: str = "1", from_s: float = 0.0) -> list[ReplicaEvent]:
+    """Return runs of a replica until long after all requests."""
+    other = attempt("other")
+    return [run(other, at=at, instance=instance, software=software) for at in (from_s, 100.0)]
+
+
+def twenty_streams(*, going_on: int, beginning: int = 20, **more: Any) -> list[Attempt]:
+    """Return twenty new streams, and twenty that are taken up; some of both bring no event."""
+    silent = {"status": 503, "body": b"{}", "seal": ""}
+    streams = []
+    for number in range(20):
+        streams.append(begun(f"n{number}", **(silent if number >= beginning else {})))
+        streams.append(begun(f"o{number}", sent_at=2.0))
+        end = silent if number >= going_on else {}
+        taken = taken_up(f"t{number}", of=f"o{number}", after=2, software="1", **end, **more)
+        streams.append(taken)
+    return streams
+
+
+@pytest.mark.parametrize(
+    ("going_on", "beginning", "findings"),
+    [(20, 20, 0), (10, 20, 0), (9, 20, 1), (5, 0, 0), (4, 0, 1)],
+)
+def test_streams_that_seldom_go_on_are_found(going_on: int, beginning: int, findings: int) -> None:
+    streams = twenty_streams(going_on=going_on, beginning=beginning)
+    given = {"attempts": streams, "replica_events": serving("i-1") + serving("i-2")}
+    assert len(findings_of("taken_up_goes_on", **given)) == findings
+
+
+@pytest.mark.parametrize(
+    "excused",
+    [
+        {"replica_events": serving("i-1")},
+        {"replica_events": serving("i-1") + serving("i-2", software="2")},
+        {"replica_events": serving("i-1") + serving("i-2", from_s=11.0)},
+        {
+            "replica_events": [
+                *serving("i-1"),
+                *serving("i-2"),
+                run(
+                    attempt("other"),
+                    kind=ReplicaEventKind.LEAVING_ACKNOWLEDGED,
+                    instance="i-2",
+                    software="1",
+                    at=9.0,
+                ),
+            ]
+        },
+        {"spans": [span("killed_box", "box/box-1", began_at=9.5, ended_at=9.9)]},
+        {"spans": [span("link_reset", "link/box-1>store", began_at=9.5, ended_at=9.9)]},
+        {"spans": [span("crashed_replica", "replica/language-1", began_at=9.5, ended_at=9.9)]},
+        {"pauses": [Pause(9.5, 0.2)]},
+        {"attempts": twenty_streams(going_on=0)[: 3 * (MIN_TAKEN_UP - 1)]},
+    ],
+)
+def test_streams_that_need_not_go_on_are_not_judged(excused: dict[str, Any]) -> None:
+    given = {
+        "attempts": twenty_streams(going_on=0),
+        "replica_events": serving("i-1") + serving("i-2"),
+    }
+    assert len(findings_of("taken_up_goes_on", **given)) == 1
+    assert findings_of("taken_up_goes_on", **{**given, **excused}) == []
+
+
+def test_a_release_does_not_excuse_streams_that_do_not_go_on() -> None:
+    release = span("release", "release", "replica/language-3", began_at=5.0, ended_at=20.0)
+    given = {
+        "attempts": twenty_streams(going_on=0),
+        "replica_events": serving("i-1") + serving("i-2"),
+        "spans": [release],
+    }
+    assert len(findings_of("taken_up_goes_on", **given)) == 1
+
+
+@pytest.mark.parametrize(("after", "findings"), [(STREAM_EVENTS - 5, 0), (STREAM_EVENTS - 6, 1)])
+def test_a_stream_that_is_taken_up_has_all_events_that_were_missing(
+    after: int, findings: int
+) -> None:
+    ended = taken_up("r2", of="r1", after=after, software="1", is_complete=True)
+    assert len(findings_of("exact_continuation", attempts=[ended])) == findings
+
+
+def test_a_stream_that_is_taken_up_at_another_event_is_found() -> None:
+    body = events([4, 5], software="1")
+    one = taken_up("r2", of="r1", after=2, software="1", body=body)
+    assert len(findings_of("exact_continuation", attempts=[one])) == 1
+
+
+@pytest.mark.parametrize(("first_event", "findings"), [(3, 1), (4, 0)])
+def test_a_stream_that_a_caller_takes_up_with_a_removed_key_is_found(
+    first_event: int, findings: int
+) -> None:
+    one = taken_up("r2", of="r1", after=2, software="1", key="goes")
+    changes = [INITIAL_CONFIGURATION, change(one.sent_at - REVOKE_S - 1.0, goes=False)]
+    given = {"attempts": [one], "replica_events": [run(one, first_event=first_event)]}
+    assert len(findings_of("removed_key_runs_nowhere", **given, changes=changes)) == findings
