--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -4,15 +4,25 @@
 
 import random
 import signal
+from typing import Any
 
 from bench.soak.deployment import SoakDeployment
 from bench.soak.faults.fault import FAULTS, Fault, sample_targets
 from bench.soak.shape import Shape
+from springrock.emulator.unframed import BrokenBy
 
 _CUT_AFTER_EVENTS = 3
 _BACK_OFF_S = 2.0
 _LIMIT_PER_S = 1.5
 _FOREIGN_INSTANCE = "i-foreign"
+_BREAKS = 8
+_BREAKS_UNFRAMED: dict[str, dict[str, Any]] = {
+    "crash": {"breaks": 1, "broken_by": BrokenBy.CRASH},
+    "inside": {"breaks": _BREAKS, "break_inside": True},
+    "reset": {"breaks": _BREAKS, "break_inside": True, "broken_by": BrokenBy.RESET},
+    "early": {"breaks": _BREAKS},
+}
+"""How replicas break their unframed answers."""
 
 
 class _ReplicaFault(Fault):
@@ -184,6 +194,91 @@
             deployment.fault(replica, limit_per_s=_LIMIT_PER_S)
 
 
+class _UnframedAnswers(_ReplacedReplica):
+    """Replicas answer without a length or chunks, break some of these answers, and then end."""
+
+    weight = 0.0
+    separate_probability = 0.5
+    separate_order = 4
+    shortest_s = 2.0
+    longest_s = 5.0
+    breaks: tuple[str, ...] = ("crash",)
+
+    def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
+        """Draw the replicas and how their answers break."""
+        return (*super().targets(rng, shape), rng.choice(self.breaks))
+
+    def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
+        """Return the resources that no other fault may affect at the same time."""
+        return super().claims(targets[:-1])
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Start the fault."""
+        *replicas, how = targets
+        for replica in replicas:
+            deployment.fault(replica, unframed=True, **_BREAKS_UNFRAMED[how])
+
+    def end(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """End the fault."""
+        super().end(deployment, targets[:-1])
+
+
+@FAULTS.register
+class UnframedStreams(_UnframedAnswers):
+    """Streams without chunks break inside an event, with a reset or in a crash."""
+
+    name = "unframed_streams"
+    services = ("language",)
+    breaks = ("crash", "inside", "reset")
+
+
+@FAULTS.register
+class UnframedPlainAnswers(_UnframedAnswers):
+    """Plain answers without a length break with a reset or in a crash."""
+
+    name = "unframed_plain_answers"
+    services = ("rosters", "catalog")
+    breaks = ("crash", "reset")
+
+
+@FAULTS.register
+class UnframedEarlyEnds(_UnframedAnswers):
+    """Replicas that live end answers early: streams between two events, others in their body."""
+
+    name = "unframed_early_ends"
+    separate_probability = 0.25
+    breaks = ("early",)
+
+
+@FAULTS.register
+class Release(_ReplicaFault):
+    """Engines of a new software version start beside the old ones, one of which leaves."""
+
+    name = "release"
+    weight = 0.0
+    separate_probability = 0.6
+    separate_order = 5
+    shortest_s = 6.0
+    longest_s = 12.0
+    services = ("language",)
+
+    def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
+        """Draw the engine that leaves."""
+        return (rng.choice(shape.replicas_of("language")),)
+
+    def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
+        """Return the resources that no other fault may affect at the same time."""
+        return super().claims(targets) | {"release"}
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Start the fault."""
+        deployment.begin_release(targets[0])
+
+    def end(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """End the fault."""
+        deployment.end_release(targets[0])
+
+
 @FAULTS.register
 class ReusedAddress(_ReplicaFault):
     """A replica of a service without routes takes over the address of another one."""
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -24,6 +24,14 @@
 from springrock.clock import monotonic
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventFile, ReplicaEventKind
 from springrock.emulator.settings import ReplicaStandinSettings
+from springrock.emulator.unframed import (
+    CRASH_EXIT_STATUS,
+    UNFRAMED_KEY,
+    BrokenBy,
+    UnframedAnswers,
+    break_off,
+    broken_body,
+)
 from springrock.errors import AnswerCut
 from springrock.httpd import SOCKET_KEY, HttpServer
 from springrock.platform import names
@@ -35,9 +43,6 @@
 _DEFAULT_VERSION = 1
 """The adapter version that a load order without a version loads."""
 
-CRASH_EXIT_STATUS = 70
-"""Exit status of a replica that a request crashed, to distinguish it from a killed one."""
-
 _MAX_ARRIVALS = 10_000
 """Number of most recent requests whose arrival times the counters report."""
 
@@ -55,6 +60,12 @@
         reborn: The replica restarts once, at once, with the same id and without any earlier state.
         cold_s: The replica reports itself as cold for this long from now on.
         limit_per_s: The rate limit that all answers name; negative for none.
+        unframed: Answers of runs have neither a length nor chunks; their connection ends them.
+        breaks: Number of next unframed answers that break: a stream after `break_after` events,
+            any other in the middle of its body.
+        break_after: Number of whole events that a breaking stream sends; at least 1.
+        break_inside: Whether a breaking stream also sends a part of its next event.
+        broken_by: What ends a breaking answer.
     """
 
     refuse: bool = False
@@ -66,6 +77,11 @@
     reborn: bool = False
     cold_s: float = 0.0
     limit_per_s: float = -1.0
+    unframed: bool = False
+    breaks: int = 0
+    break_after: int = 3
+    break_inside: bool = False
+    broken_by: BrokenBy = BrokenBy.CLOSE
 
 
 class _StreamRun(NamedTuple):
@@ -81,6 +97,8 @@
     def __init__(self, settings: ReplicaStandinSettings) -> None:
         self._settings = settings
         self._instance = settings.instance or f"i-{secrets.token_hex(4)}"
+        version = settings.software_version
+        self._software = str(msgspec.json.decode(version)) if version else ""
         self._fault = ReplicaFault()
         self._started_ms = _now_ms()
         self._sockets: WeakSet[Any] = WeakSet()
@@ -98,7 +116,7 @@
         self._cold_until = monotonic() + settings.cold_s
         self._events_file = ReplicaEventFile(settings.events_path)
         self._leaving_acknowledged = False
-        self.server = HttpServer(self._build_app(), settings.address)
+        self.server = HttpServer(UnframedAnswers(self._build_app()), settings.address)
 
     def start(self) -> None:
         """Start the HTTP server and the loop that writes the record."""
@@ -144,6 +162,8 @@
             **self._reported_start(),
             "coldRemainingMs": round(self._cold_left_s * 1000),
         }
+        if settings.software_version:
+            value["version"] = msgspec.json.decode(settings.software_version)
         encoded = base64.b64encode(msgspec.json.encode(value)).decode()
         row = {"table": names.REPLICA_TABLE, "key": self._instance, "value": encoded}
         answer = self._store.request(
@@ -275,6 +295,7 @@
         if request.get_header(names.API_KEY) is not None:
             self._record_violation("key_passed_on")
         headers[_SEAL_HEADER] = f"seal-of-{request_id}"
+        request.environ[UNFRAMED_KEY] = self._fault.unframed
         if self._fault.fail:
             return self._answer(b"failed", status=500, headers=headers)
         if self._settings.base_model:
@@ -283,7 +304,22 @@
             headers |= self._status_headers()
             return bottle.HTTPResponse(self._stream_events(adapter, first_number), headers=headers)
         gevent.sleep(self._settings.work_ms / 1000)
-        return self._answer(f"{request.method} /{path} {len(body)}".encode(), headers=headers)
+        return self._plain_answer(f"{request.method} /{path} {len(body)}".encode(), headers)
+
+    def _plain_answer(self, body: bytes, headers: dict[str, str]) -> Any:
+        broken_by = self._fault.broken_by
+        if not self._take_break():
+            return self._answer(body, headers=headers)
+        return bottle.HTTPResponse(
+            broken_body(body, by=broken_by), headers={**headers, **self._status_headers()}
+        )
+
+    def _take_break(self) -> bool:
+        """Whether an unframed answer breaks; if so, count it."""
+        if not bottle.request.environ[UNFRAMED_KEY] or self._fault.breaks <= 0:
+            return False
+        self._fault = msgspec.structs.replace(self._fault, breaks=self._fault.breaks - 1)
+        return True
 
     def _refusal_headers(self) -> dict[str, str]:
         refusal = {names.NOT_EXECUTED: "1"}
@@ -312,6 +348,8 @@
             self._fault.cut_after,
             msgspec.structs.replace(self._fault, cut_after=-1),
         )
+        fault = self._fault
+        break_after = fault.break_after if self._take_break() else -1
         streams = self._streams
         run = _StreamRun(bottle.request.get_header(names.REQUEST_ID, ""), monotonic())
         streams[adapter].append(run)
@@ -322,11 +360,19 @@
                 if number - first_number == cut_after:
                     yield b"id: %d\nda" % number
                     raise AnswerCut("injected fault")
-                yield b"id: %d\ndata: token %d\n\n" % (number, number)
+                if number - first_number == break_after:
+                    if fault.break_inside:
+                        yield b"id: %d\nda" % number
+                    break_off(fault.broken_by)
+                yield self._event(number)
                 gevent.sleep(self._settings.event_pause_ms / 1000)
         finally:
             streams[adapter].remove(run)
 
+    def _event(self, number: int) -> bytes:
+        software = self._software
+        return f"id: {number}\ndata: token {number}{software and f' by {software}'}\n\n".encode()
+
     # Events and violations.
 
     def _record_violation(self, detail: str) -> None:
@@ -354,6 +400,7 @@
                 at=monotonic(),
                 instance=self._instance,
                 service=self._settings.service,
+                software=self._software,
                 **fields,
             )
         )
--- a/tests/soak/made_up.py
+++ b/tests/soak/made_up.py
@@ -5,7 +5,14 @@
 from typing import Any
 
 from bench.soak.judges import JUDGES, Finding
-from bench.soak.observations import Attempt, Call, ConfigurationChange, FaultSpan, Observations
+from bench.soak.observations import (
+    Attempt,
+    Call,
+    ConfigurationChange,
+    FaultSpan,
+    Framing,
+    Observations,
+)
 from bench.soak.shape import SERVICE_OF_ROUTE, STREAM_EVENTS, SoakConfiguration
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind
 
@@ -33,6 +40,7 @@
         "echoed_id": request_id,
         "body": body,
         "is_complete": True,
+        "framing": Framing.LENGTH,
     }
     return Attempt(request_id=request_id, **{**defaults, **more})
 
@@ -43,9 +51,10 @@
     return attempt(request_id, status=status, **more)
 
 
-def events(numbers: range | list[int]) -> bytes:
-    """Return the body of a stream with these events."""
-    return b"".join(b"id: %d\ndata: token %d\n\n" % (number, number) for number in numbers)
+def events(numbers: range | list[int], *, software: str = "") -> bytes:
+    """Return the body of a stream with these events, written by this software version."""
+    by = f" by {software}" if software else ""
+    return "".join(f"id: {number}\ndata: token {number}{by}\n\n" for number in numbers).encode()
 
 
 def run(of: Attempt, **more: Any) -> ReplicaEvent:
