Placer: renewals report which software versions served lately

Boxes that all start again know nothing of the streams that they served and nothing of the versions that served, so that they would refuse every stream that a client takes up in their first minute, also where one version alone has ever served. What a placer knows outlives it in its row, which it writes anyway; a box that starts relies on it if its own readings follow within 10 s. Rows of the previous release, without a report, decide nothing.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -144,6 +144,7 @@
         self._software_history = SoftwareHistory(age_s=lambda: self._replica_table.age_s)
         self.directory.on_change.append(self._software_history.apply_record)
         self._own_origins = OriginBook()
+        self._store_clock = StoreClock()
         self._limits = NamedLimits(self._log_of("permits"))
         self._store = CountedStore(
             PlatformStore(settings.store.address, on_era=self._record_era),
@@ -234,7 +235,7 @@
             count_fault=lambda fault: self.metrics.malformed_replica_rows.labels(fault).inc(),
             log=self._log_of("directory"),
         )
-        clock = StoreClock()
+        clock = self._store_clock
         self._board = PlacerBoard(age_s=lambda: placers.age_s, version=lambda: placers.version)
         self._quarantine = Quarantine(
             box=self.settings.box.name,
@@ -343,6 +344,7 @@
             cut_off=lambda: self._reach.cut_off,
             origins=self._own_origins,
             software_history=self._software_history,
+            clock=self._store_clock,
             log_of=self._log_of,
             metrics=self.metrics,
         )
--- a/springrock/forwarding/software_history.py
+++ b/springrock/forwarding/software_history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from springrock.clock import monotonic
 from springrock.forwarding.directory import ReplicaRecord
@@ -14,6 +15,23 @@
 """Age of the replicas' rows from which unknown replicas may be serving."""
 
 
+_MAX_GAP_S = 10.0
+"""Longest time between a report and this box's first reading of the rows. A box that served longer
+in between would have become the placer and reported anew."""
+
+
+class KnownVersions(NamedTuple):
+    """The software versions that replicas had within the life of a stream.
+
+    Attributes:
+        as_of: When they were known, on the local monotonic clock.
+        versions: The versions of each service.
+    """
+
+    as_of: float
+    versions: dict[str, list[str]]
+
+
 class SoftwareHistory:
     """The software versions of each service's replicas within the life of a stream.
 
@@ -60,6 +78,24 @@
         since = self._known_since
         return since is not None and monotonic() - since >= STREAM_LIFE_S
 
+    def known_versions(self) -> KnownVersions | None:
+        """Return the versions of all services; None if replicas can have served unseen."""
+        if not self.covers_stream_life:
+            return None
+        services = {service for service, _ in (*self._present.values(), *self._gone_at)}
+        versions = {service: sorted(self.versions(service)) for service in sorted(services)}
+        return KnownVersions(monotonic() - self._age_s(), versions)
+
+    def apply_report(self, known: KnownVersions) -> None:
+        """Apply what another box knew, if this box's own readings follow closely on it."""
+        if self._known_since is None or known.as_of < self._known_since - _MAX_GAP_S:
+            return
+        for service, versions in known.versions.items():
+            for software in versions:
+                at = max(known.as_of, self._gone_at.get((service, software), known.as_of))
+                self._gone_at[(service, software)] = at
+        self._known_since = min(self._known_since, known.as_of - STREAM_LIFE_S)
+
     def versions(self, service: str) -> frozenset[str]:
         """Return the versions that replicas of a service are known to have had lately."""
         known: Iterable[tuple[str, str]] = (*self._present.values(), *self._gone_at)
--- a/springrock/placement/lease.py
+++ b/springrock/placement/lease.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -16,7 +17,13 @@
 from springrock.clock import monotonic
 from springrock.eras import era_of, format_version, version_in
 from springrock.log import Condition, Log
-from springrock.placement.placer_row import TABLE, PlacerRow, key_of, placer_row_from
+from springrock.placement.placer_row import (
+    TABLE,
+    PlacerRow,
+    SoftwareReport,
+    key_of,
+    placer_row_from,
+)
 from springrock.placement.succession import RESERVED_FENCES, HandoverTarget, Successor, Tenure
 from springrock.rows import (
     ABSENT_VERSION,
@@ -85,6 +92,7 @@
         rows: The last known placer rows of all zones.
         relay: Writes renewals through other boxes if the store does not answer this one; None if
             renewals cannot be relayed.
+        software: Returns what renewals report of software versions.
         log: The log to write to.
     """
 
@@ -101,7 +109,9 @@
         rows: PlacerRows,
         log: Log,
         relay: RowWriter | None = None,
+        software: Callable[[], SoftwareReport | None] = lambda: None,
     ) -> None:
+        self._software = software
         self._relay = relay
         self._store_failed_at = -_RELAY_PERIOD_S
         self._relay_failed = False
@@ -465,7 +475,7 @@
     def _write_renewal(self) -> None:
         own = self._own
         assert own is not None
-        renewed = own.renewal()
+        renewed = msgspec.structs.replace(own.renewal(), software=self._software())
         sent_at, version = self._send_renewal(renewed, expected=own.version)
         if self._own is not own:
             # Lost during the write, for example because an engine refused an order.
--- a/springrock/placement/origin_exchange.py
+++ b/springrock/placement/origin_exchange.py
@@ -13,10 +13,13 @@
 from gevent.queue import Empty, Queue
 
 from springrock.clock import Deadline
-from springrock.forwarding.software_history import SoftwareHistory
+from springrock.forwarding.software_history import KnownVersions, SoftwareHistory
 from springrock.forwarding.stream_origins import Origin, OriginBook
 from springrock.placement.messages import BegunStreams, OriginFound, OriginQuestion
 from springrock.placement.origin_questions import OriginQuestions
+from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.placer_row import SoftwareReport
+from springrock.store_clock import StoreClock
 
 _KEEPERS = 2
 """Placers that are told of each stream: one may be lost together with the stream's own box."""
@@ -47,6 +50,8 @@
         own: The origins of this box's own streams.
         history: The versions that replicas have had lately.
         keepers: Returns the zones in the order in which they are preferred as keepers.
+        board: The placers' rows, whose reports outlive the boxes that wrote them.
+        clock: Converts the times of reports.
     """
 
     def __init__(
@@ -55,7 +60,11 @@
         own: OriginBook,
         history: SoftwareHistory,
         keepers: Callable[[], dict[str, Keeper]],
+        board: PlacerBoard,
+        clock: StoreClock,
     ) -> None:
+        self._board = board
+        self._clock = clock
         self._own = own
         self._history = history
         self._keepers = keepers
@@ -71,6 +80,7 @@
     def update(self) -> None:
         """Tell the placers that keep origins those that they have not been told yet."""
         self._history.update()
+        self._read_reports()
         services = {origin.service for _, origin in self._own.recent()}
         chosen = self._chosen()
         wanted = {
@@ -83,6 +93,30 @@
             self._tell_all(chosen[zone], service)
         self._told = wanted
 
+    def report(self) -> SoftwareReport | None:
+        """Return what this box knows of software versions; None if it does not know enough."""
+        known = self._history.known_versions()
+        if known is None:
+            return None
+        as_of_s = self._clock.earliest_store(known.as_of)
+        if as_of_s is None:
+            return None
+        return SoftwareReport(
+            as_of_ms=int(as_of_s * 1000), era=self._board.era, versions=known.versions
+        )
+
+    def _read_reports(self) -> None:
+        """Learn from the placers' rows what served before this box started."""
+        if self._history.covers_stream_life:
+            return
+        for row in self._board.rows():
+            report = row.software
+            if report is None:
+                continue
+            as_of = self._clock.earliest_local(report.as_of_ms / 1000, era=report.era)
+            if as_of is not None:
+                self._history.apply_report(KnownVersions(as_of, report.versions))
+
     def forget_placer(self, zone: str) -> None:
         """Record that a zone's placer was lost, and with it what it was told."""
         self._told = {told for told in self._told if told[0] != zone}
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -46,6 +46,7 @@
 from springrock.placement.zone_dependencies import ZoneDependencies
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import RowStore, TableReading
+from springrock.store_clock import StoreClock
 from springrock.topology import Distance
 
 _RECONNECT_LIKELY_S = 1.0
@@ -79,6 +80,7 @@
         cut_off: Returns whether this box reaches no replica.
         origins: The origins of this box's own streams.
         software_history: The software versions that replicas have had lately.
+        clock: Converts times on the store's clock.
         log_of: Returns the log of a part.
         metrics: The metrics to count in.
 
@@ -113,6 +115,7 @@
         metrics: ForwardingMetrics,
         origins: OriginBook,
         software_history: SoftwareHistory,
+        clock: StoreClock,
     ) -> None:
         self._settings = settings
         self._versions = versions
@@ -132,7 +135,11 @@
         )
         self._box_count = BoxCount(len(routing_state().topology.zones))
         self.origins = OriginExchange(
-            own=origins, history=software_history, keepers=self._origin_keepers
+            own=origins,
+            history=software_history,
+            keepers=self._origin_keepers,
+            board=board,
+            clock=clock,
         )
         self._dependencies = ZoneDependencies(
             incarnation=new_id(),
--- a/springrock/placement/placer_board.py
+++ b/springrock/placement/placer_board.py
@@ -89,10 +89,14 @@
         """Wait until the rows have been read for the first time."""
         self._known.wait()
 
+    def rows(self) -> list[PlacerRow]:
+        """Return the last known rows, also of placers that are gone."""
+        decoded = (placer_row_from(row) for row in self._rows.values())
+        return [row for row in decoded if row is not None]
+
     def boxes(self) -> set[str]:
         """Return the boxes that are known to hold a lease."""
-        decoded = (placer_row_from(row) for row in self._rows.values())
-        return {row.box for row in decoded if row is not None and row.incarnation}
+        return {row.box for row in self.rows() if row.incarnation}
 
     def record(self, row: Row) -> None:
         """Record a row that may be newer than the last reading, as from a failed write."""
--- a/springrock/placement/placer_row.py
+++ b/springrock/placement/placer_row.py
@@ -11,6 +11,22 @@
 KEY_PREFIX = "placer/"
 
 
+class SoftwareReport(Struct, frozen=True, kw_only=True):
+    """The software versions that replicas had within the life of a stream.
+
+    It outlives the boxes, so that those that start again know what served before.
+
+    Attributes:
+        as_of_ms: When they were known, on the store's steady clock.
+        era: The store's era of that time.
+        versions: The versions of each service.
+    """
+
+    as_of_ms: int
+    era: int
+    versions: dict[str, list[str]]
+
+
 class PlacerRow(Struct, frozen=True, kw_only=True):
     """The content of a placer's row.
 
@@ -21,6 +37,7 @@
         renewal: The number of renewals by the holder, so that each one changes the row.
         successor: In a released row: whether a box of the zone itself can acquire the lease.
         era: The store's era in which the fence was issued; 0 if unknown.
+        software: What the placer's box knows of software versions; None if it does not know enough.
     """
 
     box: str
@@ -30,6 +47,7 @@
     renewal: int = 0
     successor: bool = True
     era: int = 0
+    software: SoftwareReport | None = None
 
 
 def key_of(zone: str) -> str:
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -131,6 +131,7 @@
             checks_fence=settings.checks_fence,
             rows=dependencies.board,
             relay=self._relayed_writes,
+            software=dependencies.origins.report,
             log=dependencies.log_of("lease"),
         )
         self._permits = PermitCounter(
--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -5,17 +5,26 @@
 from collections.abc import Iterable
 
 import gevent
+import msgspec
 import pytest
 from gevent.queue import Queue
 
 from springrock.clock import monotonic
 from springrock.forwarding import software_history
 from springrock.forwarding.directory import ReplicaRecord
-from springrock.forwarding.software_history import STREAM_LIFE_S, SoftwareHistory
+from springrock.forwarding.software_history import (
+    STREAM_LIFE_S,
+    KnownVersions,
+    SoftwareHistory,
+)
 from springrock.forwarding.stream_origins import Origin, OriginBook
 from springrock.placement.messages import BegunStreams, Demand, encode
 from springrock.placement.origin_exchange import OriginExchange
 from springrock.placement.origin_questions import OriginQuestions
+from springrock.placement.placer_board import PlacerBoard
+from springrock.placement.placer_row import PlacerRow, key_of
+from springrock.rows import Row
+from springrock.store_clock import StoreClock
 
 V1, V2 = Origin("s", "v1"), Origin("s", "v2")
 
@@ -32,8 +41,15 @@
             )
             self.history.apply_record(record, record.instance)
         self.links: dict[str, Link] = {}
+        self.board = PlacerBoard(age_s=lambda: 0.0)
+        clock = StoreClock()
+        clock.record(monotonic(), sent_at=monotonic(), received_at=monotonic())
         self.exchange = OriginExchange(
-            own=self.own, history=self.history, keepers=lambda: dict(self.links)
+            own=self.own,
+            history=self.history,
+            keepers=lambda: dict(self.links),
+            board=self.board,
+            clock=clock,
         )
 
     def begin(self, request_id: str, origin: Origin) -> None:
@@ -128,6 +144,43 @@
     assert box.links["zone-2"].told == ["r0"]
 
 
+def test_boxes_that_all_start_again_know_from_the_placers_rows_what_served_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for versions, known in ((("v1",), "v1"), (("v1", "v2"), None)):
+        with monkeypatch.context() as patched:
+            began_at = monotonic()
+            placer = Box(*versions)
+            placer.history.update()
+            patched.setattr(
+                software_history, "monotonic", lambda at=began_at: at + STREAM_LIFE_S + 1
+            )
+            report = placer.exchange.report()
+            assert report is not None
+            row = PlacerRow(box="b", incarnation="", address="", fence=1, software=report)
+            started = Box("v1")
+            started.board.replace([Row(key_of("zone-0"), msgspec.json.encode(row), 1)])
+            started.exchange.update()
+            assert started.history.only_version("s") == known
+
+
+def test_a_report_from_long_before_the_start_shows_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    began_at = monotonic()
+    box = Box("v1")
+    monkeypatch.setattr(software_history, "monotonic", lambda: began_at + 100)
+    box.history.update()
+    box.history.apply_report(KnownVersions(began_at + 89, {"s": ["v1"]}))
+    assert box.history.only_version("s") is None
+    box.history.apply_report(KnownVersions(began_at + 91, {"s": ["v1"]}))
+    assert box.history.only_version("s") == "v1"
+
+
+def test_a_box_that_does_not_know_enough_reports_nothing() -> None:
+    assert Box("v1").exchange.report() is None
+
+
 def test_silent_placers_delay_a_request_only_briefly() -> None:
     box = Box("v1", "v2")
     box.links = {"zone-0": Link(Box(), answers=False), "zone-1": Link(Box(), answers=False)}
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -31,6 +31,7 @@
 from springrock.placement.zone_dependencies import ZoneDependencies
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import Row, TableReading
+from springrock.store_clock import StoreClock
 from tests.factories import make_limits, make_routing_state, make_warmup
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
@@ -108,6 +109,7 @@
             metrics=ForwardingMetrics(),
             origins=OriginBook(),
             software_history=SoftwareHistory(age_s=lambda: 0.0),
+            clock=StoreClock(),
         )
         for zone in ZONES:
             self.record(zone)
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -22,6 +22,7 @@
 from springrock.placement.zone import ZonePlacement
 from springrock.placement.zone_dependencies import ZoneDependencies
 from springrock.quotas.shares import QuotaTerms
+from springrock.store_clock import StoreClock
 from springrock.topology import Distance
 from tests.factories import make_limits, make_routing_state, make_warmup
 from tests.placement.test_lease import Store
@@ -54,7 +55,11 @@
         peer_boxes=PeerBoxes("127.0.0.1:1", distance=lambda zone: Distance.OWN_REGION),
         cut_off=lambda: False,
         origins=OriginExchange(
-            own=OriginBook(), history=SoftwareHistory(age_s=lambda: 0.0), keepers=dict
+            own=OriginBook(),
+            history=SoftwareHistory(age_s=lambda: 0.0),
+            keepers=dict,
+            board=PlacerBoard(age_s=lambda: 0.0),
+            clock=StoreClock(),
         ),
         on_table_news=lambda zone, reported: None if updates is None else updates.append(reported),
         on_placer_contact=lambda: None,
