Routed test: streams of a killed box go on only at the version that began them

Four boxes, two engines of each version: streams of a box that is killed are taken up at the others, an unknown one is refused, and one whose engines are gone is not continued by another version.

--- /dev/null
+++ b/tests/routed/test_software_versions.py
@@ -0,0 +1,118 @@
+"""Streams during a release of the replicas' software, with real processes."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from tests.processes import wait_until
+from tests.routed.deployment import MODEL, REPLICAS, Answer, Deployment
+
+VERSION_OF = {"engine-1": "v1", "engine-2": "v2", "engine-3": "v1", "engine-4": "v2"}
+STREAMS = 8
+
+
+@pytest.fixture
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    """Four boxes in two zones, each with an engine of either version, and slow streams."""
+    deployment = Deployment(
+        tmp_path_factory.mktemp("software"),
+        boxes=4,
+        software_of=dict(VERSION_OF),
+        replica_settings={"events": 20, "event_pause_ms": 100},
+    )
+    with deployment:
+        for name, zone in (("engine-3", "zone-1"), ("engine-4", "zone-2")):
+            deployment.start_replica(name, "language", zone, base_model=MODEL)
+        deployment.configure()
+        deployment.wait_ready(replicas=REPLICAS + 2)
+        deployment.placer_and_other(deployment.zones[0])
+        for box in deployment.clients:
+            deployment.send_until_served(box, "/items/x", adapter="a1")
+        yield deployment
+        assert deployment.violations() == {}
+
+
+def begin_streams(deployment: Deployment, box: str) -> dict[str, Answer]:
+    """Begin streams at a box, kill it while they run, and return what each brought."""
+    begun: dict[str, Answer] = {}
+
+    def _stream(request_id: str) -> None:
+        begun[request_id] = deployment.send(box, "/items/x", request_id=request_id, adapter="a1")
+
+    ids = [deployment.new_id() for _ in range(STREAMS)]
+    threads = [threading.Thread(target=_stream, args=(request_id,)) for request_id in ids]
+    for thread in threads:
+        thread.start()
+    wait_until(
+        lambda: all(deployment.runs(request_id) for request_id in ids), what="all streams run"
+    )
+    time.sleep(0.5)
+    deployment.processes.kill(box)
+    for thread in threads:
+        thread.join()
+    return {request_id: answer for request_id, answer in begun.items() if answer.event_ids}
+
+
+def take_up(deployment: Deployment, box: str, request_id: str, begun: Answer) -> Answer:
+    return deployment.send(
+        box,
+        "/items/x",
+        adapter="a1",
+        extra_headers={"Resumes": request_id, "Last-Event-Id": str(begun.event_ids[-1])},
+    )
+
+
+def test_streams_of_a_killed_box_go_on_elsewhere_only_at_the_version_that_began_them(
+    deployment: Deployment,
+) -> None:
+    _, other = deployment.placer_and_other("zone-1")
+    begun = begin_streams(deployment, other)
+    assert len(begun) >= STREAMS / 2
+    remaining = [box for box in deployment.clients if box != other]
+    went_on = 0
+    for number, (request_id, first) in enumerate(begun.items()):
+        rest = take_up(deployment, remaining[number % len(remaining)], request_id, first)
+        if rest.status != 200:
+            continue
+        went_on += 1
+        assert first.event_ids + rest.event_ids == list(range(1, 21))
+        assert len({*first.event_software, *rest.event_software}) == 1
+    assert went_on >= len(begun) / 2
+
+
+def test_an_unknown_stream_is_refused_while_two_versions_serve(deployment: Deployment) -> None:
+    refused = deployment.send(
+        "box-1",
+        "/items/x",
+        adapter="a1",
+        extra_headers={"Resumes": "ffffffffffffffff", "Last-Event-Id": "3"},
+    )
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) > 0
+
+
+def test_a_stream_whose_replicas_are_gone_ends_and_is_not_continued_at_another_version(
+    deployment: Deployment,
+) -> None:
+    answers: list[Answer] = []
+    threads = [
+        threading.Thread(
+            target=lambda: answers.append(deployment.send("box-1", "/items/x", adapter="a1"))
+        )
+        for _ in range(STREAMS)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.6)
+    for name in ("engine-1", "engine-3"):
+        deployment.processes.kill(name)
+        del deployment.addresses[name]
+    for thread in threads:
+        thread.join()
+    assert all(len(set(answer.event_software)) <= 1 for answer in answers)
+    whole = [answer for answer in answers if answer.event_ids == list(range(1, 21))]
+    assert {answer.event_software[0] for answer in whole} <= {"v2"}
