--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -178,6 +178,18 @@
         body_of(send(ConnectionPool(replica.address)))
 
 
+def test_an_answer_without_length_is_broken_if_its_replica_accepts_a_connection_as_it_dies() -> (
+    None
+):
+    part = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\npart of it"
+
+    def _die(connection: socket.socket) -> None:
+        replica.stop_listening()
+
+    with ScriptedReplica(script_sending(part), _die) as replica, pytest.raises(AnswerBroken):
+        body_of(send(ConnectionPool(replica.address)))
+
+
 def test_the_end_of_a_connection_to_a_replica_that_is_gone_is_no_sign_of_life() -> None:
     def _crash(connection: socket.socket) -> None:
         read_request(connection)
