Connections: one that confirms an answer has to last

A replica that was killed confirmed its cut answer where the kernel closed the connection before the listener. The box now looks for 5 ms whether the new connection ends, and opens another if it does: a replica at its connection limit accepts that one, one that has died does not.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -29,6 +29,9 @@
 
 _DEFAULT_IDLE_TIMEOUT_S = 4.0
 _MAX_IDLE_CONNECTIONS = 16
+_SETTLE_S = 0.005
+"""How long a replica that dies may still accept connections: its own may be closed first."""
+
 _BROKEN_ANSWER_ERRORS = (OSError, HTTPException, ValueError, EOFError)
 """Raised by the socket and the parser when a connection or an answer is broken."""
 
@@ -201,6 +204,16 @@
         limit_s = self.idle_timeout_s / 2 if conservative else self.idle_timeout_s - _IDLE_MARGIN_S
         return idle_s < limit_s and not self._has_unread_input() and not self._has_buffered_input()
 
+    def ends_within(self, seconds: float) -> bool:
+        """Whether the replica ends the connection, or it fails, within some seconds."""
+        self._socket.settimeout(seconds)
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
     def close(self) -> None:
         """Close the connection; safe to call again."""
         if self.closed:
@@ -282,7 +295,10 @@
         return self._open(timeout_s=timeout_s)
 
     def open_spare(self, *, ended: Connection, timeout_s: float) -> None:
-        """Open a connection now that a later request can use.
+        """Open a connection now that a later request can use, and see that it lasts.
+
+        One that the replica ends at once is replaced once: a replica at its connection limit
+        accepts that one too, one that has died does not.
 
         Args:
             ended: The connection that it replaces; the replica's idle timeout is taken from it.
@@ -292,6 +308,9 @@
             ReplicaUnreachable: If no connection can be opened.
         """
         spare = self._open(timeout_s=timeout_s)
+        if spare.ends_within(_SETTLE_S):
+            spare.close()
+            spare = self._open(timeout_s=timeout_s)
         spare.idle_timeout_s = ended.idle_timeout_s
         self._keep(spare)
 
