--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,9 +7,12 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_RELEASE = "924fd91cc65e"
+LAST_RELEASE = "1f33d5a0ba4d"
 """The previous release, which users upgrade from."""
 
+BEFORE_PASSING_ON = "924fd91cc65e"
+"""The last release whose boxes pass no requests on and are passed none."""
+
 BEFORE_LIMITS = "e68fd97b5235"
 """The last release whose placers issue no permits for replicas that name a limit."""
 
--- a/tests/routed/test_cut_off.py
+++ b/tests/routed/test_cut_off.py
@@ -8,7 +8,7 @@
 import pytest
 
 from springrock.clock import monotonic
-from tests.builds import LAST_RELEASE, build_at
+from tests.builds import BEFORE_PASSING_ON, build_at
 from tests.processes import wait_until
 from tests.routed.deployment import REPLICAS, Deployment
 
@@ -100,10 +100,10 @@
         deployment.send_until_served(box, "/join/x")
 
 
-def test_nothing_is_passed_on_to_boxes_of_the_previous_release(
+def test_nothing_is_passed_on_to_boxes_that_know_no_passing_on(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> None:
-    previous_build = build_at(LAST_RELEASE, tmp_path_factory.mktemp("build"))
+    previous_build = build_at(BEFORE_PASSING_ON, tmp_path_factory.mktemp("build"))
     folder = tmp_path_factory.mktemp("mixed")
     with Deployment(folder, boxes=2, build_of={"box-2": previous_build}) as deployment:
         deployment.configure()
