--- a/tests/routed/callers.py
+++ b/tests/routed/callers.py
@@ -17,15 +17,22 @@
         deployment: The deployment that the clients send to.
         boxes: The boxes that the clients call.
         requests: A path and an adapter for each request; the adapter may be empty.
+        deadline_ms: The deadline of each request.
 
     Attributes:
         answers: All answers so far.
     """
 
     def __init__(
-        self, deployment: Deployment, boxes: Iterable[str], requests: Iterable[tuple[str, str]]
+        self,
+        deployment: Deployment,
+        boxes: Iterable[str],
+        requests: Iterable[tuple[str, str]],
+        *,
+        deadline_ms: int = 5000,
     ) -> None:
         super().__init__()
+        self._deadline_ms = deadline_ms
         self._deployment = deployment
         self.answers: list[Answer] = []
         repeated = list(requests)
@@ -35,4 +42,6 @@
 
     def _send(self, box: str, path: str, adapter: str) -> None:
         while not self.stop.wait(timeout=PAUSE_S):
-            self.answers.append(self._deployment.send(box, path, adapter=adapter))
+            self.answers.append(
+                self._deployment.send(box, path, adapter=adapter, deadline_ms=self._deadline_ms)
+            )
