Reach: calls of the placer to engines are no sign that requests reach replicas

Cause: each answered call counted as a replica that was heard and ended the cut, so that requests waited for silent connections until the next probes failed. A call that fails stays a reason to probe.

--- a/springrock/forwarding/replica_reach.py
+++ b/springrock/forwarding/replica_reach.py
@@ -63,10 +63,11 @@
         self._is_suspected = True
 
     def record_control_call(self, answered: bool) -> None:
-        """Record whether an engine answered a call of this box's placer."""
-        if answered:
-            self.record_heard()
-        else:
+        """Record whether an engine answered a call of this box's placer.
+
+        An answer says nothing about requests, as it may have come over an older connection.
+        """
+        if not answered:
             self.record_unreachable()
 
     def record_probes_failed(self, probed: int) -> None:
--- a/tests/forwarding/test_replica_reach.py
+++ b/tests/forwarding/test_replica_reach.py
@@ -71,6 +71,22 @@
     assert not reach.needs_probe
 
 
+def test_an_engine_that_answers_its_placer_does_not_end_the_cut() -> None:
+    reach = make_reach()
+    probe_with(reach, reached=set())
+    reach.record_control_call(True)
+    assert reach.cut_off
+    assert reach.needs_probe
+
+
+def test_an_engine_that_does_not_answer_its_placer_is_a_reason_to_probe() -> None:
+    reach = make_reach()
+    reach.record_control_call(True)
+    assert not reach.needs_probe
+    reach.record_control_call(False)
+    assert reach.needs_probe
+
+
 def test_replicas_are_probed_only_with_a_reason(clock: Clock) -> None:
     reach = make_reach()
     clock.now += 60.0
