Reach: judged for each service, so that a box cut off from one passes its requests on

Cause: whatever was heard of any replica ended the cut, so that requests of that service waited for each silent connection in turn.

Change: silence, failed connections and probes count for the service of the replica; requests of a service that none of its probed replicas accepts are passed on. The box as a whole (what placers are told, its lease) is cut off if it is so from all services.

The tests of the probes name the service now and check the same. New ones: another service that is heard does not end the cut; a box is told once that it is cut off; a service without replicas is none to be cut off from.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -12,6 +12,7 @@
 from springrock.entry_settings import EntrySettings
 from springrock.eras import number_of
 from springrock.forwarding.balancing import Balancer
+from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.budget import RetryBudget, RetryDecision
 from springrock.forwarding.choosing import ReplicaChooser
 from springrock.forwarding.configuration import Configuration, RouteTable
@@ -27,7 +28,6 @@
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
 from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.reach_probe import ReachProbe
-from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay
@@ -128,8 +128,10 @@
             staleness_s=lambda: self._operator_table.staleness_s,
             log=self._log_of("evacuations"),
         )
-        self._reach = ReplicaReach(
-            self._log_of("reach"), on_change=lambda: self._placement.announce_reach()
+        self._reach = BoxReach(
+            self.directory.services,
+            self._log_of("reach"),
+            on_change=lambda: self._placement.announce_reach(),
         )
         self._reach_probe = ReachProbe(self._reach, self.directory)
         self._warmup = WarmupTracker(
--- /dev/null
+++ b/springrock/forwarding/box_reach.py
@@ -0,0 +1,73 @@
+"""Which services this box reaches replicas of."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from springrock.forwarding.replica_reach import ReplicaReach
+from springrock.log import Log
+
+
+class BoxReach:
+    """The reach of a box to the replicas of each service, and to all of them.
+
+    The box counts as cut off if it is cut off from every service that has replicas.
+
+    Args:
+        services: Returns the services that have replicas.
+        log: The log to write to.
+        on_change: Called when the box begins or ceases to be cut off.
+    """
+
+    def __init__(
+        self,
+        services: Callable[[], Collection[str]],
+        log: Log,
+        *,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._services = services
+        self._log = log
+        self._on_change = on_change
+        self._reaches: dict[str, ReplicaReach] = {}
+        self.cut_off = False
+
+    def of(self, service: str) -> ReplicaReach:
+        """Return the reach to the replicas of a service."""
+        reach = self._reaches.get(service)
+        if reach is None:
+            reach = ReplicaReach(self._log, service=service, on_change=self._service_changed)
+            self._reaches[service] = reach
+        return reach
+
+    def services_to_probe(self) -> list[str]:
+        """Return the services whose replicas should be probed now."""
+        self._update()
+        return [name for name in self._services() if self.of(name).needs_probe]
+
+    def record_control_call(self, answered: bool) -> None:
+        """Record whether an engine answered a call of this box's placer.
+
+        An answer says nothing about requests, as it may have come over an older connection.
+        """
+        if not answered:
+            self._suspect_all()
+
+    def _suspect_all(self) -> None:
+        for service in self._services():
+            self.of(service).record_unreachable()
+
+    def _service_changed(self) -> None:
+        if any(reach.cut_off for reach in self._reaches.values()):
+            self._suspect_all()
+        self._update()
+
+    def _update(self) -> None:
+        services = self._services()
+        for service in self._reaches.keys() - set(services):
+            self._reaches[service].clear()
+        was_cut_off = self.cut_off
+        reaches = [self.of(service) for service in services]
+        self.cut_off = bool(reaches) and all(reach.cut_off for reach in reaches)
+        if self.cut_off != was_cut_off:
+            self._on_change()
--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -168,6 +168,11 @@
         """Return the replicas of all services."""
         return list(self._replicas.values())
 
+    def services(self) -> set[str]:
+        """Return the services that have replicas which are not leaving."""
+        records = (replica.record for replica in self._replicas.values())
+        return {record.service for record in records if not record.leaving}
+
     def in_zone(self, zone: str) -> list[Replica]:
         """Return the known replicas of a zone, including leaving ones."""
         return [item for item in self._replicas.values() if item.record.zone == zone]
--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -1,4 +1,4 @@
-"""Passes requests on to another box while this one reaches no replica."""
+"""Passes requests on to another box while this one reaches no replica for them."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from springrock.bounded_dict import BoundedDict
 from springrock.clock import Deadline
 from springrock.errors import AnswerCut
+from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.connection import ConnectionPool
 from springrock.forwarding.dialect import Dialect
 from springrock.forwarding.errors import (
@@ -19,7 +20,6 @@
 )
 from springrock.forwarding.exchange import Answer
 from springrock.forwarding.message import AnswerHead
-from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.reply import Reply, own_reply, relayed_reply
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.log import Log
@@ -55,7 +55,7 @@
         log: The log to write to.
     """
 
-    def __init__(self, *, reach: ReplicaReach, peers: Peers, dialect: Dialect, log: Log) -> None:
+    def __init__(self, *, reach: BoxReach, peers: Peers, dialect: Dialect, log: Log) -> None:
         self._reach = reach
         self._peers = peers
         self._dialect = dialect
@@ -64,7 +64,11 @@
 
     def is_due(self, progress: RequestProgress) -> bool:
         """Whether a request that has not been sent to a replica should be passed on now."""
-        return self._reach.cut_off and self._may_pass(progress) and self._peers.any_usable
+        return (
+            self._reach.of(progress.service).cut_off
+            and self._may_pass(progress)
+            and self._peers.any_usable
+        )
 
     def is_last_resort(self, progress: RequestProgress, rejection: Rejection) -> bool:
         """Whether a request that is about to be rejected should be passed on instead.
@@ -166,7 +170,7 @@
             to=address,
             status=status,
             error=error,
-            cut_off=self._reach.cut_off,
+            cut_off=self._reach.of(progress.service).cut_off,
             attempts=progress.attempt_summaries(),
             age_ms=round(progress.age_s * 1000),
         )
--- a/springrock/forwarding/reach_probe.py
+++ b/springrock/forwarding/reach_probe.py
@@ -1,17 +1,17 @@
-"""Probes replicas when a box may be cut off from all of them."""
+"""Probes replicas when a box may be cut off from all replicas of a service."""
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import gevent
 
 from springrock.forwarding import connection
+from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.directory import Directory, Replica
 from springrock.forwarding.errors import ReplicaUnreachable
-from springrock.forwarding.replica_reach import ReplicaReach
 
 _INTERVAL_S = 0.25
 _CONNECT_TIMEOUT_S = 0.4
@@ -29,7 +29,7 @@
 
 
 class ReachProbe:
-    """Probes a few replicas at a time while there is a reason to.
+    """Probes a few replicas of a service at a time while there is a reason to.
 
     Args:
         reach: Tells when to probe; receives the results.
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        reach: ReplicaReach,
+        reach: BoxReach,
         directory: Directory,
         *,
         connect: Callable[[str], bool] = connects,
@@ -61,28 +61,30 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(_INTERVAL_S)
-            if self._reach.needs_probe:
-                self.probe()
+            due = self._reach.services_to_probe()
+            self._probe_services(due)
+            # A service that was found cut off makes the others suspect.
+            self._probe_services(set(self._reach.services_to_probe()) - set(due))
 
-    def probe(self) -> None:
-        """Probe one replica, and more at once if it cannot be reached."""
-        replicas = self._sample()
+    def _probe_services(self, services: Collection[str]) -> None:
+        gevent.joinall([gevent.spawn(self.probe, service) for service in services])
+
+    def probe(self, service: str) -> None:
+        """Probe some replicas of a service at once."""
+        replicas = self._sample(service)
         if not replicas:
             return
-        first, *others = replicas
-        if self._is_reached(first) or any(self._probe_all(others)):
-            self._reach.record_heard()
+        reach = self._reach.of(service)
+        if any(self._probe_all(replicas)):
+            reach.record_heard()
         else:
-            self._reach.record_probes_failed(len(replicas))
+            reach.record_probes_failed(len(replicas))
 
-    def _sample(self) -> list[Replica]:
-        replicas = [item for item in self._directory.all_replicas() if not item.record.leaving]
+    def _sample(self, service: str) -> list[Replica]:
+        replicas = [item for item in self._directory.of_service(service) if not item.record.leaving]
         return random.sample(replicas, min(_MAX_PROBED, len(replicas)))
 
     def _probe_all(self, replicas: list[Replica]) -> list[bool]:
-        tasks = [gevent.spawn(self._is_reached, replica) for replica in replicas]
+        tasks = [gevent.spawn(self._connect, replica.record.address) for replica in replicas]
         gevent.joinall(tasks)
         return [bool(task.value) for task in tasks]
-
-    def _is_reached(self, replica: Replica) -> bool:
-        return self._connect(replica.record.address)
--- a/springrock/forwarding/replica_reach.py
+++ b/springrock/forwarding/replica_reach.py
@@ -1,4 +1,4 @@
-"""Whether this box reaches any replica at all, from what its requests and probes see."""
+"""Whether this box reaches any replica of a service, from what its requests and probes see."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class ReplicaReach:
-    """Tells a box that is cut off from all replicas from one with some failed replicas.
+    """Tells a box that is cut off from all replicas of a service from one with some failed ones.
 
     A connection that could not be opened, or a silence while requests wait, is only a reason to
     probe several replicas. The box counts as cut off if none of these accepts a connection, until
@@ -20,11 +20,15 @@
 
     Args:
         log: The log to write to.
+        service: The service, for log lines.
         on_change: Called when the box begins or ceases to be cut off.
     """
 
-    def __init__(self, log: Log, *, on_change: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self, log: Log, *, service: str = "", on_change: Callable[[], None] = lambda: None
+    ) -> None:
         self._log = log
+        self._service = service
         self._on_change = on_change
         self._heard_at = monotonic()
         self._waiting = 0
@@ -34,7 +38,7 @@
 
     @property
     def cut_off(self) -> bool:
-        """Whether this box reaches no replica."""
+        """Whether this box reaches no replica of the service."""
         return self.cut_off_since is not None
 
     def begin_wait(self) -> None:
@@ -55,21 +59,20 @@
             return
         lasted_s = self._heard_at - self.cut_off_since
         self.cut_off_since = None
-        self._log.info("Reaches replicas again.", cut_off_s=round(lasted_s, 2))
+        self._log.info(
+            "Reaches replicas again.", service=self._service, cut_off_s=round(lasted_s, 2)
+        )
         self._on_change()
 
+    def clear(self) -> None:
+        """Record that the service has no replicas, so that there are none to reach."""
+        self._is_suspected = False
+        self.cut_off_since = None
+
     def record_unreachable(self) -> None:
         """Record that a connection to a replica could not be opened."""
         self._is_suspected = True
 
-    def record_control_call(self, answered: bool) -> None:
-        """Record whether an engine answered a call of this box's placer.
-
-        An answer says nothing about requests, as it may have come over an older connection.
-        """
-        if not answered:
-            self.record_unreachable()
-
     def record_probes_failed(self, probed: int) -> None:
         """Record that none of the probed replicas accepted a connection."""
         if self.cut_off_since is not None or not probed:
@@ -77,6 +80,7 @@
         self.cut_off_since = monotonic()
         self._log.info(
             "Reaches no replica.",
+            service=self._service,
             probed=probed,
             waiting=self._waiting,
             heard_ms_ago=round(1000 * (self.cut_off_since - self._heard_at)),
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -6,6 +6,7 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding.adapters import Adapters, UseOutcome
+from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.choosing import ChosenReplica
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
 from springrock.forwarding.dialect import Dialect, ReplicaNotice, SendTerms
@@ -23,7 +24,6 @@
 )
 from springrock.forwarding.exchange import Answer, exchange
 from springrock.forwarding.notices import ReplicaNotices
-from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.request_progress import Attempt, AttemptOutcome, RequestProgress
 from springrock.log import Log
 from springrock.permits.warmup import WarmupTracker
@@ -65,7 +65,7 @@
         byte_counters: Counts the bytes exchanged with replicas of other zones.
         crash_detector: Receives the outcomes that show whether a request crashes replicas.
         notices: Receives what the heads of answers say about their replicas.
-        reach: Receives what shows whether this box reaches replicas at all.
+        reach: Receives what shows whether this box reaches replicas of a service at all.
         count_attempt: Called with the outcome of each attempt.
     """
 
@@ -80,7 +80,7 @@
         log: Log,
         crash_detector: CrashDetector,
         notices: ReplicaNotices,
-        reach: ReplicaReach,
+        reach: BoxReach,
         count_attempt: Callable[[AttemptOutcome], None] = lambda outcome: None,
     ) -> None:
         self._dialect = dialect
@@ -97,7 +97,7 @@
     def start_attempt(self, progress: RequestProgress, replica: Replica) -> Attempt:
         """Start an attempt at a replica; the caller must pass it to `finish_attempt`."""
         replica.running += 1
-        self._reach.begin_wait()
+        self._reach.of(replica.record.service).begin_wait()
         return progress.start_attempt(
             replica.instance, record_age_s=monotonic() - replica.recorded_at
         )
@@ -105,7 +105,7 @@
     def finish_attempt(self, chosen: ChosenReplica, attempt: Attempt) -> None:
         """Finish an attempt: release its place at the replica and report its outcome."""
         chosen.replica.running -= 1
-        self._reach.end_wait()
+        self._reach.of(chosen.replica.record.service).end_wait()
         self._count_attempt(attempt.outcome)
         if chosen.use is not None:
             chosen.use.end(
@@ -156,7 +156,7 @@
             on_head=lambda head: self._handle_notice(
                 progress, replica, attempt, self._dialect.notice(head)
             ),
-            on_data=self._reach.record_heard,
+            on_data=self._reach.of(replica.record.service).record_heard,
         )
 
     def _handle_notice(
@@ -233,7 +233,7 @@
             refused = isinstance(error, ConnectionRefused)
             self._warmup.record_failed(replica.record, refused=refused)
             replica.health.record_unreachable()
-            self._reach.record_unreachable()
+            self._reach.of(replica.record.service).record_unreachable()
         elif isinstance(error, AnswerSilent) and progress.age_s < _MIN_SILENCE_AS_FAILURE_S:
             return
         elif isinstance(error, OutcomeUnknown):
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 
 from springrock.clock import monotonic
+from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.configuration import Configuration
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.forwarding.eligibility import RoutingState
 from springrock.forwarding.notices import ReplicaNotices
-from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.log import Log
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.warmup import WarmupTracker
@@ -67,9 +67,9 @@
     return ReplicaNotices(directory or Directory(log), limits=limits or make_limits(), log=log)
 
 
-def make_reach() -> ReplicaReach:
-    """Return the state of a box that reaches replicas."""
-    return ReplicaReach(Log("reach", "box-1"))
+def make_reach(*services: str) -> BoxReach:
+    """Return the reach of a box that reaches replicas of all services."""
+    return BoxReach(lambda: services, Log("reach", "box-1"))
 
 
 class RecordingPublisher:
--- a/tests/forwarding/test_replica_reach.py
+++ b/tests/forwarding/test_replica_reach.py
@@ -7,9 +7,9 @@
 import pytest
 
 from springrock.forwarding import replica_reach as reach_module
+from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.forwarding.reach_probe import ReachProbe
-from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.log import Log
 from tests.factories import make_reach
 
@@ -30,7 +30,7 @@
     yield clock
 
 
-def probe_with(reach: ReplicaReach, reached: set[str]) -> list[str]:
+def probe_with(reach: BoxReach, reached: set[str]) -> list[str]:
     """Probe a directory of replicas of which some are reached; return the probed addresses."""
     directory = Directory(Log("test", "box-1"))
     probed: list[str] = []
@@ -45,61 +45,97 @@
         probed.append(address)
         return address in reached
 
-    ReachProbe(reach, directory, connect=_connect).probe()
+    ReachProbe(reach, directory, connect=_connect).probe("s")
     return probed
 
 
 def test_a_box_is_cut_off_if_no_probed_replica_accepts_a_connection() -> None:
-    reach = make_reach()
+    reach = make_reach("s")
     assert len(probe_with(reach, reached=set())) == 4
     assert reach.cut_off
-    assert reach.needs_probe
+    assert reach.services_to_probe()
 
 
 def test_one_failed_replica_does_not_cut_a_box_off() -> None:
     for number in range(REPLICAS):
-        reach = make_reach()
+        reach = make_reach("s")
         probe_with(reach, reached={f"host:{other}" for other in range(REPLICAS) if other != number})
         assert not reach.cut_off
 
 
 def test_whatever_is_heard_of_a_replica_ends_the_cut() -> None:
-    reach = make_reach()
+    reach = make_reach("s")
     probe_with(reach, reached=set())
-    reach.record_heard()
+    reach.of("s").record_heard()
     assert not reach.cut_off
-    assert not reach.needs_probe
+    assert not reach.services_to_probe()
 
 
 def test_an_engine_that_answers_its_placer_does_not_end_the_cut() -> None:
-    reach = make_reach()
+    reach = make_reach("s")
     probe_with(reach, reached=set())
     reach.record_control_call(True)
     assert reach.cut_off
-    assert reach.needs_probe
+    assert reach.services_to_probe()
 
 
 def test_an_engine_that_does_not_answer_its_placer_is_a_reason_to_probe() -> None:
-    reach = make_reach()
+    reach = make_reach("s")
     reach.record_control_call(True)
-    assert not reach.needs_probe
+    assert not reach.services_to_probe()
     reach.record_control_call(False)
-    assert reach.needs_probe
+    assert reach.services_to_probe()
 
 
 def test_replicas_are_probed_only_with_a_reason(clock: Clock) -> None:
-    reach = make_reach()
+    reach = make_reach("s")
     clock.now += 60.0
-    assert not reach.needs_probe, "nothing waits"
-    reach.begin_wait()
+    assert not reach.services_to_probe(), "nothing waits"
+    reach.of("s").begin_wait()
     clock.now += 0.9
-    assert not reach.needs_probe
-    reach.record_heard()
+    assert not reach.services_to_probe()
+    reach.of("s").record_heard()
     clock.now += 0.9
-    assert not reach.needs_probe, "a replica was heard meanwhile"
+    assert not reach.services_to_probe(), "a replica was heard meanwhile"
     clock.now += 0.2
-    assert reach.needs_probe
-    reach.end_wait()
-    assert not reach.needs_probe
-    reach.record_unreachable()
-    assert reach.needs_probe
+    assert reach.services_to_probe()
+    reach.of("s").end_wait()
+    assert not reach.services_to_probe()
+    reach.of("s").record_unreachable()
+    assert reach.services_to_probe()
+
+
+def test_a_box_cut_off_from_one_service_still_reaches_the_others() -> None:
+    reach = make_reach("s", "other")
+    probe_with(reach, reached=set())
+    assert reach.of("s").cut_off
+    assert not reach.of("other").cut_off
+    assert not reach.cut_off
+    assert reach.services_to_probe() == ["s", "other"], "the others may be cut off as well"
+    reach.of("other").record_heard()
+    assert reach.services_to_probe() == ["s"]
+    assert reach.of("s").cut_off, "another service was heard"
+
+
+def test_a_box_cut_off_from_all_services_is_told_so_once() -> None:
+    told: list[bool] = []
+    reach = BoxReach(
+        lambda: ("s", "other"),
+        Log("reach", "box-1"),
+        on_change=lambda: told.append(reach.cut_off),
+    )
+    for service in ("s", "other"):
+        reach.of(service).record_probes_failed(4)
+    assert told == [True]
+    reach.of("other").record_heard()
+    assert told == [True, False]
+
+
+def test_a_service_without_replicas_is_not_one_that_a_box_is_cut_off_from() -> None:
+    services = {"s"}
+    reach = BoxReach(lambda: services, Log("reach", "box-1"))
+    reach.of("s").record_probes_failed(4)
+    services.clear()
+    assert reach.services_to_probe() == []
+    assert not reach.of("s").cut_off
+    assert not reach.cut_off
