Reach: a box that reaches fewer than half of a service's replicas passes its requests on

Cause: each replica out of reach was taken for one that failed, the one in reach got all requests, and its adapters were exchanged for those that the others hold.

Change: probes count how many replicas accept a connection. With fewer than half of the sample, up to eight others are probed, and with fewer than half of all of these the service counts as cut off until half are reached; what is heard of the few does not end that. The replica heard last is in each sample, so that a cut that leaves one replica is not taken for a full one, which any answer ends.

--- a/springrock/forwarding/reach_probe.py
+++ b/springrock/forwarding/reach_probe.py
@@ -18,6 +18,9 @@
 _MAX_PROBED = 4
 """More replicas than usually fail at once."""
 
+_MAX_CONFIRMING = 8
+"""How many others are probed where some, but few, accepted a connection."""
+
 
 def connects(address: str) -> bool:
     """Whether a replica accepts a connection."""
@@ -70,21 +73,25 @@
         gevent.joinall([gevent.spawn(self.probe, service) for service in services])
 
     def probe(self, service: str) -> None:
-        """Probe some replicas of a service at once."""
-        replicas = self._sample(service)
+        """Probe some replicas of a service at once, and more if few of them are reached."""
+        reach = self._reach.of(service)
+        replicas = self._in_random_order(service, first=reach.last_heard)
         if not replicas:
             return
-        reach = self._reach.of(service)
-        if any(self._probe_all(replicas)):
-            reach.record_heard()
-        else:
-            reach.record_probes_failed(len(replicas))
-
-    def _sample(self, service: str) -> list[Replica]:
+        sample, others = replicas[:_MAX_PROBED], replicas[_MAX_PROBED:][:_MAX_CONFIRMING]
+        reached = self._count_reached(sample)
+        if 0 < 2 * reached < len(sample):
+            reached += self._count_reached(others)
+            sample += others
+        reach.record_probes(reached=reached, probed=len(sample))
+
+    def _in_random_order(self, service: str, *, first: str) -> list[Replica]:
+        """Return the replicas of a service that stay, the one given before the others."""
         replicas = [item for item in self._directory.of_service(service) if not item.record.leaving]
-        return random.sample(replicas, min(_MAX_PROBED, len(replicas)))
+        random.shuffle(replicas)
+        return sorted(replicas, key=lambda replica: replica.instance != first)
 
-    def _probe_all(self, replicas: list[Replica]) -> list[bool]:
+    def _count_reached(self, replicas: list[Replica]) -> int:
         tasks = [gevent.spawn(self._connect, replica.record.address) for replica in replicas]
         gevent.joinall(tasks)
-        return [bool(task.value) for task in tasks]
+        return sum(bool(task.value) for task in tasks)
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -136,6 +136,7 @@
         """
         key = progress.request.adapter_key
         replica = chosen.replica
+        reach = self._reach.of(replica.record.service)
         terms = SendTerms(
             instance=replica.record.replica_id,
             left_s=progress.left_s,
@@ -156,7 +157,7 @@
             on_head=lambda head: self._handle_notice(
                 progress, replica, attempt, self._dialect.notice(head)
             ),
-            on_data=self._reach.of(replica.record.service).record_heard,
+            on_data=lambda: reach.record_heard(replica.instance),
         )
 
     def _handle_notice(
--- a/tests/forwarding/test_passing_on.py
+++ b/tests/forwarding/test_passing_on.py
@@ -57,7 +57,7 @@
 def make_passing_on(peers: ScriptedPeers, *, cut_off: bool = True) -> PassingOn:
     reach = make_reach("s")
     if cut_off:
-        reach.of("s").record_probes_failed(4)
+        reach.of("s").record_probes(reached=0, probed=4)
     return PassingOn(reach=reach, peers=peers, dialect=PlatformDialect(), log=Log("test", "box-1"))
 
 
--- a/tests/forwarding/test_replica_reach.py
+++ b/tests/forwarding/test_replica_reach.py
@@ -125,7 +125,7 @@
         on_change=lambda: told.append(reach.cut_off),
     )
     for service in ("s", "other"):
-        reach.of(service).record_probes_failed(4)
+        reach.of(service).record_probes(reached=0, probed=4)
     assert told == [True]
     reach.of("other").record_heard()
     assert told == [True, False]
@@ -134,8 +134,40 @@
 def test_a_service_without_replicas_is_not_one_that_a_box_is_cut_off_from() -> None:
     services = {"s"}
     reach = BoxReach(lambda: services, Log("reach", "box-1"))
-    reach.of("s").record_probes_failed(4)
+    reach.of("s").record_probes(reached=0, probed=4)
     services.clear()
     assert reach.services_to_probe() == []
     assert not reach.of("s").cut_off
     assert not reach.cut_off
+
+
+def test_a_box_that_reaches_few_replicas_is_cut_off_until_it_reaches_half_of_them() -> None:
+    reach = make_reach("s")
+    reach.of("s").record_heard("i-0")
+    assert len(probe_with(reach, reached={"host:0"})) == REPLICAS
+    assert reach.of("s").cut_off
+    reach.of("s").record_heard("i-0")
+    assert reach.of("s").cut_off, "the others are still out of reach"
+    probe_with(reach, reached=set())
+    reach.of("s").record_heard("i-0")
+    assert reach.of("s").cut_off
+    probe_with(reach, reached={f"host:{number}" for number in range(REPLICAS)})
+    assert not reach.of("s").cut_off
+    assert reach.services_to_probe() == []
+
+
+def test_the_replica_that_was_heard_last_is_among_those_that_are_probed() -> None:
+    for number in range(REPLICAS):
+        reach = make_reach("s")
+        reach.of("s").record_heard(f"i-{number}")
+        probed = probe_with(reach, reached=set())
+        assert len(probed) == 4
+        assert f"host:{number}" in probed
+
+
+def test_a_box_that_reaches_half_of_the_replicas_is_not_cut_off() -> None:
+    for _ in range(20):
+        reach = make_reach("s")
+        reach.of("s").record_heard("i-0")
+        probe_with(reach, reached={"host:0", "host:1", "host:2"})
+        assert not reach.of("s").cut_off
