Placer: a box that reaches no engine leaves its zone's lease, also if it reaches other services

Change: a box also counts as cut off if it is so from every service that has engines. It is then named to no other box as one that reaches replicas, and passes requests of other services to replicas as before.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -131,6 +131,7 @@
         self._reach = BoxReach(
             self.directory.services,
             self._log_of("reach"),
+            engine_services=lambda: self._routes.configuration.engine_services,
             on_change=lambda: self._placement.announce_reach(),
         )
         self._reach_probe = ReachProbe(self._reach, self.directory)
--- a/springrock/forwarding/box_reach.py
+++ b/springrock/forwarding/box_reach.py
@@ -11,11 +11,13 @@
 class BoxReach:
     """The reach of a box to the replicas of each service, and to all of them.
 
-    The box counts as cut off if it is cut off from every service that has replicas.
+    The box counts as cut off if it is cut off from every service that has replicas, or from every
+    one that has engines, as it can then neither place adapters nor serve requests for them.
 
     Args:
         services: Returns the services that have replicas.
         log: The log to write to.
+        engine_services: Returns the services whose replicas are engines.
         on_change: Called when the box begins or ceases to be cut off.
     """
 
@@ -24,9 +26,11 @@
         services: Callable[[], Collection[str]],
         log: Log,
         *,
+        engine_services: Callable[[], Collection[str]] = lambda: (),
         on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._services = services
+        self._engine_services = engine_services
         self._log = log
         self._on_change = on_change
         self._reaches: dict[str, ReplicaReach] = {}
@@ -67,7 +71,10 @@
         for service in self._reaches.keys() - set(services):
             self._reaches[service].clear()
         was_cut_off = self.cut_off
-        reaches = [self.of(service) for service in services]
-        self.cut_off = bool(reaches) and all(reach.cut_off for reach in reaches)
+        engine_services = set(services).intersection(self._engine_services())
+        self.cut_off = self._is_cut_off_from(services) or self._is_cut_off_from(engine_services)
         if self.cut_off != was_cut_off:
             self._on_change()
+
+    def _is_cut_off_from(self, services: Collection[str]) -> bool:
+        return bool(services) and all(self.of(service).cut_off for service in services)
--- a/tests/forwarding/test_replica_reach.py
+++ b/tests/forwarding/test_replica_reach.py
@@ -171,3 +171,18 @@
         reach.of("s").record_heard("i-0")
         probe_with(reach, reached={"host:0", "host:1", "host:2"})
         assert not reach.of("s").cut_off
+
+
+def test_a_box_cut_off_from_all_engines_counts_as_cut_off() -> None:
+    reach = BoxReach(
+        lambda: ("s", "engines", "other_engines"),
+        Log("reach", "box-1"),
+        engine_services=lambda: ("engines", "other_engines"),
+    )
+    reach.of("engines").record_probes(reached=0, probed=4)
+    assert not reach.cut_off
+    reach.of("other_engines").record_probes(reached=0, probed=4)
+    assert reach.cut_off
+    assert not reach.of("s").cut_off
+    reach.of("engines").record_heard()
+    assert not reach.cut_off
--- a/tests/routed/test_cut_off.py
+++ b/tests/routed/test_cut_off.py
@@ -195,6 +195,20 @@
     assert first_tries_served(deployment, placer, deadline_ms=1000) >= AIMED_SHARE
 
 
+def test_a_placer_that_reaches_no_engine_leaves_its_zone_to_one_that_does(
+    deployment: Deployment,
+) -> None:
+    zone = deployment.zones[0]
+    placer, _ = deployment.placer_and_other(zone)
+    cut(deployment, placer, services=("engine",))
+    others = [box for box in deployment.clients if box != placer]
+    wait_until(
+        lambda: any(deployment.is_placer(zone, at=box) for box in others),
+        what="another box places the zone",
+    )
+    assert first_tries_served(deployment, placer) >= AIMED_SHARE
+
+
 def test_while_all_boxes_reach_no_replica_requests_are_refused_and_served_afterwards(
     deployment: Deployment,
 ) -> None:
