Quarantine: connections that a cut resets are no crash of their replicas

Cause: a break counts as a crash unless a later attempt finds the replica out of reach within 0.2 s, and the box leaves a replica that failed alone for longer than that.

Change: before a crash is reported, the box itself tries a connection; if it fails, but is not refused, the replica is out of reach and the accusation is taken back, as the design says.

--- a/springrock/forwarding/reach_probe.py
+++ b/springrock/forwarding/reach_probe.py
@@ -11,7 +11,7 @@
 from springrock.forwarding import connection
 from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.directory import Directory, Replica
-from springrock.forwarding.errors import ReplicaUnreachable
+from springrock.forwarding.errors import ConnectionRefused, ReplicaUnreachable
 
 _INTERVAL_S = 0.25
 _CONNECT_TIMEOUT_S = 0.4
@@ -31,6 +31,17 @@
     return True
 
 
+def is_out_of_reach(address: str) -> bool:
+    """Whether connections to a replica fail, but are not refused: the network may be cut."""
+    try:
+        connection.Connection(address, connect_timeout_s=_CONNECT_TIMEOUT_S).close()
+    except ConnectionRefused:
+        return False
+    except ReplicaUnreachable:
+        return True
+    return False
+
+
 class ReachProbe:
     """Probes a few replicas of a service at a time while there is a reason to.
 
--- a/springrock/quarantine/crash_detector.py
+++ b/springrock/quarantine/crash_detector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -49,16 +50,27 @@
     A broken connection does not prove a crash: replicas reset connections, and network cuts break
     them. The failure is counted against the requests at once, as the next try may come at any
     moment. It is withdrawn if the replica answers a later request, or turns out to be unreachable
-    for this box. The end of a replica that was leaving counts against no request.
+    for this box, which is tried before it is reported. The end of a replica that was leaving counts
+    against no request.
 
     Args:
         box: The name of this box.
         book: Counts crashes against requests.
         reports: Publishes them to the other boxes.
         log: The log to write to.
+        is_out_of_reach: Whether connections to an address fail, but are not refused.
     """
 
-    def __init__(self, *, box: str, book: CrashBook, reports: Publisher, log: Log) -> None:
+    def __init__(
+        self,
+        *,
+        box: str,
+        book: CrashBook,
+        reports: Publisher,
+        log: Log,
+        is_out_of_reach: Callable[[str], bool] = lambda address: False,
+    ) -> None:
+        self._is_out_of_reach = is_out_of_reach
         self._box = box
         self._book = book
         self._reports = reports
@@ -106,6 +118,10 @@
 
     def _publish_report(self, crash: _SuspectedCrash) -> None:
         instance = crash.record.instance
+        if self._suspected.get(instance) is not crash:
+            return
+        if self._is_out_of_reach(crash.record.address):
+            self.record_unreachable(instance)
         if self._suspected.get(instance) is not crash:
             return
         del self._suspected[instance]
--- a/springrock/quarantine/quarantine.py
+++ b/springrock/quarantine/quarantine.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Sequence
 
+from springrock.forwarding.reach_probe import is_out_of_reach
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.quarantine.book import CrashBook
@@ -43,7 +44,11 @@
         metrics.quarantined.set_function(lambda: float(self.book.quarantined_count))
         self._reporter = Reporter(store, box=box, table=table, book=self.book, terms=terms, log=log)
         self.crash_detector = CrashDetector(
-            box=box, book=self.book, reports=self._reporter, log=log
+            box=box,
+            book=self.book,
+            reports=self._reporter,
+            log=log,
+            is_out_of_reach=is_out_of_reach,
         )
 
     def write_again(self, rows: Sequence[Row]) -> None:
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -83,7 +83,9 @@
 
 
 def make_crash_detector(
-    book: CrashBook | None = None, reports: RecordingPublisher | None = None
+    book: CrashBook | None = None,
+    reports: RecordingPublisher | None = None,
+    is_out_of_reach: Callable[[str], bool] = lambda address: False,
 ) -> CrashDetector:
     """Return a crash detector, with a new crash book and publisher unless given."""
     return CrashDetector(
@@ -91,4 +93,5 @@
         book=book or CrashBook(terms=QuarantineTerms, log=Log("quarantine", "box-1")),
         reports=reports or RecordingPublisher(),
         log=Log("quarantine", "box-1"),
+        is_out_of_reach=is_out_of_reach,
     )
--- a/tests/quarantine/test_crash_detector.py
+++ b/tests/quarantine/test_crash_detector.py
@@ -32,7 +32,10 @@
         terms = QuarantineTerms(crashes=1)
         self.book = CrashBook(terms=lambda: terms, log=Log("quarantine", "box-1"))
         self.reports = RecordingPublisher()
-        self.crash_detector: CrashDetector = make_crash_detector(self.book, self.reports)
+        self.out_of_reach: set[str] = set()
+        self.crash_detector: CrashDetector = make_crash_detector(
+            self.book, self.reports, is_out_of_reach=self.out_of_reach.__contains__
+        )
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         return self.book.quarantined_for_s(fingerprint) is not None
@@ -59,6 +62,16 @@
     assert setup.is_quarantined(CRASHING)
 
 
+def test_a_replica_that_is_out_of_reach_once_its_connections_broke_has_not_crashed(
+    setup: Setup,
+) -> None:
+    setup.out_of_reach.add(RECORD.address)
+    setup.crash_detector.record_break(CRASHING, RECORD)
+    assert setup.is_quarantined(CRASHING)
+    assert setup.wait_for_reports() == []
+    assert not setup.is_quarantined(CRASHING)
+
+
 def test_a_replica_that_answers_a_later_request_has_not_crashed(setup: Setup) -> None:
     setup.crash_detector.record_break(CRASHING, RECORD)
     setup.crash_detector.record_answered("i-1", sent_at=monotonic())
