Tests: crashes of most replicas, and replicas that fall silent together for a second

Boxes that pass requests on to each other since all of them reach few replicas still serve by the replica that is left; a stream that may not run twice goes on after a second of silence of all replicas.

--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -1,4 +1,4 @@
-"""Passes requests on to another box while this one reaches no replica for them."""
+"""Passes requests on to another box while this one is cut off from replicas for them."""
 
 from __future__ import annotations
 
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -251,7 +251,7 @@
         )
         self.cut_off = Gauge(
             "springrock_forwarding_cut_off",
-            "1 while this box reaches no replica.",
+            "1 while this box reaches few replicas of each service, or of each with engines.",
             registry=registry,
         )
         self.retries = Counter(
--- a/tests/routed/test_cut_off.py
+++ b/tests/routed/test_cut_off.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import concurrent.futures
 import contextlib
 import time
 from collections.abc import Callable, Iterator
@@ -209,6 +210,49 @@
     assert first_tries_served(deployment, placer) >= AIMED_SHARE
 
 
+def test_boxes_that_all_reach_few_replicas_serve_by_those_that_are_left(
+    large_deployment: Deployment,
+) -> None:
+    deployment = large_deployment
+    crashed = [f"rosters-{number}" for number in range(2, ENGINES + 1)]
+
+    def _crash() -> None:
+        for name in crashed:
+            deployment.processes.kill(name)
+
+    shares = shares_served_during(_crash, deployment, "box-1", "box-2")
+    assert min(shares) >= AIMED_SHARE
+    for name in crashed:
+        deployment.start_replica(name, "rosters", deployment.zones[0])
+        wait_until(lambda name=name: deployment.answers(name), what=f"{name} runs again")
+
+
+def test_replicas_that_fall_silent_together_for_a_second_go_on(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    settings = {"events": 30, "event_pause_ms": 100.0}
+    with _running(tmp_path_factory, replica_settings=settings) as deployment:
+        request = deployment.new_id()
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            sent = pool.submit(
+                deployment.send, "box-1", "/minutes/x", adapter="a1", request_id=request
+            )
+            wait_until(lambda: deployment.runs(request) == 1, what="the stream runs")
+            cut(deployment, "box-1")
+            time.sleep(1.0)
+            heal(deployment, "box-1")
+            answer = sent.result()
+        assert _is_served(answer)
+        assert answer.event_ids == list(range(1, 31))
+        assert deployment.runs(request) == 1
+        wait_until(
+            lambda: deployment.metric("box-1", "springrock_forwarding_cut_off") == 0.0,
+            what="box-1 reaches replicas again",
+        )
+        # Another stream of the same kind, which may not run twice, is served by box-1 itself.
+        assert _is_served(deployment.send("box-1", "/minutes/x", adapter="a1"))
+
+
 def test_while_all_boxes_reach_no_replica_requests_are_refused_and_served_afterwards(
     deployment: Deployment,
 ) -> None:
