Reach: what one replica sends does not put off the probes of the others

Cause: connections failed within 0.2 s, but each answer of the replica in reach took the reason to probe back before the next round of probes, which comes every 0.25 s.

Change: only probes, or the end of the cut, take it back. A service that is found cut off makes the others suspect, and no longer itself.

test_replica_reach: a replica that is heard after a connection failed, failing before. The test of two services ends the suspicion of the other one by a probe now, since hearing a replica no longer does.

--- a/springrock/forwarding/box_reach.py
+++ b/springrock/forwarding/box_reach.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Collection
 
 from springrock.forwarding.replica_reach import ReplicaReach
@@ -40,7 +41,11 @@
         """Return the reach to the replicas of a service."""
         reach = self._reaches.get(service)
         if reach is None:
-            reach = ReplicaReach(self._log, service=service, on_change=self._service_changed)
+            reach = ReplicaReach(
+                self._log,
+                service=service,
+                on_change=functools.partial(self._service_changed, service),
+            )
             self._reaches[service] = reach
         return reach
 
@@ -55,15 +60,15 @@
         An answer says nothing about requests, as it may have come over an older connection.
         """
         if not answered:
-            self._suspect_all()
+            self._suspect(self._services())
 
-    def _suspect_all(self) -> None:
-        for service in self._services():
+    def _suspect(self, services: Collection[str]) -> None:
+        for service in services:
             self.of(service).record_unreachable()
 
-    def _service_changed(self) -> None:
-        if any(reach.cut_off for reach in self._reaches.values()):
-            self._suspect_all()
+    def _service_changed(self, changed: str) -> None:
+        if self.of(changed).cut_off:
+            self._suspect(set(self._services()) - {changed})
         self._update()
 
     def _update(self) -> None:
--- a/springrock/forwarding/replica_reach.py
+++ b/springrock/forwarding/replica_reach.py
@@ -59,10 +59,10 @@
     def record_heard(self, instance: str = "") -> None:
         """Record that a replica sent something.
 
-        That ends a cut from all replicas, but not one from most of them.
+        That ends a cut from all replicas, but not one from most of them, and not the suspicion that
+        others are out of reach.
         """
         self._heard_at = monotonic()
-        self._is_suspected = False
         self.last_heard = instance or self.last_heard
         if not self._reaches_some:
             self._end_cut()
@@ -80,6 +80,7 @@
 
     def _begin_cut(self, reached: int, probed: int) -> None:
         self.cut_off_since = monotonic()
+        self._is_suspected = False
         self._log.info(
             "Reaches few replicas." if reached else "Reaches no replica.",
             service=self._service,
