--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -38,6 +38,8 @@
 CRASH_EXIT_STATUS = 70
 """Exit status of a replica that a request crashed, to distinguish it from a killed one."""
 
+_BRITTLE_WINDOW_S = 1.0
+
 _MAX_ARRIVALS = 10_000
 """Number of most recent requests whose arrival times the counters report."""
 
@@ -55,6 +57,9 @@
         reborn: The replica restarts once, at once, with the same id and without any earlier state.
         cold_s: The replica reports itself as cold for this long from now on.
         limit_per_s: The rate limit that all answers name; negative for none.
+        brittle_per_s: How many requests the replica may turn away in a second, as all answers name
+            it; the process exits when it turns more away. Negative if it is not brittle.
+        room: How many requests may run at once, others are turned away; negative for any number.
     """
 
     refuse: bool = False
@@ -66,6 +71,8 @@
     reborn: bool = False
     cold_s: float = 0.0
     limit_per_s: float = -1.0
+    brittle_per_s: float = -1.0
+    room: int = -1
 
 
 class _StreamRun(NamedTuple):
@@ -94,6 +101,8 @@
         self.runs: Counter[str] = Counter()
         self.teams: dict[str, str] = {}
         self._arrivals: deque[float] = deque(maxlen=_MAX_ARRIVALS)
+        self._turned_away: deque[float] = deque(maxlen=_MAX_ARRIVALS)
+        self._running = 0
         self.violations: Counter[str] = Counter()
         self._cold_until = monotonic() + settings.cold_s
         self._events_file = ReplicaEventFile(settings.events_path)
@@ -187,6 +196,8 @@
         headers = {names.LEAVING: "1"} if self._fault.leaving else {}
         if self._fault.limit_per_s >= 0:
             headers[names.LIMIT] = str(self._fault.limit_per_s)
+        if self._fault.brittle_per_s >= 0:
+            headers[names.BRITTLE] = str(self._fault.brittle_per_s)
         return headers
 
     def _state(self) -> dict[str, Any]:
@@ -266,6 +277,9 @@
             rest_s = self._fault.asks_rest_s
             self._record_request(ReplicaEventKind.REFUSED, adapter, asked_rest_s=rest_s)
             return self._answer(b"", status=503, headers={**headers, **self._refusal_headers()})
+        if 0 <= self._fault.room <= self._running:
+            self._turn_away(adapter)
+            return self._answer(b"", status=503, headers={**headers, **self._refusal_headers()})
         self.runs[request_id] += 1
         self._sockets.add(request.environ[SOCKET_KEY])
         self.teams[request_id] = request.get_header(names.TEAM, "")
@@ -282,9 +296,28 @@
             first_number = int(request.get_header(names.LAST_EVENT_ID) or "0") + 1
             headers |= self._status_headers()
             return bottle.HTTPResponse(self._stream_events(adapter, first_number), headers=headers)
-        gevent.sleep(self._settings.work_ms / 1000)
+        with self._occupied():
+            gevent.sleep(self._settings.work_ms / 1000)
         return self._answer(f"{request.method} /{path} {len(body)}".encode(), headers=headers)
 
+    def _turn_away(self, adapter: str) -> None:
+        """Record a request for which there is no room; fall over if there were too many."""
+        now = monotonic()
+        self._turned_away.append(now)
+        self._record_request(ReplicaEventKind.REFUSED, adapter)
+        in_window = sum(at > now - _BRITTLE_WINDOW_S for at in self._turned_away)
+        if 0 <= self._fault.brittle_per_s < in_window:
+            os._exit(CRASH_EXIT_STATUS)
+
+    @contextlib.contextmanager
+    def _occupied(self) -> Iterator[None]:
+        """Occupy room for a request that runs."""
+        self._running += 1
+        try:
+            yield
+        finally:
+            self._running -= 1
+
     def _refusal_headers(self) -> dict[str, str]:
         refusal = {names.NOT_EXECUTED: "1"}
         if self._fault.asks_rest_s:
@@ -315,6 +348,7 @@
         streams = self._streams
         run = _StreamRun(bottle.request.get_header(names.REQUEST_ID, ""), monotonic())
         streams[adapter].append(run)
+        self._running += 1
         try:
             for number in range(first_number, self._settings.events + 1):
                 if streams is not self._streams:
@@ -325,6 +359,7 @@
                 yield b"id: %d\ndata: token %d\n\n" % (number, number)
                 gevent.sleep(self._settings.event_pause_ms / 1000)
         finally:
+            self._running -= 1
             streams[adapter].remove(run)
 
     # Events and violations.
@@ -390,6 +425,7 @@
             "runs": dict(self.runs),
             "teams": self.teams,
             "arrivals": list(self._arrivals),
+            "turned_away": list(self._turned_away),
             "cold_left_s": self._cold_left_s,
             "warm_at": self._cold_until,
             "leaving_acknowledged": self._leaving_acknowledged,
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -40,6 +40,10 @@
 """On all answers of a replica with a rate limit: the requests a second that it accepts from all
 boxes together, as a decimal number."""
 
+BRITTLE = "Server-Brittle"
+"""On all answers of a replica that is brittle: how many requests it may turn away for want of room
+in a second, from all boxes together, without falling over; a decimal number."""
+
 NOTICE_PREFIX = "Server-"
 """Prefix of all headers with notices from replicas, including those of later protocol versions."""
 
