--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -16,7 +16,7 @@
 from springrock.forwarding.choosing import ReplicaChooser
 from springrock.forwarding.configuration import Configuration, RouteTable
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
-from springrock.forwarding.directory import Directory
+from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.forwarding.door import ForwardingDoor
 from springrock.forwarding.eligibility import RoutingState
 from springrock.forwarding.evacuation_watch import EvacuationWatch
@@ -35,6 +35,7 @@
 from springrock.log import Log
 from springrock.loop_watch import LoopWatch
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.brittle import BrittleReplicas, RefusalShares
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.own_shares import OwnShares
 from springrock.permits.permits import Permits
@@ -140,6 +141,9 @@
         )
         self.directory.on_change.append(self._warmup.apply_record)
         self._limits = NamedLimits(self._log_of("permits"))
+        self._brittle = BrittleReplicas(
+            NamedLimits(self._log_of("permits"), kind="brittle"), directory=self.directory
+        )
         self._store = CountedStore(
             PlatformStore(settings.store.address, on_era=self._record_era),
             calls=self.metrics.store_calls,
@@ -276,6 +280,7 @@
         self.metrics.replicas.set_function(lambda: float(self.directory.count))
         self.metrics.cold_replicas.set_function(lambda: float(self._warmup.cold_count))
         self.metrics.limited_replicas.set_function(lambda: float(self._limits.count))
+        self.metrics.brittle_replicas.set_function(lambda: float(self._brittle.words.count))
 
     def _add_table_metrics(self, table: str, follower: TableFollower) -> None:
         self.metrics.table_age_seconds.labels(table).set_function(lambda: follower.age_s)
@@ -298,6 +303,7 @@
         self._notices = ReplicaNotices(
             self.directory,
             limits=self._limits,
+            brittle=self._brittle.words,
             log=self._log_of("directory"),
             count=lambda notice: self.metrics.replica_notices.labels(notice).inc(),
         )
@@ -328,6 +334,7 @@
             slow_start_terms=lambda: self.settings.slow_start.terms,
             warmup=self._warmup,
             limits=self._limits,
+            brittle=self._brittle,
             state_for=StateProvider(
                 zones=settings.box.zones,
                 followers=self._followers,
@@ -362,22 +369,28 @@
         balancer = Balancer(
             routing_state=self._routing_state, rng=random.Random(), costs=settings.distance.costs
         )
+        permits = Permits(
+            counter=self._placement.counter,
+            on_unanswered=self.metrics.permits_unanswered.inc,
+            is_cold=self._warmup.is_cold,
+            limits=self._limits,
+            shares=OwnShares(
+                home_zone=settings.box.availability_zone,
+                boxes=lambda: self._placement.home_boxes,
+            ),
+            refusal_shares=RefusalShares(
+                home_zone=settings.box.availability_zone,
+                boxes=lambda: self._placement.home_boxes,
+            ),
+            brittle=self._brittle.per_s,
+        )
         chooser = ReplicaChooser(
             configuration=lambda: self._routes.configuration,
             directory=self.directory,
             balancer=balancer,
             adapters=self._placement,
             budget_of=self._budget_of,
-            permits=Permits(
-                counter=self._placement.counter,
-                on_unanswered=self.metrics.permits_unanswered.inc,
-                is_cold=self._warmup.is_cold,
-                limits=self._limits,
-                shares=OwnShares(
-                    home_zone=settings.box.availability_zone,
-                    boxes=lambda: self._placement.home_boxes,
-                ),
-            ),
+            permits=permits,
             check_key=lambda progress: gate.check_again(
                 progress.admission, progress.request.key_digest
             ),
@@ -394,6 +407,8 @@
             crash_detector=self._quarantine.crash_detector,
             notices=self._notices,
             reach=self._reach,
+            is_brittle=self._brittle.is_brittle,
+            record_use=permits.record_use,
             count_attempt=lambda outcome: self.metrics.attempts.labels(outcome).inc(),
         )
         forwarder = Forwarder(
@@ -498,9 +513,15 @@
             evacuations.cut_zones,
             self._warmup.is_cold,
             evacuations.announced,
-            is_limited=lambda record: self._limits.per_s(record.instance) is not None,
+            is_limited=self._is_limited,
         )
 
+    def _is_limited(self, record: ReplicaRecord) -> bool:
+        """Whether what a replica said bounds what all boxes together may send to it."""
+        if self._limits.per_s(record.instance) is not None:
+            return True
+        return self._brittle.is_brittle(record)
+
     def _quota_zones(self) -> list[str]:
         """Return the zones that count the teams' quotas, the own zone first.
 
--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -43,6 +43,8 @@
             states another limit or none; None if not stated.
         from_addressed_replica: Whether the answer comes from the addressed replica.
         unknown: Names of notices that this build does not know.
+        brittle_per_s: How many requests the replica may turn away in a second, from all boxes
+            together, without falling over; None if not stated.
     """
 
     leaving: bool = False
@@ -51,6 +53,7 @@
     limit_per_s: float | None = None
     from_addressed_replica: bool = True
     unknown: tuple[str, ...] = ()
+    brittle_per_s: float | None = None
 
 
 EMPTY_NOTICE = ReplicaNotice()
--- a/springrock/forwarding/notices.py
+++ b/springrock/forwarding/notices.py
@@ -31,6 +31,7 @@
     Args:
         directory: The known replicas.
         limits: Records the rate limits that replicas state in their notices.
+        brittle: Records how many requests brittle replicas may turn away.
         log: The log to write to.
         count: Called with the kind of each part of a notice, such as "leaving".
 
@@ -44,11 +45,13 @@
         directory: Directory,
         *,
         limits: NamedLimits,
+        brittle: NamedLimits,
         log: Log,
         count: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self._directory = directory
         self._limits = limits
+        self._brittle = brittle
         self._log = log
         self._count = count
         self._unknown: BoundedDict[None] = BoundedDict(at_most=_UNKNOWN_KEPT)
@@ -57,16 +60,20 @@
     def handle_answer(self, replica: Replica, notice: ReplicaNotice, *, sent_at: float) -> None:
         """Apply the notice in the answer to a client's request.
 
-        If the notice states no limit, the replica has no limit any more. That does not hold for
-        answers to control calls, such as orders and reports; pass their notices to `apply`.
+        If the notice states no limit, the replica has no limit any more; if it does not say that
+        it is brittle, it is no longer. That does not hold for answers to control calls, such as
+        orders and reports; pass their notices to `apply`.
 
         Args:
             replica: The replica that the request was sent to.
             notice: The notice in the answer.
             sent_at: When the request was sent, on the local monotonic clock.
         """
-        if notice.from_addressed_replica and notice.limit_per_s is None and not notice.unreadable:
-            self._limits.record_limit_absent(replica.instance, sent_at=sent_at)
+        if notice.from_addressed_replica and not notice.unreadable:
+            if notice.limit_per_s is None:
+                self._limits.record_limit_absent(replica.instance, sent_at=sent_at)
+            if notice.brittle_per_s is None:
+                self._brittle.record_limit_absent(replica.instance, sent_at=sent_at)
         self.apply(replica, notice, sent_at=sent_at)
 
     def apply(self, replica: Replica, notice: ReplicaNotice, *, sent_at: float) -> None:
@@ -99,6 +106,11 @@
         if notice.limit_per_s is not None:
             self._count("limit")
             self._limits.record_limit_named(replica.instance, notice.limit_per_s, sent_at=sent_at)
+        if notice.brittle_per_s is not None:
+            self._count("brittle")
+            self._brittle.record_limit_named(
+                replica.instance, notice.brittle_per_s, sent_at=sent_at
+            )
         for name in notice.unknown:
             self._record_unknown(replica, name)
         # This includes a replica whose row was removed: the row may come back, and the directory
--- a/springrock/forwarding/request_progress.py
+++ b/springrock/forwarding/request_progress.py
@@ -58,6 +58,7 @@
         began_s: Start of the attempt, in seconds after the request was received.
         record_age_s: Age of the replica's record at that time, in seconds.
         notice: What the head of the answer says about the replica itself.
+        request_id: The client's id of the request.
     """
 
     instance: str
@@ -65,6 +66,7 @@
     record_age_s: float
     outcome: AttemptOutcome = AttemptOutcome.UNDER_WAY
     notice: ReplicaNotice = NO_NOTICE
+    request_id: str = ""
 
     def __str__(self) -> str:
         """Return a summary of the attempt for log lines."""
@@ -163,7 +165,10 @@
     def start_attempt(self, instance: str, *, record_age_s: float) -> Attempt:
         """Add an attempt at a replica and return it."""
         attempt = Attempt(
-            instance=instance, began_s=round(self.age_s, 4), record_age_s=round(record_age_s, 3)
+            instance=instance,
+            began_s=round(self.age_s, 4),
+            record_age_s=round(record_age_s, 3),
+            request_id=self.request.request_id,
         )
         self.attempts.append(attempt)
         return attempt
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -8,8 +8,8 @@
 from springrock.forwarding.adapters import Adapters, UseOutcome
 from springrock.forwarding.choosing import ChosenReplica
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
-from springrock.forwarding.dialect import Dialect, ReplicaNotice, SendTerms
-from springrock.forwarding.directory import Replica
+from springrock.forwarding.dialect import Dialect, SendTerms
+from springrock.forwarding.directory import Replica, ReplicaRecord
 from springrock.forwarding.errors import (
     AnswerBroken,
     AnswerSilent,
@@ -22,10 +22,12 @@
     SendingForbidden,
 )
 from springrock.forwarding.exchange import Answer, exchange
+from springrock.forwarding.message import AnswerHead
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.forwarding.request_progress import Attempt, AttemptOutcome, RequestProgress
 from springrock.log import Log
+from springrock.permits.messages import PermitStage
 from springrock.permits.warmup import WarmupTracker
 from springrock.quarantine.crash_detector import CrashDetector
 
@@ -47,6 +49,9 @@
     AttemptOutcome.FAILED: UseOutcome.FAILED,
 }
 
+RecordUse = Callable[[ReplicaRecord, str, PermitStage], None]
+"""Records what became of a request that was sent to a replica."""
+
 _MIN_SILENCE_AS_FAILURE_S = 0.5
 """A request that timed out earlier than this after its arrival does not count as a failure of the
 replica: a route may allow less time than a healthy replica needs."""
@@ -66,6 +71,8 @@
         crash_detector: Receives the outcomes that show whether a request crashes replicas.
         notices: Receives what the heads of answers say about their replicas.
         reach: Receives what shows whether this box reaches replicas at all.
+        is_brittle: Whether a replica may fall over for the requests that it turns away.
+        record_use: Called with a replica, the client's id of a request and what became of it.
         count_attempt: Called with the outcome of each attempt.
     """
 
@@ -81,6 +88,8 @@
         crash_detector: CrashDetector,
         notices: ReplicaNotices,
         reach: ReplicaReach,
+        is_brittle: Callable[[ReplicaRecord], bool] = lambda record: False,
+        record_use: RecordUse = lambda record, request, stage: None,
         count_attempt: Callable[[AttemptOutcome], None] = lambda outcome: None,
     ) -> None:
         self._dialect = dialect
@@ -92,6 +101,8 @@
         self._crash_detector = crash_detector
         self._notices = notices
         self._reach = reach
+        self._is_brittle = is_brittle
+        self._record_use = record_use
         self._count_attempt = count_attempt
 
     def start_attempt(self, progress: RequestProgress, replica: Replica) -> Attempt:
@@ -107,6 +118,9 @@
         chosen.replica.running -= 1
         self._reach.end_wait()
         self._count_attempt(attempt.outcome)
+        full = attempt.outcome is AttemptOutcome.FULL
+        stage = PermitStage.REFUSED if full else PermitStage.ENDED
+        self._record_use(chosen.replica.record, attempt.request_id, stage)
         if chosen.use is not None:
             chosen.use.end(
                 _USE_OUTCOME_BY_ATTEMPT.get(attempt.outcome, UseOutcome.ENDED),
@@ -153,20 +167,20 @@
             head_timeout_s=head_timeout_s,
             may_send=lambda: self._may_send(progress, chosen),
             on_close=self._byte_counters.counter_for(replica.record.zone),
-            on_head=lambda head: self._handle_notice(
-                progress, replica, attempt, self._dialect.notice(head)
-            ),
+            on_head=lambda head: self._handle_head(progress, replica, attempt, head),
             on_data=self._reach.record_heard,
         )
 
-    def _handle_notice(
-        self, progress: RequestProgress, replica: Replica, attempt: Attempt, notice: ReplicaNotice
+    def _handle_head(
+        self, progress: RequestProgress, replica: Replica, attempt: Attempt, head: AnswerHead
     ) -> None:
         """Record what an answer's head says about its replica.
 
         Done when the head arrives, as the body of a stream may take long.
         """
-        attempt.notice = notice
+        notice = attempt.notice = self._dialect.notice(head)
+        if not self._dialect.not_run(head):
+            self._record_use(replica.record, progress.request.request_id, PermitStage.ADMITTED)
         sent_at = progress.request.received_at + attempt.began_s
         self._notices.handle_answer(replica, notice, sent_at=sent_at)
 
@@ -217,6 +231,8 @@
     ) -> None:
         """Pass on what an attempt without an answer shows about crashes of the replica."""
         match error:
+            case AnswerBroken() if self._is_brittle(replica.record):
+                pass  # A brittle replica falls over for what it turns away, not for what it runs.
             case AnswerBroken():
                 self._crash_detector.record_break(progress.fingerprint, replica.record)
             case ReplicaFull():
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -232,6 +232,11 @@
             "Replicas that take but so many requests a second from all boxes together.",
             registry=registry,
         )
+        self.brittle_replicas = Gauge(
+            "springrock_brittle_replicas",
+            "Replicas that fall over if they turn too many requests away in a second.",
+            registry=registry,
+        )
         self._teams: set[str] = set()
         self.quarantined = Gauge(
             "springrock_quarantine_requests",
--- a/springrock/permits/messages.py
+++ b/springrock/permits/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from msgspec import Struct
@@ -19,6 +20,8 @@
         grant: The box's number of the engine grant whose permit has expired; 0 if there was none.
         cold: Whether the box treats the replica as cold.
         limit_per_s: The named limit that the box knows of; None if it knows none.
+        brittle_per_s: How many requests the replica may turn away in a second, as far as the box
+            knows; None if it does not know the replica to be brittle.
     """
 
     number: int
@@ -29,6 +32,30 @@
     grant: int = 0
     cold: bool = True
     limit_per_s: float | None = None
+    brittle_per_s: float | None = None
+
+
+class PermitStage(IntEnum):
+    """What became of a request that was sent to a brittle replica with a permit."""
+
+    ADMITTED = 0
+    """The replica did not turn it away."""
+    REFUSED = 1
+    ENDED = 2
+    """It does not run any more."""
+
+
+class PermitUse(Struct, frozen=True, array_like=True):
+    """What became of a request with a permit at a brittle replica.
+
+    Attributes:
+        instance: The replica's incarnation.
+        request: The client's id of the request.
+    """
+
+    instance: str
+    request: str
+    stage: PermitStage
 
 
 class LimitReport(Struct, frozen=True, array_like=True):
@@ -74,12 +101,14 @@
         retry_after_s: If not granted, the seconds until the caller should retry; successive callers
             get successive times.
         limited: Whether a limit that the replica named was taken into account.
+        brittle: Whether it was taken into account that the replica may be brittle.
     """
 
     granted: bool
     room_in_s: float = 0.0
     retry_after_s: float = 0.0
     limited: bool = False
+    brittle: bool = False
 
 
 class Permitted(Struct, frozen=True, array_like=True, tag=11):
@@ -92,6 +121,8 @@
         retry_after_ms: If not granted, the milliseconds until the caller should retry.
         limited: Whether a limit that the replica named was taken into account. A placer of an
             earlier build does not send this field, as it knows no named limits.
+        brittle: Whether it was taken into account that the replica may be brittle. A placer of an
+            earlier build does not send this field.
     """
 
     number: int
@@ -100,6 +131,7 @@
     room_in_ms: int = 0
     retry_after_ms: int = 0
     limited: bool = False
+    brittle: bool = False
 
     @classmethod
     def from_verdict(cls, number: int, verdict: PermitVerdict) -> Permitted:
@@ -111,6 +143,7 @@
             room_in_ms=round(verdict.room_in_s * 1000),
             retry_after_ms=round(verdict.retry_after_s * 1000),
             limited=verdict.limited,
+            brittle=verdict.brittle,
         )
 
     @property
@@ -119,4 +152,4 @@
         if not self.counts:
             return None
         room_in_s, retry_after_s = self.room_in_ms / 1000, self.retry_after_ms / 1000
-        return PermitVerdict(self.granted, room_in_s, retry_after_s, self.limited)
+        return PermitVerdict(self.granted, room_in_s, retry_after_s, self.limited, self.brittle)
--- a/springrock/permits/named_limits.py
+++ b/springrock/permits/named_limits.py
@@ -61,21 +61,28 @@
 
     Args:
         log: The log to write to.
+        kind: What the replicas name, for logs.
 
     Attributes:
         on_limit_report: Called with each report that is to be sent to other boxes.
     """
 
-    def __init__(self, log: Log) -> None:
+    def __init__(self, log: Log, *, kind: str = "limit") -> None:
         self._log = log
+        self._kind = kind
         self._limits: BoundedDict[_StoredLimit] = BoundedDict(at_most=_MAX_REMEMBERED)
         self._repeated_at: BoundedDict[float] = BoundedDict(at_most=_MAX_REMEMBERED)
         self._from_placers: dict[str, _PlacerLimits] = {}
         self.on_limit_report: list[Callable[[LimitReport], None]] = []
 
+    @property
+    def empty(self) -> bool:
+        """Whether no limit has ever been named, nor is one reported by a placer."""
+        return not self._limits and not self._from_placers
+
     def per_s(self, instance: str) -> float | None:
         """Return the limit of a replica: the stricter of those from answers and from its placer."""
-        if not self._limits and not self._from_placers:
+        if self.empty:
             return None
         stored = self._limits.get(instance)
         found = [
@@ -218,7 +225,7 @@
     def _log_change(
         self, message: str, instance: str, *, per_s: float | None, before: float | None
     ) -> None:
-        self._log.info(message, instance=instance, per_s=per_s, before=before)
+        self._log.info(message, instance=instance, kind=self._kind, per_s=per_s, before=before)
 
 
 def _is_stricter(known: _StoredLimit, per_s: float) -> bool:
--- a/springrock/permits/permit_book.py
+++ b/springrock/permits/permit_book.py
@@ -10,7 +10,13 @@
 
 from springrock.clock import monotonic
 from springrock.errors import SpringrockError
-from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict, ReplicaObservation
+from springrock.permits.messages import (
+    PermitAsk,
+    Permitted,
+    PermitUse,
+    PermitVerdict,
+    ReplicaObservation,
+)
 from springrock.permits.terms import PERMIT_LIFE_S
 
 _ANSWER_TIMEOUT_S = 0.05
@@ -36,6 +42,7 @@
         self._pending: dict[int, AsyncResult[PermitVerdict | None]] = {}
         self._unsent_asks: list[PermitAsk] = []
         self._unsent_observations: list[ReplicaObservation] = []
+        self._unsent_uses: list[PermitUse] = []
 
     def ask(self, permit_ask: PermitAsk) -> tuple[PermitVerdict, float]:
         """Ask for a permit and wait for the answer.
@@ -71,6 +78,11 @@
             self._unsent_observations.append(observation)
         self._on_update(False)
 
+    def record_use(self, use: PermitUse) -> None:
+        """Queue for the placer what became of a request to a brittle replica."""
+        self._unsent_uses.append(use)
+        self._on_update(False)
+
     def record_permitted(self, permitted: Permitted) -> None:
         """Pass the placer's answer on to the request that waits for it, if it still does."""
         answer = self._pending.get(permitted.number)
@@ -81,6 +93,7 @@
         """End all asks without an answer, as the placer is lost; drop what was not sent."""
         self._unsent_asks.clear()
         self._unsent_observations.clear()
+        self._unsent_uses.clear()
         for answer in self._pending.values():
             answer.set(None)
 
@@ -89,3 +102,8 @@
         asks, self._unsent_asks = self._unsent_asks, []
         observations, self._unsent_observations = self._unsent_observations, []
         return asks, observations
+
+    def drain_uses(self) -> list[PermitUse]:
+        """Return what became of requests, to send to the placer, and clear it."""
+        uses, self._unsent_uses = self._unsent_uses, []
+        return uses
--- a/springrock/permits/permits.py
+++ b/springrock/permits/permits.py
@@ -7,7 +7,8 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding.directory import ReplicaRecord
-from springrock.permits.messages import PermitAsk, PermitVerdict
+from springrock.permits.brittle import RefusalShares
+from springrock.permits.messages import PermitAsk, PermitStage, PermitUse, PermitVerdict
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.own_shares import OwnShares
 from springrock.permits.permit_book import PermitsUnheard
@@ -35,6 +36,9 @@
             PermitsUnheard: If no answer comes.
         """
 
+    def record_permit_use(self, use: PermitUse) -> None:
+        """Report what became of a request to a brittle replica."""
+
 
 class Permit(NamedTuple):
     """The outcome of an ask.
@@ -57,6 +61,9 @@
         is_cold: Returns whether a replica is not known to be warm.
         limits: The limits that replicas have named.
         shares: What this box may send under named limits while no placer counts.
+        refusal_shares: What this box may send to brittle replicas while no placer counts.
+        brittle: Returns how many requests a replica may turn away in a second, by service and
+            incarnation; None if it is not brittle.
     """
 
     def __init__(
@@ -67,12 +74,16 @@
         is_cold: Callable[[ReplicaRecord], bool],
         limits: NamedLimits,
         shares: OwnShares,
+        refusal_shares: RefusalShares | None = None,
+        brittle: Callable[[str, str], float | None] = lambda service, instance: None,
     ) -> None:
         self._counter = counter
         self._on_unanswered = on_unanswered
         self._is_cold = is_cold
         self._limits = limits
         self._shares = shares
+        self._refusal_shares = refusal_shares
+        self._brittle = brittle
         self._skipped_until: dict[str, float] = {}
         self._no_room_until: dict[str, float] = {}
 
@@ -92,8 +103,19 @@
         now = monotonic()
         cold = self._is_cold(record)
         limit_per_s = self._limits.per_s(record.instance)
+        brittle_per_s = self._brittle(record.service, record.instance)
+
+        def _uncounted(*, cold: bool) -> Permit:
+            return self._uncounted(
+                record,
+                request=request,
+                cold=cold,
+                limit_per_s=limit_per_s,
+                brittle_per_s=brittle_per_s,
+            )
+
         if now < self._skipped_until.get(record.zone, 0.0):
-            return self._uncounted(record, cold=cold, limit_per_s=limit_per_s)
+            return _uncounted(cold=cold)
         no_room_until = self._no_room_until.get(record.instance, 0.0)
         if not reserve_retry and not grant and now < no_room_until:
             return Permit(None, no_room_until - now)
@@ -106,32 +128,69 @@
             grant=grant,
             cold=cold,
             limit_per_s=limit_per_s,
+            brittle_per_s=brittle_per_s,
         )
         try:
             verdict, valid_until = self._counter(record.zone).permit(permit_ask)
         except PermitsUnheard:
             self._on_unanswered()
             self._skipped_until[record.zone] = monotonic() + _SKIP_ZONE_S
-            return self._uncounted(record, cold=cold, limit_per_s=limit_per_s)
+            return _uncounted(cold=cold)
         if not verdict.granted:
             self._record_no_room(record.instance, verdict.room_in_s)
             return Permit(None, verdict.retry_after_s)
-        if limit_per_s is not None and not verdict.limited:
-            # A placer of an earlier build took only the cold start into account.
-            return self._uncounted(record, cold=False, limit_per_s=limit_per_s)
+        limit_ignored = limit_per_s is not None and not verdict.limited
+        if limit_ignored or (brittle_per_s is not None and not verdict.brittle):
+            # A placer of an earlier build did not take this into account.
+            return _uncounted(cold=False)
         return Permit(valid_until)
 
-    def _uncounted(self, record: ReplicaRecord, *, cold: bool, limit_per_s: float | None) -> Permit:
+    def record_use(self, record: ReplicaRecord, request: str, stage: PermitStage) -> None:
+        """Record what became of a request; only what concerns brittle replicas is used.
+
+        Args:
+            record: The replica.
+            request: The client's id of the request.
+            stage: What is known of it now.
+        """
+        if self._brittle(record.service, record.instance) is None:
+            return
+        use = PermitUse(record.instance, request, stage)
+        if self._refusal_shares is not None:
+            self._refusal_shares.record(use)
+        self._counter(record.zone).record_permit_use(use)
+
+    def _uncounted(
+        self,
+        record: ReplicaRecord,
+        *,
+        request: str,
+        cold: bool,
+        limit_per_s: float | None,
+        brittle_per_s: float | None,
+    ) -> Permit:
         """Return what this box may send without a placer: nothing to a cold replica."""
-        if cold or limit_per_s is None:
+        if cold or (limit_per_s is None and brittle_per_s is None):
             return Permit(None)
-        room_in_s = self._shares.take(record, limit_per_s)
+        room_in_s: float | None = 0.0
+        if brittle_per_s is not None:
+            room_in_s = self._refusal_room_in_s(record, brittle_per_s)
+        if room_in_s == 0.0 and limit_per_s is not None:
+            room_in_s = self._shares.take(record, limit_per_s)
         if room_in_s is None:
             return Permit(None)
         if room_in_s:
             return Permit(None, room_in_s)
+        if brittle_per_s is not None and self._refusal_shares is not None:
+            self._refusal_shares.take(record, request=request)
         return Permit(monotonic() + PERMIT_LIFE_S)
 
+    def _refusal_room_in_s(self, record: ReplicaRecord, per_s: float) -> float | None:
+        """Return the seconds until a brittle replica may get a request of this box's share."""
+        if self._refusal_shares is None:
+            return None
+        return self._refusal_shares.room_in_s(record, per_s)
+
     def _record_no_room(self, instance: str, room_in_s: float) -> None:
         now = monotonic()
         self._no_room_until = {
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -124,6 +124,7 @@
         leaving: Returns the known replicas that are leaving; sent in full to a newly linked placer.
         limits: Returns the limits of the zone's replicas as read from answers; sent in full to a
             newly linked placer.
+        brittle: As `limits`, for how many requests brittle replicas may turn away.
         cut_off: Returns whether this box reaches no replica.
 
     Attributes:
@@ -140,11 +141,13 @@
         has_placer: Callable[[], bool],
         leaving: Callable[[], Collection[str]] = tuple,
         limits: Callable[[], Collection[LimitReport]] = tuple,
+        brittle: Callable[[], Collection[LimitReport]] = tuple,
         cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._has_placer = has_placer
         self._leaving = leaving
         self._limits = limits
+        self._brittle = brittle
         self._cut_off = cut_off
         self._numbers = count(1)
         self._requesters: dict[int, _Requester] = {}
@@ -339,6 +342,12 @@
             self._updates.limits[limit.instance] = limit
             self._mark_changed()
 
+    def record_brittle(self, report: LimitReport) -> None:
+        """Report what a brittle replica named in an answer; a later report replaces it."""
+        if self._has_placer():
+            self._updates.brittle[report.instance] = report
+            self._mark_changed()
+
     def forget_placer(self) -> None:
         """Drop the forecasts and the state of charges and permits of a placer that was lost."""
         self._forecasts.clear()
@@ -371,6 +380,7 @@
         self._updates.expected_retries = list(self._expected_retries)
         self._updates.leaving.update(self._leaving())
         self._updates.limits.update((limit.instance, limit) for limit in self._limits())
+        self._updates.brittle.update((report.instance, report) for report in self._brittle())
         return self.drain_updates()
 
     def drain_updates(self) -> Demand:
@@ -413,6 +423,8 @@
             leaving=sorted(updates.leaving),
             limits=list(updates.limits.values()),
             cut_off=self._cut_off(),
+            brittle=list(updates.brittle.values()),
+            permit_uses=self.permits.drain_uses(),
         )
 
 
@@ -428,6 +440,7 @@
         self.copies: dict[AdapterKey, int] = {}
         self.leaving: set[str] = set()
         self.limits: dict[str, LimitReport] = {}
+        self.brittle: dict[str, LimitReport] = {}
 
 
 def _ask_from(requester: _Requester, now: float) -> Ask:
--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -21,6 +21,7 @@
     NamedLimit,
     PermitAsk,
     Permitted,
+    PermitUse,
     ReplicaObservation,
 )
 from springrock.placement.handover_messages import Handover
@@ -205,6 +206,9 @@
         leaving: Replicas that said in an answer that they are leaving.
         limits: Limits that the zone's replicas named in answers to this box.
         cut_off: Whether the box reaches no replica.
+        brittle: How many requests the zone's brittle replicas may turn away in a second, as they
+            named it in answers to this box.
+        permit_uses: What became of requests with permits at brittle replicas.
     """
 
     asks: list[Ask] = []
@@ -222,6 +226,8 @@
     leaving: list[str] = []
     limits: list[LimitReport] = []
     cut_off: bool = False
+    brittle: list[LimitReport] = []
+    permit_uses: list[PermitUse] = []
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=3):
@@ -274,6 +280,7 @@
             answer.
         row_era: The store's era of `row_version`; 0 if unknown.
         reaching: Addresses of some boxes that reach replicas and accept requests of others.
+        brittle: How many requests the brittle replicas of the zone may turn away in a second.
     """
 
     row_version: int
@@ -290,6 +297,7 @@
     successor: Successor | None = None
     row_era: int = 0
     reaching: tuple[str, ...] = ()
+    brittle: tuple[NamedLimit, ...] = ()
 
 
 class EngineHolds(Struct, frozen=True, array_like=True):
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -22,6 +22,7 @@
 from springrock.ids import new_id
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.brittle import BrittleReplicas
 from springrock.permits.messages import LimitReport
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.terms import SlowStartTerms
@@ -71,6 +72,7 @@
         slow_start_terms: Returns how the bound on requests to cold replicas is enforced.
         warmup: Knows which replicas are cold.
         limits: The limits that replicas have named.
+        brittle: Which replicas are brittle.
         state_for: Returns the state to send to a box that asks for it.
         cut_off: Returns whether this box reaches no replica.
         log_of: Returns the log of a part.
@@ -100,6 +102,7 @@
         slow_start_terms: Callable[[], SlowStartTerms],
         warmup: WarmupTracker,
         limits: NamedLimits,
+        brittle: BrittleReplicas,
         state_for: Callable[[Hello], KnownState],
         cut_off: Callable[[], bool],
         log_of: Callable[[str], Log],
@@ -136,6 +139,7 @@
             slow_start_terms=slow_start_terms,
             warmup=warmup,
             limits=limits,
+            brittle=brittle,
             box_count=self._box_count,
             peer_boxes=self.peer_boxes,
             cut_off=cut_off,
@@ -157,6 +161,7 @@
         )
         self._warmup = warmup
         self._limits = limits
+        self._brittle = brittle
         self._zones: dict[str, ZonePlacement] = {}
         self._engines: dict[str, list[ReplicaRecord]] | None = None
         self._server = LinkServer(
@@ -174,6 +179,7 @@
         self._directory.on_change.append(self._replica_changed)
         self._warmup.on_observation.append(self._notify_observation)
         self._limits.on_limit_report.append(self._notify_limit)
+        self._brittle.words.on_limit_report.append(self._notify_brittle)
 
     def hand_over(self) -> None:
         """Hand this box's placer roles over to other boxes, before it stops."""
@@ -254,6 +260,12 @@
         if replica is not None:
             self._zone(replica.record.zone).demand.record_limit(limit)
 
+    def _notify_brittle(self, report: LimitReport) -> None:
+        """Report what a brittle replica named to the placer of its zone."""
+        replica = self._directory.find(report.instance)
+        if replica is not None:
+            self._zone(replica.record.zone).demand.record_brittle(report)
+
     def announce_reach(self) -> None:
         """Report at once to the placers that this box begins or ceases to reach replicas."""
         for zone in self._zones.values():
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -13,7 +13,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.metrics import BytesKind
 from springrock.permits.counter import PermitCounter
-from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict
+from springrock.permits.messages import PermitAsk, Permitted, PermitUse, PermitVerdict
 from springrock.permits.permit_book import PermitsUnheard
 from springrock.placement.demand import DemandBook
 from springrock.placement.election import Election
@@ -87,6 +87,7 @@
         self._metrics = dependencies.metrics
         self._warmup = dependencies.warmup
         self._limits = dependencies.limits
+        self._brittle = dependencies.brittle.words
         self._on_table_news = dependencies.on_table_news
         self._on_handover = dependencies.on_handover
         self._on_placer_contact = dependencies.on_placer_contact
@@ -97,6 +98,7 @@
             has_placer=lambda: self.reachable,
             leaving=dependencies.directory.leaving,
             limits=lambda: dependencies.limits.reports_for(self._instances()),
+            brittle=lambda: self._brittle.reports_for(self._instances()),
             cut_off=dependencies.cut_off,
         )
         self.room = 0
@@ -138,6 +140,7 @@
             answer=self._send,
             on_counted=dependencies.metrics.count_permit,
             log=dependencies.log_of("permits"),
+            brittle=dependencies.brittle.per_s,
         )
         self._placer = Placer(
             zone,
@@ -247,6 +250,8 @@
         """Apply a box's update of its requests for engines and its uses of them."""
         if demand.charges or demand.refunds:
             self._quota_counter.answer(box, demand.charges, demand.refunds)
+        if demand.permit_uses:
+            self._permits.record_uses(box, demand.permit_uses)
         if demand.permits:
             self._permits.answer(box, demand.permits)
         for observation in demand.observations:
@@ -255,6 +260,8 @@
             self._directory.record_leaving(instance, LeavingSource.BOX)
         for report in demand.limits:
             self._limits.apply_limit_report(report)
+        for report in demand.brittle:
+            self._brittle.apply_limit_report(report)
         for written in demand.written:
             self._relayed_writes.record_written(written)
         self._placer.apply_demand(box, demand)
@@ -290,6 +297,11 @@
             raise PermitsUnheard()
         return self.demand.permits.ask(adapter_request)
 
+    def record_permit_use(self, use: PermitUse) -> None:
+        """Report to the zone's placer what became of a request to a brittle replica."""
+        if self.reachable:
+            self.demand.permits.record_use(use)
+
     # Messages of the placer.
 
     def _byte_counter_for(self, zone: str) -> Callable[[float], None]:
@@ -316,6 +328,7 @@
             limits=self._limits.in_force(self._instances()),
             home_boxes=self.links.count_of(self._zone) + (self._settings.zone == self._zone),
             reaching=tuple(self._reaching_boxes()),
+            brittle=self._brittle.in_force(self._instances()),
         )
 
     def _reaching_boxes(self) -> list[str]:
@@ -393,6 +406,7 @@
             self._directory.record_leaving(instance, LeavingSource.BOX)
         self._warmup.apply_suspected(self._zone, heartbeat.suspected)
         self._limits.apply_placer_limits(self._zone, heartbeat.limits)
+        self._brittle.apply_placer_limits(self._zone, heartbeat.brittle)
         # A placer with an earlier build sends only the number of all boxes.
         self.home_boxes = heartbeat.home_boxes or heartbeat.boxes
         is_home = self._zone == self._settings.zone
--- a/springrock/placement/zone_dependencies.py
+++ b/springrock/placement/zone_dependencies.py
@@ -11,6 +11,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.brittle import BrittleReplicas
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.terms import SlowStartTerms
 from springrock.permits.warmup import WarmupTracker
@@ -42,6 +43,7 @@
         slow_start_terms: Returns the rules for the bound on requests to cold replicas.
         warmup: Which replicas are cold.
         limits: The limits that replicas have named.
+        brittle: Which replicas are brittle.
         box_count: Records how many boxes the placers report.
         peer_boxes: Records the boxes that reach replicas, as placers report them.
         cut_off: Returns whether this box reaches no replica.
@@ -68,6 +70,7 @@
     slow_start_terms: Callable[[], SlowStartTerms]
     warmup: WarmupTracker
     limits: NamedLimits
+    brittle: BrittleReplicas
     box_count: BoxCount
     peer_boxes: PeerBoxes
     cut_off: Callable[[], bool]
--- a/springrock/platform/notices.py
+++ b/springrock/platform/notices.py
@@ -13,10 +13,12 @@
 _LEAVING_VALUE = "1"
 _LEAVING = names.LEAVING.lower()
 _LIMIT = names.LIMIT.lower()
+_BRITTLE = names.BRITTLE.lower()
 _RETRY_AFTER = HEADER.lower()
+_RATE_NAMES = {_LIMIT: names.LIMIT, _BRITTLE: names.BRITTLE}
 _NOTICE_PREFIX = names.NOTICE_PREFIX.lower()
 
-_KNOWN_HEADERS = frozenset((_LEAVING, _LIMIT, _RETRY_AFTER))
+_KNOWN_HEADERS = frozenset((_LEAVING, _LIMIT, _BRITTLE, _RETRY_AFTER))
 
 _MAX_LOGGED_CHARS = 40
 """Characters of a malformed value or unknown name that are logged."""
@@ -37,15 +39,15 @@
     if not reported:
         return EMPTY_NOTICE
     backoffs: list[float] = []
-    limits: list[float] = []
+    rates: dict[str, list[float]] = {_LIMIT: [], _BRITTLE: []}
     unreadable = ""
     for name, value in reported:
-        if name == _LIMIT:
-            limit = read_non_negative(value)
-            if limit is None:
-                unreadable = f"{names.LIMIT}: {value[:_MAX_LOGGED_CHARS]}"
+        if name in rates:
+            rate = read_non_negative(value)
+            if rate is None:
+                unreadable = f"{_RATE_NAMES[name]}: {value[:_MAX_LOGGED_CHARS]}"
             else:
-                limits.append(limit)
+                rates[name].append(rate)
         elif name == _RETRY_AFTER and status == _UNAVAILABLE:
             try:
                 backoffs.append(read_retry_after(value))
@@ -58,7 +60,8 @@
         ),
         backoff_s=max(backoffs, default=0.0),
         unreadable=unreadable,
-        limit_per_s=min(limits, default=None),
+        limit_per_s=min(rates[_LIMIT], default=None),
+        brittle_per_s=min(rates[_BRITTLE], default=None),
         unknown=tuple(
             name[:_MAX_LOGGED_CHARS] for name, _ in reported if name not in _KNOWN_HEADERS
         ),
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -11,6 +11,7 @@
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.replica_reach import ReplicaReach
 from springrock.log import Log
+from springrock.permits.brittle import BrittleReplicas
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.warmup import WarmupTracker
 from springrock.quarantine.book import CrashBook
@@ -59,12 +60,21 @@
     return NamedLimits(Log("permits", "box-1"))
 
 
+def make_brittle(directory: Directory | None = None) -> BrittleReplicas:
+    """Return the record of brittle replicas, none of which is known to be brittle."""
+    return BrittleReplicas(
+        make_limits(), directory=directory or Directory(Log("directory", "box-1"))
+    )
+
+
 def make_notices(
     directory: Directory | None = None, limits: NamedLimits | None = None
 ) -> ReplicaNotices:
     """Return a handler of notices, on new directory and limits unless given."""
     log = Log("directory", "box-1")
-    return ReplicaNotices(directory or Directory(log), limits=limits or make_limits(), log=log)
+    return ReplicaNotices(
+        directory or Directory(log), limits=limits or make_limits(), brittle=make_limits(), log=log
+    )
 
 
 def make_reach() -> ReplicaReach:
--- a/tests/forwarding/test_notices.py
+++ b/tests/forwarding/test_notices.py
@@ -116,6 +116,29 @@
     assert _read(200, "-1").limit_per_s is None
 
 
+def test_how_brittle_a_replica_is_is_read_and_ends_with_an_answer_that_does_not_say_it(
+    box: Box,
+) -> None:
+    words = make_limits()
+    box.notices = ReplicaNotices(
+        box.directory, limits=make_limits(), brittle=words, log=Log("directory", "box-1")
+    )
+    replica = box.directory.find("i-1@5")
+    assert replica is not None
+    headers = Headers.from_pairs([("Server-Brittle", "8"), ("server-brittle", "6.5")])
+    brittle = notice_from(200, headers)
+    assert (brittle.brittle_per_s, brittle.unknown) == (6.5, ())
+    assert notice_from(421, headers).brittle_per_s is None
+    unreadable = notice_from(200, Headers.from_pairs([("Server-Brittle", "very")]))
+    assert unreadable == ReplicaNotice(unreadable="Server-Brittle: very")
+    box.notices.handle_answer(replica, brittle, sent_at=monotonic())
+    box.notices.handle_answer(replica, unreadable, sent_at=monotonic())
+    box.notices.apply(replica, ReplicaNotice(), sent_at=monotonic())
+    assert words.per_s("i-1@5") == 6.5
+    box.notices.handle_answer(replica, ReplicaNotice(), sent_at=monotonic())
+    assert words.per_s("i-1@5") is None
+
+
 def test_a_backoff_applies_to_all_incarnations_with_the_id(box: Box) -> None:
     replica = box.directory.find("i-1@5")
     assert replica is not None
@@ -141,7 +164,11 @@
     )
     box = Box()
     box.notices = ReplicaNotices(
-        box.directory, limits=make_limits(), log=Log("directory", "box-1"), count=counted.append
+        box.directory,
+        limits=make_limits(),
+        brittle=make_limits(),
+        log=Log("directory", "box-1"),
+        count=counted.append,
     )
     box.add_incarnation(5)
     replica = box.directory.find("i-1@5")
--- a/tests/forwarding/test_sending.py
+++ b/tests/forwarding/test_sending.py
@@ -9,15 +9,17 @@
 from springrock.forwarding.choosing import ChosenReplica
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
 from springrock.forwarding.directory import Replica, ReplicaRecord
-from springrock.forwarding.errors import SendingForbidden
+from springrock.forwarding.errors import ExchangeError, SendingForbidden
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.forwarding.sending import Sender
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.messages import PermitStage
 from springrock.platform.dialect import PlatformDialect
+from springrock.quarantine.crash_detector import CrashDetector
 from springrock.topology import Topology
 from tests.factories import make_crash_detector, make_notices, make_reach, make_warmup
-from tests.forwarding.scripted import ScriptedReplica, read_request
+from tests.forwarding.scripted import Script, ScriptedReplica, read_request
 from tests.forwarding.test_choosing import ScriptedAdapters
 from tests.forwarding.test_values import make_request, make_route
 
@@ -51,3 +53,74 @@
     assert progress.tried_instances == {"i"}, "the next attempt is at another replica"
     assert not replica.health.resting
     assert replica.health.failure_rate == 0.0
+
+
+def _answer_with(status: str, *headers: str) -> Script:
+    """Return a script that answers one request with an empty body."""
+    lines = [f"HTTP/1.1 {status}", "Springrock-Request-Id: r1", "Content-Length: 0", *headers]
+    answer = "\r\n".join([*lines, "", ""]).encode()
+
+    def _read_and_answer(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(answer)
+
+    return _read_and_answer
+
+
+def _break(connection: socket.socket) -> None:
+    read_request(connection)
+
+
+class StageSender:
+    """A sender that records what became of requests, and which breaks may be crashes."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, *, brittle: bool) -> None:
+        self.stages: list[PermitStage] = []
+        self.breaks = 0
+        monkeypatch.setattr(CrashDetector, "record_break", self._record_break)
+        self._sender = Sender(
+            dialect=PlatformDialect(),
+            adapters=ScriptedAdapters(waits=0),
+            warmup=make_warmup(),
+            crash_detector=make_crash_detector(),
+            notices=make_notices(),
+            reach=make_reach(),
+            is_brittle=lambda record: brittle,
+            record_use=lambda record, request, stage: self.stages.append(stage),
+            may_send=lambda progress, chosen: True,
+            log=Log("test", "box-1"),
+            byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
+        )
+
+    def _record_break(self, *arguments: object) -> None:
+        self.breaks += 1
+
+    def send(self, script: Script) -> None:
+        """Send a request to a replica that runs a script, as a forwarder does."""
+        with ScriptedReplica(script) as scripted:
+            record = ReplicaRecord(instance="i", service="s", address=scripted.address, zone="z-1")
+            chosen = ChosenReplica(Replica(record), None)
+            progress = RequestProgress(make_request(deadline_s=5.0), make_route(), "s")
+            attempt = self._sender.start_attempt(progress, chosen.replica)
+            try:
+                self._sender.send(progress, chosen, attempt, head_timeout_s=2.0).close()
+            except ExchangeError as error:
+                self._sender.record_failure(progress, chosen.replica, attempt, error)
+            self._sender.finish_attempt(chosen, attempt)
+
+
+def test_what_becomes_of_a_request_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    sender = StageSender(monkeypatch, brittle=True)
+    sender.send(_answer_with("200 OK"))
+    assert sender.stages == [PermitStage.ADMITTED, PermitStage.ENDED]
+    sender.send(_answer_with("503 Full", "Springrock-Not-Executed: 1"))
+    assert sender.stages[2:] == [PermitStage.REFUSED]
+
+
+@pytest.mark.parametrize(("brittle", "breaks"), [(True, 0), (False, 1)])
+def test_the_fall_of_a_brittle_replica_is_no_crash_of_its_requests(
+    monkeypatch: pytest.MonkeyPatch, brittle: bool, breaks: int
+) -> None:
+    sender = StageSender(monkeypatch, brittle=brittle)
+    sender.send(_break)
+    assert sender.breaks == breaks
--- a/tests/permits/test_counter.py
+++ b/tests/permits/test_counter.py
@@ -10,7 +10,8 @@
 from springrock.permits import counter as module
 from springrock.permits import named_limits
 from springrock.permits.counter import PermitCounter
-from springrock.permits.messages import LimitReport, PermitAsk, Permitted
+from springrock.permits.messages import LimitReport, PermitAsk, PermitStage, Permitted, PermitUse
+from springrock.permits.refusals import HELD_S
 from springrock.permits.terms import SlowStartTerms
 from tests.factories import make_limits
 
@@ -27,6 +28,7 @@
         self.answers: list[Permitted] = []
         self.counted: list[bool] = []
         self.limits = make_limits()
+        self.brittle_per_s: float | None = None
         self.continues_without_lease = False
         monkeypatch.setattr(module, "monotonic", lambda: self.now)
         monkeypatch.setattr(named_limits, "monotonic", lambda: self.now)
@@ -42,6 +44,7 @@
             answer=lambda box, permitted: self.answers.append(permitted),
             on_counted=self.counted.append,
             log=Log("slow_start", "box-1"),
+            brittle=lambda service, instance: self.brittle_per_s,
         )
 
     def ask(
@@ -172,3 +175,81 @@
     setup.limits.apply_limit_report(LimitReport("i-9", None))
     setup.counter.answer("box-2", [ask])
     assert setup.answers[-1] == Permitted(7, counts=True, granted=True, limited=True)
+
+
+# Brittle replicas.
+
+WARM_ASK = PermitAsk(7, "r", "plain", "i-9", cold=False)
+
+
+def test_a_brittle_replica_gets_as_many_requests_as_it_may_turn_away(setup: Setup) -> None:
+    setup.brittle_per_s = 4.0
+    setup.counter.answer("box-2", [WARM_ASK] * 4)
+    assert [answer.granted for answer in setup.answers] == [True, True, True, False]
+    assert all(answer.brittle for answer in setup.answers)
+    assert setup.counter.room_in_s(PLAIN, cold=False) > 0
+    setup.now += HELD_S
+    assert setup.counter.room_in_s(PLAIN, cold=False) == 0
+
+
+def test_the_place_of_an_admitted_request_is_free_again(setup: Setup) -> None:
+    setup.brittle_per_s = 1.0
+    setup.counter.answer("box-2", [WARM_ASK])
+    for stage, has_room in ((PermitStage.REFUSED, False), (PermitStage.ADMITTED, False)):
+        setup.counter.record_uses("box-2", [PermitUse("i-9", "r", stage)])
+        assert (setup.counter.room_in_s(PLAIN, cold=False) == 0) is has_room
+    setup.now += HELD_S
+    setup.counter.answer("box-2", [WARM_ASK])
+    setup.counter.record_uses("box-3", [PermitUse("i-9", "r", PermitStage.ADMITTED)])
+    assert setup.counter.room_in_s(PLAIN, cold=False) > 0, "that was a request of another box"
+    setup.counter.record_uses("box-2", [PermitUse("i-9", "r", PermitStage.ADMITTED)])
+    setup.counter.record_uses("box-2", [PermitUse("i-9", "r", PermitStage.ENDED)])
+    assert setup.counter.room_in_s(PLAIN, cold=False) == 0
+
+
+def test_a_refusal_shows_how_many_a_brittle_replica_runs_at_once(setup: Setup) -> None:
+    setup.brittle_per_s = 40.0
+    asks = [PermitAsk(7, f"r-{n}", "plain", "i-9", cold=False) for n in range(3)]
+    setup.counter.answer("box-2", asks)
+    stages = [PermitStage.ADMITTED, PermitStage.ADMITTED, PermitStage.REFUSED]
+    uses = [PermitUse("i-9", f"r-{n}", stage) for n, stage in enumerate(stages)]
+    setup.counter.record_uses("box-2", uses)
+    assert setup.counter.room_in_s(PLAIN, cold=False) > 0
+    setup.counter.record_uses("box-2", [PermitUse("i-9", "r-0", PermitStage.ENDED)])
+    assert setup.counter.room_in_s(PLAIN, cold=False) == 0
+
+
+def test_for_a_cold_brittle_replica_with_a_limit_the_strictest_bound_applies(
+    setup: Setup,
+) -> None:
+    setup.now += 9.0
+    setup.brittle_per_s = 40.0
+    setup.limits.apply_limit_report(LimitReport("i-1", 0.5))
+    setup.ask()
+    assert (setup.answers[-1].granted, setup.answers[-1].room_in_ms) == (False, 2000)
+    setup.now += 9.0
+    setup.brittle_per_s = 1.0
+    assert setup.ask().granted
+    setup.now += HELD_S - 0.1
+    assert not setup.ask().granted
+    setup.limits.apply_limit_report(LimitReport("i-2", 50.0))
+    setup.ask(instance="i-2")
+    setup.now += 9.0
+    assert [setup.ask(instance="i-2").granted for _ in range(2)] == [True, False]
+
+
+def test_a_new_placer_gives_no_place_at_a_brittle_replica_until_earlier_ones_ended(
+    setup: Setup,
+) -> None:
+    setup.brittle_per_s = 8.0
+    setup.counter.reset()
+    setup.now += HELD_S - 0.01
+    assert setup.counter.room_in_s(PLAIN, cold=False) > 0
+    setup.now += 0.02
+    assert setup.counter.room_in_s(PLAIN, cold=False) == 0
+
+
+def test_how_brittle_a_replica_is_may_be_known_to_the_asking_box_only(setup: Setup) -> None:
+    ask = PermitAsk(7, "r", "plain", "i-9", cold=False, brittle_per_s=2.0)
+    setup.counter.answer("box-2", [ask] * 2)
+    assert [answer.granted for answer in setup.answers] == [True, False]
--- a/tests/permits/test_permits.py
+++ b/tests/permits/test_permits.py
@@ -9,8 +9,16 @@
 from springrock.forwarding.directory import Replica, ReplicaRecord
 from springrock.forwarding.eligibility import Obstacle
 from springrock.forwarding.errors import NoReplica
+from springrock.permits.brittle import RefusalShares
 from springrock.permits.choice import pick
-from springrock.permits.messages import PermitAsk, Permitted, PermitVerdict, ReplicaObservation
+from springrock.permits.messages import (
+    PermitAsk,
+    PermitStage,
+    Permitted,
+    PermitUse,
+    PermitVerdict,
+    ReplicaObservation,
+)
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.own_shares import OwnShares
 from springrock.permits.permit_book import PermitBook, PermitsUnheard
@@ -89,6 +97,10 @@
     def __init__(self, *verdicts: PermitVerdict) -> None:
         self.verdicts = list(verdicts)
         self.asked = 0
+        self.uses: list[PermitUse] = []
+
+    def record_permit_use(self, use: PermitUse) -> None:
+        self.uses.append(use)
 
     def permit(self, permit_ask: PermitAsk) -> tuple[PermitVerdict, float]:
         self.asked += 1
@@ -104,6 +116,7 @@
     cold: bool = True,
     limits: NamedLimits | None = None,
     boxes: int = 1,
+    brittle_per_s: float | None = None,
 ) -> Permits:
     calls = [] if unanswered_permits is None else unanswered_permits
     return Permits(
@@ -112,6 +125,8 @@
         is_cold=lambda record: cold,
         limits=limits or make_limits(),
         shares=OwnShares(home_zone="zone-1", boxes=lambda: boxes),
+        refusal_shares=RefusalShares(home_zone="zone-1", boxes=lambda: boxes),
+        brittle=lambda service, instance: brittle_per_s,
     )
 
 
@@ -173,6 +188,42 @@
     assert permits.ask(COLD.record, request="r", reserve_retry=True).valid_until is None
 
 
+# Brittle replicas.
+
+
+def test_without_a_placer_a_box_sends_its_share_to_a_brittle_replica() -> None:
+    permits = make_permits(ScriptedCounter(), cold=False, boxes=2, brittle_per_s=8.0)
+    assert permits.ask(COLD.record, request="r", reserve_retry=True).valid_until is not None
+    refused = permits.ask(COLD.record, request="s", reserve_retry=True)
+    assert refused.valid_until is None and refused.retry_after_s > 0
+    permits.record_use(COLD.record, "r", PermitStage.ADMITTED)
+    assert permits.ask(COLD.record, request="s", reserve_retry=True).valid_until is not None
+
+
+@pytest.mark.parametrize(("boxes", "sends"), [(0, False), (2, True), (3, False)])
+def test_boxes_send_nothing_uncounted_if_a_brittle_replica_bears_too_little(
+    boxes: int, sends: bool
+) -> None:
+    permits = make_permits(ScriptedCounter(), cold=False, boxes=boxes, brittle_per_s=8.0)
+    permit = permits.ask(COLD.record, request="r", reserve_retry=True)
+    assert (permit.valid_until is not None) is sends
+
+
+def test_a_permit_from_a_placer_that_counts_no_places_is_charged_to_the_share() -> None:
+    counter = ScriptedCounter(*[PermitVerdict(True, limited=True)] * 2, PermitVerdict(True))
+    permits = make_permits(counter, cold=False, boxes=2, brittle_per_s=8.0)
+    assert permits.ask(COLD.record, request="r", reserve_retry=True).valid_until is not None
+    assert permits.ask(COLD.record, request="s", reserve_retry=True).valid_until is None
+
+
+def test_only_what_concerns_brittle_replicas_is_reported() -> None:
+    counter = ScriptedCounter()
+    make_permits(counter).record_use(COLD.record, "r", PermitStage.ENDED)
+    assert counter.uses == []
+    make_permits(counter, brittle_per_s=8.0).record_use(COLD.record, "r", PermitStage.ENDED)
+    assert counter.uses == [PermitUse(COLD.instance, "r", PermitStage.ENDED)]
+
+
 # The choice of a replica.
 
 
--- a/tests/placement/test_messages.py
+++ b/tests/placement/test_messages.py
@@ -15,7 +15,9 @@
 from springrock.forwarding.directory import HeldAdapter
 from springrock.permits.messages import (
     PermitAsk,
+    PermitStage,
     Permitted,
+    PermitUse,
     PermitVerdict,
     ReplicaObservation,
 )
@@ -120,9 +122,11 @@
 
 
 def test_a_message_of_an_older_or_a_newer_build_is_understood() -> None:
-    demand = Demand(stopping=True, cut_off=True)
+    demand = Demand(
+        stopping=True, cut_off=True, permit_uses=[PermitUse("i-1", "r", PermitStage.REFUSED)]
+    )
     fields = cbor2.loads(encode(demand))
-    assert decode(cbor2.dumps(fields[:-1])) == Demand(stopping=True)
+    assert decode(cbor2.dumps(fields[:-1])) == Demand(stopping=True, cut_off=True)
     assert decode(cbor2.dumps([*fields, "what a later build tells"])) == demand
 
 
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -29,7 +29,7 @@
 from springrock.placement.zone_dependencies import ZoneDependencies
 from springrock.quotas.shares import QuotaTerms
 from springrock.rows import Row, TableReading
-from tests.factories import make_limits, make_routing_state, make_warmup
+from tests.factories import make_brittle, make_limits, make_routing_state, make_warmup
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
 
@@ -100,6 +100,7 @@
             slow_start_terms=lambda: SlowStartTerms(1.0, 0.0),
             warmup=make_warmup(lambda: configuration),
             limits=make_limits(),
+            brittle=make_brittle(self.directory),
             state_for=lambda hello: KnownState([]),
             cut_off=lambda: False,
             log_of=lambda part: Log(part, "box-1"),
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -8,6 +8,7 @@
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.messages import LimitReport, NamedLimit
 from springrock.permits.terms import SlowStartTerms
 from springrock.placement.box_count import BoxCount
 from springrock.placement.messages import Demand, Heartbeat, TableNews, TableRow, decode, encode
@@ -20,7 +21,7 @@
 from springrock.placement.zone_dependencies import ZoneDependencies
 from springrock.quotas.shares import QuotaTerms
 from springrock.topology import Distance
-from tests.factories import make_limits, make_routing_state, make_warmup
+from tests.factories import make_brittle, make_limits, make_routing_state, make_warmup
 from tests.placement.test_lease import Store
 from tests.placement.test_placer import SlowEngine
 
@@ -47,6 +48,7 @@
         slow_start_terms=lambda: SlowStartTerms(1.0, 0.0),
         warmup=make_warmup(),
         limits=make_limits(),
+        brittle=make_brittle(directory),
         box_count=box_count or BoxCount(3),
         peer_boxes=PeerBoxes("127.0.0.1:1", distance=lambda zone: Distance.OWN_REGION),
         cut_off=lambda: False,
@@ -102,3 +104,13 @@
     assert [item.leaving for item in zone.first_messages() if isinstance(item, Heartbeat)] == [
         ("i-1",)
     ]
+
+
+def test_the_placer_passes_on_to_all_boxes_how_brittle_a_replica_is() -> None:
+    directory = Directory(Log("directory", "box-1"))
+    directory.update(RECORD)
+    zone = make_zone(directory)
+    zone.apply_demand("box-2", Demand(brittle=[LimitReport("i-1", 8.0), LimitReport("i-9", 8.0)]))
+    assert [item.brittle for item in zone.first_messages() if isinstance(item, Heartbeat)] == [
+        (NamedLimit("i-1", 8.0),)
+    ]
