--- a/tests/routed/test_brittle.py
+++ b/tests/routed/test_brittle.py
@@ -16,6 +16,7 @@
 import pytest
 
 from springrock.emulator.replica import CRASH_EXIT_STATUS
+from tests.processes import wait_until
 from tests.routed.callers import Callers
 from tests.routed.deployment import REPLICAS, Deployment
 
@@ -66,3 +67,29 @@
     assert served > OBSERVATION_S * ROOM * len(names), "the room is used"
     rejected = [answer for answer in answers if answer.status != 200]
     assert all(float(answer.headers["Retry-After"]) > 0 for answer in rejected)
+
+
+def test_brittle_replicas_do_not_fall_over_when_the_placer_is_killed(
+    deployment: Deployment,
+) -> None:
+    names = ("rosters-1", "rosters-2")
+    placer, _ = deployment.placer_and_other("zone-1")
+    others = [box for box in deployment.clients if box != placer]
+    with Callers(deployment, others, PLAIN):
+        for name in names:
+            deployment.fault(name, brittle_per_s=BRITTLE_PER_S)
+        time.sleep(CONTACT_S)
+        for name in names:
+            deployment.fault(name, brittle_per_s=BRITTLE_PER_S, room=ROOM)
+        deployment.processes.kill(placer)
+        del deployment.clients[placer]
+        wait_until(lambda: "zone-1" in deployment.placers(), what="the zone has another placer")
+        runs = sum(deployment.counters("rosters-1")["runs"].values())
+        wait_until(
+            lambda: (
+                sum(deployment.counters("rosters-1")["runs"].values()) > runs + OBSERVATION_S * ROOM
+            ),
+            what="the replica serves on",
+        )
+    assert all(deployment.processes.runs(name) for name in names)
+    assert all(deployment.counters(name)["turned_away"] for name in names), "the room was too small"
