Permits: a caller without a permit is never told to retry at once

Cause: where a replica had no room a moment ago, a request gets what is left of that time as its retry delay, which may be a few milliseconds; the header has two digits and said 0.00. Ruled out: the placer's own delays, which are 0.1 s at least.

Change: the refusal of a request names 0.1 s at least, as the placer does.

The new test failed with 0.002 where 0.1 is expected.

--- a/springrock/permits/choice.py
+++ b/springrock/permits/choice.py
@@ -17,6 +17,9 @@
 """Metered replicas for which one request asks for a permit, in sequence. Each ask may take a round
 trip within the zone."""
 
+_MIN_RETRY_AFTER_S = 0.1
+"""The shortest retry delay given to a caller; the header has two digits, and 0.00 says nothing."""
+
 
 class PermitRequester(Protocol):
     """Asks for permits to send requests to metered replicas."""
@@ -106,5 +109,5 @@
     if unmetered is not None:
         return Pick(unmetered)
     if retry_delays_s:
-        raise NoReplica(reason, min(retry_delays_s))
+        raise NoReplica(reason, max(_MIN_RETRY_AFTER_S, min(retry_delays_s)))
     return None
--- a/tests/permits/test_permits.py
+++ b/tests/permits/test_permits.py
@@ -277,6 +277,12 @@
     assert (refusal.value.reason, refusal.value.retry_after_s) == ("cold", 1.5)
 
 
+def test_a_caller_without_a_permit_is_never_told_to_retry_at_once() -> None:
+    with pytest.raises(NoReplica) as refusal:
+        pick_among(COLD, verdicts=(PermitVerdict(False, 0.002, 0.002),))
+    assert refusal.value.retry_after_s == 0.1
+
+
 def test_without_any_replica_none_is_picked() -> None:
     nothing = pick(
         Candidates(),
