Brittle replicas: a routed test beside placers of the previous release

A box of this build that is told by what the placer leaves out that it counts no places keeps to its share.

--- a/tests/routed/test_brittle.py
+++ b/tests/routed/test_brittle.py
@@ -16,9 +16,10 @@
 import pytest
 
 from springrock.emulator.replica import CRASH_EXIT_STATUS
+from tests.builds import LAST_RELEASE, build_at
 from tests.processes import wait_until
 from tests.routed.callers import Callers
-from tests.routed.deployment import REPLICAS, Deployment
+from tests.routed.deployment import REPLICAS, ZONES, Deployment
 
 BRITTLE_PER_S = 8
 ROOM = 2
@@ -93,3 +94,35 @@
         )
     assert all(deployment.processes.runs(name) for name in names)
     assert all(deployment.counters(name)["turned_away"] for name in names), "the room was too small"
+
+
+def test_a_box_keeps_to_its_share_under_placers_of_the_previous_release(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    previous = build_at(LAST_RELEASE, tmp_path_factory.mktemp("build"))
+    builds = {"box-1": previous, "box-2": previous}
+    folder = tmp_path_factory.mktemp("mixed")
+    names = ("rosters-1", "rosters-2")
+    settings = {"work_ms": 50}
+    with Deployment(folder, boxes=2, build_of=builds, replica_settings=settings) as deployment:
+        deployment.configure()
+        deployment.wait_ready(replicas=REPLICAS)
+        for zone in ZONES:
+            deployment.placer_and_other(zone)
+        deployment.start_box("box-3")
+        wait_until(lambda: deployment.is_ready("box-3"), what="box-3 is ready")
+        with Callers(deployment, ["box-3"], PLAIN) as callers:
+            for name in names:
+                deployment.fault(name, brittle_per_s=BRITTLE_PER_S)
+            time.sleep(CONTACT_S)
+            for name in names:
+                deployment.fault(name, brittle_per_s=BRITTLE_PER_S, room=0)
+            time.sleep(OBSERVATION_S)
+            for name in names:
+                deployment.fault(name, brittle_per_s=BRITTLE_PER_S, room=ROOM)
+            already = len(callers.answers)
+            wait_until(
+                lambda: any(answer.status == 200 for answer in callers.answers[already:]),
+                what="the share is used",
+            )
+        assert all(deployment.processes.runs(name) for name in names)
