Reach: a request that got no answer in its time is a reason to probe

Cause: a silence counts while requests wait for 1 s, but the failure of a request that was silent for all its shorter time did not count.

Change: an attempt without an answer in time is a reason to probe, like a connection that could not be opened.

--- a/springrock/forwarding/replica_reach.py
+++ b/springrock/forwarding/replica_reach.py
@@ -14,9 +14,10 @@
 class ReplicaReach:
     """Tells a box that is cut off from most replicas of a service from one with some failed ones.
 
-    A connection that could not be opened, or a silence while requests wait, is only a reason to
-    probe several replicas. The box counts as cut off if fewer than half of these accept a
-    connection, until half of them do. If none did, it is no longer cut off once any is heard.
+    A connection that could not be opened or brought no answer, or a silence while requests wait, is
+    only a reason to probe several replicas. The box counts as cut off if fewer than half of these
+    accept a connection, until half of them do. If none did, it is no longer cut off once any is
+    heard.
 
     Args:
         log: The log to write to.
@@ -109,7 +110,7 @@
         self.cut_off_since = None
 
     def record_unreachable(self) -> None:
-        """Record that a connection to a replica could not be opened."""
+        """Record that a connection to a replica could not be opened, or brought no answer."""
         self._is_suspected = True
 
     @property
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -230,11 +230,12 @@
         self, progress: RequestProgress, replica: Replica, error: ExchangeError
     ) -> None:
         key = progress.request.adapter_key
+        if isinstance(error, (ReplicaUnreachable, AnswerSilent)):
+            self._reach.of(replica.record.service).record_unreachable()
         if isinstance(error, ReplicaUnreachable):
             refused = isinstance(error, ConnectionRefused)
             self._warmup.record_failed(replica.record, refused=refused)
             replica.health.record_unreachable()
-            self._reach.of(replica.record.service).record_unreachable()
         elif isinstance(error, AnswerSilent) and progress.age_s < _MIN_SILENCE_AS_FAILURE_S:
             return
         elif isinstance(error, OutcomeUnknown):
