Reach: the silence of one replica counts although others are heard

Cause: a silence counted only while nothing was heard of any replica of the service.

Change: requests wait for a replica, and its silence of a second is a reason to probe. That replica is probed alone; the sample follows if it does not accept within 0.1 s, so that a sound but slow service costs one connection a second.

--- a/springrock/forwarding/reach_probe.py
+++ b/springrock/forwarding/reach_probe.py
@@ -15,6 +15,9 @@
 
 _INTERVAL_S = 0.25
 _CONNECT_TIMEOUT_S = 0.4
+_PROMPT_S = 0.1
+"""A silent replica that has not accepted a connection within this time gets others probed too."""
+
 _MAX_PROBED = 4
 """More replicas than usually fail at once."""
 
@@ -84,11 +87,18 @@
         gevent.joinall([gevent.spawn(self.probe, service) for service in services])
 
     def probe(self, service: str) -> None:
-        """Probe some replicas of a service at once, and more if few of them are reached."""
+        """Probe some replicas of a service at once, and more if few of them are reached.
+
+        A replica that is only silent is probed first.
+        """
         reach = self._reach.of(service)
         replicas = self._in_random_order(service, first=reach.last_heard)
         if not replicas:
             return
+        silent = [item for item in replicas if item.instance == reach.silent]
+        if silent and self._count_reached(silent, timeout_s=_PROMPT_S):
+            reach.record_silent_probed()
+            return
         sample, others = replicas[:_MAX_PROBED], replicas[_MAX_PROBED:][:_MAX_CONFIRMING]
         reached = self._count_reached(sample)
         if 0 < 2 * reached < len(sample):
@@ -102,7 +112,7 @@
         random.shuffle(replicas)
         return sorted(replicas, key=lambda replica: replica.instance != first)
 
-    def _count_reached(self, replicas: list[Replica]) -> int:
+    def _count_reached(self, replicas: list[Replica], *, timeout_s: float | None = None) -> int:
         tasks = [gevent.spawn(self._connect, replica.record.address) for replica in replicas]
-        gevent.joinall(tasks)
+        gevent.joinall(tasks, timeout=timeout_s)
         return sum(bool(task.value) for task in tasks)
--- a/springrock/forwarding/replica_reach.py
+++ b/springrock/forwarding/replica_reach.py
@@ -4,11 +4,25 @@
 
 from collections.abc import Callable
 
+from msgspec import Struct
+
 from springrock.clock import monotonic
 from springrock.log import Log
 
 _SILENCE_S = 1.0
-"""If requests wait and no replica was heard for this time, replicas are probed."""
+"""If requests wait for a replica that was not heard for this time, it is probed."""
+
+
+class _Wait(Struct):
+    """The requests that wait for one replica.
+
+    Attributes:
+        count: How many requests wait.
+        silent_since: When the replica was last heard, or else the first of them began to wait.
+    """
+
+    count: int
+    silent_since: float
 
 
 class ReplicaReach:
@@ -35,8 +49,8 @@
         self._service = service
         self._on_change = on_change
         self._heard_at = monotonic()
-        self._waiting = 0
-        self._waiting_since = 0.0
+        self._probed_at = 0.0
+        self._waits: dict[str, _Wait] = {}
         self._is_suspected = False
         self._reaches_some = False
         self.cut_off_since: float | None = None
@@ -47,15 +61,19 @@
         """Whether this box reaches no replica of the service, or few of them."""
         return self.cut_off_since is not None
 
-    def begin_wait(self) -> None:
+    def begin_wait(self, instance: str = "") -> None:
         """Record that a request is about to be sent to a replica."""
-        if not self._waiting:
-            self._waiting_since = monotonic()
-        self._waiting += 1
+        wait = self._waits.setdefault(instance, _Wait(0, monotonic()))
+        wait.count += 1
 
-    def end_wait(self) -> None:
+    def end_wait(self, instance: str = "") -> None:
         """Record that the exchange of a request has ended."""
-        self._waiting -= 1
+        wait = self._waits.get(instance)
+        if wait is None:
+            return
+        wait.count -= 1
+        if not wait.count:
+            del self._waits[instance]
 
     def record_heard(self, instance: str = "") -> None:
         """Record that a replica sent something.
@@ -65,11 +83,14 @@
         """
         self._heard_at = monotonic()
         self.last_heard = instance or self.last_heard
+        if instance in self._waits:
+            self._waits[instance].silent_since = self._heard_at
         if not self._reaches_some:
             self._end_cut()
 
     def record_probes(self, *, reached: int, probed: int) -> None:
         """Record how many of the probed replicas accepted a connection."""
+        self._probed_at = monotonic()
         if 2 * reached >= probed:
             self._heard_at = monotonic()
             self._is_suspected = False
@@ -87,7 +108,7 @@
             service=self._service,
             reached=reached,
             probed=probed,
-            waiting=self._waiting,
+            waiting=sum(wait.count for wait in self._waits.values()),
             heard_ms_ago=round(1000 * (self.cut_off_since - self._heard_at)),
         )
         self._on_change()
@@ -113,10 +134,20 @@
         """Record that a connection to a replica could not be opened, or brought no answer."""
         self._is_suspected = True
 
+    def record_silent_probed(self) -> None:
+        """Record that the replica that is silent accepted a connection."""
+        self._probed_at = monotonic()
+
     @property
     def needs_probe(self) -> bool:
         """Whether replicas should be probed now."""
-        if self._is_suspected or self.cut_off:
-            return True
-        silent_since = max(self._heard_at, self._waiting_since)
-        return self._waiting > 0 and monotonic() - silent_since >= _SILENCE_S
+        return self._is_suspected or self.cut_off or self.silent is not None
+
+    @property
+    def silent(self) -> str | None:
+        """The replica that requests wait for in silence, if that is the only reason to probe."""
+        if self._is_suspected or self.cut_off or not self._waits:
+            return None
+        longest = min(self._waits, key=lambda instance: self._waits[instance].silent_since)
+        silent_since = max(self._waits[longest].silent_since, self._probed_at)
+        return longest if monotonic() - silent_since >= _SILENCE_S else None
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -97,7 +97,7 @@
     def start_attempt(self, progress: RequestProgress, replica: Replica) -> Attempt:
         """Start an attempt at a replica; the caller must pass it to `finish_attempt`."""
         replica.running += 1
-        self._reach.of(replica.record.service).begin_wait()
+        self._reach.of(replica.record.service).begin_wait(replica.instance)
         return progress.start_attempt(
             replica.instance, record_age_s=monotonic() - replica.recorded_at
         )
@@ -105,7 +105,7 @@
     def finish_attempt(self, chosen: ChosenReplica, attempt: Attempt) -> None:
         """Finish an attempt: release its place at the replica and report its outcome."""
         chosen.replica.running -= 1
-        self._reach.of(chosen.replica.record.service).end_wait()
+        self._reach.of(chosen.replica.record.service).end_wait(chosen.replica.instance)
         self._count_attempt(attempt.outcome)
         if chosen.use is not None:
             chosen.use.end(
--- a/tests/forwarding/test_replica_reach.py
+++ b/tests/forwarding/test_replica_reach.py
@@ -174,6 +174,21 @@
     assert reach.of("s").cut_off
 
 
+def test_a_silent_replica_is_probed_although_others_are_heard(clock: Clock) -> None:
+    reach = make_reach("s")
+    reach.of("s").begin_wait("i-1")
+    clock.now += 0.9
+    reach.of("s").record_heard("i-0")
+    clock.now += 0.2
+    assert reach.services_to_probe() == ["s"]
+    assert probe_with(reach, reached={"host:1"}) == ["host:1"], "it accepts a connection"
+    assert not reach.of("s").cut_off
+    assert reach.services_to_probe() == []
+    clock.now += 1.1
+    probe_with(reach, reached={"host:0"})
+    assert reach.of("s").cut_off
+
+
 def test_a_box_that_reaches_half_of_the_replicas_is_not_cut_off() -> None:
     for _ in range(20):
         reach = make_reach("s")
