--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -108,7 +108,7 @@
     def start_attempt(self, progress: RequestProgress, replica: Replica) -> Attempt:
         """Start an attempt at a replica; the caller must pass it to `finish_attempt`."""
         replica.running += 1
-        self._reach.of(replica.record.service).begin_wait()
+        self._reach.of(replica.record.service).begin_wait(replica.instance)
         return progress.start_attempt(
             replica.instance,
             record_age_s=monotonic() - replica.recorded_at,
@@ -118,7 +118,7 @@
     def finish_attempt(self, chosen: ChosenReplica, attempt: Attempt) -> None:
         """Finish an attempt: release its place at the replica and report its outcome."""
         chosen.replica.running -= 1
-        self._reach.of(chosen.replica.record.service).end_wait()
+        self._reach.of(chosen.replica.record.service).end_wait(chosen.replica.instance)
         self._count_attempt(attempt.outcome)
         full = attempt.outcome is AttemptOutcome.FULL
         stage = PermitStage.REFUSED if full else PermitStage.ENDED
@@ -248,11 +248,12 @@
         self, progress: RequestProgress, replica: Replica, error: ExchangeError
     ) -> None:
         key = progress.request.adapter_key
+        if isinstance(error, (ReplicaUnreachable, AnswerSilent)):
+            self._reach.of(replica.record.service).record_unreachable()
         if isinstance(error, ReplicaUnreachable):
             refused = isinstance(error, ConnectionRefused)
             self._warmup.record_failed(replica.record, refused=refused)
             replica.health.record_unreachable()
-            self._reach.of(replica.record.service).record_unreachable()
         elif isinstance(error, AnswerSilent) and progress.age_s < _MIN_SILENCE_AS_FAILURE_S:
             return
         elif isinstance(error, OutcomeUnknown):
