Proxy stand-in: new connections of a route can hang or be refused, open ones live on

A cut of the proxy accepted new connections and closed them, and a black hole accepted them and passed nothing, so that a box's probes, which look at whether a connection is accepted, never saw a partition. A route can now leave new connections unanswered (its queue of connections to accept is filled, so that the kernel drops further ones) or refuse them (its socket is closed).

--- a/springrock/emulator/proxy.py
+++ b/springrock/emulator/proxy.py
@@ -7,10 +7,10 @@
 import bottle
 import gevent
 import msgspec
-from gevent.server import StreamServer
 from gevent.socket import create_connection
 
 from springrock.bottle_app import new_app
+from springrock.emulator.listener import Listener, NewConnections
 from springrock.emulator.settings import ProxySettings, RouteSettings
 from springrock.httpd import HttpServer
 from springrock.settings import split_address
@@ -31,6 +31,7 @@
         one_way: No bytes pass in this direction.
         delay_s: Delay of each block of bytes, in both directions.
         half_answer_bytes: The connection is closed after this many bytes to the caller; 0 never.
+        new_connections: What happens to new connections; open ones are not affected.
     """
 
     routes: list[str]
@@ -39,6 +40,7 @@
     one_way: Direction | None = None
     delay_s: float = 0.0
     half_answer_bytes: int = 0
+    new_connections: NewConnections = "accepted"
 
 
 class _Route:
@@ -48,15 +50,16 @@
         self._target = split_address(settings.target_address)
         self._open_sockets: set[Any] = set()
         self.fault = RouteFault(routes=[])
-        self.server = StreamServer(split_address(settings.address), self._serve)
+        self.listener = Listener(split_address(settings.address), self._serve)
 
     def set_fault(self, fault: RouteFault) -> None:
         self.fault = fault
+        self.listener.treat_new(fault.new_connections)
         if fault.cut:
             for open_socket in list(self._open_sockets):
                 open_socket.close()
 
-    def _serve(self, caller: Any, _: Any) -> None:
+    def _serve(self, caller: Any) -> None:
         if self.fault.cut:
             caller.close()
             return
@@ -119,19 +122,21 @@
     def start(self) -> None:
         """Start forwarding on all routes, and the control server."""
         for route in self._routes.values():
-            route.server.start()
+            route.listener.start()
         self.server.start()
 
     def stop(self) -> None:
         """Stop at once, without waiting for open connections."""
         for route in self._routes.values():
-            route.server.stop(timeout=0)
+            route.listener.stop()
         self.server.stop(finish_within_s=0)
 
     def set_fault(self, fault: RouteFault) -> None:
         """Replace the faults of the routes that the fault names."""
-        for name in fault.routes:
-            self._routes[name].set_fault(fault)
+        gevent.joinall(
+            [gevent.spawn(self._routes[name].set_fault, fault) for name in fault.routes],
+            raise_error=True,
+        )
 
     def _post_fault(self) -> Any:
         self.set_fault(msgspec.json.decode(bottle.request.body.read(), type=RouteFault))
