Soak: each box reaches replicas over links of its own

A replica's record names one address, so that all boxes shared one link to it and none could be cut off alone. A box now starts through a module that leads its connections to these addresses to links of its own, below all libraries; behind each is the link that all boxes share, so that faults of that one hold as before. Boxes of the earlier build do not have the module and use the shared links.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -16,6 +16,7 @@
 
 from bench.soak.crashing import CrashingCaller
 from bench.soak.observations import Attempt, ConfigurationChange, PublishedVersion
+from bench.soak.rerouting import write_links
 from bench.soak.shape import (
     ADAPTER_SLOTS,
     CRASHING,
@@ -42,6 +43,7 @@
 from tests.processes import Processes, wait_until
 from tests.routed.deployment import MODEL, Deployment
 
+BOX_MODULE = "bench.soak.box"
 _UNROUTED_SERVICE = "strangers"
 _FAULT_TIMEOUT_S = 3.0
 _READINESS_TIMEOUT_S = 3.0
@@ -67,6 +69,7 @@
         super().__post_init__()
         self.processes = Processes(self.folder, guard=self.guard)
         self.boxes = len(self.shape.boxes)
+        self.box_module = BOX_MODULE
         self.services = SERVICES
         self.box_settings = {
             "keys": {"revoke_s": REVOKE_S},
@@ -99,6 +102,7 @@
         self.processes.spawn("store", ["standin", "rowstore"], {"address": self.addresses["store"]})
         links = [f"{box}>store" for box in self.shape.boxes]
         links += [f">{plan.name}" for plan in self.shape.replicas]
+        links += [link for box in self.shape.boxes for link in self.links_to_replicas(box)]
         self._proxy, *addresses = free_addresses(len(links) + 1)
         self._routes = dict(zip(links, addresses, strict=True))
         for plan in self.shape.replicas:
@@ -115,31 +119,45 @@
 
         A box with a disabled mechanism keeps this build, as earlier builds cannot disable it.
         """
-        if self.box_module != Deployment.box_module:
+        if self.box_module != BOX_MODULE:
             self.processes.restart(box)
             return
         if self._earlier_build is None:
             self._earlier_build = build_at(LAST_RELEASE, self.folder)
-        self.processes.use_build(box, self._earlier_build)
-        self._restart_with_seeds(box, [])
+        self._restart_with_seeds(box, [], module=Deployment.box_module, build=self._earlier_build)
 
     def restart_with_this_build(self, box: str) -> None:
         """Kill a box and start it with this build."""
-        self.processes.use_build(box, None)
-        self._restart_with_seeds(box, self.seeds_of(box))
+        self._restart_with_seeds(box, self.seeds_of(box), module=self.box_module)
 
-    def _restart_with_seeds(self, box: str, seeds: list[str]) -> None:
+    def _restart_with_seeds(
+        self, box: str, seeds: list[str], *, module: str, build: Path | None = None
+    ) -> None:
         """Restart a box with these seeds; omit the setting if there are none.
 
-        The earlier build does not know this setting.
+        The earlier build does not know this setting, nor the module for a box's own links: it
+        connects to the addresses in the replicas' records.
         """
         path = self.folder / f"{box}.jsonc"
         settings = json.loads(path.read_text())
         settings.pop("start", None)
         if seeds:
             settings["start"] = {"seeds": seeds}
-        path.write_text(json.dumps(settings, indent=1))
-        self.processes.restart(box)
+        self.processes.kill(box)
+        self.processes.spawn(box, [*self.box_command], settings, module=module, build=build)
+
+    def start_box(self, name: str) -> None:
+        """Start a box that connects to replicas over its own links."""
+        links = {
+            self._routes[f">{plan.name}"]: self._routes[f"{name}>{plan.name}"]
+            for plan in self.shape.replicas
+        }
+        write_links(self.folder / f"{name}.jsonc", links)
+        super().start_box(name)
+
+    def links_to_replicas(self, box: str) -> tuple[str, ...]:
+        """Return the names of a box's own links to all replicas."""
+        return tuple(f"{box}>{plan.name}" for plan in self.shape.replicas)
 
     def store_address_of(self, box: str) -> str:
         """Return the address of the proxy through which a box reaches the store."""
@@ -162,15 +180,18 @@
 
     def _proxy_settings(self) -> dict[str, Any]:
         routes = [
-            {
-                "name": name,
-                "address": address,
-                "target_address": self.addresses[name.partition(">")[2]],
-            }
+            {"name": name, "address": address, "target_address": self._target_of(name)}
             for name, address in self._routes.items()
         ]
         return {"address": self._proxy, "routes": routes}
 
+    def _target_of(self, link: str) -> str:
+        """Return where a link leads; a box's own link leads to the one that all boxes share."""
+        box, _, target = link.partition(">")
+        if box and target != "store":
+            return self._routes[f">{target}"]
+        return self.addresses[target]
+
     # Operator's changes.
 
     def change(self, **fields: bool) -> None:
--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -8,12 +8,15 @@
 monkey.patch_all()
 
 import sys
+from pathlib import Path
 
 from bench.soak.mechanisms import MECHANISMS
+from bench.soak.rerouting import reroute_connections
 from springrock.cli import main
 
 if __name__ == "__main__":
     _, mechanism, *arguments = sys.argv
     MECHANISMS[mechanism]()
+    reroute_connections(Path(arguments[-1]))
     sys.argv = ["springrock", *arguments]
     main()
