--- a/bench/soak/faults/__init__.py
+++ b/bench/soak/faults/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.soak.faults import boxes, configuration, links, replicas, requests, store
+from bench.soak.faults import boxes, configuration, links, partitions, replicas, requests, store
 from bench.soak.faults.fault import FAULTS, Fault
 
 __all__ = [
@@ -11,6 +11,7 @@
     "boxes",
     "configuration",
     "links",
+    "partitions",
     "replicas",
     "requests",
     "store",
--- a/bench/soak/faults/fault.py
+++ b/bench/soak/faults/fault.py
@@ -22,6 +22,8 @@
             by a separate random generator, so that it does not change what else a seed draws.
         separate_order: The order of the separate draws; lower numbers are drawn first. A new fault
             gets a higher number, so that it does not change the draws of existing ones.
+        separate_draws: How often the fault is drawn separately until it conflicts with no other;
+            it is left out if all draws do.
     """
 
     name = ""
@@ -30,6 +32,7 @@
     longest_s = 3.0
     separate_probability = 0.0
     separate_order = 0
+    separate_draws = 8
 
     @abstractmethod
     def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
@@ -39,6 +42,13 @@
     def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
         """Return the resources that no other fault may affect at the same time."""
 
+    def reserves(self, targets: tuple[str, ...]) -> frozenset[str]:
+        """Return the claims and what else no other fault may claim at the same time.
+
+        What is reserved and not claimed is not affected by this fault.
+        """
+        return self.claims(targets)
+
     @abstractmethod
     def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
         """Start the fault."""
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -22,9 +22,6 @@
 _SECOND_FAULT_PROBABILITY = 0.5
 """The probability that a second fault begins at the same time as the first."""
 
-_MAX_SEPARATE_DRAWS = 8
-"""Number of draws of a separately drawn fault; it is left out if all conflict with other faults."""
-
 _TARGET_COOLDOWN_S = 1.0
 """Time after a fault in which its targets get no other fault, as processes take time to start."""
 
@@ -107,7 +104,7 @@
     for fault in sorted(FAULTS, key=lambda fault: fault.separate_order):
         if rng.random() >= fault.separate_probability or end_s - start_s < fault.shortest_s:
             continue
-        for _ in range(_MAX_SEPARATE_DRAWS):
+        for _ in range(fault.separate_draws):
             begins_s = rng.uniform(start_s, end_s - fault.shortest_s)
             ends_s = min(end_s, begins_s + rng.uniform(fault.shortest_s, fault.longest_s))
             targets = fault.targets(rng, shape)
@@ -124,8 +121,13 @@
         one.ends_s + _TARGET_COOLDOWN_S <= other.begins_s
         or other.ends_s + _TARGET_COOLDOWN_S <= one.begins_s
     )
-    claimed = FAULTS[one.fault].claims(one.targets) & FAULTS[other.fault].claims(other.targets)
-    return not is_apart and bool(claimed)
+    return not is_apart and (_reserves_claimed(one, other) or _reserves_claimed(other, one))
+
+
+def _reserves_claimed(one: PlannedFault, other: PlannedFault) -> bool:
+    """Whether a fault reserves a resource that another one claims."""
+    reserved = FAULTS[one.fault].reserves(one.targets)
+    return not reserved.isdisjoint(FAULTS[other.fault].claims(other.targets))
 
 
 def _draw_fault(
--- a/bench/soak/shape.py
+++ b/bench/soak/shape.py
@@ -69,6 +69,10 @@
         """The number of processes: boxes, replicas, store, proxy and the soak itself."""
         return len(self.boxes) + len(self.replicas) + 3
 
+    def boxes_in(self, zone: str) -> tuple[str, ...]:
+        """Return the names of the boxes in a zone; boxes take turns with the zones."""
+        return self.boxes[ZONES.index(zone) :: len(ZONES)]
+
     def replicas_of(self, service: str) -> tuple[str, ...]:
         """Return the names of a service's replicas."""
         return tuple(plan.name for plan in self.replicas if plan.service == service)
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
+import random
 from itertools import pairwise
 
 import pytest
 
 from bench.soak.faults import FAULTS
+from bench.soak.faults.partitions import WAYS, BoxesCutOff
 from bench.soak.schedule import QUIET_S, Schedule, draw_schedule
 from bench.soak.shape import Shape
 
@@ -72,3 +74,32 @@
         assert fault.weight == 0.0
         monkeypatch.setattr(fault, "separate_probability", 0.0)
     assert [list(draw(seed).planned) for seed in range(9)] == with_separate
+
+
+def test_boxes_that_are_cut_off_from_replicas_and_their_links_to_the_store_are_sound() -> None:
+    for seed in range(40):
+        planned = draw(seed).planned
+        for cut in (one for one in planned if one.fault == "boxes_cut_off"):
+            for box in cut.targets[1:]:
+                others = [
+                    one
+                    for one in planned
+                    if {f"box/{box}", f"link/{box}>store"} & FAULTS[one.fault].claims(one.targets)
+                ]
+                assert all(one.ends_s < cut.begins_s or one.begins_s > cut.ends_s for one in others)
+
+
+def test_boxes_are_cut_off_in_all_ways_one_by_one_and_by_zone() -> None:
+    cuts = [one for seed in range(99) for one in draw(seed).planned if one.fault == "boxes_cut_off"]
+    assert {cut.targets[0] for cut in cuts} == set(WAYS)
+    assert {cut.targets[1:] for cut in cuts} >= {
+        ("box-1",),
+        ("box-1", "box-3"),
+        ("box-2", "box-4"),
+    }
+
+
+def test_most_boxes_of_a_zone_are_cut_off() -> None:
+    shape = Shape.from_boxes(8)
+    sizes = {len(BoxesCutOff().targets(random.Random(seed), shape)) - 1 for seed in range(99)}
+    assert sizes == {1, 3, 4}
