Soak: a judge for boxes that are cut off from all replicas

First tries of calls from 3 s after a cut began to its end: boxes that are cut off must serve at least two thirds as often as the others, unless at most 10 and 1 in 50 of all first tries fail there. No other fault is excused. The limited team does not count, as with the other judges of service.

--- a/bench/soak/judges/__init__.py
+++ b/bench/soak/judges/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.soak.judges import answers, crashes, placement, runs, service, teams, words
+from bench.soak.judges import answers, crashes, partitions, placement, runs, service, teams, words
 from bench.soak.judges.judge import JUDGES, Finding, Judge, Verdict
 
 __all__ = [
@@ -12,6 +12,7 @@
     "Verdict",
     "answers",
     "crashes",
+    "partitions",
     "placement",
     "runs",
     "service",
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from bench.soak.judges import JUDGES
+from bench.soak.judges import JUDGES, Finding
 from bench.soak.judges.placement import CONFIGURATION_APPLY_S, LEAVING_APPLY_S, ORDER_TRANSIT_S
 from bench.soak.judges.service import RECOVERY_S
 from bench.soak.judges.teams import QUOTA_APPLY_S
-from bench.soak.observations import ConfigurationChange, Pause, PublishedVersion, QuietSpan
+from bench.soak.observations import Attempt, ConfigurationChange, Pause, PublishedVersion, QuietSpan
 from bench.soak.shape import (
     LIMITED_TEAM_PER_S,
     QUOTA_WINDOW_S,
@@ -439,3 +439,113 @@
     assert bool(findings_of("limit_is_kept", **given)) is findings
     paused = span("paused_box", f"box/{box}", began_at=10.2, ended_at=10.3)
     assert not findings_of("limit_is_kept", **given, spans=[paused])
+
+
+def first_tries(box: str, *, served: int, failed: int, at: float = 14.0) -> list[Attempt]:
+    """Return first attempts of calls at a box."""
+    names = [f"{box}-{number}" for number in range(served + failed)]
+    return [attempt(name, box=box, sent_at=at) for name in names[:served]] + [
+        refused(name, box=box, sent_at=at) for name in names[served:]
+    ]
+
+
+def cut_off_findings(
+    *attempts: Attempt, boxes: tuple[str, ...] = ("box-1",), cut_s: float = 6.0
+) -> list[Finding]:
+    """Return the findings for boxes that are cut off from 10.0 s on."""
+    claimed = [f"link/{box}>replicas" for box in boxes]
+    cut = span("boxes_cut_off", *claimed, began_at=10.0, ended_at=10.0 + cut_s)
+    return findings_of("cut_off_boxes_serve", attempts=list(attempts), spans=[cut])
+
+
+@pytest.mark.parametrize(
+    ("served", "failed", "served_elsewhere", "failed_elsewhere", "findings"),
+    [
+        (40, 0, 60, 0, 0),
+        (0, 40, 60, 0, 1),
+        (20, 20, 60, 0, 1),
+        (40, 20, 60, 0, 0),
+        (39, 21, 60, 0, 1),
+        (0, 40, 0, 60, 0),
+        (20, 20, 40, 20, 0),
+        (0, 12, 88, 0, 0),
+        (0, 13, 87, 0, 1),
+        (0, 14, 186, 0, 0),
+        (0, 15, 185, 0, 1),
+        (0, 40, 0, 0, 0),
+    ],
+)
+def test_first_tries_at_boxes_that_are_cut_off_are_compared_with_others(
+    served: int, failed: int, served_elsewhere: int, failed_elsewhere: int, findings: int
+) -> None:
+    there = first_tries("box-1", served=served, failed=failed)
+    elsewhere = first_tries("box-2", served=served_elsewhere, failed=failed_elsewhere)
+    assert len(cut_off_findings(*there, *elsewhere)) == findings
+
+
+def test_all_boxes_that_are_cut_off_count_together() -> None:
+    one = first_tries("box-1", served=0, failed=8)
+    two = first_tries("box-2", served=0, failed=8)
+    others = first_tries("box-3", served=40, failed=0)
+    assert cut_off_findings(*one, *two, *others) == []
+    assert len(cut_off_findings(*one, *two, *others, boxes=("box-1", "box-2"))) == 1
+
+
+@pytest.mark.parametrize(("at", "findings"), [(12.9, 0), (13.0, 1), (15.9, 1), (16.0, 0)])
+def test_first_tries_count_from_the_contact_time_to_the_end_of_the_cut(
+    at: float, findings: int
+) -> None:
+    there = first_tries("box-1", served=0, failed=40, at=at)
+    elsewhere = first_tries("box-2", served=60, failed=0)
+    assert len(cut_off_findings(*there, *elsewhere)) == findings
+
+
+def test_a_cut_that_is_shorter_than_the_contact_time_does_not_count() -> None:
+    there = first_tries("box-1", served=0, failed=40, at=12.0)
+    elsewhere = first_tries("box-2", served=60, failed=0, at=12.0)
+    assert cut_off_findings(*there, *elsewhere, cut_s=2.9) == []
+
+
+def test_only_the_first_try_of_a_call_counts() -> None:
+    elsewhere = first_tries("box-2", served=60, failed=0)
+    first = [attempt(f"f{number}", call=f"c{number}", sent_at=13.5) for number in range(40)]
+    retries = [refused(f"s{number}", call=f"c{number}", sent_at=14.0) for number in range(40)]
+    assert cut_off_findings(*retries, *first, *elsewhere) == []
+    failed = [refused(f"f{number}", call=f"c{number}", sent_at=13.5) for number in range(40)]
+    served = [attempt(f"s{number}", call=f"c{number}", sent_at=14.0) for number in range(40)]
+    assert len(cut_off_findings(*served, *failed, *elsewhere)) == 1
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        {"status": 0, "error": "refused"},
+        {"status": 0, "error": "RemoteDisconnected"},
+        {"status": 0, "error": "TimeoutError"},
+        {"status": 200, "is_complete": False},
+        {"status": 504},
+        {"status": 401},
+    ],
+)
+def test_a_try_without_a_whole_answer_failed(outcome: dict[str, object]) -> None:
+    there = [attempt(f"r{number}", sent_at=14.0, **{"seal": "", **outcome}) for number in range(40)]
+    assert len(cut_off_findings(*there, *first_tries("box-2", served=60, failed=0))) == 1
+
+
+def test_the_team_beyond_its_quota_does_not_count_as_cut_off() -> None:
+    there = [refused(f"r{number}", key="few", status=429, sent_at=14.0) for number in range(40)]
+    assert cut_off_findings(*there, *first_tries("box-2", served=60, failed=0)) == []
+
+
+@pytest.mark.parametrize(("box", "late", "findings"), [("box-1", 3.0, 0), ("box-2", 3.0, 1)])
+def test_a_cut_excuses_runs_of_requests_that_it_held_up(
+    box: str, late: float, findings: int
+) -> None:
+    one = attempt(sent_at=10.0, box=box)
+    acknowledged = ReplicaEvent(
+        kind=ReplicaEventKind.LEAVING_ACKNOWLEDGED, at=10.1, instance="i-1", service="rosters"
+    )
+    ran = run(one, at=10.1 + late)
+    cut = span("boxes_cut_off", "link/box-1>replicas", began_at=9.0, ended_at=13.2)
+    given = {"attempts": [one], "replica_events": [acknowledged, ran], "spans": [cut]}
+    assert len(findings_of("leaving_gets_nothing_new", **given)) == findings
