Known failure: a placer that acquires its lease again is taken for a predecessor

Successor.continues_lease_of takes any row of a predecessor's process for the lease that was handed over, whatever its fence and whether the successor's own row was seen in between.

--- a/tests/placement/test_placer_board.py
+++ b/tests/placement/test_placer_board.py
@@ -111,3 +111,13 @@
     assert board.holder(KEY) == second, "a late write of a predecessor"
     board.change(row(6, incarnation="3"))
     assert board.holder(KEY) == placer_row_from(row(6, incarnation="3"))
+
+
+def test_a_predecessor_that_acquired_the_lease_again_is_the_placer() -> None:
+    board = PlacerBoard(age_s=lambda: 60.0)
+    board.replace([row(4)])
+    board.record_successor(KEY, successor(3, last_fence=4, predecessors=["1"]))
+    board.change(row(5, box="box-2", incarnation="2"))
+    board.change(row(6, box="box-2", incarnation=""))
+    board.change(row(7))
+    assert board.holder(KEY) == placer_row_from(row(7))
