--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -112,6 +112,16 @@
     CrashBook.may_be_retried = lambda self, fingerprint: True  # type: ignore[method-assign]
 
 
+@_disables("passing_on")
+def _pass_nothing_on() -> None:
+    from springrock.forwarding.passing_on import PassingOn
+
+    PassingOn.is_due = lambda self, progress: False  # type: ignore[method-assign]
+    PassingOn.is_last_resort = (  # type: ignore[method-assign]
+        lambda self, progress, rejection: False
+    )
+
+
 @_disables("replicas_words")
 def _ignore_replica_notices() -> None:
     from springrock.forwarding.notices import ReplicaNotices
