Soak: engines of a new version cut streams; a mutation of the version in one answer

Each engine of the new version cuts every third of its streams now (cut_every, a setting of the stand-in).

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -43,6 +43,9 @@
 from tests.processes import Processes, wait_until
 from tests.routed.deployment import MODEL, Deployment
 
+_RELEASE_CUTS_EVERY = 3
+"""Each engine of a new software version cuts one stream of this many."""
+
 _UNROUTED_SERVICE = "strangers"
 _FAULT_TIMEOUT_S = 3.0
 _READINESS_TIMEOUT_S = 3.0
@@ -150,7 +153,9 @@
         """Return the address of the proxy through which a box reaches the store."""
         return self._routes[f"{box}>store"]
 
-    def _start_planned(self, plan: ReplicaPlan, *, software: str | int = FIRST_SOFTWARE) -> None:
+    def _start_planned(
+        self, plan: ReplicaPlan, *, software: str | int = FIRST_SOFTWARE, cut_every: int = 0
+    ) -> None:
         more: dict[str, Any] = {
             "advertised_address": self._routes[f">{plan.name}"],
             "events_path": str(self.folder / f"{plan.name}.events"),
@@ -161,6 +166,7 @@
             "adapter_slots": ADAPTER_SLOTS,
             "crashes_on": CRASHING,
             "software_version": json.dumps(software),
+            "cut_every": cut_every,
         }
         if plan.is_engine:
             more["base_model"] = MODEL
@@ -267,7 +273,8 @@
         with self._restart_lock:
             for plan in self.shape.spares:
                 # Versions have no order, and a row may hold a text or a number.
-                self._start_planned(plan, software=str(version) if version % 2 == 0 else version)
+                software = str(version) if version % 2 == 0 else version
+                self._start_planned(plan, software=software, cut_every=_RELEASE_CUTS_EVERY)
             self._absent.clear()
         self.fault(leaving, leaving=True)
 
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -144,3 +144,10 @@
     StreamRun._read_end = (  # type: ignore[method-assign]
         lambda self, answer: self._splitter.drain_incomplete()
     )
+
+
+@_disables("software_bounds")
+def _resume_at_any_software_version() -> None:
+    from springrock.forwarding.request_progress import RequestProgress
+
+    RequestProgress.bind_software = lambda self, software: None  # type: ignore[method-assign]
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -40,6 +40,9 @@
 _RECORD_INTERVAL_S = 0.3
 _REPORT_LAG_S = 0.1
 _UNLOADED_IN_USE = "unloaded_in_use"
+_CUT_AFTER = 3
+"""Number of events after which a stream is cut because of `cut_every`."""
+
 _DEFAULT_VERSION = 1
 """The adapter version that a load order without a version loads."""
 
@@ -106,6 +109,7 @@
         self._adapters: dict[str, int] = {}
         self._loading: dict[str, int] = {}
         self._streams: dict[str, list[_StreamRun]] = defaultdict(list)
+        self._stream_count = 0
         self._sequence = 0
         self._fence = 0
         self._reports: list[tuple[float, dict[str, Any]]] = []
@@ -314,6 +318,16 @@
             broken_body(body, by=broken_by), headers={**headers, **self._status_headers()}
         )
 
+    def _take_cut(self) -> int:
+        """Return after how many events the stream that begins is cut; negative for never."""
+        self._stream_count += 1
+        every = self._settings.cut_every
+        if every and self._stream_count % every == 0:
+            return _CUT_AFTER
+        cut_after = self._fault.cut_after
+        self._fault = msgspec.structs.replace(self._fault, cut_after=-1)
+        return cut_after
+
     def _take_break(self) -> bool:
         """Whether an unframed answer breaks; if so, count it."""
         if not bottle.request.environ[UNFRAMED_KEY] or self._fault.breaks <= 0:
@@ -344,10 +358,7 @@
         return held > 0 and request.get_header(names.EXPECT_VERSION, str(held)) == str(held)
 
     def _stream_events(self, adapter: str, first_number: int) -> Iterator[bytes]:
-        cut_after, self._fault = (
-            self._fault.cut_after,
-            msgspec.structs.replace(self._fault, cut_after=-1),
-        )
+        cut_after = self._take_cut()
         fault = self._fault
         break_after = fault.break_after if self._take_break() else -1
         streams = self._streams
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -99,6 +99,7 @@
             body; empty for none.
         software_version: The version of the replica's software, as JSON, as its row may hold a
             text or a number; it is also in the data of its events. Empty for none.
+        cut_every: Each stream whose number is a multiple of this is cut; 0 cuts none.
     """
 
     address: str
@@ -119,6 +120,7 @@
     needs_instance: bool = True
     crashes_on: str = ""
     software_version: str = ""
+    cut_every: int = 0
 
 
 class RouteSettings(Section, frozen=True, kw_only=True):
