--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -151,3 +151,22 @@
     from springrock.forwarding.request_progress import RequestProgress
 
     RequestProgress.bind_software = lambda self, software: None  # type: ignore[method-assign]
+
+
+@_disables("stream_origins")
+def _take_up_at_any_software_version() -> None:
+    from springrock.forwarding.stream_origins import StreamOrigins
+
+    StreamOrigins.bind = lambda self, progress: None  # type: ignore[method-assign]
+
+
+@_disables("told_origins")
+def _tell_no_origins() -> None:
+    from springrock.forwarding.stream_origins import NoOtherBoxes, StreamOrigins
+
+    original = StreamOrigins.__init__
+
+    def _init(self: Any, **kwargs: Any) -> None:
+        original(self, **{**kwargs, "other_boxes": NoOtherBoxes()})
+
+    StreamOrigins.__init__ = _init  # type: ignore[method-assign]
