Soak: the last release is not judged by mends that it lacks

Successes by way of a box of the last release are left out of own_whole_answer, exact_continuation and whole_events while a replica answers without a length, and streams by way of one out of one_software_version and taken_up_goes_on; all others are judged as before, and tests show both.

--- a/bench/soak/faults/boxes.py
+++ b/bench/soak/faults/boxes.py
@@ -89,6 +89,10 @@
     shortest_s = 4.0
     longest_s = 12.0
 
+    def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
+        """Return the resources that no other fault may affect at the same time."""
+        return super().claims(targets) | {f"build/{target}" for target in targets}
+
     def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
         """Start the fault."""
         for box in targets:
--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -210,7 +210,8 @@
 
     def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
         """Return the resources that no other fault may affect at the same time."""
-        return super().claims(targets[:-1])
+        framed = frozenset(f"framing/{target}" for target in targets[:-1])
+        return super().claims(targets[:-1]) | framed
 
     def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
         """Start the fault."""
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -182,6 +182,20 @@
     pauses: list[Pause]
     quiets: list[QuietSpan]
 
+    def is_by_earlier_build(self, attempt: Attempt) -> bool:
+        """Whether the box of an attempt ran the build of the last release meanwhile."""
+        return any(f"build/{attempt.box}" in span.claimed for span in self._spans_during(attempt))
+
+    def is_beside_unframed_answers(self, attempt: Attempt) -> bool:
+        """Whether any replica answered without a length or chunks during an attempt."""
+        claims = [claim for span in self._spans_during(attempt) for claim in span.claimed]
+        return any(claim.startswith("framing/") for claim in claims)
+
+    def _spans_during(self, attempt: Attempt) -> Iterator[FaultSpan]:
+        for span in self.spans:
+            if span.began_at < attempt.ended_at and span.ended_at > attempt.sent_at:
+                yield span
+
     @cached_property
     def attempt_of(self) -> dict[str, Attempt]:
         """The attempts by request id."""
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -14,6 +14,7 @@
 from bench.soak.observations import (
     Attempt,
     ConfigurationChange,
+    FaultSpan,
     Framing,
     Pause,
     PublishedVersion,
@@ -581,6 +582,7 @@
             ]
         },
         {"spans": [span("killed_box", "box/box-1", began_at=9.5, ended_at=9.9)]},
+        {"spans": [span("earlier_build", "box/box-1", "build/box-1", began_at=1.0, ended_at=3.0)]},
         {"spans": [span("link_reset", "link/box-1>store", began_at=9.5, ended_at=9.9)]},
         {"spans": [span("crashed_replica", "replica/language-1", began_at=9.5, ended_at=9.9)]},
         {"pauses": [Pause(9.5, 0.2)]},
@@ -628,3 +630,35 @@
     changes = [INITIAL_CONFIGURATION, change(one.sent_at - REVOKE_S - 1.0, goes=False)]
     given = {"attempts": [one], "replica_events": [run(one, first_event=first_event)]}
     assert len(findings_of("removed_key_runs_nowhere", **given, changes=changes)) == findings
+
+
+EARLIER_BUILD = span("earlier_build", "box/box-1", "build/box-1", began_at=9.0, ended_at=12.0)
+UNFRAMED = span("unframed", "replica/language-1", "framing/language-1", began_at=9.0, ended_at=12.0)
+
+
+@pytest.mark.parametrize(
+    ("spans", "findings"),
+    [([], 1), ([EARLIER_BUILD], 1), ([UNFRAMED], 1), ([EARLIER_BUILD, UNFRAMED], 0)],
+)
+@pytest.mark.parametrize(
+    ("judge", "route", "body"),
+    [
+        ("own_whole_answer", "lookup", b"POST /loo"),
+        ("exact_continuation", "items", events([1, 2, 3])),
+        ("whole_events", "items", events([1, 2, 3]) + b"id: 4\nda"),
+    ],
+)
+def test_only_the_last_release_may_take_an_unframed_answer_for_whole(
+    judge: str, route: str, body: bytes, spans: list[FaultSpan], findings: int
+) -> None:
+    one = attempt(route=route, body=body)
+    assert len(findings_of(judge, attempts=[one], spans=spans)) == findings
+
+
+@pytest.mark.parametrize(("box", "findings"), [("box-1", 0), ("box-2", 1)])
+def test_streams_by_way_of_the_last_release_may_have_two_software_versions(
+    box: str, findings: int
+) -> None:
+    attempts = [begun("r1", box=box), taken_up("r2", of="r1", after=2, software="2", box="box-3")]
+    given = {"attempts": attempts, "spans": [EARLIER_BUILD]}
+    assert len(findings_of("one_software_version", **given)) == findings
