Soak: requests that a box may have passed on are not held against it

The judges of replicas' notices took the box of the caller for the sender. No one outside the boxes sees the sender, so arrivals while a replica of their service was down, as claims tell, and 2 s after are left out; others count as before. Ruled out: a box that sends to a replica against the rest that it was asked for.

tests/soak/test_judges.py: 7 new cases.

--- a/bench/soak/faults/requests.py
+++ b/bench/soak/faults/requests.py
@@ -25,7 +25,8 @@
 
     def claims(self, targets: tuple[str, ...]) -> frozenset[str]:
         """Return the resources that no other fault may affect at the same time."""
-        return frozenset({f"request/{targets[1]}"})
+        route, number = targets
+        return frozenset({f"request/{number}", f"down/{SERVICE_OF_ROUTE[route]}-{number}"})
 
     def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
         """Start to send the request repeatedly."""
--- a/bench/soak/judges/words.py
+++ b/bench/soak/judges/words.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterator
 
 from bench.soak.judges.judge import JUDGES, Finding, Judge, Verdict
 from bench.soak.observations import Observations
@@ -27,6 +28,9 @@
 """The users' bound: in any window a replica gets at most the factor times its limit for the window,
 plus the extra requests."""
 
+RESTART_S = 2.0
+"""Time in which a replica that ended starts again."""
+
 _ARRIVALS = (ReplicaEventKind.RAN, ReplicaEventKind.REFUSED)
 
 
@@ -147,15 +151,40 @@
 
 
 def _arrivals(observations: Observations) -> list[ReplicaEvent]:
-    """Return the requests of callers that a replica ran or refused, in order of time."""
+    """Return the requests of callers that a replica ran or refused, in order of time.
+
+    A box that reaches no replica passes requests on to another box, and no one outside the boxes
+    sees which box sent a request to its replica. Those that came while a replica of their service
+    was down are left out.
+    """
     found = [
         event
         for event in observations.replica_events
-        if event.kind in _ARRIVALS and event.request_id in observations.attempt_of
+        if event.kind in _ARRIVALS
+        and event.request_id in observations.attempt_of
+        and not _may_be_passed_on(observations, event)
     ]
     return sorted(found, key=lambda event: event.at)
 
 
+def _may_be_passed_on(observations: Observations, event: ReplicaEvent) -> bool:
+    sent_at = observations.attempt_of[event.request_id].sent_at
+    return any(
+        sent_at < end and event.at > start
+        for start, end in _down_times(observations, event.service)
+    )
+
+
+def _down_times(observations: Observations, service: str) -> Iterator[tuple[float, float]]:
+    """Yield when a replica of a service may have refused connections."""
+    for span in observations.spans:
+        for claim in span.claimed:
+            what, _, name = claim.partition("/")
+            if name.rpartition("-")[0] == service and what in ("down", "ends"):
+                start = span.began_at if what == "down" else span.ended_at
+                yield start, span.ended_at + RESTART_S
+
+
 def _is_excused(observations: Observations, box: str, start: float, end: float) -> bool:
     """Whether a box ended, was paused or cut off within a span, or the machine paused the soak."""
 
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -662,3 +662,29 @@
     attempts = [begun("r1", box=box), taken_up("r2", of="r1", after=2, software="2", box="box-3")]
     given = {"attempts": attempts, "spans": [EARLIER_BUILD]}
     assert len(findings_of("one_software_version", **given)) == findings
+
+
+@pytest.mark.parametrize(
+    ("claim", "began_at", "ended_at", "findings"),
+    [
+        ("down/rosters-2", 9.0, 10.8, 0),
+        ("down/rosters-2", 11.6, 12.0, 0),
+        ("down/rosters-2", 7.0, 8.0, 1),
+        ("down/catalog-1", 9.0, 12.0, 1),
+        ("replica/rosters-2", 9.0, 12.0, 1),
+        ("ends/rosters-2", 9.0, 12.5, 1),
+        ("ends/rosters-2", 7.0, 10.2, 0),
+    ],
+)
+def test_requests_that_may_be_passed_on_are_not_held_against_the_box_of_their_caller(
+    claim: str, began_at: float, ended_at: float, findings: int
+) -> None:
+    first = refused("r0", sent_at=10.0)
+    later = [attempt(f"r{at}", sent_at=at) for at in (10.6, 11.0, 11.8)]
+    refusal = run(first, at=10.0, kind=ReplicaEventKind.REFUSED, asked_rest_s=2.0)
+    given = {
+        "attempts": [first, *later],
+        "replica_events": [refusal, *(run(one, at=one.sent_at + 0.01) for one in later)],
+        "spans": [span("fault", claim, began_at=began_at, ended_at=ended_at)],
+    }
+    assert len(findings_of("rest_is_given", **given)) == findings
