--- a/springrock/forwarding/reach_probe.py
+++ b/springrock/forwarding/reach_probe.py
@@ -1,23 +1,26 @@
-"""Probes replicas when a box may be cut off from all of them."""
+"""Probes replicas when a box may be cut off from all replicas of a service."""
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import gevent
 
 from springrock.forwarding import connection
+from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.directory import Directory, Replica
-from springrock.forwarding.errors import ReplicaUnreachable
-from springrock.forwarding.replica_reach import ReplicaReach
+from springrock.forwarding.errors import ConnectionRefused, ReplicaUnreachable
 
 _INTERVAL_S = 0.25
 _CONNECT_TIMEOUT_S = 0.4
 _MAX_PROBED = 4
 """More replicas than usually fail at once."""
 
+_MAX_CONFIRMING = 8
+"""How many others are probed where some, but few, accepted a connection."""
+
 
 def connects(address: str) -> bool:
     """Whether a replica accepts a connection."""
@@ -28,8 +31,19 @@
     return True
 
 
+def is_out_of_reach(address: str) -> bool:
+    """Whether connections to a replica fail, but are not refused: the network may be cut."""
+    try:
+        connection.Connection(address, connect_timeout_s=_CONNECT_TIMEOUT_S).close()
+    except ConnectionRefused:
+        return False
+    except ReplicaUnreachable:
+        return True
+    return False
+
+
 class ReachProbe:
-    """Probes a few replicas at a time while there is a reason to.
+    """Probes a few replicas of a service at a time while there is a reason to.
 
     Args:
         reach: Tells when to probe; receives the results.
@@ -39,7 +53,7 @@
 
     def __init__(
         self,
-        reach: ReplicaReach,
+        reach: BoxReach,
         directory: Directory,
         *,
         connect: Callable[[str], bool] = connects,
@@ -61,28 +75,34 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(_INTERVAL_S)
-            if self._reach.needs_probe:
-                self.probe()
-
-    def probe(self) -> None:
-        """Probe one replica, and more at once if it cannot be reached."""
-        replicas = self._sample()
+            due = self._reach.services_to_probe()
+            self._probe_services(due)
+            # A service that was found cut off makes the others suspect.
+            self._probe_services(set(self._reach.services_to_probe()) - set(due))
+
+    def _probe_services(self, services: Collection[str]) -> None:
+        gevent.joinall([gevent.spawn(self.probe, service) for service in services])
+
+    def probe(self, service: str) -> None:
+        """Probe some replicas of a service at once, and more if few of them are reached."""
+        reach = self._reach.of(service)
+        replicas = self._in_random_order(service, first=reach.last_heard)
         if not replicas:
             return
-        first, *others = replicas
-        if self._is_reached(first) or any(self._probe_all(others)):
-            self._reach.record_heard()
-        else:
-            self._reach.record_probes_failed(len(replicas))
-
-    def _sample(self) -> list[Replica]:
-        replicas = [item for item in self._directory.all_replicas() if not item.record.leaving]
-        return random.sample(replicas, min(_MAX_PROBED, len(replicas)))
-
-    def _probe_all(self, replicas: list[Replica]) -> list[bool]:
-        tasks = [gevent.spawn(self._is_reached, replica) for replica in replicas]
+        sample, others = replicas[:_MAX_PROBED], replicas[_MAX_PROBED:][:_MAX_CONFIRMING]
+        reached = self._count_reached(sample)
+        if 0 < 2 * reached < len(sample):
+            reached += self._count_reached(others)
+            sample += others
+        reach.record_probes(reached=reached, probed=len(sample))
+
+    def _in_random_order(self, service: str, *, first: str) -> list[Replica]:
+        """Return the replicas of a service that stay, the one given before the others."""
+        replicas = [item for item in self._directory.of_service(service) if not item.record.leaving]
+        random.shuffle(replicas)
+        return sorted(replicas, key=lambda replica: replica.instance != first)
+
+    def _count_reached(self, replicas: list[Replica]) -> int:
+        tasks = [gevent.spawn(self._connect, replica.record.address) for replica in replicas]
         gevent.joinall(tasks)
-        return [bool(task.value) for task in tasks]
-
-    def _is_reached(self, replica: Replica) -> bool:
-        return self._connect(replica.record.address)
+        return sum(bool(task.value) for task in tasks)
