--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -45,6 +45,10 @@
 from tests.routed.deployment import MODEL, Deployment
 
 BOX_MODULE = "bench.soak.box"
+
+_RELEASE_CUTS_EVERY = 3
+"""Each engine of a new software version cuts one stream of this many."""
+
 _UNROUTED_SERVICE = "strangers"
 _FAULT_TIMEOUT_S = 3.0
 _READINESS_TIMEOUT_S = 3.0
@@ -168,7 +172,9 @@
         """Return the address of the proxy through which a box reaches the store."""
         return self._routes[f"{box}>store"]
 
-    def _start_planned(self, plan: ReplicaPlan, *, software: str | int = FIRST_SOFTWARE) -> None:
+    def _start_planned(
+        self, plan: ReplicaPlan, *, software: str | int = FIRST_SOFTWARE, cut_every: int = 0
+    ) -> None:
         more: dict[str, Any] = {
             "advertised_address": self._routes[f">{plan.name}"],
             "events_path": str(self.folder / f"{plan.name}.events"),
@@ -179,6 +185,7 @@
             "adapter_slots": ADAPTER_SLOTS,
             "crashes_on": CRASHING,
             "software_version": json.dumps(software),
+            "cut_every": cut_every,
         }
         if plan.is_engine:
             more["base_model"] = MODEL
@@ -288,7 +295,8 @@
         with self._restart_lock:
             for plan in self.shape.spares:
                 # Versions have no order, and a row may hold a text or a number.
-                self._start_planned(plan, software=str(version) if version % 2 == 0 else version)
+                software = str(version) if version % 2 == 0 else version
+                self._start_planned(plan, software=software, cut_every=_RELEASE_CUTS_EVERY)
             self._absent.clear()
         self.fault(leaving, leaving=True)
 
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -14,6 +14,7 @@
 from bench.soak.observations import (
     Attempt,
     ConfigurationChange,
+    FaultSpan,
     Framing,
     Pause,
     PublishedVersion,
@@ -581,6 +582,7 @@
             ]
         },
         {"spans": [span("killed_box", "box/box-1", began_at=9.5, ended_at=9.9)]},
+        {"spans": [span("earlier_build", "box/box-1", "build/box-1", began_at=1.0, ended_at=3.0)]},
         {"spans": [span("link_reset", "link/box-1>store", began_at=9.5, ended_at=9.9)]},
         {"spans": [span("crashed_replica", "replica/language-1", began_at=9.5, ended_at=9.9)]},
         {"pauses": [Pause(9.5, 0.2)]},
@@ -738,3 +740,61 @@
     cut = span("boxes_cut_off", "link/box-1>replicas", began_at=9.0, ended_at=13.2)
     given = {"attempts": [one], "replica_events": [acknowledged, ran], "spans": [cut]}
     assert len(findings_of("leaving_gets_nothing_new", **given)) == findings
+
+
+EARLIER_BUILD = span("earlier_build", "box/box-1", "build/box-1", began_at=9.0, ended_at=12.0)
+UNFRAMED = span("unframed", "replica/language-1", "framing/language-1", began_at=9.0, ended_at=12.0)
+
+
+@pytest.mark.parametrize(
+    ("spans", "findings"),
+    [([], 1), ([EARLIER_BUILD], 1), ([UNFRAMED], 1), ([EARLIER_BUILD, UNFRAMED], 0)],
+)
+@pytest.mark.parametrize(
+    ("judge", "route", "body"),
+    [
+        ("own_whole_answer", "lookup", b"POST /loo"),
+        ("exact_continuation", "items", events([1, 2, 3])),
+        ("whole_events", "items", events([1, 2, 3]) + b"id: 4\nda"),
+    ],
+)
+def test_only_the_last_release_may_take_an_unframed_answer_for_whole(
+    judge: str, route: str, body: bytes, spans: list[FaultSpan], findings: int
+) -> None:
+    one = attempt(route=route, body=body)
+    assert len(findings_of(judge, attempts=[one], spans=spans)) == findings
+
+
+@pytest.mark.parametrize(("box", "findings"), [("box-1", 0), ("box-2", 1)])
+def test_streams_by_way_of_the_last_release_may_have_two_software_versions(
+    box: str, findings: int
+) -> None:
+    attempts = [begun("r1", box=box), taken_up("r2", of="r1", after=2, software="2", box="box-3")]
+    given = {"attempts": attempts, "spans": [EARLIER_BUILD]}
+    assert len(findings_of("one_software_version", **given)) == findings
+
+
+@pytest.mark.parametrize(
+    ("claim", "began_at", "ended_at", "findings"),
+    [
+        ("down/rosters-2", 9.0, 10.8, 0),
+        ("down/rosters-2", 11.6, 12.0, 0),
+        ("down/rosters-2", 7.0, 8.0, 1),
+        ("down/catalog-1", 9.0, 12.0, 1),
+        ("replica/rosters-2", 9.0, 12.0, 1),
+        ("ends/rosters-2", 9.0, 12.5, 1),
+        ("ends/rosters-2", 7.0, 10.2, 0),
+    ],
+)
+def test_requests_that_may_be_passed_on_are_not_held_against_the_box_of_their_caller(
+    claim: str, began_at: float, ended_at: float, findings: int
+) -> None:
+    first = refused("r0", sent_at=10.0)
+    later = [attempt(f"r{at}", sent_at=at) for at in (10.6, 11.0, 11.8)]
+    refusal = run(first, at=10.0, kind=ReplicaEventKind.REFUSED, asked_rest_s=2.0)
+    given = {
+        "attempts": [first, *later],
+        "replica_events": [refusal, *(run(one, at=one.sent_at + 0.01) for one in later)],
+        "spans": [span("fault", claim, began_at=began_at, ended_at=ended_at)],
+    }
+    assert len(findings_of("rest_is_given", **given)) == findings
