--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -112,6 +112,16 @@
     CrashBook.may_be_retried = lambda self, fingerprint: True  # type: ignore[method-assign]
 
 
+@_disables("passing_on")
+def _pass_nothing_on() -> None:
+    from springrock.forwarding.passing_on import PassingOn
+
+    PassingOn.is_due = lambda self, progress: False  # type: ignore[method-assign]
+    PassingOn.is_last_resort = (  # type: ignore[method-assign]
+        lambda self, progress, rejection: False
+    )
+
+
 @_disables("replicas_words")
 def _ignore_replica_notices() -> None:
     from springrock.forwarding.notices import ReplicaNotices
@@ -144,3 +154,29 @@
     StreamRun._read_end = (  # type: ignore[method-assign]
         lambda self, answer: self._splitter.drain_incomplete()
     )
+
+
+@_disables("software_bounds")
+def _resume_at_any_software_version() -> None:
+    from springrock.forwarding.request_progress import RequestProgress
+
+    RequestProgress.bind_software = lambda self, software: None  # type: ignore[method-assign]
+
+
+@_disables("stream_origins")
+def _take_up_at_any_software_version() -> None:
+    from springrock.forwarding.stream_origins import StreamOrigins
+
+    StreamOrigins.bind = lambda self, progress: None  # type: ignore[method-assign]
+
+
+@_disables("told_origins")
+def _tell_no_origins() -> None:
+    from springrock.forwarding.stream_origins import NoOtherBoxes, StreamOrigins
+
+    original = StreamOrigins.__init__
+
+    def _init(self: Any, **kwargs: Any) -> None:
+        original(self, **{**kwargs, "other_boxes": NoOtherBoxes()})
+
+    StreamOrigins.__init__ = _init  # type: ignore[method-assign]
--- a/bench/soak/shape.py
+++ b/bench/soak/shape.py
@@ -78,6 +78,10 @@
         """The most processes at once: boxes, replicas, store, proxy and the soak itself."""
         return len(self.boxes) + len(self.replicas) + len(self.spares) + 3
 
+    def boxes_in(self, zone: str) -> tuple[str, ...]:
+        """Return the names of the boxes in a zone; boxes take turns with the zones."""
+        return self.boxes[ZONES.index(zone) :: len(ZONES)]
+
     def replicas_of(self, service: str) -> tuple[str, ...]:
         """Return the names of a service's replicas."""
         return tuple(plan.name for plan in self.replicas if plan.service == service)
--- a/springrock/emulator/proxy.py
+++ b/springrock/emulator/proxy.py
@@ -7,10 +7,10 @@
 import bottle
 import gevent
 import msgspec
-from gevent.server import StreamServer
 from gevent.socket import create_connection
 
 from springrock.bottle_app import new_app
+from springrock.emulator.listener import Listener, NewConnections
 from springrock.emulator.settings import ProxySettings, RouteSettings
 from springrock.emulator.unframed import reset_on_close
 from springrock.httpd import HttpServer
@@ -35,6 +35,7 @@
         one_way: No bytes pass in this direction.
         delay_s: Delay of each block of bytes, in both directions.
         half_answer_bytes: The connection is closed after this many bytes to the caller; 0 never.
+        new_connections: What happens to new connections; open ones are not affected.
     """
 
     routes: list[str]
@@ -43,6 +44,7 @@
     one_way: Direction | None = None
     delay_s: float = 0.0
     half_answer_bytes: int = 0
+    new_connections: NewConnections = "accepted"
 
 
 class _Route:
@@ -52,39 +54,28 @@
     """
 
     def __init__(self, settings: RouteSettings) -> None:
-        self._address = split_address(settings.address)
         self._target = split_address(settings.target_address)
         self._open_sockets: set[Any] = set()
-        self._is_stopped = False
+        self._awaits_target = False
         self.fault = RouteFault(routes=[])
-        self._server = self._new_server()
-
-    def start(self) -> None:
-        """Listen."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop listening, without waiting for open connections."""
-        self._is_stopped = True
-        self._server.stop(timeout=0)
-
-    def _new_server(self) -> Any:
-        return StreamServer(self._address, self._serve)
+        self.listener = Listener(split_address(settings.address), self._serve)
 
     def set_fault(self, fault: RouteFault) -> None:
         self.fault = fault
+        self.listener.treat_new(fault.new_connections)
         if fault.cut:
             for open_socket in list(self._open_sockets):
                 open_socket.close()
 
-    def _serve(self, caller: Any, _: Any) -> None:
+    def _serve(self, caller: Any) -> None:
         if self.fault.cut:
             caller.close()
             return
         try:
             target = create_connection(self._target, timeout=_CONNECT_TIMEOUT_S)
-        except OSError:
-            self._refuse_with_target()
+        except OSError as error:
+            if isinstance(error, ConnectionRefusedError):
+                self._refuse_with_target()
             caller.close()
             return
         if self.fault.cut:
@@ -109,17 +100,19 @@
         gevent.killall(tasks)
 
     def _refuse_with_target(self) -> None:
-        """Stop listening if the target refuses connections, until it accepts them again."""
-        if self._server.started and self._target_refuses():
-            self._server.close()
-            gevent.spawn(self._listen_with_target)
+        """Refuse connections if the target does, until it accepts them again."""
+        if not self._target_refuses():
+            return
+        self.listener.refuse_with_target(True)
+        if not self._awaits_target:
+            self._awaits_target = True
+            gevent.spawn(self._accept_with_target)
 
-    def _listen_with_target(self) -> None:
+    def _accept_with_target(self) -> None:
         while self._target_refuses():
             gevent.sleep(_ACCEPTS_POLL_INTERVAL_S)
-        if not self._is_stopped:
-            self._server = self._new_server()
-            self._server.start()
+        self._awaits_target = False
+        self.listener.refuse_with_target(False)
 
     def _target_refuses(self) -> bool:
         try:
@@ -169,19 +162,21 @@
     def start(self) -> None:
         """Start forwarding on all routes, and the control server."""
         for route in self._routes.values():
-            route.start()
+            route.listener.start()
         self.server.start()
 
     def stop(self) -> None:
         """Stop at once, without waiting for open connections."""
         for route in self._routes.values():
-            route.stop()
+            route.listener.stop()
         self.server.stop(finish_within_s=0)
 
     def set_fault(self, fault: RouteFault) -> None:
         """Replace the faults of the routes that the fault names."""
-        for name in fault.routes:
-            self._routes[name].set_fault(fault)
+        gevent.joinall(
+            [gevent.spawn(self._routes[name].set_fault, fault) for name in fault.routes],
+            raise_error=True,
+        )
 
     def _post_fault(self) -> Any:
         self.set_fault(msgspec.json.decode(bottle.request.body.read(), type=RouteFault))
