Placer board: a box that acquires its lease again is no predecessor any more

The board remembered a handover for good. It forgets it once a row shows a later lease, and takes no older handover that arrives late after that.

--- a/springrock/placement/placer_board.py
+++ b/springrock/placement/placer_board.py
@@ -33,6 +33,7 @@
         self._version = version
         self._rows: dict[str, Row] = {}
         self._successors: dict[str, Successor] = {}
+        self._ended_fences: dict[str, int] = {}
         self._updates: dict[str, Event] = {}
         self._known = Event()
 
@@ -68,7 +69,8 @@
     def record_successor(self, key: str, successor: Successor) -> None:
         """Record the handover of a placer's lease; an older handover is ignored."""
         known = self._successors.get(key)
-        if known is None or successor.fence > known.fence:
+        newest_fence = self._ended_fences.get(key, -1) if known is None else known.fence
+        if successor.fence > newest_fence:
             self._successors[key] = successor
             self._update_event(key).set()
 
@@ -103,6 +105,7 @@
         known = self._rows.get(row.key)
         if known is None or row.version > known.version:
             self._rows[row.key] = row
+            self._end_handover(row)
             self._update_event(row.key).set()
 
     # Implementation of `TableListener`.
@@ -110,6 +113,8 @@
     def replace(self, rows: Sequence[Row]) -> None:
         """Replace all rows with those of a full reading."""
         self._rows = {row.key: row for row in rows}
+        for row in rows:
+            self._end_handover(row)
         self._known.set()
         for event in self._updates.values():
             event.set()
@@ -123,5 +128,17 @@
         self._rows.pop(key, None)
         self._update_event(key).set()
 
+    def _end_handover(self, row: Row) -> None:
+        """Forget the successor of a lease once a later one was acquired.
+
+        A box that handed the lease over may acquire it again later.
+        """
+        decoded = placer_row_from(row)
+        successor = self._successors.get(row.key)
+        if decoded is None or successor is None or successor.continues_lease_of(decoded):
+            return
+        del self._successors[row.key]
+        self._ended_fences[row.key] = successor.fence
+
     def _update_event(self, key: str) -> Event:
         return self._updates.setdefault(key, Event())
