Failing test: rows that lag outrank what another box told

A box whose rows show one version alone sends a stream there although another box told it, as the placer of a zone, that another version began it. Fails with 'v1' instead of 'v2'.

--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -11,13 +11,16 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding import software_history
+from springrock.forwarding.configuration import RouteKind
 from springrock.forwarding.directory import ReplicaRecord
+from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.software_history import (
     STREAM_LIFE_S,
     KnownVersions,
     SoftwareHistory,
 )
-from springrock.forwarding.stream_origins import Origin, OriginBook
+from springrock.forwarding.stream_origins import Origin, OriginBook, StreamOrigins
+from springrock.log import Log
 from springrock.placement.messages import BegunStreams, Demand, encode
 from springrock.placement.origin_exchange import OriginExchange
 from springrock.placement.origin_questions import OriginQuestions
@@ -25,6 +28,7 @@
 from springrock.placement.placer_row import PlacerRow, key_of
 from springrock.rows import Row
 from springrock.store_clock import StoreClock
+from tests.forwarding.test_values import make_request, make_route
 
 V1, V2 = Origin("s", "v1"), Origin("s", "v2")
 
@@ -56,6 +60,16 @@
         self.own.record(request_id, origin)
         self.exchange.tell_origin(request_id, origin)
 
+    def version_for(self, resumes: str) -> str | None:
+        """Return the version that a client's request for a stream is restricted to."""
+        origins = StreamOrigins(
+            own=self.own, history=self.history, other_boxes=self.exchange, log=Log("test", "box")
+        )
+        request = make_request(resumes=resumes, last_event_id="2")
+        progress = RequestProgress(request, make_route(kind=RouteKind.STREAMING), "s")
+        origins.bind(progress)
+        return progress.bounds.software
+
 
 class Link:
     """A link to the box that places a zone; implements `Keeper`."""
@@ -109,6 +123,17 @@
     assert box.exchange.ask_origin("r0", "s") == V1
 
 
+def test_what_a_box_was_told_decides_before_rows_that_do_not_show_the_version_yet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    box = Box("v1")
+    box.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    box.exchange.keep(BegunStreams("s", "v2", ["r0"]))
+    assert box.version_for("r0") == "v2"
+
+
 def test_nothing_is_told_while_a_service_has_one_version_and_all_of_it_once_it_has_two(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
