Forwarder: what another box told decides before the rows of replicas

Cause: what a box was told as a placer was looked at only once its rows did not decide. Rows follow the store by up to 3 s, so that a box may vouch for one version while another box already serves streams of a second one, and told it so. Ruled out: the box's own streams, which came first already.

NoOtherBoxes, which nothing used, would have needed the method; removed.

--- a/springrock/forwarding/stream_origins.py
+++ b/springrock/forwarding/stream_origins.py
@@ -79,19 +79,11 @@
     def tell_origin(self, request_id: str, origin: Origin) -> None:
         """Tell other boxes the origin of a stream of this one, if they may need it."""
 
-    def ask_origin(self, request_id: str, service: str) -> Origin | None:
-        """Ask other boxes for the origin of a stream; None if none knows it."""
-
-
-class NoOtherBoxes:
-    """An `OtherBoxes` without any box."""
-
-    def tell_origin(self, request_id: str, origin: Origin) -> None:
-        """Do nothing."""
+    def told_origin(self, request_id: str) -> Origin | None:
+        """Return the origin that another box told this one; None if none did."""
 
     def ask_origin(self, request_id: str, service: str) -> Origin | None:
-        """Return None."""
-        return None
+        """Ask other boxes for the origin of a stream; None if none knows it."""
 
 
 class StreamOrigins:
@@ -153,7 +145,7 @@
 
     def _find(self, progress: RequestProgress) -> tuple[str | None, OriginSource]:
         request_id, service = progress.request.resumes, progress.service
-        recorded = self._own.find(request_id)
+        recorded = self._own.find(request_id) or self._other_boxes.told_origin(request_id)
         if recorded is not None and recorded.service == service:
             return recorded.software, OriginSource.RECORDED
         only = self._history.only_version(service)
--- a/springrock/placement/origin_exchange.py
+++ b/springrock/placement/origin_exchange.py
@@ -134,11 +134,12 @@
                 self._tell_all(keeper, origin.service)
                 self._told.add((zone, origin.service))
 
+    def told_origin(self, request_id: str) -> Origin | None:
+        """Return the origin that another box told this one; None if none did."""
+        return self._kept.find(request_id)
+
     def ask_origin(self, request_id: str, service: str) -> Origin | None:
         """Ask the placers of all zones at once; return the first origin that one of them knows."""
-        kept = self._kept.find(request_id)
-        if kept is not None:
-            return kept
         answers: Queue[Origin | None] = Queue()
         asked = [
             (keeper.questions, keeper.questions.ask(request_id, service, answers=answers))
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -105,6 +105,9 @@
     def tell_origin(self, request_id: str, origin: Origin) -> None:
         self.known[request_id] = origin
 
+    def told_origin(self, request_id: str) -> Origin | None:
+        return None
+
     def ask_origin(self, request_id: str, service: str) -> Origin | None:
         self.asked.append(request_id)
         return self.known.get(request_id)
