Failing test: a stream that begins with an event without an id changes its version

A replica whose first read holds a comment alone and events with ids later; it breaks off, and the box resumes at the other version. Fails with no AnswerCut raised.

--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+import threading
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
@@ -47,6 +48,7 @@
     b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
     b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+GREETING = b": welcome\n\n"
 LAST_EVENT = 4
 TERMS = KeyTerms(revoke_s=1.0, fail_closed=True)
 ROUTE = make_route(kind=RouteKind.STREAMING, attempts=3, resumable=True)
@@ -68,14 +70,25 @@
     return 1
 
 
-def writing(software: str, *, breaks_after: int = 0) -> Script:
-    """Return a replica's script: it writes the rest of a stream, or breaks off after an event."""
+def writing(
+    software: str, *, breaks_after: int = 0, greeted: threading.Event | None = None
+) -> Script:
+    """Return a replica's script: it writes the rest of a stream, or breaks off after an event.
+
+    Args:
+        software: What it writes.
+        breaks_after: The number of the event after which it breaks off; 0 for none.
+        greeted: If given, it first writes an event without an id, and goes on once this is set.
+    """
 
     def script(connection: socket.socket) -> None:
         request = read_request(connection)
         if not request:
             return
         connection.sendall(HEAD)
+        if greeted is not None:
+            connection.sendall(chunk(GREETING))
+            greeted.wait()
         for number in range(first_number(request), LAST_EVENT + 1):
             connection.sendall(chunk(event(number, software)))
             if number == breaks_after:
@@ -221,6 +234,24 @@
     ]
 
 
+def test_a_stream_that_begins_with_an_event_without_an_id_goes_on_only_at_its_version() -> None:
+    received = []
+    greeted = threading.Event()
+    with box_with(
+        ("v1", writing("v1", breaks_after=2, greeted=greeted)),
+        ("v2", writing("v2", breaks_after=2, greeted=greeted)),
+    ) as box:
+        stream = box.stream()
+        with pytest.raises(AnswerCut):
+            for data in stream:
+                received.append(data)
+                greeted.set()
+    assert received[0] == GREETING
+    assert b"".join(received[1:]) in [
+        event(1, software) + event(2, software) for software in ("v1", "v2")
+    ]
+
+
 def test_a_stream_of_an_unknown_version_is_refused_while_several_versions_serve() -> None:
     with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
         reply = box.forwarder.forward(
