Forwarder: a stream is restricted to its version at its first event with an id

Cause: the restriction was made when a run was opened, which returns with the first complete event; one without an id, as a comment that keeps a connection alive, made nothing to resume after yet, and later events were not looked at. Such a stream went on at any version, and its origin was recorded nowhere. Ruled out: runs whose first read holds an event with an id.

--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -37,8 +37,8 @@
         sender: Sends the request.
         progress: The request.
         chosen: The replica that runs it.
-        on_begun: Called with the request and the replica's software version before the first
-            events of the run are yielded.
+        on_begun: Called with the request and the replica's software version before the run's first
+            event with an id is yielded.
     """
 
     def __init__(
@@ -58,6 +58,7 @@
         self._first_events = b""
         self._attempt = sender.start_attempt(progress, chosen.replica)
         self._closed = False
+        self._begun = False
         self._answer: Answer | None = None
 
     @property
@@ -82,9 +83,6 @@
             self.close()
             raise
         self._sender.record_answer(self._progress, self._replica, self._attempt, answer.head.status)
-        if self._progress.resuming:
-            self._progress.bind_software(self._attempt.software)
-            self._on_begun(self._progress, self._attempt.software)
         if self._chosen.use is not None and answer.head.succeeded:
             self._chosen.use.record_first_event()
         return answer.head
@@ -142,8 +140,17 @@
                 if event.event_id:
                     self._progress.record_event(event.event_id)
             if events:
+                self._record_begun()
                 return b"".join(event.raw for event in events)
 
+    def _record_begun(self) -> None:
+        """Restrict the stream to the replica's version once it can go on after an event."""
+        if self._begun or not self._progress.resuming:
+            return
+        self._begun = True
+        self._progress.bind_software(self._attempt.software)
+        self._on_begun(self._progress, self._attempt.software)
+
     def _read_end(self, answer: Answer) -> bytes:
         """Return what is left at the end of the body: nothing, or a failure without events.
 
