Failing tests: a placer whose rows lag decides which version began a stream

Of two placers, one vouches for the only version that its rows show, the other was told that a second version began the stream; the first answer is taken, and it is taken also by a box that knows of both versions. Both fail with the origin v1 instead of v2 and of None.

--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -112,6 +112,28 @@
     assert box.exchange.ask_origin("r0", "s") is None
 
 
+def test_a_placer_whose_rows_lag_does_not_decide_against_one_that_was_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    lagging, told = Box("v1"), Box("v1", "v2")
+    lagging.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    told.exchange.keep(BegunStreams("s", "v2", ["r0"]))
+    for box in (Box("v1"), Box("v1", "v2")):
+        assert linked(box, [lagging, told]).exchange.ask_origin("r0", "s") == V2
+
+
+def test_a_placer_whose_rows_lag_does_not_decide_for_a_box_that_knows_another_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    lagging = Box("v1")
+    lagging.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    assert linked(Box("v1", "v2"), [lagging]).exchange.ask_origin("r0", "s") is None
+
+
 def test_a_placer_that_vouches_for_one_version_answers_for_a_box_that_has_just_started(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
