Placers: one that was told of a stream decides before one whose rows lag

Cause: an answer did not say whether the placer knew the stream or concluded from the rows that it had read, and the first answer was taken. In the seconds in which a second version is known at some boxes only, a placer that had not read its row yet could send its streams to the first version, also for a box that knows both versions.

Change: OriginFound has a new last field, told.

--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -222,11 +222,14 @@
         number: The number of the question.
         service: The service that began the stream.
         software: The software version that began it; None if unknown.
+        told: Whether the placer served the stream or was told of it; else it concludes the version
+            from the rows of replicas, which may lag.
     """
 
     number: int
     service: str = ""
     software: str | None = None
+    told: bool = False
 
 
 class Demand(Struct, frozen=True, array_like=True, tag=2):
--- a/springrock/placement/origin_exchange.py
+++ b/springrock/placement/origin_exchange.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Generator, Iterable
+from contextlib import closing
 from typing import Protocol
 
 import gevent
@@ -139,8 +140,26 @@
         return self._kept.find(request_id)
 
     def ask_origin(self, request_id: str, service: str) -> Origin | None:
-        """Ask the placers of all zones at once; return the first origin that one of them knows."""
-        answers: Queue[Origin | None] = Queue()
+        """Ask the placers of all zones at once.
+
+        The first placer that was told of the stream decides. Without one, the only version that
+        placers vouch for does, unless this box knows of another one.
+        """
+        vouched: set[Origin] = set()
+        with closing(self._answers(request_id, service)) as answers:
+            for found in answers:
+                if found.software is None:
+                    continue
+                origin = Origin(found.service, found.software)
+                if found.told:
+                    return origin
+                vouched.add(origin)
+        known = {Origin(service, software) for software in self._history.versions(service)}
+        return next(iter(vouched)) if len(vouched | known) == 1 and vouched else None
+
+    def _answers(self, request_id: str, service: str) -> Generator[OriginFound, None, None]:
+        """Yield the answers of placers as they arrive in time."""
+        answers: Queue[OriginFound | None] = Queue()
         asked = [
             (keeper.questions, keeper.questions.ask(request_id, service, answers=answers))
             for keeper in self._keepers().values()
@@ -151,13 +170,12 @@
             for _ in asked:
                 found = answers.get(timeout=max(0.0, deadline.left_s))
                 if found is not None:
-                    return found
+                    yield found
         except Empty:
             pass
         finally:
             for questions, number in asked:
                 questions.withdraw(number)
-        return None
 
     # Called while this box places.
 
@@ -170,7 +188,7 @@
         """Return the answer to a question of another box."""
         found = self._kept.find(question.request) or self._own.find(question.request)
         if found is not None:
-            return OriginFound(question.number, found.service, found.software)
+            return OriginFound(question.number, found.service, found.software, told=True)
         only = self._history.only_version(question.service)
         return OriginFound(question.number, question.service, only)
 
--- a/springrock/placement/origin_questions.py
+++ b/springrock/placement/origin_questions.py
@@ -7,7 +7,6 @@
 
 from gevent.queue import Queue
 
-from springrock.forwarding.stream_origins import Origin
 from springrock.placement.messages import OriginFound, OriginQuestion
 
 
@@ -21,11 +20,11 @@
     def __init__(self, *, on_update: Callable[[], None]) -> None:
         self._on_update = on_update
         self._numbers = count(1)
-        self._pending: dict[int, Queue[Origin | None]] = {}
+        self._pending: dict[int, Queue[OriginFound | None]] = {}
         self._unsent: list[OriginQuestion] = []
 
-    def ask(self, request_id: str, service: str, *, answers: Queue[Origin | None]) -> int:
-        """Ask for the origin of a stream; the answer is put into a queue, None if unknown.
+    def ask(self, request_id: str, service: str, *, answers: Queue[OriginFound | None]) -> int:
+        """Ask for the origin of a stream; its answer is put into a queue, None without one.
 
         Returns:
             The number of the question, to withdraw it.
@@ -45,7 +44,7 @@
         """Pass the placer's answer on, unless its question was withdrawn."""
         answers = self._pending.pop(found.number, None)
         if answers is not None:
-            answers.put(None if found.software is None else Origin(found.service, found.software))
+            answers.put(found)
 
     def forget_placer(self) -> None:
         """Answer all questions with None, as the placer is lost."""
--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -21,7 +21,7 @@
 )
 from springrock.forwarding.stream_origins import Origin, OriginBook, StreamOrigins
 from springrock.log import Log
-from springrock.placement.messages import BegunStreams, Demand, encode
+from springrock.placement.messages import BegunStreams, Demand, OriginFound, encode
 from springrock.placement.origin_exchange import OriginExchange
 from springrock.placement.origin_questions import OriginQuestions
 from springrock.placement.placer_board import PlacerBoard
@@ -237,7 +237,7 @@
 
 
 def test_a_lost_placer_answers_its_questions_with_unknown() -> None:
-    answers: Queue[Origin | None] = Queue()
+    answers: Queue[OriginFound | None] = Queue()
     questions = OriginQuestions(on_update=lambda: None)
     questions.ask("r0", "s", answers=answers)
     questions.forget_placer()
