Failing test: a stream of a split route is refused where the split picks another service

A stream that a client takes up gets a service at random by the weights; what is known of the one that began it then decides nothing. Fails with 503 stream_origin_unknown.

--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
+import msgspec
 import pytest
 
 from springrock.clock import monotonic
@@ -16,7 +17,14 @@
 from springrock.forwarding.balancing import Balancer
 from springrock.forwarding.budget import RetryBudget, RetryLimits
 from springrock.forwarding.choosing import ReplicaChooser
-from springrock.forwarding.configuration import Configuration, RouteKind, RouteTable, Team
+from springrock.forwarding.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    RouteTable,
+    Share,
+    Team,
+)
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.forwarding.forwarder import Forwarder
@@ -129,7 +137,7 @@
 class Box:
     """The parts of a box that forward streams to the replicas in its directory."""
 
-    def __init__(self) -> None:
+    def __init__(self, route: Route = ROUTE) -> None:
         log = Log("test", "box-1")
         self.directory = Directory(log)
         self.chooser = ReplicaChooser(
@@ -161,7 +169,7 @@
         self.relay = StreamRelay(
             chooser=self.chooser, sender=sender, log=log, on_begun=self.origins.record_begun
         )
-        table = RouteTable(Configuration(version=1, routes=(ROUTE,)))
+        table = RouteTable(Configuration(version=1, routes=(route,)))
         self.forwarder = Forwarder(
             routes=lambda: table,
             gate=KeyGate(routes=lambda: table, staleness_s=lambda: 0.0, terms=lambda: TERMS),
@@ -194,9 +202,9 @@
 
 
 @contextmanager
-def box_with(*replicas: tuple[str, Script]) -> Iterator[Box]:
+def box_with(*replicas: tuple[str, Script], route: Route = ROUTE) -> Iterator[Box]:
     """Yield a box; each replica is given by its software version and its script."""
-    box = Box()
+    box = Box(route)
     with ExitStack() as stack:
         for number, (software, script) in enumerate(replicas, 1):
             scripted = stack.enter_context(ScriptedReplica(script, script, script))
@@ -307,6 +315,13 @@
         assert take_up(box)[0] == 503
 
 
+def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
+    route = msgspec.structs.replace(ROUTE, shares=(Share("s", 1e-9), Share("t", 1.0)))
+    with box_with(("v1", writing("v1")), ("v2", writing("v2")), route=route) as box:
+        box.others.known["r0"] = Origin("s", "v2")
+        assert take_up(box) == (200, rest_from("v2"))
+
+
 def test_a_stream_whose_version_is_gone_is_refused_at_once() -> None:
     with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
         box.others.known["r0"] = Origin("s", "v3")
