Forwarder: a stream that is taken up goes on at the service that began it

Cause: on a route with several services each request gets one at random by the weights, also one that takes a stream up. What is known of a stream of another service was left, so that it was refused as unknown, or, where one version alone served, went on at a service that had not begun it: with equal weights half of the tries.

The service of the stream replaces the picked one as long as the split may pick it. A service that the route no longer gives requests gets none.

--- a/springrock/forwarding/configuration.py
+++ b/springrock/forwarding/configuration.py
@@ -115,6 +115,12 @@
             return self.resumable
         return self.kind is RouteKind.SAFE
 
+    def serves(self, service: str) -> bool:
+        """Whether the split may pick a service."""
+        if len(self.shares) == 1:
+            return self.shares[0].service == service
+        return any(share.service == service and share.weight > 0 for share in self.shares)
+
     def pick_service(self, rng: random.Random) -> str:
         """Choose one of the services at random by the weights of the split."""
         if len(self.shares) == 1:
--- a/springrock/forwarding/stream_origins.py
+++ b/springrock/forwarding/stream_origins.py
@@ -120,7 +120,7 @@
         self._other_boxes.tell_origin(request_id, origin)
 
     def bind(self, progress: RequestProgress) -> None:
-        """Restrict a request that takes a stream up to the version that began it.
+        """Restrict a request that takes a stream up to the service and version that began it.
 
         Raises:
             StreamOriginUnknown: If that version is not known for certain.
@@ -128,30 +128,31 @@
         if not (progress.streaming and progress.request.last_event_id):
             return
         began_at = monotonic()
-        software, source = self._find(progress)
+        origin, source = self._find(progress)
         self._count(source)
         self._log.info(
             "Looked for the version that began a stream.",
             request=progress.request.request_id,
             resumes=progress.request.resumes,
-            service=progress.service,
-            software=software,
+            service=progress.service if origin is None else origin.service,
+            software=None if origin is None else origin.software,
             source=source,
             took_ms=round((monotonic() - began_at) * 1000),
         )
-        if software is None:
+        if origin is None:
             raise StreamOriginUnknown(_RETRY_AFTER_S)
-        progress.bind_software(software)
+        progress.service = origin.service
+        progress.bind_software(origin.software)
 
-    def _find(self, progress: RequestProgress) -> tuple[str | None, OriginSource]:
+    def _find(self, progress: RequestProgress) -> tuple[Origin | None, OriginSource]:
         request_id, service = progress.request.resumes, progress.service
         recorded = self._own.find(request_id) or self._other_boxes.told_origin(request_id)
-        if recorded is not None and recorded.service == service:
-            return recorded.software, OriginSource.RECORDED
+        if recorded is not None and progress.route.serves(recorded.service):
+            return recorded, OriginSource.RECORDED
         only = self._history.only_version(service)
         if only is not None:
-            return only, OriginSource.ONLY_VERSION
+            return Origin(service, only), OriginSource.ONLY_VERSION
         told = self._other_boxes.ask_origin(request_id, service) if request_id else None
-        if told is not None and told.service == service:
-            return told.software, OriginSource.ASKED
+        if told is not None and progress.route.serves(told.service):
+            return told, OriginSource.ASKED
         return None, OriginSource.UNKNOWN
