--- a/springrock/forwarding/software_history.py
+++ b/springrock/forwarding/software_history.py
@@ -82,8 +82,9 @@
         """Return the versions of all services; None if replicas can have served unseen."""
         if not self.covers_stream_life:
             return None
-        services = {service for service, _ in (*self._present.values(), *self._gone_at)}
-        versions = {service: sorted(self.versions(service)) for service in sorted(services)}
+        versions: dict[str, list[str]] = {}
+        for service, software in sorted({*self._present.values(), *self._gone_at}):
+            versions.setdefault(service, []).append(software)
         return KnownVersions(monotonic() - self._age_s(), versions)
 
     def apply_report(self, known: KnownVersions) -> None:
