Service driver: an answer that is cut off inside its head or a chunk size is broken

Cause: the standard library takes the end of a connection for the end of a head, and urllib3 a cut-off chunk size that begins with 0 for the last chunk; neither says so afterwards. Ruled out: a check after the answer, which sees a service that lives on.

Change: the driver's connections read lines with a reader that raises where a connection ends inside a line, or before the end of a head.

--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -9,6 +9,7 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from springrock.clock import Deadline
+from springrock.drivers.strict_http import strict_pool_manager
 from springrock.errors import UpstreamBroke, UpstreamSaidNo, UpstreamUnreachable
 from springrock.plugins import drivers
 from springrock.retry_after import retry_after_in
@@ -40,7 +41,7 @@
     def __init__(self, upstream: UpstreamSection) -> None:
         self._address = split_address(upstream.address)
         self._base_url = f"http://{upstream.address}"
-        self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
+        self._pool = strict_pool_manager(maxsize=_CONNECTIONS)
 
     def call(
         self, method: str, path: str, *, body: bytes, headers: dict[str, str], timeout_s: float
@@ -56,7 +57,7 @@
         timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
         # The service closes this connection after the answer; a call that reused it would be reset.
         single_use = headers.get("Connection") == "close"
-        pool = urllib3.PoolManager(retries=False) if single_use else self._pool
+        pool = strict_pool_manager() if single_use else self._pool
         try:
             response = pool.request(
                 method,
--- a/tests/drivers/test_service.py
+++ b/tests/drivers/test_service.py
@@ -99,6 +99,17 @@
         driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=5.0)
 
 
+def test_an_answer_whose_connection_ends_with_its_last_chunk_is_whole() -> None:
+    def _answer(connection: socket.socket) -> None:
+        read_request(connection)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.sendall(head + b"4\r\nbody\r\n0\r\n")
+
+    with ScriptedReplica(_answer) as service:
+        answer = driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=5.0)
+    assert answer.body == b"body"
+
+
 def test_a_service_is_not_waited_for_longer_than_its_call_may_take(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
