--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -78,6 +78,7 @@
         self._placer = placer
         self._answers = answers
         self.keeps_origins = True
+        self.placer = f"box-{id(placer)}"
         self.told: list[str] = []
         self.questions = OriginQuestions(on_update=lambda: gevent.spawn(self._deliver) and None)
 
@@ -183,6 +184,13 @@
     assert sorted(link.told) == ["r0", "r0", "r1"]
 
 
+def test_two_boxes_are_told_where_one_of_them_places_several_zones() -> None:
+    placer, other = Box("v1", "v2"), Box("v1", "v2")
+    box = linked(Box("v1", "v2"), [placer, placer, other])
+    box.begin("r0", V1)
+    assert [link.told for link in box.links.values()] == [["r0"], [], ["r0"]]
+
+
 def test_a_zone_takes_the_place_of_one_that_was_lost() -> None:
     box = linked(Box("v1", "v2"), [Box("v1", "v2") for _ in range(3)])
     box.begin("r0", V1)
