Origins of streams are kept by two boxes, also where one places several zones

Cause: the keepers were two zones, whichever boxes placed them. After the loss of a zone a box may place it beside its own, and both copies of the streams of its neighbours were lost with it. Ruled out: a box that tells itself, which the choice excluded already.

Keepers are now chosen by the address of the placer that a box is linked to.

--- a/springrock/placement/link_client.py
+++ b/springrock/placement/link_client.py
@@ -42,6 +42,7 @@
         count_unknown: Called with the kind of each message that this build does not know.
 
     Attributes:
+        placer: The address of the placer while the link is open; else empty.
         lost: Set when the link is broken, cleared when it is opened.
     """
 
@@ -76,6 +77,7 @@
         self._log = log
         self._count_sent = count_sent
         self._connection: ClientConnection | None = None
+        self.placer = ""
         self.lost = Event()
 
     @property
@@ -110,6 +112,7 @@
             connection.close()
             return False
         self._connection = connection
+        self.placer = address
         self.lost.clear()
         self._on_message(first)
         gevent.spawn(self._run, connection, address)
@@ -147,6 +150,7 @@
             self._log.info("Lost the placer.", zone=self._zone, address=address, error=str(error))
         finally:
             self._connection = None
+            self.placer = ""
             writer.kill()
             self._on_lost()
             self.lost.set()
--- a/springrock/placement/origin_exchange.py
+++ b/springrock/placement/origin_exchange.py
@@ -32,6 +32,10 @@
 class Keeper(Protocol):
     """The link to one zone's placer."""
 
+    @property
+    def placer(self) -> str:
+        """The address of the zone's placer while it is reached; a box may place several zones."""
+
     @property
     def questions(self) -> OriginQuestions:
         """This box's questions at the placer."""
@@ -193,8 +197,12 @@
         return OriginFound(question.number, question.service, only)
 
     def _chosen(self) -> dict[str, Keeper]:
-        usable = {zone: keeper for zone, keeper in self._keepers().items() if keeper.keeps_origins}
-        return dict(list(usable.items())[:_KEEPERS])
+        """Return the zones whose placers are told of streams, each one another box."""
+        chosen: dict[str, tuple[str, Keeper]] = {}
+        for zone, keeper in self._keepers().items():
+            if keeper.keeps_origins and len(chosen) < _KEEPERS:
+                chosen.setdefault(keeper.placer, (zone, keeper))
+        return dict(chosen.values())
 
     def _tell_all(self, keeper: Keeper, service: str) -> None:
         keeper.tell(item for item in self._own.recent() if item[1].service == service)
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -416,6 +416,11 @@
 
     # Implementation of `Keeper`.
 
+    @property
+    def placer(self) -> str:
+        """The address of the zone's placer while this box is linked to it; else empty."""
+        return self._client.placer
+
     @property
     def questions(self) -> OriginQuestions:
         """This box's questions for origins of streams at the placer."""
