Failing test: no placer keeps origins of streams in a deployment without engines

A zone has a placer only for engines and for services with a slow start. Where all services are plain, no box is told of streams or can be asked. Fails with the zone not joined.

--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -411,3 +411,14 @@
     deployment.evacuated = ZONES
     assert deployment.find() is None
     assert sum(zone.asks for zone in deployment.zones.values()) == 0
+
+
+@pytest.mark.parametrize(("software", "joined"), [("v1", True), ("", False)])
+def test_a_zone_without_engines_has_a_placer_that_keeps_origins_if_replicas_name_versions(
+    deployment: Deployment, software: str, joined: bool
+) -> None:
+    record = ReplicaRecord(
+        instance="i-4", service="plain", address="127.0.0.1:1", zone="zone-4", software=software
+    )
+    deployment.placement._replica_changed(record, record.instance)
+    assert ("zone-4" in deployment.zones) == joined
