Placement: zones whose replicas name software versions have placers

Cause: boxes took part in a zone's election only if it had engines or replicas with a slow start, as nothing else needed a placer. Since then placers keep the origins of streams and report the versions that served; in a deployment of plain services nobody did, so that a stream was refused at every box but its own while two versions served, and in the first minute after a start.

Such deployments write one lease for a zone more than before, and their boxes share limits by the number of boxes that their placers count. Deployments whose replicas name no version are as before.

--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -189,7 +189,7 @@
         self._stopping = False
 
     def start(self) -> None:
-        """Start to accept links and to join zones as their engines become known."""
+        """Start to accept links and to join zones as replicas become known."""
         self._server.start()
         self._origins_task = gevent.spawn(self.origins.run)
         self._directory.on_change.append(self._replica_changed)
@@ -473,9 +473,13 @@
 
     def _replica_changed(self, record: ReplicaRecord | None, instance: str) -> None:
         self._engines = None
-        if record is not None and (record.models or self._warmup.slow_start(record.service)):
+        if record is not None and self._needs_placer(record):
             self._zone(record.zone)
 
+    def _needs_placer(self, record: ReplicaRecord) -> bool:
+        """Whether a replica's zone needs a placer: for engines, permits or origins of streams."""
+        return bool(record.models or record.software or self._warmup.slow_start(record.service))
+
 
 def _may_serve(replica: Replica, bounds: Bounds, routing_state: RoutingState) -> bool:
     """Whether a request may go to a replica, permits aside: the zone's placer grants those."""
