Software history: at the first start of a deployment nothing has served before

In the first minute of a deployment whose boxes were all killed, streams that clients took up were refused although one version alone had ever served: no placer reported versions yet. Ruled out: to conclude it from missing placer rows, as a store that was restored may miss them too.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -145,7 +145,9 @@
             log=self._log_of("slow_start"),
         )
         self.directory.on_change.append(self._warmup.apply_record)
-        self._software_history = SoftwareHistory(age_s=lambda: self._replica_table.age_s)
+        self._software_history = SoftwareHistory(
+            age_s=lambda: self._replica_table.age_s, first_start=settings.start.first
+        )
         self.directory.on_change.append(self._software_history.apply_record)
         self._own_origins = OriginBook()
         self._store_clock = StoreClock()
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -216,14 +216,17 @@
 
 
 class StartSection(Section, frozen=True, kw_only=True):
-    """A start while the store does not answer.
+    """What a box that starts knows of the deployment.
 
     Attributes:
-        seeds: Addresses at which other boxes may listen for boxes, to fetch their state from. They
-            may be out of date.
+        seeds: Addresses at which other boxes may listen for boxes, to fetch their state from while
+            the store does not answer. They may be out of date.
+        first: Whether the whole deployment starts for the first time, so that no box has served
+            before. False for every later start of a box.
     """
 
     seeds: tuple[Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]+$")], ...] = ()
+    first: bool = False
 
 
 class StopSection(Section, frozen=True, kw_only=True):
--- a/springrock/forwarding/software_history.py
+++ b/springrock/forwarding/software_history.py
@@ -40,10 +40,12 @@
 
     Args:
         age_s: Returns the seconds since the replicas' rows were last known to be current.
+        first_start: Whether no box has served before this one started.
     """
 
-    def __init__(self, age_s: Callable[[], float]) -> None:
+    def __init__(self, age_s: Callable[[], float], *, first_start: bool = False) -> None:
         self._age_s = age_s
+        self._nothing_served_before = first_start
         self._present: dict[str, tuple[str, str]] = {}
         self._gone_at: dict[tuple[str, str], float] = {}
         self._known_since: float | None = None
@@ -66,7 +68,8 @@
         if self._age_s() > _FRESH_S:
             self._known_since = None
         elif self._known_since is None:
-            self._known_since = now
+            self._known_since = now - STREAM_LIFE_S if self._nothing_served_before else now
+            self._nothing_served_before = False
         self._gone_at = {
             version: at for version, at in self._gone_at.items() if now - at < STREAM_LIFE_S
         }
--- a/tests/forwarding/test_software_history.py
+++ b/tests/forwarding/test_software_history.py
@@ -85,3 +85,19 @@
     world.add("i-1", "")
     world.wait(STREAM_LIFE_S)
     assert world.history.only_version("s") == ""
+
+
+def test_at_the_first_start_of_a_deployment_nothing_can_have_served_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now, age_s = 1000.0, 0.0
+    monkeypatch.setattr(software_history, "monotonic", lambda: now)
+    history = SoftwareHistory(age_s=lambda: age_s, first_start=True)
+    record = ReplicaRecord(instance="i", service="s", address="h:1", zone="z", software="v1")
+    history.apply_record(record, "i")
+    assert history.only_version("s") == "v1"
+    age_s = 4.0
+    history.update()
+    age_s = 0.0
+    history.update()
+    assert history.only_version("s") is None, "a break counts as in any deployment"
--- a/tests/routed/test_software_versions.py
+++ b/tests/routed/test_software_versions.py
@@ -29,6 +29,7 @@
         tmp_path_factory.mktemp("software"),
         boxes=4,
         software_of=software_of,
+        first_start=True,
         replica_settings={"events": 20, "event_pause_ms": 100},
     )
     with deployment:
@@ -37,6 +38,7 @@
         deployment.configure()
         deployment.wait_ready(replicas=REPLICAS + 2)
         deployment.placer_and_other(deployment.zones[0])
+        deployment.end_first_start()
         for box in deployment.clients:
             deployment.send_until_served(box, "/items/x", adapter="a1")
         yield deployment
