Soak: a stream that its caller left counts as served beside a cut

Cause: `cut_off_boxes_serve` took each first try without a complete answer for a failure.

Change: a try whose caller left after the events that it wanted was served, at cut-off boxes and elsewhere. A stream that breaks off before is a failure as before; no bound changes.

Before, the new test of streams that callers left elsewhere failed: 40 first tries that all failed at the cut-off box were no finding.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from bench.soak.bodies import event_ids
-from bench.soak.observations import Attempt, Call, Framing
+from bench.soak.observations import LEFT, Attempt, Call, Framing
 from bench.soak.shape import ADAPTERS, KEYS, MOVABLE, RESUMABLE, STREAM_EVENTS, STREAMS
 from springrock.clock import monotonic
 from springrock.platform import names
@@ -249,7 +249,7 @@
     while block := response.read1(_READ_BYTES):
         attempt.body += block
         if attempt.leaves_after and len(event_ids(attempt.body)) >= attempt.leaves_after:
-            attempt.error = "left"
+            attempt.error = LEFT
             return
     attempt.is_complete = attempt.framing is Framing.CHUNKS or response.length == 0
     response.close()
--- a/bench/soak/judges/partitions.py
+++ b/bench/soak/judges/partitions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bench.soak.judges.judge import JUDGES, Finding, Judge, Verdict
-from bench.soak.observations import Attempt, FaultSpan, Observations
+from bench.soak.observations import LEFT, Attempt, FaultSpan, Observations
 
 CONTACT_S = 3.0
 """The users' bound on how long a partition may last before it counts."""
@@ -21,7 +21,7 @@
     """Compares first tries at boxes that are cut off from replicas with those at the others.
 
     A try fails whatever the reason, also if its connection is refused or closed unanswered.
-    Callers of the team beyond its quota do not count.
+    A stream that its caller left was served. Callers of the team beyond its quota do not count.
     """
 
     name = "cut_off_boxes_serve"
@@ -39,8 +39,8 @@
             boxes = _cut_off(span)
             start = span.began_at + CONTACT_S
             within = [a for a in first_tries if boxes and start <= a.sent_at < span.ended_at]
-            there = [attempt.answered for attempt in within if attempt.box in boxes]
-            elsewhere = [attempt.answered for attempt in within if attempt.box not in boxes]
+            there = [_is_served(attempt) for attempt in within if attempt.box in boxes]
+            elsewhere = [_is_served(attempt) for attempt in within if attempt.box not in boxes]
             checked += len(there)
             if _is_broken(there, elsewhere):
                 text = (
@@ -60,6 +60,10 @@
     return served_there < MIN_SHARE * served_elsewhere and there.count(False) > allowed
 
 
+def _is_served(attempt: Attempt) -> bool:
+    return attempt.answered or attempt.error == LEFT
+
+
 def _cut_off(span: FaultSpan) -> frozenset[str]:
     """Return the boxes that a fault cuts off from all replicas."""
     links = [name.removeprefix("link/").partition(">") for name in span.claimed]
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -13,6 +13,9 @@
 from bench.soak.shape import REPEATABLE, STREAMS, SoakConfiguration
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind
 
+LEFT = "left"
+"""The error of an attempt whose caller closed its connection, as it has the events it wanted."""
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -723,6 +723,26 @@
     assert len(cut_off_findings(*there, *first_tries("box-2", served=60, failed=0))) == 1
 
 
+def left(request_id: str, *, box: str = "box-1", **more: Any) -> Attempt:
+    """Return an attempt at a stream that its caller left after two events."""
+    given = {"error": "left", "leaves_after": 2, "sent_at": 14.0, **more}
+    return begun(request_id, box=box, **given)
+
+
+def test_a_stream_that_its_caller_left_was_served_also_elsewhere() -> None:
+    there = first_tries("box-1", served=0, failed=40)
+    others = [left(f"o{number}", box="box-2") for number in range(60)]
+    assert len(cut_off_findings(*there, *others)) == 1
+    left_there = [left(f"r{number}") for number in range(40)]
+    assert cut_off_findings(*left_there, *others) == []
+
+
+def test_a_stream_that_broke_off_before_its_caller_left_failed() -> None:
+    there = [left(f"r{number}", error="", leaves_after=3) for number in range(40)]
+    others = first_tries("box-2", served=60, failed=0)
+    assert len(cut_off_findings(*there, *others)) == 1
+
+
 def test_the_team_beyond_its_quota_does_not_count_as_cut_off() -> None:
     there = [refused(f"r{number}", key="few", status=429, sent_at=14.0) for number in range(40)]
     assert cut_off_findings(*there, *first_tries("box-2", served=60, failed=0)) == []
