--- a/springrock/placement/messages.py
+++ b/springrock/placement/messages.py
@@ -21,6 +21,7 @@
     NamedLimit,
     PermitAsk,
     Permitted,
+    PermitUse,
     ReplicaObservation,
 )
 from springrock.placement.handover_messages import Handover
@@ -250,6 +251,9 @@
         cut_off: Whether the box reaches no replica.
         begun: Streams whose origins the placer is to keep.
         origin_questions: Streams whose origins the box asks for.
+        brittle: How many requests the zone's brittle replicas may turn away in a second, as they
+            named it in answers to this box.
+        permit_uses: What became of requests with permits at brittle replicas.
     """
 
     asks: list[Ask] = []
@@ -269,6 +273,8 @@
     cut_off: bool = False
     begun: list[BegunStreams] = []
     origin_questions: list[OriginQuestion] = []
+    brittle: list[LimitReport] = []
+    permit_uses: list[PermitUse] = []
 
 
 class Grant(Struct, frozen=True, array_like=True, tag=3):
@@ -322,6 +328,7 @@
         row_era: The store's era of `row_version`; 0 if unknown.
         reaching: Addresses of some boxes that reach replicas and accept requests of others.
         keeps_origins: Whether the placer keeps the origins of streams and answers questions.
+        brittle: How many requests the brittle replicas of the zone may turn away in a second.
     """
 
     row_version: int
@@ -339,6 +346,7 @@
     row_era: int = 0
     reaching: tuple[str, ...] = ()
     keeps_origins: bool = False
+    brittle: tuple[NamedLimit, ...] = ()
 
 
 class EngineHolds(Struct, frozen=True, array_like=True):
