--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -46,6 +46,8 @@
 _DEFAULT_VERSION = 1
 """The adapter version that a load order without a version loads."""
 
+_BRITTLE_WINDOW_S = 1.0
+
 _MAX_ARRIVALS = 10_000
 """Number of most recent requests whose arrival times the counters report."""
 
@@ -69,6 +71,9 @@
         break_after: Number of whole events that a breaking stream sends; at least 1.
         break_inside: Whether a breaking stream also sends a part of its next event.
         broken_by: What ends a breaking answer.
+        brittle_per_s: How many requests the replica may turn away in a second, as all answers name
+            it; the process exits when it turns more away. Negative if it is not brittle.
+        room: How many requests may run at once, others are turned away; negative for any number.
     """
 
     refuse: bool = False
@@ -85,6 +90,8 @@
     break_after: int = 3
     break_inside: bool = False
     broken_by: BrokenBy = BrokenBy.CLOSE
+    brittle_per_s: float = -1.0
+    room: int = -1
 
 
 class _StreamRun(NamedTuple):
@@ -116,6 +123,8 @@
         self.runs: Counter[str] = Counter()
         self.teams: dict[str, str] = {}
         self._arrivals: deque[float] = deque(maxlen=_MAX_ARRIVALS)
+        self._turned_away: deque[float] = deque(maxlen=_MAX_ARRIVALS)
+        self._running = 0
         self.violations: Counter[str] = Counter()
         self._cold_until = monotonic() + settings.cold_s
         self._events_file = ReplicaEventFile(settings.events_path)
@@ -211,6 +220,8 @@
         headers = {names.LEAVING: "1"} if self._fault.leaving else {}
         if self._fault.limit_per_s >= 0:
             headers[names.LIMIT] = str(self._fault.limit_per_s)
+        if self._fault.brittle_per_s >= 0:
+            headers[names.BRITTLE] = str(self._fault.brittle_per_s)
         return headers
 
     def _state(self) -> dict[str, Any]:
@@ -290,6 +301,9 @@
             rest_s = self._fault.asks_rest_s
             self._record_request(ReplicaEventKind.REFUSED, adapter, asked_rest_s=rest_s)
             return self._answer(b"", status=503, headers={**headers, **self._refusal_headers()})
+        if 0 <= self._fault.room <= self._running:
+            self._turn_away(adapter)
+            return self._answer(b"", status=503, headers={**headers, **self._refusal_headers()})
         self.runs[request_id] += 1
         self._sockets.add(request.environ[SOCKET_KEY])
         self.teams[request_id] = request.get_header(names.TEAM, "")
@@ -307,7 +321,8 @@
             first_number = int(request.get_header(names.LAST_EVENT_ID) or "0") + 1
             headers |= self._status_headers()
             return bottle.HTTPResponse(self._stream_events(adapter, first_number), headers=headers)
-        gevent.sleep(self._settings.work_ms / 1000)
+        with self._occupied():
+            gevent.sleep(self._settings.work_ms / 1000)
         return self._plain_answer(f"{request.method} /{path} {len(body)}".encode(), headers)
 
     def _plain_answer(self, body: bytes, headers: dict[str, str]) -> Any:
@@ -335,6 +350,24 @@
         self._fault = msgspec.structs.replace(self._fault, breaks=self._fault.breaks - 1)
         return True
 
+    def _turn_away(self, adapter: str) -> None:
+        """Record a request for which there is no room; fall over if there were too many."""
+        now = monotonic()
+        self._turned_away.append(now)
+        self._record_request(ReplicaEventKind.REFUSED, adapter)
+        in_window = sum(at > now - _BRITTLE_WINDOW_S for at in self._turned_away)
+        if 0 <= self._fault.brittle_per_s < in_window:
+            os._exit(CRASH_EXIT_STATUS)
+
+    @contextlib.contextmanager
+    def _occupied(self) -> Iterator[None]:
+        """Occupy room for a request that runs."""
+        self._running += 1
+        try:
+            yield
+        finally:
+            self._running -= 1
+
     def _refusal_headers(self) -> dict[str, str]:
         refusal = {names.NOT_EXECUTED: "1"}
         if self._fault.asks_rest_s:
@@ -364,6 +397,7 @@
         streams = self._streams
         run = _StreamRun(bottle.request.get_header(names.REQUEST_ID, ""), monotonic())
         streams[adapter].append(run)
+        self._running += 1
         try:
             for number in range(first_number, self._settings.events + 1):
                 if streams is not self._streams:
@@ -378,6 +412,7 @@
                 yield self._event(number)
                 gevent.sleep(self._settings.event_pause_ms / 1000)
         finally:
+            self._running -= 1
             streams[adapter].remove(run)
 
     def _event(self, number: int) -> bytes:
@@ -448,6 +483,7 @@
             "runs": dict(self.runs),
             "teams": self.teams,
             "arrivals": list(self._arrivals),
+            "turned_away": list(self._turned_away),
             "cold_left_s": self._cold_left_s,
             "warm_at": self._cold_until,
             "leaving_acknowledged": self._leaving_acknowledged,
--- a/springrock/forwarding/request_progress.py
+++ b/springrock/forwarding/request_progress.py
@@ -59,6 +59,7 @@
         record_age_s: Age of the replica's record at that time, in seconds.
         notice: What the head of the answer says about the replica itself.
         software: The version of the replica's software at that time, empty if unknown.
+        request_id: The client's id of the request.
     """
 
     instance: str
@@ -67,6 +68,7 @@
     outcome: AttemptOutcome = AttemptOutcome.UNDER_WAY
     notice: ReplicaNotice = NO_NOTICE
     software: str = ""
+    request_id: str = ""
 
     def __str__(self) -> str:
         """Return a summary of the attempt for log lines."""
@@ -171,6 +173,7 @@
             began_s=round(self.age_s, 4),
             record_age_s=round(record_age_s, 3),
             software=software,
+            request_id=self.request.request_id,
         )
         self.attempts.append(attempt)
         return attempt
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -25,6 +25,7 @@
 from springrock.ids import new_id
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.permits.brittle import BrittleReplicas
 from springrock.permits.messages import LimitReport
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.terms import SlowStartTerms
@@ -76,6 +77,7 @@
         slow_start_terms: Returns how the bound on requests to cold replicas is enforced.
         warmup: Knows which replicas are cold.
         limits: The limits that replicas have named.
+        brittle: Which replicas are brittle.
         state_for: Returns the state to send to a box that asks for it.
         cut_off: Returns whether this box reaches no replica.
         origins: The origins of this box's own streams.
@@ -109,6 +111,7 @@
         slow_start_terms: Callable[[], SlowStartTerms],
         warmup: WarmupTracker,
         limits: NamedLimits,
+        brittle: BrittleReplicas,
         state_for: Callable[[Hello], KnownState],
         cut_off: Callable[[], bool],
         log_of: Callable[[str], Log],
@@ -155,6 +158,7 @@
             slow_start_terms=slow_start_terms,
             warmup=warmup,
             limits=limits,
+            brittle=brittle,
             box_count=self._box_count,
             peer_boxes=self.peer_boxes,
             cut_off=cut_off,
@@ -177,6 +181,7 @@
         )
         self._warmup = warmup
         self._limits = limits
+        self._brittle = brittle
         self._zones: dict[str, ZonePlacement] = {}
         self._engines: dict[str, list[ReplicaRecord]] | None = None
         self._server = LinkServer(
@@ -195,6 +200,7 @@
         self._directory.on_change.append(self._replica_changed)
         self._warmup.on_observation.append(self._notify_observation)
         self._limits.on_limit_report.append(self._notify_limit)
+        self._brittle.words.on_limit_report.append(self._notify_brittle)
 
     def hand_over(self) -> None:
         """Hand this box's placer roles over to other boxes, before it stops."""
@@ -276,6 +282,12 @@
         if replica is not None:
             self._zone(replica.record.zone).demand.record_limit(limit)
 
+    def _notify_brittle(self, report: LimitReport) -> None:
+        """Report what a brittle replica named to the placer of its zone."""
+        replica = self._directory.find(report.instance)
+        if replica is not None:
+            self._zone(replica.record.zone).demand.record_brittle(report)
+
     def announce_reach(self) -> None:
         """Report at once to the placers that this box begins or ceases to reach replicas."""
         for zone in self._zones.values():
