--- a/bench/soak/judges/__init__.py
+++ b/bench/soak/judges/__init__.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from bench.soak.judges import answers, crashes, placement, runs, service, software, teams, words
+from bench.soak.judges import (
+    answers,
+    crashes,
+    partitions,
+    placement,
+    runs,
+    service,
+    software,
+    teams,
+    words,
+)
 from bench.soak.judges.judge import JUDGES, Finding, Judge, Verdict
 
 __all__ = [
@@ -12,6 +22,7 @@
     "Verdict",
     "answers",
     "crashes",
+    "partitions",
     "placement",
     "runs",
     "service",
