--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -194,7 +194,7 @@
         self._stopping = False
 
     def start(self) -> None:
-        """Start to accept links and to join zones as their engines become known."""
+        """Start to accept links and to join zones as replicas become known."""
         self._server.start()
         self._origins_task = gevent.spawn(self.origins.run)
         self._directory.on_change.append(self._replica_changed)
@@ -475,6 +475,8 @@
 
         It begins with the own zone and goes on by name, so that the zones share the work.
         """
+        if not self._zones:
+            self._join_plain_zones()
         home = self._settings.zone
         names = sorted(self._zones, key=lambda name: (name < home, name))
         return {name: self._zones[name] for name in names}
@@ -488,6 +490,12 @@
         if record is not None and (record.models or self._warmup.slow_start(record.service)):
             self._zone(record.zone)
 
+    def _join_plain_zones(self) -> None:
+        """Join the zones of plain replicas, as there is no other placer to keep origins."""
+        for replica in self._directory.all_replicas():
+            if replica.record.software:
+                self._zone(replica.record.zone)
+
 
 def _may_serve(replica: Replica, bounds: Bounds, routing_state: RoutingState) -> bool:
     """Whether a request may go to a replica, permits aside: the zone's placer grants those."""
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -4,9 +4,11 @@
 
 import random
 import socket
+import threading
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
+import msgspec
 import pytest
 
 from springrock.clock import monotonic
@@ -15,7 +17,14 @@
 from springrock.forwarding.balancing import Balancer
 from springrock.forwarding.budget import RetryBudget, RetryLimits
 from springrock.forwarding.choosing import ReplicaChooser
-from springrock.forwarding.configuration import Configuration, RouteKind, RouteTable, Team
+from springrock.forwarding.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    RouteTable,
+    Share,
+    Team,
+)
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.forwarding.forwarder import Forwarder
@@ -47,6 +56,7 @@
     b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
     b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+GREETING = b": welcome\n\n"
 LAST_EVENT = 4
 TERMS = KeyTerms(revoke_s=1.0, fail_closed=True)
 ROUTE = make_route(kind=RouteKind.STREAMING, attempts=3, resumable=True)
@@ -68,14 +78,25 @@
     return 1
 
 
-def writing(software: str, *, breaks_after: int = 0) -> Script:
-    """Return a replica's script: it writes the rest of a stream, or breaks off after an event."""
+def writing(
+    software: str, *, breaks_after: int = 0, greeted: threading.Event | None = None
+) -> Script:
+    """Return a replica's script: it writes the rest of a stream, or breaks off after an event.
+
+    Args:
+        software: What it writes.
+        breaks_after: The number of the event after which it breaks off; 0 for none.
+        greeted: If given, it first writes an event without an id, and goes on once this is set.
+    """
 
     def script(connection: socket.socket) -> None:
         request = read_request(connection)
         if not request:
             return
         connection.sendall(HEAD)
+        if greeted is not None:
+            connection.sendall(chunk(GREETING))
+            greeted.wait()
         for number in range(first_number(request), LAST_EVENT + 1):
             connection.sendall(chunk(event(number, software)))
             if number == breaks_after:
@@ -105,6 +126,9 @@
     def tell_origin(self, request_id: str, origin: Origin) -> None:
         self.known[request_id] = origin
 
+    def told_origin(self, request_id: str) -> Origin | None:
+        return None
+
     def ask_origin(self, request_id: str, service: str) -> Origin | None:
         self.asked.append(request_id)
         return self.known.get(request_id)
@@ -113,7 +137,7 @@
 class Box:
     """The parts of a box that forward streams to the replicas in its directory."""
 
-    def __init__(self) -> None:
+    def __init__(self, route: Route = ROUTE) -> None:
         log = Log("test", "box-1")
         self.directory = Directory(log)
         self.chooser = ReplicaChooser(
@@ -145,7 +169,7 @@
         self.relay = StreamRelay(
             chooser=self.chooser, sender=sender, log=log, on_begun=self.origins.record_begun
         )
-        table = RouteTable(Configuration(version=1, routes=(ROUTE,)))
+        table = RouteTable(Configuration(version=1, routes=(route,)))
         self.forwarder = Forwarder(
             routes=lambda: table,
             gate=KeyGate(routes=lambda: table, staleness_s=lambda: 0.0, terms=lambda: TERMS),
@@ -178,9 +202,9 @@
 
 
 @contextmanager
-def box_with(*replicas: tuple[str, Script]) -> Iterator[Box]:
+def box_with(*replicas: tuple[str, Script], route: Route = ROUTE) -> Iterator[Box]:
     """Yield a box; each replica is given by its software version and its script."""
-    box = Box()
+    box = Box(route)
     with ExitStack() as stack:
         for number, (software, script) in enumerate(replicas, 1):
             scripted = stack.enter_context(ScriptedReplica(script, script, script))
@@ -218,6 +242,24 @@
     ]
 
 
+def test_a_stream_that_begins_with_an_event_without_an_id_goes_on_only_at_its_version() -> None:
+    received = []
+    greeted = threading.Event()
+    with box_with(
+        ("v1", writing("v1", breaks_after=2, greeted=greeted)),
+        ("v2", writing("v2", breaks_after=2, greeted=greeted)),
+    ) as box:
+        stream = box.stream()
+        with pytest.raises(AnswerCut):
+            for data in stream:
+                received.append(data)
+                greeted.set()
+    assert received[0] == GREETING
+    assert b"".join(received[1:]) in [
+        event(1, software) + event(2, software) for software in ("v1", "v2")
+    ]
+
+
 def test_a_stream_of_an_unknown_version_is_refused_while_several_versions_serve() -> None:
     with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
         reply = box.forwarder.forward(
@@ -273,6 +315,13 @@
         assert take_up(box)[0] == 503
 
 
+def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() -> None:
+    route = msgspec.structs.replace(ROUTE, shares=(Share("s", 1e-9), Share("t", 1.0)))
+    with box_with(("v1", writing("v1")), ("v2", writing("v2")), route=route) as box:
+        box.others.known["r0"] = Origin("s", "v2")
+        assert take_up(box) == (200, rest_from("v2"))
+
+
 def test_a_stream_whose_version_is_gone_is_refused_at_once() -> None:
     with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
         box.others.known["r0"] = Origin("s", "v3")
--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -11,20 +11,24 @@
 
 from springrock.clock import monotonic
 from springrock.forwarding import software_history
+from springrock.forwarding.configuration import RouteKind
 from springrock.forwarding.directory import ReplicaRecord
+from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.software_history import (
     STREAM_LIFE_S,
     KnownVersions,
     SoftwareHistory,
 )
-from springrock.forwarding.stream_origins import Origin, OriginBook
-from springrock.placement.messages import BegunStreams, Demand, encode
+from springrock.forwarding.stream_origins import Origin, OriginBook, StreamOrigins
+from springrock.log import Log
+from springrock.placement.messages import BegunStreams, Demand, OriginFound, encode
 from springrock.placement.origin_exchange import OriginExchange
 from springrock.placement.origin_questions import OriginQuestions
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import PlacerRow, key_of
 from springrock.rows import Row
 from springrock.store_clock import StoreClock
+from tests.forwarding.test_values import make_request, make_route
 
 V1, V2 = Origin("s", "v1"), Origin("s", "v2")
 
@@ -56,6 +60,16 @@
         self.own.record(request_id, origin)
         self.exchange.tell_origin(request_id, origin)
 
+    def version_for(self, resumes: str) -> str | None:
+        """Return the version that a client's request for a stream is restricted to."""
+        origins = StreamOrigins(
+            own=self.own, history=self.history, other_boxes=self.exchange, log=Log("test", "box")
+        )
+        request = make_request(resumes=resumes, last_event_id="2")
+        progress = RequestProgress(request, make_route(kind=RouteKind.STREAMING), "s")
+        origins.bind(progress)
+        return progress.bounds.software
+
 
 class Link:
     """A link to the box that places a zone; implements `Keeper`."""
@@ -64,6 +78,7 @@
         self._placer = placer
         self._answers = answers
         self.keeps_origins = True
+        self.placer = f"box-{id(placer)}"
         self.told: list[str] = []
         self.questions = OriginQuestions(on_update=lambda: gevent.spawn(self._deliver) and None)
 
@@ -98,6 +113,28 @@
     assert box.exchange.ask_origin("r0", "s") is None
 
 
+def test_a_placer_whose_rows_lag_does_not_decide_against_one_that_was_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    lagging, told = Box("v1"), Box("v1", "v2")
+    lagging.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    told.exchange.keep(BegunStreams("s", "v2", ["r0"]))
+    for box in (Box("v1"), Box("v1", "v2")):
+        assert linked(box, [lagging, told]).exchange.ask_origin("r0", "s") == V2
+
+
+def test_a_placer_whose_rows_lag_does_not_decide_for_a_box_that_knows_another_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    lagging = Box("v1")
+    lagging.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    assert linked(Box("v1", "v2"), [lagging]).exchange.ask_origin("r0", "s") is None
+
+
 def test_a_placer_that_vouches_for_one_version_answers_for_a_box_that_has_just_started(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -109,6 +146,17 @@
     assert box.exchange.ask_origin("r0", "s") == V1
 
 
+def test_what_a_box_was_told_decides_before_rows_that_do_not_show_the_version_yet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    started_at = monotonic()
+    box = Box("v1")
+    box.history.update()
+    monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
+    box.exchange.keep(BegunStreams("s", "v2", ["r0"]))
+    assert box.version_for("r0") == "v2"
+
+
 def test_nothing_is_told_while_a_service_has_one_version_and_all_of_it_once_it_has_two(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -136,6 +184,13 @@
     assert sorted(link.told) == ["r0", "r0", "r1"]
 
 
+def test_two_boxes_are_told_where_one_of_them_places_several_zones() -> None:
+    placer, other = Box("v1", "v2"), Box("v1", "v2")
+    box = linked(Box("v1", "v2"), [placer, placer, other])
+    box.begin("r0", V1)
+    assert [link.told for link in box.links.values()] == [["r0"], [], ["r0"]]
+
+
 def test_a_zone_takes_the_place_of_one_that_was_lost() -> None:
     box = linked(Box("v1", "v2"), [Box("v1", "v2") for _ in range(3)])
     box.begin("r0", V1)
@@ -190,7 +245,7 @@
 
 
 def test_a_lost_placer_answers_its_questions_with_unknown() -> None:
-    answers: Queue[Origin | None] = Queue()
+    answers: Queue[OriginFound | None] = Queue()
     questions = OriginQuestions(on_update=lambda: None)
     questions.ask("r0", "s", answers=answers)
     questions.forget_placer()
