--- a/springrock/emulator/listener.py
+++ b/springrock/emulator/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from socket import SHUT_RDWR
 from typing import Any, Literal
 
 from gevent.lock import RLock
@@ -61,7 +62,7 @@
                 return
             self._accept_again()
             if mode == "refused":
-                self._server.stop(timeout=0)
+                self._stop_listening()
             elif mode == "unanswered":
                 self._leave_unanswered()
             self._mode = mode
@@ -91,6 +92,11 @@
                 return
             self._fillers[filler.getsockname()] = filler
 
+    def _stop_listening(self) -> None:
+        # The hub closes the socket later; until then it must neither accept nor hold the address.
+        self._server.socket.shutdown(SHUT_RDWR)
+        self._server.stop(timeout=0)
+
     def _accept_again(self) -> None:
         if self._mode == "refused":
             self._server = self._new_server()
