--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -172,11 +172,11 @@
 
 @_disables("told_origins")
 def _tell_no_origins() -> None:
-    from springrock.forwarding.stream_origins import NoOtherBoxes, StreamOrigins
+    from springrock.placement.origin_exchange import OriginExchange
 
-    original = StreamOrigins.__init__
-
-    def _init(self: Any, **kwargs: Any) -> None:
-        original(self, **{**kwargs, "other_boxes": NoOtherBoxes()})
-
-    StreamOrigins.__init__ = _init  # type: ignore[method-assign]
+    OriginExchange.tell_origin = (  # type: ignore[method-assign]
+        lambda self, request_id, origin: None
+    )
+    OriginExchange.ask_origin = (  # type: ignore[method-assign]
+        lambda self, request_id, service: None
+    )
