--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -72,7 +72,7 @@
             response.drain_conn()
             response.release_conn()
             if _ends_with_connection(response) and response.status not in _NOT_RUN_STATUSES:
-                self._check_alive(timeout_s=max(_MIN_CHECK_TIMEOUT_S, deadline.left_s))
+                self._require_alive(timeout_s=max(_MIN_CHECK_TIMEOUT_S, deadline.left_s))
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise UpstreamUnreachable(str(error)) from None
         except (HTTPError, OSError) as error:
@@ -87,7 +87,7 @@
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceAnswer(response.status, content_type, data)
 
-    def _check_alive(self, *, timeout_s: float) -> None:
+    def _require_alive(self, *, timeout_s: float) -> None:
         """Raise if the service accepts no connection, as after a crash in the middle of an answer.
 
         Raises:
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -28,7 +28,7 @@
 _SURPLUS_READ_TIMEOUT_S = 0.5
 
 _MIN_CONFIRM_TIMEOUT_S = 0.02
-"""Least time to open the connection that confirms a complete answer."""
+"""Least time to open the connection that confirms an answer without length."""
 
 OnClose = Callable[[int, int], None]
 """Receives the bytes of the request and the bytes read of the answer's body."""
@@ -72,6 +72,9 @@
     def read(self, *, timeout_s: float) -> bytes:
         """Return the next bytes of the body; empty at its complete end.
 
+        The end of an answer without length is confirmed by another connection to the replica, which
+        may take as long as opening one.
+
         Raises:
             AnswerBroken: If the body ended early.
             AnswerSilent: If nothing arrived within the timeout.
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -129,7 +129,12 @@
             raise
 
     def _read_events(self, answer: Answer, *, timeout_s: float) -> bytes:
-        """Return the next complete events; at the end of the stream what `_read_end` returns."""
+        """Return the next complete events; at the end of the body what is left of it, if anything.
+
+        Raises:
+            AnswerBroken: If the stream broke off.
+            AnswerSilent: If no event was complete within the timeout.
+        """
         deadline = Deadline(max(MIN_SEND_TIME_S, timeout_s))
         while True:
             data = answer.read(timeout_s=deadline.left_s)
@@ -152,7 +157,7 @@
         self._on_begun(self._progress, self._attempt.software)
 
     def _read_end(self, answer: Answer) -> bytes:
-        """Return what is left at the end of the body: nothing, or a failure without events.
+        """Return what is left at the end of the body: a failure without events, or line ends.
 
         Raises:
             AnswerBroken: If a stream ended inside an event. No framing shows that it is complete:
--- a/springrock/placement/origin_exchange.py
+++ b/springrock/placement/origin_exchange.py
@@ -22,15 +22,15 @@
 from springrock.placement.placer_row import SoftwareReport
 from springrock.store_clock import StoreClock
 
-_KEEPERS = 2
+_COPIES = 2
 """Placers that are told of each stream: one may be lost together with the stream's own box."""
 
 _ANSWER_TIMEOUT_S = 0.2
 _UPDATE_INTERVAL_S = 0.5
 
 
-class Keeper(Protocol):
-    """The link to one zone's placer."""
+class PlacerLink(Protocol):
+    """The link of this box to the placer of one zone."""
 
     @property
     def placer(self) -> str:
@@ -51,10 +51,12 @@
 class OriginExchange:
     """Implements `springrock.forwarding.stream_origins.OtherBoxes`.
 
+    `_informed` holds the zones, each with a service, whose placers know the service's streams.
+
     Args:
         own: The origins of this box's own streams.
         history: The versions that replicas have had lately.
-        keepers: Returns the zones in the order in which they are preferred as keepers.
+        links: Returns the links by zone, those first whose placers are preferably told.
         board: The placers' rows, whose reports outlive the boxes that wrote them.
         clock: Converts the times of reports.
     """
@@ -64,7 +66,7 @@
         *,
         own: OriginBook,
         history: SoftwareHistory,
-        keepers: Callable[[], dict[str, Keeper]],
+        links: Callable[[], dict[str, PlacerLink]],
         board: PlacerBoard,
         clock: StoreClock,
     ) -> None:
@@ -72,9 +74,9 @@
         self._clock = clock
         self._own = own
         self._history = history
-        self._keepers = keepers
-        self._kept = OriginBook()
-        self._told: set[tuple[str, str]] = set()
+        self._links = links
+        self._of_others = OriginBook()
+        self._informed: set[tuple[str, str]] = set()
 
     def run(self) -> None:
         """Tell origins as services get several versions and as placers change, until killed."""
@@ -94,9 +96,9 @@
             if self._history.only_version(service) is None
             for zone in chosen
         }
-        for zone, service in wanted - self._told:
+        for zone, service in wanted - self._informed:
             self._tell_all(chosen[zone], service)
-        self._told = wanted
+        self._informed = wanted
 
     def report(self) -> SoftwareReport | None:
         """Return what this box knows of software versions; None if it does not know enough."""
@@ -124,7 +126,7 @@
 
     def forget_placer(self, zone: str) -> None:
         """Record that a zone's placer was lost, and with it what it was told."""
-        self._told = {told for told in self._told if told[0] != zone}
+        self._informed = {informed for informed in self._informed if informed[0] != zone}
 
     # Implementation of `OtherBoxes`.
 
@@ -132,16 +134,16 @@
         """Tell other boxes the origin of a stream, unless the service has only one version."""
         if self._history.only_version(origin.service) is not None:
             return
-        for zone, keeper in self._chosen().items():
-            if (zone, origin.service) in self._told:
-                keeper.tell([(request_id, origin)])
+        for zone, link in self._chosen().items():
+            if (zone, origin.service) in self._informed:
+                link.tell([(request_id, origin)])
             else:
-                self._tell_all(keeper, origin.service)
-                self._told.add((zone, origin.service))
+                self._tell_all(link, origin.service)
+                self._informed.add((zone, origin.service))
 
     def told_origin(self, request_id: str) -> Origin | None:
         """Return the origin that another box told this one; None if none did."""
-        return self._kept.find(request_id)
+        return self._of_others.find(request_id)
 
     def ask_origin(self, request_id: str, service: str) -> Origin | None:
         """Ask the placers of all zones at once.
@@ -165,9 +167,9 @@
         """Yield the answers of placers as they arrive in time."""
         answers: Queue[OriginFound | None] = Queue()
         asked = [
-            (keeper.questions, keeper.questions.ask(request_id, service, answers=answers))
-            for keeper in self._keepers().values()
-            if keeper.keeps_origins
+            (link.questions, link.questions.ask(request_id, service, answers=answers))
+            for link in self._links().values()
+            if link.keeps_origins
         ]
         deadline = Deadline(_ANSWER_TIMEOUT_S)
         try:
@@ -186,23 +188,23 @@
     def keep(self, begun: BegunStreams) -> None:
         """Keep the origins of streams of another box."""
         for request_id in begun.requests:
-            self._kept.record(request_id, Origin(begun.service, begun.software))
+            self._of_others.record(request_id, Origin(begun.service, begun.software))
 
     def answer(self, question: OriginQuestion) -> OriginFound:
         """Return the answer to a question of another box."""
-        found = self._kept.find(question.request) or self._own.find(question.request)
+        found = self._of_others.find(question.request) or self._own.find(question.request)
         if found is not None:
             return OriginFound(question.number, found.service, found.software, told=True)
         only = self._history.only_version(question.service)
         return OriginFound(question.number, question.service, only)
 
-    def _chosen(self) -> dict[str, Keeper]:
+    def _chosen(self) -> dict[str, PlacerLink]:
         """Return the zones whose placers are told of streams, each one another box."""
-        chosen: dict[str, tuple[str, Keeper]] = {}
-        for zone, keeper in self._keepers().items():
-            if keeper.keeps_origins and len(chosen) < _KEEPERS:
-                chosen.setdefault(keeper.placer, (zone, keeper))
+        chosen: dict[str, tuple[str, PlacerLink]] = {}
+        for zone, link in self._links().items():
+            if link.keeps_origins and len(chosen) < _COPIES:
+                chosen.setdefault(link.placer, (zone, link))
         return dict(chosen.values())
 
-    def _tell_all(self, keeper: Keeper, service: str) -> None:
-        keeper.tell(item for item in self._own.recent() if item[1].service == service)
+    def _tell_all(self, link: PlacerLink, service: str) -> None:
+        link.tell(item for item in self._own.recent() if item[1].service == service)
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -36,7 +36,7 @@
 from springrock.placement.handover import HandoverCoordinator
 from springrock.placement.link_server import BoxLinks, LinkServer
 from springrock.placement.messages import Hello, KnownState, TableNews
-from springrock.placement.origin_exchange import Keeper, OriginExchange
+from springrock.placement.origin_exchange import OriginExchange, PlacerLink
 from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
@@ -140,7 +140,7 @@
         self.origins = OriginExchange(
             own=origins,
             history=software_history,
-            keepers=self._origin_keepers,
+            links=self._placer_links,
             board=board,
             clock=clock,
         )
@@ -470,7 +470,7 @@
                 zone.start()
         return zone
 
-    def _origin_keepers(self) -> dict[str, Keeper]:
+    def _placer_links(self) -> dict[str, PlacerLink]:
         """Return the zones in the order in which they keep origins.
 
         It begins with the own zone and goes on by name, so that the zones share the work.
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -428,7 +428,7 @@
         self._box_count.record(heartbeat.boxes, home=self.home_boxes if is_home else 0)
         self._on_placer_contact()
 
-    # Implementation of `Keeper`.
+    # Implementation of `PlacerLink`.
 
     @property
     def placer(self) -> str:
--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -51,7 +51,7 @@
         self.exchange = OriginExchange(
             own=self.own,
             history=self.history,
-            keepers=lambda: dict(self.links),
+            links=lambda: dict(self.links),
             board=self.board,
             clock=clock,
         )
@@ -72,7 +72,7 @@
 
 
 class Link:
-    """A link to the box that places a zone; implements `Keeper`."""
+    """A link to the box that places a zone; implements `PlacerLink`."""
 
     def __init__(self, placer: Box, *, answers: bool = True) -> None:
         self._placer = placer
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -422,8 +422,8 @@
         instance="i-4", service="plain", address="127.0.0.1:1", zone="zone-4", software=software
     )
     deployment.directory.update(record)
-    deployment.placement._origin_keepers()
+    deployment.placement._placer_links()
     assert "zone-4" not in deployment.zones, "the placers of the other zones keep them"
     deployment.zones.clear()
-    deployment.placement._origin_keepers()
+    deployment.placement._placer_links()
     assert ("zone-4" in deployment.zones) == joined
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -59,7 +59,7 @@
         origins=OriginExchange(
             own=OriginBook(),
             history=SoftwareHistory(age_s=lambda: 0.0),
-            keepers=dict,
+            links=dict,
             board=PlacerBoard(age_s=lambda: 0.0),
             clock=StoreClock(),
         ),
