Failed attempts are logged with the parts of their prompts

The logs of the incident name a request by a digest of the whole of it, so that they cannot tell whether the requests that broke at crashing engines have a part in common (hypothesis 1), or are second attempts and resumed streams of a few requests (hypothesis 2). The line now names the parts that other requests may share, at most 8, the number of the attempt and the event after which it resumed.

--- a/springrock/forwarding/request_progress.py
+++ b/springrock/forwarding/request_progress.py
@@ -129,6 +129,11 @@
         self.resuming = False
         self.bounds = _intersect_bounds(route, admission)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts of the prompt that other requests may have in common with it."""
+        return tuple(part.part_id for part in self.request.prompt[:-1])
+
     @property
     def streaming(self) -> bool:
         """Whether the answer is a stream of server-sent events."""
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -52,6 +52,8 @@
 RecordUse = Callable[[ReplicaRecord, str, PermitStage], None]
 """Records what became of a request that was sent to a replica."""
 
+_MAX_LOGGED_PARTS = 8
+
 _MIN_SILENCE_AS_FAILURE_S = 0.5
 """A request that timed out earlier than this after its arrival does not count as a failure of the
 replica: a route may allow less time than a healthy replica needs."""
@@ -218,6 +220,9 @@
             "An attempt failed.",
             request=progress.request.request_id,
             fingerprint=progress.fingerprint.short,
+            parts=progress.shared_parts[:_MAX_LOGGED_PARTS],
+            number=len(progress.attempts),
+            after_event=progress.last_event_id,
             instance=replica.instance,
             outcome=attempt.outcome,
             other_running=replica.running - 1,
--- a/tests/forwarding/test_sending.py
+++ b/tests/forwarding/test_sending.py
@@ -17,9 +17,10 @@
     ReplicaUnreachable,
     SendingForbidden,
 )
+from springrock.forwarding.message import PromptPart
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.forwarding.sending import Sender
-from springrock.log import Log
+from springrock.log import Journal, Log
 from springrock.metrics import ForwardingMetrics
 from springrock.permits.messages import PermitStage
 from springrock.platform.dialect import PlatformDialect
@@ -31,7 +32,7 @@
 from tests.forwarding.test_values import make_request, make_route
 
 
-def make_sender(reach: BoxReach | None = None) -> Sender:
+def make_sender(reach: BoxReach | None = None, log: Log = Log("test", "box-1")) -> Sender:
     """Return a sender whose requests are all withheld."""
     return Sender(
         dialect=PlatformDialect(),
@@ -41,7 +42,7 @@
         notices=make_notices(),
         reach=reach or make_reach(),
         may_send=lambda progress, chosen: False,
-        log=Log("test", "box-1"),
+        log=log,
         byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
     )
 
@@ -153,3 +154,18 @@
     sender.record_failure(progress, replica, attempt, error)
     sender.finish_attempt(ChosenReplica(replica, None), attempt)
     assert reach.services_to_probe() == (["s"] if is_probed else [])
+
+
+def test_a_failed_attempt_is_logged_with_the_parts_that_other_requests_share() -> None:
+    journal = Journal()
+    parts = tuple(PromptPart(part_id, 10) for part_id in ("5c", "91", "e4"))
+    request = make_request(deadline_s=5.0, prompt=parts, last_event_id="7")
+    progress = RequestProgress(request, make_route(), "s")
+    replica = Replica(ReplicaRecord(instance="i", service="s", address="h:1", zone="z-1"))
+    sender = make_sender(log=Log("test", "box-1", journal))
+    attempt = sender.start_attempt(progress, replica)
+    sender.record_failure(progress, replica, attempt, AnswerBroken("scripted"))
+    [line] = journal.lines_with("instance", "i")
+    assert line.fields["parts"] == ("5c", "91")
+    assert line.fields["number"] == 1
+    assert line.fields["after_event"] == "7"
