--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -40,6 +40,9 @@
 _RECORD_INTERVAL_S = 0.3
 _REPORT_LAG_S = 0.1
 _UNLOADED_IN_USE = "unloaded_in_use"
+_CRASH_DELAY_S = 0.08
+"""The time in which the prompt is read, before an answer that crashes the replica begins."""
+
 _CUT_AFTER = 3
 """Number of events after which a stream is cut because of `cut_every`."""
 
@@ -310,6 +313,9 @@
         self._record_request(ReplicaEventKind.RAN, adapter)
         if self._crashes_on(path, body):
             os._exit(CRASH_EXIT_STATUS)
+        if self._has_crashing_part():
+            gevent.sleep(_CRASH_DELAY_S)
+            os._exit(CRASH_EXIT_STATUS)
         if request.get_header(names.API_KEY) is not None:
             self._record_violation("key_passed_on")
         headers[_SEAL_HEADER] = f"seal-of-{request_id}"
@@ -379,6 +385,12 @@
         text = self._settings.crashes_on
         return bool(text) and (text in path or text.encode() in body)
 
+    def _has_crashing_part(self) -> bool:
+        """Whether a request crashes the replica as it begins to write the answer."""
+        parts = bottle.request.get_header(names.PROMPT_PARTS, "").split(",")[:-1]
+        part_ids = [part.partition(":")[0] for part in parts]
+        return self._settings.crashes_on_part in part_ids
+
     def _is_addressed_here(self, adapter: str) -> bool:
         """Whether a request matches this replica's id and the adapter version it holds now."""
         request = bottle.request
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -97,6 +97,8 @@
         needs_instance: Whether a request without an expected instance is also answered with 421.
         crashes_on: The process exits when it begins to run a request with this text in its path or
             body; empty for none.
+        crashes_on_part: The process exits when it begins to write the answer to a request that has
+            this part in its prompt, except as the last one; empty for none.
         software_version: The version of the replica's software, as JSON, as its row may hold a
             text or a number; it is also in the data of its events. Empty for none.
         cut_every: Each stream whose number is a multiple of this is cut; 0 cuts none.
@@ -119,6 +121,7 @@
     events_path: str = ""
     needs_instance: bool = True
     crashes_on: str = ""
+    crashes_on_part: str = ""
     software_version: str = ""
     cut_every: int = 0
 
--- a/tests/forwarding/test_sending.py
+++ b/tests/forwarding/test_sending.py
@@ -32,7 +32,7 @@
 from tests.forwarding.test_values import make_request, make_route
 
 
-def make_sender(reach: BoxReach | None = None, log: Log = Log("test", "box-1")) -> Sender:
+def make_sender(reach: BoxReach | None = None, journal: Journal | None = None) -> Sender:
     """Return a sender whose requests are all withheld."""
     return Sender(
         dialect=PlatformDialect(),
@@ -42,7 +42,7 @@
         notices=make_notices(),
         reach=reach or make_reach(),
         may_send=lambda progress, chosen: False,
-        log=log,
+        log=Log("test", "box-1", journal),
         byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
     )
 
@@ -162,7 +162,7 @@
     request = make_request(deadline_s=5.0, prompt=parts, last_event_id="7")
     progress = RequestProgress(request, make_route(), "s")
     replica = Replica(ReplicaRecord(instance="i", service="s", address="h:1", zone="z-1"))
-    sender = make_sender(log=Log("test", "box-1", journal))
+    sender = make_sender(journal=journal)
     attempt = sender.start_attempt(progress, replica)
     sender.record_failure(progress, replica, attempt, AnswerBroken("scripted"))
     [line] = journal.lines_with("instance", "i")
