Soak: parts of prompts that crash replicas, two judges and a mutation

Streams name the parts of their prompts, the first of which all share. The new fault sends streams, no two alike, with a part that crashes each replica that begins to write an answer on it. The judges check that such requests stop (BUDGET) and that streams with the same first part are served beside them.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -6,11 +6,20 @@
 import random
 import threading
 import time
+import zlib
 from typing import NamedTuple
 
 from bench.soak.bodies import event_ids
 from bench.soak.observations import LEFT, Attempt, Call, Framing
-from bench.soak.shape import ADAPTERS, KEYS, MOVABLE, RESUMABLE, STREAM_EVENTS, STREAMS
+from bench.soak.shape import (
+    ADAPTERS,
+    KEYS,
+    MOVABLE,
+    RESUMABLE,
+    SHARED_PART,
+    STREAM_EVENTS,
+    STREAMS,
+)
 from springrock.clock import monotonic
 from springrock.platform import names
 from springrock.settings import split_address
@@ -21,6 +30,7 @@
 """The time limit of a call over all its attempts."""
 
 _READ_BYTES = 65_536
+_RARE_PARTS = 20
 _MIN_ATTEMPT_S = 0.05
 _RETRY_PAUSE_S = 0.1
 _MAX_WAIT_FRACTION = 1 / 3
@@ -261,6 +271,13 @@
     return Framing.CONNECTION if response.length is None else Framing.LENGTH
 
 
+def _prompt_of(attempt: Attempt) -> str:
+    """Return the parts of a prompt, the last of which no other call has."""
+    number = zlib.crc32(attempt.call.encode())
+    parts = [SHARED_PART, attempt.crashing_part, f"91bd{number % _RARE_PARTS:02x}", f"{number:08x}"]
+    return ",".join(f"{part}:100" for part in parts if part)
+
+
 def _headers_of(attempt: Attempt, left_s: float) -> dict[str, str]:
     headers = {
         "Host": HOST,
@@ -271,6 +288,8 @@
         headers[names.API_KEY] = KEYS[attempt.key]
     if attempt.adapter:
         headers[names.MODEL] = f"{MODEL}/{attempt.adapter}"
+    if attempt.route in STREAMS:
+        headers[names.PROMPT_PARTS] = _prompt_of(attempt)
     if attempt.resumes:
         headers[names.LAST_EVENT_ID] = str(attempt.last_event_id)
         headers[names.RESUMES] = attempt.resumes
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -20,6 +20,7 @@
 from bench.soak.shape import (
     ADAPTER_SLOTS,
     CRASHING,
+    CRASHING_PART,
     EVENT_PAUSE_MS,
     FIRST_SOFTWARE,
     QUOTA_WINDOW_S,
@@ -184,6 +185,7 @@
             "event_pause_ms": EVENT_PAUSE_MS,
             "adapter_slots": ADAPTER_SLOTS,
             "crashes_on": CRASHING,
+            "crashes_on_part": CRASHING_PART,
             "software_version": json.dumps(software),
             "cut_every": cut_every,
         }
@@ -258,12 +260,13 @@
             what="the proxy sets its faults",
         )
 
-    def start_crashing_request(self, route: str, seed: str) -> None:
-        """Start to send a request that crashes replicas."""
+    def start_crashing_request(self, route: str, seed: str, *, by_part: bool = False) -> None:
+        """Start to send a request that crashes replicas, or many with a part that does."""
         caller = CrashingCaller(
             route,
             self.clients,
             seed=seed,
+            by_part=by_part,
             attempts=self.crashing_attempts,
             restart=self._restart_crashed,
         )
--- a/bench/soak/faults/requests.py
+++ b/bench/soak/faults/requests.py
@@ -6,7 +6,7 @@
 
 from bench.soak.deployment import SoakDeployment
 from bench.soak.faults.fault import FAULTS, Fault
-from bench.soak.shape import SERVICE_OF_ROUTE, Shape
+from bench.soak.shape import SERVICE_OF_ROUTE, STREAMS, Shape
 
 
 @FAULTS.register
@@ -35,3 +35,22 @@
     def end(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
         """Stop sending the request."""
         deployment.stop_crashing_request(targets[1])
+
+
+@FAULTS.register
+class CrashingPart(CrashingRequest):
+    """Streams, no two alike, with a part in their prompts that crashes replicas, at any box."""
+
+    name = "crashing_part"
+    separate_probability = 0.3
+    separate_order = 12
+    shortest_s = 10.0
+    longest_s = 17.0
+
+    def targets(self, rng: random.Random, shape: Shape) -> tuple[str, ...]:
+        """Draw the route, and an identifier that is unique to this part."""
+        return (rng.choice(sorted(STREAMS)), f"{rng.randrange(10**6):06}")
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Start to send the requests."""
+        deployment.start_crashing_request(*targets, by_part=True)
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -112,6 +112,16 @@
     CrashBook.may_be_retried = lambda self, fingerprint: True  # type: ignore[method-assign]
 
 
+@_disables("shared_suspects")
+def _suspect_whole_requests_only() -> None:
+    from springrock.forwarding.suspects import Suspects
+
+    original = Suspects.from_request
+    Suspects.from_request = classmethod(  # type: ignore[method-assign,assignment]
+        lambda cls, request: original(request)._replace(shared=())
+    )
+
+
 @_disables("passing_on")
 def _pass_nothing_on() -> None:
     from springrock.forwarding.passing_on import PassingOn
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -48,6 +48,7 @@
         last_event_id: The number of the event after which a stream is taken up; 0 for a new one.
         resumes: The id of the attempt that brought the first event of the stream that is taken up.
         leaves_after: The number of events after which the caller closes its connection; 0 never.
+        crashing_part: The part of the prompt that crashes replicas; empty for none.
     """
 
     request_id: str
@@ -72,6 +73,7 @@
     last_event_id: int = 0
     resumes: str = ""
     leaves_after: int = 0
+    crashing_part: str = ""
 
     @property
     def path(self) -> str:
@@ -204,6 +206,15 @@
         """The attempts by request id."""
         return {attempt.request_id: attempt for attempt in self.attempts}
 
+    @cached_property
+    def first_attempts(self) -> list[Attempt]:
+        """The first attempt of each call, without the requests that crash replicas."""
+        first: dict[str, Attempt] = {}
+        for attempt in sorted(self.attempts, key=lambda attempt: attempt.sent_at):
+            if not attempt.repeated_path and not attempt.crashing_part:
+                first.setdefault(attempt.call, attempt)
+        return list(first.values())
+
     def attempted_runs(self) -> Iterator[tuple[Attempt, list[ReplicaEvent]]]:
         """Yield each attempt of a caller whose request ran, with its runs, earliest first."""
         for request_id, runs in self.runs_of.items():
--- a/bench/soak/shape.py
+++ b/bench/soak/shape.py
@@ -26,6 +26,12 @@
 CRASHING = "crashes-what-runs-it"
 """A replica crashes when it begins to run a request whose path contains this text."""
 
+CRASHING_PART = "bad0"
+"""A replica crashes when it begins to write an answer on a part of a prompt whose id begins so."""
+
+SHARED_PART = "5c1e07a2"
+"""The first part of the prompts of all streams."""
+
 FIRST_SOFTWARE = 1
 """The software version of all replicas at the start."""
 
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -387,9 +387,9 @@
 
     def _has_crashing_part(self) -> bool:
         """Whether a request crashes the replica as it begins to write the answer."""
+        prefix = self._settings.crashes_on_part
         parts = bottle.request.get_header(names.PROMPT_PARTS, "").split(",")[:-1]
-        part_ids = [part.partition(":")[0] for part in parts]
-        return self._settings.crashes_on_part in part_ids
+        return bool(prefix) and any(part.startswith(prefix) for part in parts)
 
     def _is_addressed_here(self, adapter: str) -> bool:
         """Whether a request matches this replica's id and the adapter version it holds now."""
--- a/springrock/emulator/settings.py
+++ b/springrock/emulator/settings.py
@@ -98,7 +98,7 @@
         crashes_on: The process exits when it begins to run a request with this text in its path or
             body; empty for none.
         crashes_on_part: The process exits when it begins to write the answer to a request that has
-            this part in its prompt, except as the last one; empty for none.
+            a part in its prompt whose id begins so, except as the last one; empty for none.
         software_version: The version of the replica's software, as JSON, as its row may hold a
             text or a number; it is also in the data of its events. Empty for none.
         cut_every: Each stream whose number is a multiple of this is cut; 0 cuts none.
--- a/tests/soak/made_up.py
+++ b/tests/soak/made_up.py
@@ -87,10 +87,16 @@
     return Call(**{**defaults, **more})
 
 
-def span(name: str, *claimed: str, began_at: float, ended_at: float) -> FaultSpan:
+def span(
+    name: str, *claimed: str, began_at: float, ended_at: float, targets: tuple[str, ...] = ()
+) -> FaultSpan:
     """Return the span of a fault that affects the claimed resources."""
     return FaultSpan(
-        name=name, targets=(), claimed=frozenset(claimed), began_at=began_at, ended_at=ended_at
+        name=name,
+        targets=targets,
+        claimed=frozenset(claimed),
+        began_at=began_at,
+        ended_at=ended_at,
     )
 
 
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -404,6 +404,66 @@
     assert findings_of("nothing_unasked", **given) == []
 
 
+@pytest.mark.parametrize(
+    ("sent_at", "more", "findings"),
+    [
+        ([1.0, 2.0, 3.0, 4.0, 5.0, 5.5, 6.0, 6.5, 7.0, 7.5], [], 0),
+        ([1.0, 2.0, 3.0, 4.0, 5.0, 8.5, 9.0, 9.5], [], 0),
+        ([1.0, 2.0, 3.0, 4.0, 5.0, 8.5, 9.0, 9.5, 9.8], [], 1),
+        ([1.0, 2.0, 3.0, 4.0, 8.5, 9.0], [], 0),
+        (
+            [1.0, 2.0, 3.0, 4.0, 5.0, 8.5, 9.0, 9.5, 9.8],
+            [span("store_down", "store", began_at=4.0, ended_at=9.0)],
+            0,
+        ),
+        (
+            [1.0, 2.0, 3.0, 4.0, 5.0, 8.5, 9.0, 9.5, 9.8],
+            [span("earlier_build", "build/box-1", began_at=0.0, ended_at=20.0)],
+            0,
+        ),
+    ],
+)
+def test_requests_with_a_part_that_still_crash_replicas_after_the_bound_are_found(
+    sent_at: list[float], more: list[FaultSpan], findings: int
+) -> None:
+    sent = [
+        attempt(f"p{number}", route="items", sent_at=at, crashing_part="bad01")
+        for number, at in enumerate(sent_at)
+    ]
+    given = {
+        "attempts": sent,
+        "replica_events": [run(one, at=one.sent_at) for one in sent],
+        "spans": more,
+    }
+    assert len(findings_of("crashing_part_stops", **given)) == findings
+
+
+@pytest.mark.parametrize(
+    ("statuses", "findings"), [([200], 0), ([200, 503], 0), ([200, 503, 503], 1)]
+)
+def test_sound_streams_that_are_refused_beside_a_part_are_found(
+    statuses: list[int], findings: int
+) -> None:
+    crashing = [
+        attempt(f"p{number}", route="items", sent_at=1.0 + number, crashing_part="bad01")
+        for number in range(5)
+    ]
+    beside = [
+        attempt(f"s{number}", route="items", sent_at=12.0 + number / 10, status=status)
+        for number, status in enumerate(statuses * 30)
+    ]
+    calm = [attempt(f"c{number}", route="items", sent_at=40.0) for number in range(30)]
+    given = {
+        "attempts": [*crashing, *beside, *calm],
+        "replica_events": [run(one, at=one.sent_at) for one in crashing],
+        "spans": [
+            span("crashing_part", "part/01", began_at=0.0, ended_at=30.0, targets=("items", "01"))
+        ],
+        "quiets": [QuietSpan(30.0, 45.0)],
+    }
+    assert len(findings_of("sound_beside_crashing_part", **given)) == findings
+
+
 LEAVING_NOTICE = {"instance": "i-1", "says_leaving": True}
 
 
