--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -227,6 +227,7 @@
             "Refused a request." if reply.reason else "Answered a request.",
             request=progress.request.request_id,
             fingerprint=progress.fingerprint.short,
+            shared=[item.short for item in progress.suspects.shared] if reply.reason else [],
             route=progress.route.name,
             service=progress.service,
             team="" if progress.admission.team is None else progress.admission.team.name,
--- a/springrock/quarantine/book.py
+++ b/springrock/quarantine/book.py
@@ -300,9 +300,11 @@
                 self._log_cause("Requests are no longer quarantined.", cause)
 
     def _log_cause(self, sentence: str, cause: Cause) -> None:
+        reports = [held.report for held in self._held.values()]
         self._log.info(
             sentence,
             suspects=sorted(suspect.short for suspect in cause.suspects),
             instances=sorted(cause.instances),
+            reported_by=sorted({item.box for item in reports if item.instance in cause.instances}),
             for_s=round(self._terms().for_s),
         )
--- a/tests/quarantine/test_book.py
+++ b/tests/quarantine/test_book.py
@@ -7,7 +7,7 @@
 
 from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.suspects import Suspects
-from springrock.log import Log
+from springrock.log import Journal, Log
 from springrock.quarantine import book as book_module
 from springrock.quarantine import exemptions as exemptions_module
 from springrock.quarantine.book import MAX_REPORTS, CrashBook
@@ -291,3 +291,18 @@
         book.change(Row(f"crash/{number}", msgspec.json.encode(value), 100 + number))
     assert book.quarantined_for_s(Suspects(CRASHING)) is not None
     assert not holds(book, PART)
+
+
+def test_a_new_cause_is_logged_with_its_crashes_and_the_boxes_that_reported_them(
+    clock: Clock,
+) -> None:
+    journal = Journal()
+    book = CrashBook(terms=lambda: TERMS, log=Log("quarantine", "box-1", journal))
+    for number in range(3):
+        book.change(shared_row(number, PART))
+    book.add_own("crash/own", CrashReport("box-1", "i-2", [], [str(PART)]))
+    [line] = journal.lines_with("for_s", 900)  # type: ignore[arg-type]
+    assert line.text == "quarantine: Requests are quarantined."
+    assert line.fields["suspects"] == [PART.short]
+    assert line.fields["instances"] == ["i-0", "i-1", "i-2"]
+    assert line.fields["reported_by"] == ["box-2"]
