Soak: a refusal that its box could not hear asks for no rest

Refusals after the end of their attempt are left out; a test with one 0.1 s after it failed before, those at the end and before it count as ever.

--- a/bench/soak/judges/words.py
+++ b/bench/soak/judges/words.py
@@ -86,7 +86,9 @@
         checked = 0
         findings = []
         for (box, instance), arrivals in by_box_and_replica.items():
-            for refusal in (event for event in arrivals if event.asked_rest_s):
+            for refusal in arrivals:
+                if not refusal.asked_rest_s or not _could_be_heard(observations, refusal):
+                    continue
                 checked += 1
                 ends_at = refusal.at + refusal.asked_rest_s
                 within = [e for e in arrivals if refusal.at + IN_FLIGHT_S < e.at < ends_at]
@@ -98,6 +100,11 @@
         return Verdict(checked=checked, findings=findings)
 
 
+def _could_be_heard(observations: Observations, refusal: ReplicaEvent) -> bool:
+    """Whether the box still waited for the answer, and had not closed the connection."""
+    return refusal.at <= observations.attempt_of[refusal.request_id].ended_at
+
+
 @JUDGES.register
 class LimitIsRespected(Judge):
     """Counts requests that reach a replica from all boxes that have forwarded its limit."""
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -854,6 +854,20 @@
     assert len(findings_of("one_software_version", **given)) == findings
 
 
+@pytest.mark.parametrize(("ended_at", "findings"), [(9.9, 0), (10.0, 1), (10.1, 1)])
+def test_a_refusal_that_comes_after_its_box_has_given_the_request_up_asks_for_nothing(
+    ended_at: float, findings: int
+) -> None:
+    given_up = attempt("r0", sent_at=7.0, ended_at=ended_at, status=504, seal="")
+    later = [attempt(f"r{at}", sent_at=at) for at in (10.6, 11.0, 11.8)]
+    refusal = run(given_up, at=10.0, kind=ReplicaEventKind.REFUSED, asked_rest_s=2.0)
+    given = {
+        "attempts": [given_up, *later],
+        "replica_events": [refusal, *(run(one, at=one.sent_at + 0.01) for one in later)],
+    }
+    assert len(findings_of("rest_is_given", **given)) == findings
+
+
 @pytest.mark.parametrize(
     ("claim", "began_at", "ended_at", "findings"),
     [
