Retry-After is rounded up, so that no client is told to return at once for nothing

What callers saw: one of 1,061 refusals of a limited service carried Retry-After 0.00, at a load of 14 to 18 on 8 cores. Cause: the header has two digits and was rounded to the nearest, so that a delay below 5 ms became 0, and any other up to 5 ms too short; who returns then is refused again.

--- a/springrock/forwarding/reply.py
+++ b/springrock/forwarding/reply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -45,12 +46,18 @@
     """
     headers = [Header("Content-Type", "application/json")]
     if retry_after_s is not None:
-        headers.append(Header("Retry-After", f"{max(0.0, retry_after_s):.2f}"))
+        headers.append(Header("Retry-After", _two_digits_up(max(0.0, retry_after_s))))
     body = msgspec.json.encode({"error": reason})
     head = AnswerHead(status, _REASONS[status], Headers(headers))
     return Reply(head, [body], reason)
 
 
+def _two_digits_up(seconds: float) -> str:
+    """Round up, as a client that returns before its time is refused again."""
+    # The product of a binary fraction and 100 may exceed a whole number by rounding alone.
+    return f"{math.ceil(round(seconds * 100, 6)) / 100:.2f}"
+
+
 def rejection_reply(rejection: Rejection) -> Reply:
     """Return the reply to a rejected request."""
     return own_reply(rejection.status, rejection.reason, retry_after_s=rejection.retry_after_s)
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -246,7 +246,7 @@
         self._teams: set[str] = set()
         self.quarantined = Gauge(
             "springrock_quarantine_requests",
-            "Requests, or parts of prompts, that are sent to no replica, as replicas crash under them.",
+            "Requests, or parts of prompts, that no replica is sent, as replicas crash under them.",
             registry=registry,
         )
         self.placer = Gauge(
