A placer counts less of a limit while many boxes of its zone may send their shares

What callers would see: a replica that names a limit gets more than it bears, as three of four boxes that lose the placer at once send three quarters of the limit uncounted while the placer counts all of it for the fourth (limit 20: 15 requests beyond the 125 that it tolerates in 4 s, in the model).

The way taken: the placer knows the most boxes of its zone that were linked at once, and leaves over what the shares of those that are not may come to. Up to two fifths of them cost nothing.

--- a/springrock/permits/counter.py
+++ b/springrock/permits/counter.py
@@ -19,7 +19,7 @@
     SlowStartTerms,
     cold_start_bucket_limits,
     intersection,
-    named_limit_bucket_limits,
+    limits_beside_shares,
 )
 from springrock.quotas.bucket import BucketLimits, TokenBucket
 
@@ -68,6 +68,23 @@
         """
 
 
+class HomeBoxes(NamedTuple):
+    """The boxes of the zone that a placer counts for.
+
+    Attributes:
+        known: The most that were linked to a placer of the zone at once; 0 if unknown.
+        linked: How many are linked now.
+    """
+
+    known: int = 0
+    linked: int = 0
+
+    @property
+    def away(self) -> int:
+        """How many of them may be sending their own shares."""
+        return max(0, self.known - self.linked)
+
+
 class _GrantedPermit(NamedTuple):
     """A permit that was taken along with an engine grant."""
 
@@ -124,6 +141,7 @@
         log: The log to write to.
         brittle: Returns how many requests a replica may turn away in a second, by service and
             incarnation; None if it is not brittle.
+        home_boxes: Returns the boxes of the zone, some of which may send without permits.
     """
 
     def __init__(
@@ -139,7 +157,9 @@
         on_counted: Callable[[bool], None],
         log: Log,
         brittle: Callable[[str, str], float | None] = lambda service, instance: None,
+        home_boxes: Callable[[], HomeBoxes] = HomeBoxes,
     ) -> None:
+        self._home_boxes = home_boxes
         self._zone = zone
         self._configuration = configuration
         self._terms = terms
@@ -337,7 +357,7 @@
         per_s = self._limits.per_s(instance)
         if per_s is None and not self._limits.has_report(instance):
             per_s = reported_per_s
-        limited = None if per_s is None else named_limit_bucket_limits(per_s)
+        limited = None if per_s is None else self._counted_limits(per_s)
         if not cold:
             # If another box starts counting for the zone meanwhile, its buckets are empty at first.
             counts = self._lease_left_s() > 0 or self._continues_without_lease()
@@ -350,6 +370,10 @@
             return _Bound(warming, limited=reported_per_s is not None, places=places)
         return _Bound(intersection(warming, limited), limited=True, places=places)
 
+    def _counted_limits(self, per_s: float) -> BucketLimits:
+        home = self._home_boxes()
+        return limits_beside_shares(per_s, boxes=home.known, away=home.away)
+
     def _account(self, instance: str, bound: _Bound) -> _Account:
         """Return the account of a replica that has limits, creating it if needed."""
         limits = bound.limits
--- a/springrock/permits/terms.py
+++ b/springrock/permits/terms.py
@@ -117,6 +117,27 @@
     return BucketLimits(counted.rate / boxes, 1.0)
 
 
+def limits_beside_shares(per_s: float, *, boxes: int, away: int) -> BucketLimits:
+    """Return the rate and depth of the bucket for permits while some boxes may send their shares.
+
+    A replica tolerates the shares of two fifths of the boxes in addition to its limit; with more of
+    them the counted rate falls.
+
+    Args:
+        per_s: The limit that the replica names.
+        boxes: How many boxes divide the limit while no placer counts for them.
+        away: How many of them are not linked to the placer that counts.
+    """
+    counted = named_limit_bucket_limits(per_s)
+    share = uncounted_share(per_s, boxes=boxes)
+    if not away or share is None:
+        return counted
+    uncounted = away * (share.depth + share.rate * LIMIT_WINDOW_S)
+    left = tolerated_in_window(per_s) - uncounted - counted.depth
+    rate = left / (LIMIT_WINDOW_S + PERMIT_LIFE_S)
+    return counted._replace(rate=max(0.0, min(counted.rate, rate)))
+
+
 def intersection(one: BucketLimits, other: BucketLimits) -> BucketLimits:
     """Return the limits that satisfy both."""
     return BucketLimits(min(one.rate, other.rate), min(one.depth, other.depth))
--- a/springrock/placement/box_count.py
+++ b/springrock/placement/box_count.py
@@ -39,6 +39,11 @@
         """The most boxes linked to one placer so far; at least 1, for this box."""
         return self._most_linked
 
+    @property
+    def most_home(self) -> int:
+        """The most boxes of the home zone that were linked to one placer so far; 0 if unknown."""
+        return self._most_home
+
     def sharing(self, *, heard_for_s: float) -> int | None:
         """Return the number of boxes that common budgets are divided by.
 
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -308,9 +308,11 @@
 
     @property
     def home_boxes(self) -> int:
-        """How many boxes the home zone has, as its placer last reported; 0 if unknown."""
-        zone = self._zones.get(self._settings.zone)
-        return 0 if zone is None else zone.home_boxes
+        """The most boxes of the home zone that its placers reported; 0 if unknown.
+
+        A placer reports fewer while others are cut off, which still use their shares.
+        """
+        return self._box_count.most_home
 
     # Called by forwarding.
 
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -13,7 +13,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.forwarding.stream_origins import Origin
 from springrock.metrics import BytesKind
-from springrock.permits.counter import PermitCounter
+from springrock.permits.counter import HomeBoxes, PermitCounter
 from springrock.permits.messages import PermitAsk, Permitted, PermitUse, PermitVerdict
 from springrock.permits.permit_book import PermitsUnheard
 from springrock.placement.demand import DemandBook
@@ -73,7 +73,6 @@
         prefetch: The adapters to prefetch into the zone while this box is its placer.
         links: The boxes linked to this one as the zone's placer.
         room: How many more adapters the engines could load, by the placer's last heartbeat.
-        home_boxes: How many of them are in the zone; 0 before the first heartbeat.
         spread: The adapters, as MODEL/NAME, that each zone should serve itself, by the last
             heartbeat.
         wait_estimate: The expected waits of one more adapter and request, by the last heartbeat.
@@ -110,7 +109,6 @@
         self._cut_off = dependencies.cut_off
         self._origins = dependencies.origins
         self._placer_keeps_origins = False
-        self.home_boxes = 0
         self.spread: frozenset[str] = frozenset()
         self.wait_estimate = WaitEstimate()
         self._store = dependencies.store
@@ -147,6 +145,7 @@
             on_counted=dependencies.metrics.count_permit,
             log=dependencies.log_of("permits"),
             brittle=dependencies.brittle.per_s,
+            home_boxes=self._count_home_boxes,
         )
         self._placer = Placer(
             zone,
@@ -318,6 +317,16 @@
         distance = self._topology.distance(zone) if zone else Distance.OWN_ZONE
         return self._metrics.cross_zone_byte_counter(BytesKind.LINKS, distance)
 
+    @property
+    def _linked_home_boxes(self) -> int:
+        return self.links.count_of(self._zone) + (self._settings.zone == self._zone)
+
+    def _count_home_boxes(self) -> HomeBoxes:
+        """Return the boxes of the zone; none are known if this box is in another one."""
+        if self._settings.zone != self._zone:
+            return HomeBoxes()
+        return HomeBoxes(self._box_count.most_home, self._linked_home_boxes)
+
     def _home_zone_of(self, box: str) -> str | None:
         own = self._settings
         return own.zone if box == own.box else self.links.home_zone(box)
@@ -336,7 +345,7 @@
             pressure=round(100 * wait_estimate.pressure),
             wait_ms=round(1000 * wait_estimate.wait_s),
             limits=self._limits.in_force(self._instances()),
-            home_boxes=self.links.count_of(self._zone) + (self._settings.zone == self._zone),
+            home_boxes=self._linked_home_boxes,
             reaching=tuple(self._reaching_boxes()),
             keeps_origins=True,
             brittle=self._brittle.in_force(self._instances()),
@@ -421,11 +430,11 @@
         self._limits.apply_placer_limits(self._zone, heartbeat.limits)
         self._brittle.apply_placer_limits(self._zone, heartbeat.brittle)
         # A placer with an earlier build sends only the number of all boxes.
-        self.home_boxes = heartbeat.home_boxes or heartbeat.boxes
         is_home = self._zone == self._settings.zone
         self._placer_keeps_origins = heartbeat.keeps_origins
         self._peer_boxes.record(self._zone, heartbeat.reaching)
-        self._box_count.record(heartbeat.boxes, home=self.home_boxes if is_home else 0)
+        home_boxes = heartbeat.home_boxes or heartbeat.boxes
+        self._box_count.record(heartbeat.boxes, home=home_boxes if is_home else 0)
         self._on_placer_contact()
 
     # Implementation of `PlacerLink`.
--- a/tests/permits/limit_world.py
+++ b/tests/permits/limit_world.py
@@ -12,7 +12,7 @@
 from springrock.forwarding.directory import ReplicaRecord
 from springrock.log import Log
 from springrock.permits import counter, named_limits, own_shares, permits
-from springrock.permits.counter import PermitCounter
+from springrock.permits.counter import HomeBoxes, PermitCounter
 from springrock.permits.messages import LimitReport, PermitAsk, Permitted, PermitVerdict
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.own_shares import OwnShares
@@ -24,6 +24,7 @@
     SlowStartTerms,
     tolerated_in_window,
 )
+from springrock.placement.box_count import BoxCount
 from tests.factories import make_limits
 
 ZONE = "zone-1"
@@ -65,6 +66,8 @@
         self.world = world
         self.linked = True
         self.first_named_at: float | None = None
+        self.box_count = BoxCount(zones=1)
+        self.box_count.record(world.home_boxes, home=world.home_boxes)
         self.limits = make_limits()
         self.limits.on_limit_report.append(self._notify)
         self.permits = Permits(
@@ -72,7 +75,7 @@
             on_unanswered=lambda: None,
             is_cold=lambda record: False,
             limits=self.limits,
-            shares=OwnShares(home_zone=ZONE, boxes=lambda: world.home_boxes),
+            shares=OwnShares(home_zone=ZONE, boxes=lambda: self.box_count.most_home),
         )
 
     def _notify(self, report: LimitReport) -> None:
@@ -103,7 +106,7 @@
 class Placer:
     """The placer of the zone; it is a box of its own, in addition to the others."""
 
-    def __init__(self) -> None:
+    def __init__(self, home_boxes: Callable[[], HomeBoxes]) -> None:
         self.limits: NamedLimits = make_limits()
         self._answers: list[Permitted] = []
         self._counter = PermitCounter(
@@ -116,6 +119,7 @@
             answer=lambda box, permitted: self._answers.append(permitted),
             on_counted=lambda granted: None,
             log=Log("permits", "placer"),
+            home_boxes=home_boxes,
         )
 
     def ask(self, ask: PermitAsk) -> PermitVerdict | None:
@@ -135,7 +139,7 @@
         self.now = 0.0
         self.limit_of = limit_of
         self.home_boxes = boxes
-        self.placer: Placer | None = Placer()
+        self.placer: Placer | None = Placer(self._count_home_boxes)
         self.boxes = [Box(number, self) for number in range(boxes)]
         self.arrivals: list[Arrival] = []
         self.first_named_at: float | None = None
@@ -144,11 +148,14 @@
 
     def replace_placer(self) -> None:
         """Replace the placer by a new one, to which the linked boxes report what they know."""
-        self.placer = Placer()
+        self.placer = Placer(self._count_home_boxes)
         for box in self.boxes:
             if box.linked:
                 self.broadcast(box)
 
+    def _count_home_boxes(self) -> HomeBoxes:
+        return HomeBoxes(self.home_boxes, sum(box.linked for box in self.boxes))
+
     def broadcast(self, box: Box) -> None:
         """Let a box report what it knows to a placer to which it was not linked before."""
         if self.placer is not None:
@@ -172,6 +179,8 @@
             self._heartbeat_at = self.now
             for box in self.boxes:
                 if box.linked:
+                    linked = self._count_home_boxes().linked
+                    box.box_count.record(linked, home=linked)
                     box.limits.apply_placer_limits(
                         ZONE, self.placer.limits.in_force([RECORD.instance])
                     )
--- a/tests/permits/test_limit_model.py
+++ b/tests/permits/test_limit_model.py
@@ -87,6 +87,19 @@
             assert world.excess() <= 0, per_s
 
 
+def test_boxes_that_lose_the_placer_one_after_the_other_add_little_to_what_it_counts() -> None:
+    for per_s in (1.0, 3.0, 20.0, 60.0):
+        world = LimitWorld(4, lambda at, named=per_s: named)
+        with pytest.MonkeyPatch.context() as patch:
+            use_virtual_clock(patch, world)
+            apply_load(world, seconds=1.0, per_s=lambda box: 5.0)
+            for box in world.boxes[1:]:
+                box.linked = False
+                apply_load(world, seconds=1.0, per_s=lambda box: 40.0)
+            apply_load(world, seconds=6.0, per_s=lambda box: 40.0)
+            assert world.excess() <= 0, per_s
+
+
 @pytest.mark.parametrize(("first", "then"), [(20.0, 1.0), (1.0, 20.0), (3.0, 0.0), (0.5, 3.0)])
 def test_a_changed_limit_is_enforced_and_used_soon_after(
     monkeypatch: pytest.MonkeyPatch, first: float, then: float
--- a/tests/permits/test_limit_ways.py
+++ b/tests/permits/test_limit_ways.py
@@ -9,7 +9,14 @@
 
 import pytest
 
-from springrock.permits.terms import named_limit_bucket_limits
+from springrock.permits.terms import (
+    LIMIT_WINDOW_S,
+    PERMIT_LIFE_S,
+    limits_beside_shares,
+    named_limit_bucket_limits,
+    tolerated_in_window,
+    uncounted_share,
+)
 from springrock.quotas.bucket import BucketLimits, TokenBucket
 from tests.permits.limit_world import LimitWorld, apply_load, use_virtual_clock
 
@@ -86,3 +93,19 @@
 ) -> None:
     used, _ = shared(monkeypatch, boxes, per_s, uneven(boxes, per_s))
     assert used < 0.6
+
+
+@pytest.mark.parametrize("per_s", [0.0, 0.4, 3.0, 20.0, 60.0])
+@pytest.mark.parametrize("boxes", [1, 2, 4, 7])
+def test_counted_permits_and_shares_together_stay_within_the_tolerance(
+    per_s: float, boxes: int
+) -> None:
+    for away in range(boxes + 1):
+        counted = limits_beside_shares(per_s, boxes=boxes, away=away)
+        share = uncounted_share(per_s, boxes=boxes)
+        within = counted.depth + counted.rate * (LIMIT_WINDOW_S + PERMIT_LIFE_S)
+        if share is not None:
+            within += away * (share.depth + share.rate * LIMIT_WINDOW_S)
+        assert within <= tolerated_in_window(per_s) + 1e-9
+        if 5 * away <= 2 * boxes:
+            assert counted == named_limit_bucket_limits(per_s), "few boxes away cost nothing"
