Parts that went well are suspected last, and a trial releases what is sound

Their second part, which few streams have, had four crashes of other faults, two of them beside the crashing part with its three; as it explained more, it was taken for the cause, the crashing part was let go, and nobody sent what would have cleared it, for 900 s.

A part on which replicas have written answers before, as far as a box remembers, is a cause only of six crashes that nothing else explains. One of the boxes that reported a cause's crashes lets one request through 20 s after the last crash, then 80 and 320 s later, without a second attempt.

The price is a trial or two a minute; it buys release in 20 s in place of 900.

--- a/springrock/quarantine/book.py
+++ b/springrock/quarantine/book.py
@@ -15,6 +15,7 @@
 from springrock.quarantine.exemptions import Exemptions
 from springrock.quarantine.report import CrashReport, report_from
 from springrock.quarantine.terms import QuarantineTerms
+from springrock.quarantine.trials import Trials
 from springrock.rows import Row
 
 MAX_REPORTS = 1_000
@@ -59,6 +60,7 @@
     complete. An answer that a replica has begun to write on any box clears what the request shares.
 
     Args:
+        box: The name of this box.
         terms: Returns the rules by which requests are quarantined.
         log: The log to write to.
         on_cleared: Called with a shared suspect that this box has cleared, if one more crash would
@@ -68,10 +70,12 @@
     def __init__(
         self,
         *,
+        box: str = "",
         terms: Callable[[], QuarantineTerms],
         log: Log,
         on_cleared: Callable[[Fingerprint], None] = lambda suspect: None,
     ) -> None:
+        self._box = box
         self._terms = terms
         self._log = log
         self.on_cleared = on_cleared
@@ -80,6 +84,7 @@
         self._shared = CountedCrashes()
         self._completed: BoundedDict[None] = BoundedDict(at_most=_COMPLETIONS_KEPT)
         self._exemptions = Exemptions()
+        self._trials = Trials()
         self._causes: list[Cause] = []
         self._causes_valid_until = float("inf")
         """When the first of them ends, on the local monotonic clock; 0 to decide anew."""
@@ -91,9 +96,24 @@
 
     def quarantined_for_s(self, suspects: Suspects) -> float | None:
         """Return for how many more seconds a request is quarantined; None if it is not."""
-        found = [cause for cause in self._current_causes() if cause.is_in(suspects)]
+        found = [
+            cause
+            for cause in self._current_causes()
+            if cause.is_in(suspects) and not self._is_trial(cause, suspects.whole)
+        ]
         return max((self._left_s(cause) for cause in found), default=None)
 
+    def _is_trial(self, cause: Cause, whole: Fingerprint) -> bool:
+        """Return whether a request tests whether what it shares with others still crashes replicas.
+
+        One of the boxes that reported the crashes does so, the same one by the word of all.
+        """
+        reports = self._reports_of(cause)
+        if whole in cause.suspects or self._box != min(held.report.box for held in reports):
+            return False
+        last_crash_at = max(held.learned_at for held in reports)
+        return self._trials.allows(min(cause.suspects), whole, last_crash_at=last_crash_at)
+
     def may_be_retried(self, suspects: Suspects) -> bool:
         """Return whether a request that may have run may be sent to another replica at once.
 
@@ -101,8 +121,11 @@
         other requests that failed at the same crash, so they would all be counted at the next one.
         A later retry by the client is allowed.
         """
+        causes = self._current_causes()
+        if any(cause.is_in(suspects) for cause in causes):
+            return False
         most = max(1, self._terms().crashes - 1) - 1
-        explained = {instance for cause in self._current_causes() for instance in cause.instances}
+        explained = {instance for cause in causes for instance in cause.instances}
         return all(
             len(self._crashes_of(keys) - explained) <= most
             for keys in (
@@ -269,6 +292,7 @@
                 whole=self._crash_sets(self._whole),
                 shared=self._crash_sets(self._shared),
                 crashes=self._terms().crashes,
+                is_proven=self._exemptions.__contains__,
             ),
         )
         left_s = [self._left_s(cause) for cause in self._causes]
@@ -276,6 +300,10 @@
         self._log_changes(before)
         return self._causes
 
+    def _reports_of(self, cause: Cause) -> list[_HeldReport]:
+        """Return the reports of the crashes that are put down to a cause."""
+        return [held for held in self._held.values() if held.report.instance in cause.instances]
+
     def _left_s(self, cause: Cause) -> float:
         """Return for how many seconds a cause stays one."""
         terms = self._terms()
@@ -300,11 +328,10 @@
                 self._log_cause("Requests are no longer quarantined.", cause)
 
     def _log_cause(self, sentence: str, cause: Cause) -> None:
-        reports = [held.report for held in self._held.values()]
         self._log.info(
             sentence,
             suspects=sorted(suspect.short for suspect in cause.suspects),
             instances=sorted(cause.instances),
-            reported_by=sorted({item.box for item in reports if item.instance in cause.instances}),
+            reported_by=sorted({held.report.box for held in self._reports_of(cause)}),
             for_s=round(self._terms().for_s),
         )
--- a/springrock/quarantine/causes.py
+++ b/springrock/quarantine/causes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from springrock.forwarding.fingerprint import Fingerprint
@@ -29,7 +29,17 @@
         return self.suspects <= {suspects.whole, *suspects.shared}
 
 
-def find_causes(*, whole: CrashSets, shared: CrashSets, crashes: int) -> list[Cause]:
+PROVEN_FACTOR = 2
+"""How many times more crashes make a cause of what replicas have written answers on before."""
+
+
+def find_causes(
+    *,
+    whole: CrashSets,
+    shared: CrashSets,
+    crashes: int,
+    is_proven: Callable[[Fingerprint], bool] = lambda suspect: False,
+) -> list[Cause]:
     """Return the causes of the crashes, none of which is explained by the others.
 
     Whoever runs beside a cause is suspected with it, at a part of its crashes. So a suspect whose
@@ -40,15 +50,21 @@
         whole: The crashes that count against requests.
         shared: The crashes that count against what requests share.
         crashes: How many crashes make a cause.
+        is_proven: Whether replicas have written answers on a shared suspect before. It is a cause
+            only of what no other one explains.
     """
     requests = _with_enough(whole, crashes)
-    found = _shared_causes(
-        {
-            suspect: instances
-            for suspect, instances in _with_enough(shared, crashes).items()
-            if not any(instances <= explained for explained in requests.values())
-        },
-        crashes=crashes,
+    suspected = {
+        suspect: instances
+        for suspect, instances in shared.items()
+        if not any(instances <= explained for explained in requests.values())
+    }
+    unproven = {item: suspected[item] for item in suspected if not is_proven(item)}
+    found = _shared_causes(unproven, crashes=crashes)
+    explained = frozenset(instance for cause in found for instance in cause.instances)
+    found += _shared_causes(
+        {item: suspected[item] - explained for item in suspected if item not in unproven},
+        crashes=PROVEN_FACTOR * crashes,
     )
     found += [
         Cause(frozenset({suspect}), instances)
@@ -58,9 +74,10 @@
     return found
 
 
-def _shared_causes(left: dict[Fingerprint, frozenset[str]], *, crashes: int) -> list[Cause]:
+def _shared_causes(shared: CrashSets, *, crashes: int) -> list[Cause]:
     """Return causes, each one that explains most of the crashes that are left."""
     found = []
+    left = _with_enough(shared, crashes)
     while left:
         instances = max(left.values(), key=lambda item: (len(item), sorted(item)))
         alike = frozenset(suspect for suspect, others in left.items() if others == instances)
--- a/springrock/quarantine/exemptions.py
+++ b/springrock/quarantine/exemptions.py
@@ -24,6 +24,10 @@
     def __init__(self) -> None:
         self._exempt_until: BoundedDict[float | None] = BoundedDict(at_most=_KEPT)
 
+    def __contains__(self, suspect: Fingerprint) -> bool:
+        """Whether a suspect has ever gone well, as far as remembered."""
+        return suspect in self._exempt_until
+
     def grant(self, suspect: Fingerprint) -> None:
         """Exempt a suspect from the next burst of crashes."""
         self._exempt_until.record(suspect, None)
@@ -37,7 +41,4 @@
         if until is None:
             self._exempt_until[suspect] = now + _BURST_S
             return True
-        if now < until:
-            return True
-        del self._exempt_until[suspect]
-        return False
+        return now < until
--- a/springrock/quarantine/quarantine.py
+++ b/springrock/quarantine/quarantine.py
@@ -41,7 +41,7 @@
         metrics: ForwardingMetrics,
         log: Log,
     ) -> None:
-        self.book = CrashBook(terms=terms, log=log)
+        self.book = CrashBook(box=box, terms=terms, log=log)
         metrics.quarantined.set_function(lambda: float(self.book.quarantined_count))
         self._reporter = Reporter(store, box=box, table=table, book=self.book, terms=terms, log=log)
         clearances = Clearances(box=box, book=self.book, reports=self._reporter)
--- a/tests/quarantine/test_causes.py
+++ b/tests/quarantine/test_causes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.suspects import Suspects
 from springrock.quarantine.causes import find_causes
@@ -11,13 +13,17 @@
 
 
 def found(
-    *, whole: dict[Fingerprint, str] | None = None, shared: dict[Fingerprint, str] | None = None
+    *,
+    whole: dict[Fingerprint, str] | None = None,
+    shared: dict[Fingerprint, str] | None = None,
+    proven: Collection[Fingerprint] = (),
 ) -> list[set[Fingerprint]]:
     """Return the suspects of each cause; a letter is an incarnation that crashed."""
     causes = find_causes(
         whole={item: frozenset(crashed) for item, crashed in (whole or {}).items()},
         shared={item: frozenset(crashed) for item, crashed in (shared or {}).items()},
         crashes=3,
+        is_proven=lambda suspect: suspect in proven,
     )
     return [set(cause.suspects) for cause in causes]
 
@@ -54,3 +60,15 @@
     assert cause.is_in(Suspects(REQUEST, (PART, OTHER_PART, RARE_PART)))
     assert not cause.is_in(Suspects(REQUEST, (PART,)))
     assert not cause.is_in(Suspects(REQUEST, (RARE_PART, OTHER_PART)))
+
+
+def test_a_part_that_never_went_well_is_the_cause_before_one_that_did() -> None:
+    crashed = {PART: "ijk", RARE_PART: "jklm"}
+    assert found(shared=crashed, proven=[RARE_PART]) == [{PART}]
+    assert found(shared=crashed, proven=[PART, RARE_PART]) == []
+
+
+def test_a_part_that_went_well_once_is_a_cause_of_many_unexplained_crashes() -> None:
+    crashed = {PART: "ijk", RARE_PART: "klmnopq"}
+    assert found(shared=crashed, proven=[RARE_PART]) == [{PART}, {RARE_PART}]
+    assert found(shared={RARE_PART: "lmnop"}, proven=[RARE_PART]) == []
