--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,9 +7,12 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_RELEASE = "1f33d5a0ba4d"
+LAST_RELEASE = "9c21ade833ca"
 """The previous release, which users upgrade from."""
 
+BEFORE_BRITTLE = "1f33d5a0ba4d"
+"""The last release whose placers keep no places for brittle replicas."""
+
 BEFORE_PASSING_ON = "924fd91cc65e"
 """The last release whose boxes pass no requests on and are passed none."""
 
--- a/tests/quarantine/test_report.py
+++ b/tests/quarantine/test_report.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+from pathlib import Path
+
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from springrock.forwarding.fingerprint import FINGERPRINT_DIGITS
 from springrock.quarantine.report import MAX_REQUESTS, CrashReport, new_key, report_from
 from springrock.rows import Row
+from tests.builds import LAST_RELEASE, build_at
 
 texts = st.text(max_size=40)
 anything = st.recursive(
@@ -34,5 +40,30 @@
     assert report_from(Row("crash/1", msgspec.json.encode(report), 1)) is None
 
 
+_READ_BY_BUILD = """
+import sys
+from springrock.quarantine.report import report_from
+from springrock.rows import Row
+report = report_from(Row("crash/1", sys.stdin.buffer.read(), 1))
+print(report.instance, *report.requests)
+"""
+
+
+@pytest.mark.parametrize("instance", ["i-1", ""])
+def test_the_previous_release_reads_reports_with_parts_as_it_reads_its_own(
+    tmp_path: Path, instance: str
+) -> None:
+    whole, part = "a" * FINGERPRINT_DIGITS, "b" * FINGERPRINT_DIGITS
+    report = CrashReport("box-1", instance, [whole], [part], [part])
+    ran = subprocess.run(
+        [sys.executable, "-c", _READ_BY_BUILD],
+        cwd=build_at(LAST_RELEASE, tmp_path),
+        input=msgspec.json.encode(report),
+        capture_output=True,
+        check=True,
+    )
+    assert ran.stdout.decode().strip() == f"{instance} {whole}".strip()
+
+
 def test_keys_of_reports_are_unique() -> None:
     assert len({new_key() for _ in range(100)}) == 100
--- a/tests/routed/test_brittle.py
+++ b/tests/routed/test_brittle.py
@@ -16,7 +16,7 @@
 import pytest
 
 from springrock.emulator.replica import CRASH_EXIT_STATUS
-from tests.builds import LAST_RELEASE, build_at
+from tests.builds import BEFORE_BRITTLE, build_at
 from tests.processes import wait_until
 from tests.routed.callers import Callers
 from tests.routed.deployment import REPLICAS, ZONES, Deployment
@@ -96,10 +96,10 @@
     assert all(deployment.counters(name)["turned_away"] for name in names), "the room was too small"
 
 
-def test_a_box_keeps_to_its_share_under_placers_of_the_previous_release(
+def test_a_box_keeps_to_its_share_under_placers_of_a_build_without_places(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> None:
-    previous = build_at(LAST_RELEASE, tmp_path_factory.mktemp("build"))
+    previous = build_at(BEFORE_BRITTLE, tmp_path_factory.mktemp("build"))
     builds = {"box-1": previous, "box-2": previous}
     folder = tmp_path_factory.mktemp("mixed")
     names = ("rosters-1", "rosters-2")
