A placer that is cut off keeps its lease for one lease before it leaves it

Cause, from the logs: four engines had crashed, the placer a-2 found none of them (refused) and took itself for cut off, so that it left its lease; a-3 took it at 6.30, lost the same engines from sight at 6.54 and left it at 6.70; a-2 took it again and ordered at 7.36. A refused connection may be a cut as well, so that the probe cannot tell; ruled out as a mend: leaving out replicas that the box itself reported as crashed, as a cut that refuses looks the same.

Change: a placer leaves its lease for a better box only a lease after it took it, so that two boxes cannot take turns within one. One that has placed for longer leaves at once, as before. The new test failed before (0.41 s of 1.0).

--- a/springrock/placement/election.py
+++ b/springrock/placement/election.py
@@ -196,7 +196,7 @@
         if not self._lease.confirmed:
             self._lease.renew()
         renew_every_s = self._settings.lease_s / _RENEWALS_PER_LEASE
-        renewed_at = monotonic()
+        began_at = renewed_at = monotonic()
         while self._lease.held:
             self._role.send_heartbeat()
             self._wake.wait(timeout=_HEARTBEAT_S)
@@ -206,7 +206,12 @@
                 self._lease.renew()
             if self._lease.held and self._stopping:
                 self._leave_unless_irreplaceable()
-            elif self._lease.held and self.has_better_box():
+            elif (
+                self._lease.held
+                # Boxes that lose the same engines would take turns within a lease.
+                and monotonic() - began_at >= self._settings.lease_s
+                and self.has_better_box()
+            ):
                 self._leave(
                     reason="another box is a better placer",
                     handover_target=self._links.handover_target(self._zone),
--- a/tests/placement/test_election.py
+++ b/tests/placement/test_election.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent.event import Event
 
+from springrock.clock import monotonic
 from springrock.log import Log
 from springrock.placement import election as election_module
 from springrock.placement.election import Election
@@ -45,6 +46,8 @@
 class NoLinks:
     """The client and links of a box that no box is linked to; any placer accepts it."""
 
+    has_reaching_box = True
+
     def __init__(self) -> None:
         self.linked = False
         self.lost = Event()
@@ -80,33 +83,43 @@
         """Do nothing, as no box is linked."""
 
 
-def start_box(store: CountingStore, box: str, placing: list[str], *, strength: float = 2.0) -> None:
-    """Start a box's part in the election before it has read the rows."""
+def start_box(
+    store: CountingStore,
+    box: str,
+    placing: list[str],
+    *,
+    strength: float = 2.0,
+    lease_s: float = 3.0,
+    cut_off: Callable[[], bool] = lambda: False,
+) -> PlacerLease:
+    """Start a box's part in the election before it has read the rows; return its lease."""
     board = PlacerBoard(age_s=lambda: 0.0)
     store.boards.append(board)
     links = NoLinks()
+    lease = PlacerLease(
+        store,
+        zone=ZONE,
+        box=box,
+        address="127.0.0.1:1",
+        incarnation=box,
+        lease_s=lease_s,
+        checks_fence=True,
+        rows=board,
+        log=Log("lease", box),
+    )
     election = Election(
         ZONE,
-        settings=PlacementSettings(box, ZONE, "127.0.0.1:1", 3.0, True, 1.0, 2.0, strength),
-        lease=PlacerLease(
-            store,
-            zone=ZONE,
-            box=box,
-            address="127.0.0.1:1",
-            incarnation=box,
-            lease_s=3.0,
-            checks_fence=True,
-            rows=board,
-            log=Log("lease", box),
-        ),
+        settings=PlacementSettings(box, ZONE, "127.0.0.1:1", lease_s, True, 1.0, 2.0, strength),
+        lease=lease,
         board=board,
         client=links,  # type: ignore[arg-type]
         links=links,  # type: ignore[arg-type]
         incarnation=box,
         role=RecordingRole(box, placing),
-        cut_off=lambda: False,
+        cut_off=cut_off,
     )
     gevent.spawn(election.run)
+    return lease
 
 
 def wait_until(condition: Callable[[], bool]) -> None:
@@ -159,3 +172,18 @@
     assert placing == []
     store.boards[0].replace([])
     wait_until(lambda: placing == ["one"])
+
+
+def test_a_placer_that_is_cut_off_leaves_its_lease_no_sooner_than_a_lease_after_taking_it() -> None:
+    """Else two boxes that lose the same engines take turns, and order at one engine in turns."""
+    lease_s = 1.0
+    store = CountingStore()
+    placing: list[str] = []
+    lease = start_box(store, "box-1", placing, lease_s=lease_s, cut_off=lambda: bool(placing))
+    for board in store.boards:
+        board.replace([])
+    wait_until(lambda: lease.held)
+    taken_at = monotonic()
+    # It takes the lease again at once, as no other box is there.
+    wait_until(lambda: len(placing) > 1)
+    assert monotonic() - taken_at >= lease_s
