--- a/springrock/quarantine/book.py
+++ b/springrock/quarantine/book.py
@@ -106,7 +106,8 @@
     def _is_trial(self, cause: Cause, whole: Fingerprint) -> bool:
         """Return whether a request tests whether what it shares with others still crashes replicas.
 
-        One of the boxes that reported the crashes does so, the same one by the word of all.
+        Only the first by name of the boxes that reported the crashes sends one. All boxes read the
+        same reports.
         """
         # A box of an earlier build reports nothing shared, and would try nothing.
         reports = [held for held in self._reports_of(cause) if held.report.shared]
--- a/springrock/quarantine/causes.py
+++ b/springrock/quarantine/causes.py
@@ -42,9 +42,9 @@
 ) -> list[Cause]:
     """Return the causes of the crashes, none of which is explained by the others.
 
-    Whoever runs beside a cause is suspected with it, at a part of its crashes. So a suspect whose
-    crashes another one explains is none: a shared one if the same request was there each time, and
-    a request if something shared was there each time and at further crashes.
+    Requests that ran beside a cause fail at some of its crashes. So a shared suspect is no cause if
+    one request was there at all its crashes, and a request is none if a shared cause was there at
+    all its crashes and at more.
 
     Args:
         whole: The crashes that count against requests.
