--- a/review/standins/boxes.py
+++ b/review/standins/boxes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -21,14 +22,18 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return free addresses, with ports that the system gives to no outgoing connection."""
+    addresses: list[str] = []
+    while len(addresses) < count:
+        address = f"127.0.0.1:{random.randrange(15_000, 32_000)}"
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", int(address.rpartition(":")[2])))
+            except OSError:
+                continue
+        if address not in addresses:
+            addresses.append(address)
+    return addresses
 
 
 def _python() -> tuple[str, dict[str, str]]:
