--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,108 +1,124 @@
-"""A replica's answer with a malformed head reaches the client as a success.
+"""A box that has put a configuration in force passes a request on to a box that has not yet.
 
-One box, one plain service with two replicas. In a few answers of a replica one byte of the head is
-wrong: the colon of a header line, so that the bytes form no answer of the protocol. Answers now and
-then carry `Connection: close`, as those of sound replicas do.
+Two zones. Box A places zone-a and reads the store for all. In zone-b one box places, T, and the
+other, B, relies on what T tells it. T is frozen, and a configuration moves a route to another
+service. A has it in force at once, and a replica sees that. Then the replicas of that service
+crash, and A passes the requests of the route on to B, which still routes them as before.
 """
 
 import asyncio
-import random
-from collections import Counter
+import signal
+import time
 
-from standins import case, http1
+from standins import boxes, case
 from standins.replicas import Engine, Replica
 
-REQUESTS = 800
-SPOILT_SHARE = 0.05
-CLOSING_SHARE = 0.2
-
-
-class Spoiling(Replica):
-    """A replica that spoils some of its answers by one byte."""
-
-    spoils = False
-    spoilt = 0
-
-    def __init__(self, *args, **kw):
-        super().__init__(*args, **kw)
-        self.rng = random.Random(self.name)
-        self.bodies: dict[str, bytes] = {}
-
-    async def run(self, request, connection, headers):
-        await asyncio.sleep(self.work_s)
-        request_id = headers["Springrock-Request-Id"]
-        seal = headers["Springrock-Response-Seal"]
-        body = f"{self.service} {request.target} {len(request.body)} {request_id}".encode()
-        self.bodies[seal] = body
-        closes = self.rng.random() < CLOSING_SHARE
-        in_chunks = self.rng.random() < 0.5
-        framing = "Transfer-Encoding" if in_chunks else "Content-Length"
-        head = http1.head(
-            200,
-            {
-                "Springrock-Request-Id": request_id,
-                "Date": "Fri, 04 Dec 2026 00:00:00 GMT",
-                "Springrock-Response-Seal": seal,
-                framing: "chunked" if in_chunks else str(len(body)),
-                **({"Connection": "close"} if closes else {}),
-            },
-        )
-        if self.spoils and self.rng.random() < SPOILT_SHARE:
-            self.spoilt += 1
-            line = self.rng.choice(["Date", "Springrock-Response-Seal", framing])
-            head = head.replace(f"{line}:".encode(), f"{line}\x1a".encode(), 1)
-            ends = ", and closes" if closes else ""
-            self.note(f"{self.name} answers {request_id} with a wrong byte in {line}{ends}")
-        await connection.write(head + (http1.chunk(body) + b"0\r\n\r\n" if in_chunks else body))
-        if closes:
-            connection.writer.close()
+ROUNDS = 8
+ROLLBACK_SLACK_S = 0.25
+CONFIG_APPLY_S = 2.0
+CONTACT_S = 3.0
+REQUESTS = 8
+
+
+def services():
+    return [
+        case.plain("rosters-old"),
+        case.plain("rosters-new"),
+        case.engines("language", adapter_slots=2),
+    ]
+
+
+def routes(service):
+    return [
+        case.route("join", "unsafe", service, maxAttempts=1, timeoutMs=1000, targetLatencyMs=150),
+        case.route("minutes", "streaming", "language", maxAttempts=1, gapAimMs=400),
+    ]
 
 
 async def play(run: case.Case) -> None:
-    replicas = [
-        Spoiling(run.store, f"roster-{number}", "rosters", "zone-a", note=run.note)
-        for number in ("1", "2")
+    old = [
+        Replica(run.store, f"old-{zone}", "rosters-old", zone, note=run.note)
+        for zone in ("zone-a", "zone-b")
     ]
-    for replica in replicas:
+    for replica in old:
         await replica.start()
-        replica.spoils = run.trouble
-    await Engine(run.store, "engine-1", "language", "zone-a", note=lambda text: None).start()
-    routes = [
-        case.route("lookup", "safe", "rosters", timeoutMs=1000, targetLatencyMs=150),
-        case.route("join", "unsafe", "rosters", maxAttempts=1, timeoutMs=1000, targetLatencyMs=150),
-    ]
-    services = [case.plain("rosters"), case.engines("language", adapter_slots=2)]
-    run.configure(1, routes, services)
-    await run.start_boxes(["zone-a"])
-    statuses: Counter[int] = Counter()
-    for number in range(REQUESTS // 10):
-        path = "/join/x" if number % 2 else "/lookup/x"
-        sent = await asyncio.gather(
-            *(run.send(run.boxes[0], path, deadline_ms=1000) for _ in range(10))
-        )
-        for request_id, got in sent:
-            statuses[got.status] += 1
-            _judge(run, replicas, request_id, got)
-        await asyncio.sleep(0.1)
-    spoilt = sum(replica.spoilt for replica in replicas)
-    summary = f"answers by status: {dict(statuses)}; {spoilt} answers of the replicas were spoilt"
-    run.note(summary)
-    print(summary)
-
-
-def _judge(run: case.Case, replicas: list[Spoiling], request_id: str, got: http1.Answer) -> None:
-    """MIXED, as written: a success has the seal and the whole body of a replica that ran it."""
-    if not 200 <= got.status < 300:
-        return
-    bodies = {seal: body for replica in replicas for seal, body in replica.bodies.items()}
-    seal = got.headers.get("springrock-response-seal", "")
-    if not seal.endswith(request_id) or seal not in bodies:
-        run.break_rule(f"MIXED: the client received {got.status} for {request_id}, seal {seal!r}")
-    elif got.complete and got.body != bodies[seal]:
-        run.break_rule(
-            f"MIXED: the client received {got.status} for {request_id} with the replica's seal and"
-            f" the body {got.body!r}"
-        )
+    for zone in ("zone-a", "zone-b"):
+        await Engine(run.store, f"engine-{zone}", "language", zone, note=lambda text: None).start()
+    run.configure(1, routes("rosters-old"), services())
+    await run.start_boxes(["zone-a", "zone-b", "zone-b"])
+    version = 1
+    for number in range(1, ROUNDS + 1):
+        run.note(f"round {number}")
+        version = await _round(run, old, version)
+        if run.broken:
+            break
+
+
+async def _round(run: case.Case, old: list[Replica], version: int) -> int:
+    a = run.boxes[0]
+    await boxes.wait_until(
+        lambda: a.places("zone-a"), within_s=15.0, what=f"{a.name} places zone-a"
+    )
+    placing = [box for box in run.boxes[1:] if await box.places("zone-b")]
+    if len(placing) != 1:
+        raise boxes.CannotRun("not one box of zone-b places it")
+    t = placing[0]
+    b = next(box for box in run.boxes[1:] if box is not t)
+    new = Replica(run.store, "new-zone-a", "rosters-new", "zone-a", note=run.note)
+    await new.start()
+    # All machines are in touch: nothing has disturbed them for `contactMs`.
+    await asyncio.sleep(CONTACT_S + 1.0)
+    if run.trouble:
+        run.note(f"SIGSTOP to {t.name}, which places zone-b; {b.name} relies on it")
+        t.signal(signal.SIGSTOP)
+        await asyncio.sleep(0.05)
+    version += 1
+    run.configure(version, routes("rosters-new"), services())
+    acknowledged_at = time.monotonic()
+    # The first request that runs at the new service shows that A has the configuration in force.
+    effect_at = None
+    while effect_at is None and time.monotonic() < acknowledged_at + CONFIG_APPLY_S:
+        request_id, _ = await run.send(a, "/join/x", deadline_ms=1000)
+        if new.runs[request_id]:
+            effect_at = time.monotonic()
+            run.note(f"a replica has seen version {version} at work by way of {a.name}")
+    if effect_at is None:
+        raise boxes.CannotRun(f"{a.name} did not put version {version} in force in time")
+    if run.trouble:
+        run.note("the replicas of rosters-new crash")
+        new.crash()
+    await asyncio.sleep(max(0.0, effect_at + ROLLBACK_SLACK_S + 0.05 - time.monotonic()))
+    sent = await asyncio.gather(*(_send_after(run, a, 0.1 * index) for index in range(REQUESTS)))
+    _judge(run, a, old, version, sent)
+    if run.trouble:
+        t.signal(signal.SIGCONT)
+        run.note(f"SIGCONT to {t.name}")
+    run.store.remove("servers", new.id)
+    if not run.trouble:
+        new.crash()
+    await asyncio.sleep(1.0)
+    version += 1
+    run.configure(version, routes("rosters-old"), services())
+    await asyncio.sleep(3.0)
+    return version
+
+
+async def _send_after(run: case.Case, box: boxes.Box, after_s: float) -> str:
+    await asyncio.sleep(after_s)
+    request_id, _ = await run.send(box, "/join/x", deadline_ms=1000)
+    return request_id
+
+
+def _judge(run: case.Case, a: boxes.Box, old: list[Replica], version: int, sent: list[str]) -> None:
+    """CONFIG, as written: no request of one machine's process goes back behind what it showed."""
+    for request_id in sent:
+        for replica in old:
+            if replica.runs[request_id]:
+                run.break_rule(
+                    f"CONFIG: {request_id}, sent to {a.name} over {ROLLBACK_SLACK_S} s after a"
+                    f" replica saw its version {version}, was run by {replica.name}, as only"
+                    " older versions allow"
+                )
 
 
 case.main(play, __file__)
