Review: a case that is ended from outside ends its boxes

Cause: a try whose output was closed left a box running, as the boxes were ended after the last line. Change: review/standins/case.py ends them in any case, and on SIGTERM.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import time
 import traceback
@@ -146,7 +147,18 @@
 
 def main(play: Callable[[Case], Awaitable[None]], file: str) -> None:
     """Play a case; exit with 1 if a rule was broken, 0 if not, 2 if it could not run."""
+    # A case that is ended from outside ends its boxes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     case = Case(Path(file).resolve().parent)
+    try:
+        code = _run(play, case)
+    finally:
+        case.close()
+    sys.exit(code)
+
+
+def _run(play: Callable[[Case], Awaitable[None]], case: Case) -> int:
+    """Play a case and return the exit code."""
 
     async def _play() -> None:
         async with asyncio.timeout(TIME_LIMIT_S):
@@ -168,5 +180,4 @@
     for text in case.broken[:10]:
         print(f"BROKEN: {text}")
     print(f"exit {code}, trouble {'on' if case.trouble else 'off'}")
-    case.close()
-    sys.exit(code)
+    return code
