--- a/review/1/play.py
+++ b/review/1/play.py
@@ -55,6 +55,8 @@
     )
     run.note(summary)
     print(summary)
+    if run.trouble and not engine.surplus_sent:
+        raise boxes.CannotRun("no answer of the engine came twice")
 
 
 async def _round(run: case.Case, engine: Engine, statuses: dict[str, http1.Answer]) -> None:
