Review: a case ends its boxes before its stand-ins, and itself after 117 s

Cause: a run of case 1 hung after its verdict, as a stand-in's task outlived its cancellation while the boxes went on asking; its boxes were left running. No check is changed.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -19,6 +19,7 @@
 
 HOST = "calls.example"
 TIME_LIMIT_S = 110.0
+HARD_LIMIT_S = 117
 
 
 def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -135,9 +136,13 @@
             self.note(f"client gets {got.status} ({whole}) for {request_id} {body!r}")
         return request_id, got
 
-    def close(self) -> None:
+    def end_boxes(self) -> None:
         for box in self.boxes:
             box.end()
+
+    def close(self) -> None:
+        self.end_boxes()
+        for box in self.boxes:
             if os.environ.get("KEEP_LOGS"):
                 print(box.log_path)
         self._record.close()
@@ -150,6 +155,13 @@
     # A case that is ended from outside ends its boxes as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     case = Case(Path(file).resolve().parent)
+
+    def _end_now(*_: object) -> None:
+        case.end_boxes()
+        os._exit(1 if case.broken else 2)
+
+    signal.signal(signal.SIGALRM, _end_now)
+    signal.alarm(HARD_LIMIT_S)
     try:
         code = _run(play, case)
     finally:
@@ -162,8 +174,12 @@
 
     async def _play() -> None:
         async with asyncio.timeout(TIME_LIMIT_S):
-            await case.store.start()
-            await play(case)
+            try:
+                await case.store.start()
+                await play(case)
+            finally:
+                # Their connections would keep the stand-ins' tasks from ending.
+                case.end_boxes()
 
     try:
         asyncio.run(_play())
