--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,7 +7,7 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_RELEASE = "9c21ade833ca"
+LAST_RELEASE = "37c928e27cbe"
 """The previous release, which users upgrade from."""
 
 BEFORE_BRITTLE = "1f33d5a0ba4d"
