A box that is passed a request runs it by no older configuration or adapter than its first box

Callers: a box that had shown a configuration at work passed requests on to a box that went by an older one: they ran at the service that the route had before, or got 404 (CONFIG).

Cause: a request that is passed on carried nothing of what its first box had matched it by, and the other box matched it anew by its own table, which may be up to 1.7 s behind, or older if that box stood still. Who acts for another box went by what it knows itself. Ruled out: a configuration that goes back at one box (versions only rise in `_apply_configuration`; operators' numbers, no era).

Change: the request carries the version of the configuration that it was matched by and the newest version of its adapter; the other box handles it only if it knows both or newer, and else answers that nothing ran; then the next box is asked, then the first box refuses. A box that is behind reads the store at once, at most once a second. The request goes to an authority under .invalid with the client's host beside it, so that a box of an earlier build finds no route and runs nothing. Both log lines name both versions. Ruled out as a way: peers tell what they have applied before a request is sent; a box that goes back to an earlier build at the same address would be named for 3 s more.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -26,6 +26,7 @@
 from springrock.forwarding.keys import KeyGate
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
+from springrock.forwarding.passed_on import PassedOnRequests
 from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.reach_probe import ReachProbe
 from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
@@ -445,6 +446,12 @@
             passing_on=PassingOn(
                 reach=self._reach, peers=self._placement.peer_boxes, dialect=dialect, log=log
             ),
+            passed_on=PassedOnRequests(
+                newest_adapter=self._versions.newest,
+                dialect=dialect,
+                refresh=self._operator_table.resume_reads,
+                log=log,
+            ),
             log=log,
             configuration_origin=lambda: self._operator_table.origin,
         )
--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import NamedTuple, Protocol
 
-from springrock.forwarding.message import AnswerHead, ClientRequest, Headers
+from springrock.forwarding.message import AnswerHead, ClientRequest, Headers, Knowledge
 
 
 class SendTerms(NamedTuple):
@@ -63,6 +64,30 @@
 """There is no answer, or it comes from another replica."""
 
 
+class Handling(Enum):
+    """What another box did with a request that was passed on to it."""
+
+    HANDLED = "handled"
+    BEHIND = "behind"
+    """Nothing: it knows less than the request requires."""
+    NOT_UNDERSTOOD = "not_understood"
+    """Nothing: it does not compare what it knows, as a box of an earlier build."""
+    UNKNOWN = "unknown"
+
+
+class PassedOnReply(NamedTuple):
+    """What the head of another box's reply says about a request that was passed on.
+
+    Attributes:
+        configuration: The version of the configuration that the box goes by; 0 if not stated.
+        head: The head without what only boxes tell each other.
+    """
+
+    handling: Handling
+    configuration: int
+    head: AnswerHead
+
+
 class Dialect(Protocol):
     """Parses requests of clients, writes requests to replicas and interprets their answers."""
 
@@ -78,11 +103,30 @@
     def request_headers(self, request: ClientRequest, terms: SendTerms) -> Headers:
         """Return the headers of the request to a replica."""
 
-    def passed_on_headers(self, request: ClientRequest, *, left_s: float) -> Headers:
-        """Return the headers of a request that is passed on to another box."""
+    def passed_on_headers(
+        self, request: ClientRequest, *, left_s: float, required: Knowledge
+    ) -> Headers:
+        """Return the headers of a request that is passed on to another box.
+
+        Args:
+            request: The client's request.
+            left_s: Seconds that the other box may take.
+            required: What the other box must at least know to handle it.
+        """
 
-    def is_passed_on(self, request: ClientRequest) -> bool:
-        """Whether a request was passed on by another box."""
+    def passed_on_reply(self, head: AnswerHead) -> PassedOnReply:
+        """Return what another box's reply says about a request that was passed on to it."""
+
+    def reply_to_passed_on(
+        self, head: AnswerHead, *, handled: bool, configuration: int
+    ) -> AnswerHead:
+        """Return the head of a reply to a box that passed a request on.
+
+        Args:
+            head: The head as a client would get it.
+            handled: Whether this box handled the request.
+            configuration: The version of the configuration that it goes by.
+        """
 
     def answers(self, head: AnswerHead, request_id: str) -> bool:
         """Whether an answer carries the id of a request."""
--- a/springrock/forwarding/errors.py
+++ b/springrock/forwarding/errors.py
@@ -4,6 +4,9 @@
 
 from springrock.errors import SpringrockError
 
+_BEHIND_RETRY_S = 0.5
+"""A box that is behind another one reads the store within this time, if the store answers."""
+
 
 class ExchangeError(SpringrockError):
     """The exchange gave no answer for the client."""
@@ -73,6 +76,15 @@
     """No replica can take the request now."""
 
 
+class BehindOtherBox(Rejection):
+    """Another box passed the request on, and knows a newer configuration or adapter."""
+
+    reason = "behind_other_box"
+
+    def __init__(self) -> None:
+        super().__init__(self.reason, _BEHIND_RETRY_S)
+
+
 class StreamOriginUnknown(Rejection):
     """The request takes a stream up, and which software version began it is not known.
 
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -17,9 +17,16 @@
     ReplicaChooser,
 )
 from springrock.forwarding.configuration import Route, RouteTable, Team
-from springrock.forwarding.errors import ExchangeError, NoReplica, OutcomeUnknown, Rejection
+from springrock.forwarding.errors import (
+    BehindOtherBox,
+    ExchangeError,
+    NoReplica,
+    OutcomeUnknown,
+    Rejection,
+)
 from springrock.forwarding.keys import KeyGate, digest_prefix
 from springrock.forwarding.message import AnswerHead, ClientRequest
+from springrock.forwarding.passed_on import PassedOnRequests
 from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.reply import Reply, own_reply, rejection_reply, relayed_reply
 from springrock.forwarding.request_progress import RequestProgress
@@ -61,6 +68,7 @@
         sender: Sends requests to them.
         relay: Relays streams.
         passing_on: Passes requests on to other boxes while this one reaches no replica.
+        passed_on: Checks the requests that other boxes pass on.
         origins: Finds the software versions that began streams.
         log: The log to write to.
         configuration_origin: Returns the version, source and age of the operator's table, as fields
@@ -77,6 +85,7 @@
         sender: Sender,
         relay: StreamRelay,
         passing_on: PassingOn,
+        passed_on: PassedOnRequests,
         origins: StreamOrigins,
         log: Log,
         configuration_origin: Callable[[], dict[str, object]] = dict,
@@ -89,6 +98,7 @@
         self._sender = sender
         self._relay = relay
         self._passing_on = passing_on
+        self._passed_on = passed_on
         self._origins = origins
         self._log = log
         self._random = random.Random()
@@ -96,25 +106,43 @@
     def forward(self, request: ClientRequest) -> Reply:
         """Return the reply to a request; the body may still be arriving."""
         table = self._routes()
-        if not table.configuration.version:
+        version = table.configuration.version
+        try:
+            self._passed_on.check(request, version)
+        except BehindOtherBox as rejection:
+            reply = rejection_reply(rejection)
+        else:
+            reply = self._forward_by(table, request)
+        return self._passed_on.mark(request, reply, version)
+
+    def _forward_by(self, table: RouteTable, request: ClientRequest) -> Reply:
+        """Return the reply to a request that is handled by one route table."""
+        version = table.configuration.version
+        if not version:
             return own_reply(503, "no_configuration", retry_after_s=RETRY_AFTER_S)
         route = table.find(request.host, request.path)
         if route is None:
-            self._log_no_route(request, table.configuration.version)
+            self._log_no_route(request, version)
             return own_reply(404, "no_route")
         try:
             admission = self._gate.admit(table, route, request.key_digest)
         except Rejection as rejection:
-            self._log_not_admitted(request, route, rejection, table.configuration.version)
+            self._log_not_admitted(request, route, rejection, version)
             return rejection_reply(rejection)
-        progress = RequestProgress(request, route, route.pick_service(self._random), admission)
+        progress = RequestProgress(
+            request,
+            route,
+            route.pick_service(self._random),
+            admission,
+            known=self._passed_on.knowledge_for(request, version),
+        )
         if self._passing_on.is_due(progress):
             passed_on = self._passing_on.forward(progress)
             if passed_on is not None:
                 return passed_on
         self._chooser.record_request(progress)
         reply = self._charge_and_forward(progress)
-        self._log_reply(progress, reply, table.configuration.version)
+        self._log_reply(progress, reply, version)
         return reply
 
     def _charge_and_forward(self, progress: RequestProgress) -> Reply:
--- a/springrock/forwarding/message.py
+++ b/springrock/forwarding/message.py
@@ -82,6 +82,25 @@
     tokens: int
 
 
+class Knowledge(NamedTuple):
+    """What a box knows of what is named in rising versions and decides how a request is handled.
+
+    Attributes:
+        configuration: The version of the configuration in force, as the operator numbers it.
+        adapter: The newest version of the request's adapter; 0 if none is known.
+    """
+
+    configuration: int
+    adapter: int = 0
+
+    def covers(self, other: Knowledge) -> bool:
+        """Whether nothing in this is older than in the other."""
+        return self.configuration >= other.configuration and self.adapter >= other.adapter
+
+
+NO_KNOWLEDGE = Knowledge(configuration=0)
+
+
 class ClientRequest(Struct, frozen=True, kw_only=True):
     """A client's request; a retry by the client is another request with an id of its own.
 
@@ -98,6 +117,9 @@
         prompt: The parts of the prompt in order; empty if unknown.
         resumes: Id of the request that brought the first event of the stream that this one takes
             up, or empty.
+        passed_on: Whether another box passed the request on.
+        required: What a box must at least know to handle the request; None if the box that passed
+            it on, or the client, does not say.
     """
 
     request_id: str
@@ -115,6 +137,8 @@
     last_event_id: str = ""
     prompt: tuple[PromptPart, ...] = ()
     resumes: str = ""
+    passed_on: bool = False
+    required: Knowledge | None = None
 
     @property
     def path(self) -> str:
--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Protocol
 
 from springrock.bounded_dict import BoundedDict
@@ -10,9 +10,10 @@
 from springrock.errors import AnswerCut
 from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.connection import ConnectionPool
-from springrock.forwarding.dialect import Dialect
+from springrock.forwarding.dialect import Dialect, Handling, PassedOnReply
 from springrock.forwarding.errors import (
     AnswerSilent,
+    ForeignAnswer,
     NoReplica,
     OutcomeUnknown,
     Rejection,
@@ -20,13 +21,13 @@
 )
 from springrock.forwarding.events import EventSplitter
 from springrock.forwarding.exchange import Answer
-from springrock.forwarding.message import AnswerHead
 from springrock.forwarding.reply import Reply, own_reply, relayed_reply
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.log import Log
 
 _MAX_BOXES_TRIED = 2
 _MAX_POOLS = 100
+_REFUSAL_READ_TIMEOUT_S = 0.5
 
 
 class Peers(Protocol):
@@ -36,8 +37,8 @@
     def any_usable(self) -> bool:
         """Whether there is one that may be passed requests."""
 
-    def pick(self) -> str | None:
-        """Return the address of one of them; None if there is none."""
+    def pick(self, *, besides: Collection[str] = ()) -> str | None:
+        """Return the address of one of them, besides some; None if there is none."""
 
     def record_failed(self, address: str) -> None:
         """Record that a box could not be reached."""
@@ -47,7 +48,8 @@
     """Passes requests on to boxes that reach replicas.
 
     The other box handles the request as its own: it checks the key, charges the quota and counts
-    the retries. It passes nothing on that was passed on to it.
+    the retries. It passes nothing on that was passed on to it, and handles nothing if it knows less
+    than this box; then another one is tried.
 
     Args:
         reach: Whether this box reaches replicas.
@@ -85,25 +87,50 @@
         )
 
     def _may_pass(self, progress: RequestProgress) -> bool:
-        return not progress.arrivals and not self._dialect.is_passed_on(progress.request)
+        return not progress.arrivals and not progress.request.passed_on
 
     def forward(self, progress: RequestProgress) -> Reply | None:
-        """Return the reply of another box; None if none could be reached, and nothing was sent."""
-        for _ in range(_MAX_BOXES_TRIED):
-            address = self._peers.pick()
+        """Return the reply of another box; None if no box has handled the request or will."""
+        tried: set[str] = set()
+        while len(tried) < _MAX_BOXES_TRIED:
+            address = self._peers.pick(besides=tried)
             if address is None:
                 return None
+            tried.add(address)
             try:
-                answer = self._send(progress, address)
+                reply = self._ask(progress, address)
             except ReplicaUnreachable:
                 self._peers.record_failed(address)
                 continue
             except OutcomeUnknown as error:
                 self._peers.record_failed(address)
-                self._log_passed(progress, address, status=0, error=str(error))
+                self._log_passed(progress, address, error=str(error))
                 return own_reply(504 if isinstance(error, AnswerSilent) else 502, "outcome_unknown")
-            self._log_passed(progress, address, status=answer.head.status)
-            return self._reply(progress, answer)
+            if reply is not None:
+                return reply
+        return None
+
+    def _ask(self, progress: RequestProgress, address: str) -> Reply | None:
+        """Return the reply of one box; None if it has not handled the request.
+
+        Raises:
+            ReplicaUnreachable: If nothing was sent.
+            OutcomeUnknown: If the request may have run and no usable answer arrived.
+        """
+        answer = self._send(progress, address)
+        stated = self._dialect.passed_on_reply(answer.head)
+        self._log_passed(progress, address, stated=stated)
+        match stated.handling:
+            case Handling.HANDLED:
+                answer.head = stated.head
+                return self._reply(progress, answer)
+            case Handling.UNKNOWN:
+                answer.close()
+                raise ForeignAnswer("another box answered without saying what it did")
+            case Handling.NOT_UNDERSTOOD:
+                self._peers.record_failed(address)
+        answer.skip(deadline=Deadline(_REFUSAL_READ_TIMEOUT_S))
+        answer.close()
         return None
 
     def _send(self, progress: RequestProgress, address: str) -> Answer:
@@ -124,11 +151,13 @@
             connection.send(
                 method=request.method,
                 target=request.target,
-                headers=self._dialect.passed_on_headers(request, left_s=progress.left_s),
+                headers=self._dialect.passed_on_headers(
+                    request, left_s=progress.left_s, required=progress.known
+                ),
                 body=request.body,
                 timeout_s=deadline.left_s,
             )
-            head: AnswerHead = connection.receive_head(timeout_s=deadline.left_s)
+            head = connection.receive_head(timeout_s=deadline.left_s)
         except BaseException:
             connection.close()
             raise
@@ -168,14 +197,23 @@
         yield splitter.drain_incomplete()
 
     def _log_passed(
-        self, progress: RequestProgress, address: str, *, status: int, error: str = ""
+        self,
+        progress: RequestProgress,
+        address: str,
+        *,
+        stated: PassedOnReply | None = None,
+        error: str = "",
     ) -> None:
         self._log.info(
             "Passed a request on to another box.",
             request=progress.request.request_id,
             route=progress.route.name,
             to=address,
-            status=status,
+            configuration=progress.known.configuration,
+            adapter_version=progress.known.adapter,
+            status=0 if stated is None else stated.head.status,
+            handling=None if stated is None else stated.handling,
+            handled_by=None if stated is None else stated.configuration,
             error=error,
             cut_off=self._reach.of(progress.service).cut_off,
             attempts=progress.attempt_summaries(),
--- a/springrock/forwarding/request_progress.py
+++ b/springrock/forwarding/request_progress.py
@@ -12,7 +12,7 @@
 from springrock.forwarding.eligibility import ANYWHERE, Bounds
 from springrock.forwarding.fingerprint import Fingerprint
 from springrock.forwarding.keys import NO_TEAMS_ADMISSION, Admission
-from springrock.forwarding.message import ClientRequest
+from springrock.forwarding.message import NO_KNOWLEDGE, ClientRequest, Knowledge
 from springrock.forwarding.suspects import Suspects
 
 _DEFAULT_DEADLINE_S = 60.0
@@ -106,6 +106,7 @@
         route: The route that matched it.
         service: The service picked from the route.
         admission: The team that the request's key belongs to, as found on admission.
+        known: What this box knew of what decides how the request is handled, on admission.
 
     Attributes:
         suspects: What may be the cause if a replica crashes while running the request.
@@ -125,10 +126,13 @@
         route: Route,
         service: str,
         admission: Admission = NO_TEAMS_ADMISSION,
+        *,
+        known: Knowledge = NO_KNOWLEDGE,
     ) -> None:
         self.request = request
         self.suspects = Suspects.from_request(request)
         self.admission = admission
+        self.known = known
         self.route = route
         self.service = service
         self.attempts: list[Attempt] = []
--- a/springrock/placement/peer_boxes.py
+++ b/springrock/placement/peer_boxes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 from springrock.clock import monotonic
@@ -52,9 +52,16 @@
         """Whether some other box may be passed requests."""
         return self.pick() is not None
 
-    def pick(self) -> str | None:
-        """Return the address of a box in the nearest zone that has one; None if there is none."""
-        usable = {zone: self._usable_in(reported) for zone, reported in self._reported.items()}
+    def pick(self, *, besides: Collection[str] = ()) -> str | None:
+        """Return the address of a box in the nearest zone that has one; None if there is none.
+
+        Args:
+            besides: Addresses of boxes that are not wanted.
+        """
+        usable = {
+            zone: [item for item in self._usable_in(reported) if item not in besides]
+            for zone, reported in self._reported.items()
+        }
         zones = [zone for zone, addresses in usable.items() if addresses]
         if not zones:
             return None
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 from springrock.errors import BadRequest
-from springrock.forwarding.dialect import ReplicaNotice, SendTerms
+from springrock.forwarding.dialect import Handling, PassedOnReply, ReplicaNotice, SendTerms
 from springrock.forwarding.keys import digest_of
-from springrock.forwarding.message import AnswerHead, ClientRequest, Header, Headers, PromptPart
+from springrock.forwarding.message import (
+    AnswerHead,
+    ClientRequest,
+    Header,
+    Headers,
+    Knowledge,
+    PromptPart,
+)
 from springrock.non_negative import read_non_negative
 from springrock.platform import names
 from springrock.platform.notices import notice_from
@@ -21,19 +28,42 @@
     names.KV_FROM,
     names.KV_FETCH,
     names.PASSED_ON,
+    names.PASSED_ON_HOST,
+    names.CONFIGURATION,
     "content-length",
 )
 """Headers to a replica that only a box may set; a client's own values are dropped."""
 
+_PASSED_ON_HEADERS = (
+    names.DEADLINE_MS,
+    names.EXPECT_VERSION,
+    names.PASSED_ON,
+    names.PASSED_ON_HOST,
+    names.CONFIGURATION,
+)
+"""Headers to another box that only a box may set."""
+
 _TEAM_HEADERS = (names.API_KEY, names.TEAM)
 """Headers of a client that are dropped as well if teams are configured."""
 
 _MAX_TOKENS = 1_000_000_000
 """Exceeds any real prompt or answer; a larger count is rejected as malformed."""
 
+_MAX_VERSION_DIGITS = 18
+"""A version with more digits is rejected as malformed."""
+
 _MISDIRECTED = 421
 _NOT_EXECUTED_STATUSES = frozenset({400, 408, 429, 503})
 
+_NOT_UNDERSTOOD_STATUSES = frozenset({400, 404, 408, 413, 421, 429, 503})
+"""How a box that does not know the authority of passed-on requests refuses one, or a box that
+stops: nothing ran."""
+
+_HANDLING_BY_WORD = {
+    names.PASSED_ON_HANDLED: Handling.HANDLED,
+    names.PASSED_ON_BEHIND: Handling.BEHIND,
+}
+
 
 class PlatformDialect:
     """Implements `springrock.forwarding.dialect.Dialect`."""
@@ -49,6 +79,7 @@
         request_id = headers.get(names.REQUEST_ID)
         if not request_id:
             raise BadRequest(f"{names.REQUEST_ID} is missing")
+        headers, required = _read_passed_on(headers)
         deadline_ms = headers.get(names.DEADLINE_MS)
         model, _, adapter = (headers.get(names.MODEL) or "").partition("/")
         return ClientRequest(
@@ -67,6 +98,8 @@
             prompt=_parse_prompt_parts(headers.get(names.PROMPT_PARTS)),
             last_event_id=headers.get(names.LAST_EVENT_ID) or "",
             resumes=headers.get(names.RESUMES) or "",
+            passed_on=headers.get(names.PASSED_ON) is not None,
+            required=required,
         )
 
     def request_headers(self, request: ClientRequest, terms: SendTerms) -> Headers:
@@ -92,22 +125,44 @@
             added.append(Header("Content-Length", str(len(request.body))))
         return Headers((*kept, *added))
 
-    def passed_on_headers(self, request: ClientRequest, *, left_s: float) -> Headers:
+    def passed_on_headers(
+        self, request: ClientRequest, *, left_s: float, required: Knowledge
+    ) -> Headers:
         """Return the headers of a request that is passed on to another box."""
-        kept = request.headers.end_to_end().without(
-            (names.DEADLINE_MS, names.PASSED_ON, "content-length")
-        )
+        kept = request.headers.end_to_end().without((*_PASSED_ON_HEADERS, "host", "content-length"))
         added = [
+            Header("Host", names.PASSED_ON_AUTHORITY),
+            Header(names.PASSED_ON_HOST, request.host),
             Header(names.DEADLINE_MS, str(max(1, int(left_s * 1000)))),
             Header(names.PASSED_ON, "1"),
+            Header(names.CONFIGURATION, str(required.configuration)),
         ]
+        if required.adapter:
+            added.append(Header(names.EXPECT_VERSION, str(required.adapter)))
         if request.body or request.method not in ("GET", "HEAD"):
             added.append(Header("Content-Length", str(len(request.body))))
         return Headers((*kept, *added))
 
-    def is_passed_on(self, request: ClientRequest) -> bool:
-        """Whether a request was passed on by another box."""
-        return request.headers.get(names.PASSED_ON) is not None
+    def passed_on_reply(self, head: AnswerHead) -> PassedOnReply:
+        """Return what another box's reply says about a request that was passed on to it."""
+        handling = _HANDLING_BY_WORD.get(head.headers.get(names.PASSED_ON) or "")
+        if handling is None:
+            refused = head.status in _NOT_UNDERSTOOD_STATUSES
+            handling = Handling.NOT_UNDERSTOOD if refused else Handling.UNKNOWN
+        stated = head.headers.get(names.CONFIGURATION) or ""
+        kept = head.headers.without((names.PASSED_ON, names.CONFIGURATION))
+        return PassedOnReply(
+            handling, int(stated) if _is_version(stated) else 0, head._replace(headers=kept)
+        )
+
+    def reply_to_passed_on(
+        self, head: AnswerHead, *, handled: bool, configuration: int
+    ) -> AnswerHead:
+        """Return the head of a reply to a box that passed a request on."""
+        word = names.PASSED_ON_HANDLED if handled else names.PASSED_ON_BEHIND
+        added = (Header(names.PASSED_ON, word), Header(names.CONFIGURATION, str(configuration)))
+        kept = head.headers.without((names.PASSED_ON, names.CONFIGURATION))
+        return head._replace(headers=Headers((*kept, *added)))
 
     def answers(self, head: AnswerHead, request_id: str) -> bool:
         """Whether an answer carries the id of a request."""
@@ -129,6 +184,33 @@
         return notice_from(head.status, head.headers)
 
 
+def _read_passed_on(headers: Headers) -> tuple[Headers, Knowledge | None]:
+    """Return the headers as the client sent them, and what the box that passed them on requires.
+
+    Raises:
+        BadRequest: If a version is malformed.
+    """
+    if headers.get("host") != names.PASSED_ON_AUTHORITY:
+        return headers, None
+    required = Knowledge(
+        configuration=_parse_version(headers.get(names.CONFIGURATION) or "0"),
+        adapter=_parse_version(headers.get(names.EXPECT_VERSION) or "0"),
+    )
+    host = headers.get(names.PASSED_ON_HOST) or ""
+    restored = headers.without(("host", names.PASSED_ON_HOST))
+    return Headers((Header("Host", host), *restored)), required
+
+
+def _is_version(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_VERSION_DIGITS
+
+
+def _parse_version(text: str) -> int:
+    if not _is_version(text):
+        raise BadRequest(f"{text[:_MAX_VERSION_DIGITS]!r} is not a version")
+    return int(text)
+
+
 def _key_digest(headers: Headers) -> bytes | None:
     """Return the digest of the client's key; errors never contain any part of the key."""
     keys = [value for name, value in headers if name.lower() == names.API_KEY.lower()]
--- a/springrock/platform/names.py
+++ b/springrock/platform/names.py
@@ -32,7 +32,23 @@
 """On a request that takes a stream up: the id of the request that brought its first event."""
 
 PASSED_ON = "Springrock-Passed-On"
-"""Set on a request that a box passes on to another one, which passes it on to none."""
+"""Set on a request that a box passes on to another one, which passes it on to none. On the reply:
+whether the other box handled the request."""
+
+PASSED_ON_HANDLED = "handled"
+PASSED_ON_BEHIND = "behind"
+"""The other box did not handle the request, as it knows an older configuration or adapter."""
+
+PASSED_ON_AUTHORITY = "passed-on.invalid"
+"""The `Host` of a request that is passed on. Boxes of earlier builds, which do not compare
+configurations, find no route for it and answer 404."""
+
+PASSED_ON_HOST = "Springrock-Passed-On-Host"
+"""On a request that is passed on: the `Host` that the client sent."""
+
+CONFIGURATION = "Springrock-Configuration"
+"""The version of the configuration that a box goes by: on a request that is passed on that of the
+first box, on the reply that of the other one."""
 
 INSTANCE_ID = "Springrock-Instance-Id"
 
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -10,10 +10,12 @@
 from springrock.forwarding.directory import Directory, ReplicaRecord
 from springrock.forwarding.eligibility import RoutingState
 from springrock.forwarding.notices import ReplicaNotices
+from springrock.forwarding.passed_on import PassedOnRequests
 from springrock.log import Log
 from springrock.permits.brittle import BrittleReplicas
 from springrock.permits.named_limits import NamedLimits
 from springrock.permits.warmup import WarmupTracker
+from springrock.platform.dialect import PlatformDialect
 from springrock.quarantine.book import CrashBook
 from springrock.quarantine.crash_detector import CrashDetector
 from springrock.quarantine.report import CrashReport
@@ -105,3 +107,17 @@
         log=Log("quarantine", "box-1"),
         is_out_of_reach=is_out_of_reach,
     )
+
+
+def make_passed_on(
+    *,
+    adapter_version: int = 0,
+    refresh: Callable[[], None] = lambda: None,
+) -> PassedOnRequests:
+    """Return the check of requests that were passed on, which knows one version of all adapters."""
+    return PassedOnRequests(
+        newest_adapter=lambda key: adapter_version,
+        dialect=PlatformDialect(),
+        refresh=refresh,
+        log=Log("forwarder", "box-1"),
+    )
--- a/tests/forwarding/test_passing_on.py
+++ b/tests/forwarding/test_passing_on.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Collection
 
 import pytest
 
@@ -10,7 +11,7 @@
 from springrock.forwarding.configuration import RouteKind
 from springrock.forwarding.dialect import SendTerms
 from springrock.forwarding.errors import NoReplica, Quarantined, Rejection
-from springrock.forwarding.message import Header, Headers
+from springrock.forwarding.message import Header, Headers, Knowledge
 from springrock.forwarding.passing_on import PassingOn
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.log import Log
@@ -20,8 +21,21 @@
 from tests.forwarding.scripted import ScriptedReplica, read_request
 from tests.forwarding.test_values import make_request, make_route
 
-SERVED = b"HTTP/1.1 200 OK\r\nSpringrock-Response-Seal: s\r\nContent-Length: 2\r\n\r\nhi"
-STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 40\r\n\r\n"
+HANDLED = b"Springrock-Passed-On: handled\r\nSpringrock-Configuration: 7\r\n"
+SERVED = (
+    b"HTTP/1.1 200 OK\r\nSpringrock-Response-Seal: s\r\n" + HANDLED + b"Content-Length: 2\r\n\r\nhi"
+)
+BEHIND = (
+    b"HTTP/1.1 503 Service Unavailable\r\nSpringrock-Passed-On: behind\r\n"
+    b"Springrock-Configuration: 6\r\nContent-Length: 2\r\n\r\nno"
+)
+NO_ROUTE = b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno"
+FAULT = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    + HANDLED
+    + b"Content-Length: 40\r\n\r\n"
+)
 
 
 class ScriptedPeers:
@@ -35,8 +49,9 @@
     def any_usable(self) -> bool:
         return self.pick() is not None
 
-    def pick(self) -> str | None:
-        return next((item for item in self._addresses if item not in self.failed), None)
+    def pick(self, *, besides: Collection[str] = ()) -> str | None:
+        left_out = {*self.failed, *besides}
+        return next((item for item in self._addresses if item not in left_out), None)
 
     def record_failed(self, address: str) -> None:
         self.failed.append(address)
@@ -62,10 +77,10 @@
 
 
 def progress_of(
-    kind: RouteKind = RouteKind.SAFE, headers: Headers | None = None
+    kind: RouteKind = RouteKind.SAFE, headers: Headers | None = None, *, passed_on: bool = False
 ) -> RequestProgress:
-    request = make_request(deadline_s=2.0, headers=headers or Headers())
-    return RequestProgress(request, make_route(kind=kind), "s")
+    request = make_request(deadline_s=2.0, headers=headers or Headers(), passed_on=passed_on)
+    return RequestProgress(request, make_route(kind=kind), "s", known=Knowledge(7, 3))
 
 
 def closed_address() -> str:
@@ -88,9 +103,13 @@
     assert reply is not None
     assert (reply.head.status, b"".join(reply.body)) == (200, b"hi")
     assert reply.head.headers.get("Springrock-Response-Seal") == "s"
+    assert reply.head.headers.get(names.PASSED_ON) is None
+    assert reply.head.headers.get(names.CONFIGURATION) is None
     lines = script.received[0].decode().split("\r\n")
     assert f"{names.API_KEY}: k" in lines, "the other box checks the key"
     assert f"{names.PASSED_ON}: 1" in lines
+    assert f"{names.CONFIGURATION}: 7" in lines
+    assert f"{names.EXPECT_VERSION}: 3" in lines
     [deadline] = [line for line in lines if line.startswith(names.DEADLINE_MS)]
     assert int(deadline.split()[1]) <= 2000
 
@@ -107,8 +126,7 @@
     assert passing_on.is_due(progress_of())
     assert not make_passing_on(ScriptedPeers()).is_due(progress_of())
     assert not make_passing_on(ScriptedPeers("box:1"), cut_off=False).is_due(progress_of())
-    passed = progress_of(headers=Headers([Header(names.PASSED_ON, "1")]))
-    assert not passing_on.is_due(passed)
+    assert not passing_on.is_due(progress_of(passed_on=True))
     assert not passing_on.is_due(attempted(AttemptOutcome.SILENT))
 
 
@@ -185,3 +203,40 @@
             for data in reply.body:
                 received.append(data)
     assert b"".join(received) == b"id: 1\ndata: a\n\n"
+
+
+def test_a_box_that_is_behind_is_left_out_for_the_next_and_asked_again_later() -> None:
+    with ScriptedReplica(Script(BEHIND)) as behind, ScriptedReplica(Script(SERVED)) as box:
+        peers = ScriptedPeers(behind.address, box.address)
+        reply = make_passing_on(peers).forward(progress_of(RouteKind.UNSAFE))
+    assert reply is not None
+    assert (reply.head.status, b"".join(reply.body)) == (200, b"hi")
+    assert not peers.failed
+
+
+def test_a_box_of_an_earlier_build_that_finds_no_route_is_left_out_for_a_time() -> None:
+    with ScriptedReplica(Script(NO_ROUTE)) as earlier, ScriptedReplica(Script(SERVED)) as box:
+        peers = ScriptedPeers(earlier.address, box.address)
+        reply = make_passing_on(peers).forward(progress_of(RouteKind.UNSAFE))
+    assert reply is not None
+    assert reply.head.status == 200
+    assert peers.failed == [earlier.address]
+
+
+@pytest.mark.parametrize("refusal", [BEHIND, NO_ROUTE])
+def test_a_request_that_no_other_box_handled_is_replied_nothing(refusal: bytes) -> None:
+    with ScriptedReplica(Script(refusal)) as box:
+        assert make_passing_on(ScriptedPeers(box.address)).forward(progress_of()) is None
+
+
+@pytest.mark.parametrize("answer", [FAULT, SERVED.replace(HANDLED, b"")])
+def test_an_answer_that_does_not_say_what_the_box_did_leaves_the_outcome_unknown(
+    answer: bytes,
+) -> None:
+    other = Script(SERVED)
+    with ScriptedReplica(Script(answer)) as box, ScriptedReplica(other) as second:
+        peers = ScriptedPeers(box.address, second.address)
+        reply = make_passing_on(peers).forward(progress_of(RouteKind.UNSAFE))
+    assert reply is not None
+    assert (reply.head.status, reply.reason) == (502, "outcome_unknown")
+    assert not other.received
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -43,6 +43,7 @@
 from tests.factories import (
     make_crash_detector,
     make_notices,
+    make_passed_on,
     make_reach,
     make_routing_state,
     make_warmup,
@@ -180,6 +181,7 @@
             passing_on=PassingOn(
                 reach=make_reach(), peers=ScriptedPeers(), dialect=PlatformDialect(), log=log
             ),
+            passed_on=make_passed_on(),
             origins=self.origins,
             log=log,
         )
