A connection to a replica never carries the id of one request twice

Cause: answers are told apart by the request's id alone. After a 421, and after a 500 of a request that may run again, the same id goes to the same replica again, on the connection released last, which is the one that carried it before; there a late second copy of the first answer is taken for that of the second sending. "Not run" was read from a copy. Ruled out: another id for each attempt (the platform has it unchanged); unread bytes of a copy that has come by then (such a connection is not used again already).

Change: a connection knows the ids that it carried, and the pool hands out another one for an id that it has; it stays for other requests. After 512 requests a connection is closed, which bounds what it keeps. Passing on uses the same pool and rule.

Measured: tests/forwarding/test_exchange.py: the copies of a 421, a 503 and a 500 were each taken for the answer before (3 failed), none after.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -29,6 +29,9 @@
 
 _DEFAULT_IDLE_TIMEOUT_S = 4.0
 _MAX_IDLE_CONNECTIONS = 16
+_MAX_REQUESTS = 512
+"""A connection is closed after this many requests, which bounds the ids that it keeps."""
+
 _SETTLE_S = 0.005
 """How long a replica that dies may still accept connections: its own may be closed first."""
 
@@ -110,19 +113,36 @@
         self._response: HTTPResponse | None = None
         self._method = "GET"
         self._request_sent = False
+        self._carried: set[str] = set()
         self.sent_bytes = 0
         self._idle_since = 0.0
         self.idle_timeout_s = _DEFAULT_IDLE_TIMEOUT_S
         self.closed = False
 
     def send(
-        self, *, method: str, target: str, headers: Headers, body: bytes, timeout_s: float
+        self,
+        *,
+        request_id: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        timeout_s: float,
     ) -> None:
         """Send a request.
 
+        Args:
+            request_id: The id that its answer bears; this connection must not have carried it.
+            method: The method.
+            target: The path and the query.
+            headers: The headers.
+            body: The body.
+            timeout_s: Timeout for the system to take all of it.
+
         Raises:
             AnswerBroken: If the connection failed; the replica may have received the request.
         """
+        self._carried.add(request_id)
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
@@ -186,6 +206,8 @@
         response = self._response
         if response is None or response.will_close or not self._request_sent:
             return False
+        if len(self._carried) >= _MAX_REQUESTS:
+            return False
         return response.isclosed() or response.length == 0
 
     def mark_idle(self) -> None:
@@ -193,6 +215,10 @@
         self._idle_since = monotonic()
         self._response = None
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a request with this id was sent on this connection."""
+        return request_id in self._carried
+
     def is_usable(self, *, conservative: bool) -> bool:
         """Whether an idle connection can carry another request.
 
@@ -277,21 +303,32 @@
         self._closed = False
         self.opened = 0
 
-    def acquire(self, *, conservative: bool, timeout_s: float) -> Connection:
+    def acquire(self, request_id: str, *, conservative: bool, timeout_s: float) -> Connection:
         """Return an idle connection that is usable, or else open one.
 
+        A connection never carries the same id twice: a late second copy of the answer to the first
+        request would be taken for the answer to the second.
+
         Args:
+            request_id: The id of the request to be sent.
             conservative: See `Connection.is_usable`.
             timeout_s: Upper bound of the timeout for opening a connection.
 
         Raises:
             ReplicaUnreachable: If no connection can be opened.
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_usable(conservative=conservative):
-                return connection
-            connection.close()
+        kept: list[Connection] = []
+        try:
+            while self._idle:
+                connection = self._idle.pop()
+                if connection.has_carried(request_id):
+                    kept.append(connection)
+                elif connection.is_usable(conservative=conservative):
+                    return connection
+                else:
+                    connection.close()
+        finally:
+            self._idle.extend(reversed(kept))
         return self._open(timeout_s=timeout_s)
 
     def open_spare(self, *, ended: Connection, timeout_s: float) -> None:
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -171,12 +171,15 @@
             request needs.
         OutcomeUnknown: If the request may have run and no answer arrived.
     """
-    connection = pool.acquire(conservative=not repeatable, timeout_s=head_timeout_s)
+    connection = pool.acquire(
+        request.request_id, conservative=not repeatable, timeout_s=head_timeout_s
+    )
     if not may_send():
         connection.close()
         raise SendingForbidden("no longer allowed to be sent to this replica")
     try:
         connection.send(
+            request_id=request.request_id,
             method=request.method,
             target=request.target,
             headers=dialect.request_headers(request, terms),
--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -145,10 +145,13 @@
         self._pools.record(address, pool)
         deadline = Deadline(progress.left_s)
         connection = pool.acquire(
-            conservative=not progress.route.repeatable, timeout_s=deadline.left_s
+            request.request_id,
+            conservative=not progress.route.repeatable,
+            timeout_s=deadline.left_s,
         )
         try:
             connection.send(
+                request_id=request.request_id,
                 method=request.method,
                 target=request.target,
                 headers=self._dialect.passed_on_headers(
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -14,12 +14,17 @@
 class ScriptedReplica:
     """Accepts one connection after the other and runs the next script on each.
 
+    Args:
+        scripts: The scripts, in the order of the connections.
+        concurrent: Whether a connection is accepted while the scripts of earlier ones run.
+
     Attributes:
         ended: Number of connections that it has closed.
     """
 
-    def __init__(self, *scripts: Script) -> None:
+    def __init__(self, *scripts: Script, concurrent: bool = False) -> None:
         self._scripts = scripts
+        self._concurrent = concurrent
         self._listener = socket.create_server(("127.0.0.1", 0))
         host, port = self._listener.getsockname()
         self.address = f"{host}:{port}"
@@ -48,9 +53,15 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
-            with connection:
-                script(connection)
-            self.ended += 1
+            if self._concurrent:
+                threading.Thread(target=self._run, args=(script, connection), daemon=True).start()
+            else:
+                self._run(script, connection)
+
+    def _run(self, script: Script, connection: socket.socket) -> None:
+        with connection:
+            script(connection)
+        self.ended += 1
 
 
 def read_request(connection: socket.socket) -> bytes:
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -122,6 +122,69 @@
         assert pool.opened == 2
 
 
+LACKING = answer("r1", b"no", status="421 Misdirected Request")
+FULL = answer("r1", b"no", "Springrock-Not-Executed: 1", status="503 Service Unavailable")
+
+
+@pytest.mark.parametrize(
+    "first",
+    [LACKING, FULL, answer("r1", b"x", status="500 Failed")],
+    ids=["lacks the adapter", "full", "failed"],
+)
+def test_a_late_copy_of_an_answer_is_not_taken_for_that_of_the_request_sent_again(
+    first: bytes,
+) -> None:
+    """Guards against a second run after a copy of the answer that nothing ran."""
+
+    def _copy_late(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(first)
+        if read_request(connection):
+            connection.sendall(first + answer("r1", b"run"))
+
+    again = script_sending(answer("r1", b"run"))
+    with ScriptedReplica(_copy_late, again, concurrent=True) as replica:
+        pool = ConnectionPool(replica.address)
+        try:
+            body_of(send(pool, repeatable=False))
+        except (ReplicaChanged, ReplicaFull):
+            pass
+        assert body_of(send(pool, repeatable=False)) == b"run"
+        pool.close()
+
+
+def test_a_connection_that_carried_an_id_is_kept_for_other_requests() -> None:
+    def _answer_all(connection: socket.socket) -> None:
+        while received := read_request(connection):
+            request_id = "r1" if b"Request-Id: r1" in received else "r2"
+            connection.sendall(answer(request_id, request_id.encode()))
+
+    with ScriptedReplica(_answer_all, _answer_all, concurrent=True) as replica:
+        pool = ConnectionPool(replica.address)
+        for request_id, opened in (("r1", 1), ("r1", 2), ("r2", 2), ("r2", 2)):
+            assert body_of(send(pool, request_id)) == request_id.encode()
+            assert pool.opened == opened
+        pool.close()
+
+
+def test_a_connection_ends_after_a_bounded_number_of_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("springrock.forwarding.connection._MAX_REQUESTS", 2)
+
+    def _answer_twice(connection: socket.socket) -> None:
+        for request_id in ("r1", "r2"):
+            read_request(connection)
+            connection.sendall(answer(request_id, b"x"))
+        assert read_request(connection) == b""
+
+    with ScriptedReplica(_answer_twice, script_sending(answer("r3", b"x"))) as replica:
+        pool = ConnectionPool(replica.address)
+        for request_id in ("r1", "r2", "r3"):
+            assert body_of(send(pool, request_id)) == b"x"
+        assert pool.opened == 2
+
+
 def test_an_exchange_fails_if_only_answers_to_other_requests_arrive() -> None:
     foreign = b"".join(answer(f"other-{number}", b"x") for number in range(4))
     with ScriptedReplica(script_sending(foreign)) as replica, pytest.raises(ForeignAnswer):
