A crash report that replaces a longer version leaves nothing of that one counted

Cause: a report names 256 requests at most, so that a later version may lack some that an earlier one named. `CrashBook._add` counted the new version on top; withdrawing it took back what it named itself, and keys stayed that lead to no report. Deciding the causes anew then raised `KeyError` for every request.

--- a/tests/quarantine/test_book.py
+++ b/tests/quarantine/test_book.py
@@ -370,3 +370,25 @@
             sent.append(number)
         clock.now += 1.0
     assert sent == [20, 40]
+
+
+@pytest.mark.parametrize("kind", ["whole", "shared"])
+def test_a_withdrawn_report_leaves_nothing_of_a_version_that_another_replaced(
+    book: CrashBook, kind: str
+) -> None:
+    """Guards against a `KeyError` at every later request with a suspect that fell out."""
+
+    def _own(number: int, suspect: Fingerprint) -> CrashReport:
+        if kind == "whole":
+            return CrashReport("box-1", f"i-{number}", [str(suspect)])
+        return CrashReport("box-1", f"i-{number}", [f"{number:032x}"], [str(suspect)])
+
+    for number in range(TERMS.crashes):
+        for suspect in (CRASHING, OTHER):
+            book.add_own(f"crash/{number}", _own(number, suspect))
+        book.withdraw(f"crash/{number}")
+    for suspect in (CRASHING, OTHER):
+        suspects = Suspects(suspect, (suspect,))
+        assert book.quarantined_for_s(suspects) is None
+        assert book.may_be_retried(suspects)
+    assert book.quarantined_count == 0
