A box that fails all requests by a fault of its own is not ready, and logs the fault

Callers: a box whose every request ended by an exception answered 500 and said that it was ready, so that the balancer went on sending it callers; no line of its log named the exception.

Cause: readiness looked at tables alone; exceptions in the door were left to the HTTP server, which has no log.

Change: after ten requests in a row that end so the box is not ready for 5 s from the last one, then it is tried again; each is logged with where it was raised.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -169,7 +169,8 @@
         has_tables = self._routes.configuration.version > 0 and self.directory.count > 0
         # The placers' table also lists the requests that crash replicas. A box that has not read
         # it would forward them.
-        return has_tables and self._board.known and not self._stopping
+        is_serving = not self._stopping and not self._door.faults.failing
+        return has_tables and self._board.known and is_serving
 
     def start(self) -> None:
         """Start every part and return."""
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
@@ -9,6 +10,7 @@
 from springrock.doors._watch import CallerWatch
 from springrock.errors import BadRequest, CallerGone
 from springrock.forwarding.dialect import Dialect
+from springrock.forwarding.fault_watch import FaultWatch
 from springrock.forwarding.forwarder import Forwarder
 from springrock.forwarding.message import Headers
 from springrock.forwarding.reply import Reply, own_reply
@@ -17,6 +19,7 @@
 from springrock.metrics import ForwardingMetrics
 
 _SEND_TIMEOUT_S = 20.0
+_LOGGED_FRAMES = 3
 
 
 class ForwardingDoor:
@@ -34,6 +37,7 @@
         open_requests: Number of requests in the box that have not ended.
         closing: Whether each reply asks the client to close its connection.
         refusing: Whether new requests are refused, as they could not end before the box stops.
+        faults: Tells whether all requests fail by a fault of this box.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         self.open_requests = 0
         self.closing = False
         self.refusing = False
+        self.faults = FaultWatch()
 
     def start(self) -> None:
         """Start listening."""
@@ -84,9 +89,11 @@
             self._record_disconnect(environ)
             request_end.run("gone")
             raise
-        except BaseException:
+        except BaseException as error:
+            self._record_fault(environ, error)
             request_end.run("fault")
             raise
+        self.faults.record_handled()
         outcome = reply.reason or str(reply.head.status)
         if isinstance(reply.body, list):
             request_end.run(outcome)
@@ -131,6 +138,19 @@
     def _record_disconnect(self, environ: dict[str, Any]) -> None:
         self._log.info("A client disconnected.", target=environ[TARGET_KEY])
 
+    def _record_fault(self, environ: dict[str, Any], error: BaseException) -> None:
+        if not isinstance(error, Exception):
+            return
+        self.faults.record_fault()
+        frames = traceback.extract_tb(error.__traceback__)[-_LOGGED_FRAMES:]
+        self._log.info(
+            "A request failed by a fault of this box.",
+            target=environ[TARGET_KEY],
+            error=repr(error),
+            raised_at=[f"{frame.name}:{frame.lineno}" for frame in frames],
+            failing=self.faults.failing,
+        )
+
     def record_finished(self, outcome: str, seconds: float) -> None:
         """Record the end of a request."""
         self.open_requests -= 1
