An answer with a malformed head is broken, and so is a success without its seal

Cause: `http.client` drops the rest of a head after a line that is no header, takes a length that is no number for none, and any coding but "chunked" for none, all without an error; what framed the answer was gone, so that it ended with its connection.

Change: each line of a head has to be one, and the end of the body is stated once and in known words (`springrock.answer_head`); a success of a replica carries its seal. The same reader of heads serves `springrock serve`'s services and the store, where a page without its era, or one whose framing is gone, was taken before. Not covered: a wrong byte that leaves a well-formed header of another name, where only the seal is looked for.

--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -9,11 +9,11 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from springrock.clock import Deadline
-from springrock.drivers.strict_http import strict_pool_manager
 from springrock.errors import UpstreamBroke, UpstreamSaidNo, UpstreamUnreachable
 from springrock.plugins import drivers
 from springrock.retry_after import retry_after_in
 from springrock.settings import UpstreamSection, split_address
+from springrock.strict_http import strict_pool_manager
 
 _CONNECTIONS = 64
 _CONNECT_TIMEOUT_S = 2.0
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -13,6 +13,7 @@
 from http.client import HTTPException, HTTPResponse
 from typing import Any, cast
 
+from springrock.answer_head import MalformedHead, check_framing, check_lines
 from springrock.clock import monotonic
 from springrock.forwarding.errors import (
     AnswerBroken,
@@ -44,11 +45,13 @@
 
     Attributes:
         ended: Whether the connection ended where a line was to be read.
+        head: The lines of the head that is being read; None outside of heads.
     """
 
     def __init__(self, raw: io.RawIOBase) -> None:
         super().__init__(raw)
         self.ended = False
+        self.head: list[bytes] | None = None
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return a line; `HTTPResponse` reads the head and the sizes of chunks by it.
@@ -57,6 +60,8 @@
             EOFError: If the connection ended inside the line.
         """
         line = super().readline(size)
+        if self.head is not None:
+            self.head.append(line)
         if line.endswith(b"\n") or len(line) == size:
             return line
         self.ended = True
@@ -167,16 +172,24 @@
         """
         self._socket.settimeout(max(0.001, timeout_s))
         response = HTTPResponse(cast(Any, _ReaderSocket(self._reader)), method=self._method)
+        lines = self._reader.head = []
         try:
             response.begin()
         except TimeoutError:
             raise AnswerSilent("no answer began within the timeout") from None
         except _BROKEN_ANSWER_ERRORS as error:
             raise AnswerBroken(f"no answer: {type(error).__name__}: {error}") from None
+        finally:
+            self._reader.head = None
         if self._reader.ended:
             raise AnswerBroken("the connection ended inside the head of the answer")
-        self._response = response
         headers = Headers.from_pairs(response.getheaders())
+        try:
+            check_lines(lines)
+            check_framing(headers)
+        except MalformedHead as error:
+            raise AnswerBroken(str(error)) from None
+        self._response = response
         self._record_idle_timeout(headers.get("keep-alive"))
         return AnswerHead(response.status, response.reason, headers, _body_end_of(response))
 
--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -131,6 +131,9 @@
     def answers(self, head: AnswerHead, request_id: str) -> bool:
         """Whether an answer carries the id of a request."""
 
+    def is_sealed(self, head: AnswerHead) -> bool:
+        """Whether an answer carries the seal that every answer of a replica has."""
+
     def not_run(self, head: AnswerHead) -> bool:
         """Whether an answer promises that the replica did not run the request."""
 
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -191,6 +191,8 @@
         on_head(head)
         answer = Answer(head, connection, pool, on_close, on_data)
         if not dialect.not_run(head):
+            if head.succeeded and not dialect.is_sealed(head):
+                raise AnswerBroken("a success without the seal of a replica")
             return answer
         answer.skip(deadline=Deadline(_SURPLUS_READ_TIMEOUT_S))
     except BaseException:
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -168,6 +168,10 @@
         """Whether an answer carries the id of a request."""
         return head.headers.get(names.REQUEST_ID) == request_id
 
+    def is_sealed(self, head: AnswerHead) -> bool:
+        """Whether an answer carries the seal that every answer of a replica has."""
+        return bool(head.headers.get(names.SEAL))
+
     def not_run(self, head: AnswerHead) -> bool:
         """Whether an answer promises that the replica did not run the request."""
         if head.status == _MISDIRECTED:
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -30,6 +30,7 @@
     Snapshot,
     WrittenInAnotherEra,
 )
+from springrock.strict_http import strict_pool_manager
 
 T = TypeVar("T")
 
@@ -125,7 +126,7 @@
         self._on_era = on_era
         self._era = UNKNOWN_ERA
         self._url = f"http://{address}"
-        self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
+        self._pool = strict_pool_manager(maxsize=_CONNECTIONS)
 
     def read_all(self, table: str) -> Snapshot:
         """Read all rows of a table.
--- a/springrock/drivers/strict_http.py
+++ b/springrock/strict_http.py
@@ -1,27 +1,30 @@
-"""HTTP connections on which an answer that is cut off inside a line is broken.
+"""HTTP connections on which an answer with a cut or malformed head is broken.
 
-The standard library takes such a line, and the end of a connection inside a head, for whole.
+The standard library takes a line that is cut off, and the end of a connection inside a head, for
+whole, and drops the rest of a head after a malformed line.
 """
 
 from __future__ import annotations
 
 import io
 import socket
-from http.client import HTTPResponse, RemoteDisconnected
+from http.client import HTTPException, HTTPResponse, RemoteDisconnected
 
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from springrock.answer_head import MalformedHead, check_framing, check_lines
+
 
 class _LineReader(io.BufferedReader):
     """Reads a connection, and raises where it ends inside a line.
 
     Attributes:
-        in_head: Whether the head of an answer is being read, which ends with an empty line.
+        head: The lines of the head that is being read; None outside of heads.
     """
 
-    in_head = False
+    head: list[bytes] | None = None
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line, up to a size.
@@ -31,7 +34,9 @@
         """
         line = super().readline(size)
         is_cut = len(line) != size and not line.endswith(b"\n")
-        if is_cut and (line or self.in_head):
+        if self.head is not None:
+            self.head.append(line)
+        if is_cut and (line or self.head is not None):
             raise RemoteDisconnected(
                 "the connection ended inside a line or before the end of a head"
             )
@@ -54,12 +59,21 @@
         self.fp = self._reader
 
     def begin(self) -> None:
-        """Read the head."""
-        self._reader.in_head = True
+        """Read the head.
+
+        Raises:
+            HTTPException: If it is malformed, or the connection ended inside it.
+        """
+        lines = self._reader.head = []
         try:
             super().begin()
         finally:
-            self._reader.in_head = False
+            self._reader.head = None
+        try:
+            check_lines(lines)
+            check_framing(self.getheaders())
+        except MalformedHead as error:
+            raise HTTPException(str(error)) from None
 
 
 class _StrictConnection(HTTPConnection):
@@ -70,12 +84,13 @@
     ConnectionCls = _StrictConnection
 
 
-def strict_pool_manager(*, maxsize: int = 1) -> urllib3.PoolManager:
+def strict_pool_manager(*, maxsize: int = 1, num_pools: int = 10) -> urllib3.PoolManager:
     """Return a pool of such connections that makes no retries.
 
     Args:
         maxsize: The most idle connections to one address.
+        num_pools: The most addresses with idle connections.
     """
-    manager = urllib3.PoolManager(retries=False, maxsize=maxsize)
+    manager = urllib3.PoolManager(num_pools, retries=False, maxsize=maxsize)
     manager.pool_classes_by_scheme = {"http": _StrictConnectionPool}
     return manager
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -8,6 +8,11 @@
 from collections.abc import Callable
 from types import TracebackType
 
+SUCCESS = (
+    b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nSpringrock-Response-Seal: seal-of-r1\r\n"
+)
+"""The head of a success for the request r1, up to the headers that state where its body ends."""
+
 Script = Callable[[socket.socket], None]
 
 
@@ -80,7 +85,7 @@
             length = int(value)
     while len(body) < length:
         body += connection.recv(65_536)
-    return data
+    return head + b"\r\n\r\n" + body
 
 
 def answer(request_id: str, body: bytes, *headers: str, status: str = "200 OK") -> bytes:
@@ -88,6 +93,7 @@
     lines = [
         f"HTTP/1.1 {status}",
         f"Springrock-Request-Id: {request_id}",
+        f"Springrock-Response-Seal: seal-of-{request_id}",
         f"Content-Length: {len(body)}",
         *headers,
     ]
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -15,6 +15,7 @@
     AnswerSilent,
     ConnectionRefused,
     ForeignAnswer,
+    OutcomeUnknown,
     ReplicaChanged,
     ReplicaFull,
     ReplicaUnreachable,
@@ -23,7 +24,7 @@
 from springrock.forwarding.exchange import Answer, exchange
 from springrock.forwarding.message import ClientRequest, Headers
 from springrock.platform.dialect import PlatformDialect
-from tests.forwarding.scripted import Script, ScriptedReplica, answer, read_request, reset
+from tests.forwarding.scripted import SUCCESS, Script, ScriptedReplica, answer, read_request, reset
 from tests.processes import wait_until
 
 TERMS = SendTerms(instance="i-1", left_s=5.0)
@@ -195,10 +196,8 @@
     "data",
     [
         answer("r1", b"0123456789")[:-1],
-        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
-        b"5\r\nabcde\r\n",
-        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
-        b"zz\r\nabcde\r\n0\r\n\r\n",
+        SUCCESS + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
+        SUCCESS + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabcde\r\n0\r\n\r\n",
     ],
     ids=["length", "no last chunk", "no chunk size"],
 )
@@ -212,10 +211,9 @@
 @pytest.mark.parametrize(
     "data",
     [
-        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n",
-        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Len",
-        b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
-        b"0005\r\nabcde\r\n00",
+        SUCCESS,
+        SUCCESS + b"Content-Len",
+        SUCCESS + b"Transfer-Encoding: chunked\r\n\r\n0005\r\nabcde\r\n00",
     ],
     ids=["between headers", "inside a header", "inside a chunk size"],
 )
@@ -226,7 +224,7 @@
 
 
 def test_an_answer_without_length_ends_with_its_connection() -> None:
-    data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
+    data = SUCCESS + b"\r\nall of it"
     with ScriptedReplica(script_sending(data)) as replica:
         assert body_of(send(ConnectionPool(replica.address))) == b"all of it"
 
@@ -234,7 +232,7 @@
 def test_an_answer_without_length_is_broken_if_its_replica_is_gone_at_the_end() -> None:
     def _crash(connection: socket.socket) -> None:
         read_request(connection)
-        connection.sendall(b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\npart of it")
+        connection.sendall(SUCCESS + b"\r\npart of it")
         replica.stop_listening()
 
     with ScriptedReplica(_crash) as replica, pytest.raises(AnswerBroken):
@@ -244,7 +242,7 @@
 def test_an_answer_without_length_is_broken_if_its_replica_accepts_a_connection_as_it_dies() -> (
     None
 ):
-    part = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\npart of it"
+    part = SUCCESS + b"\r\npart of it"
 
     def _die(connection: socket.socket) -> None:
         replica.stop_listening()
@@ -256,7 +254,7 @@
 def test_the_end_of_a_connection_to_a_replica_that_is_gone_is_no_sign_of_life() -> None:
     def _crash(connection: socket.socket) -> None:
         read_request(connection)
-        connection.sendall(b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\n")
+        connection.sendall(SUCCESS + b"\r\n")
         replica.stop_listening()
 
     heard: list[None] = []
@@ -277,7 +275,7 @@
 
 
 def test_the_connection_that_confirms_an_answer_without_length_carries_the_next_request() -> None:
-    data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\nall of it"
+    data = SUCCESS + b"\r\nall of it"
     with ScriptedReplica(script_sending(data), script_sending(answer("r2", b"x"))) as replica:
         pool = ConnectionPool(replica.address)
         assert body_of(send(pool)) == b"all of it"
@@ -286,7 +284,7 @@
 
 
 def test_a_connection_opened_to_confirm_an_answer_is_kept_no_longer_than_the_one_before() -> None:
-    data = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nKeep-Alive: timeout=0\r\n\r\nall of it"
+    data = SUCCESS + b"Keep-Alive: timeout=0\r\n\r\nall of it"
     own = script_sending(answer("r2", b"x"))
     with ScriptedReplica(script_sending(data), own, own) as replica:
         pool = ConnectionPool(replica.address)
@@ -334,7 +332,7 @@
 
     def _script(connection: socket.socket) -> None:
         read_request(connection)
-        connection.sendall(b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\n\r\npart")
+        connection.sendall(SUCCESS + b"\r\npart")
         read.wait(5)
         reset(connection)
 
@@ -439,3 +437,60 @@
         host, port = listener.getsockname()
     with pytest.raises(ConnectionRefused):
         send(ConnectionPool(f"{host}:{port}"))
+
+
+SOUND_HEADS = [
+    SUCCESS + b"Date: now\r\n" + framing + b"\r\n"
+    for framing in (b"Content-Length: 4\r\n", b"Transfer-Encoding: chunked\r\n", b"")
+]
+
+
+@pytest.mark.parametrize("sound", SOUND_HEADS, ids=["length", "chunks", "close"])
+def test_no_head_with_one_wrong_byte_makes_a_success_that_is_not_the_replica_s(
+    sound: bytes,
+) -> None:
+    """Guards against an answer without its seal, or with the sizes of its chunks in its body."""
+    body = b"4\r\nbody\r\n0\r\n\r\n" if b"chunked" in sound else b"body"
+    colons = [at for at, byte in enumerate(sound) if byte == ord(":")]
+    for at in [*colons, *range(len(b"HTTP/1.1 200"))]:
+        spoilt = sound[:at] + b"\x1a" + sound[at + 1 :]
+        with (
+            ScriptedReplica(script_sending(spoilt + body), script_sending(b"")) as replica,
+            pytest.raises(OutcomeUnknown),
+        ):
+            body_of(send(ConnectionPool(replica.address)))
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: four\r\n",
+        b"Content-Length: -4\r\n",
+        b"Content-Length: 4\r\nContent-Length: 5\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        b"Transfer-Encoding: gzip\r\n",
+        b"Content-Length : 4\r\n",
+        b"Content-Length: 4\r\n folded\r\n",
+        b"X-One: a\rX-Two: b\r\n",
+        b": 4\r\n",
+    ],
+)
+def test_an_answer_whose_head_leaves_its_framing_in_doubt_is_broken(framing: bytes) -> None:
+    data = SOUND_HEADS[2].removesuffix(b"\r\n") + framing + b"\r\nbody"
+    with (
+        ScriptedReplica(script_sending(data), script_sending(b"")) as replica,
+        pytest.raises(AnswerBroken),
+    ):
+        body_of(send(ConnectionPool(replica.address)))
+
+
+def test_a_success_without_its_seal_is_broken() -> None:
+    data = answer("r1", b"body").replace(b"Response-Seal", b"Response-Sfal")
+    with ScriptedReplica(script_sending(data)) as replica, pytest.raises(AnswerBroken):
+        send(ConnectionPool(replica.address))
+
+
+def test_an_interim_answer_comes_before_the_own_one() -> None:
+    data = b"HTTP/1.1 100 Continue\r\n\r\n" + answer("r1", b"body")
+    with ScriptedReplica(script_sending(data)) as replica:
+        assert body_of(send(ConnectionPool(replica.address))) == b"body"
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -48,13 +48,13 @@
     make_routing_state,
     make_warmup,
 )
-from tests.forwarding.scripted import Script, ScriptedReplica, read_request
+from tests.forwarding.scripted import SUCCESS, Script, ScriptedReplica, read_request
 from tests.forwarding.test_choosing import ScriptedAdapters
 from tests.forwarding.test_passing_on import ScriptedPeers
 from tests.forwarding.test_values import make_request, make_route
 
 HEAD = (
-    b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
+    SUCCESS + b"Content-Type: text/event-stream\r\n"
     b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 GREETING = b": welcome\n\n"
--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -21,11 +21,11 @@
 from springrock.platform.dialect import PlatformDialect
 from springrock.topology import Topology
 from tests.factories import make_crash_detector, make_notices, make_reach, make_warmup
-from tests.forwarding.scripted import Script, ScriptedReplica, read_request
+from tests.forwarding.scripted import SUCCESS, Script, ScriptedReplica, read_request
 from tests.forwarding.test_choosing import ScriptedAdapters
 from tests.forwarding.test_values import make_request, make_route
 
-HEAD = b"HTTP/1.1 200 OK\r\nSpringrock-Request-Id: r1\r\nContent-Type: text/event-stream\r\n"
+HEAD = SUCCESS + b"Content-Type: text/event-stream\r\n"
 EVENTS = [b"id: %d\ndata: token %d\n\n" % (number, number) for number in range(1, 6)]
 HALF = b"id: 3\nda"
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import socket
 
+import pytest
 import urllib3
 
 from springrock.eras import era_of, number_of, version_in
 from springrock.platform.store import PlatformStore
-from springrock.rows import Removed, Row
+from springrock.rows import Removed, Row, RowStoreUnavailable
+from tests.forwarding.scripted import ScriptedReplica, read_request
 from tests.platform.conftest import TABLE
 
 
@@ -31,3 +34,16 @@
         Row("a", b"2", second),
     ]
     assert changes.version == second
+
+
+def test_an_answer_with_a_malformed_head_is_none() -> None:
+    """Guards against a page without the store's era, which its head names."""
+    body = b'{"ver": 7, "rows": []}'
+    spoilt = b"HTTP/1.1 200 OK\r\nStore-Era\x1a 1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+    def _script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(spoilt)
+
+    with ScriptedReplica(_script) as replica, pytest.raises(RowStoreUnavailable):
+        PlatformStore(replica.address).changes(TABLE, after=0, wait_s=0.0)
