No copy of an answer passes for that to an order to unload

Change: reports and orders have connections of their own; an order to unload is never sent on one whose latest answer was `DONE` or unknown. An unload, the load in its place and its confirmation alternate on two connections, so that no more are opened.

Measured: tests/platform/test_engine.py, three cases failed before, none after.

--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -8,6 +8,7 @@
 import urllib3
 from msgspec import UNSET, Struct, UnsetType, field
 
+from springrock.bounded_dict import BoundedDict
 from springrock.forwarding.directory import HeldAdapter
 from springrock.forwarding.message import Headers
 from springrock.forwarding.notices import NoticeHandler, ignore_notice
@@ -16,10 +17,15 @@
     EngineState,
     Order,
     OrderAnswer,
+    OrderKind,
 )
 from springrock.platform import names
 from springrock.platform.notices import notice_from
 from springrock.platform.records import HeldModel, held_adapters, split_version
+from springrock.strict_http import strict_pool_manager
+
+_MAX_ENGINES = 64
+"""How many engines have kept connections."""
 
 _CONNECT_TIMEOUT_S = 0.5
 _REPORT_TIMEOUT_S = 0.5
@@ -57,6 +63,35 @@
     version: int | UnsetType = UNSET
 
 
+class _OrderConnections:
+    """The connections that orders to one engine are sent on.
+
+    Answers to orders bear no id, so that a late second copy of one passes for the answer to the
+    next order on its connection. Only one copy does harm: that of `DONE`, taken for the answer to
+    an order to unload, frees a place whose adapter is still used. Any other leads to an order that
+    the engine rejects by its sequence. So an order to unload is never sent after `DONE`.
+    """
+
+    def __init__(self) -> None:
+        self._for_unloads = strict_pool_manager(num_pools=1)
+        self._others = strict_pool_manager(num_pools=1)
+        self._done_last = False
+
+    def pool_for(self, kind: OrderKind) -> urllib3.PoolManager:
+        """Return the connection, as a pool, for an order of a kind."""
+        if kind is OrderKind.UNLOAD:
+            if self._done_last:
+                self._for_unloads.clear()
+            return self._for_unloads
+        # An answer to another order, which is mostly `ACCEPTED`, makes the connection usable again.
+        return self._for_unloads if self._done_last else self._others
+
+    def record_answer(self, pool: urllib3.PoolManager, answer: OrderAnswer | None) -> None:
+        """Record the answer to an order on a connection; None if it is not known."""
+        if pool is self._for_unloads:
+            self._done_last = answer is None or answer is OrderAnswer.DONE
+
+
 class PlatformEngines:
     """Implements `springrock.placement.control.EngineControl`.
 
@@ -74,12 +109,18 @@
     ) -> None:
         self._on_outcome = on_outcome
         self._notice_handler_for = notice_handler_for
-        self._pool = urllib3.PoolManager(retries=False, num_pools=64, maxsize=2)
+        self._reports = strict_pool_manager(num_pools=_MAX_ENGINES, maxsize=2)
+        self._orders: BoundedDict[_OrderConnections] = BoundedDict(at_most=_MAX_ENGINES)
 
     def report(self, address: str, *, instance: str) -> EngineState:
         """Return an engine's state."""
         response = self._call(
-            "GET", address, names.REPORT_PATH, instance=instance, timeout_s=_REPORT_TIMEOUT_S
+            self._reports,
+            "GET",
+            address,
+            names.REPORT_PATH,
+            instance=instance,
+            timeout_s=_REPORT_TIMEOUT_S,
         )
         if response.status != 200:
             raise ControlUnanswered(
@@ -111,22 +152,28 @@
             expected=UNSET if order.expected_sequence is None else order.expected_sequence,
             version=order.version or UNSET,
         )
-        encoded = msgspec.json.encode(body)
+        connections = self._orders.get(address) or _OrderConnections()
+        self._orders.record(address, connections)
+        pool = connections.pool_for(order.kind)
+        connections.record_answer(pool, None)
         response = self._call(
+            pool,
             "POST",
             address,
             names.ORDER_PATH,
             instance=instance,
             timeout_s=_ORDER_TIMEOUT_S,
-            body=encoded,
+            body=msgspec.json.encode(body),
         )
         answer = _ANSWER_BY_STATUS.get(response.status)
+        connections.record_answer(pool, answer)
         if answer is None:
             raise ControlUnanswered(f"the engine answered the order with status {response.status}")
         return answer
 
     def _call(
         self,
+        pool: urllib3.PoolManager,
         method: str,
         address: str,
         path: str,
@@ -140,7 +187,7 @@
         if body is not None:
             headers["Content-Type"] = "application/json"
         try:
-            response = self._pool.request(
+            response = pool.request(
                 method,
                 f"http://{address}{path}",
                 body=body,
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -7,9 +7,10 @@
 import pytest
 
 from springrock.forwarding.dialect import ReplicaNotice
-from springrock.placement.control import ControlUnanswered
+from springrock.forwarding.message import AdapterKey
+from springrock.placement.control import ControlUnanswered, Order, OrderAnswer, OrderKind
 from springrock.platform.engine import PlatformEngines
-from tests.forwarding.scripted import ScriptedReplica, answer, read_request
+from tests.forwarding.scripted import Script, ScriptedReplica, answer, read_request
 
 REPORT = b'{"sequence": 4}'
 
@@ -32,3 +33,83 @@
             with pytest.raises(ControlUnanswered):
                 engines.report(replica.address, instance="i-1")
     assert reported == [("i-1", ReplicaNotice(leaving=True))]
+
+
+DONE = answer("", b"{}")
+ACCEPTED = answer("", b"{}", status="202 Accepted")
+
+
+def order(kind: OrderKind) -> Order:
+    return Order(kind, AdapterKey("base", "a1"), 1, 4, "box-1", 7)
+
+
+def copying_late(first: bytes, then: bytes) -> Script:
+    """Return a script that sends its first answer again before the second one."""
+
+    def _script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(first)
+        if read_request(connection):
+            connection.sendall(first + then)
+
+    return _script
+
+
+def answering(data: bytes) -> Script:
+    def _script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(data)
+
+    return _script
+
+
+@pytest.mark.parametrize("first", [OrderKind.LOAD, OrderKind.UNLOAD])
+def test_a_late_copy_of_an_answer_does_not_pass_for_that_to_an_order_to_unload(
+    first: OrderKind,
+) -> None:
+    """Guards against a place that is taken for free while its adapter is still used."""
+    scripts = (copying_late(DONE, ACCEPTED), answering(ACCEPTED))
+    with ScriptedReplica(*scripts, concurrent=True) as replica:
+        engines = PlatformEngines()
+        answers = [
+            engines.order(replica.address, instance="i-1", order=order(kind))
+            for kind in (first, OrderKind.UNLOAD)
+        ]
+    assert answers == [OrderAnswer.DONE, OrderAnswer.ACCEPTED]
+
+
+def test_an_unload_a_load_and_its_confirmation_in_turn_need_two_connections() -> None:
+    opened = []
+
+    def _script(connection: socket.socket) -> None:
+        opened.append(connection)
+        is_first = len(opened) == 1
+        while received := read_request(connection):
+            accepted = is_first and b'"operation":"load"' in received
+            connection.sendall(ACCEPTED if accepted else DONE)
+
+    with ScriptedReplica(*[_script] * 4, concurrent=True) as replica:
+        engines = PlatformEngines()
+        for _ in range(5):
+            answers = [
+                engines.order(replica.address, instance="i-1", order=order(kind))
+                for kind in (OrderKind.UNLOAD, OrderKind.LOAD, OrderKind.LOAD)
+            ]
+            assert answers == [OrderAnswer.DONE, OrderAnswer.ACCEPTED, OrderAnswer.DONE]
+    assert len(opened) == 2
+
+
+def test_a_late_copy_of_a_report_does_not_pass_for_the_answer_to_an_order() -> None:
+    report = answer("", REPORT)
+    scripts = (copying_late(report, ACCEPTED), answering(ACCEPTED))
+    with ScriptedReplica(*scripts, concurrent=True) as replica:
+        engines = PlatformEngines()
+        assert engines.report(replica.address, instance="i-1").sequence == 4
+        answered = engines.order(replica.address, instance="i-1", order=order(OrderKind.LOAD))
+    assert answered is OrderAnswer.ACCEPTED
+
+
+def test_an_answer_with_a_malformed_head_is_none() -> None:
+    spoilt = DONE.replace(b"Content-Length:", b"Content-Length\x1a")
+    with ScriptedReplica(answering(spoilt)) as replica, pytest.raises(ControlUnanswered):
+        PlatformEngines().order(replica.address, instance="i-1", order=order(OrderKind.UNLOAD))
