A granted engine of another service than the request's is not used

Cause: the class of requests that are passed on: a placer knows the service of a base model by its own configuration, and `Ask` names no service; a box took the engine that it granted without looking at its service. After a change that moves a base model to another service, a placer that stands still or lags has a request run by the service of before. Read in the code; no caller has reported it.

Change: such a grant is given back, as one whose replica this box knows as unusable; what this box knows takes precedence. Open: two services with the same base model: placers grant by the model alone, so that requests of one of them may find no engine; before, they ran at the other service.

Measured: the test in tests/forwarding/test_choosing.py failed before, passes now.

--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -278,7 +278,8 @@
                 return None
             replica = self._directory.find(use.instance)
             obstacle = None
-            if replica is not None:
+            # A placer goes by its own configuration, which may be an older one.
+            if replica is not None and replica.record.service == progress.service:
                 obstacle = self._balancer.obstacle(replica, bounds=progress.bounds, permitted=True)
                 if obstacle is None:
                     chosen = self._with_permit(progress, replica, use)
--- a/tests/forwarding/test_choosing.py
+++ b/tests/forwarding/test_choosing.py
@@ -75,6 +75,7 @@
     backoff_s: float = 0.0,
     failed_before: bool = False,
     failures: int = 0,
+    service: str = "s",
 ) -> str:
     """Return the instance that a request for the adapter is sent to."""
     engine = Engine(
@@ -82,7 +83,7 @@
     )
     configuration = Configuration(version=1, services={"s": Service(name="s", engine=engine)})
     directory = Directory(Log("test", "box-1"))
-    record = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-1")
+    record = ReplicaRecord(instance="i-1", service=service, address="127.0.0.1:1", zone="zone-1")
     directory.update(record)
     if leaving:
         directory.record_leaving("i-1", LeavingSource.ANSWER)
@@ -133,6 +134,12 @@
     assert refusal.value.reason == "evacuated"
 
 
+def test_a_granted_engine_of_another_service_is_not_used() -> None:
+    """Guards against a run by the service that a placer's older configuration names."""
+    with pytest.raises(NoReplica):
+        choose_instance(ScriptedAdapters(waits=0), service="moved-from")
+
+
 def test_a_placer_is_asked_to_avoid_a_replica_that_this_box_knows_as_leaving() -> None:
     adapters = ScriptedAdapters(waits=0)
     with pytest.raises(NoReplica):
