A request that this box knows to crash replicas is refused, not passed on

Cause: the class of requests that are passed on. The first box looked at the quarantine only when it chose a replica itself; a box that reads of the crashes later would send the request to one more.

Change: a quarantined request is not passed on; the box refuses it as it does any other.

Measured: the test in tests/forwarding/test_passed_on.py failed before (the other box was asked).

--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -194,12 +194,16 @@
             raise
         return chosen
 
+    def is_quarantined(self, progress: RequestProgress) -> bool:
+        """Whether the request is known to crash the replicas that run it."""
+        return self._quarantine.quarantined_for_s(progress.suspects) is not None
+
     def may_send(self, progress: RequestProgress, chosen: ChosenReplica) -> bool:
         """Whether the chosen replica may still be sent the request.
 
         Checked right before sending, as the wait for a connection may have taken long.
         """
-        if self._quarantine.quarantined_for_s(progress.suspects) is not None:
+        if self.is_quarantined(progress):
             return False
         return self._obstacle(progress, chosen) is None
 
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -136,7 +136,8 @@
             admission,
             known=self._passed_on.knowledge_for(request, version),
         )
-        if self._passing_on.is_due(progress):
+        # The other box may not know yet what crashes replicas.
+        if self._passing_on.is_due(progress) and not self._chooser.is_quarantined(progress):
             passed_on = self._passing_on.forward(progress)
             if passed_on is not None:
                 return passed_on
--- a/tests/forwarding/test_passed_on.py
+++ b/tests/forwarding/test_passed_on.py
@@ -11,9 +11,12 @@
 from springrock.forwarding.errors import BehindOtherBox
 from springrock.forwarding.message import ClientRequest, Header, Headers, Knowledge
 from springrock.forwarding.reply import own_reply, rejection_reply
+from springrock.forwarding.suspects import Suspects
 from springrock.platform import names
 from springrock.platform.dialect import PlatformDialect
 from tests.factories import make_passed_on
+from tests.forwarding.scripted import ScriptedReplica
+from tests.forwarding.test_passing_on import SERVED, Script, ScriptedPeers, make_passing_on
 from tests.forwarding.test_software_versions import Box
 from tests.forwarding.test_values import make_request, make_route
 
@@ -141,3 +144,25 @@
     table = RouteTable(Configuration(version=2, routes=(make_route("/added/"),)))
     box.forwarder._routes = lambda: table
     assert DIALECT.passed_on_reply(box.forwarder.forward(request).head).handling is Handling.HANDLED
+
+
+class _Quarantine:
+    """Quarantines everything; implements `choosing.Quarantine`."""
+
+    def quarantined_for_s(self, suspects: Suspects) -> float | None:
+        return 60.0
+
+    def may_be_retried(self, suspects: Suspects) -> bool:
+        return False
+
+
+def test_a_request_that_this_box_knows_to_crash_replicas_is_not_passed_on() -> None:
+    """Guards against a run by a box that has not read of the crashes yet."""
+    other = Script(SERVED)
+    with ScriptedReplica(other) as replica:
+        box = Box(make_route())
+        box.forwarder._passing_on = make_passing_on(ScriptedPeers(replica.address))
+        box.chooser._quarantine = _Quarantine()
+        reply = box.forwarder.forward(make_request(deadline_s=2.0))
+    assert (reply.head.status, reply.reason) == (503, "crashes_replicas")
+    assert not other.received
