Soak and stand-in: answers that come a second time, late

Cause: no replica of ours sent a copy of an answer, so that the soak could not find what the review did. Change: the stand-in's fault `copies` sends each answer to a request, an order or a report again, in the place of the next one on its connection; the soak draws it as `late_copies` by a generator of its own, so that the other draws of every seed stay; mechanism `own_connections` for the mutation.

--- a/bench/soak/faults/replicas.py
+++ b/bench/soak/faults/replicas.py
@@ -291,6 +291,23 @@
         deployment.end_release(targets[0])
 
 
+@FAULTS.register
+class LateCopies(_ReplicaFault):
+    """Replicas send each answer again, in the place of the next one on its connection."""
+
+    name = "late_copies"
+    weight = 0.0
+    separate_probability = 0.5
+    separate_order = 13
+    shortest_s = 4.0
+    longest_s = 10.0
+
+    def begin(self, deployment: SoakDeployment, targets: tuple[str, ...]) -> None:
+        """Start the fault."""
+        for replica in targets:
+            deployment.fault(replica, copies=True)
+
+
 @FAULTS.register
 class ReusedAddress(_ReplicaFault):
     """A replica of a service without routes takes over the address of another one."""
--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -190,3 +190,10 @@
     OriginExchange.ask_origin = (  # type: ignore[method-assign]
         lambda self, request_id, service: None
     )
+
+
+@_disables("own_connections")
+def _send_ids_again_on_their_connections() -> None:
+    from springrock.forwarding.connection import Connection
+
+    Connection.has_carried = lambda self, request_id: False  # type: ignore[method-assign]
--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -22,6 +22,7 @@
 from springrock import retry_after
 from springrock.bottle_app import json_response, new_app
 from springrock.clock import monotonic
+from springrock.emulator.late_copies import COPIED_KEY, LateCopies
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventFile, ReplicaEventKind
 from springrock.emulator.settings import ReplicaStandinSettings
 from springrock.emulator.unframed import (
@@ -77,6 +78,8 @@
         brittle_per_s: How many requests the replica may turn away in a second, as all answers name
             it; the process exits when it turns more away. Negative if it is not brittle.
         room: How many requests may run at once, others are turned away; negative for any number.
+        copies: Whether each answer to a request, order or report comes again late, in the place
+            of the next one on its connection.
     """
 
     refuse: bool = False
@@ -95,6 +98,7 @@
     broken_by: BrokenBy = BrokenBy.CLOSE
     brittle_per_s: float = -1.0
     room: int = -1
+    copies: bool = False
 
 
 class _StreamRun(NamedTuple):
@@ -132,7 +136,7 @@
         self._cold_until = monotonic() + settings.cold_s
         self._events_file = ReplicaEventFile(settings.events_path)
         self._leaving_acknowledged = False
-        self.server = HttpServer(UnframedAnswers(self._build_app()), settings.address)
+        self.server = HttpServer(UnframedAnswers(LateCopies(self._build_app())), settings.address)
 
     def start(self) -> None:
         """Start the HTTP server and the loop that writes the record."""
@@ -215,6 +219,7 @@
         self, body: bytes, *, status: int = 200, headers: dict[str, str] | None = None
     ) -> Any:
         """Return an answer with the headers that every answer carries."""
+        bottle.request.environ[COPIED_KEY] = self._fault.copies
         return json_response(
             body, status=status, headers={**(headers or {}), **self._status_headers()}
         )
--- a/tests/emulator/test_replica_answers.py
+++ b/tests/emulator/test_replica_answers.py
@@ -132,3 +132,24 @@
     received_from(standins.replica)
     with pytest.raises(ConnectionRefusedError):
         received_from(standins.replica)
+
+
+def test_an_answer_comes_again_in_the_place_of_the_next_one(standins: Standins) -> None:
+    set_fault(standins, copies=True, refuse=True)
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+    request = head + b"Springrock-Request-Id: %s\r\n\r\n"
+    with socket.create_connection(split_address(standins.replica), timeout=5) as connection:
+        connection.sendall(request % b"r1")
+        first = connection.recv(65_536)
+        connection.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            connection.recv(65_536)
+        connection.settimeout(5)
+        connection.sendall(request % b"r2")
+        rest = b""
+        while b"Request-Id: r2" not in rest:
+            rest += connection.recv(65_536)
+    for data in (first, rest):
+        assert data.startswith(b"HTTP/1.1 503 ")
+        assert b"Request-Id: r1" in data
+    assert rest.index(b"Request-Id: r1") < rest.index(b"Request-Id: r2")
