--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -115,10 +115,10 @@
     def report(self, address: str, *, instance: str) -> EngineState:
         """Return an engine's state."""
         response = self._call(
-            self._reports,
             "GET",
             address,
             names.REPORT_PATH,
+            pool=self._reports,
             instance=instance,
             timeout_s=_REPORT_TIMEOUT_S,
         )
@@ -157,10 +157,10 @@
         pool = connections.pool_for(order.kind)
         connections.record_answer(pool, None)
         response = self._call(
-            pool,
             "POST",
             address,
             names.ORDER_PATH,
+            pool=pool,
             instance=instance,
             timeout_s=_ORDER_TIMEOUT_S,
             body=msgspec.json.encode(body),
@@ -173,11 +173,11 @@
 
     def _call(
         self,
-        pool: urllib3.PoolManager,
         method: str,
         address: str,
         path: str,
         *,
+        pool: urllib3.PoolManager,
         instance: str,
         timeout_s: float,
         body: bytes | None = None,
