Only exceptions while a reply is made count as faults of the box

Cause: found on reading the diff: a client that breaks off its body raises in the door too, so that ten such clients in a row would have had the box say that it is not ready. Change: only what is raised while the reply is made counts. Measured: the new test in tests/forwarding/test_fault_watch.py failed before, passes now.

--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -80,7 +80,7 @@
             body = environ["wsgi.input"].read(self._body_limit_bytes() + 1)
             # From here on only the watch reads from the socket.
             watch.start()
-            reply = self._reply(environ, body, received_at)
+            reply = self._reply_or_record_fault(environ, body, received_at)
             headers = list(reply.head.headers)
             if self.closing:
                 headers.append(("Connection", "close"))  # type: ignore[arg-type]
@@ -89,17 +89,29 @@
             self._record_disconnect(environ)
             request_end.run("gone")
             raise
-        except BaseException as error:
-            self._record_fault(environ, error)
+        except BaseException:
             request_end.run("fault")
             raise
-        self.faults.record_handled()
         outcome = reply.reason or str(reply.head.status)
         if isinstance(reply.body, list):
             request_end.run(outcome)
             return reply.body
         return self._stream_body(environ, reply, request_end)
 
+    def _reply_or_record_fault(
+        self, environ: dict[str, Any], body: bytes, received_at: float
+    ) -> Reply:
+        """Return the reply; an exception that is not the client's leaving is this box's fault."""
+        try:
+            reply = self._reply(environ, body, received_at)
+        except CallerGone:
+            raise
+        except Exception as error:
+            self._record_fault(environ, error)
+            raise
+        self.faults.record_handled()
+        return reply
+
     def _reply(self, environ: dict[str, Any], body: bytes, received_at: float) -> Reply:
         if self.refusing:
             return own_reply(503, "stopping", retry_after_s=0.0)
@@ -138,9 +150,7 @@
     def _record_disconnect(self, environ: dict[str, Any]) -> None:
         self._log.info("A client disconnected.", target=environ[TARGET_KEY])
 
-    def _record_fault(self, environ: dict[str, Any], error: BaseException) -> None:
-        if not isinstance(error, Exception):
-            return
+    def _record_fault(self, environ: dict[str, Any], error: Exception) -> None:
         self.faults.record_fault()
         frames = traceback.extract_tb(error.__traceback__)[-_LOGGED_FRAMES:]
         self._log.info(
--- a/tests/forwarding/test_fault_watch.py
+++ b/tests/forwarding/test_fault_watch.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
+import socket
+from collections.abc import Iterator
 from typing import Any
 
 import gevent
@@ -17,6 +20,7 @@
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.platform.dialect import PlatformDialect
+from springrock.settings import split_address
 
 
 def test_a_box_fails_while_all_its_latest_requests_do(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -55,8 +59,31 @@
 def test_the_door_counts_and_logs_requests_that_fail_by_a_fault(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
+    with running_door(forwarder := FaultyForwarder()) as (door, address):
+        assert [status(address) for _ in range(10)] == [500] * 10
+        assert door.faults.failing
+        forwarder.faulty = False
+        assert status(address) == 404
+        assert not door.faults.failing
+        assert door.open_requests == 0
+
+
+def test_clients_that_break_off_their_bodies_are_no_fault_of_the_box() -> None:
+    forwarder = FaultyForwarder()
+    forwarder.faulty = False
+    with running_door(forwarder) as (door, address):
+        for _ in range(12):
+            gevent.get_hub().threadpool.apply(_break_off, (address,))
+        assert status(address) == 404
+        assert not door.faults.failing
+        for _ in range(12):
+            gevent.get_hub().threadpool.apply(_break_off, (address,))
+        assert not door.faults.failing
+
+
+@contextlib.contextmanager
+def running_door(forwarder: Any) -> Iterator[tuple[ForwardingDoor, str]]:
     [address] = free_addresses(1)
-    forwarder: Any = FaultyForwarder()
     door = ForwardingDoor(
         address,
         forwarder=forwarder,
@@ -67,16 +94,20 @@
     )
     door.start()
     try:
-        assert [status(address) for _ in range(10)] == [500] * 10
-        assert door.faults.failing
-        forwarder.faulty = False
-        assert status(address) == 404
-        assert not door.faults.failing
-        assert door.open_requests == 0
+        yield door, address
     finally:
         door.stop()
 
 
+def _break_off(address: str) -> None:
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nSpringrock-Request-Id: r1\r\nContent-Length: 50\r\n\r\n"
+    with socket.create_connection(split_address(address), timeout=5.0) as connection:
+        connection.sendall(head + b"part")
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(1000):
+            continue
+
+
 def status(address: str) -> int:
     return int(gevent.get_hub().threadpool.apply(_status, (address,)))
 
