--- a/springrock/quarantine/book.py
+++ b/springrock/quarantine/book.py
@@ -233,8 +233,8 @@
         ]
 
     def _add(self, key: str, report: CrashReport, *, version: int, shared: Iterable[str]) -> None:
-        # A longer version may lack suspects that this one replaces, as a report names a bounded
-        # number of them.
+        # The version that this one replaces may name suspects that it lacks, as the number of names
+        # is bounded.
         self._drop(key)
         self._held[key] = _HeldReport(report, version, monotonic())
         if len(self._held) > _MAX_HELD:
