--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from springrock.clock import Deadline, monotonic
 from springrock.errors import AnswerCut
@@ -60,6 +61,7 @@
         self._closed = False
         self._begun = False
         self._writing = False
+        self._heard_at = monotonic()
         self._answer: Answer | None = None
 
     @property
@@ -67,6 +69,11 @@
         """What marks the end of the answer's body; None without an answer."""
         return None if self._answer is None else self._answer.head.body_end
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the run began or its latest event arrived."""
+        return monotonic() - self._heard_at
+
     def open(self) -> AnswerHead:
         """Send the request, read up to the first complete event, and return the head.
 
@@ -84,6 +91,7 @@
         except BaseException:
             self.close()
             raise
+        self._heard_at = monotonic()
         self._sender.record_answer(self._progress, self._replica, self._attempt, answer.head.status)
         if self._chosen.use is not None and answer.head.succeeded:
             self._chosen.use.record_first_event()
@@ -95,6 +103,7 @@
         while data:
             yield data
             data = self._read_next(self._answer)
+            self._heard_at = monotonic()
             self._record_writing()
         self._sender.record_completion(self._progress, self._answer.head)
 
@@ -181,6 +190,20 @@
         return incomplete
 
 
+class _Break(NamedTuple):
+    """The break of a stream.
+
+    Attributes:
+        run: The run that broke.
+        error: What broke it.
+        silent_s: For how long the replica had sent no event, in seconds.
+    """
+
+    run: StreamRun
+    error: OutcomeUnknown
+    silent_s: float
+
+
 class StreamRelay:
     """Opens streams and relays them to clients, resuming at other replicas where that is allowed.
 
@@ -227,28 +250,28 @@
                 self._log_end(progress, run)
                 return
             except OutcomeUnknown as error:
-                break_error = error
+                broken = _Break(run, error, run.silent_s)
             finally:
                 run.close()
-            run = self._resume(progress, run, break_error)
+            run = self._resume(progress, broken)
 
-    def _resume(
-        self, progress: RequestProgress, broken: StreamRun, break_error: OutcomeUnknown
-    ) -> StreamRun:
+    def _resume(self, progress: RequestProgress, broken: _Break) -> StreamRun:
         until = min(progress.ends_at, monotonic() + _RESUME_TIMEOUT_S)
+        refused = "" if progress.resuming else "nothing_sent"
         while progress.resuming and progress.may_run_again:
             try:
                 head, run = self.open(progress, until=until)
-            except Rejection:
+            except Rejection as rejection:
+                refused = rejection.reason
                 break
             except ExchangeError:
                 continue
             if head.succeeded:
-                self._log_break("Resumed a stream.", progress, broken, break_error)
+                self._log_break("Resumed a stream.", progress, broken)
                 return run
             run.close()
-        self._log_break("Cut a stream.", progress, broken, break_error)
-        raise AnswerCut(str(break_error))
+        self._log_break("Cut a stream.", progress, broken, refused=refused or "may_have_run")
+        raise AnswerCut(str(broken.error))
 
     def _log_end(self, progress: RequestProgress, run: StreamRun) -> None:
         self._log.info(
@@ -264,15 +287,19 @@
         self,
         sentence: str,
         progress: RequestProgress,
-        broken: StreamRun,
-        break_error: OutcomeUnknown,
+        broken: _Break,
+        *,
+        refused: str = "",
     ) -> None:
         self._log.info(
             sentence,
             request=progress.request.request_id,
             after_event=progress.last_event_id,
-            body_end=broken.body_end,
-            error=str(break_error),
+            body_end=broken.run.body_end,
+            error=str(broken.error),
+            silent_ms=round(broken.silent_s * 1000),
+            left_ms=round(progress.left_s * 1000),
+            refused=refused,
             attempts=progress.attempt_summaries(),
             age_ms=round(progress.age_s * 1000),
         )
--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -208,3 +209,27 @@
     [fields] = [fields for text, fields in lines if text == "Cut a stream."]
     assert fields["body_end"] == "chunks"
     assert f"{len(HALF)} bytes" in str(fields["error"])
+
+
+def sending_with_pause(before: bytes, after: bytes, *, pause_s: float) -> Script:
+    """Return a script that sends a part of a stream, is silent for a while and sends the rest."""
+
+    def script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(HEAD + b"\r\n" + before)
+        time.sleep(pause_s)
+        connection.sendall(after)
+
+    return script
+
+
+def test_the_log_tells_how_long_a_replica_was_silent_and_why_no_other_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(Log, "info", lambda self, text, **fields: lines.append((text, fields)))
+    with ScriptedReplica(sending(chunked(b"".join(EVENTS[:2]) + HALF))) as replica:
+        collect(Stream(replica.address, resumable=True).events())
+    [fields] = [fields for text, fields in lines if text == "Cut a stream."]
+    assert fields["refused"] == "no_replica"
+    assert fields["silent_ms"] < 1000  # type: ignore[operator]
