--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -233,3 +233,37 @@
     [fields] = [fields for text, fields in lines if text == "Cut a stream."]
     assert fields["refused"] == "no_replica"
     assert fields["silent_ms"] < 1000  # type: ignore[operator]
+
+
+def silent(connection: socket.socket) -> None:
+    """Accept a request and stay silent until the box closes the connection."""
+    read_request(connection)
+    connection.recv(1)
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+def test_a_stream_is_not_cut_while_its_replica_is_silent_and_no_other_may_go_on(
+    resumable: bool,
+) -> None:
+    script = sending_with_pause(b"".join(EVENTS[:2]), b"".join(EVENTS[2:]), pause_s=1.9)
+    with ScriptedReplica(script) as replica:
+        received, cut = collect(Stream(replica.address, resumable=resumable).events())
+    assert b"".join(received) == b"".join(EVENTS)
+    assert not cut
+
+
+def test_a_stream_is_not_cut_by_an_estimate_of_how_long_its_client_waits() -> None:
+    script = sending_with_pause(b"".join(EVENTS[:2]), b"".join(EVENTS[2:]), pause_s=4.3)
+    with ScriptedReplica(script) as replica:
+        received, cut = collect(Stream(replica.address, resumable=False).events())
+    assert b"".join(received) == b"".join(EVENTS)
+    assert not cut
+
+
+def test_a_stream_goes_on_at_its_silent_replica_if_the_one_asked_to_go_on_is_silent_too() -> None:
+    script = sending_with_pause(b"".join(EVENTS[:2]), b"".join(EVENTS[2:]), pause_s=2.5)
+    with ScriptedReplica(script) as first, ScriptedReplica(silent) as second:
+        stream = Stream(first.address, second.address, resumable=True)
+        received, cut = collect(stream.events())
+    assert b"".join(received) == b"".join(EVENTS)
+    assert not cut
