--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,9 +7,12 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_RELEASE = "37c928e27cbe"
+LAST_RELEASE = "9643a5493b64"
 """The previous release, which users upgrade from."""
 
+BEFORE_COMPARING = "37c928e27cbe"
+"""The last release whose boxes handle a passed-on request by whatever they know."""
+
 BEFORE_BRITTLE = "1f33d5a0ba4d"
 """The last release whose placers keep no places for brittle replicas."""
 
--- a/tests/routed/test_passing_on.py
+++ b/tests/routed/test_passing_on.py
@@ -11,7 +11,7 @@
 import pytest
 
 from springrock.clock import monotonic
-from tests.builds import LAST_RELEASE, build_at
+from tests.builds import BEFORE_COMPARING, build_at
 from tests.processes import wait_until
 from tests.routed import cut_box
 from tests.routed.deployment import REPLICAS, ROUTES, SERVICES, Deployment, route
@@ -116,11 +116,11 @@
     assert not any(old_runs.values()), old_runs
 
 
-def test_a_box_of_the_previous_release_runs_nothing_by_a_configuration_that_it_does_not_compare(
+def test_a_box_of_an_earlier_release_runs_nothing_by_a_configuration_that_it_does_not_compare(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> None:
     """Guards against passing requests on to a build that ignores what it must at least know."""
-    previous = add_cut_box(build_at(LAST_RELEASE, tmp_path_factory.mktemp("build")))
+    previous = add_cut_box(build_at(BEFORE_COMPARING, tmp_path_factory.mktemp("build")))
     with Deployment(
         tmp_path_factory.mktemp("mixed"),
         boxes=2,
@@ -146,7 +146,7 @@
 
         wait_until(_passed_on, what="box-1 passes a request on")
         assert not any(deployment.runs(request) for request in sent)
-        # A box of the previous release still passes requests on to one of this build.
+        # A box of that release still passes requests on to one of this build.
         (deployment.folder / "box-1.jsonc.cut").unlink()
         cut(deployment, "box-2", services=("rosters",), opened="reset", new="refused")
         served = deployment.new_id()
