A silent replica's run is read on while another replica is asked to go on with the stream

Cause: a stream that may be resumed was given up after 1.5 s without an event, its connection closed, and only then another replica was sought; with none, the client's answer was cut. Other streams were cut by an estimate of how long their client waits. Silence is a suspicion, and was carried out as a fact.

Change: after 1.5 s of silence another replica is asked in a task of its own; the first run is read on. Whichever sends the next event first goes on, the other run is closed. One that is silent too is waited for beside the next one. The only time-out that ends a stream is its deadline.

--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -159,11 +159,15 @@
 
 @_disables("whole_events")
 def _pass_on_incomplete_events() -> None:
-    from springrock.forwarding.streaming import StreamRun
+    from springrock.forwarding.events import Event
+    from springrock.forwarding.exchange import Answer
+    from springrock.forwarding.stream_run import StreamRun
 
-    StreamRun._read_end = (  # type: ignore[method-assign]
-        lambda self, answer: self._splitter.drain_incomplete()
-    )
+    def _read_end(self: StreamRun, answer: Answer) -> list[Event]:
+        incomplete = self._splitter.drain_incomplete()
+        return [Event(incomplete, "")] if incomplete else []
+
+    StreamRun._read_end = _read_end  # type: ignore[method-assign]
 
 
 @_disables("software_bounds")
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -422,11 +422,6 @@
         return service in self._configuration().engine_services
 
 
-def first_event_wait_s(progress: RequestProgress) -> float:
-    """Return the seconds until a stream's client stops waiting for the first event."""
-    return max(MIN_SEND_TIME_S, progress.first_event_deadline - monotonic())
-
-
 def _is_unusable(replica: Replica) -> bool:
     """Whether this box must not send to a replica even if there is no other."""
     record = replica.record
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -32,7 +32,8 @@
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.stream_origins import StreamOrigins
-from springrock.forwarding.streaming import StreamRelay, StreamRun
+from springrock.forwarding.stream_run import StreamRun
+from springrock.forwarding.streaming import StreamRelay
 from springrock.log import Log
 
 _MAX_LOGGED_AGE_S = 3600.0
--- /dev/null
+++ b/springrock/forwarding/resumption.py
@@ -0,0 +1,162 @@
+"""Finds another replica that goes on with a stream while its own is silent or has broken off.
+
+Silence does not prove that a replica has failed, so its run is read on meanwhile. It is given up
+only when another replica has sent the next event.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from springrock.clock import monotonic
+from springrock.forwarding.choosing import ChosenReplica, ReplicaChooser
+from springrock.forwarding.errors import ExchangeError, Rejection
+from springrock.forwarding.request_progress import RequestProgress
+from springrock.forwarding.stream_run import StreamRun
+
+_FIND_TIMEOUT_S = 2.0
+"""Time allowed for finding a replica that may be sent the request."""
+
+_FIND_AGAIN_S = 0.5
+"""Pause between two searches while the silent replica may still go on."""
+
+_NEXT_REPLICA_AFTER_S = 2.0
+"""Another replica is tried if the one before has sent no event within this time."""
+
+PrepareRun = Callable[[ChosenReplica], StreamRun]
+"""Returns a run at a replica that is not open yet."""
+
+
+class Resumption:
+    """A search for a replica that goes on with a stream.
+
+    The first replica that sends an event wins; the runs at the others are closed. A replica that
+    was sent the request is waited for until the deadline, beside the next one.
+
+    Args:
+        progress: The request.
+        chooser: Chooses replicas.
+        prepare: Prepares a run at a replica.
+        on_won: Called when a replica has won, in a task of the search.
+
+    Attributes:
+        refused: Why no further replica was tried when this was last decided; empty if one was.
+    """
+
+    def __init__(
+        self,
+        progress: RequestProgress,
+        *,
+        chooser: ReplicaChooser,
+        prepare: PrepareRun,
+        on_won: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._progress = progress
+        self._chooser = chooser
+        self._prepare = prepare
+        self._on_won = on_won
+        self._tasks: list[gevent.Greenlet[..., Any]] = []
+        self._winner: StreamRun | None = None
+        self._ended = False
+        self._is_last_hope = Event()
+        self._task_ended = Event()
+        self.refused = ""
+
+    @property
+    def won(self) -> bool:
+        """Whether a replica has sent the next event."""
+        return self._winner is not None
+
+    def start(self, *, after_s: float = 0.0) -> None:
+        """Try replicas one after the other, in a task beside those that run already."""
+        task = gevent.spawn_later(after_s, self._try_replicas)
+        task.link(lambda _: self._task_ended.set())
+        self._tasks.append(task)
+
+    def await_winner(self) -> StreamRun | None:
+        """Wait for a replica, now that the stream depends on the search alone.
+
+        Returns:
+            The run at the replica that won, which the caller must close; None if no further replica
+            may be tried and all that were sent the request have failed.
+        """
+        self._is_last_hope.set()
+        while not self.won and not all(task.ready() for task in self._tasks):
+            self._task_ended.clear()
+            self._task_ended.wait()
+        winner, self._winner = self._winner, None
+        return winner
+
+    def cancel(self) -> None:
+        """End the search and close its runs; without effect on a run that was returned."""
+        self._end()
+        if self._winner is not None:
+            self._winner.close()
+            self._winner = None
+
+    def _end(self) -> None:
+        self._ended = True
+        current = gevent.getcurrent()
+        gevent.killall([task for task in self._tasks if task is not current], block=False)
+
+    def _try_replicas(self) -> None:
+        while not self._ended:
+            was_last_hope = self._is_last_hope.is_set()
+            chosen = self._find()
+            if chosen is not None:
+                if self._try(self._prepare(chosen)):
+                    return
+            elif was_last_hope:
+                return
+            else:
+                self._is_last_hope.wait(_FIND_AGAIN_S)
+
+    def _find(self) -> ChosenReplica | None:
+        """Return a replica that may be sent the request; None if there is none."""
+        progress = self._progress
+        if not progress.resuming or not progress.may_run_again:
+            self.refused = "may_have_run"
+            return None
+        until = min(progress.ends_at, monotonic() + _FIND_TIMEOUT_S)
+        try:
+            chosen = self._chooser.next_replica(progress, until=until)
+        except Rejection as rejection:
+            self.refused = rejection.reason
+            return None
+        self.refused = ""
+        return chosen
+
+    def _try(self, run: StreamRun) -> bool:
+        """Send the request to a replica; return whether the search need not go on after it."""
+        tasks_before = len(self._tasks)
+        self.start(after_s=_NEXT_REPLICA_AFTER_S)
+        next_task = self._tasks[tasks_before]
+        try:
+            if self._open(run):
+                self._win(run)
+                return True
+        finally:
+            if self._winner is not run:
+                run.close()
+        if next_task or next_task.ready():
+            return True
+        next_task.kill(block=False)
+        return False
+
+    def _open(self, run: StreamRun) -> bool:
+        """Return whether a replica sent the next event before all others."""
+        try:
+            head = run.open(timeout_s=self._progress.left_s)
+        except ExchangeError:
+            return False
+        return head.succeeded and not self._ended
+
+    def _win(self, run: StreamRun) -> None:
+        self._winner = run
+        self._end()
+        self._on_won()
+        self._task_ended.set()
--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -6,9 +6,11 @@
 import time
 from collections.abc import Callable, Iterator
 
+import gevent.socket
 import pytest
 
 from springrock.errors import AnswerCut
+from springrock.forwarding import connection as connection_module
 from springrock.forwarding.choosing import ChosenReplica
 from springrock.forwarding.configuration import RouteKind
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
@@ -26,6 +28,13 @@
 from tests.forwarding.test_choosing import ScriptedAdapters
 from tests.forwarding.test_values import make_request, make_route
 
+
+@pytest.fixture(autouse=True)
+def cooperative_sockets(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let tasks run while a connection is read, as in a box."""
+    monkeypatch.setattr(connection_module, "socket", gevent.socket)
+
+
 HEAD = SUCCESS + b"Content-Type: text/event-stream\r\n"
 EVENTS = [b"id: %d\ndata: token %d\n\n" % (number, number) for number in range(1, 6)]
 HALF = b"id: 3\nda"
