A silent run is given up once its replica is at work elsewhere and another one was sent the stream

Two replicas that both work on one stream for longer than 0.4 s waste one of them, and the users' rules forbid it. A paused replica works on nothing, so its run is kept; one that is heard on other connections while this run alone is silent is at work. Decided by Overlap, every tenth of a second.

--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -114,6 +114,7 @@
         backoff: The back-off that the replica requested from this box.
         pool: The connections of this box to the replica.
         running: The number of requests of this box that the replica is running.
+        heard_at: When it last sent a part of an answer, on the local monotonic clock.
     """
 
     def __init__(self, record: ReplicaRecord, backoff: Backoff | None = None) -> None:
@@ -123,6 +124,7 @@
         self.backoff = backoff or Backoff()
         self.pool = ConnectionPool(record.address)
         self.running = 0
+        self.heard_at = float("-inf")
 
     @property
     def instance(self) -> str:
--- a/springrock/forwarding/resumption.py
+++ b/springrock/forwarding/resumption.py
@@ -44,6 +44,8 @@
         on_won: Called when a replica has won, in a task of the search.
 
     Attributes:
+        sent_at: When a replica was first sent the request, on the local monotonic clock; None
+            before.
         refused: Why no further replica was tried when this was last decided; empty if one was.
     """
 
@@ -64,6 +66,7 @@
         self._ended = False
         self._is_last_hope = Event()
         self._task_ended = Event()
+        self.sent_at: float | None = None
         self.refused = ""
 
     @property
@@ -132,6 +135,7 @@
 
     def _try(self, run: StreamRun) -> bool:
         """Send the request to a replica; return whether the search need not go on after it."""
+        self.sent_at = self.sent_at or monotonic()
         tasks_before = len(self._tasks)
         self.start(after_s=_NEXT_REPLICA_AFTER_S)
         next_task = self._tasks[tasks_before]
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -154,7 +154,6 @@
         """
         key = progress.request.adapter_key
         replica = chosen.replica
-        reach = self._reach.of(replica.record.service)
         terms = SendTerms(
             instance=replica.record.replica_id,
             left_s=progress.left_s,
@@ -173,9 +172,13 @@
             may_send=lambda: self._may_send(progress, chosen),
             on_close=self._byte_counters.counter_for(replica.record.zone),
             on_head=lambda head: self._handle_head(progress, replica, attempt, head),
-            on_data=lambda: reach.record_heard(replica.instance),
+            on_data=lambda: self._record_heard(replica),
         )
 
+    def _record_heard(self, replica: Replica) -> None:
+        replica.heard_at = monotonic()
+        self._reach.of(replica.record.service).record_heard(replica.instance)
+
     def _handle_head(
         self, progress: RequestProgress, replica: Replica, attempt: Attempt, head: AnswerHead
     ) -> None:
--- a/springrock/forwarding/silence_guard.py
+++ b/springrock/forwarding/silence_guard.py
@@ -10,6 +10,7 @@
 from springrock.clock import monotonic
 from springrock.errors import SpringrockError
 from springrock.forwarding.events import Event
+from springrock.forwarding.overlap import Overlap
 from springrock.forwarding.resumption import Resumption
 from springrock.forwarding.stream_run import StreamRun
 
@@ -20,8 +21,14 @@
 """Returns a search, given what to call when a replica has won."""
 
 
+_CHECK_INTERVAL_S = 0.1
+
+_SENT_BEFORE = "another replica sent the next event before"
+_AT_WORK_BESIDE = "silent in this run alone, which another replica was sent"
+
+
 class Overtaken(SpringrockError):
-    """Another replica has sent the next event of a stream."""
+    """Another replica goes on with a stream."""
 
 
 class SilenceGuard:
@@ -49,6 +56,7 @@
         self._may_resume = may_resume
         self._new_resumption = new_resumption
         self._on_silent = on_silent
+        self._overlap = Overlap()
         self._reader = gevent.getcurrent()
         self._waiting_since: float | None = None
         self._timer: gevent.Greenlet[..., Any] | None = None
@@ -62,7 +70,8 @@
         """Return the next events of the run, as `StreamRun.read` does.
 
         Raises:
-            Overtaken: If another replica has sent the next event before.
+            Overtaken: If another replica has sent the next event before, or is to send it while
+                this one is at work as well.
             OutcomeUnknown: If the run broke off, or was not complete by the deadline.
         """
         self._waiting_since = monotonic()
@@ -72,7 +81,7 @@
             self._waiting_since = None
         if self._resumption is not None:
             if self._resumption.won:
-                raise Overtaken
+                raise Overtaken(_SENT_BEFORE)
             self._end_resumption()
             self._watch_for(STALL_TIMEOUT_S)
         return events
@@ -108,6 +117,21 @@
         self._on_silent()
         self._resumption = self._new_resumption(self._schedule_interrupt)
         self._resumption.start()
+        self._overlap = Overlap()
+        self._timer = gevent.spawn_later(_CHECK_INTERVAL_S, self._check_overlap)
+
+    def _check_overlap(self) -> None:
+        """Give the run up if its replica and another one are both at work on the stream."""
+        resumption = self._resumption
+        if resumption is None or resumption.won:
+            return
+        heard_at = self._run.replica_heard_at
+        if self._overlap.is_too_long(
+            now=monotonic(), heard_at=heard_at, sent_at=resumption.sent_at
+        ):
+            gevent.get_hub().loop.run_callback(self._interrupt, _AT_WORK_BESIDE)
+        else:
+            self._timer = gevent.spawn_later(_CHECK_INTERVAL_S, self._check_overlap)
 
     def _end_resumption(self) -> None:
         if self._resumption is not None:
@@ -115,9 +139,9 @@
             self._resumption = None
 
     def _schedule_interrupt(self) -> None:
-        gevent.get_hub().loop.run_callback(self._interrupt)
+        gevent.get_hub().loop.run_callback(self._interrupt, _SENT_BEFORE)
 
-    def _interrupt(self) -> None:
+    def _interrupt(self, reason: str) -> None:
         """Interrupt the read, unless it has ended since; called in the hub."""
         if self._waiting_since is not None:
-            self._reader.throw(Overtaken())
+            self._reader.throw(Overtaken(reason))
--- a/springrock/forwarding/stream_run.py
+++ b/springrock/forwarding/stream_run.py
@@ -67,6 +67,11 @@
         """Seconds since the run began or its latest event arrived."""
         return monotonic() - self._heard_at
 
+    @property
+    def replica_heard_at(self) -> float:
+        """When the replica last sent a part of any answer, on the local monotonic clock."""
+        return self._replica.heard_at
+
     def open(self, *, timeout_s: float) -> AnswerHead:
         """Send the request, read up to the first complete event, and return the head.
 
@@ -139,9 +144,9 @@
         """Record that the run gave no whole answer."""
         self._sender.record_failure(self._progress, self._replica, self._attempt, error)
 
-    def record_overtaken(self) -> AnswerSilent:
-        """Record that another replica went on with the stream; return what counts as the error."""
-        error = AnswerSilent("another replica sent the next event before")
+    def record_given_up(self, reason: str) -> AnswerSilent:
+        """Record that another replica goes on with the stream; return what counts as the error."""
+        error = AnswerSilent(reason)
         self.record_failure(error)
         return error
 
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -75,8 +75,8 @@
             guard = self._guard(progress, run)
             try:
                 yield from self._read(run, guard)
-            except Overtaken:
-                broken = _Break(run, run.record_overtaken(), run.silent_s)
+            except Overtaken as overtaken:
+                broken = _Break(run, run.record_given_up(str(overtaken)), run.silent_s)
             except OutcomeUnknown as error:
                 broken = _Break(run, error, run.silent_s)
             except BaseException:
--- a/tests/forwarding/test_silent_replicas.py
+++ b/tests/forwarding/test_silent_replicas.py
@@ -249,6 +249,24 @@
         wait_closed(script, within_s=0.5)
 
 
+def test_a_run_that_alone_is_silent_is_closed_soon_after_another_one_began() -> None:
+    first, second = Playing((0.0, BEGUN), ends=False), Playing((1.5, REST))
+    with ScriptedReplica(first) as one, ScriptedReplica(second) as other:
+        stream = Stream(one.address, other.address, resumable=True)
+
+        def _hear() -> None:
+            while True:
+                stream.chooser.replicas[0].heard_at = monotonic()
+                gevent.sleep(0.05)
+
+        hearing = gevent.spawn(_hear)
+        received, cut = collect(stream.events())
+        hearing.kill()
+        assert (b"".join(received), cut) == (WHOLE, False)
+        assert first.closed_at is not None
+        assert second.sent_at[0] - first.closed_at > 0.9
+
+
 def test_a_second_silence_is_survived_like_the_first() -> None:
     first = Playing((0.0, BEGUN), (0.5, EVENTS[2]), (0.5, EVENTS[3]), (0.5, EVENTS[4]))
     _, received, cut = play(first, Mute(), Mute())
