Each answer that ends early leaves one line with its request's id

Cause: a client's connection could end without a line that names the request. "A client disconnected." had the target only; a body that raised, an answer that was cut, a killed task and a send timeout left no line of the door; a plain answer counted as ended before its first byte was sent, so that its failure left nothing, and the box could stop while it was being sent; requests open at the end of a planned stop left nothing.

The server now tells the application once how a response ended. The door counts a request as open until then, and writes "An answer ended early." with request, ended_by, outcome, status, bytes sent, age and error. A fault keeps its own sentence, with these fields. `CallerGone` carries the error of a connection that failed as its cause, and is not raised by a watch that is being stopped: it left the request counted as open for ever.

When a request is cancelled is unchanged.

--- a/springrock/doors/_watch.py
+++ b/springrock/doors/_watch.py
@@ -29,20 +29,29 @@
         self._watch_task = gevent.spawn(self._watch)
 
     def stop(self) -> None:
-        """Stop watching; afterwards `CallerGone` is no longer raised."""
-        if self._watch_task is not None:
-            self._watch_task.kill()
-            self._watch_task = None
+        """Stop watching; a client that leaves from now on raises no `CallerGone`."""
+        task, self._watch_task = self._watch_task, None
+        if task is not None:
+            task.kill()
 
     def _watch(self) -> None:
+        error: OSError | None = None
         while True:
             try:
                 data = self._connection.recv(1, socket.MSG_PEEK)
             except TimeoutError:
                 continue
-            except OSError:
-                data = b""
-            if data:
+            except OSError as failure:
+                data, error = b"", failure
+            # While `stop` waits for this task, it must not be interrupted.
+            if data or self._watch_task is None:
                 return
-            gevent.kill(self._serving_task, CallerGone("the caller closed its connection"))
+            gevent.kill(self._serving_task, _caller_gone(error))
             return
+
+
+def _caller_gone(error: OSError | None) -> CallerGone:
+    """Return the exception to raise; its cause is the error of the connection, if any."""
+    gone = CallerGone("the caller closed its connection" if error is None else str(error))
+    gone.__cause__ = error
+    return gone
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import traceback
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
@@ -9,17 +10,26 @@
 from springrock.clock import monotonic
 from springrock.doors._watch import CallerWatch
 from springrock.errors import BadRequest, CallerGone
+from springrock.forwarding.answer_end import EndedBy, ended_by
 from springrock.forwarding.dialect import Dialect
 from springrock.forwarding.fault_watch import FaultWatch
 from springrock.forwarding.forwarder import Forwarder
-from springrock.forwarding.message import Headers
+from springrock.forwarding.message import ClientRequest, Headers
 from springrock.forwarding.reply import Reply, own_reply
-from springrock.httpd import HEADERS_KEY, SOCKET_KEY, TARGET_KEY, HttpServer
+from springrock.httpd import (
+    HEADERS_KEY,
+    RESPONSE_KEY,
+    SOCKET_KEY,
+    TARGET_KEY,
+    HttpServer,
+    Response,
+)
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 
 _SEND_TIMEOUT_S = 20.0
 _LOGGED_FRAMES = 3
+_MAX_LOGGED_ERROR = 200
 
 
 class ForwardingDoor:
@@ -34,7 +44,6 @@
         metrics: The metrics to count in.
 
     Attributes:
-        open_requests: Number of requests in the box that have not ended.
         closing: Whether each reply asks the client to close its connection.
         refusing: Whether new requests are refused, as they could not end before the box stops.
         faults: Tells whether all requests fail by a fault of this box.
@@ -56,127 +65,186 @@
         self._log = log
         self._metrics = metrics
         self._server = HttpServer(self._serve, address, send_timeout_s=_SEND_TIMEOUT_S)
-        self.open_requests = 0
+        self._open: set[_OpenRequest] = set()
         self.closing = False
         self.refusing = False
         self.faults = FaultWatch()
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests in the box whose answers have not been sent completely."""
+        return len(self._open)
+
     def start(self) -> None:
         """Start listening."""
         self._server.start()
 
     def stop(self) -> None:
-        """Stop listening and close the idle connections."""
+        """Stop listening; the requests that are still open end with the process."""
         self._server.stop(finish_within_s=0.2)
+        for request in list(self._open):
+            request.record_stop()
 
     def _serve(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        received_at = monotonic()
-        self.open_requests += 1
-        watch = CallerWatch(environ[SOCKET_KEY])
-        request_end = _RequestEnd(self, watch, received_at)
-        try:
-            body = environ["wsgi.input"].read(self._body_limit_bytes() + 1)
-            # From here on only the watch reads from the socket.
-            watch.start()
-            reply = self._reply_or_record_fault(environ, body, received_at)
-            headers = list(reply.head.headers)
-            if self.closing:
-                headers.append(("Connection", "close"))  # type: ignore[arg-type]
-            start_response(f"{reply.head.status} {reply.head.reason}", headers)
-        except CallerGone:
-            self._record_disconnect(environ)
-            request_end.run("gone")
-            raise
-        except BaseException:
-            request_end.run("fault")
-            raise
-        outcome = reply.reason or str(reply.head.status)
+        open_request = _OpenRequest(self, environ, self._log)
+        self._open.add(open_request)
+        body = environ["wsgi.input"].read(self._body_limit_bytes() + 1)
+        open_request.reading = False
+        # From here on only the watch reads from the socket.
+        open_request.watch.start()
+        reply = self._reply_or_record_fault(open_request, body)
+        headers = list(reply.head.headers)
+        if self.closing:
+            headers.append(("Connection", "close"))  # type: ignore[arg-type]
+        open_request.reply = reply
+        start_response(f"{reply.head.status} {reply.head.reason}", headers)
         if isinstance(reply.body, list):
-            request_end.run(outcome)
+            open_request.watch.stop()
             return reply.body
-        return self._stream_body(environ, reply, request_end)
+        return _watched_body(reply.body, open_request.watch)
 
-    def _reply_or_record_fault(
-        self, environ: dict[str, Any], body: bytes, received_at: float
-    ) -> Reply:
+    def _reply_or_record_fault(self, open_request: _OpenRequest, body: bytes) -> Reply:
         """Return the reply; an exception that is not the client's leaving is this box's fault."""
         try:
-            reply = self._reply(environ, body, received_at)
+            reply = self._reply(open_request, body)
         except CallerGone:
             raise
-        except Exception as error:
-            self._record_fault(environ, error)
+        except Exception:
+            self.faults.record_fault()
             raise
         self.faults.record_handled()
         return reply
 
-    def _reply(self, environ: dict[str, Any], body: bytes, received_at: float) -> Reply:
+    def _reply(self, open_request: _OpenRequest, body: bytes) -> Reply:
         if self.refusing:
             return own_reply(503, "stopping", retry_after_s=0.0)
         if len(body) > self._body_limit_bytes():
             return own_reply(413, "body_too_large")
         try:
-            request = self._dialect.read_request(
-                method=environ["REQUEST_METHOD"],
-                target=environ[TARGET_KEY],
-                headers=Headers.from_pairs(environ[HEADERS_KEY]),
-                body=body,
-                received_at=received_at,
-            )
+            request = open_request.parse(self._dialect, body)
         except BadRequest as error:
             self._log.info("Refused a malformed request.", error=str(error))
             return own_reply(400, "malformed_request")
         return self._forwarder.forward(request)
 
-    def _stream_body(
-        self, environ: dict[str, Any], reply: Reply, request_end: _RequestEnd
-    ) -> Iterator[bytes]:
-        outcome = "cut"
-        try:
-            yield from reply.body
-            outcome = str(reply.head.status)
-        except (CallerGone, GeneratorExit):
-            outcome = "gone"
-            self._record_disconnect(environ)
-            raise
-        finally:
-            close = getattr(reply.body, "close", None)
-            if close is not None:
-                close()
-            request_end.run(outcome)
-
-    def _record_disconnect(self, environ: dict[str, Any]) -> None:
-        self._log.info("A client disconnected.", target=environ[TARGET_KEY])
+    def request_id_of(self, open_request: _OpenRequest) -> str:
+        """Return the client's id of a request; empty if it states none."""
+        if not open_request.request_id:
+            with contextlib.suppress(BadRequest):
+                open_request.parse(self._dialect, b"")
+        return open_request.request_id
 
-    def _record_fault(self, environ: dict[str, Any], error: Exception) -> None:
-        self.faults.record_fault()
-        frames = traceback.extract_tb(error.__traceback__)[-_LOGGED_FRAMES:]
-        self._log.info(
-            "A request failed by a fault of this box.",
-            target=environ[TARGET_KEY],
-            error=repr(error),
-            raised_at=[f"{frame.name}:{frame.lineno}" for frame in frames],
-            failing=self.faults.failing,
-        )
-
-    def record_finished(self, outcome: str, seconds: float) -> None:
+    def record_finished(self, open_request: _OpenRequest, outcome: str) -> None:
         """Record the end of a request."""
-        self.open_requests -= 1
+        self._open.discard(open_request)
         self._metrics.requests.labels(outcome).inc()
-        self._metrics.request_seconds.observe(seconds)
+        self._metrics.request_seconds.observe(open_request.age_s)
+
+
+def _watched_body(body: Iterable[bytes], watch: CallerWatch) -> Iterator[bytes]:
+    """Yield a body as it arrives; close it and stop the watch at its end."""
+    try:
+        yield from body
+    finally:
+        close = getattr(body, "close", None)
+        if close is not None:
+            close()
+        watch.stop()
 
 
-class _RequestEnd:
-    """The steps to take once at the end of a request, whichever way it ends."""
+class _OpenRequest:
+    """A request whose answer has not been sent completely; logs an end before that once.
 
-    def __init__(self, door: ForwardingDoor, watch: CallerWatch, received_at: float) -> None:
+    Args:
+        door: The door that serves it.
+        environ: The WSGI environment.
+        log: The log to write to.
+
+    Attributes:
+        watch: Watches for the client's leaving.
+        reading: Whether the request is still being read.
+        request_id: The client's id of the request; empty until it is parsed.
+        reply: The reply, once there is one.
+    """
+
+    def __init__(self, door: ForwardingDoor, environ: dict[str, Any], log: Log) -> None:
         self._door = door
-        self._watch = watch
-        self._received_at = received_at
+        self._environ = environ
+        self._log = log
+        self._received_at = monotonic()
+        self._logged = False
+        self._response: Response = environ[RESPONSE_KEY]
+        self._response.on_end = self._end
+        self.watch = CallerWatch(environ[SOCKET_KEY])
+        self.reading = True
+        self.request_id = ""
+        self.reply: Reply | None = None
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the head of the request was received."""
+        return monotonic() - self._received_at
+
+    def parse(self, dialect: Dialect, body: bytes) -> ClientRequest:
+        """Return the client's request.
+
+        Raises:
+            BadRequest: If it is malformed.
+        """
+        request = dialect.read_request(
+            method=self._environ["REQUEST_METHOD"],
+            target=self._environ[TARGET_KEY],
+            headers=Headers.from_pairs(self._environ[HEADERS_KEY]),
+            body=body,
+            received_at=self._received_at,
+        )
+        self.request_id = request.request_id
+        return request
+
+    def record_stop(self) -> None:
+        """Log that the box stops before the answer is complete."""
+        self._log_end(EndedBy.STOPPING, "open", None)
 
-    def run(self, outcome: str) -> None:
-        """Stop the watch and record the end of the request."""
-        self._watch.stop()
-        self._door.record_finished(outcome, monotonic() - self._received_at)
+    def _end(self, error: BaseException | None) -> None:
+        """Stop the watch and record the end of the request, whichever way it ends."""
+        try:
+            self.watch.stop()
+        finally:
+            outcome = self._outcome(error)
+            if error is not None:
+                sending = error is self._response.send_error
+                cause = ended_by(error, reading=self.reading, sending=sending)
+                self._log_end(cause, outcome, error)
+            self._door.record_finished(self, outcome)
+
+    def _outcome(self, error: BaseException | None) -> str:
+        if error is None:
+            return "" if self.reply is None else self.reply.reason or str(self.reply.head.status)
+        if isinstance(error, CallerGone) or error is self._response.send_error:
+            return "gone"
+        return "fault" if self.reply is None else "cut"
+
+    def _log_end(self, cause: EndedBy, outcome: str, error: BaseException | None) -> None:
+        if self._logged:
+            return
+        self._logged = True
+        fault = cause is EndedBy.FAULT
+        fields: dict[str, object] = {}
+        if fault and error is not None:
+            frames = traceback.extract_tb(error.__traceback__)[-_LOGGED_FRAMES:]
+            fields["raised_at"] = [f"{frame.name}:{frame.lineno}" for frame in frames]
+            fields["failing"] = self._door.faults.failing
+        self._log.info(
+            "A request failed by a fault of this box." if fault else "An answer ended early.",
+            request=self._door.request_id_of(self),
+            target=self._environ[TARGET_KEY],
+            ended_by=cause,
+            outcome=outcome,
+            error="" if error is None else repr(error.__cause__ or error)[:_MAX_LOGGED_ERROR],
+            status=0 if self.reply is None else self.reply.head.status,
+            sent_bytes=self._response.sent_bytes,
+            age_ms=round(self.age_s * 1000),
+            **fields,
+        )
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -21,6 +22,30 @@
 HEADERS_KEY = "springrock.headers"
 """The key of the request's headers, as pairs exactly as sent, in the WSGI environment."""
 
+RESPONSE_KEY = "springrock.response"
+"""The key of the `Response` to the request in the WSGI environment."""
+
+
+class Response:
+    """The response to one request, as the server sends it.
+
+    Attributes:
+        sent_bytes: Bytes sent to the caller, head and framing included.
+        send_error: The error of the caller's connection that ended the sending, if any.
+        on_end: Called once when the response has ended, with what broke it off, or None.
+    """
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.send_error: OSError | None = None
+        self.on_end: Callable[[BaseException | None], None] | None = None
+
+    def end(self, error: BaseException | None) -> None:
+        """Tell the application that the response has ended; safe to call again."""
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(error)
+
 
 class _Server(WSGIServer):
     """A WSGI server with a send time-out for its connections."""
@@ -49,10 +74,28 @@
         environ[SOCKET_KEY] = self.socket
         environ[TARGET_KEY] = self.path
         environ[HEADERS_KEY] = self.headers.items()
+        self._response = environ[RESPONSE_KEY] = Response()
         assert isinstance(self.server, _Server)
         self.socket.settimeout(self.server.send_timeout_s)
         return environ
 
+    def run_application(self) -> None:
+        """Produce and send one response; tell the application how it ended."""
+        try:
+            super().run_application()
+        except BaseException as error:
+            self._response.end(error)
+            raise
+        self._response.end(None)
+
+    def _sendall(self, data: bytes) -> None:
+        try:
+            super()._sendall(data)  # type: ignore[misc]
+        except OSError as error:
+            self._response.send_error = error
+            raise
+        self._response.sent_bytes += len(data)
+
     def handle_error(self, kind: Any, value: Any, traceback: Any) -> None:
         """Handle an error; close the connection without a last chunk if the answer broke off."""
         if self.headers_sent and not self.response_use_chunked:
