A client that reads its answer slowly is not given up

Cause: gevent's `sendall` takes the send timeout for all of its data, and by the wall clock. An answer sent in one piece to a client that reads on, but needs longer than 20 s for it, was ended; a jump of the wall clock could end one at once. The documented timeout is for a client that accepts no bytes.

Each part that the client accepts now begins the timeout anew, on the clock that never jumps. A send is tried each second, as the system reports room only once a good part of its buffer is free.

--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -10,6 +10,7 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from springrock.clock import Deadline
 from springrock.errors import AnswerCut, CallerGone
 from springrock.settings import split_address
 
@@ -22,6 +23,9 @@
 HEADERS_KEY = "springrock.headers"
 """The key of the request's headers, as pairs exactly as sent, in the WSGI environment."""
 
+_SEND_PERIOD_S = 1.0
+"""How often to try to send: a system that has little room does not report that it has some."""
+
 RESPONSE_KEY = "springrock.response"
 """The key of the `Response` to the request in the WSGI environment."""
 
@@ -90,11 +94,39 @@
 
     def _sendall(self, data: bytes) -> None:
         try:
-            super()._sendall(data)  # type: ignore[misc]
+            self._send_parts(memoryview(data))
         except OSError as error:
             self._response.send_error = error
             raise
-        self._response.sent_bytes += len(data)
+
+    def _send_parts(self, data: memoryview) -> None:
+        """Send all of the data; each part that the caller accepts begins the timeout anew.
+
+        The timeout of `sendall` is for all of the data, and goes by a clock that can jump.
+
+        Raises:
+            OSError: If the connection failed, or the caller accepted nothing within the timeout.
+        """
+        assert isinstance(self.server, _Server)
+        deadline = Deadline(self.server.send_timeout_s)
+        while data:
+            sent = self._send_part(data, timeout_s=min(_SEND_PERIOD_S, deadline.left_s))
+            if sent:
+                deadline = Deadline(self.server.send_timeout_s)
+                data = data[sent:]
+            elif deadline.passed:
+                raise TimeoutError("the caller accepted no bytes within the timeout")
+
+    def _send_part(self, data: memoryview, *, timeout_s: float) -> int:
+        """Return how many bytes were sent; 0 if none were accepted within the timeout."""
+        connection: Any = self.socket
+        try:
+            sent: int = connection.send(data, 0, timeout=timeout_s)
+        except TimeoutError:
+            return 0
+        self.response_length += sent
+        self._response.sent_bytes += sent
+        return sent
 
     def handle_error(self, kind: Any, value: Any, traceback: Any) -> None:
         """Handle an error; close the connection without a last chunk if the answer broke off."""
