A stream of another box is waited for until the request's deadline

Cause: a box that passed a request on ended the stream after `event_timeout_s` of silence, an estimate of the client's patience. The other box deals with silent replicas itself; nobody else may go on with the stream once its head was relayed, so that ending it early could only lose it.

Ruled out: asking by a second connection whether the box lives (a paused process accepts in its backlog; no answer may be a cut that ends), and keepalive probes (the same guess, made by the system). A box whose process died is told by the end of its connection, which still ends the answer at once; a machine that vanished holds a connection until the deadline, or until the client leaves, which closes the connection to the other box as before.

The test of a silence of 2.3 s fails before; those of the deadline, of a box that is killed and of a client that leaves pass before and after.

--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -180,19 +180,21 @@
     def _relay(self, progress: RequestProgress, answer: Answer) -> Iterator[bytes]:
         """Yield complete events as they arrive.
 
+        The other box deals with replicas that are silent, and no third box may go on with the
+        stream. Its silence is therefore waited out until the deadline: the system of a box that
+        died ends the connection at once, and a box that is cut off may be heard again.
+
         Raises:
             AnswerCut: If the stream breaks, or ends inside an event, whatever the other box says.
         """
         splitter = EventSplitter()
         try:
-            while data := answer.read(
-                timeout_s=min(progress.event_timeout_s, max(0.0, progress.left_s))
-            ):
+            while data := answer.read(timeout_s=progress.left_s):
                 events = splitter.feed(data)
                 if events:
                     yield b"".join(event.raw for event in events)
         except OutcomeUnknown as error:
-            raise AnswerCut(str(error)) from None
+            raise AnswerCut(f"from another box: {error}") from None
         finally:
             answer.close()
         if splitter.inside_event:
--- a/tests/forwarding/test_passing_on.py
+++ b/tests/forwarding/test_passing_on.py
@@ -3,22 +3,29 @@
 from __future__ import annotations
 
 import socket
+import threading
+import time
 from collections.abc import Collection
 
+import gevent
 import pytest
+from gevent import socket as gevent_socket
 
-from springrock.errors import AnswerCut
+from springrock.clock import monotonic
+from springrock.errors import AnswerCut, CallerGone
 from springrock.forwarding.configuration import RouteKind
 from springrock.forwarding.dialect import SendTerms
 from springrock.forwarding.errors import NoReplica, Quarantined, Rejection
 from springrock.forwarding.message import Header, Headers, Knowledge
 from springrock.forwarding.passing_on import PassingOn
+from springrock.forwarding.reply import Reply
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.log import Log
 from springrock.platform import names
 from springrock.platform.dialect import PlatformDialect
 from tests.factories import make_reach
-from tests.forwarding.scripted import ScriptedReplica, read_request
+from tests.forwarding.scripted import Script as Scripted
+from tests.forwarding.scripted import ScriptedReplica, read_request, reset
 from tests.forwarding.test_values import make_request, make_route
 
 HANDLED = b"Springrock-Passed-On: handled\r\nSpringrock-Configuration: 7\r\n"
@@ -240,3 +247,77 @@
     assert reply is not None
     assert (reply.head.status, reply.reason) == (502, "outcome_unknown")
     assert not other.received
+
+
+FIRST_EVENT = b"id: 1\ndata: a\n\n"
+LAST_EVENT = b"id: 2\ndata: bcdefghijkl\n\n"
+
+
+def stream_of(box: ScriptedReplica, *, deadline_s: float) -> Reply:
+    request = make_request(deadline_s=deadline_s)
+    route = make_route(kind=RouteKind.STREAMING, target_s=0.1, gap_s=0.01)
+    progress = RequestProgress(request, route, "s", known=Knowledge(7, 3))
+    reply = make_passing_on(ScriptedPeers(box.address)).forward(progress)
+    assert reply is not None
+    return reply
+
+
+def after_the_first_event(then: Scripted) -> Scripted:
+    """Return a script that sends a stream's head and its first event, and goes on as told."""
+
+    def _script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(STREAM_HEAD + FIRST_EVENT)
+        then(connection)
+
+    return _script
+
+
+def test_a_stream_goes_on_after_a_silence_of_the_other_box() -> None:
+    def _go_on_late(connection: socket.socket) -> None:
+        time.sleep(2.3)
+        connection.sendall(LAST_EVENT)
+
+    with ScriptedReplica(after_the_first_event(_go_on_late)) as box:
+        body = b"".join(stream_of(box, deadline_s=10.0).body)
+    assert body == FIRST_EVENT + LAST_EVENT
+
+
+def test_a_stream_whose_other_box_stays_silent_ends_with_the_deadline() -> None:
+    with ScriptedReplica(after_the_first_event(lambda connection: time.sleep(3.0))) as box:
+        began_at = monotonic()
+        with pytest.raises(AnswerCut):
+            b"".join(stream_of(box, deadline_s=0.5).body)
+    assert 0.45 <= monotonic() - began_at < 1.5
+
+
+def test_a_stream_whose_other_box_is_killed_ends_at_once() -> None:
+    """Its system ends the connection; that is no silence."""
+    with ScriptedReplica(after_the_first_event(reset)) as box:
+        began_at = monotonic()
+        with pytest.raises(AnswerCut):
+            b"".join(stream_of(box, deadline_s=10.0).body)
+    assert monotonic() - began_at < 1.0
+
+
+def test_the_leaving_of_a_client_ends_the_wait_for_a_silent_other_box(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("springrock.forwarding.connection.socket", gevent_socket)
+    ended = threading.Event()
+
+    def _wait_for_end(connection: socket.socket) -> None:
+        connection.settimeout(5.0)
+        if connection.recv(1) == b"":
+            ended.set()
+
+    received: list[bytes] = []
+    with ScriptedReplica(after_the_first_event(_wait_for_end)) as box:
+        reply = stream_of(box, deadline_s=10.0)
+        client = gevent.spawn(lambda: received.extend(reply.body))
+        with gevent.Timeout(2.0):
+            while not received:
+                gevent.sleep(0.01)
+            gevent.kill(client, CallerGone("left"))
+            while not ended.is_set():
+                gevent.sleep(0.01)
