A replica that accepts no connection at the end of its answer is asked again

Cause: an answer without length ends with its connection, and another connection must open to confirm that its replica lives on. One that did not open within 0.6 s, as to a replica that is paused, counted as the replica's crash, so that the whole answer counted as broken.

A refusal is a fact and still breaks the answer at once. A connection that does not open shows nothing: it is tried again until the caller's timeout, which for plain answers is the request's deadline. After that the answer is silent, not broken, and the next read asks again. Reading the end of an answer may exceed the caller's timeout by 0.6 s at the most, as before.

Ruled out: a replica process that is stopped by a signal alone, as its system accepts connections into its queue. Seen with a full queue or a paused machine.

Two of the three new tests fail before (AnswerBroken after 0.6 s); the third, a replica that is killed after a silence, passes before and after.

--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 from springrock.clock import Deadline
@@ -13,6 +14,8 @@
 from springrock.forwarding.dialect import Dialect, SendTerms
 from springrock.forwarding.errors import (
     AnswerBroken,
+    AnswerSilent,
+    ConnectionRefused,
     ForeignAnswer,
     OutcomeUnknown,
     ReplicaChanged,
@@ -27,8 +30,14 @@
 
 _SURPLUS_READ_TIMEOUT_S = 0.5
 
+_CONFIRM_TIMEOUT_S = 0.6
+"""Time for the connection that confirms an answer without length, if reading took the rest."""
+
 _MIN_CONFIRM_TIMEOUT_S = 0.02
-"""Least time to open the connection that confirms an answer without length."""
+"""Least time to open that connection."""
+
+_CONFIRM_PAUSE_S = 0.05
+"""Pause before it is tried again, as it may fail without any wait."""
 
 OnClose = Callable[[int, int], None]
 """Receives the bytes of the request and the bytes read of the answer's body."""
@@ -67,24 +76,31 @@
         self._pool = pool
         self._on_close = on_close
         self._received_bytes = 0
+        self._ended = False
         self._complete = False
 
     def read(self, *, timeout_s: float) -> bytes:
         """Return the next bytes of the body; empty at its complete end.
 
         The end of an answer without length is confirmed by another connection to the replica, which
-        may take as long as opening one.
+        may take as long as opening one. If it is not confirmed within the timeout, the next call
+        asks again.
 
         Raises:
             AnswerBroken: If the body ended early.
-            AnswerSilent: If nothing arrived within the timeout.
+            AnswerSilent: If nothing arrived within the timeout, or the end was not confirmed.
         """
         if self._complete:
             return b""
-        data = self._connection.read(timeout_s=timeout_s)
-        self._received_bytes += len(data)
-        if not data:
-            self._confirm_end(timeout_s)
+        deadline = Deadline(timeout_s)
+        data = b""
+        if not self._ended:
+            data = self._connection.read(timeout_s=timeout_s)
+            self._received_bytes += len(data)
+            self._ended = not data
+        if self._ended:
+            least_s = min(_CONFIRM_TIMEOUT_S, max(_MIN_CONFIRM_TIMEOUT_S, timeout_s))
+            self._confirm_end(Deadline(max(least_s, deadline.left_s)))
             self._complete = True
         self._on_data()
         return data
@@ -112,19 +128,37 @@
             return
         self._complete = True
 
-    def _confirm_end(self, timeout_s: float) -> None:
-        """Raise if a body that ends with its connection may have been broken off by a crash."""
+    def _confirm_end(self, deadline: Deadline) -> None:
+        """Return once the replica is known to have lived on after the end of the body.
+
+        Only a body that ends with its connection may have been broken off by a crash. A refused
+        connection shows one; one that does not open, as to a paused replica, shows nothing.
+
+        Raises:
+            AnswerBroken: If the replica refuses connections.
+            AnswerSilent: If no connection opened by the deadline.
+        """
         if self.head.body_end is not BodyEnd.CLOSE:
             return
-        try:
-            # The connection that ended is to be replaced anyway.
-            self._pool.open_spare(
-                ended=self._connection, timeout_s=max(_MIN_CONFIRM_TIMEOUT_S, timeout_s)
-            )
-        except ReplicaUnreachable as error:
-            raise AnswerBroken(
-                f"the answer ended with its connection, and its replica accepts no other: {error}"
-            ) from None
+        while True:
+            try:
+                # The connection that ended is to be replaced anyway.
+                self._pool.open_spare(
+                    ended=self._connection,
+                    timeout_s=max(_MIN_CONFIRM_TIMEOUT_S, deadline.left_s),
+                )
+                return
+            except ConnectionRefused as error:
+                raise AnswerBroken(
+                    "the answer ended with its connection, and its replica accepts no other: "
+                    f"{error}"
+                ) from None
+            except ReplicaUnreachable as error:
+                if deadline.left_s <= _CONFIRM_PAUSE_S:
+                    raise AnswerSilent(
+                        f"the answer ended with its connection, and no other opened: {error}"
+                    ) from None
+            time.sleep(_CONFIRM_PAUSE_S)
 
     def close(self) -> None:
         """Return the connection to the pool if the answer was read completely, else close it."""
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 
 import pytest
 
@@ -251,6 +252,90 @@
         body_of(send(ConnectionPool(replica.address)))
 
 
+class PausedReplica:
+    """Sends an answer without length, ends its connection, and then accepts none for a time.
+
+    Its queue of connections that are not accepted yet is full, so that its system answers none.
+
+    Args:
+        paused_s: How long it is paused.
+        killed: Whether it is killed after that, instead of going on.
+    """
+
+    def __init__(self, *, paused_s: float, killed: bool = False) -> None:
+        self._paused_s = paused_s
+        self._killed = killed
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        host, port = self._listener.getsockname()
+        self.address = f"{host}:{port}"
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+
+    def __enter__(self) -> PausedReplica:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self._listener.close()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection:
+            read_request(connection)
+            waiting = [self._fill_queue() for _ in range(4)]
+            connection.sendall(SUCCESS + b"\r\nall of it")
+        time.sleep(self._paused_s)
+        if self._killed:
+            self._listener.close()
+            return
+        accepted = []
+        while True:
+            try:
+                accepted.append(self._listener.accept())
+            except OSError:
+                break
+        del waiting, accepted
+
+    def _fill_queue(self) -> socket.socket:
+        client = socket.socket()
+        client.setblocking(False)
+        client.connect_ex(self._listener.getsockname())
+        return client
+
+
+def test_an_answer_without_length_waits_for_a_replica_that_is_paused_at_its_end() -> None:
+    """Guards against taking a connection that is not accepted in time for a crash."""
+    with PausedReplica(paused_s=1.9) as replica:
+        began_at = monotonic()
+        found = send(ConnectionPool(replica.address))
+        try:
+            assert found.read_all(deadline=Deadline(10.0)) == b"all of it"
+        finally:
+            found.close()
+    assert monotonic() - began_at > 1.8, "the replica was not paused"
+
+
+def test_a_replica_that_refuses_connections_after_a_silence_has_broken_its_answer() -> None:
+    with PausedReplica(paused_s=1.0, killed=True) as replica:
+        began_at = monotonic()
+        found = send(ConnectionPool(replica.address))
+        with pytest.raises(AnswerBroken):
+            found.read_all(deadline=Deadline(10.0))
+        found.close()
+    assert monotonic() - began_at < 3.0
+
+
+def test_the_end_of_an_answer_that_was_not_confirmed_in_time_is_asked_for_again() -> None:
+    with PausedReplica(paused_s=1.9) as replica:
+        found = send(ConnectionPool(replica.address))
+        assert found.read(timeout_s=2.0) == b"all of it"
+        began_at = monotonic()
+        with pytest.raises(AnswerSilent):
+            found.read(timeout_s=0.3)
+        assert monotonic() - began_at < 1.0
+        assert found.read(timeout_s=5.0) == b""
+        found.close()
+
+
 def test_the_end_of_a_connection_to_a_replica_that_is_gone_is_no_sign_of_life() -> None:
     def _crash(connection: socket.socket) -> None:
         read_request(connection)
