Tests: a silent replica does not end a plain answer

Replicas and other boxes that are silent for 1.9 s before or inside the head, inside a body, a chunk or the size of one, between chunks, and before the last chunk still give a whole answer.

--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -579,3 +579,51 @@
     data = b"HTTP/1.1 100 Continue\r\n\r\n" + answer("r1", b"body")
     with ScriptedReplica(script_sending(data)) as replica:
         assert body_of(send(ConnectionPool(replica.address))) == b"body"
+
+
+CHUNKED = SUCCESS + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        (b"", answer("r1", b"body")),
+        (SUCCESS[:30], answer("r1", b"body")[30:]),
+        (answer("r1", b"body")[:-2], b"dy"),
+        (CHUNKED + b"2\r\nb", b"o\r\n2\r\ndy\r\n0\r\n\r\n"),
+        (CHUNKED + b"2\r\nbo\r\n", b"2\r\ndy\r\n0\r\n\r\n"),
+        (CHUNKED + b"2\r\nbo\r\n2", b"\r\ndy\r\n0\r\n\r\n"),
+        (CHUNKED + b"4\r\nbody\r\n", b"0\r\n\r\n"),
+        (SUCCESS + b"\r\nbo", b"dy"),
+    ],
+    ids=[
+        "before the head",
+        "inside the head",
+        "inside the body",
+        "inside a chunk",
+        "between chunks",
+        "inside the size of a chunk",
+        "before the last chunk",
+        "inside a body without length",
+    ],
+)
+def test_a_silence_of_the_replica_does_not_end_its_answer(before: bytes, after: bytes) -> None:
+    def _pause(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(before)
+        time.sleep(1.9)
+        connection.sendall(after)
+
+    with ScriptedReplica(_pause, script_sending(b"")) as replica:
+        found = exchange(
+            request(),
+            pool=ConnectionPool(replica.address),
+            terms=TERMS,
+            dialect=PlatformDialect(),
+            repeatable=True,
+            head_timeout_s=5.0,
+        )
+        try:
+            assert found.read_all(deadline=Deadline(5.0)) == b"body"
+        finally:
+            found.close()
--- a/tests/forwarding/test_passing_on.py
+++ b/tests/forwarding/test_passing_on.py
@@ -321,3 +321,19 @@
             gevent.kill(client, CallerGone("left"))
             while not ended.is_set():
                 gevent.sleep(0.01)
+
+
+@pytest.mark.parametrize("at", [0, 30, len(SERVED) - 1], ids=["begin", "head", "body"])
+def test_a_plain_answer_goes_on_after_a_silence_of_the_other_box(at: int) -> None:
+    def _pause(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(SERVED[:at])
+        time.sleep(1.9)
+        connection.sendall(SERVED[at:])
+
+    with ScriptedReplica(_pause) as box:
+        request = make_request(deadline_s=5.0)
+        progress = RequestProgress(request, make_route(), "s", known=Knowledge(7, 3))
+        reply = make_passing_on(ScriptedPeers(box.address)).forward(progress)
+    assert reply is not None
+    assert (reply.head.status, b"".join(reply.body)) == (200, b"hi")
