Health: what silences add is kept apart and dropped when the replica is heard

A silence counted as a failure, once for each stream: eight streams that a paused replica kept waiting raised its failure rate to 0.73, and nothing withdrew that when it went on. `record_silence` keeps what silences add apart from failures; `record_heard` drops it. Silences during a rest period add nothing, as they show the same silence; the later ones begin longer rests, so that a replica that hangs for good is tried ever less. A replica that answers other requests meanwhile is not silent: there the exchange counts as failed, as before.

Dropping it exchange by exchange was ruled out: a stream that went on elsewhere is never heard.

Nothing calls the two methods yet.

--- a/springrock/forwarding/health.py
+++ b/springrock/forwarding/health.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import math
+from copy import copy
+
+from msgspec import Struct
 
 from springrock.clock import monotonic
 
@@ -24,41 +27,93 @@
 that failed might get no more requests, and so could not reduce its rate by a success."""
 
 
+class _Evidence(Struct):
+    """What outcomes of requests show about a replica.
+
+    Attributes:
+        failure_rate: A moving average of the failed share of requests, as of the last outcome.
+        recorded_at: When the last outcome was recorded.
+        failures: Consecutive failures.
+        rests: Rest periods since the last success.
+        rest_until: When the last rest period ends.
+    """
+
+    failure_rate: float = 0.0
+    recorded_at: float = 0.0
+    failures: int = 0
+    rests: int = 0
+    rest_until: float = 0.0
+
+    def add_success(self, now: float) -> None:
+        self.recorded_at = now
+        self.failures = 0
+        self.rests = 0
+        self.failure_rate *= 1 - _RATE_STEP
+
+    def add_failure(self, now: float) -> None:
+        self.recorded_at = now
+        self.failures += 1
+        self.failure_rate += (1 - self.failure_rate) * _RATE_STEP
+        if self.failures >= _FAILURES_TO_REST:
+            self._start_rest(now)
+
+    def add_silence(self, now: float) -> None:
+        """Add a silence; one during a rest period adds nothing, as it is the same silence."""
+        if now >= self.rest_until:
+            self.add_failure(now)
+
+    def add_unreachable(self, now: float) -> None:
+        self.failures += 1
+        self._start_rest(now)
+
+    def _start_rest(self, now: float) -> None:
+        if now < self.rest_until:
+            return
+        self.rest_until = now + min(_MAX_REST_S, _MIN_REST_S * 2**self.rests)
+        self.rests += 1
+
+
 class Health:
     """The health of one replica, by the outcomes of requests of this box.
 
     A rest period is a time in which the replica should get no requests, after failures. Rest
     periods double from one to the next until a request succeeds.
 
-    Attributes:
-        failure_rate: A moving average of the failed share of requests, as of the last outcome. It
-            does not decay with time; see `recent_failure_rate`.
+    A failure is a fact, a silence only a suspicion: a replica that was paused is as sound as before
+    once it runs again. So what silences add is kept apart, and dropped when the replica is heard.
     """
 
     def __init__(self) -> None:
-        self._recorded_at = 0.0
+        self._known = _Evidence()
+        self._suspected: _Evidence | None = None
         self._full_at: float | None = None
-        self._consecutive_failures = 0
-        self._consecutive_rests = 0
-        self._rest_until = 0.0
-        self.failure_rate = 0.0
+        self._heard_at = -math.inf
+
+    @property
+    def failure_rate(self) -> float:
+        """A moving average of the failed share of requests, as of the last outcome.
+
+        It does not decay with time; see `recent_failure_rate`.
+        """
+        return self._evidence.failure_rate
 
     @property
     def resting(self) -> bool:
         """Whether the replica is in a rest period."""
-        return monotonic() < self._rest_until
+        return monotonic() < self._evidence.rest_until
 
     @property
     def rest_left_s(self) -> float:
         """Seconds until the rest period ends; 0 if there is none."""
-        return max(0.0, self._rest_until - monotonic())
+        return max(0.0, self._evidence.rest_until - monotonic())
 
     @property
     def recent_failure_rate(self) -> float:
         """The failure rate, halved for each half-life that passed since the last outcome."""
-        if not self.failure_rate:
+        evidence = self._evidence
+        if not evidence.failure_rate:
             return 0.0
-        return self.failure_rate * _decay_factor(self._recorded_at, _FAILURE_HALF_LIFE_S)
+        return evidence.failure_rate * _decay_factor(evidence.recorded_at, _FAILURE_HALF_LIFE_S)
 
     @property
     def full_likelihood(self) -> float:
@@ -73,29 +128,53 @@
 
     def record_success(self) -> None:
         """Record an answer."""
-        self._recorded_at = monotonic()
-        self._consecutive_failures = 0
-        self._consecutive_rests = 0
-        self.failure_rate *= 1 - _RATE_STEP
+        now = monotonic()
+        for evidence in self._all_evidence():
+            evidence.add_success(now)
 
     def record_failure(self) -> None:
         """Record an exchange that failed after the replica was reached."""
-        self._recorded_at = monotonic()
-        self._consecutive_failures += 1
-        self.failure_rate += (1 - self.failure_rate) * _RATE_STEP
-        if self._consecutive_failures >= _FAILURES_TO_REST:
-            self._start_rest()
+        now = monotonic()
+        for evidence in self._all_evidence():
+            evidence.add_failure(now)
 
     def record_unreachable(self) -> None:
         """Record that no connection could be opened."""
-        self._consecutive_failures += 1
-        self._start_rest()
-
-    def _start_rest(self) -> None:
-        if self.resting:
+        now = monotonic()
+        for evidence in self._all_evidence():
+            evidence.add_unreachable(now)
+
+    def record_silence(self, *, for_s: float) -> None:
+        """Record an exchange in which the replica has sent nothing for too long.
+
+        If it has sent something in another exchange in the second half of that time, it runs, and
+        the exchange counts as failed.
+
+        Args:
+            for_s: How long it has sent nothing in this exchange, in seconds.
+        """
+        now = monotonic()
+        if now - self._heard_at < for_s / 2:
+            self.record_failure()
             return
-        self._rest_until = monotonic() + min(_MAX_REST_S, _MIN_REST_S * 2**self._consecutive_rests)
-        self._consecutive_rests += 1
+        if self._suspected is None:
+            self._suspected = copy(self._known)
+        self._suspected.add_silence(now)
+
+    def record_heard(self) -> None:
+        """Record that the replica has sent something, in whatever exchange.
+
+        That refutes that it is silent; what else was recorded remains.
+        """
+        self._heard_at = monotonic()
+        self._suspected = None
+
+    @property
+    def _evidence(self) -> _Evidence:
+        return self._suspected or self._known
+
+    def _all_evidence(self) -> tuple[_Evidence, ...]:
+        return (self._known,) if self._suspected is None else (self._known, self._suspected)
 
 
 def _decay_factor(since: float, half_life_s: float) -> float:
