Warm-up: a silent replica that goes on with its exchange has not restarted

A silence makes a box suspect that a replica of a service with slow start has restarted. It is then metered like a cold one until it has answered a request sent later, and rows as of 2.5 s after that answer are read; the rest of an answer under way refuted nothing. After a pause of all replicas the whole service took only what cold ones may get.

`record_silent` marks the suspicion as one of silences, `record_went_on` drops it if the exchange began before the first of these silences: the connection would have ended with the process. Breaks, refusals, reports of others and the cold time of a row hold as before. An answer to a later request was ruled out as a refutation: it may be that of another process.

Nothing calls the two methods yet.

--- a/springrock/permits/warmup.py
+++ b/springrock/permits/warmup.py
@@ -38,11 +38,14 @@
         began_at: When this box last had such a sign.
         answered_at: When the replica answered after that, and so was up again; None if it has not.
         known_to_all: Whether it is reported to other boxes.
+        silent_since: When the replica was last heard in the first of the exchanges in which it was
+            silent; None if there are other signs than silences.
     """
 
     began_at: float
     answered_at: float | None = None
     known_to_all: bool = False
+    silent_since: float | None = None
 
 
 class _Reported(Struct):
@@ -179,6 +182,34 @@
         if refused:
             self._notify(record, answered=False)
 
+    def record_silent(self, record: ReplicaRecord, *, since: float) -> None:
+        """Record that a replica has sent nothing for too long in an exchange that is still open.
+
+        Args:
+            record: The replica.
+            since: When it was last heard in that exchange, or else the request was sent.
+        """
+        if self.slow_start(record.service) is None or record.instance not in self._records:
+            return
+        self._suspect(record, known_to_all=False, silent_since=since)
+
+    def record_went_on(self, record: ReplicaRecord, *, sent_at: float) -> None:
+        """Record that a replica has sent more in an exchange in which it was silent.
+
+        So it has not restarted since, as the connection would have ended with the process. That
+        refutes silences only: a connection that broke meanwhile remains a sign.
+
+        Args:
+            record: The replica.
+            sent_at: When the request of the exchange was sent.
+        """
+        suspicion = self._suspicions.get(record.instance)
+        if suspicion is None or suspicion.silent_since is None:
+            return
+        if sent_at <= suspicion.silent_since:
+            del self._suspicions[record.instance]
+            self._log_change("A silent replica went on.", record)
+
     def record_answered(self, record: ReplicaRecord, *, sent_at: float) -> None:
         """Record that a replica answered a request that was sent at a given time."""
         reported_since = self._reported_since(record, monotonic()) if self._reported else None
@@ -192,13 +223,22 @@
         if suspicion.known_to_all:
             self._notify(record, answered=True)
 
-    def _suspect(self, record: ReplicaRecord, *, known_to_all: bool) -> None:
+    def _suspect(
+        self, record: ReplicaRecord, *, known_to_all: bool, silent_since: float | None = None
+    ) -> None:
         suspicion = self._suspicions.get(record.instance)
         shared = known_to_all or (suspicion is not None and suspicion.known_to_all)
-        self._suspicions[record.instance] = _Suspicion(monotonic(), None, shared)
+        if silent_since is not None and suspicion is not None and self._holds(suspicion, record):
+            earlier = suspicion.silent_since
+            silent_since = None if earlier is None else min(earlier, silent_since)
+        self._suspicions[record.instance] = _Suspicion(monotonic(), None, shared, silent_since)
         if suspicion is None or suspicion.answered_at is not None:
             self._log_change("A replica may come back cold.", record, known_to_all=known_to_all)
 
+    def _holds(self, suspicion: _Suspicion, record: ReplicaRecord) -> bool:
+        slow_start = self.slow_start(record.service)
+        return slow_start is not None and self._is_active(suspicion, slow_start, monotonic())
+
     def _notify(self, record: ReplicaRecord, *, answered: bool) -> None:
         for listener in self.on_observation:
             listener(record, answered)
--- a/tests/permits/test_warmup.py
+++ b/tests/permits/test_warmup.py
@@ -48,6 +48,12 @@
     def fail(self, *, refused: bool = True) -> None:
         self.warmup.record_failed(self.record, refused=refused)
 
+    def fall_silent(self, *, for_s: float = 1.5) -> None:
+        self.warmup.record_silent(self.record, since=self.now - for_s)
+
+    def go_on(self, *, sent_s_ago: float = 20.0) -> None:
+        self.warmup.record_went_on(self.record, sent_at=self.now - sent_s_ago)
+
     def succeed(self, *, sent_at: float | None = None) -> None:
         sent_at = self.now if sent_at is None else sent_at
         self.warmup.record_answered(self.record, sent_at=sent_at)
@@ -112,6 +118,79 @@
     assert setup.reported == [], "the failure may be that of this box's link"
 
 
+def test_a_silent_replica_that_goes_on_has_not_restarted(setup: Setup) -> None:
+    """Else all replicas of a service that were paused at once take few requests after it."""
+    setup.fall_silent()
+    assert setup.cold, "it may have restarted"
+    setup.now += 0.1
+    setup.fall_silent()
+    setup.go_on()
+    assert not setup.cold
+    setup.go_on()
+    assert not setup.cold
+    assert setup.reported == []
+
+
+def test_a_silent_replica_is_cold_until_it_goes_on_or_rows_show_that_it_is_warm(
+    setup: Setup,
+) -> None:
+    setup.fall_silent()
+    setup.now += 5.0
+    assert setup.cold
+    setup.succeed()
+    assert setup.cold, "the answer may be that of another process"
+    setup.now += ROW_DELAY_S
+    assert not setup.cold
+
+
+def test_an_exchange_refutes_no_restart_before_it_began(setup: Setup) -> None:
+    """The replica of the other exchange is gone, without a sign on its connection."""
+    setup.fall_silent(for_s=3.0)
+    setup.fall_silent(for_s=1.5)
+    setup.go_on(sent_s_ago=2.0)
+    assert setup.cold
+    setup.go_on(sent_s_ago=3.5)
+    assert not setup.cold
+
+
+@pytest.mark.parametrize("refused", [True, False])
+@pytest.mark.parametrize("silent_first", [True, False])
+def test_an_exchange_that_goes_on_refutes_no_failure(
+    setup: Setup, refused: bool, silent_first: bool
+) -> None:
+    if silent_first:
+        setup.fall_silent()
+    setup.fail(refused=refused)
+    setup.now += 0.1
+    setup.fall_silent()
+    setup.go_on()
+    assert setup.cold
+    setup.succeed()
+    setup.fall_silent()
+    setup.go_on()
+    assert setup.cold, "the rows do not show yet whether it is warm"
+
+
+def test_a_failure_that_rows_have_refuted_does_not_count_with_a_later_silence(
+    setup: Setup,
+) -> None:
+    setup.fail(refused=False)
+    setup.succeed()
+    setup.now += ROW_DELAY_S
+    assert not setup.cold
+    setup.fall_silent()
+    assert setup.cold
+    setup.go_on()
+    assert not setup.cold
+
+
+def test_an_exchange_that_goes_on_leaves_the_cold_time_of_the_row(setup: Setup) -> None:
+    setup.fall_silent()
+    setup.read(cold_s=3.0, sequence=1)
+    setup.go_on()
+    assert setup.cold
+
+
 def test_an_answer_to_a_request_sent_before_the_failure_is_ignored(setup: Setup) -> None:
     sent_at = setup.now
     setup.now += 0.5
