Placers: requests that outlast the record of their engine are counted once it is back

A placer dropped its count of an engine's requests with the engine's record. If the record came back, as after its lease ran out while the engine was paused, the count began at 0 and the ends of the earlier requests were taken off it: with fewer than no requests and tokens to read the engine seemed faster than any other for as long as it lived. The count now begins with the requests still known.

--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -77,8 +77,16 @@
         if work is None:
             work = EngineWork(self._service_speed, memory_tokens=self._memory_tokens)
             self._work[instance] = work
+            self._count_known_runs(instance, work)
         return work
 
+    def _count_known_runs(self, instance: str, work: EngineWork) -> None:
+        """Count the requests that have outlasted an earlier record of an engine."""
+        for run_id, run in self._runs.items():
+            if run.instance == instance:
+                work.runs += 1
+                work.prefill_backlog += 0 if run_id in self._started else run.unread
+
     def forget(self, instance: str) -> None:
         """Drop an engine that was removed; boxes still report the end of each of its requests."""
         self._work.pop(instance, None)
@@ -201,8 +209,8 @@
         }
 
     def _add(self, run_id: tuple[str, int], run: _Run) -> None:
-        self._runs[run_id] = run
         self.work(run.instance).runs += 1
+        self._runs[run_id] = run
         self.used[(run.instance, run.key)] += 1
 
     def _record_outcome(self, work: EngineWork, run: _Run, outcome: Outcome) -> None:
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -169,6 +169,24 @@
     assert requests.dispatcher.work("i-1").prefill_backlog == 0
 
 
+def test_requests_that_outlast_the_record_of_their_engine_are_counted_once_it_is_back(
+    requests: Requests,
+) -> None:
+    """Else their ends leave it with fewer than no requests, and it seems idle for good."""
+    for _ in range(3):
+        requests.send("i-1")
+    requests.dispatcher.record_start("box", Started(1, 100))
+    requests.finish(3)
+    requests.dispatcher.forget("i-1")
+    work = requests.dispatcher.work("i-1")
+    assert (work.runs, work.prefill_backlog) == (2, 2000)
+    requests.send("i-1")
+    assert (work.runs, work.prefill_backlog) == (3, 4000)
+    for number in (1, 2, 4):
+        requests.finish(number)
+    assert (work.runs, work.prefill_backlog) == (0, 0)
+
+
 def test_an_engine_that_fails_as_often_as_the_others_has_no_excess(pass_time: PassTime) -> None:
     requests = Requests()
     for number, engine in enumerate(("i-1", "i-2", "i-1", "i-2", "i-3"), start=1):
