Placers: an engine's past failures lose their effect with time

The failure rate by which a placer ranks an engine fell only with first events there. An engine whose requests failed at once, such as one that was silent for a second, got no more requests while another held the adapter, and so kept the rate: eight failures add 0.36 s to each estimated wait. Boxes let the rate decay for this reason; the placer now reads the same decayed rate. Rest periods are unchanged.

The test failed before: 60 s after eight failures the engine had its whole rate, and three requests in a row went to the other.

--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -18,7 +18,7 @@
 from springrock.placement.planner import COPY_WAIT_FRACTION
 
 _FAILURE_PENALTY_S = 0.5
-"""Added to the estimated wait at an engine that always fails; scaled by the failure rate."""
+"""Added to the estimated wait at an engine that always fails; scaled by its recent failure rate."""
 
 _AVOIDANCE_PENALTY_S = 5.0
 """Added to the estimated wait at an engine that is used only if there is no other."""
@@ -123,16 +123,19 @@
         if work.is_missing(key):
             return None
         unread = sum(tokens for _, tokens in prompt) - work.prompt_cache.cached_tokens(key, prompt)
-        wait_s = work.wait_s + unread * work.token_s + _FAILURE_PENALTY_S * work.health.failure_rate
+        wait_s = work.wait_s + unread * work.token_s
+        wait_s += _FAILURE_PENALTY_S * work.health.recent_failure_rate
         if work.is_full or work.backoff.active or work.health.resting:
             wait_s += _AVOIDANCE_PENALTY_S
         return Choice(instance, wait_s, unread)
 
     def excess_failure_rate(self, instance: str) -> float:
         """Return an engine's failure rate less the mean rate of the others, from -1 to 1."""
-        others = [work.health.failure_rate for name, work in self._work.items() if name != instance]
+        others = [
+            work.health.recent_failure_rate for name, work in self._work.items() if name != instance
+        ]
         mean_of_others = sum(others) / len(others) if others else 0.0
-        return self.work(instance).health.failure_rate - mean_of_others
+        return self.work(instance).health.recent_failure_rate - mean_of_others
 
     # Progress of requests.
 
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -7,6 +7,7 @@
 import pytest
 
 from springrock import backoff as backoff_module
+from springrock.forwarding import health as health_module
 from springrock.forwarding.message import AdapterKey
 from springrock.placement import dispatcher as dispatcher_module
 from springrock.placement import engine_work as engine_work_module
@@ -22,7 +23,7 @@
 @pytest.fixture
 def pass_time(monkeypatch: pytest.MonkeyPatch) -> PassTime:
     now = [1000.0]
-    for module in (dispatcher_module, engine_work_module, backoff_module):
+    for module in (dispatcher_module, engine_work_module, backoff_module, health_module):
         monkeypatch.setattr(module, "monotonic", lambda: now[0])
 
     def _advance(seconds: float) -> None:
@@ -200,6 +201,23 @@
     )
 
 
+def test_an_engine_that_failed_all_its_requests_at_once_is_chosen_again_later(
+    requests: Requests, pass_time: PassTime
+) -> None:
+    """Without requests it could not reduce its rate by a success."""
+    for number in range(1, 9):
+        requests.send("i-1")
+        requests.finish(number, Outcome.FAILED)
+    pass_time(1.0)
+    excess = requests.dispatcher.excess_failure_rate("i-1")
+    assert [requests.send("i-1", "i-2") for _ in range(3)] == ["i-2"] * 3
+    for number in (9, 10, 11):
+        requests.finish(number)
+    pass_time(60.0)
+    assert requests.dispatcher.excess_failure_rate("i-1") < excess / 4
+    assert "i-1" in [requests.send("i-1", "i-2") for _ in range(3)]
+
+
 def test_an_engine_that_asked_a_box_to_pause_is_used_only_if_there_is_no_other(
     pass_time: PassTime,
 ) -> None:
