Silences are recorded as suspicions, and dropped when the replica is heard

Cause: with runs that go on through a silence, nothing recorded it any more: new requests went to a replica that was silent for good. Before that, each silent stream counted as a failure that stayed.

Change: a run that is silent, or has no first event by the time a client waits for it, is recorded as a silence of its replica (Health.record_silence, WarmupTracker.record_silent) and goes on; whatever the replica sends refutes it.

--- a/springrock/forwarding/resumption.py
+++ b/springrock/forwarding/resumption.py
@@ -154,7 +154,7 @@
     def _open(self, run: StreamRun) -> bool:
         """Return whether a replica sent the next event before all others."""
         try:
-            head = run.open(timeout_s=self._progress.left_s)
+            head = run.open(silent_after_s=_NEXT_REPLICA_AFTER_S)
         except ExchangeError:
             return False
         return head.succeeded and not self._ended
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -177,6 +177,7 @@
 
     def _record_heard(self, replica: Replica) -> None:
         replica.heard_at = monotonic()
+        replica.health.record_heard()
         self._reach.of(replica.record.service).record_heard(replica.instance)
 
     def _handle_head(
@@ -206,6 +207,23 @@
             attempt.outcome = AttemptOutcome.ANSWERED
             replica.health.record_success()
 
+    def record_silence(self, replica: Replica, *, since: float) -> None:
+        """Record that a replica has sent nothing for too long in an exchange that goes on.
+
+        Args:
+            replica: The replica.
+            since: When it was last heard in the exchange, or else the request was sent, on the
+                local monotonic clock.
+        """
+        replica.health.record_silence(for_s=monotonic() - since)
+        self._warmup.record_silent(replica.record, since=since)
+        self._reach.of(replica.record.service).record_unreachable()
+
+    def record_went_on(self, progress: RequestProgress, replica: Replica, attempt: Attempt) -> None:
+        """Record that a replica has sent more in an exchange in which it was silent."""
+        sent_at = progress.request.received_at + attempt.began_s
+        self._warmup.record_went_on(replica.record, sent_at=sent_at)
+
     def record_writing(self, progress: RequestProgress, head: AnswerHead) -> None:
         """Record that a replica has begun to write the answer, and goes on."""
         if head.succeeded:
@@ -217,13 +235,30 @@
         self.record_writing(progress, head)
 
     def record_failure(
-        self, progress: RequestProgress, replica: Replica, attempt: Attempt, error: ExchangeError
+        self,
+        progress: RequestProgress,
+        replica: Replica,
+        attempt: Attempt,
+        error: ExchangeError,
+        *,
+        heard_at: float | None = None,
     ) -> None:
-        """Record and log an exchange that gave no answer."""
+        """Record and log an exchange that gave no answer.
+
+        Args:
+            progress: The request.
+            replica: The replica.
+            attempt: The attempt.
+            error: What ended the exchange.
+            heard_at: When the replica was last heard in the exchange, on the local monotonic clock;
+                None if it sent nothing.
+        """
         attempt.outcome = next(
             outcome for kind, outcome in _OUTCOME_BY_ERROR if isinstance(error, kind)
         )
-        self._record_fault_evidence(progress, replica, error)
+        sent_at = progress.request.received_at + attempt.began_s
+        since = sent_at if heard_at is None else heard_at
+        self._record_fault_evidence(progress, replica, error, since=since)
         self._report_to_crash_detector(progress, replica, attempt, error)
         self._log.info(
             "An attempt failed.",
@@ -261,17 +296,24 @@
                 self._crash_detector.record_unreachable(replica.instance)
 
     def _record_fault_evidence(
-        self, progress: RequestProgress, replica: Replica, error: ExchangeError
+        self,
+        progress: RequestProgress,
+        replica: Replica,
+        error: ExchangeError,
+        *,
+        since: float,
     ) -> None:
         key = progress.request.adapter_key
-        if isinstance(error, (ReplicaUnreachable, AnswerSilent)):
-            self._reach.of(replica.record.service).record_unreachable()
         if isinstance(error, ReplicaUnreachable):
+            self._reach.of(replica.record.service).record_unreachable()
             refused = isinstance(error, ConnectionRefused)
             self._warmup.record_failed(replica.record, refused=refused)
             replica.health.record_unreachable()
-        elif isinstance(error, AnswerSilent) and progress.age_s < _MIN_SILENCE_AS_FAILURE_S:
-            return
+        elif isinstance(error, AnswerSilent):
+            if progress.age_s >= _MIN_SILENCE_AS_FAILURE_S:
+                self.record_silence(replica, since=since)
+            else:
+                self._reach.of(replica.record.service).record_unreachable()
         elif isinstance(error, OutcomeUnknown):
             self._warmup.record_failed(replica.record, refused=False)
             replica.health.record_failure()
--- a/springrock/forwarding/stream_run.py
+++ b/springrock/forwarding/stream_run.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Iterator
 
+import gevent
+
 from springrock.clock import Deadline, monotonic
 from springrock.forwarding.choosing import MIN_SEND_TIME_S, ChosenReplica
 from springrock.forwarding.errors import AnswerBroken, AnswerSilent, ExchangeError, OutcomeUnknown
@@ -49,6 +51,7 @@
         self._closed = False
         self._begun = False
         self._writing = False
+        self._was_silent = False
         self._heard_at = monotonic()
         self._answer: Answer | None = None
 
@@ -72,19 +75,21 @@
         """When the replica last sent a part of any answer, on the local monotonic clock."""
         return self._replica.heard_at
 
-    def open(self, *, timeout_s: float) -> AnswerHead:
+    def open(self, *, silent_after_s: float) -> AnswerHead:
         """Send the request, read up to the first complete event, and return the head.
 
         Args:
-            timeout_s: Timeout for the head and for the first event after it.
+            silent_after_s: Time without an event after which the replica counts as silent; the
+                event is waited for until the deadline.
 
         Raises:
             ExchangeError: If there is no answer, or it broke before the first event.
         """
+        silence = gevent.spawn_later(silent_after_s, self.record_silence)
         try:
-            answer = self._send(timeout_s)
-            self._first_events = self._read_events(answer, timeout_s=timeout_s)
-            self._attempt.first_event_at = self._heard_at = monotonic()
+            answer = self._send()
+            self._first_events = self._read_events(answer)
+            self._attempt.first_event_at = monotonic()
         except ExchangeError as error:
             self._sender.record_failure(self._progress, self._replica, self._attempt, error)
             self.close()
@@ -92,6 +97,9 @@
         except BaseException:
             self.close()
             raise
+        finally:
+            silence.kill(block=False)
+        self._record_heard()
         self._sender.record_answer(self._progress, self._replica, self._attempt, answer.head.status)
         if self._chosen.use is not None and answer.head.succeeded:
             self._chosen.use.record_first_event()
@@ -122,11 +130,11 @@
         """
         assert self._answer is not None
         try:
-            events = self._read_events(self._answer, timeout_s=self._progress.left_s)
+            events = self._read_events(self._answer)
         except OutcomeUnknown as error:
             self.record_failure(error)
             raise
-        self._heard_at = monotonic()
+        self._record_heard()
         self._record_writing()
         if not events:
             self._sender.record_completion(self._progress, self._answer.head)
@@ -142,7 +150,14 @@
 
     def record_failure(self, error: OutcomeUnknown) -> None:
         """Record that the run gave no whole answer."""
-        self._sender.record_failure(self._progress, self._replica, self._attempt, error)
+        self._sender.record_failure(
+            self._progress, self._replica, self._attempt, error, heard_at=self._heard_at
+        )
+
+    def record_silence(self) -> None:
+        """Record that the replica has sent no event for too long; the run goes on."""
+        self._was_silent = True
+        self._sender.record_silence(self._replica, since=self._heard_at)
 
     def record_given_up(self, reason: str) -> AnswerSilent:
         """Record that another replica goes on with the stream; return what counts as the error."""
@@ -159,16 +174,22 @@
         if self._answer is not None:
             self._answer.close()
 
-    def _send(self, timeout_s: float) -> Answer:
+    def _send(self) -> Answer:
         self._answer = self._sender.send(
             self._progress,
             self._chosen,
             self._attempt,
-            head_timeout_s=timeout_s,
+            head_timeout_s=self._progress.left_s,
             after_event=self._progress.last_event_id,
         )
         return self._answer
 
+    def _record_heard(self) -> None:
+        self._heard_at = monotonic()
+        if self._was_silent:
+            self._was_silent = False
+            self._sender.record_went_on(self._progress, self._replica, self._attempt)
+
     def _record_writing(self) -> None:
         """Record once that the replica goes on after the beginning of its answer."""
         if self._writing or not self._attempt.is_writing:
@@ -177,14 +198,14 @@
         assert self._answer is not None
         self._sender.record_writing(self._progress, self._answer.head)
 
-    def _read_events(self, answer: Answer, *, timeout_s: float) -> list[Event]:
+    def _read_events(self, answer: Answer) -> list[Event]:
         """Return the next complete events; at the end of the body what is left of it, if anything.
 
         Raises:
             AnswerBroken: If the stream broke off.
-            AnswerSilent: If no event was complete within the timeout.
+            AnswerSilent: If no event was complete by the deadline.
         """
-        deadline = Deadline(max(MIN_SEND_TIME_S, timeout_s))
+        deadline = Deadline(max(MIN_SEND_TIME_S, self._progress.left_s))
         while True:
             data = answer.read(timeout_s=deadline.left_s)
             if not data:
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from springrock.clock import monotonic
 from springrock.errors import AnswerCut
-from springrock.forwarding.choosing import ChosenReplica, ReplicaChooser
+from springrock.forwarding.choosing import MIN_SEND_TIME_S, ChosenReplica, ReplicaChooser
 from springrock.forwarding.errors import OutcomeUnknown
 from springrock.forwarding.message import AnswerHead
 from springrock.forwarding.request_progress import RequestProgress
@@ -63,7 +64,8 @@
         """
         chosen = self._chooser.next_replica(progress, until=until)
         run = self._prepare(progress, chosen)
-        return run.open(timeout_s=progress.left_s), run
+        silent_after_s = max(MIN_SEND_TIME_S, progress.first_event_deadline - monotonic())
+        return run.open(silent_after_s=silent_after_s), run
 
     def relay(self, progress: RequestProgress, run: StreamRun) -> Iterator[bytes]:
         """Yield complete events.
@@ -113,7 +115,7 @@
             run,
             may_resume=lambda: progress.resuming and progress.may_run_again,
             new_resumption=_new_resumption,
-            on_silent=lambda: self._log_silence(progress, run),
+            on_silent=lambda: self._record_silence(progress, run),
         )
         if progress.may_run_again:
             guard.start()
@@ -136,7 +138,8 @@
         self._log_break("Resumed a stream.", progress, broken)
         return run
 
-    def _log_silence(self, progress: RequestProgress, run: StreamRun) -> None:
+    def _record_silence(self, progress: RequestProgress, run: StreamRun) -> None:
+        run.record_silence()
         self._log.info(
             "A replica is silent during a stream.",
             request=progress.request.request_id,
--- a/tests/forwarding/test_silent_replicas.py
+++ b/tests/forwarding/test_silent_replicas.py
@@ -299,3 +299,17 @@
 def iter_until_cut(events: Iterator[bytes], read: object) -> Iterator[bytes]:
     read(events)  # type: ignore[operator]
     yield b""
+
+
+def test_a_replica_that_speaks_again_does_not_pay_for_its_silence() -> None:
+    first = Playing((0.0, BEGUN), (0.6, EVENTS[2]), (0.1, EVENTS[3] + EVENTS[4]))
+    rates = []
+    with ScriptedReplica(first) as one, ScriptedReplica(Mute()) as other:
+        stream = Stream(one.address, other.address, resumable=True)
+        health = stream.chooser.replicas[0].health
+        sampling = gevent.spawn_later(0.5, lambda: rates.append(health.failure_rate))
+        _, cut = collect(stream.events())
+        sampling.join()
+    assert not cut
+    assert rates[0] > 0, "it is not avoided while it is silent"
+    assert health.failure_rate == 0
