Replica stand-in: record how its answer to each request ended

A judge that asks why an answer ended early needs to know whether its replica broke it off, finished it, or saw its connection close. A process that ends leaves no such line, which tells it as well. Ruled out: telling it from the claims of faults, which do not say which stream a fault broke.

--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -23,7 +23,12 @@
 from springrock.bottle_app import json_response, new_app
 from springrock.clock import monotonic
 from springrock.emulator.late_copies import COPIED_KEY, LateCopies
-from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventFile, ReplicaEventKind
+from springrock.emulator.replica_events import (
+    AnswerEnd,
+    ReplicaEvent,
+    ReplicaEventFile,
+    ReplicaEventKind,
+)
 from springrock.emulator.settings import ReplicaStandinSettings
 from springrock.emulator.unframed import (
     CRASH_EXIT_STATUS,
@@ -326,6 +331,7 @@
         headers[_SEAL_HEADER] = f"seal-of-{request_id}"
         request.environ[UNFRAMED_KEY] = self._fault.unframed
         if self._fault.fail:
+            self._record_end(request_id, AnswerEnd.WHOLE)
             return self._answer(b"failed", status=500, headers=headers)
         if self._settings.base_model:
             headers["Content-Type"] = "text/event-stream"
@@ -338,7 +344,10 @@
 
     def _plain_answer(self, body: bytes, headers: dict[str, str]) -> Any:
         broken_by = self._fault.broken_by
-        if not self._take_break():
+        breaks = self._take_break()
+        end = AnswerEnd.BROKEN_OFF if breaks else AnswerEnd.WHOLE
+        self._record_end(headers[names.REQUEST_ID], end)
+        if not breaks:
             return self._answer(body, headers=headers)
         return bottle.HTTPResponse(
             broken_body(body, by=broken_by), headers={**headers, **self._status_headers()}
@@ -415,6 +424,7 @@
         run = _StreamRun(bottle.request.get_header(names.REQUEST_ID, ""), monotonic())
         streams[adapter].append(run)
         self._running += 1
+        end = AnswerEnd.CLOSED
         try:
             for number in range(first_number, self._settings.events + 1):
                 if streams is not self._streams:
@@ -428,9 +438,14 @@
                     break_off(fault.broken_by)
                 yield self._event(number)
                 gevent.sleep(self._settings.event_pause_ms / 1000)
+            end = AnswerEnd.WHOLE
+        except AnswerCut:
+            end = AnswerEnd.BROKEN_OFF
+            raise
         finally:
             self._running -= 1
             streams[adapter].remove(run)
+            self._record_end(run.request_id, end)
 
     def _event(self, number: int) -> bytes:
         software = self._software
@@ -456,6 +471,9 @@
             **fields,
         )
 
+    def _record_end(self, request_id: str, end: AnswerEnd) -> None:
+        self._write_event(ReplicaEventKind.ENDED, request_id=request_id, detail=end)
+
     def _write_event(self, kind: ReplicaEventKind, **fields: Any) -> None:
         self._events_file.record(
             ReplicaEvent(
--- a/springrock/emulator/replica_events.py
+++ b/springrock/emulator/replica_events.py
@@ -20,6 +20,18 @@
     MISDIRECTED = "misdirected"
     LEAVING_ACKNOWLEDGED = "leaving_acknowledged"
     VIOLATION = "violation"
+    ENDED = "ended"
+    """The replica ended its answer to a request; `detail` says how."""
+
+
+class AnswerEnd(StrEnum):
+    """How a replica's answer to a request that ran ended, unless the process ended before."""
+
+    WHOLE = "whole"
+    BROKEN_OFF = "broken_off"
+    """The replica ended it early."""
+    CLOSED = "closed"
+    """Whoever had asked closed the connection."""
 
 
 class ReplicaEvent(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -33,7 +45,7 @@
         adapter: The adapter that the request ran on.
         version: The version of that adapter.
         first_event: The number of the first event of a stream; 1 unless it was resumed.
-        detail: The name of the violation.
+        detail: The name of the violation, or how an answer ended.
         asked_rest_s: The `Retry-After` time that the refusal named.
         named_per_s: The rate limit that the answer named; negative for none.
         age_s: How long the request had been running when its adapter was unloaded.
