--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -75,7 +75,7 @@
 def _play_once(seed: int, seconds: float, options: Options, interrupts: Interrupts) -> int:
     """Play one seed, print its report, and keep its folder unless it passed or was not judged."""
     shape = Shape.from_boxes(options.boxes)
-    schedule = draw_schedule(seed, seconds=seconds, shape=shape)
+    schedule = draw_schedule(seed, seconds=seconds, shape=shape, only=options.only)
     print("\n".join(schedule.lines()), flush=True)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=options.keep))
     keep = False
@@ -122,6 +122,7 @@
     """Return the command that plays a seed again."""
     command = f"python -m bench.soak --replay {seed} --minutes {seconds / 60:g}"
     command += f" --boxes {options.boxes}"
+    command += f" --only {options.only}" if options.only else ""
     return f"{command} --without {options.without}" if options.without else command
 
 
--- a/bench/soak/errors.py
+++ b/bench/soak/errors.py
@@ -16,6 +16,13 @@
         super().__init__(f"unknown mechanism {name!r}; known are {', '.join(sorted(known))}")
 
 
+class UnknownFault(SoakInputError):
+    """There is no fault with this name."""
+
+    def __init__(self, name: str, known: Iterable[str]) -> None:
+        super().__init__(f"unknown fault {name!r}; known are {', '.join(known)}")
+
+
 class BadSeed(SoakInputError):
     """The seed is not a whole number."""
 
--- a/bench/soak/options.py
+++ b/bench/soak/options.py
@@ -17,8 +17,10 @@
     BadSeed,
     SeedAndReplay,
     TooManyBoxes,
+    UnknownFault,
     UnknownMechanism,
 )
+from bench.soak.faults import FAULTS
 from bench.soak.mechanisms import MECHANISMS
 from bench.soak.shape import Shape
 
@@ -43,6 +45,7 @@
         seconds: The length of the play, or of all plays of random seeds together.
         boxes: The number of boxes.
         without: The mechanism to disable; empty for none.
+        only: The only fault to draw; empty for all.
         keep: The folder that keeps the logs and findings of failed seeds.
     """
 
@@ -50,6 +53,7 @@
     seconds: float
     boxes: int
     without: str
+    only: str
     keep: Path
 
 
@@ -68,8 +72,10 @@
     seconds = default_s if given.minutes is None else _minutes_from(given.minutes) * 60
     if given.without and given.without not in MECHANISMS:
         raise UnknownMechanism(given.without, MECHANISMS)
+    if given.only and given.only not in FAULTS.names:
+        raise UnknownFault(given.only, FAULTS.names)
     boxes = _boxes_from(given.boxes, memory_mb=machine_memory_mb())
-    return Options(seed, seconds, boxes, given.without, _folder_from(given.keep))
+    return Options(seed, seconds, boxes, given.without, given.only, _folder_from(given.keep))
 
 
 def machine_memory_mb() -> int:
@@ -105,6 +111,9 @@
         default="",
         help=f"mechanism to disable: one of {', '.join(sorted(MECHANISMS))}",
     )
+    parser.add_argument(
+        "--only", default="", help=f"fault to draw and no other: one of {', '.join(FAULTS.names)}"
+    )
     parser.add_argument(
         "--keep",
         default=tempfile.gettempdir(),
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -5,7 +5,7 @@
 import random
 from typing import NamedTuple
 
-from bench.soak.faults import FAULTS
+from bench.soak.faults import FAULTS, Fault
 from bench.soak.shape import Shape
 
 CYCLE_S = 30.0
@@ -60,8 +60,15 @@
         return lines
 
 
-def draw_schedule(seed: int, *, seconds: float, shape: Shape) -> Schedule:
-    """Draw the faults of a play."""
+def draw_schedule(seed: int, *, seconds: float, shape: Shape, only: str = "") -> Schedule:
+    """Draw the faults of a play.
+
+    Args:
+        seed: The seed.
+        seconds: The length of the play.
+        shape: The boxes and replicas.
+        only: The only fault to draw, one time after the other; empty for all faults.
+    """
     rng = random.Random(seed)
     planned: list[PlannedFault] = []
     quiets: list[tuple[float, float]] = []
@@ -70,13 +77,31 @@
     for number in range(cycles):
         starts_s = number * length_s
         ends_s = starts_s + length_s - QUIET_S
-        planned += _draw_cycle(rng, shape, starts_s + _LEAD_IN_S, ends_s)
+        begins_s = starts_s + _LEAD_IN_S
         separate_rng = random.Random(f"{seed}/{number}")
-        planned += _draw_separate(separate_rng, shape, starts_s + _LEAD_IN_S, ends_s, planned)
+        if only:
+            planned += _draw_one_kind(separate_rng, shape, begins_s, ends_s, FAULTS[only])
+        else:
+            planned += _draw_cycle(rng, shape, begins_s, ends_s)
+            planned += _draw_separate(separate_rng, shape, begins_s, ends_s, planned)
         quiets.append((ends_s, starts_s + length_s))
     return Schedule(seed, seconds, tuple(sorted(planned)), tuple(quiets))
 
 
+def _draw_one_kind(
+    rng: random.Random, shape: Shape, start_s: float, end_s: float, fault: Fault
+) -> list[PlannedFault]:
+    """Draw one fault again and again, each time after the one before has ended."""
+    planned: list[PlannedFault] = []
+    now_s = start_s
+    while end_s - now_s >= fault.shortest_s:
+        ends_s = min(end_s, now_s + rng.uniform(fault.shortest_s, fault.longest_s))
+        targets = fault.targets(rng, shape)
+        planned.append(PlannedFault(round(now_s, 3), round(ends_s, 3), fault.name, targets))
+        now_s = ends_s + _TARGET_COOLDOWN_S + rng.uniform(*_GAP_RANGE_S)
+    return planned
+
+
 def _draw_cycle(
     rng: random.Random, shape: Shape, start_s: float, end_s: float
 ) -> list[PlannedFault]:
--- a/tests/soak/test_options.py
+++ b/tests/soak/test_options.py
@@ -15,6 +15,7 @@
     SeedAndReplay,
     SoakInputError,
     TooManyBoxes,
+    UnknownFault,
     UnknownMechanism,
 )
 from bench.soak.mechanisms import MECHANISMS
@@ -41,6 +42,7 @@
         (["--boxes", "1"], BadBoxes),
         (["--boxes", "1000000"], TooManyBoxes),
         (["--without", "gravity"], UnknownMechanism),
+        (["--only", "gravity"], UnknownFault),
         (["--keep", "/dev/null/x"], BadFolder),
     ],
 )
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -76,6 +76,26 @@
     assert [list(draw(seed).planned) for seed in range(9)] == with_separate
 
 
+@pytest.mark.parametrize("name", FAULTS.names)
+def test_a_play_of_one_fault_has_it_several_times_and_no_other(name: str) -> None:
+    fault = FAULTS[name]
+    for seed in range(9):
+        schedule = draw_schedule(seed, seconds=60.0, shape=SHAPE, only=name)
+        assert {one.fault for one in schedule.planned} == {name}
+        assert len(schedule.planned) >= 2
+        for one, following in pairwise(schedule.planned):
+            assert one.ends_s < following.begins_s
+        for one in schedule.planned:
+            assert fault.shortest_s - 0.002 <= one.ends_s - one.begins_s
+            assert not any(start < one.ends_s - 0.001 < end for start, end in schedule.quiets)
+
+
+def test_a_play_of_one_fault_is_the_same_for_the_same_seed() -> None:
+    name = FAULTS.names[0]
+    first, second = (draw_schedule(4, seconds=60.0, shape=SHAPE, only=name) for _ in range(2))
+    assert first == second
+
+
 def test_boxes_that_are_cut_off_from_replicas_and_their_links_to_the_store_are_sound() -> None:
     for seed in range(40):
         planned = draw(seed).planned
