Soak: pause all of a service's replicas, or all but one, in series

Pauses of 1.0 to 1.9 s with gaps between them, while a second thread changes the timeout of routes, the time that idle connections of callers are kept, and whether a route exists. Writes of the configuration are serialized, as two threads now change it.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -5,7 +5,7 @@
 import json
 import signal
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 from functools import partial
@@ -16,6 +16,7 @@
 
 from bench.soak.crashing import CrashingCaller
 from bench.soak.observations import Attempt, ConfigurationChange, PublishedVersion
+from bench.soak.pause_series import PauseSeries
 from bench.soak.rerouting import write_links
 from bench.soak.shape import (
     ADAPTER_SLOTS,
@@ -101,6 +102,8 @@
         self._reassigned: set[str] = set()
         self._earlier_build: Path | None = None
         self._restart_lock = threading.RLock()
+        self._pause_series: dict[str, PauseSeries] = {}
+        self._change_lock = threading.RLock()
 
     # Start.
 
@@ -211,17 +214,24 @@
 
     def change(self, **fields: bool) -> None:
         """Change the configuration, and record when the change was acknowledged."""
-        self._configured = self._configured._replace(**fields)
-        self.tenants = self._configured.tenants()
-        began_at = monotonic()
-        self.configure(self._configured.routes())
-        self.changes.append(
-            ConfigurationChange(
-                began_at=began_at,
-                acknowledged_at=monotonic(),
-                configured=self._configured,
+        with self._change_lock:
+            self._configured = self._configured._replace(**fields)
+            self.tenants = self._configured.tenants()
+            began_at = monotonic()
+            self.configure(self._configured.routes())
+            self.changes.append(
+                ConfigurationChange(
+                    began_at=began_at,
+                    acknowledged_at=monotonic(),
+                    configured=self._configured,
+                )
             )
-        )
+
+    def write_operator_row(self, key: str, value: dict[str, Any]) -> None:
+        """Write a row as the operator; that of the configuration gets its limits for callers."""
+        if key == names.CONFIGURATION_KEY:
+            value = {**value, "limits": self._configured.limits()}
+        super().write_operator_row(key, value)
 
     def publish_next_version(self, adapter: str) -> None:
         """Publish the next version of an adapter."""
@@ -234,7 +244,8 @@
 
     def rewrite_missing(self) -> None:
         """Repeat the operator's writes, which a store restored from a copy may lack."""
-        self.configure(self._configured.routes(), self.version)
+        with self._change_lock:
+            self.configure(self._configured.routes(), self.version)
         for adapter, version in self._published_versions.items():
             self.name_version(adapter, version)
         for instance in sorted(self._removed_rows):
@@ -277,6 +288,26 @@
         """Stop sending a request that crashes replicas."""
         self._crashing_callers.pop(seed).stop()
 
+    def start_pause_series(self, seed: str, replicas: Sequence[str]) -> None:
+        """Start to pause replicas several times, and to change the configuration meanwhile."""
+        series = PauseSeries(
+            seed,
+            pause=partial(self._signal_all, replicas, signal.SIGSTOP),
+            resume=partial(self._signal_all, replicas, signal.SIGCONT),
+            change=self.change,
+        )
+        self._pause_series[seed] = series
+        series.start()
+
+    def stop_pause_series(self, seed: str) -> None:
+        """Resume the replicas of a series and revert its changes."""
+        self._pause_series.pop(seed).stop()
+
+    def _signal_all(self, replicas: Sequence[str], number: signal.Signals) -> None:
+        with self._restart_lock:
+            for name in replicas:
+                self.processes.signal(name, number)
+
     def _restart_crashed(self) -> None:
         """Replace the replicas that a request has crashed, as the platform does."""
         with self._restart_lock:
@@ -354,6 +385,10 @@
         """Return the events of all replicas, including killed ones."""
         return [event for name in self._plans for event in self._events_of(name)]
 
+    def replica_names(self) -> dict[str, str]:
+        """Return the names of all replicas, including killed ones, by their instance."""
+        return {event.instance: name for name in self._plans for event in self._events_of(name)}
+
     def dump_stacks_of_silent_boxes(self) -> list[str]:
         """Make each box that does not answer write its stacks to its log and exit.
 
--- a/bench/soak/faults/__init__.py
+++ b/bench/soak/faults/__init__.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from bench.soak.faults import boxes, configuration, links, partitions, replicas, requests, store
+from bench.soak.faults import (
+    boxes,
+    configuration,
+    links,
+    partitions,
+    pause_series,
+    replicas,
+    requests,
+    store,
+)
 from bench.soak.faults.fault import FAULTS, Fault
 
 __all__ = [
@@ -12,6 +21,7 @@
     "configuration",
     "links",
     "partitions",
+    "pause_series",
     "replicas",
     "requests",
     "store",
--- a/bench/soak/shape.py
+++ b/bench/soak/shape.py
@@ -35,6 +35,17 @@
 FIRST_SOFTWARE = 1
 """The software version of all replicas at the start."""
 
+TIMEOUT_S = 5.0
+HURRIED_TIMEOUT_S = 2.5
+"""The timeouts of routes."""
+
+IDLE_S = 15.0
+IMPATIENT_IDLE_S = 1.0
+"""How long boxes keep idle connections of callers open."""
+
+WITHDRAWABLE = "minutes"
+"""The name of the route that is withdrawn and restored during a play."""
+
 MOVABLE = "turns"
 """The name of the route that moves to another service during a play."""
 
@@ -100,17 +111,33 @@
         moved: Whether the movable route leads to its second service.
         goes: Whether the removable key belongs to its team.
         lowered: Whether the limited team has its lower quota.
+        hurried: Whether routes have their shorter timeout.
+        impatient: Whether idle connections of callers are closed sooner.
+        withdrawn: Whether the withdrawable route does not exist.
     """
 
     moved: bool = False
     goes: bool = True
     lowered: bool = False
+    hurried: bool = False
+    impatient: bool = False
+    withdrawn: bool = False
 
     @property
     def limited_per_s(self) -> float:
         """The limited team's rate in requests a second; its burst is the rate of one second."""
         return LIMITED_TEAM_LOWERED_PER_S if self.lowered else LIMITED_TEAM_PER_S
 
+    @property
+    def timeout_s(self) -> float:
+        """The timeout of all routes."""
+        return HURRIED_TIMEOUT_S if self.hurried else TIMEOUT_S
+
+    @property
+    def idle_s(self) -> float:
+        """After this time boxes close the idle connections of callers."""
+        return IMPATIENT_IDLE_S if self.impatient else IDLE_S
+
     def service_of(self, route_name: str) -> str:
         """Return the service that a route leads to."""
         if route_name == MOVABLE:
@@ -119,7 +146,7 @@
 
     def routes(self) -> list[dict[str, Any]]:
         """Return the routes in the format of the operator's configuration."""
-        return [
+        routes = [
             route("lookup", "safe", "rosters"),
             route("join", "unsafe", "rosters", maxAttempts=1),
             route("open", "safe", "catalog", public=True),
@@ -127,6 +154,13 @@
             route("items", "streaming", "language", resumable=True, gapAimMs=400),
             route("minutes", "streaming", "language", resumable=False, maxAttempts=1, gapAimMs=400),
         ]
+        timeout = {"timeoutMs": self.timeout_s * 1000}
+        hidden = WITHDRAWABLE if self.withdrawn else ""
+        return [{**one, **timeout} for one in routes if one["name"] != hidden]
+
+    def limits(self) -> dict[str, Any]:
+        """Return the limits for callers in the format of the operator's configuration."""
+        return {"idleTimeoutMs": self.idle_s * 1000}
 
     def tenants(self) -> list[dict[str, Any]]:
         """Return the teams in the format of the operator's configuration."""
