--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -243,6 +243,7 @@
 
 def _exchange(attempt: Attempt, connection: http.client.HTTPConnection, ends_at: float) -> None:
     left_s = max(_MIN_ATTEMPT_S, ends_at - monotonic())
+    attempt.deadline_at = monotonic() + left_s
     connection.timeout = left_s
     if connection.sock is not None:
         connection.sock.settimeout(left_s)
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -49,6 +49,7 @@
         resumes: The id of the attempt that brought the first event of the stream that is taken up.
         leaves_after: The number of events after which the caller closes its connection; 0 never.
         crashing_part: The part of the prompt that crashes replicas; empty for none.
+        deadline_at: When the time that the request names is over.
     """
 
     request_id: str
@@ -74,6 +75,7 @@
     resumes: str = ""
     leaves_after: int = 0
     crashing_part: str = ""
+    deadline_at: float = float("inf")
 
     @property
     def path(self) -> str:
@@ -176,7 +178,11 @@
 
 
 class Observations(Struct, kw_only=True, dict=True):
-    """All observations of one play, which the judges check."""
+    """All observations of one play, which the judges check.
+
+    Attributes:
+        replica_names: The name of each replica instance, as in the claims of faults.
+    """
 
     attempts: list[Attempt]
     calls: list[Call]
@@ -186,6 +192,7 @@
     versions: list[PublishedVersion]
     pauses: list[Pause]
     quiets: list[QuietSpan]
+    replica_names: dict[str, str] = {}
 
     def is_by_earlier_build(self, attempt: Attempt) -> bool:
         """Whether the box of an attempt ran the build of the last release meanwhile."""
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -77,6 +77,7 @@
             versions=deployment.versions,
             pauses=meter.pauses,
             quiets=_quiets_of(schedule, spans, began_at),
+            replica_names=deployment.replica_names(),
         )
 
 
