--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -8,6 +8,10 @@
 
 from collections.abc import Callable
 from typing import Any
+from weakref import WeakKeyDictionary
+
+_SILENCE_S = 0.5
+"""Time without bytes after which a box without tolerance takes an answer for broken off."""
 
 MECHANISMS: dict[str, Callable[[], None]] = {}
 """The patches, by the name of the mechanism that each one disables."""
@@ -201,3 +205,26 @@
     from springrock.forwarding.connection import Connection
 
     Connection.has_carried = lambda self, request_id: False  # type: ignore[method-assign]
+
+
+@_disables("silence_tolerance")
+def _take_silences_for_breaks() -> None:
+    from springrock.clock import monotonic
+    from springrock.forwarding.errors import AnswerBroken, AnswerSilent
+    from springrock.forwarding.exchange import Answer
+
+    original = Answer.read
+    heard_at: WeakKeyDictionary[Any, float] = WeakKeyDictionary()
+
+    def _read(self: Any, *, timeout_s: float) -> bytes:
+        left_s = heard_at.setdefault(self, monotonic()) + _SILENCE_S - monotonic()
+        try:
+            data = original(self, timeout_s=max(0.0, min(timeout_s, left_s)))
+        except AnswerSilent:
+            if timeout_s < left_s:
+                raise
+            raise AnswerBroken("silence is taken for a break") from None
+        heard_at[self] = monotonic()
+        return data
+
+    Answer.read = _read  # type: ignore[method-assign]
