--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""Tests of the soak with two fixed seeds, and of its clean-up when it is interrupted."""
+"""Tests of the soak with fixed seeds, and of its clean-up when it is interrupted."""
 
 from __future__ import annotations
 
@@ -24,6 +24,12 @@
 
 INTERRUPTED = 130
 
+PLAYS = [
+    pytest.param(("--seed", "1"), id="1"),
+    pytest.param(("--seed", "3"), id="3"),
+    pytest.param(("--seed", "10", "--only", "paused_in_series"), id="10_paused_in_series"),
+]
+
 
 def soak(*arguments: str, keep: Path) -> subprocess.Popen[str]:
     return subprocess.Popen(
@@ -64,7 +70,7 @@
     verdicts: dict[str, Verdict]
 
 
-@pytest.fixture(scope="module", params=["1", "3"])
+@pytest.fixture(scope="module", params=PLAYS)
 def played(request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory) -> Played:
     for _ in range(MAX_PLAYS):
         played = play(request.param, tmp_path_factory.mktemp("soak"))
@@ -73,8 +79,8 @@
     return played
 
 
-def play(seed: str, folder: Path) -> Played:
-    process = soak("--seed", seed, "--minutes", MINUTES, keep=folder)
+def play(arguments: tuple[str, ...], folder: Path) -> Played:
+    process = soak(*arguments, "--minutes", MINUTES, keep=folder)
     output, _ = process.communicate(timeout=120)
     verdicts = [
         msgspec.json.decode(path.read_bytes(), type=dict[str, Verdict])
