--- a/bench/soak/judges/silences.py
+++ b/bench/soak/judges/silences.py
@@ -34,6 +34,8 @@
                 continue
             if _broke_off(attempt, runs, ends) or _is_excused(observations, attempt, runs):
                 continue
+            if _is_unconfirmed(observations, attempt, runs[-1]):
+                continue
             findings.append(_finding_of(attempt, runs, ends))
         return Verdict(checked=checked, findings=findings)
 
@@ -84,6 +86,22 @@
     return False
 
 
+def _is_unconfirmed(observations: Observations, attempt: Attempt, run: ReplicaEvent) -> bool:
+    """Whether the replica's process ended after an answer that only its connection ended.
+
+    Such an answer is whole only if the replica lives on.
+    """
+    framing = f"framing/{observations.replica_names.get(run.instance, '')}"
+    was_unframed = any(
+        framing in span.claimed and span.began_at <= run.at <= span.ended_at
+        for span in observations.spans
+    )
+    return was_unframed and not any(
+        event.instance == run.instance and event.at > attempt.ended_at
+        for event in observations.replica_events
+    )
+
+
 def _is_excused(observations: Observations, attempt: Attempt, runs: list[ReplicaEvent]) -> bool:
     """Whether a fault of the attempt's box, or of its links to its replicas, acted meanwhile."""
     replicas = {observations.replica_names.get(run.instance, "") for run in runs}
