Tests: a client that closes its sending side alone counts as gone

Its system sends the same as one whose process closed the connection; the line of the door names it client_closed. Passes as it was: the test states what holds, so that a change of it is a decision.

--- a/tests/forwarding/test_answer_ends.py
+++ b/tests/forwarding/test_answer_ends.py
@@ -162,6 +162,16 @@
     assert "ConnectionResetError" in str(end["error"])
 
 
+def test_a_client_that_closes_its_sending_side_alone_counts_as_gone() -> None:
+    """Its system sends the same as one whose process has closed the connection."""
+    with running(never) as box, box.connect() as client:
+        box.wait_begun()
+        client.shutdown(socket.SHUT_WR)
+        end = box.the_end()
+        assert read_to_end(client) == b""
+    assert end["ended_by"] == EndedBy.CLIENT_CLOSED
+
+
 def test_a_client_that_breaks_off_its_request_leaves_a_line_with_its_id() -> None:
     with running(never) as box:
         head = REQUEST.removesuffix(b"\r\n") + b"Content-Length: 50\r\n\r\n"
