A replica that is silent inside an answer to another request is waited for

Cause: an answer to another request that comes before the own one had to be read within 0.5 s. A replica that was paused inside it ended the exchange, although the request had time left and its own answer could follow.

The rest of such an answer is now waited for as long as the head of the own one. The rest of a refusal that promises that nothing ran still gets 0.5 s, as nothing depends on it.

Both new tests fail before (AnswerSilent after 0.5 s).

--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -28,7 +28,8 @@
 _MAX_SURPLUS_ANSWERS = 2
 """How many answers to earlier requests are discarded on a connection."""
 
-_SURPLUS_READ_TIMEOUT_S = 0.5
+_REFUSAL_READ_TIMEOUT_S = 0.5
+"""Time for the rest of an answer that promises that nothing ran."""
 
 _CONFIRM_TIMEOUT_S = 0.6
 """Time for the connection that confirms an answer without length, if reading took the rest."""
@@ -228,7 +229,7 @@
             if head.succeeded and not dialect.is_sealed(head):
                 raise AnswerBroken("a success without the seal of a replica")
             return answer
-        answer.skip(deadline=Deadline(_SURPLUS_READ_TIMEOUT_S))
+        answer.skip(deadline=Deadline(_REFUSAL_READ_TIMEOUT_S))
     except BaseException:
         connection.close()
         raise
@@ -245,13 +246,12 @@
         head = connection.receive_head(timeout_s=deadline.left_s)
         if dialect.answers(head, request.request_id):
             return head
-        _discard_answer(connection)
+        _discard_answer(connection, deadline)
     raise ForeignAnswer("received only answers to other requests")
 
 
-def _discard_answer(connection: Connection) -> None:
+def _discard_answer(connection: Connection, deadline: Deadline) -> None:
     """Read an answer to another request to its end; the own answer may follow it."""
-    deadline = Deadline(_SURPLUS_READ_TIMEOUT_S)
     while connection.read(timeout_s=deadline.left_s):
         continue
     if not connection.reusable:
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -113,6 +113,31 @@
         assert body_of(send(ConnectionPool(replica.address))) == b"own"
 
 
+def test_a_silence_inside_a_surplus_answer_does_not_end_the_own_one() -> None:
+    surplus = answer("old", b"of another request")
+
+    def _pause(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(surplus[:-3])
+        time.sleep(1.2)
+        connection.sendall(surplus[-3:] + answer("r1", b"own"))
+
+    with ScriptedReplica(_pause) as replica:
+        assert body_of(send(ConnectionPool(replica.address))) == b"own"
+
+
+def test_a_surplus_answer_that_stays_silent_ends_the_exchange_with_its_timeout() -> None:
+    def _stop(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(answer("old", b"of another request")[:-3])
+        time.sleep(3.0)
+
+    began_at = monotonic()
+    with ScriptedReplica(_stop) as replica, pytest.raises(AnswerSilent):
+        send(ConnectionPool(replica.address))
+    assert 1.9 <= monotonic() - began_at < 2.8
+
+
 def test_a_connection_with_surplus_bytes_is_not_reused() -> None:
     surplus = answer("r1", b"own") + answer("r1", b"again")
     with ScriptedReplica(
