A request that cannot be parsed by a fault of the box still ends

Cause: the line of its end reads the request's id, which parses it again; the second exception left the request counted as open for ever, so that a planned stop would have waited for it until its limit.

The end is recorded before it is logged, and an id that cannot be read is left empty. The new test fails before (the request stays open).

--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -130,9 +130,10 @@
         return self._forwarder.forward(request)
 
     def request_id_of(self, open_request: _OpenRequest) -> str:
-        """Return the client's id of a request; empty if it states none."""
+        """Return the client's id of a request; empty if it cannot be read."""
         if not open_request.request_id:
-            with contextlib.suppress(BadRequest):
+            # The request may have ended because it cannot be parsed, for whatever reason.
+            with contextlib.suppress(Exception):
                 open_request.parse(self._dialect, b"")
         return open_request.request_id
 
@@ -213,11 +214,11 @@
             self.watch.stop()
         finally:
             outcome = self._outcome(error)
+            self._door.record_finished(self, outcome)
             if error is not None:
                 sending = error is self._response.send_error
                 cause = ended_by(error, reading=self.reading, sending=sending)
                 self._log_end(cause, outcome, error)
-            self._door.record_finished(self, outcome)
 
     def _outcome(self, error: BaseException | None) -> str:
         if error is None:
--- a/tests/forwarding/test_answer_ends.py
+++ b/tests/forwarding/test_answer_ends.py
@@ -48,13 +48,13 @@
     def __init__(self, reply: Callable[[], Reply]) -> None:
         [address] = free_addresses(1)
         self.forwarder = ScriptedForwarder(reply)
-        self._journal = Journal()
+        self.journal = Journal()
         self.door = ForwardingDoor(
             address,
             forwarder=self.forwarder,  # type: ignore[arg-type]
             dialect=PlatformDialect(),
             body_limit_bytes=lambda: 100,
-            log=Log("door", "box-1", self._journal),
+            log=Log("door", "box-1", self.journal),
             metrics=ForwardingMetrics(),
         )
         self._address = split_address(address)
@@ -76,7 +76,7 @@
 
     @property
     def lines(self) -> list[Line]:
-        return self._journal.lines_with("request", "r1")
+        return self.journal.lines_with("request", "r1")
 
     def the_end(self) -> dict[str, object]:
         """Wait until no request is open; return the fields of the only line."""
@@ -208,6 +208,17 @@
     assert (end["ended_by"], end["outcome"]) == (EndedBy.FAULT, "fault")
 
 
+def test_a_request_that_cannot_be_parsed_by_a_fault_leaves_a_line_and_is_not_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(PlatformDialect, "read_request", lambda self, **fields: {}["fault"])
+    with running(never) as box, box.connect() as client:
+        assert client.recv(100).startswith(b"HTTP/1.1 500")
+        box.wait_idle()
+        [line] = box.journal.lines_with("request", "")
+    assert line.fields["ended_by"] == EndedBy.FAULT
+
+
 @pytest.mark.parametrize(
     "body", [[LARGE], lambda: iter([LARGE])], ids=["complete", "as it arrives"]
 )
