Placers: an engine that does not answer loses the assignments that it is not loading

While an engine answered no report for 0.5 s, requests for the adapters assigned to it were assigned to other engines, but its own assignments stayed for 2 s. An engine that was paused for 1 to 2 s therefore evicted adapters afterwards for loads that nobody needed there. Now the planner decides again once it answers. Loads that the engine has begun stay assigned, as they would be ordered a second time elsewhere otherwise; an unanswered order that it executes late shows in its next report.

The first new test failed before: the engine got an unload and a load; the second passed before, too.

--- a/springrock/placement/engine_book.py
+++ b/springrock/placement/engine_book.py
@@ -167,6 +167,13 @@
         """Return the adapters that the engine has in its cache, in any version."""
         return self._cached.keys()
 
+    def withdraw_assignments(self) -> None:
+        """Drop the assignments that are not loading, so that the planner can decide again."""
+        for key in list(self.assigned):
+            place = self.places.get(key)
+            if place is None or place.state is not PlaceState.LOADING:
+                del self.assigned[key]
+
     def load_executed(
         self,
         key: AdapterKey,
--- a/springrock/placement/engine_reconciler.py
+++ b/springrock/placement/engine_reconciler.py
@@ -180,6 +180,8 @@
         except ControlUnanswered as error:
             self._unreachable.begin(error=str(error))
             book.reachable = False
+            # The planner assigns them to engines that answer, as requests wait for them.
+            book.withdraw_assignments()
             return False
         self._unreachable.end()
         book.reachable = True
--- a/tests/placement/test_engine_reconciler.py
+++ b/tests/placement/test_engine_reconciler.py
@@ -55,12 +55,15 @@
         self.models = frozenset({"m"})
         self.running = 0
         self.newest_fence = 0
+        self.silent = False
         self.lose_order = False
         self.lose_answer = False
         self.most_places = 0
         self.orders: list[Order] = []
 
     def report(self, address: str, *, instance: str) -> EngineState:
+        if self.silent:
+            raise ControlUnanswered("silent")
         return EngineState(
             sequence=self.sequence,
             models=self.models,
@@ -71,6 +74,8 @@
 
     def order(self, address: str, *, instance: str, order: Order) -> OrderAnswer:
         self.orders.append(order)
+        if self.silent:
+            raise ControlUnanswered("silent")
         if self.lose_order:
             self.lose_order = False
             raise ControlUnanswered("lost before")
@@ -185,6 +190,44 @@
     reconciler.stop()
 
 
+def test_an_engine_that_was_silent_evicts_nothing_for_an_earlier_assignment() -> None:
+    """The planner has assigned the adapter to an engine that answers meanwhile."""
+    engine, published = Engine(), []
+    engine.adapters = {"x", "y"}
+    reconciler = make_reconciler(engine, Lease(), published)
+    reconciler.start()
+    wait_for(lambda: published == [{"x", "y"}], "a report of the engine is read")
+    engine.silent = True
+    reconciler.mark_stale()
+    assign(reconciler, "a")
+    wait_for(lambda: not reconciler.book.reachable, "the engine is known to be silent")
+    assert reconciler.book.places.keys() == {key("x"), key("y")}
+    engine.silent = False
+    wait_for(lambda: reconciler.book.reachable, "the engine answers again")
+    gevent.sleep(0.2)
+    assert engine.orders == []
+    assign(reconciler, "a")
+    wait_for(lambda: "a" in engine.adapters, "a is loaded once it is assigned again")
+    reconciler.stop()
+
+
+def test_an_engine_that_was_silent_during_a_load_holds_the_adapter_afterwards() -> None:
+    engine, published = Engine(), []
+    reconciler = make_reconciler(engine, Lease(), published)
+    reconciler.start()
+    wait_for(lambda: reconciler.book.sequence is not None, "a report of the engine is read")
+    assign(reconciler, "a")
+    wait_for(lambda: bool(engine.orders), "the load is ordered")
+    engine.silent = True
+    reconciler.mark_stale()
+    wait_for(lambda: not reconciler.book.reachable, "the engine is known to be silent")
+    assert key("a") in reconciler.book.assigned, "else the planner would order a second load"
+    engine.silent = False
+    wait_for(lambda: published[-1] == {"a"}, "a is published as ready")
+    assert reconciler.book.assigned == {}
+    reconciler.stop()
+
+
 def test_a_new_placer_unloads_nothing_while_requests_run_that_no_box_has_reported(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
