A run that speaks in the moment in which it is given up is kept

The interrupt of its read was carried out in the next step of the loop, whatever was read by then, so that a read begun meanwhile could be interrupted and the run be lost. The test fails before.

--- a/springrock/forwarding/silence_guard.py
+++ b/springrock/forwarding/silence_guard.py
@@ -115,7 +115,7 @@
             self._watch_for(STALL_TIMEOUT_S)
             return
         self._on_silent()
-        self._resumption = self._new_resumption(self._schedule_interrupt)
+        self._resumption = self._new_resumption(lambda: self._schedule_interrupt(_SENT_BEFORE))
         self._resumption.start()
         self._overlap = Overlap()
         self._timer = gevent.spawn_later(_CHECK_INTERVAL_S, self._check_overlap)
@@ -129,7 +129,7 @@
         if self._overlap.is_too_long(
             now=monotonic(), heard_at=heard_at, sent_at=resumption.sent_at
         ):
-            gevent.get_hub().loop.run_callback(self._interrupt, _AT_WORK_BESIDE)
+            self._schedule_interrupt(_AT_WORK_BESIDE)
         else:
             self._timer = gevent.spawn_later(_CHECK_INTERVAL_S, self._check_overlap)
 
@@ -138,10 +138,10 @@
             self._resumption.cancel()
             self._resumption = None
 
-    def _schedule_interrupt(self) -> None:
-        gevent.get_hub().loop.run_callback(self._interrupt, _SENT_BEFORE)
+    def _schedule_interrupt(self, reason: str) -> None:
+        gevent.get_hub().loop.run_callback(self._interrupt, self._resumption, reason)
 
-    def _interrupt(self, reason: str) -> None:
-        """Interrupt the read, unless it has ended since; called in the hub."""
-        if self._waiting_since is not None:
+    def _interrupt(self, resumption: Resumption, reason: str) -> None:
+        """Interrupt the read that a search was begun for, unless it ended; called in the hub."""
+        if self._waiting_since is not None and self._resumption is resumption:
             self._reader.throw(Overtaken(reason))
