--- a/tests/routed/test_paused_replicas.py
+++ b/tests/routed/test_paused_replicas.py
@@ -15,15 +15,12 @@
 
 from springrock.clock import monotonic
 from springrock.emulator.replica_events import ReplicaEvent, ReplicaEventKind, read_replica_events
-from tests.builds import build_at
+from tests.builds import LAST_RELEASE, build_at
 from tests.processes import wait_until
 from tests.routed.deployment import MODEL, REPLICAS, Answer, Deployment, route
 from tests.routed.test_builds import link_faults
 from tests.routed.test_cut_off import cut, heal
 
-LAST_LANDING = "9643a5493b643c2829e09e9f23421a43cc3988b5"
-"""The last commit whose boxes give a silent replica up before they know of another one."""
-
 EVENTS = 16
 EVENT_PAUSE_MS = 100
 STREAM_S = EVENTS * EVENT_PAUSE_MS / 1000
@@ -253,7 +250,7 @@
         yield deployment
 
 
-@pytest.mark.parametrize("pauses", [(1.0,), (PAUSE_S,), (PAUSE_S, PAUSE_S)], ids=str)
+@pytest.mark.parametrize("pauses", [(1.0,), (PAUSE_S,), (1.0, PAUSE_S)], ids=str)
 def test_no_stream_is_cut_because_all_engines_are_paused(
     deployment: PausableDeployment, pauses: tuple[float, ...]
 ) -> None:
@@ -278,16 +275,22 @@
     assert calls.failed == []
 
 
-def test_nothing_that_may_run_once_only_is_ended_by_a_pause(
+def test_a_pause_loses_neither_what_may_run_once_only_nor_what_is_sent_meanwhile(
     deployment: PausableDeployment,
 ) -> None:
-    with Calls(deployment) as calls:
-        calls.send(deployment.clients, ("/minutes/x",))
-        calls.wait_running()
-        calls.send(deployment.clients, PLAIN_PATHS * 3)
+    with Calls(deployment) as under_way, Calls(deployment) as sent:
+
+        def _send() -> None:
+            time.sleep(0.3)
+            sent.send(deployment.clients, (*STREAM_PATHS, *PLAIN_PATHS))
+
+        under_way.send(deployment.clients, ("/minutes/x",))
+        under_way.wait_running()
+        under_way.send(deployment.clients, PLAIN_PATHS * 3)
         time.sleep(0.1)
-        deployment.pause((*ENGINES, *PLAIN_REPLICAS), for_s=PAUSE_S)
-    assert calls.failed == []
+        deployment.pause((*ENGINES, *PLAIN_REPLICAS), for_s=PAUSE_S, meanwhile=_send)
+    assert under_way.failed == []
+    assert sent.lost == []
 
 
 def test_no_stream_is_ended_by_an_estimate_of_its_clients_patience(
@@ -300,19 +303,6 @@
     assert calls.failed == []
 
 
-def test_nothing_that_is_sent_to_paused_replicas_ends_without_an_answer(
-    deployment: PausableDeployment,
-) -> None:
-    with Calls(deployment) as calls:
-
-        def _send() -> None:
-            time.sleep(0.3)
-            calls.send(deployment.clients, (*STREAM_PATHS, *PLAIN_PATHS))
-
-        deployment.pause((*ENGINES, *PLAIN_REPLICAS), for_s=PAUSE_S, meanwhile=_send)
-    assert calls.lost == []
-
-
 def test_no_caller_waits_for_replicas_that_rest_after_a_pause(
     deployment: PausableDeployment,
 ) -> None:
@@ -404,10 +394,10 @@
     wait_until(_is_held_by_a_burst, within_s=30.0, what="several engines hold each adapter")
 
 
-def test_no_stream_of_a_box_is_cut_by_a_pause_beside_a_box_of_the_last_landing(
+def test_no_stream_of_a_box_is_cut_by_a_pause_beside_a_box_of_the_previous_release(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> None:
-    previous = build_at(LAST_LANDING, tmp_path_factory.mktemp("build"))
+    previous = build_at(LAST_RELEASE, tmp_path_factory.mktemp("build"))
     with running(tmp_path_factory.mktemp("mixed"), build_of={"box-2": previous}) as deployment:
         with Calls(deployment) as calls, Calls(deployment) as of_previous:
             calls.send(["box-1"], STREAM_PATHS)
