--- a/springrock/forwarding/overlap.py
+++ b/springrock/forwarding/overlap.py
@@ -1,38 +1,40 @@
-"""Decides when a silent run is given up for one that was begun beside it."""
+"""Decides when one of two replicas that run the same stream is given up."""
 
 from __future__ import annotations
 
-_HEARD_WITHIN_S = 0.25
+_HEARD_WITHIN_S = 1.0
 """A replica that was heard within this time is at work."""
 
-_MAX_OVERLAP_S = 0.3
-"""Time after which at most one of two runs that are both at work is to be left."""
+_MAX_OVERLAP_S = 0.2
 
 
 class Overlap:
-    """The time in which two replicas run the same stream.
+    """The time in which two replicas are both at work on one stream.
 
-    A paused replica works on nothing, so its silent run may be kept for as long as it takes. One
-    that is heard on other connections is at work: it would go on with a run that another replica
-    has taken over.
+    A paused replica works on nothing, so its run may be kept for as long as it takes. One that is
+    heard on any connection is at work. The earlier of two such runs is given up: it alone has had
+    the time to go on.
     """
 
     def __init__(self) -> None:
-        self._at_work_since: float | None = None
+        self._earlier_at_work_since: float | None = None
 
-    def is_too_long(self, *, now: float, heard_at: float, sent_at: float | None) -> bool:
-        """Whether the silent run is to be given up now; to be asked every tenth of a second.
+    def is_too_long(
+        self, *, now: float, earlier_heard_at: float, later_sent_at: float, later_heard_at: float
+    ) -> bool:
+        """Whether the earlier run is to be given up now; to be asked every tenth of a second.
 
         Args:
             now: The local monotonic clock.
-            heard_at: When the replica that is silent in this run was last heard at all.
-            sent_at: When another replica was sent the request; None if none was.
+            earlier_heard_at: When the replica of the earlier run was last heard.
+            later_sent_at: When the other replica was sent the request.
+            later_heard_at: When that one was last heard.
         """
-        if now - heard_at > _HEARD_WITHIN_S:
-            self._at_work_since = None
+        if now - earlier_heard_at > _HEARD_WITHIN_S:
+            self._earlier_at_work_since = None
             return False
-        if self._at_work_since is None:
-            self._at_work_since = now
-        if sent_at is None:
+        if self._earlier_at_work_since is None:
+            self._earlier_at_work_since = now
+        if later_heard_at <= later_sent_at:
             return False
-        return now - max(self._at_work_since, sent_at) >= _MAX_OVERLAP_S
+        return now - max(self._earlier_at_work_since, later_sent_at) >= _MAX_OVERLAP_S
--- a/springrock/forwarding/request_progress.py
+++ b/springrock/forwarding/request_progress.py
@@ -64,6 +64,7 @@
         notice: What the head of the answer says about the replica itself.
         software: The version of the replica's software at that time, empty if unknown.
         request_id: The client's id of the request.
+        silent: Whether the replica is silent, and this is recorded already.
         first_event_at: When the first event of the answer arrived, on the local monotonic clock;
             None before that, and for an answer without events.
     """
@@ -75,6 +76,7 @@
     notice: ReplicaNotice = NO_NOTICE
     software: str = ""
     request_id: str = ""
+    silent: bool = False
     first_event_at: float | None = None
 
     @property
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -55,8 +55,8 @@
 _MAX_LOGGED_PARTS = 8
 
 _MIN_SILENCE_AS_FAILURE_S = 0.5
-"""A request that timed out earlier than this after its arrival does not count as a failure of the
-replica: a route may allow less time than a healthy replica needs."""
+"""A request that timed out earlier than this after its arrival, or after a part of its answer, does
+not count as a silence of the replica: a route may allow less time than a healthy replica needs."""
 
 
 class Sender:
@@ -207,21 +207,23 @@
             attempt.outcome = AttemptOutcome.ANSWERED
             replica.health.record_success()
 
-    def record_silence(self, replica: Replica, *, since: float) -> None:
-        """Record that a replica has sent nothing for too long in an exchange that goes on.
+    def record_silence(self, replica: Replica, attempt: Attempt, *, since: float) -> None:
+        """Record that a replica has sent nothing for too long; the exchange may go on.
 
         Args:
             replica: The replica.
+            attempt: The attempt.
             since: When it was last heard in the exchange, or else the request was sent, on the
                 local monotonic clock.
         """
+        attempt.silent = True
         replica.health.record_silence(for_s=monotonic() - since)
         self._warmup.record_silent(replica.record, since=since)
         self._reach.of(replica.record.service).record_unreachable()
 
-    def record_went_on(self, progress: RequestProgress, replica: Replica, attempt: Attempt) -> None:
+    def record_went_on(self, replica: Replica, attempt: Attempt, *, sent_at: float) -> None:
         """Record that a replica has sent more in an exchange in which it was silent."""
-        sent_at = progress.request.received_at + attempt.began_s
+        attempt.silent = False
         self._warmup.record_went_on(replica.record, sent_at=sent_at)
 
     def record_writing(self, progress: RequestProgress, head: AnswerHead) -> None:
@@ -256,9 +258,7 @@
         attempt.outcome = next(
             outcome for kind, outcome in _OUTCOME_BY_ERROR if isinstance(error, kind)
         )
-        sent_at = progress.request.received_at + attempt.began_s
-        since = sent_at if heard_at is None else heard_at
-        self._record_fault_evidence(progress, replica, error, since=since)
+        self._record_fault_evidence(progress, replica, attempt, error, heard_at=heard_at)
         self._report_to_crash_detector(progress, replica, attempt, error)
         self._log.info(
             "An attempt failed.",
@@ -299,9 +299,10 @@
         self,
         progress: RequestProgress,
         replica: Replica,
+        attempt: Attempt,
         error: ExchangeError,
         *,
-        since: float,
+        heard_at: float | None,
     ) -> None:
         key = progress.request.adapter_key
         if isinstance(error, ReplicaUnreachable):
@@ -310,10 +311,12 @@
             self._warmup.record_failed(replica.record, refused=refused)
             replica.health.record_unreachable()
         elif isinstance(error, AnswerSilent):
-            if progress.age_s >= _MIN_SILENCE_AS_FAILURE_S:
-                self.record_silence(replica, since=since)
-            else:
-                self._reach.of(replica.record.service).record_unreachable()
+            self._reach.of(replica.record.service).record_unreachable()
+            waited_s = progress.age_s if heard_at is None else monotonic() - heard_at
+            if waited_s >= _MIN_SILENCE_AS_FAILURE_S and not attempt.silent:
+                sent_at = progress.request.received_at + attempt.began_s
+                since = sent_at if heard_at is None else heard_at
+                self.record_silence(replica, attempt, since=since)
         elif isinstance(error, OutcomeUnknown):
             self._warmup.record_failed(replica.record, refused=False)
             replica.health.record_failure()
--- a/springrock/forwarding/silence_guard.py
+++ b/springrock/forwarding/silence_guard.py
@@ -10,7 +10,6 @@
 from springrock.clock import monotonic
 from springrock.errors import SpringrockError
 from springrock.forwarding.events import Event
-from springrock.forwarding.overlap import Overlap
 from springrock.forwarding.resumption import Resumption
 from springrock.forwarding.stream_run import StreamRun
 
@@ -21,10 +20,8 @@
 """Returns a search, given what to call when a replica has won."""
 
 
-_CHECK_INTERVAL_S = 0.1
-
 _SENT_BEFORE = "another replica sent the next event before"
-_AT_WORK_BESIDE = "silent in this run alone, which another replica was sent"
+_AT_WORK_BESIDE = "silent in this run alone, while another replica is at work on it"
 
 
 class Overtaken(SpringrockError):
@@ -41,7 +38,7 @@
         run: The run.
         may_resume: Whether another replica may go on with the stream.
         new_resumption: Creates a search.
-        on_silent: Called when a search begins.
+        on_silent: Called once in each silence, before a search begins.
     """
 
     def __init__(
@@ -56,9 +53,9 @@
         self._may_resume = may_resume
         self._new_resumption = new_resumption
         self._on_silent = on_silent
-        self._overlap = Overlap()
         self._reader = gevent.getcurrent()
         self._waiting_since: float | None = None
+        self._was_silent = False
         self._timer: gevent.Greenlet[..., Any] | None = None
         self._resumption: Resumption | None = None
 
@@ -79,9 +76,10 @@
             events = self._run.read()
         finally:
             self._waiting_since = None
-        if self._resumption is not None:
-            if self._resumption.won:
-                raise Overtaken(_SENT_BEFORE)
+        if self._resumption is not None and self._resumption.won:
+            raise Overtaken(_SENT_BEFORE)
+        if self._was_silent:
+            self._was_silent = False
             self._end_resumption()
             self._watch_for(STALL_TIMEOUT_S)
         return events
@@ -93,7 +91,7 @@
         self.close()
         if resumption is None:
             resumption = self._new_resumption(lambda: None)
-            resumption.start()
+            resumption.start(give_up=lambda: None)
         return resumption
 
     def close(self) -> None:
@@ -111,27 +109,12 @@
         if waited_s < STALL_TIMEOUT_S:
             self._watch_for(STALL_TIMEOUT_S - waited_s)
             return
+        self._was_silent = True
+        self._on_silent()
         if not self._may_resume():
-            self._watch_for(STALL_TIMEOUT_S)
             return
-        self._on_silent()
         self._resumption = self._new_resumption(lambda: self._schedule_interrupt(_SENT_BEFORE))
-        self._resumption.start()
-        self._overlap = Overlap()
-        self._timer = gevent.spawn_later(_CHECK_INTERVAL_S, self._check_overlap)
-
-    def _check_overlap(self) -> None:
-        """Give the run up if its replica and another one are both at work on the stream."""
-        resumption = self._resumption
-        if resumption is None or resumption.won:
-            return
-        heard_at = self._run.replica_heard_at
-        if self._overlap.is_too_long(
-            now=monotonic(), heard_at=heard_at, sent_at=resumption.sent_at
-        ):
-            self._schedule_interrupt(_AT_WORK_BESIDE)
-        else:
-            self._timer = gevent.spawn_later(_CHECK_INTERVAL_S, self._check_overlap)
+        self._resumption.start(self._run, give_up=lambda: self._schedule_interrupt(_AT_WORK_BESIDE))
 
     def _end_resumption(self) -> None:
         if self._resumption is not None:
@@ -141,7 +124,8 @@
     def _schedule_interrupt(self, reason: str) -> None:
         gevent.get_hub().loop.run_callback(self._interrupt, self._resumption, reason)
 
-    def _interrupt(self, resumption: Resumption, reason: str) -> None:
+    def _interrupt(self, resumption: Resumption | None, reason: str) -> None:
         """Interrupt the read that a search was begun for, unless it ended; called in the hub."""
-        if self._waiting_since is not None and self._resumption is resumption:
+        is_current = resumption is not None and resumption is self._resumption
+        if is_current and self._waiting_since is not None:
             self._reader.throw(Overtaken(reason))
--- a/springrock/forwarding/stream_run.py
+++ b/springrock/forwarding/stream_run.py
@@ -30,6 +30,9 @@
         chosen: The replica that runs it.
         on_begun: Called with the request and the replica's software version before the run's first
             event with an id is sent on.
+
+    Attributes:
+        began_at: When the run was begun, on the local monotonic clock.
     """
 
     def __init__(
@@ -51,8 +54,8 @@
         self._closed = False
         self._begun = False
         self._writing = False
-        self._was_silent = False
-        self._heard_at = monotonic()
+        self.began_at = monotonic()
+        self._heard_at = self.began_at
         self._answer: Answer | None = None
 
     @property
@@ -156,8 +159,7 @@
 
     def record_silence(self) -> None:
         """Record that the replica has sent no event for too long; the run goes on."""
-        self._was_silent = True
-        self._sender.record_silence(self._replica, since=self._heard_at)
+        self._sender.record_silence(self._replica, self._attempt, since=self._heard_at)
 
     def record_given_up(self, reason: str) -> AnswerSilent:
         """Record that another replica goes on with the stream; return what counts as the error."""
@@ -186,9 +188,8 @@
 
     def _record_heard(self) -> None:
         self._heard_at = monotonic()
-        if self._was_silent:
-            self._was_silent = False
-            self._sender.record_went_on(self._progress, self._replica, self._attempt)
+        if self._attempt.silent:
+            self._sender.record_went_on(self._replica, self._attempt, sent_at=self.began_at)
 
     def _record_writing(self) -> None:
         """Record once that the replica goes on after the beginning of its answer."""
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -117,8 +117,7 @@
             new_resumption=_new_resumption,
             on_silent=lambda: self._record_silence(progress, run),
         )
-        if progress.may_run_again:
-            guard.start()
+        guard.start()
         return guard
 
     def _resume(self, progress: RequestProgress, broken: _Break, guard: SilenceGuard) -> StreamRun:
--- a/tests/forwarding/test_silence_guard.py
+++ b/tests/forwarding/test_silence_guard.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import gevent
 import pytest
 from gevent.event import Event as Signal
 
-from springrock.clock import monotonic
 from springrock.forwarding import silence_guard
 from springrock.forwarding.events import Event
 from springrock.forwarding.silence_guard import SilenceGuard
@@ -15,15 +16,11 @@
 
 
 class ScriptedRun:
-    """A run whose replica is always heard elsewhere, and whose reads end on a signal."""
+    """A run whose reads end on a signal."""
 
     def __init__(self) -> None:
         self.speaks = Signal()
 
-    @property
-    def replica_heard_at(self) -> float:
-        return monotonic()
-
     def read(self) -> list[Event]:
         self.speaks.wait()
         self.speaks.clear()
@@ -31,23 +28,20 @@
 
 
 class SpeakingSearch:
-    """A search whose silent run speaks in the moment in which it is judged."""
+    """A search that gives the silent run up in the moment in which it speaks."""
 
     won = False
 
     def __init__(self, run: ScriptedRun) -> None:
         self._run = run
-        self._sent_at = monotonic()
         self.cancelled = False
 
-    @property
-    def sent_at(self) -> float:
-        if monotonic() - self._sent_at > 0.3:
+    def start(self, silent: object, *, give_up: Callable[[], None]) -> None:
+        def _speak_and_give_up() -> None:
             self._run.speaks.set()
-        return self._sent_at
+            give_up()
 
-    def start(self) -> None:
-        """Do nothing."""
+        gevent.spawn_later(0.1, _speak_and_give_up)
 
     def cancel(self) -> None:
         self.cancelled = True
