A search that is ended gives its grant back, and takes none that the retry budget does not allow

A task that was ended while it asked for a permit kept its grant, which the placer counted until the link ended. Searches of silent streams took grants twice a second that the budget then refused.

--- a/springrock/forwarding/budget.py
+++ b/springrock/forwarding/budget.py
@@ -75,6 +75,12 @@
         """Count a client's request."""
         self._requests.append(monotonic())
 
+    def allows_retry(self) -> bool:
+        """Whether a retry would be allowed now; spends nothing."""
+        limits = self._limits()
+        self._drop_expired(older_than_s=limits.window_s)
+        return len(self._retries) + 1 <= self._limit(limits)
+
     def try_spend(self, *, request: str = "") -> bool:
         """Spend one retry if the budget allows it; return whether it does.
 
@@ -84,8 +90,7 @@
         limits = self._limits()
         self._drop_expired(older_than_s=limits.window_s)
         retries = len(self._retries)
-        limit = (limits.ratio * len(self._requests) + limits.allowance) * _SAFETY_FACTOR
-        allowed = retries + 1 <= limit
+        allowed = retries + 1 <= self._limit(limits)
         self._on_decision(
             RetryDecision(request, allowed, len(self._requests), retries, limits.allowance)
         )
@@ -93,6 +98,9 @@
             self._retries.append(monotonic())
         return allowed
 
+    def _limit(self, limits: RetryLimits) -> float:
+        return (limits.ratio * len(self._requests) + limits.allowance) * _SAFETY_FACTOR
+
     def _drop_expired(self, *, older_than_s: float) -> None:
         oldest_kept = monotonic() - older_than_s
         for times in (self._requests, self._retries):
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -14,7 +14,7 @@
 from springrock.forwarding.directory import Directory, Replica
 from springrock.forwarding.distance_cost import RequestSize
 from springrock.forwarding.eligibility import ANYWHERE, METERED, Obstacle
-from springrock.forwarding.errors import NoReplica, Quarantined, Rejection
+from springrock.forwarding.errors import NoReplica, Quarantined
 from springrock.forwarding.message import AdapterKey
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.suspects import Suspects
@@ -185,10 +185,13 @@
             raise NoReplica("may_have_run", RETRY_AFTER_S)
         if progress.arrivals >= _MAX_REPLICAS_REACHED:
             raise NoReplica("tried_enough", RETRY_AFTER_S)
+        # Otherwise each search would take a grant from others before it is refused.
+        if progress.arrivals and not self._budget_of(progress.service).allows_retry():
+            raise NoReplica("retry_budget", RETRY_AFTER_S)
         chosen = self._find(progress, until=until)
         try:
             self._check_sending(progress, chosen)
-        except Rejection:
+        except BaseException:
             if chosen.use is not None:
                 chosen.use.end(UseOutcome.ENDED)
             raise
@@ -286,7 +289,11 @@
             if replica is not None and replica.record.service == progress.service:
                 obstacle = self._balancer.obstacle(replica, bounds=progress.bounds, permitted=True)
                 if obstacle is None:
-                    chosen = self._with_permit(progress, replica, use)
+                    try:
+                        chosen = self._with_permit(progress, replica, use)
+                    except BaseException:
+                        use.end(UseOutcome.ENDED)
+                        raise
                     if chosen is not None:
                         return chosen
                     # The replica is at its limit, which the placer may not know yet.
