A request that is read slowly has one timeout, and is silent after it, not broken

Sending and waiting for the head each had the whole timeout: 1.83 s for a limit of 1.0 s. A replica that reads no body until then counted as broken off, which accuses the request of a crash.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -145,6 +145,7 @@
             timeout_s: Timeout for the system to take all of it.
 
         Raises:
+            AnswerSilent: If the replica did not read it all within the timeout.
             AnswerBroken: If the connection failed; the replica may have received the request.
         """
         self._carried.add(request_id)
@@ -160,8 +161,11 @@
             self._request_sent = True
         except OSError as error:
             # A replica may answer and close before it has read a long body.
-            if not self._has_unread_input():
-                raise AnswerBroken(f"sending failed: {error}") from None
+            if self._has_unread_input():
+                return
+            if isinstance(error, TimeoutError):
+                raise AnswerSilent("the request was not read within the timeout") from None
+            raise AnswerBroken(f"sending failed: {error}") from None
 
     def receive_head(self, *, timeout_s: float) -> AnswerHead:
         """Read the head of the next answer.
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -191,7 +191,7 @@
         terms: What is sent in addition to the client's request.
         dialect: Writes the request and reads the answer.
         repeatable: Whether the request may run more than once.
-        head_timeout_s: Timeout for the head of the answer.
+        head_timeout_s: Timeout for the head of the answer, from now on.
         may_send: Whether the replica may still be sent the request; asked once a connection is
             open, as opening it may have taken long.
         on_close: Called when the answer is closed.
@@ -206,6 +206,7 @@
             request needs.
         OutcomeUnknown: If the request may have run and no answer arrived.
     """
+    deadline = Deadline(head_timeout_s)
     connection = pool.acquire(
         request.request_id, conservative=not repeatable, timeout_s=head_timeout_s
     )
@@ -219,9 +220,9 @@
             target=request.target,
             headers=dialect.request_headers(request, terms),
             body=request.body,
-            timeout_s=head_timeout_s,
+            timeout_s=deadline.left_s,
         )
-        head = _receive_own_head(connection, request, dialect, Deadline(head_timeout_s))
+        head = _receive_own_head(connection, request, dialect, deadline)
         on_data()
         on_head(head)
         answer = Answer(head, connection, pool, on_close, on_data)
