Soak: a series of pauses waits for no restart of a replica

The lock of restarts is held while records are dropped, which takes as long as the store does; a resume that waits for it prolongs the pause. Signals to a process that is being replaced do nothing, and a new one is not paused.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -304,9 +304,8 @@
         self._pause_series.pop(seed).stop()
 
     def _signal_all(self, replicas: Sequence[str], number: signal.Signals) -> None:
-        with self._restart_lock:
-            for name in replicas:
-                self.processes.signal(name, number)
+        for name in replicas:
+            self.processes.signal(name, number)
 
     def _restart_crashed(self) -> None:
         """Replace the replicas that a request has crashed, as the platform does."""
