--- a/springrock/forwarding/silence_guard.py
+++ b/springrock/forwarding/silence_guard.py
@@ -67,8 +67,8 @@
         """Return the next events of the run, as `StreamRun.read` does.
 
         Raises:
-            Overtaken: If another replica has sent the next event before, or is to send it while
-                this one is at work as well.
+            Overtaken: If another replica has sent the next event before, or is at work on it while
+                this one is silent in this run alone.
             OutcomeUnknown: If the run broke off, or was not complete by the deadline.
         """
         self._waiting_since = monotonic()
@@ -85,7 +85,7 @@
         return events
 
     def release_resumption(self) -> Resumption:
-        """Stop guarding; return the search to the caller, or one that has not begun."""
+        """Stop guarding; return the search, or a new one, which the caller must cancel."""
         resumption = self._resumption
         self._resumption = None
         self.close()
