--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -185,9 +185,6 @@
             raise NoReplica("may_have_run", RETRY_AFTER_S)
         if progress.arrivals >= _MAX_REPLICAS_REACHED:
             raise NoReplica("tried_enough", RETRY_AFTER_S)
-        # Otherwise each search would take a grant from others before it is refused.
-        if progress.arrivals and not self._budget_of(progress.service).allows_retry():
-            raise NoReplica("retry_budget", RETRY_AFTER_S)
         chosen = self._find(progress, until=until)
         try:
             self._check_sending(progress, chosen)
@@ -244,6 +241,9 @@
         if key is None or not self._has_engines(progress.service):
             picked = self._choose(progress)
             return ChosenReplica(picked.replica, None, picked.send_by)
+        # Otherwise each search would take a grant from others before it is refused.
+        if progress.arrivals and not self._budget_of(progress.service).allows_retry():
+            raise NoReplica("retry_budget", RETRY_AFTER_S)
         while True:
             granted = self._find_granted(progress, key, until=until)
             if granted is not None:
