--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -172,7 +172,7 @@
         stream = stream_of(one, deadline_s=4.0, resumable=False)
         rates: list[float] = []
         health = stream.chooser.replicas[0].health
-        # The client's patience, after which an earlier landing recorded the failure, is 2 s.
+        # The route's estimate of how long its client waits is 2 s.
         gevent.spawn_later(3.0, lambda: rates.append(health.failure_rate))
         collect(stream.events())
     assert rates[0] > 0
