--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -22,6 +22,7 @@
 from springrock import retry_after
 from springrock.bottle_app import json_response, new_app
 from springrock.clock import monotonic
+from springrock.emulator.endless import ENDLESS_KEY, Endless, EndlessAnswers
 from springrock.emulator.late_copies import COPIED_KEY, LateCopies
 from springrock.emulator.replica_events import (
     AnswerEnd,
@@ -85,6 +86,9 @@
         room: How many requests may run at once, others are turned away; negative for any number.
         copies: Whether each answer to a request, order or report comes again late, in the place
             of the next one on its connection.
+        endless: Makes the answers to requests that run have no end; None for whole answers.
+        endless_report: The same for answers to calls for a report.
+        endless_order: The same for answers to orders.
     """
 
     refuse: bool = False
@@ -104,6 +108,9 @@
     brittle_per_s: float = -1.0
     room: int = -1
     copies: bool = False
+    endless: Endless | None = None
+    endless_report: Endless | None = None
+    endless_order: Endless | None = None
 
 
 class _StreamRun(NamedTuple):
@@ -141,7 +148,8 @@
         self._cold_until = monotonic() + settings.cold_s
         self._events_file = ReplicaEventFile(settings.events_path)
         self._leaving_acknowledged = False
-        self.server = HttpServer(UnframedAnswers(LateCopies(self._build_app())), settings.address)
+        app = EndlessAnswers(UnframedAnswers(LateCopies(self._build_app())))
+        self.server = HttpServer(app, settings.address)
 
     def start(self) -> None:
         """Start the HTTP server and the loop that writes the record."""
@@ -214,6 +222,7 @@
         return [{"name": self._settings.base_model, "version": 1, "adapters": adapters}]
 
     def _get_report(self) -> Any:
+        bottle.request.environ[ENDLESS_KEY] = self._fault.endless_report
         now = monotonic()
         self._reports.append((now, self._state()))
         while len(self._reports) > 1 and self._reports[1][0] < now - _REPORT_LAG_S:
@@ -253,6 +262,7 @@
     # Orders.
 
     def _post_order(self) -> Any:
+        bottle.request.environ[ENDLESS_KEY] = self._fault.endless_order
         order = msgspec.json.decode(bottle.request.body.read())
         if bottle.request.get_header(names.EXPECT_INSTANCE, self._instance) != self._instance:
             return self._answer(b"{}", status=421)
@@ -330,6 +340,7 @@
             self._record_violation("key_passed_on")
         headers[_SEAL_HEADER] = f"seal-of-{request_id}"
         request.environ[UNFRAMED_KEY] = self._fault.unframed
+        request.environ[ENDLESS_KEY] = self._fault.endless
         if self._fault.fail:
             self._record_end(request_id, AnswerEnd.WHOLE)
             return self._answer(b"failed", status=500, headers=headers)
--- /dev/null
+++ b/tests/routed/test_endless_answers.py
@@ -0,0 +1,127 @@
+"""Answers that never end: they hold one request up to its deadline, and nothing else."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import http.client
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+
+from springrock.clock import monotonic
+from springrock.emulator.endless import EndlessPart
+from tests.processes import wait_until
+from tests.routed.deployment import REPLICAS, Answer, Deployment
+
+DEADLINE_S = 2.0
+ANSWERED_WITHIN_S = DEADLINE_S + 0.5
+SERVED_WITHIN_S = 1.0
+"""The targets of the routes."""
+
+MAX_MEMORY_MB = 160
+"""The smallest boxes have this much."""
+
+CALLERS = 6
+PLAIN_PARTS = [part for part in EndlessPart if part not in (EndlessPart.EVENT, EndlessPart.EVENTS)]
+PAUSES_MS = (0.0, 20.0)
+"""Bytes that come as fast as they are read, and bytes that come one by one."""
+
+
+class Call(NamedTuple):
+    """A request's answer, and how long it took."""
+
+    answer: Answer
+    took_s: float
+
+    @property
+    def is_whole(self) -> bool:
+        return self.answer.status == 200 and self.answer.is_complete
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    folder = tmp_path_factory.mktemp("endless")
+    with Deployment(folder, boxes=1, zones=("zone-1",)) as deployment:
+        deployment.start_replica("rosters-2", "rosters", "zone-1")
+        deployment.configure()
+        deployment.wait_ready(replicas=REPLICAS - 1)
+        yield deployment
+
+
+def call(deployment: Deployment, path: str, *, deadline_s: float = DEADLINE_S) -> Call:
+    """Send a request; a connection that ends without an answer counts as status 0."""
+    sent_at = monotonic()
+    try:
+        answer = deployment.send("box-1", path, deadline_ms=round(deadline_s * 1000))
+    except (OSError, http.client.HTTPException) as error:
+        answer = Answer(0, {}, repr(error).encode(), is_complete=False)
+    return Call(answer, monotonic() - sent_at)
+
+
+def memory_mb(deployment: Deployment) -> float:
+    """Return the most memory that the box has held since its start."""
+    status = Path(f"/proc/{deployment.processes['box-1'].pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1024
+
+
+def assert_harmless(
+    deployment: Deployment, *, endless: tuple[str, ...], path: str, other_path: str
+) -> None:
+    """Assert that a box whose replicas send answers without end serves everything else."""
+    with concurrent.futures.ThreadPoolExecutor(CALLERS + 1) as pool:
+        held = [pool.submit(call, deployment, path) for _ in range(CALLERS)]
+        others = []
+        until = monotonic() + DEADLINE_S
+        while monotonic() < until:
+            others.append(pool.submit(call, deployment, other_path).result())
+            time.sleep(0.05)
+        ended = [future.result() for future in held]
+    for name in endless:
+        deployment.fault(name)
+    assert [item for item in ended if item.is_whole] == []
+    assert [item for item in ended if item.took_s > ANSWERED_WITHIN_S] == []
+    assert [item for item in others if not item.is_whole] == []
+    assert [item for item in others if item.took_s > SERVED_WITHIN_S] == []
+    assert memory_mb(deployment) < MAX_MEMORY_MB
+    wait_until(lambda: call(deployment, path).is_whole, what="the replicas are used again")
+
+
+@pytest.mark.parametrize("pause_ms", PAUSES_MS)
+@pytest.mark.parametrize("part", PLAIN_PARTS)
+def test_an_endless_plain_answer_stops_neither_the_box_nor_its_caller(
+    deployment: Deployment, part: EndlessPart, pause_ms: float
+) -> None:
+    endless = ("rosters-1", "rosters-2")
+    for name in endless:
+        deployment.fault(name, endless={"part": part, "pause_ms": pause_ms})
+    assert_harmless(deployment, endless=endless, path="/lookup/x", other_path="/items/x")
+
+
+@pytest.mark.parametrize("pause_ms", PAUSES_MS)
+@pytest.mark.parametrize("part", EndlessPart)
+def test_an_endless_stream_stops_neither_the_box_nor_its_caller(
+    deployment: Deployment, part: EndlessPart, pause_ms: float
+) -> None:
+    deployment.fault("engine-1", endless={"part": part, "pause_ms": pause_ms})
+    assert_harmless(deployment, endless=("engine-1",), path="/items/x", other_path="/lookup/x")
+
+
+@pytest.mark.parametrize("pause_ms", PAUSES_MS)
+@pytest.mark.parametrize("part", PLAIN_PARTS)
+def test_an_endless_report_does_not_stop_the_box(
+    deployment: Deployment, part: EndlessPart, pause_ms: float
+) -> None:
+    deployment.fault("engine-1", endless_report={"part": part, "pause_ms": pause_ms})
+    until = monotonic() + 2 * DEADLINE_S
+    calls = []
+    while monotonic() < until:
+        calls.append(call(deployment, "/lookup/x"))
+        time.sleep(0.05)
+    deployment.fault("engine-1")
+    assert [item for item in calls if not item.is_whole] == []
+    assert [item for item in calls if item.took_s > SERVED_WITHIN_S] == []
+    assert memory_mb(deployment) < MAX_MEMORY_MB
