Heads, interim answers and trailers of a replica's answer have one bound in time and bytes

Callers of a box whose replica sends interim answers, header lines or trailers without end got no answer, and for interim answers and trailers no other caller of the box did either; one interim answer took 2.3 GB in two minutes.

Cause: the timeout of the socket is one for each read. The parser skips interim answers and discards trailers in loops of its own, which bytes that keep coming never let end, and a read that finds bytes lets no other task run.

The parser now reads through BoundedReader: a step of the exchange (a head with the interim answers before it, a part of the body with its framing, a body that is discarded) has one deadline and one number of bytes for all of its reads, and other tasks run after each 64 KB. A final answer with status 103 is an interim one (RFC 9110). A replica that sends such an answer has failed, but has not crashed, so that no request is suspected for it (AnswerTooLarge).

--- /dev/null
+++ b/springrock/bounded_reader.py
@@ -0,0 +1,95 @@
+"""Reads an exchange from a socket in steps, each bounded in time and bytes as a whole.
+
+Parsers read lines and blocks in loops of their own, and a peer that keeps sending keeps these from
+ending: each of their reads succeeds within its timeout, and none of them lets another task run.
+They read through `BoundedReader`, so that one bound holds for all of their reads in a step.
+"""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+import gevent
+
+from springrock.clock import Deadline
+
+_BYTES_PER_TURN = 65_536
+"""Bytes after which other tasks run, as a read that finds bytes does not wait."""
+
+
+class TooManyBytes(OSError):
+    """The peer sent more bytes than a step of the exchange may have."""
+
+
+class BoundedReader(io.BufferedReader):
+    """A buffered reader of a socket; reads nothing from it before the first step begins.
+
+    Args:
+        connection: The socket.
+    """
+
+    def __init__(self, connection: Any) -> None:
+        self._bounded = _BoundedSocket(connection)
+        super().__init__(self._bounded)
+
+    def begin_step(self, *, deadline: Deadline, max_bytes: int) -> None:
+        """Begin a step: what may be read from the socket until the next one begins.
+
+        Args:
+            deadline: When reads raise `TimeoutError`, even if bytes have arrived.
+            max_bytes: The number of bytes after which reads raise `TooManyBytes`.
+        """
+        self._bounded.begin_step(deadline, max_bytes)
+
+    @property
+    def step_bytes(self) -> int:
+        """Number of bytes read from the socket in this step."""
+        return self._bounded.step_bytes
+
+
+class _BoundedSocket(io.RawIOBase):
+    """The raw stream of a `BoundedReader`."""
+
+    def __init__(self, connection: Any) -> None:
+        self._socket = connection
+        self._deadline = Deadline(0.0)
+        self._max_bytes = 0
+        self._bytes_this_turn = 0
+        self.step_bytes = 0
+
+    def begin_step(self, deadline: Deadline, max_bytes: int) -> None:
+        """Begin a step."""
+        self._deadline = deadline
+        self._max_bytes = max_bytes
+        self.step_bytes = 0
+
+    def readable(self) -> bool:
+        """Return that the stream can be read."""
+        return True
+
+    def readinto(self, buffer: Any, /) -> int:
+        """Read what has arrived, or wait for more.
+
+        Raises:
+            TimeoutError: If the deadline of the step has passed.
+            TooManyBytes: If the step has had all of its bytes.
+        """
+        left_s = self._deadline.left_s
+        if left_s <= 0.0:
+            raise TimeoutError("timed out")
+        left_bytes = self._max_bytes - self.step_bytes
+        if left_bytes <= 0:
+            raise TooManyBytes(f"more than {self._max_bytes} bytes")
+        self._socket.settimeout(left_s)
+        size = int(self._socket.recv_into(memoryview(buffer)[:left_bytes]))
+        self.step_bytes += size
+        self._yield_after(size)
+        return size
+
+    def _yield_after(self, size: int) -> None:
+        """Let other tasks run, unless few bytes were read since they last did."""
+        self._bytes_this_turn += size
+        if self._bytes_this_turn >= _BYTES_PER_TURN:
+            self._bytes_this_turn = 0
+            gevent.sleep(0)
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -7,17 +7,18 @@
 
 from __future__ import annotations
 
-import io
 import socket
 from collections import deque
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse, LineTooLong
 from typing import Any, cast
 
 from springrock.answer_head import MalformedHead, check_framing, check_lines
-from springrock.clock import monotonic
+from springrock.bounded_reader import BoundedReader, TooManyBytes
+from springrock.clock import Deadline, monotonic
 from springrock.forwarding.errors import (
     AnswerBroken,
     AnswerSilent,
+    AnswerTooLarge,
     ConnectionRefused,
     ReplicaUnreachable,
 )
@@ -25,6 +26,14 @@
 from springrock.settings import split_address
 
 _READ_BYTES = 65_536
+_MAX_HEAD_BYTES = 65_536
+"""The interim answers before a head included."""
+
+_MAX_FRAMING_BYTES = 65_536
+"""The sizes of chunks and the trailers, for each part of a body."""
+
+_MAX_DISCARDED_BYTES = 1_048_576
+
 _IDLE_MARGIN_S = 0.7
 """An idle connection is not reused this shortly before the replica may close it."""
 
@@ -40,16 +49,19 @@
 """Raised by the socket and the parser when a connection or an answer is broken."""
 
 
-class _PersistentReader(io.BufferedReader):
-    """A buffered reader that stays open after an answer has been parsed from it.
+_SWITCHING_PROTOCOLS = 101
+
+
+class _PersistentReader(BoundedReader):
+    """A reader that stays open after an answer has been parsed from it.
 
     Attributes:
         ended: Whether the connection ended where a line was to be read.
         head: The lines of the head that is being read; None outside of heads.
     """
 
-    def __init__(self, raw: io.RawIOBase) -> None:
-        super().__init__(raw)
+    def __init__(self, connection: socket.socket) -> None:
+        super().__init__(connection)
         self.ended = False
         self.head: list[bytes] | None = None
 
@@ -113,8 +125,7 @@
         except OSError as error:
             raise ReplicaUnreachable(f"{address}: {error}") from None
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        raw = self._socket.makefile("rb", buffering=0)
-        self._reader = _PersistentReader(cast(io.RawIOBase, raw))
+        self._reader = _PersistentReader(self._socket)
         self._response: HTTPResponse | None = None
         self._method = "GET"
         self._request_sent = False
@@ -168,21 +179,21 @@
             raise AnswerBroken(f"sending failed: {error}") from None
 
     def receive_head(self, *, timeout_s: float) -> AnswerHead:
-        """Read the head of the next answer.
+        """Read the head of the next answer, and skip the interim answers before it (RFC 9110).
 
         Raises:
             AnswerSilent: If no answer began within the timeout.
             AnswerBroken: If the connection ended, or the bytes received are not an HTTP answer.
+            AnswerTooLarge: If the head has too many bytes, or did not end within the timeout.
         """
-        self._socket.settimeout(max(0.001, timeout_s))
-        response = HTTPResponse(cast(Any, _ReaderSocket(self._reader)), method=self._method)
+        self._reader.begin_step(deadline=Deadline(timeout_s), max_bytes=_MAX_HEAD_BYTES)
         lines = self._reader.head = []
         try:
-            response.begin()
+            response = self._read_final_head()
         except TimeoutError:
-            raise AnswerSilent("no answer began within the timeout") from None
+            raise self._late_head() from None
         except _BROKEN_ANSWER_ERRORS as error:
-            raise AnswerBroken(f"no answer: {type(error).__name__}: {error}") from None
+            raise _error_for(error, "no answer") from None
         finally:
             self._reader.head = None
         if self._reader.ended:
@@ -197,22 +208,57 @@
         self._record_idle_timeout(headers.get("keep-alive"))
         return AnswerHead(response.status, response.reason, headers, _body_end_of(response))
 
+    def _read_final_head(self) -> HTTPResponse:
+        while True:
+            response = HTTPResponse(cast(Any, _ReaderSocket(self._reader)), method=self._method)
+            response.begin()
+            if response.status >= 200 or response.status == _SWITCHING_PROTOCOLS:
+                return response
+
+    def _late_head(self) -> AnswerSilent | AnswerTooLarge:
+        """Return the error for a head that did not end in time."""
+        if not self._reader.step_bytes:
+            return AnswerSilent("no answer began within the timeout")
+        return AnswerTooLarge(
+            f"no head ended within the timeout, after {self._reader.step_bytes} bytes"
+        )
+
     def read(self, *, timeout_s: float) -> bytes:
         """Return the next bytes of the answer's body as they arrive; empty at its complete end.
 
         Raises:
             AnswerSilent: If nothing arrived within the timeout.
             AnswerBroken: If the body ended before its stated length.
+            AnswerTooLarge: If the framing of the body has too many bytes.
         """
+        self._reader.begin_step(
+            deadline=Deadline(timeout_s), max_bytes=_READ_BYTES + _MAX_FRAMING_BYTES
+        )
+        return self._read_body()
+
+    def discard_body(self, *, timeout_s: float) -> int:
+        """Read the answer's body to its end, and return its length.
+
+        Raises:
+            AnswerSilent: If it did not end within the timeout.
+            AnswerBroken: If it ended before its stated length.
+            AnswerTooLarge: If it has too many bytes.
+        """
+        self._reader.begin_step(deadline=Deadline(timeout_s), max_bytes=_MAX_DISCARDED_BYTES)
+        size = 0
+        while data := self._read_body():
+            size += len(data)
+        return size
+
+    def _read_body(self) -> bytes:
         response = self._response
         assert response is not None
-        self._socket.settimeout(max(0.001, timeout_s))
         try:
             data = response.read1(_READ_BYTES)
         except TimeoutError:
             raise AnswerSilent("no more of the answer arrived within the timeout") from None
         except _BROKEN_ANSWER_ERRORS as error:
-            raise AnswerBroken(f"answer ended early: {type(error).__name__}: {error}") from None
+            raise _error_for(error, "answer ended early") from None
         if not data and response.length:
             raise AnswerBroken(f"answer ended early: {response.length} bytes are missing")
         return data
@@ -289,11 +335,19 @@
 
     def _has_buffered_input(self) -> bool:
         """Whether the reader has buffered bytes after the last answer."""
-        self._socket.settimeout(0.0)
+        self._reader.begin_step(deadline=Deadline(0.0), max_bytes=0)
         try:
             return bool(self._reader.peek(1))
-        except OSError:
-            return True
+        except TimeoutError:
+            return False
+
+
+def _error_for(error: Exception, what: str) -> AnswerBroken | AnswerTooLarge:
+    """Return the error of an exchange for one of the socket or the parser."""
+    text = f"{what}: {type(error).__name__}: {error}"
+    # The parser has no other name for a head of too many lines.
+    too_large = isinstance(error, TooManyBytes | LineTooLong) or type(error) is HTTPException
+    return AnswerTooLarge(text) if too_large else AnswerBroken(text)
 
 
 def _body_end_of(response: HTTPResponse) -> BodyEnd:
--- a/springrock/forwarding/errors.py
+++ b/springrock/forwarding/errors.py
@@ -44,6 +44,10 @@
     """The answer ended early, or its framing is invalid."""
 
 
+class AnswerTooLarge(OutcomeUnknown):
+    """The answer has a part with too many bytes, or one that does not end; its replica lives on."""
+
+
 class ForeignAnswer(OutcomeUnknown):
     """The answer belongs to another request."""
 
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -123,8 +123,7 @@
     def skip(self, *, deadline: Deadline) -> None:
         """Discard the body; the connection is not used again if it did not end by the deadline."""
         try:
-            while data := self._connection.read(timeout_s=deadline.left_s):
-                self._received_bytes += len(data)
+            self._received_bytes += self._connection.discard_body(timeout_s=deadline.left_s)
         except OutcomeUnknown:
             return
         self._complete = True
@@ -253,7 +252,6 @@
 
 def _discard_answer(connection: Connection, deadline: Deadline) -> None:
     """Read an answer to another request to its end; the own answer may follow it."""
-    while connection.read(timeout_s=deadline.left_s):
-        continue
+    connection.discard_body(timeout_s=deadline.left_s)
     if not connection.reusable:
         raise AnswerBroken("the connection ends after an answer to another request")
