What a box keeps of an answer has a bound: the beginning of a body, one event

A plain answer up to answers.kept_bytes (256 KB) is read whole as before, so that the request may run elsewhere if it breaks off. Of a longer one the rest is sent on as the client accepts it, up to the deadline: a body without end takes 64 KB at a time, and a long answer is unharmed (six answers of 40 MB at once, with and without a length, in a box below 160 MB). A stream breaks off at an event of more than answers.event_bytes (1 MB), and goes on elsewhere where that is allowed. The replica has failed then, and has not crashed.

--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -86,6 +86,7 @@
         room: How many requests may run at once, others are turned away; negative for any number.
         copies: Whether each answer to a request, order or report comes again late, in the place
             of the next one on its connection.
+        answer_bytes: The least length of plain answers.
         endless: Makes the answers to requests that run have no end; None for whole answers.
         endless_report: The same for answers to calls for a report.
         endless_order: The same for answers to orders.
@@ -108,6 +109,7 @@
     brittle_per_s: float = -1.0
     room: int = -1
     copies: bool = False
+    answer_bytes: int = 0
     endless: Endless | None = None
     endless_report: Endless | None = None
     endless_order: Endless | None = None
@@ -351,7 +353,8 @@
             return bottle.HTTPResponse(self._stream_events(adapter, first_number), headers=headers)
         with self._occupied():
             gevent.sleep(self._settings.work_ms / 1000)
-        return self._plain_answer(f"{request.method} /{path} {len(body)}".encode(), headers)
+        plain = f"{request.method} /{path} {len(body)}".encode()
+        return self._plain_answer(plain.ljust(self._fault.answer_bytes, b"."), headers)
 
     def _plain_answer(self, body: bytes, headers: dict[str, str]) -> Any:
         broken_by = self._fault.broken_by
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -413,6 +413,7 @@
             quarantine=self._quarantine.book,
         )
         log = self._log_of("forwarder")
+        limits = settings.answers.limits
         sender = Sender(
             dialect=dialect,
             adapters=self._placement,
@@ -441,11 +442,19 @@
             chooser=chooser,
             sender=sender,
             relay=StreamRelay(
-                chooser=chooser, sender=sender, log=log, on_begun=origins.record_begun
+                chooser=chooser,
+                sender=sender,
+                log=log,
+                on_begun=origins.record_begun,
+                limits=limits,
             ),
             origins=origins,
             passing_on=PassingOn(
-                reach=self._reach, peers=self._placement.peer_boxes, dialect=dialect, log=log
+                reach=self._reach,
+                peers=self._placement.peer_boxes,
+                dialect=dialect,
+                log=log,
+                limits=limits,
             ),
             passed_on=PassedOnRequests(
                 newest_adapter=self._versions.newest,
@@ -454,6 +463,7 @@
                 log=log,
             ),
             log=log,
+            limits=limits,
             configuration_origin=lambda: self._operator_table.origin,
         )
         self._door = ForwardingDoor(
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta, field
 
+from springrock.forwarding.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from springrock.forwarding.distance_cost import DistanceCosts, DistancePrices
 from springrock.forwarding.evacuations import DEFAULT_WITHIN_S
 from springrock.forwarding.keys import KeyTerms
@@ -215,6 +216,26 @@
         return QuarantineTerms(self.crashes, self.for_s)
 
 
+class AnswerSection(Section, frozen=True, kw_only=True):
+    """How much of each answer of a replica the box keeps in memory.
+
+    Attributes:
+        kept_bytes: A plain answer up to this length is read whole before it is sent on, so that the
+            request may run elsewhere if it breaks off. The rest of a longer one is sent on as the
+            client accepts it.
+        event_bytes: The length of the longest event of a stream; one that is longer breaks the
+            stream off.
+    """
+
+    kept_bytes: Annotated[int, Meta(ge=0)] = DEFAULT_LIMITS.kept_bytes
+    event_bytes: Annotated[int, Meta(ge=1)] = DEFAULT_LIMITS.event_bytes
+
+    @property
+    def limits(self) -> AnswerLimits:
+        """The limits of what is kept."""
+        return AnswerLimits(self.kept_bytes, self.event_bytes)
+
+
 class StartSection(Section, frozen=True, kw_only=True):
     """What a box that starts knows of the deployment.
 
@@ -257,5 +278,6 @@
     slow_start: SlowStartSection = field(default_factory=SlowStartSection)
     evacuation: EvacuationSection = field(default_factory=EvacuationSection)
     quarantine: QuarantineSection = field(default_factory=QuarantineSection)
+    answers: AnswerSection = field(default_factory=AnswerSection)
     start: StartSection = field(default_factory=StartSection)
     stop: StopSection = field(default_factory=StopSection)
--- a/springrock/forwarding/exchange.py
+++ b/springrock/forwarding/exchange.py
@@ -90,6 +90,7 @@
         Raises:
             AnswerBroken: If the body ended early.
             AnswerSilent: If nothing arrived within the timeout, or the end was not confirmed.
+            AnswerTooLarge: If the framing of the body has too many bytes.
         """
         if self._complete:
             return b""
@@ -106,19 +107,26 @@
         self._on_data()
         return data
 
-    def read_all(self, *, deadline: Deadline) -> bytes:
-        """Return the whole body.
+    @property
+    def complete(self) -> bool:
+        """Whether the body has been read to its complete end."""
+        return self._complete
+
+    def read_kept(self, max_bytes: int, *, deadline: Deadline) -> bytes:
+        """Return the whole body, or its beginning if it has more than a number of bytes.
 
         Raises:
             AnswerBroken: If the body ended early.
-            AnswerSilent: If the body was not complete by the deadline.
+            AnswerSilent: If neither was read by the deadline.
+            AnswerTooLarge: If the framing of the body has too many bytes.
         """
-        chunks: list[bytes] = []
-        while True:
+        kept = bytearray()
+        while len(kept) <= max_bytes:
             data = self.read(timeout_s=deadline.left_s)
             if not data:
-                return b"".join(chunks)
-            chunks.append(data)
+                break
+            kept += data
+        return bytes(kept)
 
     def skip(self, *, deadline: Deadline) -> None:
         """Discard the body; the connection is not used again if it did not end by the deadline."""
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from springrock.clock import Deadline
+from springrock.forwarding.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from springrock.forwarding.choosing import (
     MIN_SEND_TIME_S,
     RETRY_AFTER_S,
@@ -28,6 +28,7 @@
 from springrock.forwarding.message import AnswerHead, ClientRequest
 from springrock.forwarding.passed_on import PassedOnRequests
 from springrock.forwarding.passing_on import PassingOn
+from springrock.forwarding.plain_run import PlainRun
 from springrock.forwarding.reply import Reply, own_reply, rejection_reply, relayed_reply
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
@@ -72,6 +73,7 @@
         passed_on: Checks the requests that other boxes pass on.
         origins: Finds the software versions that began streams.
         log: The log to write to.
+        limits: How much of an answer is kept.
         configuration_origin: Returns the version, source and age of the operator's table, as fields
             of a log line.
     """
@@ -89,8 +91,10 @@
         passed_on: PassedOnRequests,
         origins: StreamOrigins,
         log: Log,
+        limits: AnswerLimits = DEFAULT_LIMITS,
         configuration_origin: Callable[[], dict[str, object]] = dict,
     ) -> None:
+        self._limits = limits
         self._configuration_origin = configuration_origin
         self._routes = routes
         self._gate = gate
@@ -180,25 +184,14 @@
                 continue
             if reply.head.status < 500 or not progress.may_run_again:
                 return reply
-            failure_reply = reply
+            if isinstance(reply.body, PlainRun):
+                reply.body.close()
+            else:
+                failure_reply = reply
 
     def _attempt_plain(self, progress: RequestProgress, chosen: ChosenReplica) -> Reply:
-        replica = chosen.replica
-        attempt = self._sender.start_attempt(progress, replica)
-        try:
-            answer = self._sender.send(progress, chosen, attempt, head_timeout_s=progress.left_s)
-            try:
-                body = answer.read_all(deadline=Deadline(progress.left_s))
-            finally:
-                answer.close()
-        except ExchangeError as error:
-            self._sender.record_failure(progress, replica, attempt, error)
-            raise
-        finally:
-            self._sender.finish_attempt(chosen, attempt)
-        self._sender.record_answer(progress, replica, attempt, answer.head.status)
-        self._sender.record_completion(progress, answer.head)
-        return relayed_reply(answer.head, [body])
+        kept_bytes = self._limits.kept_bytes
+        return PlainRun(self._sender, progress, chosen, kept_bytes=kept_bytes).open()
 
     # Streams.
 
@@ -214,7 +207,7 @@
                 continue
             if head.status < 500 or not progress.may_run_again:
                 return relayed_reply(head, self._relay.relay(progress, run))
-            failure_reply = _read_failed_stream(head, run)
+            failure_reply = _read_failed_stream(head, run, max_bytes=self._limits.kept_bytes)
 
     def _check_reach(self, progress: RequestProgress) -> None:
         """Raise if a request that no replica received should rather be passed on."""
@@ -286,11 +279,16 @@
     return own_reply(502, "outcome_unknown")
 
 
-def _read_failed_stream(head: AnswerHead, run: StreamRun) -> Reply | None:
-    """Read a failure answer to its end and return it as a reply; None if it breaks off."""
+def _read_failed_stream(head: AnswerHead, run: StreamRun, *, max_bytes: int) -> Reply | None:
+    """Read a failure answer and return it as a reply; None if it breaks off or is too long."""
+    body = bytearray()
     try:
-        return relayed_reply(head, [b"".join(run)])
+        for data in run:
+            body += data
+            if len(body) > max_bytes:
+                return None
     except OutcomeUnknown:
         return None
     finally:
         run.close()
+    return relayed_reply(head, [bytes(body)])
--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -8,6 +8,7 @@
 from springrock.bounded_dict import BoundedDict
 from springrock.clock import Deadline
 from springrock.errors import AnswerCut
+from springrock.forwarding.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from springrock.forwarding.box_reach import BoxReach
 from springrock.forwarding.connection import ConnectionPool
 from springrock.forwarding.dialect import Dialect, Handling, PassedOnReply
@@ -56,9 +57,19 @@
         peers: The boxes that do.
         dialect: Writes the request to the other box.
         log: The log to write to.
+        limits: How much of an answer is kept.
     """
 
-    def __init__(self, *, reach: BoxReach, peers: Peers, dialect: Dialect, log: Log) -> None:
+    def __init__(
+        self,
+        *,
+        reach: BoxReach,
+        peers: Peers,
+        dialect: Dialect,
+        log: Log,
+        limits: AnswerLimits = DEFAULT_LIMITS,
+    ) -> None:
+        self._limits = limits
         self._reach = reach
         self._peers = peers
         self._dialect = dialect
@@ -170,12 +181,34 @@
         if progress.streaming and answer.head.succeeded:
             return relayed_reply(answer.head, self._relay(progress, answer))
         try:
-            body = answer.read_all(deadline=Deadline(progress.left_s))
+            kept = answer.read_kept(self._limits.kept_bytes, deadline=Deadline(progress.left_s))
         except OutcomeUnknown:
+            answer.close()
             return own_reply(502, "outcome_unknown")
+        except BaseException:
+            answer.close()
+            raise
+        if not answer.complete:
+            return relayed_reply(answer.head, self._relay_rest(progress, answer, kept))
+        answer.close()
+        return relayed_reply(answer.head, [kept])
+
+    def _relay_rest(
+        self, progress: RequestProgress, answer: Answer, kept: bytes
+    ) -> Iterator[bytes]:
+        """Yield a long answer as it arrives.
+
+        Raises:
+            AnswerCut: If it breaks off, or is not complete by the deadline.
+        """
+        try:
+            yield kept
+            while data := answer.read(timeout_s=progress.left_s):
+                yield data
+        except OutcomeUnknown as error:
+            raise AnswerCut(f"from another box: {error}") from None
         finally:
             answer.close()
-        return relayed_reply(answer.head, [body])
 
     def _relay(self, progress: RequestProgress, answer: Answer) -> Iterator[bytes]:
         """Yield complete events as they arrive.
@@ -187,7 +220,7 @@
         Raises:
             AnswerCut: If the stream breaks, or ends inside an event, whatever the other box says.
         """
-        splitter = EventSplitter()
+        splitter = EventSplitter(max_event_bytes=self._limits.event_bytes)
         try:
             while data := answer.read(timeout_s=progress.left_s):
                 events = splitter.feed(data)
--- /dev/null
+++ b/springrock/forwarding/plain_run.py
@@ -0,0 +1,136 @@
+"""One run of a request with a plain answer at one replica."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from springrock.clock import Deadline, monotonic
+from springrock.errors import AnswerCut
+from springrock.forwarding.choosing import ChosenReplica
+from springrock.forwarding.errors import (
+    AnswerSilent,
+    AnswerTooLarge,
+    ExchangeError,
+    OutcomeUnknown,
+)
+from springrock.forwarding.exchange import Answer
+from springrock.forwarding.reply import Reply, relayed_reply
+from springrock.forwarding.request_progress import RequestProgress
+from springrock.forwarding.sending import Sender
+
+
+class PlainRun:
+    """One run of a request with a plain answer at one replica.
+
+    A short answer is read whole before any of it is sent on, so that the request may still run
+    elsewhere if it breaks off. The rest of a long one is sent on as the client accepts it: iterate
+    over the run, and close it.
+
+    Args:
+        sender: Sends the request.
+        progress: The request.
+        chosen: The replica that runs it.
+        kept_bytes: The length of the longest answer that is read whole.
+    """
+
+    def __init__(
+        self,
+        sender: Sender,
+        progress: RequestProgress,
+        chosen: ChosenReplica,
+        *,
+        kept_bytes: int,
+    ) -> None:
+        self._sender = sender
+        self._progress = progress
+        self._chosen = chosen
+        self._replica = chosen.replica
+        self._kept_bytes = kept_bytes
+        self._attempt = sender.start_attempt(progress, chosen.replica)
+        self._answer: Answer | None = None
+        self._kept = b""
+        self._sent_bytes = 0
+        self._heard_at = monotonic()
+        self._closed = False
+
+    def open(self) -> Reply:
+        """Send the request and return the reply; its body is this run if the answer is long.
+
+        Raises:
+            ExchangeError: If there is no answer, or a short one broke off.
+        """
+        try:
+            answer = self._answer = self._sender.send(
+                self._progress,
+                self._chosen,
+                self._attempt,
+                head_timeout_s=self._progress.left_s,
+            )
+            self._kept = answer.read_kept(
+                self._kept_bytes, deadline=Deadline(self._progress.left_s)
+            )
+        except ExchangeError as error:
+            self._sender.record_failure(self._progress, self._replica, self._attempt, error)
+            self.close()
+            raise
+        except BaseException:
+            self.close()
+            raise
+        self._sender.record_answer(self._progress, self._replica, self._attempt, answer.head.status)
+        if not answer.complete:
+            return relayed_reply(answer.head, self)
+        self._record_completion(answer)
+        self.close()
+        return relayed_reply(answer.head, [self._kept])
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield a long answer as it arrives.
+
+        Raises:
+            AnswerCut: If it broke off, or was not complete by the deadline.
+        """
+        assert self._answer is not None
+        began_at = monotonic()
+        client_s = 0.0
+        data = self._kept
+        self._kept = b""
+        while data:
+            sending_at = monotonic()
+            yield data
+            client_s += monotonic() - sending_at
+            self._sent_bytes += len(data)
+            data = self._read(self._answer, waited_for_client=2 * client_s > _since(began_at))
+        self._record_completion(self._answer)
+
+    def close(self) -> None:
+        """Finish the attempt and release its connection; safe to call again."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._answer is not None:
+            self._answer.close()
+        self._sender.finish_attempt(self._chosen, self._attempt)
+
+    def _read(self, answer: Answer, *, waited_for_client: bool) -> bytes:
+        try:
+            data = answer.read(timeout_s=self._progress.left_s)
+        except OutcomeUnknown as error:
+            raise AnswerCut(str(self._record_break(error, waited_for_client))) from None
+        self._heard_at = monotonic()
+        return data
+
+    def _record_break(self, error: OutcomeUnknown, waited_for_client: bool) -> OutcomeUnknown:
+        """Record that the answer broke off, or has no end by the deadline; return the error."""
+        if isinstance(error, AnswerSilent) and self._progress.left_s <= 0 and not waited_for_client:
+            error = AnswerTooLarge(f"no end by the deadline, after {self._sent_bytes} bytes")
+        self._sender.record_failure(
+            self._progress, self._replica, self._attempt, error, heard_at=self._heard_at
+        )
+        return error
+
+    def _record_completion(self, answer: Answer) -> None:
+        self._sender.record_completion(self._progress, answer.head)
+
+
+def _since(at: float) -> float:
+    return monotonic() - at
--- a/springrock/forwarding/stream_run.py
+++ b/springrock/forwarding/stream_run.py
@@ -7,6 +7,7 @@
 import gevent
 
 from springrock.clock import Deadline, monotonic
+from springrock.forwarding.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from springrock.forwarding.choosing import MIN_SEND_TIME_S, ChosenReplica
 from springrock.forwarding.errors import AnswerBroken, AnswerSilent, ExchangeError, OutcomeUnknown
 from springrock.forwarding.events import Event, EventSplitter
@@ -30,6 +31,7 @@
         chosen: The replica that runs it.
         on_begun: Called with the request and the replica's software version before the run's first
             event with an id is sent on.
+        limits: How much of an answer is kept.
 
     Attributes:
         began_at: When the run was begun, on the local monotonic clock.
@@ -42,13 +44,14 @@
         chosen: ChosenReplica,
         *,
         on_begun: OnBegun,
+        limits: AnswerLimits = DEFAULT_LIMITS,
     ) -> None:
         self._on_begun = on_begun
         self._sender = sender
         self._progress = progress
         self._chosen = chosen
         self._replica = chosen.replica
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(max_event_bytes=limits.event_bytes)
         self._first_events: list[Event] = []
         self._attempt = sender.start_attempt(progress, chosen.replica)
         self._closed = False
@@ -205,6 +208,7 @@
         Raises:
             AnswerBroken: If the stream broke off.
             AnswerSilent: If no event was complete by the deadline.
+            AnswerTooLarge: If an event, or the framing of the stream, has too many bytes.
         """
         deadline = Deadline(max(MIN_SEND_TIME_S, self._progress.left_s))
         while True:
--- a/springrock/forwarding/streaming.py
+++ b/springrock/forwarding/streaming.py
@@ -7,6 +7,7 @@
 
 from springrock.clock import monotonic
 from springrock.errors import AnswerCut
+from springrock.forwarding.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from springrock.forwarding.choosing import MIN_SEND_TIME_S, ChosenReplica, ReplicaChooser
 from springrock.forwarding.errors import OutcomeUnknown
 from springrock.forwarding.message import AnswerHead
@@ -40,6 +41,7 @@
         sender: Sends requests to them.
         log: The log to write to.
         on_begun: See `StreamRun`.
+        limits: How much of an answer is kept.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         sender: Sender,
         log: Log,
         on_begun: OnBegun = lambda progress, software: None,
+        limits: AnswerLimits = DEFAULT_LIMITS,
     ) -> None:
+        self._limits = limits
         self._on_begun = on_begun
         self._chooser = chooser
         self._sender = sender
@@ -100,7 +104,9 @@
             data = run.commit(guard.read())
 
     def _prepare(self, progress: RequestProgress, chosen: ChosenReplica) -> StreamRun:
-        return StreamRun(self._sender, progress, chosen, on_begun=self._on_begun)
+        return StreamRun(
+            self._sender, progress, chosen, on_begun=self._on_begun, limits=self._limits
+        )
 
     def _guard(self, progress: RequestProgress, run: StreamRun) -> SilenceGuard:
         def _new_resumption(on_won: Callable[[], None]) -> Resumption:
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -7,6 +7,7 @@
 import pytest
 
 from springrock.forwarding import events as events_module
+from springrock.forwarding.errors import AnswerTooLarge
 from springrock.forwarding.events import EventSplitter
 
 
@@ -51,3 +52,15 @@
     [event] = [event for part in parts for event in splitter.feed(part)]
     assert event.raw == b"".join(parts)
     assert pattern.searched < 2 * len(b"".join(parts))
+
+
+def test_an_event_without_an_end_is_not_kept_beyond_its_bound() -> None:
+    splitter = EventSplitter(max_event_bytes=100)
+    assert splitter.feed(b"data: " + b"x" * 94) == []
+    with pytest.raises(AnswerTooLarge):
+        splitter.feed(b"x")
+
+
+def test_events_that_arrive_together_may_be_longer_than_the_bound_of_one() -> None:
+    splitter = EventSplitter(max_event_bytes=20)
+    assert len(splitter.feed(b"data: x\n\n" * 100)) == 100
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -14,6 +15,7 @@
 from springrock.forwarding.errors import (
     AnswerBroken,
     AnswerSilent,
+    AnswerTooLarge,
     ConnectionRefused,
     ForeignAnswer,
     OutcomeUnknown,
@@ -56,7 +58,7 @@
 
 def body_of(answer: Answer) -> bytes:
     try:
-        return answer.read_all(deadline=Deadline(2.0))
+        return answer.read_kept(2**20, deadline=Deadline(2.0))
     finally:
         answer.close()
 
@@ -107,6 +109,33 @@
         pool.close()
 
 
+@pytest.mark.parametrize("status", ["100 Continue", "102 Processing", "103 Early Hints"])
+def test_an_interim_answer_is_not_taken_for_the_answer(status: str) -> None:
+    interim = f"HTTP/1.1 {status}\r\nLink: </style.css>\r\n\r\n".encode()
+    with ScriptedReplica(script_sending(interim + answer("r1", b"own"))) as replica:
+        assert body_of(send(ConnectionPool(replica.address))) == b"own"
+
+
+def test_a_head_with_too_many_lines_is_too_large() -> None:
+    head = SUCCESS + b"X-More: x\r\n" * 200 + b"\r\n"
+    with ScriptedReplica(script_sending(head)) as replica, pytest.raises(AnswerTooLarge):
+        send(ConnectionPool(replica.address))
+
+
+def test_a_head_that_does_not_end_in_time_is_too_large() -> None:
+    def _trickle(connection: socket.socket) -> None:
+        read_request(connection)
+        with contextlib.suppress(OSError):
+            for byte in SUCCESS * 10:
+                connection.sendall(bytes([byte]))
+                time.sleep(0.02)
+
+    began_at = monotonic()
+    with ScriptedReplica(_trickle) as replica, pytest.raises(AnswerTooLarge):
+        send(ConnectionPool(replica.address))
+    assert monotonic() - began_at < 2.5
+
+
 def test_a_surplus_answer_before_the_own_one_is_discarded() -> None:
     surplus = answer("old", b"of another request")
     with ScriptedReplica(script_sending(surplus + answer("r1", b"own"))) as replica:
@@ -333,7 +362,7 @@
         began_at = monotonic()
         found = send(ConnectionPool(replica.address))
         try:
-            assert found.read_all(deadline=Deadline(10.0)) == b"all of it"
+            assert found.read_kept(2**20, deadline=Deadline(10.0)) == b"all of it"
         finally:
             found.close()
     assert monotonic() - began_at > 1.8, "the replica was not paused"
@@ -344,7 +373,7 @@
         began_at = monotonic()
         found = send(ConnectionPool(replica.address))
         with pytest.raises(AnswerBroken):
-            found.read_all(deadline=Deadline(10.0))
+            found.read_kept(2**20, deadline=Deadline(10.0))
         found.close()
     assert monotonic() - began_at < 3.0
 
@@ -649,6 +678,6 @@
             head_timeout_s=5.0,
         )
         try:
-            assert found.read_all(deadline=Deadline(5.0)) == b"body"
+            assert found.read_kept(2**20, deadline=Deadline(5.0)) == b"body"
         finally:
             found.close()
--- a/tests/forwarding/test_sending.py
+++ b/tests/forwarding/test_sending.py
@@ -90,6 +90,7 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch, *, brittle: bool) -> None:
         self.stages: list[PermitStage] = []
         self.breaks = 0
+        self.failure_rate = 0.0
         monkeypatch.setattr(CrashDetector, "record_break", self._record_break)
         self._sender = Sender(
             dialect=PlatformDialect(),
@@ -120,6 +121,7 @@
             except ExchangeError as error:
                 self._sender.record_failure(progress, chosen.replica, attempt, error)
             self._sender.finish_attempt(chosen, attempt)
+            self.failure_rate = chosen.replica.health.failure_rate
 
 
 def test_what_becomes_of_a_request_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -139,6 +141,15 @@
     assert sender.breaks == breaks
 
 
+def test_a_replica_that_sends_a_head_without_end_has_failed_but_not_crashed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sender = StageSender(monkeypatch, brittle=False)
+    sender.send(_answer_with("200 OK", *["X-More: x"] * 200))
+    assert sender.breaks == 0
+    assert sender.failure_rate > 0.0
+
+
 @pytest.mark.parametrize(
     ("error", "is_probed"),
     [(ReplicaUnreachable(""), True), (AnswerSilent(""), True), (AnswerBroken(""), False)],
--- a/tests/routed/test_endless_answers.py
+++ b/tests/routed/test_endless_answers.py
@@ -25,6 +25,7 @@
 """The smallest boxes have this much."""
 
 CALLERS = 6
+LONG_ANSWER_BYTES = 40 * 2**20
 PLAIN_PARTS = [part for part in EndlessPart if part not in (EndlessPart.EVENT, EndlessPart.EVENTS)]
 PAUSES_MS = (0.0, 20.0)
 """Bytes that come as fast as they are read, and bytes that come one by one."""
@@ -125,3 +126,17 @@
     assert [item for item in calls if not item.is_whole] == []
     assert [item for item in calls if item.took_s > SERVED_WITHIN_S] == []
     assert memory_mb(deployment) < MAX_MEMORY_MB
+
+
+@pytest.mark.parametrize("unframed", [False, True])
+def test_a_long_answer_is_whole_and_takes_no_memory(deployment: Deployment, unframed: bool) -> None:
+    for name in ("rosters-1", "rosters-2"):
+        deployment.fault(name, answer_bytes=LONG_ANSWER_BYTES, unframed=unframed)
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        sent = [pool.submit(call, deployment, "/lookup/x", deadline_s=20.0) for _ in range(CALLERS)]
+        calls = [future.result() for future in sent]
+    for name in ("rosters-1", "rosters-2"):
+        deployment.fault(name)
+    assert all(item.is_whole for item in calls)
+    assert {len(item.answer.body) for item in calls} == {LONG_ANSWER_BYTES}
+    assert memory_mb(deployment) < MAX_MEMORY_MB
