--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,7 +7,7 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_RELEASE = "9643a5493b64"
+LAST_RELEASE = "b159802c587b"
 """The previous release, which users upgrade from."""
 
 BEFORE_COMPARING = "37c928e27cbe"
