Requests: one bound on time and bytes for all that a caller sends

What callers saw: eight connections that sent trailers without end, or chunks of one byte without end, stopped a whole box: sound requests at it were neither answered nor refused. A head, a chunk's size or a body at one byte each 0.3 s held a connection for ever.

Cause: gevent's server has a timeout for each read, which bytes that keep coming never let pass; it skips trailers in a loop without a bound, reads chunks byte by byte, and a read that finds bytes never lets another task run. `gevent.sleep(0)` would not help: the loop polls no sockets before 50 such turns (pauses of 0.17 to 0.2 s seen with it).

Now `RequestReader` lies below the parsers and checks one deadline and one count of bytes at each read of the socket; after 5 ms without waiting it waits for a timer, so that the loop polls all sockets. `RequestBody` reads chunks with a bound on their framing compared to their content, and on trailers. A request that is not read whole is answered with 408, 413, 431 or 400 and its connection closed, after a short while in which what still comes is dropped, since a reset could cost the caller the answer. Until now the rest of a refused body was read without end.

--- a/springrock/errors.py
+++ b/springrock/errors.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from http import HTTPStatus
 
 import msgspec
 
@@ -171,6 +172,63 @@
     """A client's request violates the protocol; it was not run."""
 
 
+class ReadBound(StrEnum):
+    """The bounds of the reading of a request."""
+
+    HEAD_TIME = "head_time"
+    HEAD_BYTES = "head_bytes"
+    BODY_TIME = "body_time"
+    BODY_BYTES = "body_bytes"
+    """The body, with the framing of its chunks."""
+    FRAMING_BYTES = "framing_bytes"
+    """The framing of chunks, compared to their content."""
+    TRAILER_BYTES = "trailer_bytes"
+    FRAMING = "framing"
+    """The chunks of the body are malformed."""
+
+
+_STATUS_BY_BOUND = {
+    ReadBound.HEAD_TIME: HTTPStatus.REQUEST_TIMEOUT,
+    ReadBound.HEAD_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    ReadBound.BODY_TIME: HTTPStatus.REQUEST_TIMEOUT,
+    ReadBound.BODY_BYTES: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ReadBound.FRAMING_BYTES: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ReadBound.TRAILER_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    ReadBound.FRAMING: HTTPStatus.BAD_REQUEST,
+}
+
+
+class RequestNotRead(SpringrockError):
+    """A request was not read to its end, so it was not run; its connection must be closed.
+
+    Args:
+        bound: The bound that ended the reading.
+        read_bytes: Bytes of the request that were read.
+        took_s: Seconds since the first of them.
+    """
+
+    def __init__(self, bound: ReadBound, *, read_bytes: int = 0, took_s: float = 0.0) -> None:
+        self.bound = bound
+        self.read_bytes = read_bytes
+        self.took_s = took_s
+        super().__init__(f"not read whole: {bound} after {read_bytes} bytes in {took_s:.1f} s")
+
+    @property
+    def status(self) -> HTTPStatus:
+        """The status of the answer."""
+        return _STATUS_BY_BOUND[self.bound]
+
+    @property
+    def fields(self) -> dict[str, object]:
+        """What a log line says about it."""
+        return {
+            "ended_by": self.bound,
+            "status": self.status,
+            "read_bytes": self.read_bytes,
+            "took_ms": round(self.took_s * 1000),
+        }
+
+
 class AnswerCut(SpringrockError):
     """An answer broke off after its head was sent; the connection must be closed mid-answer."""
 
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import contextlib
+import io
 import socket
 import struct
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from springrock.clock import Deadline
-from springrock.errors import AnswerCut, CallerGone
+from springrock.errors import AnswerCut, CallerGone, RequestNotRead
+from springrock.request_body import RequestBody
+from springrock.request_reader import ReadLimits, RequestReader
 from springrock.settings import split_address
 
 SOCKET_KEY = "springrock.socket"
@@ -23,6 +27,13 @@
 HEADERS_KEY = "springrock.headers"
 """The key of the request's headers, as pairs exactly as sent, in the WSGI environment."""
 
+READER_KEY = "springrock.reader"
+"""The key of the `RequestReader` of the caller's connection in the WSGI environment."""
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+_READ_BUFFER_BYTES = 8_192
+
 _SEND_PERIOD_S = 1.0
 """How often to try to send: a system that has little room does not report that it has some."""
 
@@ -52,19 +63,41 @@
 
 
 class _Server(WSGIServer):
-    """A WSGI server with a send time-out for its connections."""
-
-    def __init__(self, address: tuple[str, int], app: Any, *, send_timeout_s: float) -> None:
+    """A WSGI server with bounds for what is read from its connections and sent on them."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        app: Any,
+        *,
+        send_timeout_s: float,
+        read_limits: Callable[[], ReadLimits],
+        on_unread_head: Callable[[RequestNotRead], None],
+    ) -> None:
         # Without SERVER_NAME, gevent does a reverse DNS look-up of the address, which can be slow.
         environ = {"SERVER_NAME": address[0]}
         super().__init__(
             address, app, handler_class=_Handler, log=None, error_log=None, environ=environ
         )
         self.send_timeout_s = send_timeout_s
+        self.read_limits = read_limits
+        self.on_unread_head = on_unread_head
 
 
 class _Handler(WSGIHandler):
-    """Passes the socket to the application, so that it can detect that the caller disconnected."""
+    """Reads requests within bounds and passes the socket to the application.
+
+    The application needs the socket to detect that the caller disconnected.
+    """
+
+    def __init__(self, connection: Any, address: Any, server: _Server) -> None:
+        self._reader = RequestReader(connection)
+        super().__init__(
+            connection, address, server, io.BufferedReader(self._reader, _READ_BUFFER_BYTES)
+        )  # type: ignore[call-arg]
+        self._server = server
+        self._limits = server.read_limits()
+        self._body: RequestBody | None = None
 
     def handle(self) -> None:
         """Serve the connection; a caller that disconnects between two requests is no error."""
@@ -73,24 +106,110 @@
         except CallerGone:
             return
 
+    def handle_one_request(self) -> Any:
+        """Serve one request; return True if another may follow on the connection."""
+        if not self._wait_for_request():
+            return None
+        try:
+            result = super().handle_one_request()
+        except RequestNotRead as error:
+            return self._refuse_unread_head(error)
+        return None if self._is_unread else result
+
+    @property
+    def _is_unread(self) -> bool:
+        """Whether a part of the body was not read, so that no other request can follow."""
+        return self._body is not None and not self._body.at_end
+
+    def _wait_for_request(self) -> bool:
+        """Return whether a request begins before the connection has rested for too long."""
+        self._limits = self._server.read_limits()
+        self._reader.begin_wait(self._limits)
+        try:
+            begun = bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        self._reader.begin_head(self._limits)
+        return begun
+
+    def _handle_client_error(self, ex: Exception) -> Any:
+        if isinstance(ex, RequestNotRead):
+            return self._refuse_unread_head(ex)
+        return super()._handle_client_error(ex)  # type: ignore[misc]
+
+    def _refuse_unread_head(self, error: RequestNotRead) -> None:
+        self._server.on_unread_head(error)
+        status = error.status
+        head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+        with contextlib.suppress(OSError):
+            self.socket.settimeout(self._server.send_timeout_s)
+            self.socket.sendall(f"{head}Connection: close\r\nContent-Length: 0\r\n\r\n".encode())
+            self._end_unread()
+
+    def _end_unread(self) -> None:
+        """End a connection after its last answer, although the caller may still send."""
+        if self._body is not None:
+            self._body.give_up()
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self._reader.drain()
+
     def get_environ(self) -> dict[str, Any]:
         environ: dict[str, Any] = super().get_environ()
+        self._reader.begin_body(self._limits)
+        expects = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
+        self._body = RequestBody(
+            self.rfile,
+            self._reader,
+            length=self.content_length,
+            chunked=environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked",
+            max_trailer_bytes=self._limits.head_bytes,
+            invite=self._send_continue if expects else None,
+        )
+        self.wsgi_input = self._body  # type: ignore[assignment]
+        environ["wsgi.input"] = self._body
+        environ[READER_KEY] = self._reader
         environ[SOCKET_KEY] = self.socket
         environ[TARGET_KEY] = self.path
         environ[HEADERS_KEY] = self.headers.items()
         self._response = environ[RESPONSE_KEY] = Response()
-        assert isinstance(self.server, _Server)
-        self.socket.settimeout(self.server.send_timeout_s)
+        self.socket.settimeout(self._server.send_timeout_s)
         return environ
 
+    def start_response(self, status: str, headers: Any, exc_info: Any = None) -> Any:
+        """Begin a response; the last one on the connection if the request was not read whole."""
+        if self._reader.failed:
+            kept = [pair for pair in headers if pair[0].lower() != "connection"]
+            headers = [*kept, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def _send_continue(self) -> None:
+        self.socket.sendall(_CONTINUE)
+
     def run_application(self) -> None:
         """Produce and send one response; tell the application how it ended."""
         try:
-            super().run_application()
+            self._run_application()
         except BaseException as error:
             self._response.end(error)
             raise
         self._response.end(None)
+        if self.close_connection and self._is_unread:
+            self._end_unread()
+
+    def _run_application(self) -> None:
+        try:
+            super().run_application()
+        except RequestNotRead as error:
+            if self.headers_sent:
+                raise AnswerCut("the request was not read to its end") from error
+            self._refuse_unread_body(error.status)
+
+    def _refuse_unread_body(self, status: HTTPStatus) -> None:
+        self.result = [b""]
+        self.start_response(f"{status.value} {status.phrase}", [("Content-Length", "0")])
+        self.write(b"")
+        self.result = None
 
     def _sendall(self, data: bytes) -> None:
         try:
@@ -107,12 +226,11 @@
         Raises:
             OSError: If the connection failed, or the caller accepted nothing within the timeout.
         """
-        assert isinstance(self.server, _Server)
-        deadline = Deadline(self.server.send_timeout_s)
+        deadline = Deadline(self._server.send_timeout_s)
         while data:
             sent = self._send_part(data, timeout_s=min(_SEND_PERIOD_S, deadline.left_s))
             if sent:
-                deadline = Deadline(self.server.send_timeout_s)
+                deadline = Deadline(self._server.send_timeout_s)
                 data = data[sent:]
             elif deadline.passed:
                 raise TimeoutError("the caller accepted no bytes within the timeout")
@@ -154,10 +272,26 @@
         app: The WSGI application.
         address: ``HOST:PORT``; port 0 selects a free port.
         send_timeout_s: The connection of a client that accepts no bytes for this long is closed.
+        read_limits: Returns what a client may send from now on, and how long it may take.
+        on_unread_head: Called with the error of each head that was not read to its end.
     """
 
-    def __init__(self, app: Any, address: str, *, send_timeout_s: float = 20.0) -> None:
-        self._server = _Server(split_address(address), app, send_timeout_s=send_timeout_s)
+    def __init__(
+        self,
+        app: Any,
+        address: str,
+        *,
+        send_timeout_s: float = 20.0,
+        read_limits: Callable[[], ReadLimits] = ReadLimits,
+        on_unread_head: Callable[[RequestNotRead], None] = lambda error: None,
+    ) -> None:
+        self._server = _Server(
+            split_address(address),
+            app,
+            send_timeout_s=send_timeout_s,
+            read_limits=read_limits,
+            on_unread_head=on_unread_head,
+        )
 
     def start(self) -> None:
         """Bind the address and serve in the background."""
--- /dev/null
+++ b/springrock/request_reader.py
@@ -0,0 +1,194 @@
+"""Reads the bytes of requests from a caller's connection, with bounds on time and bytes."""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+import gevent
+from msgspec import Struct
+
+from springrock.clock import Deadline, monotonic
+from springrock.errors import ReadBound, RequestNotRead
+
+_BLOCK_BYTES = 65_536
+_WAIT_PERIOD_S = 1.0
+"""How often a wait checks the clock, as timers do not count a suspension of the machine."""
+
+_SHORTEST_WAIT_S = 0.001
+_TURN_S = 0.005
+"""How long a task goes on without waiting before others run."""
+
+_YIELD_S = 0.0001
+"""A timer of any length lets the loop poll all sockets, which `gevent.sleep(0)` does not."""
+
+_REST_S = 1.0
+_REST_BYTES = 1_048_576
+
+FRAMING_BYTES = 262_144
+"""How much longer than its content the framing of a body may be: small chunks have more of it."""
+
+
+class ReadLimits(Struct, frozen=True, kw_only=True):
+    """What a caller may send in one request, and how long it may take.
+
+    Attributes:
+        idle_s: How long a connection may rest before a request.
+        head_s: How long a head may take from its first byte.
+        head_bytes: The longest head; the trailers after a body may be as long.
+        body_s: How long a body may take unless the request states a shorter deadline.
+        body_bytes: The longest body.
+    """
+
+    idle_s: float = 20.0
+    head_s: float = 20.0
+    head_bytes: int = 65_536
+    body_s: float = 60.0
+    body_bytes: int = 67_108_864
+
+    @property
+    def framed_body_bytes(self) -> int:
+        """The longest body with the framing of its chunks and its trailers."""
+        return 2 * self.body_bytes + self.head_bytes + FRAMING_BYTES
+
+
+class RequestReader(io.RawIOBase):
+    """Reads from a connection as long as the bounds of the current part of a request allow.
+
+    A parser on top of it cannot outlast the bounds, and lets other tasks run however many bytes
+    the caller sends.
+
+    Args:
+        connection: The caller's socket, a gevent one.
+
+    Attributes:
+        read_bytes: Bytes read since the connection began to wait for the request.
+        failed: Whether a bound ended the reading, so that the connection must be closed.
+        began_at: When the first byte of the request was there, on the clock `monotonic`.
+    """
+
+    def __init__(self, connection: Any) -> None:
+        super().__init__()
+        self._connection = connection
+        self._deadline = Deadline(0.0)
+        self._at_most = 0
+        self._time_bound: ReadBound | None = None
+        self._bytes_bound = ReadBound.HEAD_BYTES
+        self._turn_began_at = monotonic()
+        self.read_bytes = 0
+        self.failed = False
+        self.began_at = monotonic()
+
+    # The parts of a request.
+
+    def begin_wait(self, limits: ReadLimits) -> None:
+        """Wait for a request from now on; `TimeoutError` is raised if none comes."""
+        self.read_bytes = 0
+        self._deadline = Deadline(limits.idle_s)
+        self._at_most = limits.head_bytes
+        self._time_bound = None
+
+    def begin_head(self, limits: ReadLimits) -> None:
+        """Read a head from now on."""
+        self.began_at = monotonic()
+        self._deadline = Deadline(limits.head_s)
+        self._at_most = limits.head_bytes
+        self._time_bound, self._bytes_bound = ReadBound.HEAD_TIME, ReadBound.HEAD_BYTES
+
+    def begin_body(self, limits: ReadLimits) -> None:
+        """Read a body from now on."""
+        self._deadline = Deadline(limits.body_s)
+        self._at_most = self.read_bytes + limits.framed_body_bytes
+        self._time_bound, self._bytes_bound = ReadBound.BODY_TIME, ReadBound.BODY_BYTES
+
+    def begin_rest(self) -> None:
+        """Read what is left of a request that was answered, from now on."""
+        self._deadline = Deadline(_REST_S)
+        self._at_most = self.read_bytes + _REST_BYTES
+
+    def end_within(self, seconds: float) -> None:
+        """Shorten the time for the current part to a time from the first byte of the request."""
+        self._deadline.at = min(self._deadline.at, self.began_at + seconds)
+
+    def drain(self) -> None:
+        """Drop what the caller sends until it closes the connection or a bound is reached.
+
+        A connection that is closed with bytes unread is reset, which can cost the caller the
+        answer.
+        """
+        self.begin_rest()
+        block = bytearray(_BLOCK_BYTES)
+        try:
+            while self.readinto(block):
+                continue
+        except (OSError, RequestNotRead):
+            return
+
+    # Reading.
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Read what the caller has sent, waiting for the first byte; 0 at the end.
+
+        Raises:
+            RequestNotRead: If a bound of the current part is reached.
+            OSError: If the connection failed, or no request came in time.
+        """
+        if self.read_bytes >= self._at_most:
+            raise self.error(self._bytes_bound)
+        if self._time_bound is not None and self._deadline.passed:
+            raise self.error(self._time_bound)
+        size = self._receive(memoryview(buffer)[:_BLOCK_BYTES])
+        self.read_bytes += size
+        return size
+
+    def error(self, bound: ReadBound) -> RequestNotRead:
+        """Return the error for a request that is over a bound, and which is read no further."""
+        self.failed = True
+        took_s = 0.0 if self._time_bound is None else monotonic() - self.began_at
+        return RequestNotRead(bound, read_bytes=self.read_bytes, took_s=took_s)
+
+    def _receive(self, buffer: memoryview) -> int:
+        timeout_before = self._connection.gettimeout()
+        try:
+            return self._receive_in_time(buffer)
+        finally:
+            self._connection.settimeout(timeout_before)
+
+    def _receive_in_time(self, buffer: memoryview) -> int:
+        try:
+            self._connection.settimeout(0.0)
+            size: int = self._connection.recv_into(buffer)
+        except BlockingIOError:
+            size = self._wait_and_receive(buffer)
+            self._turn_began_at = monotonic()
+        else:
+            self._let_others_run()
+        return size
+
+    def _wait_and_receive(self, buffer: memoryview) -> int:
+        while True:
+            left_s = max(_SHORTEST_WAIT_S, self._deadline.left_s)
+            self._connection.settimeout(min(_WAIT_PERIOD_S, left_s))
+            try:
+                size: int = self._connection.recv_into(buffer)
+            except TimeoutError:
+                self._check_time()
+            else:
+                return size
+
+    def _let_others_run(self) -> None:
+        """Wait if this task has run for its turn."""
+        if monotonic() - self._turn_began_at > _TURN_S:
+            gevent.sleep(_YIELD_S)
+            self._turn_began_at = monotonic()
+
+    def _check_time(self) -> None:
+        if not self._deadline.passed:
+            return
+        if self._time_bound is None:
+            raise TimeoutError("no request came in time")
+        raise self.error(self._time_bound)
