Entry boxes: a request that is not read by its deadline gets 408

What callers saw: a body that stayed away or came byte by byte got nothing, although the deadline that its head names had passed, and a head was awaited without end: `headerTimeoutMs` and `maxHeaderBytes` of the configuration were not read.

Now the door passes the limits in force to its server, and reads the head's deadline before the body. A request that is not read whole leaves one line with its id, if known, the bytes read and the bound. A reply to a request whose body was not read whole says that the connection is closed.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -460,7 +460,7 @@
             settings.listen.clients_address,
             forwarder=forwarder,
             dialect=dialect,
-            body_limit_bytes=lambda: self._routes.configuration.limits.body_bytes,
+            limits=lambda: self._routes.configuration.limits,
             log=self._log_of("door"),
             metrics=self.metrics,
         )
--- a/springrock/forwarding/configuration.py
+++ b/springrock/forwarding/configuration.py
@@ -196,10 +196,14 @@
     Attributes:
         body_bytes: The largest request body.
         idle_s: For how many seconds a client connection may be idle.
+        header_bytes: The largest head of a request.
+        header_s: How many seconds a client may take for a head.
     """
 
     body_bytes: int = 4_194_304
     idle_s: float = 15.0
+    header_bytes: int = 65_536
+    header_s: float = 10.0
 
 
 class Configuration(Struct, frozen=True, kw_only=True):
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -7,10 +7,13 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
+import msgspec
+
 from springrock.clock import monotonic
 from springrock.doors._watch import CallerWatch
-from springrock.errors import BadRequest, CallerGone
+from springrock.errors import BadRequest, CallerGone, ReadBound, RequestNotRead
 from springrock.forwarding.answer_end import EndedBy, ended_by
+from springrock.forwarding.configuration import ClientLimits
 from springrock.forwarding.dialect import Dialect
 from springrock.forwarding.fault_watch import FaultWatch
 from springrock.forwarding.forwarder import Forwarder
@@ -18,6 +21,7 @@
 from springrock.forwarding.reply import Reply, own_reply
 from springrock.httpd import (
     HEADERS_KEY,
+    READER_KEY,
     RESPONSE_KEY,
     SOCKET_KEY,
     TARGET_KEY,
@@ -26,8 +30,21 @@
 )
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
+from springrock.request_body import RequestBody
+from springrock.request_reader import ReadLimits, RequestReader
 
 _SEND_TIMEOUT_S = 20.0
+_LEAST_IDLE_S = 20.0
+"""Clients may rely on a connection for somewhat less than the configured time."""
+
+_BODY_TIMEOUT_S = 60.0
+_REASON_BY_BOUND = {
+    ReadBound.BODY_TIME: "request_not_read_in_time",
+    ReadBound.BODY_BYTES: "body_too_large",
+    ReadBound.FRAMING_BYTES: "body_too_large",
+    ReadBound.TRAILER_BYTES: "trailers_too_large",
+    ReadBound.FRAMING: "malformed_request",
+}
 _LOGGED_FRAMES = 3
 _MAX_LOGGED_ERROR = 200
 
@@ -39,7 +56,7 @@
         address: The address to listen on, ``HOST:PORT``.
         forwarder: Forwards the requests.
         dialect: Parses the requests of clients.
-        body_limit_bytes: Returns the maximum length of a request body.
+        limits: Returns the limits for clients.
         log: The log to write to.
         metrics: The metrics to count in.
 
@@ -55,16 +72,22 @@
         *,
         forwarder: Forwarder,
         dialect: Dialect,
-        body_limit_bytes: Callable[[], int],
+        limits: Callable[[], ClientLimits],
         log: Log,
         metrics: ForwardingMetrics,
     ) -> None:
         self._forwarder = forwarder
         self._dialect = dialect
-        self._body_limit_bytes = body_limit_bytes
+        self._limits = limits
         self._log = log
         self._metrics = metrics
-        self._server = HttpServer(self._serve, address, send_timeout_s=_SEND_TIMEOUT_S)
+        self._server = HttpServer(
+            self._serve,
+            address,
+            send_timeout_s=_SEND_TIMEOUT_S,
+            read_limits=self._read_limits,
+            on_unread_head=lambda error: self._log_unread(error, request=""),
+        )
         self._open: set[_OpenRequest] = set()
         self.closing = False
         self.refusing = False
@@ -90,13 +113,10 @@
     ) -> Iterable[bytes]:
         open_request = _OpenRequest(self, environ, self._log)
         self._open.add(open_request)
-        body = environ["wsgi.input"].read(self._body_limit_bytes() + 1)
-        open_request.reading = False
-        # From here on only the watch reads from the socket.
-        open_request.watch.start()
-        reply = self._reply_or_record_fault(open_request, body)
+        request_body: RequestBody = environ["wsgi.input"]
+        reply = self._read_and_reply(open_request, request_body)
         headers = list(reply.head.headers)
-        if self.closing:
+        if self.closing or not request_body.at_end:
             headers.append(("Connection", "close"))  # type: ignore[arg-type]
         open_request.reply = reply
         start_response(f"{reply.head.status} {reply.head.reason}", headers)
@@ -105,6 +125,32 @@
             return reply.body
         return _watched_body(reply.body, open_request.watch)
 
+    def _read_limits(self) -> ReadLimits:
+        limits = self._limits()
+        return ReadLimits(
+            idle_s=max(_LEAST_IDLE_S, limits.idle_s),
+            head_s=limits.header_s,
+            head_bytes=limits.header_bytes,
+            body_s=_BODY_TIMEOUT_S,
+            body_bytes=limits.body_bytes,
+        )
+
+    def _read_and_reply(self, open_request: _OpenRequest, request_body: RequestBody) -> Reply:
+        if not request_body.at_end:
+            open_request.limit_reading(self._dialect)
+        try:
+            body = request_body.read(self._limits().body_bytes + 1)
+        except RequestNotRead as error:
+            self._log_unread(error, request=self.request_id_of(open_request))
+            return own_reply(error.status, _REASON_BY_BOUND[error.bound])
+        open_request.reading = False
+        # From here on only the watch reads from the socket.
+        open_request.watch.start()
+        return self._reply_or_record_fault(open_request, body)
+
+    def _log_unread(self, error: RequestNotRead, *, request: str) -> None:
+        self._log.info("A request was not read to its end.", request=request, **error.fields)
+
     def _reply_or_record_fault(self, open_request: _OpenRequest, body: bytes) -> Reply:
         """Return the reply; an exception that is not the client's leaving is this box's fault."""
         try:
@@ -120,7 +166,7 @@
     def _reply(self, open_request: _OpenRequest, body: bytes) -> Reply:
         if self.refusing:
             return own_reply(503, "stopping", retry_after_s=0.0)
-        if len(body) > self._body_limit_bytes():
+        if len(body) > self._limits().body_bytes:
             return own_reply(413, "body_too_large")
         try:
             request = open_request.parse(self._dialect, body)
@@ -174,7 +220,9 @@
         self._door = door
         self._environ = environ
         self._log = log
-        self._received_at = monotonic()
+        self._reader: RequestReader = environ[READER_KEY]
+        self._received_at: float = self._reader.began_at
+        self._head: ClientRequest | None = None
         self._logged = False
         self._response: Response = environ[RESPONSE_KEY]
         self._response.on_end = self._end
@@ -185,15 +233,25 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since the head of the request was received."""
+        """Seconds since the first byte of the request was received."""
         return monotonic() - self._received_at
 
+    def limit_reading(self, dialect: Dialect) -> None:
+        """Let the reading of the body end with the request's deadline."""
+        # What the head lacks is told once the body is read.
+        with contextlib.suppress(Exception):
+            self._head = self.parse(dialect, b"")
+            if self._head.deadline_s is not None:
+                self._reader.end_within(self._head.deadline_s)
+
     def parse(self, dialect: Dialect, body: bytes) -> ClientRequest:
         """Return the client's request.
 
         Raises:
             BadRequest: If it is malformed.
         """
+        if self._head is not None:
+            return msgspec.structs.replace(self._head, body=body)
         request = dialect.read_request(
             method=self._environ["REQUEST_METHOD"],
             target=self._environ[TARGET_KEY],
--- a/springrock/forwarding/reply.py
+++ b/springrock/forwarding/reply.py
@@ -15,8 +15,10 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    408: "Request Timeout",
     413: "Content Too Large",
     429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
@@ -40,7 +42,7 @@
     """Return a reply that this box generates.
 
     Args:
-        status: 503 promises that the request did not and will not run; 502 and 504 do not.
+        status: 408 and 503 promise that the request did not and will not run; 502 and 504 do not.
         reason: One word for the client and the log.
         retry_after_s: Seconds after which a retry may succeed; None if none would.
     """
--- a/springrock/platform/records.py
+++ b/springrock/platform/records.py
@@ -83,6 +83,8 @@
 class _Limits(Struct, rename="camel"):
     max_body_bytes: int = 4_194_304
     idle_timeout_ms: float = 15_000.0
+    max_header_bytes: int = 65_536
+    header_timeout_ms: float = 10_000.0
 
 
 class _Configuration(Struct, rename="camel"):
@@ -121,6 +123,8 @@
         limits=own.ClientLimits(
             body_bytes=config.limits.max_body_bytes,
             idle_s=config.limits.idle_timeout_ms / 1000,
+            header_bytes=config.limits.max_header_bytes,
+            header_s=config.limits.header_timeout_ms / 1000,
         ),
         teams=None if config.tenants is None else _teams_from(config.tenants),
     )
--- a/tests/forwarding/test_answer_ends.py
+++ b/tests/forwarding/test_answer_ends.py
@@ -11,11 +11,13 @@
 import pytest
 from gevent import GreenletExit, socket
 
+from springrock.clock import monotonic
 from springrock.doors._watch import CallerWatch
 from springrock.emulator.ports import free_addresses
-from springrock.errors import AnswerCut, CallerGone
+from springrock.errors import AnswerCut, CallerGone, ReadBound
 from springrock.forwarding import door as door_module
 from springrock.forwarding.answer_end import EndedBy, ended_by
+from springrock.forwarding.configuration import ClientLimits
 from springrock.forwarding.door import ForwardingDoor
 from springrock.forwarding.message import AnswerHead, ClientRequest, Headers
 from springrock.forwarding.reply import Reply
@@ -53,7 +55,7 @@
             address,
             forwarder=self.forwarder,  # type: ignore[arg-type]
             dialect=PlatformDialect(),
-            body_limit_bytes=lambda: 100,
+            limits=lambda: ClientLimits(body_bytes=100, header_s=0.4),
             log=Log("door", "box-1", self.journal),
             metrics=ForwardingMetrics(),
         )
@@ -181,6 +183,56 @@
     assert (end["ended_by"], end["status"]) == (EndedBy.CLIENT_FAILED, 0)
 
 
+@pytest.mark.parametrize(
+    ("rest", "status", "bound"),
+    [
+        (b"Content-Length: 50\r\n\r\npart", 408, ReadBound.BODY_TIME),
+        (b"Transfer-Encoding: chunked\r\n\r\n5\r\nhel", 408, ReadBound.BODY_TIME),
+        (
+            b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA: b\r\n",
+            408,
+            ReadBound.BODY_TIME,
+        ),
+        (
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"A: b\r\n" * 20_000,
+            431,
+            ReadBound.TRAILER_BYTES,
+        ),
+        (b"Transfer-Encoding: chunked\r\n\r\nx\r\n", 400, ReadBound.FRAMING),
+    ],
+)
+def test_a_request_that_is_not_read_whole_by_its_deadline_is_refused_and_leaves_a_line(
+    rest: bytes, status: int, bound: ReadBound
+) -> None:
+    """Guards against a body that is awaited for longer than its client waits."""
+    head = REQUEST.removesuffix(b"\r\n") + b"Springrock-Deadline-Ms: 300\r\n"
+    with running(never) as box, box.connect(head + rest) as client:
+        sent_at = monotonic()
+        answer = read_to_end(client)
+        assert monotonic() - sent_at < 0.8
+        box.wait_idle()
+        [line] = box.lines
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    assert (line.fields["ended_by"], line.fields["status"]) == (bound, status)
+    assert box.forwarder.tasks == []
+
+
+def test_a_head_that_is_not_read_in_time_is_refused_and_leaves_a_line() -> None:
+    with running(never) as box, box.connect(REQUEST[:-2]) as client:
+        assert read_to_end(client).startswith(b"HTTP/1.1 408 ")
+        [line] = box.journal.lines_with("ended_by", ReadBound.HEAD_TIME)
+    assert line.fields["read_bytes"] == len(REQUEST) - 2
+
+
+def test_a_body_over_the_limit_is_refused_although_it_goes_on() -> None:
+    with running(never) as box:
+        head = REQUEST.removesuffix(b"\r\n") + b"Content-Length: 1000000000\r\n\r\n"
+        with box.connect(head + b"x" * 5000) as client:
+            answer = read_to_end(client)
+    assert answer.startswith(b"HTTP/1.1 413 ")
+    assert b"Connection: close" in answer
+
+
 def test_an_answer_that_breaks_off_leaves_a_line_with_the_bytes_sent() -> None:
     with (
         running(stream(b"part", then=raising(AnswerCut("silent")))) as box,
--- a/tests/forwarding/test_fault_watch.py
+++ b/tests/forwarding/test_fault_watch.py
@@ -13,6 +13,7 @@
 
 from springrock.emulator.ports import free_addresses
 from springrock.forwarding import fault_watch as fault_watch_module
+from springrock.forwarding.configuration import ClientLimits
 from springrock.forwarding.door import ForwardingDoor
 from springrock.forwarding.fault_watch import FaultWatch
 from springrock.forwarding.message import ClientRequest
@@ -88,7 +89,7 @@
         address,
         forwarder=forwarder,
         dialect=PlatformDialect(),
-        body_limit_bytes=lambda: 100,
+        limits=lambda: ClientLimits(body_bytes=100),
         log=Log("door", "box-1"),
         metrics=ForwardingMetrics(),
     )
--- a/tests/routed/deployment.py
+++ b/tests/routed/deployment.py
@@ -112,6 +112,7 @@
     box_settings: dict[str, Any] = field(default_factory=dict)
     slow_start: dict[str, float] = field(default_factory=dict)
     services: list[dict[str, Any]] = field(default_factory=lambda: SERVICES)
+    limits: dict[str, Any] | None = None
     box_module: str = "springrock"
     box_command: tuple[str, ...] = ("entry", "--settings")
     build_of: dict[str, Path] = field(default_factory=dict)
@@ -245,6 +246,8 @@
         }
         if self.tenants is not None:
             config["tenants"] = self.tenants
+        if self.limits is not None:
+            config["limits"] = self.limits
         self.write_operator_row("config", config)
         return self.version
 
