`springrock serve`: bodies that are not read whole get typed errors

A body that came too slowly or was malformed ended in 500 or in nothing at all. The callers' door now reads a body until the request's deadline and answers 408, 413 or 400 with a typed error that says that the request did not run; the operators' door does so within 10 s. One line tells which bound ended the reading.

--- a/springrock/doors/caller.py
+++ b/springrock/doors/caller.py
@@ -10,11 +10,21 @@
 
 from springrock.bottle_app import json_response, new_app, read_body
 from springrock.doors._watch import CallerWatch
-from springrock.errors import CallerGone, Cause, Refusal, RequestRefused, RunState
+from springrock.errors import (
+    CallerGone,
+    Cause,
+    ReadBound,
+    Refusal,
+    RequestNotRead,
+    RequestRefused,
+    RunState,
+)
 from springrock.hosts import CallerDoorHost
 from springrock.httpd import SOCKET_KEY, HttpServer
 from springrock.ids import new_id
+from springrock.non_negative import read_non_negative
 from springrock.plugins import doors
+from springrock.request_reader import ReadLimits
 from springrock.serving.answer import Answer
 from springrock.serving.request import ServingRequest
 from springrock.wire import caller as wire
@@ -22,6 +32,13 @@
 _SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "DELETE"]
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD"})
 _MAX_LISTED_MODELS = 1_000
+_CAUSE_BY_BOUND = {
+    ReadBound.BODY_TIME: Cause.DEADLINE_PASSED,
+    ReadBound.BODY_BYTES: Cause.BODY_TOO_LARGE,
+    ReadBound.FRAMING_BYTES: Cause.BODY_TOO_LARGE,
+    ReadBound.TRAILER_BYTES: Cause.BODY_TOO_LARGE,
+    ReadBound.FRAMING: Cause.MALFORMED_REQUEST,
+}
 
 
 @doors.register("caller")
@@ -39,10 +56,17 @@
             f"Bearer {item.key}": item.workload for item in self._settings.workload_keys
         }
         self._log = host.log("caller")
+        self._read_limits = ReadLimits(
+            head_s=10.0,
+            body_s=self._settings.longest_deadline_s,
+            body_bytes=self._settings.body_limit_bytes,
+        )
         self._server = HttpServer(
             self._build_app(),
             self._settings.address,
             send_timeout_s=self._settings.send_timeout_s,
+            read_limits=lambda: self._read_limits,
+            on_unread_head=lambda error: self._log_unread(error, request=""),
         )
 
     def start(self) -> None:
@@ -127,6 +151,8 @@
             bottle.response.headers["Content-Type"] = "text/event-stream"
             bottle.response.headers.update(self._answer_headers(request, answered.ok))
             return self._stream(request, answered.ok, watch)
+        except RequestNotRead as error:
+            return self._refuse_unread(error)
         except CallerGone:
             self._count(RunState.CUT, Cause.CALLER_GONE)
             return bottle.HTTPResponse(b"", status=499)
@@ -135,8 +161,18 @@
                 watch.stop()
                 open_requests.leave()
 
+    def _read_body(self) -> bytes | None:
+        """Return the body of the current request, or None if it exceeds the limit.
+
+        Raises:
+            RequestNotRead: If the body did not come by the request's deadline, or is malformed.
+        """
+        stated_ms = read_non_negative(bottle.request.headers.get(wire.DEADLINE_HEADER, ""))
+        deadline_s = stated_ms / 1000 if stated_ms else self._settings.default_deadline_s
+        return read_body(self._settings.body_limit_bytes, within_s=deadline_s)
+
     def _parse_and_admit(self, *, chat: bool) -> Result[ServingRequest, Refusal]:
-        body_bytes = read_body(self._settings.body_limit_bytes)
+        body_bytes = self._read_body()
         if body_bytes is None:
             limit = self._settings.body_limit_bytes
             return Error(wire.make_refusal(Cause.BODY_TOO_LARGE, f"the body is over {limit} bytes"))
@@ -243,7 +279,7 @@
         request = bottle.request
         self._host.open_requests.enter()
         try:
-            body_bytes = read_body(self._settings.body_limit_bytes)
+            body_bytes = self._read_body()
             if body_bytes is None:
                 limit = self._settings.body_limit_bytes
                 return self._refuse(
@@ -260,6 +296,8 @@
                 return self._refuse(over_limit, terms.ok.request_id)
             watch.start()
             return self._call_service(pool, path, body_bytes, terms.ok)
+        except RequestNotRead as error:
+            return self._refuse_unread(error)
         except CallerGone:
             self._count(RunState.UNKNOWN, Cause.CALLER_GONE)
             return bottle.HTTPResponse(b"", status=499)
@@ -313,6 +351,18 @@
         body = wire.error_body(refusal, request_id)
         return json_response(body, status=wire.status_of(refusal), headers=headers)
 
+    def _refuse_unread(self, error: RequestNotRead) -> Any:
+        request_id = bottle.request.headers.get(wire.REQUEST_ID_HEADER, "")
+        self._log_unread(error, request=request_id)
+        refusal = wire.make_refusal(_CAUSE_BY_BOUND[error.bound], str(error))
+        self._count(refusal.run_state, refusal.cause)
+        headers = {wire.RUN_STATE_HEADER: refusal.run_state, wire.BOX_HEADER: self._host.name}
+        body = wire.error_body(refusal, request_id)
+        return json_response(body, status=error.status, headers=headers)
+
+    def _log_unread(self, error: RequestNotRead, *, request: str) -> None:
+        self._log.info("A request was not read to its end.", request=request, **error.fields)
+
     def _handle_cut(self, request: ServingRequest, refusal: Refusal) -> None:
         self._log.info(
             f"Cut {request.request_id}: {refusal.cause}.",
--- a/springrock/doors/operator.py
+++ b/springrock/doors/operator.py
@@ -9,11 +9,17 @@
 import msgspec
 
 from springrock.bottle_app import json_response, new_app, read_body
-from springrock.errors import PlatformUnavailable, SpringrockError, StatementError
+from springrock.errors import (
+    PlatformUnavailable,
+    RequestNotRead,
+    SpringrockError,
+    StatementError,
+)
 from springrock.hosts import OperatorDoorHost
 from springrock.httpd import HttpServer
 from springrock.language import parse
 from springrock.plugins import doors
+from springrock.request_reader import ReadLimits
 from springrock.statements import Requester
 from springrock.wire.operator import (
     STATEMENTS_PATH,
@@ -23,6 +29,7 @@
 )
 
 _BODY_LIMIT_BYTES = 65_536
+_READ_LIMITS = ReadLimits(head_s=10.0, body_s=10.0, body_bytes=_BODY_LIMIT_BYTES)
 
 
 @doors.register("operator")
@@ -39,7 +46,12 @@
         self._log = host.log("operator")
         app = new_app()
         app.post(STATEMENTS_PATH)(self._statement)
-        self._server = HttpServer(app, host.settings.operator_door.address)
+        self._server = HttpServer(
+            app,
+            host.settings.operator_door.address,
+            read_limits=lambda: _READ_LIMITS,
+            on_unread_head=self._log_unread,
+        )
 
     def start(self) -> None:
         """Begin listening."""
@@ -59,7 +71,11 @@
         if operator is None:
             self._log.info("Rejected an unknown credential.")
             return _failure(401, "BadCredential", "unknown key")
-        body_bytes = read_body(_BODY_LIMIT_BYTES)
+        try:
+            body_bytes = read_body(_BODY_LIMIT_BYTES)
+        except RequestNotRead as error:
+            self._log_unread(error)
+            return _failure(error.status, type(error).__name__, str(error))
         try:
             request = msgspec.json.decode(body_bytes or b"", type=StatementRequest)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
@@ -71,6 +87,9 @@
         )
         return self._run(operator, request)
 
+    def _log_unread(self, error: RequestNotRead) -> None:
+        self._log.info("A request was not read to its end.", **error.fields)
+
     def _run(self, operator: str, request: StatementRequest) -> Any:
         try:
             statement, arguments = parse(request.statement)
--- a/tests/doors/test_caller.py
+++ b/tests/doors/test_caller.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import json
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from springrock.emulator.deployment import Shape
+from springrock.clock import monotonic
+from springrock.emulator.deployment import OPERATOR_KEY, Shape
+from springrock.settings import split_address
 from tests.cluster import Cluster, Reply
 
 BOX = "zone-1-a"
@@ -72,3 +76,40 @@
     reply = cluster.get(BOX, "/nowhere")
     assert reply.status == 404
     assert reply.error["type"] == "malformed_request"
+
+
+@pytest.mark.parametrize(
+    ("rest", "status", "cause"),
+    [
+        (b"Content-Length: 100\r\n\r\npart", 408, "deadline_passed"),
+        (b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA: b\r\n", 408, "deadline_passed"),
+        (b"Transfer-Encoding: chunked\r\n\r\nx\r\n", 400, "malformed_request"),
+    ],
+)
+@pytest.mark.parametrize("path", ["/v1/completions", "/services/rosters/join"])
+def test_a_body_that_is_not_read_whole_by_the_deadline_gets_a_typed_error(
+    cluster: Cluster, path: str, rest: bytes, status: int, cause: str
+) -> None:
+    head = f"POST {path} HTTP/1.1\r\nHost: h\r\nSpringrock-Deadline-Ms: 500\r\n".encode()
+    sent_at = monotonic()
+    address = split_address(cluster.addresses.callers[BOX])
+    with socket.create_connection(address, timeout=5.0) as caller:
+        caller.sendall(head + rest)
+        answer = b"".join(iter(lambda: caller.recv(65_536), b""))
+    assert monotonic() - sent_at < 1.0
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    error = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
+    assert (error["type"], error["run_state"]) == (cause, "not_run")
+
+
+def test_an_operator_whose_request_is_malformed_gets_a_typed_error(cluster: Cluster) -> None:
+    address = split_address(cluster.addresses.operators[BOX])
+    with socket.create_connection(address, timeout=5.0) as operator:
+        operator.sendall(
+            b"POST /v1/statements HTTP/1.1\r\nHost: h\r\n"
+            b"Authorization: Bearer " + OPERATOR_KEY.encode() + b"\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\nx\r\n"
+        )
+        answer = b"".join(iter(lambda: operator.recv(65_536), b""))
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert b"RequestNotRead" in answer
