--- a/springrock/forwarding/pages.py
+++ b/springrock/forwarding/pages.py
@@ -12,9 +12,11 @@
 
 from springrock.httpd import HttpServer
 from springrock.metrics import ForwardingMetrics
+from springrock.request_reader import ReadLimits
 
 _TEXT = "text/plain; charset=utf-8"
 _METRICS_TEXT = "text/plain; version=0.0.4"
+_READ_LIMITS = ReadLimits(head_s=5.0, head_bytes=16_384, body_s=5.0, body_bytes=65_536)
 
 
 class _Response(NamedTuple):
@@ -35,7 +37,7 @@
     def __init__(self, address: str, path: str, respond: Callable[[], _Response]) -> None:
         self._path = path
         self._respond = respond
-        self._server = HttpServer(self._serve, address)
+        self._server = HttpServer(self._serve, address, read_limits=lambda: _READ_LIMITS)
 
     def start(self) -> None:
         """Start listening."""
--- a/tests/forwarding/test_pages.py
+++ b/tests/forwarding/test_pages.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Iterator
 
 import pytest
+from gevent import select
 from gevent.socket import create_connection
 
+from springrock.clock import monotonic
 from springrock.emulator.ports import free_addresses
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
 from springrock.metrics import ForwardingMetrics
@@ -78,3 +81,32 @@
     head, _ = send_request(readiness, "POST /ready")
     assert head.startswith("HTTP/1.1 405 Method Not Allowed\r\n")
     assert "Allow: GET, HEAD" in head
+
+
+@pytest.mark.parametrize(
+    ("beginning", "repeated", "status"),
+    [
+        ("GET /ready HTTP/1.1\r\n", "X: y\r\n", "400"),
+        ("GET /ready HTTP/1.1\r\nX: ", "x", "431"),
+        ("GET /ready HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", "200"),
+        ("GET /ready HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", "200"),
+    ],
+    ids=["headers", "header", "chunks", "trailers"],
+)
+def test_a_request_without_end_holds_the_page_for_a_short_time(
+    readiness: str, beginning: str, repeated: str, status: str
+) -> None:
+    begun_at = monotonic()
+    block = repeated.encode() * 1000
+    received = b""
+    with create_connection(split_address(readiness), timeout=5.0) as connection:
+        connection.sendall(beginning.encode())
+        with contextlib.suppress(ConnectionResetError, BrokenPipeError):
+            while not select.select([connection], [], [], 0)[0]:
+                connection.sendall(block)
+        with contextlib.suppress(ConnectionResetError):
+            while data := connection.recv(1000):
+                received += data
+    assert monotonic() - begun_at < 2.0
+    assert received.split()[1].decode() == status
+    assert send_request(readiness, "GET /ready")[1] == "ready\n"
