A box with a settings file on its command line starts without the option parser

`entry` with its one option, `--settings` or `-s` and a file, is now read without the option parser; all else still goes through it, so that help, errors and abbreviations are unchanged.

tests/test_cli.py failed for both options before: it found defopt among the imported modules.

--- a/springrock/cli.py
+++ b/springrock/cli.py
@@ -138,8 +138,11 @@
 def _run(arguments: list[str]) -> int:
     # Importing the option parser takes a quarter of a box's start-up time, during which its
     # clients wait.
-    if arguments == ["entry"]:
-        return entry()
+    match arguments:
+        case ["entry"]:
+            return entry()
+        case ["entry", "-s" | "--settings", path] if not path.startswith("-"):
+            return entry(path)
     import defopt
 
     startup.end()
