Without a placer, a box uses the only holder of an adapter although it rests

Callers of an adapter were refused with `no_placer_heard` while a replica held it: two failed requests there let the box rest it for 0.3 s and up to 4 s, and a request with an adapter was never sent to a resting replica, as loading the adapter elsewhere is better. Without a placer, nothing is loaded elsewhere.

Now a box that finds no other holder first waits for a placer, as before, and then falls back to a holder that rests. Requests without an adapter did so already. Only the box's own rest gives way: a replica that asked for a back-off, is leaving, needs a permit or has failed this request itself gets nothing, and the refusal is the same as before.

The test on the only holder failed before, with `no_placer_heard; retry after 1.00 s`; the tests on what must not change passed before and pass now.

--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -25,6 +25,7 @@
 """A request with less time left is not sent."""
 
 RETRY_AFTER_S = 0.5
+_NO_PLACER = "no_placer_heard"
 _NO_PLACER_RETRY_S = 1.0
 """Retry-After value while no placer can be reached: links are reopened within this time."""
 
@@ -239,7 +240,7 @@
         key = progress.request.adapter_key
         self._check_bounds(progress)
         if key is None or not self._has_engines(progress.service):
-            picked = self._choose(progress)
+            picked = self._choose(progress, allow_resting=key is None)
             return ChosenReplica(picked.replica, None, picked.send_by)
         # Otherwise each search would take a grant from others before it is refused.
         if progress.arrivals and not self._budget_of(progress.service).allows_retry():
@@ -251,10 +252,13 @@
             try:
                 return self._find_without_placer(progress, key)
             except NoReplica as rejection:
-                if rejection.reason in _ZONE_OBSTACLES or not self._adapters.await_placer(
-                    until=until
-                ):
+                if rejection.reason in _ZONE_OBSTACLES:
                     raise
+                if self._adapters.await_placer(until=until):
+                    continue
+                if rejection.reason != _NO_PLACER:
+                    raise
+            return self._find_without_placer(progress, key, allow_resting=True)
 
     def _check_bounds(self, progress: RequestProgress) -> None:
         """Raise without a wait if the request is restricted to replicas that do not exist."""
@@ -353,18 +357,20 @@
         obstacle = self._balancer.obstacle(replica, bounds=progress.bounds)
         return obstacle if obstacle in METERED else None
 
-    def _find_without_placer(self, progress: RequestProgress, key: AdapterKey) -> ChosenReplica:
+    def _find_without_placer(
+        self, progress: RequestProgress, key: AdapterKey, *, allow_resting: bool = False
+    ) -> ChosenReplica:
         """Return a replica chosen from this box's own state, as no placer answers."""
         try:
-            picked = self._choose(progress)
+            picked = self._choose(progress, allow_resting=allow_resting)
         except NoReplica as rejection:
             if rejection.reason in (*_ZONE_OBSTACLES, *METERED):
                 raise
-            raise NoReplica("no_placer_heard", _NO_PLACER_RETRY_S) from None
+            raise NoReplica(_NO_PLACER, _NO_PLACER_RETRY_S) from None
         use = self._adapters.use(picked.replica.instance, key)
         return ChosenReplica(picked.replica, use, picked.send_by)
 
-    def _choose(self, progress: RequestProgress) -> Pick:
+    def _choose(self, progress: RequestProgress, *, allow_resting: bool) -> Pick:
         request = progress.request
         key = request.adapter_key
 
@@ -373,7 +379,6 @@
                 return self._adapters.holds(replica, key)
             return not request.model or request.model in replica.record.models
 
-        # With an adapter, a load elsewhere is better than a replica that cools down after failures.
         replicas = self._directory.of_service(progress.service)
         size = RequestSize(len(request.body), progress.route.target_s)
 
@@ -385,7 +390,7 @@
                 bounds=progress.bounds,
                 tried=progress.tried_instances | excluded,
                 fits=_fits,
-                allow_resting=key is None,
+                allow_resting=allow_resting,
                 include_metered=include_metered,
                 size=size,
             )
--- a/tests/forwarding/test_choosing.py
+++ b/tests/forwarding/test_choosing.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+from msgspec.structs import replace
 
 from springrock.clock import monotonic
 from springrock.forwarding.adapters import AdapterRequest, Use, UseOutcome
@@ -76,6 +77,7 @@
     failed_before: bool = False,
     failures: int = 0,
     service: str = "s",
+    other_replica: bool = False,
 ) -> str:
     """Return the instance that a request for the adapter is sent to."""
     engine = Engine(
@@ -83,8 +85,16 @@
     )
     configuration = Configuration(version=1, services={"s": Service(name="s", engine=engine)})
     directory = Directory(Log("test", "box-1"))
-    record = ReplicaRecord(instance="i-1", service=service, address="127.0.0.1:1", zone="zone-1")
+    record = ReplicaRecord(
+        instance="i-1",
+        service=service,
+        address="127.0.0.1:1",
+        zone="zone-1",
+        models=frozenset({KEY.model}),
+    )
     directory.update(record)
+    if other_replica:
+        directory.update(replace(record, instance="i-2"))
     if leaving:
         directory.record_leaving("i-1", LeavingSource.ANSWER)
     directory.record_backoff("i-1", backoff_s)
@@ -166,3 +176,47 @@
     assert choose_instance(adapters, failed_before=True, failures=2) == "i-1"
     [adapter_request] = adapters.requests
     assert adapter_request.avoid == adapter_request.failed_at == {"i-1"}
+
+
+def test_without_a_placer_the_only_holder_is_used_although_it_cools_down() -> None:
+    """Guards against refusals of an adapter after two failures of its only holder."""
+    adapters = ScriptedAdapters(waits=2)
+    adapters.is_held = True
+    assert choose_instance(adapters, failures=2) == "i-1"
+    assert adapters.waits_left == 1, "a placer, which could have it loaded, is waited for first"
+
+
+def test_a_placer_that_answers_soon_is_preferred_to_a_holder_that_cools_down() -> None:
+    adapters = ScriptedAdapters(waits=1)
+    adapters.is_held = True
+    assert choose_instance(adapters, failures=2) == "i-1"
+    assert len(adapters.requests) == 2, "granted by the placer at the second request"
+
+
+def test_without_a_placer_another_holder_is_preferred_to_one_that_cools_down() -> None:
+    adapters = ScriptedAdapters(waits=2)
+    adapters.is_held = True
+    assert choose_instance(adapters, failures=2, other_replica=True) == "i-2"
+    assert adapters.waits_left == 2, "no placer is waited for"
+
+
+def test_without_a_placer_a_replica_that_lacks_the_adapter_and_cools_down_is_not_used() -> None:
+    with pytest.raises(NoReplica) as refusal:
+        choose_instance(ScriptedAdapters(waits=2), failures=2)
+    assert refusal.value.reason == "no_placer_heard"
+
+
+def test_without_a_placer_a_holder_that_asked_for_a_backoff_is_not_used() -> None:
+    adapters = ScriptedAdapters(waits=2)
+    adapters.is_held = True
+    with pytest.raises(NoReplica) as refusal:
+        choose_instance(adapters, failures=2, backoff_s=5.0)
+    assert refusal.value.reason == "no_placer_heard"
+
+
+def test_without_a_placer_a_request_is_not_sent_again_to_the_holder_that_failed_it() -> None:
+    adapters = ScriptedAdapters(waits=2)
+    adapters.is_held = True
+    with pytest.raises(NoReplica) as refusal:
+        choose_instance(adapters, failures=2, failed_before=True)
+    assert refusal.value.reason == "no_placer_heard"
