Test of a new placer's unloads waits until an adapter could be unloaded

The test that a new placer unloads nothing under unreported requests looked 0.2 s after the engine's first report, which is also the least time that an adapter is held before another may replace it.

--- a/tests/placement/test_engine_reconciler.py
+++ b/tests/placement/test_engine_reconciler.py
@@ -143,6 +143,10 @@
     )
 
 
+EVICTABLE_AFTER_S = 0.5
+"""By then an adapter has been held for long enough to be unloaded for another one."""
+
+
 def wait_for(condition: Callable[[], bool], what: str) -> None:
     with gevent.Timeout(WITHIN_S, AssertionError(f"not reached in time: {what}")):
         while not condition():
@@ -239,7 +243,7 @@
     reconciler.start()
     assign(reconciler, "a")
     wait_for(lambda: bool(published), "the engine's report is read")
-    gevent.sleep(0.2)
+    gevent.sleep(EVICTABLE_AFTER_S)
     assert engine.orders == []
     known[0] = 2
     wait_for(lambda: "a" in engine.adapters, "a is loaded once all running requests are reported")
