Nothing is unloaded under the requests of a box that was paused for 2 s

A placer drops a box 2 s after its last report, and took all its requests for ended. An adapter that only that box's requests used was then unloaded for another one while they ran: the engine lets them end first and takes no other order meanwhile, so that callers of the other adapter wait at that engine, or the requests are turned away and tried again.

When a box falls silent, a placer now reads the reports of the engines that the box used. For 1 s an engine that reports more requests than boxes have told of unloads nothing, as under a new placer. A box reports at least every 0.7 s, so one that was paused for 2 s is back by then. A box whose link is closed, as when its process ends, is forgotten at once, as before.

--- a/springrock/placement/dispatcher.py
+++ b/springrock/placement/dispatcher.py
@@ -187,6 +187,10 @@
                 work.backoff.extend(ended.backoff_ms / 1000)
         return run
 
+    def engines_used_by(self, box: str) -> set[str]:
+        """Return the instances of the engines that run requests of a box."""
+        return {run.instance for run_id, run in self._runs.items() if run_id[0] == box}
+
     def forget_box(self, box: str) -> None:
         """Record the end of all requests of a box."""
         for run_id in [run_id for run_id in self._runs if run_id[0] == box]:
--- a/springrock/placement/engine_reconciler.py
+++ b/springrock/placement/engine_reconciler.py
@@ -62,6 +62,13 @@
 Boxes check for a new placer every 0.6 s, and report their running requests when they connect.
 """
 
+_SILENT_BOX_TIMEOUT_S = 1.0
+"""The same after a box fell silent.
+
+It is dropped 2 s after its last report, and reports at least every 0.7 s. A box that was paused for
+2 s reports its running requests again at most 0.7 s after it was dropped.
+"""
+
 _ASSIGNMENT_TIMEOUT_S = 2.0
 """Age at which an assignment without a result is dropped, so that the planner can decide again."""
 
@@ -110,7 +117,7 @@
         self._used = used
         self._known_runs = known_runs
         self._reported_runs = 0
-        self._started_at = 0.0
+        self._awaits_until = 0.0
         self._newest = newest
         self._wanted_model = wanted_model
         self._box = holder
@@ -130,7 +137,7 @@
 
     def start(self) -> None:
         """Start the reconciliation loop."""
-        self._started_at = monotonic()
+        self._awaits_until = monotonic() + _RUNS_REPORT_TIMEOUT_S
         self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -147,6 +154,11 @@
         self._stale = True
         self._wake_event.set()
 
+    def await_silent_box(self) -> None:
+        """Wait for a silent box's word on its requests before an unload; they may run on."""
+        self._awaits_until = monotonic() + _SILENT_BOX_TIMEOUT_S
+        self.mark_stale()
+
     def apply_record(self, record: ReplicaRecord) -> None:
         """Apply a new record of the engine."""
         self.book.record = record
@@ -267,8 +279,7 @@
 
     def _awaits_reports(self) -> bool:
         """Whether the engine may run requests that no box has reported to this placer yet."""
-        is_new = monotonic() - self._started_at < _RUNS_REPORT_TIMEOUT_S
-        return is_new and self._reported_runs > self._known_runs()
+        return monotonic() < self._awaits_until and self._reported_runs > self._known_runs()
 
     def _first_assigned(self, predicate: Callable[[AdapterKey], bool]) -> AdapterKey | None:
         return next((key for key in self.book.assigned if predicate(key)), None)
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -130,6 +130,9 @@
     def apply_demand(self, box: str, demand: Demand) -> None:
         """Apply a box's update of its requests for engines and its uses of them."""
 
+    def record_silent(self, box: str) -> None:
+        """Record that a box fell silent; its requests may run on, although it is then forgotten."""
+
     def forget_box(self, box: str) -> None:
         """Drop a box's requests for engines and its uses of them."""
 
@@ -294,6 +297,8 @@
             self._read(box, link)
         except LINK_FAILURES as error:
             self._log.info("A box's link broke.", peer=box, error=str(error))
+            if isinstance(error, TimeoutError) and self._links.get(box) is link:
+                self._host.record_silent(box)
         finally:
             writer.kill()
             if self._links.get(box) is link:
--- a/springrock/placement/placer.py
+++ b/springrock/placement/placer.py
@@ -210,6 +210,13 @@
             self._copy_requests.record(demand.copies)
             self._plan_event.set()
 
+    def record_silent(self, box: str) -> None:
+        """Record that a box fell silent; its requests may run on."""
+        for instance in self.requests.engines_used_by(box):
+            reconciler = self._reconcilers.get(instance)
+            if reconciler is not None:
+                reconciler.await_silent_box()
+
     def forget_box(self, box: str) -> None:
         """Drop the requests of a box; they ended with it or will be reported again."""
         self.requests.forget_box(box)
--- a/springrock/placement/requests.py
+++ b/springrock/placement/requests.py
@@ -128,6 +128,14 @@
             # A request that ended may have freed a place.
             self._on_unserved()
 
+    def engines_used_by(self, box: str) -> set[str]:
+        """Return the instances of the engines that run requests of a box."""
+        return {
+            instance
+            for dispatcher in self.dispatchers.values()
+            for instance in dispatcher.engines_used_by(box)
+        }
+
     def forget_box(self, box: str) -> None:
         """Drop the requests of a box; they ended with it or will be reported again."""
         self.asks.forget_box(box)
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -275,6 +275,10 @@
             self._relayed_writes.record_written(written)
         self._placer.apply_demand(box, demand)
 
+    def record_silent(self, box: str) -> None:
+        """Record that a box fell silent; its requests may run on."""
+        self._placer.record_silent(box)
+
     def forget_box(self, box: str) -> None:
         """Drop a box's requests for engines and its uses of them."""
         self._quota_counter.forget_box(box)
--- a/tests/placement/test_engine_reconciler.py
+++ b/tests/placement/test_engine_reconciler.py
@@ -263,6 +263,47 @@
     reconciler.stop()
 
 
+def start_full_engine(
+    engine: Engine, published: list[set[str]], known: list[int]
+) -> EngineReconciler:
+    """Start the reconciler of a full engine long ago, whose requests a box then runs unseen."""
+    engine.adapters = {"x", "y"}
+    reconciler = make_reconciler(engine, Lease(), published, known_runs=lambda: known[0])
+    reconciler.start()
+    wait_for(lambda: bool(published), "the engine's report is read")
+    engine.running = 1
+    return reconciler
+
+
+def test_nothing_is_unloaded_under_the_requests_of_a_box_that_fell_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A box that was paused reports its requests again once it runs, and they run meanwhile."""
+    monkeypatch.setattr(reconciler_module, "_RUNS_REPORT_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(reconciler_module, "_SILENT_BOX_TIMEOUT_S", 60.0)
+    engine, known = Engine(), [0]
+    reconciler = start_full_engine(engine, [], known)
+    reconciler.await_silent_box()
+    assign(reconciler, "a")
+    gevent.sleep(EVICTABLE_AFTER_S)
+    assert engine.orders == []
+    known[0] = 1
+    wait_for(lambda: "a" in engine.adapters, "a is loaded once all running requests are reported")
+    reconciler.stop()
+
+
+def test_a_box_that_fell_silent_is_waited_for_a_limited_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(reconciler_module, "_SILENT_BOX_TIMEOUT_S", 0.1)
+    engine = Engine()
+    reconciler = start_full_engine(engine, [], [0])
+    reconciler.await_silent_box()
+    assign(reconciler, "a")
+    wait_for(lambda: "a" in engine.adapters, "a is loaded, as the box has not come back")
+    reconciler.stop()
+
+
 def test_no_order_is_sent_after_a_newer_fence_was_seen() -> None:
     engine, lease, published = Engine(), Lease(), []
     reconciler = make_reconciler(engine, lease, published)
--- a/tests/placement/test_link_server.py
+++ b/tests/placement/test_link_server.py
@@ -23,6 +23,9 @@
 )
 from springrock.placement.succession import HandoverTarget
 
+SILENCE = b""
+"""Stands for the timeout after which a silent box is dropped."""
+
 
 class Connection:
     """A connection that receives the frames a test queues; closing it ends the reader."""
@@ -36,6 +39,8 @@
         frame = self.frames.get(timeout=10)
         if frame is None:
             raise EOFError("closed")
+        if frame == SILENCE:
+            raise TimeoutError("timed out")
         return frame
 
     def send(self, frame: bytes) -> None:
@@ -58,6 +63,9 @@
     def apply_demand(self, box: str, demand: Demand) -> None:
         self.events.append((box, [ask.number for ask in demand.asks]))
 
+    def record_silent(self, box: str) -> None:
+        self.events.append(f"silent {box}")
+
     def forget_box(self, box: str) -> None:
         self.events.append(f"forget {box}")
 
@@ -92,6 +100,17 @@
     assert links.count == 0
 
 
+def test_only_a_box_that_fell_silent_may_still_run_requests() -> None:
+    """Guards against unloads under the requests of a paused box."""
+    host, silent, ended = Host(), Connection(), Connection()
+    links = BoxLinks(host, log=Log("link", "test"))
+    silent.frames.put(SILENCE)
+    links.serve(Hello("box-1", "1", "zone-1", "zone-1"), silent)
+    ended.close()
+    links.serve(Hello("box-2", "1", "zone-1", "zone-1"), ended)
+    assert host.events == ["silent box-1", "forget box-1", "forget box-2"]
+
+
 def test_frames_are_counted_by_the_zone_of_the_receiving_box() -> None:
     sent: dict[str, float] = {}
 
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -371,6 +371,25 @@
     assert not used
 
 
+def test_the_report_of_an_engine_that_a_silent_box_uses_is_read(
+    sent_messages: list[SentMessage],
+) -> None:
+    """Only the engine then knows whether the box's requests still run."""
+    control = SlowEngine("m", adapters=("x",))
+    placer = start_holding(control, sent_messages)
+    placer.apply_demand("box-1", demand_for("x"))
+    reports_before = control.reports
+    placer.record_silent("box-2")
+    gevent.sleep(0.2)
+    assert control.reports == reports_before, "it runs no request of that box"
+    # Sooner than the report that is read every 5 s.
+    with gevent.Timeout(2):
+        placer.record_silent("box-1")
+        while control.reports == reports_before:
+            gevent.sleep(0.01)
+    placer.stop()
+
+
 def test_the_adapter_of_a_client_that_was_asked_to_retry_is_loaded(
     placer: Placer, sent_messages: list[SentMessage]
 ) -> None:
