A reader that always finds bytes lets timers and sockets have their turn

A box whose peer kept sending held up its other connections and its timers for up to 0.8 s at a time, although the reader called gevent.sleep(0) after every 64 KB.

gevent.sleep(0) runs the tasks that are ready; the loop looks for timers and sockets only after 50 such calls (measured: 51 turns of 10 ms before a timer of 1 ms fired). A sleep of any time above 0 goes through the loop.

The new test failed before with 4 turns of 1 ms in 0.3 s.

A step may also have no deadline of its own, for streams that another task ends.

--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -17,6 +17,10 @@
 _BYTES_PER_TURN = 65_536
 """Bytes after which other tasks run, as a read that finds bytes does not wait."""
 
+_TURN_S = 1e-6
+"""Any time above 0: `gevent.sleep(0)` runs tasks that are ready, and looks for timers and sockets
+only after many such calls."""
+
 
 class TooManyBytes(OSError):
     """The peer sent more bytes than a step of the exchange may have."""
@@ -33,11 +37,12 @@
         self._bounded = _BoundedSocket(connection)
         super().__init__(self._bounded)
 
-    def begin_step(self, *, deadline: Deadline, max_bytes: int) -> None:
+    def begin_step(self, *, deadline: Deadline | None, max_bytes: int) -> None:
         """Begin a step: what may be read from the socket until the next one begins.
 
         Args:
-            deadline: When reads raise `TimeoutError`, even if bytes have arrived.
+            deadline: When reads raise `TimeoutError`, even if bytes have arrived; None if another
+                task ends the step.
             max_bytes: The number of bytes after which reads raise `TooManyBytes`.
         """
         self._bounded.begin_step(deadline, max_bytes)
@@ -53,12 +58,12 @@
 
     def __init__(self, connection: Any) -> None:
         self._socket = connection
-        self._deadline = Deadline(0.0)
+        self._deadline: Deadline | None = Deadline(0.0)
         self._max_bytes = 0
         self._bytes_this_turn = 0
         self.step_bytes = 0
 
-    def begin_step(self, deadline: Deadline, max_bytes: int) -> None:
+    def begin_step(self, deadline: Deadline | None, max_bytes: int) -> None:
         """Begin a step."""
         self._deadline = deadline
         self._max_bytes = max_bytes
@@ -75,8 +80,8 @@
             TimeoutError: If the deadline of the step has passed.
             TooManyBytes: If the step has had all of its bytes.
         """
-        left_s = self._deadline.left_s
-        if left_s <= 0.0:
+        left_s = None if self._deadline is None else self._deadline.left_s
+        if left_s is not None and left_s <= 0.0:
             raise TimeoutError("timed out")
         left_bytes = self._max_bytes - self.step_bytes
         if left_bytes <= 0:
@@ -92,4 +97,4 @@
         self._bytes_this_turn += size
         if self._bytes_this_turn >= _BYTES_PER_TURN:
             self._bytes_this_turn = 0
-            gevent.sleep(0)
+            gevent.sleep(_TURN_S)
--- a/tests/test_bounded_reader.py
+++ b/tests/test_bounded_reader.py
@@ -98,3 +98,24 @@
                 continue
         task.kill()
         assert turns > reader.step_bytes / 1_000_000
+
+
+def test_timers_run_while_a_peer_keeps_sending() -> None:
+    """Guards against turns in which only tasks run that were ready."""
+    turns = 0
+
+    def _count_turns() -> None:
+        nonlocal turns
+        while True:
+            gevent.sleep(0.001)
+            turns += 1
+
+    with sending(b"1\r\n" * 300_000, pause_s=0.0) as connection:
+        reader = BoundedReader(gevent.socket.socket(fileno=connection.detach()))
+        reader.begin_step(deadline=Deadline(STEP_S), max_bytes=2**40)
+        task = gevent.spawn(_count_turns)
+        with pytest.raises(TimeoutError):
+            while reader.readline():
+                continue
+        task.kill()
+    assert turns > 10
