Reports, orders' answers, the store's pages and services' answers have one bound

A report, an answer to an order, a page of the store or the answer of a plain service of `springrock serve` that kept coming was read for as long as it came: the caller waited past every deadline, the box's memory grew with it, and while bytes were always there no other task ran.

urllib3's timeout for reads is one for each read. The standard library skips `100 Continue` heads and discards trailers in loops without a bound, and urllib3 keeps a whole body, and decompresses it, whatever its size. `drain_conn` of the driver read on after the driver had found the answer too large.

Compressed reports and pages, which nobody asks for, are not unpacked. An answer of a service over its limit closes its connection. A call to a service may take its time as a whole, the connecting included.

--- a/springrock/drivers/service.py
+++ b/springrock/drivers/service.py
@@ -19,6 +19,9 @@
 _CONNECT_TIMEOUT_S = 2.0
 _MIN_CHECK_TIMEOUT_S = 0.02
 _MAX_ANSWER_BYTES = 8_388_608
+_MAX_FRAMED_ANSWER_BYTES = 2 * _MAX_ANSWER_BYTES
+"""The sizes of its chunks and its trailers included."""
+
 _NOT_RUN_STATUSES = (429, 503)
 
 
@@ -41,7 +44,7 @@
     def __init__(self, upstream: UpstreamSection) -> None:
         self._address = split_address(upstream.address)
         self._base_url = f"http://{upstream.address}"
-        self._pool = strict_pool_manager(maxsize=_CONNECTIONS)
+        self._pool = _pool_manager(maxsize=_CONNECTIONS)
 
     def call(
         self, method: str, path: str, *, body: bytes, headers: dict[str, str], timeout_s: float
@@ -54,10 +57,10 @@
             UpstreamBroke: If it is unknown whether the service ran the call.
         """
         deadline = Deadline(timeout_s)
-        timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        timeout = urllib3.Timeout(total=timeout_s, connect=min(_CONNECT_TIMEOUT_S, timeout_s))
         # The service closes this connection after the answer; a call that reused it would be reset.
         single_use = headers.get("Connection") == "close"
-        pool = strict_pool_manager() if single_use else self._pool
+        pool = _pool_manager() if single_use else self._pool
         try:
             response = pool.request(
                 method,
@@ -69,7 +72,9 @@
                 redirect=False,
             )
             data = response.read(_MAX_ANSWER_BYTES + 1)
-            response.drain_conn()
+            if len(data) > _MAX_ANSWER_BYTES:
+                response.close()
+                raise UpstreamBroke("the answer exceeds the size limit")
             response.release_conn()
             if _ends_with_connection(response) and response.status not in _NOT_RUN_STATUSES:
                 self._require_alive(timeout_s=max(_MIN_CHECK_TIMEOUT_S, deadline.left_s))
@@ -80,8 +85,6 @@
         finally:
             if single_use:
                 pool.clear()
-        if len(data) > _MAX_ANSWER_BYTES:
-            raise UpstreamBroke("the answer exceeds the size limit")
         if response.status in _NOT_RUN_STATUSES:
             raise UpstreamSaidNo(f"status {response.status}", retry_after_in(response.headers))
         content_type = response.headers.get("Content-Type", "application/octet-stream")
@@ -97,6 +100,10 @@
         socket.create_connection(self._address, timeout=timeout_s).close()
 
 
+def _pool_manager(*, maxsize: int = 1) -> urllib3.PoolManager:
+    return strict_pool_manager(max_answer_bytes=_MAX_FRAMED_ANSWER_BYTES, maxsize=maxsize)
+
+
 def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
     """Whether neither a length nor chunks mark the end of an answer that may have a body."""
     return response.length_remaining is None and not response.chunked
--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -33,6 +33,9 @@
 """Engines answer an order within milliseconds or not at all. A premature retry is refused and not
 executed twice, because an order states the engine's expected sequence number."""
 
+_MAX_ANSWER_BYTES = 1_048_576
+"""Far above any report, which names the models and adapters of one engine."""
+
 _ANSWER_BY_STATUS = {
     200: OrderAnswer.DONE,
     202: OrderAnswer.ACCEPTED,
@@ -73,8 +76,8 @@
     """
 
     def __init__(self) -> None:
-        self._for_unloads = strict_pool_manager(num_pools=1)
-        self._others = strict_pool_manager(num_pools=1)
+        self._for_unloads = strict_pool_manager(max_answer_bytes=_MAX_ANSWER_BYTES, num_pools=1)
+        self._others = strict_pool_manager(max_answer_bytes=_MAX_ANSWER_BYTES, num_pools=1)
         self._done_last = False
 
     def pool_for(self, kind: OrderKind) -> urllib3.PoolManager:
@@ -109,7 +112,9 @@
     ) -> None:
         self._on_outcome = on_outcome
         self._notice_handler_for = notice_handler_for
-        self._reports = strict_pool_manager(num_pools=_MAX_ENGINES, maxsize=2)
+        self._reports = strict_pool_manager(
+            max_answer_bytes=_MAX_ANSWER_BYTES, num_pools=_MAX_ENGINES, maxsize=2
+        )
         self._orders: BoundedDict[_OrderConnections] = BoundedDict(at_most=_MAX_ENGINES)
 
     def report(self, address: str, *, instance: str) -> EngineState:
@@ -193,6 +198,7 @@
                 body=body,
                 headers=headers,
                 timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=timeout_s),
+                decode_content=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self._on_outcome(False)
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -38,6 +38,9 @@
 _ANSWER_TIMEOUT_S = 0.8
 _CONNECTIONS = 4
 _PAGE_ROWS = 500
+_MAX_ANSWER_BYTES = 33_554_432
+"""Far above a page, whose rows have 1 MB; the changes that a feed returns have no stated bound."""
+
 _OK = 200
 _CONFLICT = 412
 _GONE = 410
@@ -126,7 +129,7 @@
         self._on_era = on_era
         self._era = UNKNOWN_ERA
         self._url = f"http://{address}"
-        self._pool = strict_pool_manager(maxsize=_CONNECTIONS)
+        self._pool = strict_pool_manager(max_answer_bytes=_MAX_ANSWER_BYTES, maxsize=_CONNECTIONS)
 
     def read_all(self, table: str) -> Snapshot:
         """Read all rows of a table.
@@ -205,7 +208,12 @@
         headers = {"Content-Type": "application/json"} if body is not None else None
         try:
             response = self._pool.request(
-                method, f"{self._url}{path}", body=body, headers=headers, timeout=timeout
+                method,
+                f"{self._url}{path}",
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                decode_content=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise RowStoreUnavailable(f"{path.partition('?')[0]}: {error}") from None
--- a/tests/drivers/test_service.py
+++ b/tests/drivers/test_service.py
@@ -9,6 +9,15 @@
 from springrock.drivers.service import ServiceDriver
 from springrock.errors import UpstreamBroke
 from springrock.settings import UpstreamSection
+from tests.endless import (
+    CHUNKED,
+    ENDLESS,
+    FLOODS,
+    SENDING_S,
+    ending_within,
+    endless,
+    other_tasks_running,
+)
 from tests.forwarding.scripted import ScriptedReplica, answer, read_request, reset
 
 
@@ -125,3 +134,50 @@
         driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=0.5)
     assert len(timeouts) == 1
     assert timeouts[0] <= 0.5
+
+
+CALL_S = 0.5
+
+
+@pytest.mark.parametrize(("first", "block", "pause_s"), ENDLESS)
+def test_an_answer_without_end_is_broken_in_time(
+    first: bytes, block: bytes, pause_s: float
+) -> None:
+    with (
+        ScriptedReplica(endless(first, block, pause_s)) as service,
+        ending_within(CALL_S + 0.5),
+        pytest.raises(UpstreamBroke),
+    ):
+        driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=CALL_S)
+
+
+def test_an_answer_over_the_limit_is_broken_and_not_read_to_its_end() -> None:
+    service = ScriptedReplica(endless(*FLOODS["chunks"]), answer_once)
+    with service, ending_within(SENDING_S - 0.5):
+        driver = driver_for(service)
+        with pytest.raises(UpstreamBroke, match="size limit"):
+            driver.call("GET", "/x", body=b"", headers={}, timeout_s=60.0)
+        assert driver.call("GET", "/x", body=b"", headers={}, timeout_s=5.0).body == b"second"
+
+
+def test_other_tasks_run_while_an_answer_keeps_coming() -> None:
+    with (
+        ScriptedReplica(endless(*FLOODS["trailers"])) as service,
+        other_tasks_running(),
+        pytest.raises(UpstreamBroke),
+    ):
+        driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=CALL_S)
+
+
+def test_the_largest_answer_is_whole() -> None:
+    body = bytes(8_388_608)
+    chunks = [body[at : at + 1000] for at in range(0, len(body), 1000)]
+    framed = b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks)
+
+    def _answer(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(CHUNKED + framed + b"0\r\nName: value\r\n\r\n")
+
+    with ScriptedReplica(_answer) as service:
+        found = driver_for(service).call("GET", "/x", body=b"", headers={}, timeout_s=10.0)
+    assert found.body == body
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import gzip
+import json
 import socket
+import tracemalloc
 
 import pytest
 
@@ -10,9 +13,12 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.placement.control import ControlUnanswered, Order, OrderAnswer, OrderKind
 from springrock.platform.engine import PlatformEngines
+from tests.endless import ENDLESS, FLOODS, ending_within, endless, other_tasks_running
 from tests.forwarding.scripted import Script, ScriptedReplica, answer, read_request
 
 REPORT = b'{"sequence": 4}'
+REPORT_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 0.12
 
 
 @pytest.mark.parametrize("status", ["200 OK", "503 Service Unavailable"])
@@ -113,3 +119,55 @@
     spoilt = DONE.replace(b"Content-Length:", b"Content-Length\x1a")
     with ScriptedReplica(answering(spoilt)) as replica, pytest.raises(ControlUnanswered):
         PlatformEngines().order(replica.address, instance="i-1", order=order(OrderKind.UNLOAD))
+
+
+@pytest.mark.parametrize(("first", "block", "pause_s"), ENDLESS)
+def test_a_report_without_end_is_none_in_time(first: bytes, block: bytes, pause_s: float) -> None:
+    with (
+        ScriptedReplica(endless(first, block, pause_s)) as replica,
+        ending_within(REPORT_TIMEOUT_S + 0.5),
+        pytest.raises(ControlUnanswered),
+    ):
+        PlatformEngines().report(replica.address, instance="i-1")
+
+
+@pytest.mark.parametrize("what", ["interim heads", "trailers", "chunks"])
+def test_an_answer_to_an_order_without_end_is_none_in_time(what: str) -> None:
+    with (
+        ScriptedReplica(endless(*FLOODS[what])) as replica,
+        ending_within(ORDER_TIMEOUT_S + 0.5),
+        pytest.raises(ControlUnanswered),
+    ):
+        PlatformEngines().order(replica.address, instance="i-1", order=order(OrderKind.UNLOAD))
+
+
+def test_other_tasks_run_while_a_report_keeps_coming() -> None:
+    with (
+        ScriptedReplica(endless(*FLOODS["chunks"])) as replica,
+        other_tasks_running(),
+        pytest.raises(ControlUnanswered),
+    ):
+        PlatformEngines().report(replica.address, instance="i-1")
+
+
+def test_a_compressed_report_does_not_grow_in_memory() -> None:
+    packed = gzip.compress(bytes(50_000_000))
+    data = answer("", packed, "Content-Encoding: gzip")
+    with ScriptedReplica(answering(data)) as replica:
+        tracemalloc.start()
+        try:
+            with pytest.raises(ControlUnanswered):
+                PlatformEngines().report(replica.address, instance="i-1")
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak_bytes < 5_000_000
+
+
+def test_a_long_report_is_read_in_one_piece() -> None:
+    adapters = [f"adapter-{number:06}@1" for number in range(20_000)]
+    model = {"name": "base", "version": 1, "adapters": adapters}
+    report = json.dumps({"sequence": 4, "models": [model]}).encode()
+    with ScriptedReplica(answering(answer("", report))) as replica:
+        state = PlatformEngines().report(replica.address, instance="i-1")
+    assert len(state.adapters) >= len(adapters)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import socket
 
@@ -11,7 +12,8 @@
 from springrock.eras import era_of, number_of, version_in
 from springrock.platform.store import PlatformStore
 from springrock.rows import Removed, Row, RowStoreUnavailable
-from tests.forwarding.scripted import ScriptedReplica, read_request
+from tests.endless import ENDLESS, FLOODS, ending_within, endless, other_tasks_running
+from tests.forwarding.scripted import ScriptedReplica, answer, read_request
 from tests.platform.conftest import TABLE
 
 
@@ -47,3 +49,40 @@
 
     with ScriptedReplica(_script) as replica, pytest.raises(RowStoreUnavailable):
         PlatformStore(replica.address).changes(TABLE, after=0, wait_s=0.0)
+
+
+STORE_TIMEOUT_S = 0.8
+
+
+@pytest.mark.parametrize(("first", "block", "pause_s"), ENDLESS)
+def test_an_answer_without_end_is_none_in_time(first: bytes, block: bytes, pause_s: float) -> None:
+    with (
+        ScriptedReplica(endless(first, block, pause_s)) as replica,
+        ending_within(STORE_TIMEOUT_S + 0.5),
+        pytest.raises(RowStoreUnavailable),
+    ):
+        PlatformStore(replica.address).read_all(TABLE)
+
+
+def test_other_tasks_run_while_a_page_keeps_coming() -> None:
+    with (
+        ScriptedReplica(endless(*FLOODS["chunks"])) as replica,
+        other_tasks_running(),
+        pytest.raises(RowStoreUnavailable),
+    ):
+        PlatformStore(replica.address).read_all(TABLE)
+
+
+@pytest.mark.parametrize("key", ["\x00" * 196, "k" * 196])
+def test_the_largest_page_is_read(key: str) -> None:
+    keys = [f"{number:04}{key}" for number in range(500)]
+    value = base64.b64encode(bytes(2100)).decode()
+    rows = [{"table": TABLE, "key": key, "value": value, "ver": 1} for key in keys]
+    body = json.dumps({"ver": 7, "rows": rows}).encode()
+
+    def _script(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(answer("", body, "Store-Era: 1"))
+
+    with ScriptedReplica(_script) as replica:
+        assert len(PlatformStore(replica.address).read_all(TABLE).rows) == len(keys)
