--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -10,15 +10,11 @@
 import io
 from typing import Any
 
-import gevent
-
 from springrock.clock import Deadline, monotonic
+from springrock.turn import Turn
 
-_TURN_S = 0.002
-"""Other tasks run after this time without a wait: reads that find bytes do not wait."""
-
-_PAUSE_S = 0.001
-"""A pause of 0 would resume the task before the event loop looks at its sockets and timers."""
+_WAIT_S = 0.001
+"""A read that took less found bytes and did not wait."""
 
 
 class TooManyBytes(OSError):
@@ -36,15 +32,20 @@
         self._bounded = _BoundedSocket(connection)
         super().__init__(self._bounded)
 
-    def begin_step(self, *, deadline: Deadline, max_bytes: int) -> None:
+    def begin_step(self, *, deadline: Deadline | None, max_bytes: int) -> None:
         """Begin a step: what may be read from the socket until the next one begins.
 
         Args:
-            deadline: When reads raise `TimeoutError`, even if bytes have arrived.
+            deadline: When reads raise `TimeoutError`, even if bytes have arrived; None if another
+                task ends the step.
             max_bytes: The number of bytes after which reads raise `TooManyBytes`.
         """
         self._bounded.begin_step(deadline, max_bytes)
 
+    def begin_turn(self) -> None:
+        """Begin a turn, as the task has waited for something else than this reader."""
+        self._bounded.turn.begin()
+
     @property
     def step_bytes(self) -> int:
         """Number of bytes read from the socket in this step."""
@@ -56,12 +57,12 @@
 
     def __init__(self, connection: Any) -> None:
         self._socket = connection
-        self._deadline = Deadline(0.0)
+        self._deadline: Deadline | None = Deadline(0.0)
         self._max_bytes = 0
-        self._turn_began_at = monotonic()
+        self.turn = Turn()
         self.step_bytes = 0
 
-    def begin_step(self, deadline: Deadline, max_bytes: int) -> None:
+    def begin_step(self, deadline: Deadline | None, max_bytes: int) -> None:
         """Begin a step."""
         self._deadline = deadline
         self._max_bytes = max_bytes
@@ -78,23 +79,17 @@
             TimeoutError: If the deadline of the step has passed.
             TooManyBytes: If the step has had all of its bytes.
         """
-        self._pause_after_turn()
-        left_s = self._deadline.left_s
-        if left_s <= 0.0:
+        left_s = None if self._deadline is None else self._deadline.left_s
+        if left_s is not None and left_s <= 0.0:
             raise TimeoutError("timed out")
         left_bytes = self._max_bytes - self.step_bytes
         if left_bytes <= 0:
             raise TooManyBytes(f"more than {self._max_bytes} bytes")
+        self.turn.pause_if_over()
         self._socket.settimeout(left_s)
         began_at = monotonic()
         size = int(self._socket.recv_into(memoryview(buffer)[:left_bytes]))
-        ended_at = monotonic()
-        if ended_at - began_at >= _PAUSE_S:
-            self._turn_began_at = ended_at
+        if monotonic() - began_at >= _WAIT_S:
+            self.turn.begin()
         self.step_bytes += size
         return size
-
-    def _pause_after_turn(self) -> None:
-        if monotonic() - self._turn_began_at >= _TURN_S:
-            gevent.sleep(_PAUSE_S)
-            self._turn_began_at = monotonic()
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -165,6 +165,7 @@
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         self._method = method
         self._request_sent = False
+        self._reader.begin_turn()
         self.sent_bytes = len(head) + len(body)
         try:
             self._socket.settimeout(max(0.001, timeout_s))
--- a/springrock/request_reader.py
+++ b/springrock/request_reader.py
@@ -5,23 +5,17 @@
 import io
 from typing import Any
 
-import gevent
 from msgspec import Struct
 
 from springrock.clock import Deadline, monotonic
 from springrock.errors import ReadBound, RequestNotRead
+from springrock.turn import Turn
 
 _BLOCK_BYTES = 65_536
 _WAIT_PERIOD_S = 1.0
 """How often a wait checks the clock, as timers do not count a suspension of the machine."""
 
 _SHORTEST_WAIT_S = 0.001
-_TURN_S = 0.005
-"""How long a task goes on without waiting before others run."""
-
-_YIELD_S = 0.0001
-"""A timer of any length lets the loop poll all sockets, which `gevent.sleep(0)` does not."""
-
 _REST_S = 1.0
 _REST_BYTES = 1_048_576
 
@@ -74,7 +68,7 @@
         self._at_most = 0
         self._time_bound: ReadBound | None = None
         self._bytes_bound = ReadBound.HEAD_BYTES
-        self._turn_began_at = monotonic()
+        self._turn = Turn()
         self.read_bytes = 0
         self.failed = False
         self.began_at = monotonic()
@@ -164,9 +158,9 @@
             size: int = self._connection.recv_into(buffer)
         except BlockingIOError:
             size = self._wait_and_receive(buffer)
-            self._turn_began_at = monotonic()
+            self._turn.begin()
         else:
-            self._let_others_run()
+            self._turn.pause_if_over()
         return size
 
     def _wait_and_receive(self, buffer: memoryview) -> int:
@@ -180,12 +174,6 @@
             else:
                 return size
 
-    def _let_others_run(self) -> None:
-        """Wait if this task has run for its turn."""
-        if monotonic() - self._turn_began_at > _TURN_S:
-            gevent.sleep(_YIELD_S)
-            self._turn_began_at = monotonic()
-
     def _check_time(self) -> None:
         if not self._deadline.passed:
             return
