Stand-in of replicas: answers without end are counted, some of many, and reports in the test

`test_an_endless_report_does_not_stop_the_box` passed on the present code, as the box asked the engine for no report: a placer goes by its orders' answers while they fit. The engine now loses its state as the fault begins, so that it rejects the next order and the placer reads its report; callers ask for new adapters meanwhile, and the test demands that the stand-in sent at least two endless reports (a placer that asks once more has given the first up) and that a new adapter is served afterwards. Its bounds are unchanged. The same is new for answers to orders.

`endless_every` leaves most answers whole; the event file says which answer had no end, so that the soak can judge its caller.

On the unfixed code, each alone: reports unframed-0.0 (a sound request took over 1 s), unframed-20.0 and interim-20.0 (no second report asked for within 4 s), interim-0.0 (sound requests without an answer for 20 s, when their caller gave up) and header-20.0 failed; head-0.0 and head-20.0 passed.

--- a/springrock/emulator/replica.py
+++ b/springrock/emulator/replica.py
@@ -10,6 +10,7 @@
 import time
 from collections import Counter, defaultdict, deque
 from collections.abc import Iterator
+from enum import StrEnum
 from typing import Any, NamedTuple
 from weakref import WeakSet
 
@@ -87,6 +88,7 @@
         copies: Whether each answer to a request, order or report comes again late, in the place
             of the next one on its connection.
         endless: Makes the answers to requests that run have no end; None for whole answers.
+        endless_every: Only each answer whose number is a multiple of this has no end; 0 for all.
         endless_report: The same for answers to calls for a report.
         endless_order: The same for answers to orders.
     """
@@ -109,10 +111,19 @@
     room: int = -1
     copies: bool = False
     endless: Endless | None = None
+    endless_every: int = 0
     endless_report: Endless | None = None
     endless_order: Endless | None = None
 
 
+class AnswerKind(StrEnum):
+    """What an answer of a replica is to."""
+
+    RUN = "run"
+    REPORT = "report"
+    ORDER = "order"
+
+
 class _StreamRun(NamedTuple):
     """A stream that is being sent."""
 
@@ -136,6 +147,8 @@
         self._loading: dict[str, int] = {}
         self._streams: dict[str, list[_StreamRun]] = defaultdict(list)
         self._stream_count = 0
+        self._run_count = 0
+        self._endless_sent: Counter[str] = Counter()
         self._sequence = 0
         self._fence = 0
         self._reports: list[tuple[float, dict[str, Any]]] = []
@@ -222,7 +235,7 @@
         return [{"name": self._settings.base_model, "version": 1, "adapters": adapters}]
 
     def _get_report(self) -> Any:
-        bottle.request.environ[ENDLESS_KEY] = self._fault.endless_report
+        self._make_endless(self._fault.endless_report, AnswerKind.REPORT)
         now = monotonic()
         self._reports.append((now, self._state()))
         while len(self._reports) > 1 and self._reports[1][0] < now - _REPORT_LAG_S:
@@ -262,7 +275,7 @@
     # Orders.
 
     def _post_order(self) -> Any:
-        bottle.request.environ[ENDLESS_KEY] = self._fault.endless_order
+        self._make_endless(self._fault.endless_order, AnswerKind.ORDER)
         order = msgspec.json.decode(bottle.request.body.read())
         if bottle.request.get_header(names.EXPECT_INSTANCE, self._instance) != self._instance:
             return self._answer(b"{}", status=421)
@@ -340,10 +353,12 @@
             self._record_violation("key_passed_on")
         headers[_SEAL_HEADER] = f"seal-of-{request_id}"
         request.environ[UNFRAMED_KEY] = self._fault.unframed
-        request.environ[ENDLESS_KEY] = self._fault.endless
         if self._fault.fail:
             self._record_end(request_id, AnswerEnd.WHOLE)
             return self._answer(b"failed", status=500, headers=headers)
+        if self._make_endless(self._next_endless(), AnswerKind.RUN):
+            self._record_end(request_id, AnswerEnd.ENDLESS)
+            return self._endless_answer(headers)
         if self._settings.base_model:
             headers["Content-Type"] = "text/event-stream"
             first_number = int(request.get_header(names.LAST_EVENT_ID) or "0") + 1
@@ -353,6 +368,24 @@
             gevent.sleep(self._settings.work_ms / 1000)
         return self._plain_answer(f"{request.method} /{path} {len(body)}".encode(), headers)
 
+    def _next_endless(self) -> Endless | None:
+        """Count a request that runs; return how its answer has no end, or None for a whole one."""
+        self._run_count += 1
+        every = self._fault.endless_every
+        return None if every and self._run_count % every else self._fault.endless
+
+    def _make_endless(self, endless: Endless | None, kind: AnswerKind) -> bool:
+        """Make the current answer one without end, unless `endless` is None; return whether."""
+        bottle.request.environ[ENDLESS_KEY] = endless
+        self._endless_sent[kind] += endless is not None
+        return endless is not None
+
+    def _endless_answer(self, headers: dict[str, str]) -> Any:
+        """Return the head of an answer without end, whose body is sent elsewhere."""
+        kind = "text/event-stream" if self._settings.base_model else "text/plain"
+        headers = {"Content-Type": kind, **headers, **self._status_headers()}
+        return bottle.HTTPResponse(headers=headers)
+
     def _plain_answer(self, body: bytes, headers: dict[str, str]) -> Any:
         broken_by = self._fault.broken_by
         breaks = self._take_break()
@@ -533,6 +566,7 @@
             "cold_left_s": self._cold_left_s,
             "warm_at": self._cold_until,
             "leaving_acknowledged": self._leaving_acknowledged,
+            "endless": dict(self._endless_sent),
         }
         return json_response(msgspec.json.encode(counters))
 
--- a/springrock/emulator/replica_events.py
+++ b/springrock/emulator/replica_events.py
@@ -32,6 +32,8 @@
     """The replica ended it early."""
     CLOSED = "closed"
     """Whoever had asked closed the connection."""
+    ENDLESS = "endless"
+    """It had none; this is recorded at its beginning."""
 
 
 class ReplicaEvent(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/tests/routed/test_endless_answers.py
+++ b/tests/routed/test_endless_answers.py
@@ -4,10 +4,11 @@
 
 import concurrent.futures
 import http.client
+import itertools
 import time
 from collections.abc import Iterator
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -25,7 +26,12 @@
 """The smallest boxes have this much."""
 
 CALLERS = 6
+MIN_ASKED = 2
+"""A placer that asks once more has given the first answer up."""
+
 PLAIN_PARTS = [part for part in EndlessPart if part not in (EndlessPart.EVENT, EndlessPart.EVENTS)]
+_numbers = itertools.count(1)
+
 PAUSES_MS = (0.0, 20.0)
 """Bytes that come as fast as they are read, and bytes that come one by one."""
 
@@ -51,11 +57,15 @@
         yield deployment
 
 
-def call(deployment: Deployment, path: str, *, deadline_s: float = DEADLINE_S) -> Call:
+def call(
+    deployment: Deployment, path: str, *, deadline_s: float = DEADLINE_S, adapter: str = ""
+) -> Call:
     """Send a request; a connection that ends without an answer counts as status 0."""
     sent_at = monotonic()
     try:
-        answer = deployment.send("box-1", path, deadline_ms=round(deadline_s * 1000))
+        answer = deployment.send(
+            "box-1", path, deadline_ms=round(deadline_s * 1000), adapter=adapter
+        )
     except (OSError, http.client.HTTPException) as error:
         answer = Answer(0, {}, repr(error).encode(), is_complete=False)
     return Call(answer, monotonic() - sent_at)
@@ -90,6 +100,48 @@
     wait_until(lambda: call(deployment, path).is_whole, what="the replicas are used again")
 
 
+def demand_adapters(deployment: Deployment, *, until: float) -> list[Call]:
+    """Ask for one new adapter after the other, which takes reports and orders."""
+    calls = []
+    while monotonic() < until:
+        calls.append(call(deployment, "/items/x", adapter=f"new-{next(_numbers)}"))
+        time.sleep(0.05)
+    return calls
+
+
+def wait_until_placed(deployment: Deployment) -> None:
+    """Wait until the placer has a new adapter loaded and requests reach it."""
+    adapter = f"new-{next(_numbers)}"
+    wait_until(
+        lambda: call(deployment, "/items/x", adapter=adapter).is_whole,
+        what="a new adapter is served",
+    )
+
+
+def assert_harmless_to_placer(deployment: Deployment, answer: str, endless: dict[str, Any]) -> None:
+    """Assert that a box goes on serving and placing if an engine's report or order never ends."""
+    wait_until_placed(deployment)
+    before = deployment.counters("engine-1")["endless"].get(answer, 0)
+    # An engine that has lost its state rejects orders, and the placer reads its report.
+    deployment.fault("engine-1", reborn=True, **{f"endless_{answer}": endless})
+    until = monotonic() + 2 * DEADLINE_S
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        asking = [pool.submit(demand_adapters, deployment, until=until) for _ in range(CALLERS)]
+        others = []
+        while monotonic() < until:
+            others.append(call(deployment, "/lookup/x"))
+            time.sleep(0.05)
+        ended = [item for future in asking for item in future.result()]
+    sent = deployment.counters("engine-1")["endless"].get(answer, 0) - before
+    deployment.fault("engine-1")
+    assert [item for item in others if not item.is_whole] == []
+    assert [item for item in others if item.took_s > SERVED_WITHIN_S] == []
+    assert memory_mb(deployment) < MAX_MEMORY_MB
+    assert [item for item in ended if item.took_s > ANSWERED_WITHIN_S] == []
+    assert sent >= MIN_ASKED
+    wait_until_placed(deployment)
+
+
 @pytest.mark.parametrize("pause_ms", PAUSES_MS)
 @pytest.mark.parametrize("part", PLAIN_PARTS)
 def test_an_endless_plain_answer_stops_neither_the_box_nor_its_caller(
@@ -115,13 +167,12 @@
 def test_an_endless_report_does_not_stop_the_box(
     deployment: Deployment, part: EndlessPart, pause_ms: float
 ) -> None:
-    deployment.fault("engine-1", endless_report={"part": part, "pause_ms": pause_ms})
-    until = monotonic() + 2 * DEADLINE_S
-    calls = []
-    while monotonic() < until:
-        calls.append(call(deployment, "/lookup/x"))
-        time.sleep(0.05)
-    deployment.fault("engine-1")
-    assert [item for item in calls if not item.is_whole] == []
-    assert [item for item in calls if item.took_s > SERVED_WITHIN_S] == []
-    assert memory_mb(deployment) < MAX_MEMORY_MB
+    assert_harmless_to_placer(deployment, "report", {"part": part, "pause_ms": pause_ms})
+
+
+@pytest.mark.parametrize("pause_ms", PAUSES_MS)
+@pytest.mark.parametrize("part", PLAIN_PARTS)
+def test_an_endless_answer_to_an_order_does_not_stop_the_box(
+    deployment: Deployment, part: EndlessPart, pause_ms: float
+) -> None:
+    assert_harmless_to_placer(deployment, "order", {"part": part, "pause_ms": pause_ms})
