Soak: replicas whose answers have no end, and judges of what they hold up

One replica that sends bytes on end stopped boxes, took their memory and left its callers without answer; no fault of the soak sent such bytes, and no judge looked at the memory of a box or at a caller that hears nothing at all.

Callers that give up at their deadline go on listening for 1 s, as otherwise an answer that comes late cannot be told from none; what an attempt counts as is unchanged.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,6 +4,7 @@
 
 import http.client
 import random
+import socket
 import threading
 import time
 import zlib
@@ -30,6 +31,13 @@
 """The time limit of a call over all its attempts."""
 
 _READ_BYTES = 65_536
+_MAX_KEPT_BYTES = 2**20
+"""Of a body that is longer than any sound one, only this much is kept."""
+
+LATE_S = 1.0
+"""Time after its deadline in which a caller that has given up waits for the end of its connection,
+to tell a late one from none."""
+
 _RARE_PARTS = 20
 _MIN_ATTEMPT_S = 0.05
 _RETRY_PAUSE_S = 0.1
@@ -42,6 +50,7 @@
 
 _KEEP_ALIVE_S = 3.0
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
+_LAST_CHUNK = b"0\r\n\r\n"
 _FINAL_STATUSES = (400, 401, 404, 413)
 
 
@@ -232,13 +241,18 @@
     attempt: Attempt, connection: http.client.HTTPConnection, *, ends_at: float
 ) -> None:
     """Send an attempt and record its outcome in it."""
+    attempt.settled_at = float("inf")
     try:
         _exchange(attempt, connection, ends_at)
     except ConnectionRefusedError:
         attempt.error = "refused"
+    except TimeoutError:
+        attempt.error = TimeoutError.__name__
+        attempt.ended_at = attempt.ended_at or monotonic()
+        return
     except (OSError, http.client.HTTPException) as error:
         attempt.error = type(error).__name__
-    attempt.ended_at = monotonic()
+    attempt.ended_at = attempt.settled_at = monotonic()
 
 
 def _exchange(attempt: Attempt, connection: http.client.HTTPConnection, ends_at: float) -> None:
@@ -248,6 +262,16 @@
     if connection.sock is not None:
         connection.sock.settimeout(left_s)
     connection.request("POST", attempt.path, body=BODY, headers=_headers_of(attempt, left_s))
+    sock = connection.sock
+    try:
+        _receive(attempt, connection)
+    except TimeoutError:
+        attempt.ended_at = monotonic()
+        attempt.settled_at = _settled_at(attempt, sock)
+        raise
+
+
+def _receive(attempt: Attempt, connection: http.client.HTTPConnection) -> None:
     response = connection.getresponse()
     attempt.status = response.status
     attempt.seal = response.getheader("Springrock-Response-Seal", "")
@@ -258,14 +282,32 @@
     attempt.retry_after_s = None if retry_after is None else float(retry_after)
     attempt.framing = _framing_of(response)
     while block := response.read1(_READ_BYTES):
-        attempt.body += block
+        if len(attempt.body) < _MAX_KEPT_BYTES:
+            attempt.body += block
         if attempt.leaves_after and len(event_ids(attempt.body)) >= attempt.leaves_after:
             attempt.error = LEFT
             return
+        if monotonic() > attempt.deadline_at + LATE_S:
+            raise TimeoutError("the answer goes on after its deadline")
     attempt.is_complete = attempt.framing is Framing.CHUNKS or response.length == 0
     response.close()
 
 
+def _settled_at(attempt: Attempt, sock: socket.socket) -> float:
+    """Return when an answer began or, if it had, its connection ended; infinite if it did not."""
+    while (left_s := attempt.deadline_at + LATE_S - monotonic()) > 0:
+        sock.settimeout(left_s)
+        try:
+            data = sock.recv(_READ_BYTES)
+        except TimeoutError:
+            break
+        except OSError:
+            return monotonic()
+        if not data or not attempt.status or data.endswith(_LAST_CHUNK):
+            return monotonic()
+    return float("inf")
+
+
 def _framing_of(response: http.client.HTTPResponse) -> Framing:
     if response.chunked:
         return Framing.CHUNKS
--- a/bench/soak/faults/__init__.py
+++ b/bench/soak/faults/__init__.py
@@ -5,6 +5,7 @@
 from bench.soak.faults import (
     boxes,
     configuration,
+    endless,
     links,
     partitions,
     pause_series,
@@ -19,6 +20,7 @@
     "Fault",
     "boxes",
     "configuration",
+    "endless",
     "links",
     "partitions",
     "pause_series",
--- a/bench/soak/judges/__init__.py
+++ b/bench/soak/judges/__init__.py
@@ -5,6 +5,7 @@
 from bench.soak.judges import (
     answers,
     crashes,
+    endless,
     partitions,
     placement,
     runs,
@@ -23,6 +24,7 @@
     "Verdict",
     "answers",
     "crashes",
+    "endless",
     "partitions",
     "placement",
     "runs",
--- a/bench/soak/judges/silences.py
+++ b/bench/soak/judges/silences.py
@@ -75,11 +75,11 @@
 def _broke_off(
     attempt: Attempt, runs: list[ReplicaEvent], ends: dict[tuple[str, str], list[str]]
 ) -> bool:
-    """Whether a replica that may have written the last event broke off, or its process ended."""
+    """Whether a replica that may have written the last event did not end its answer properly."""
     serving = [run for run in runs if run.first_event <= attempt.last_event] or runs
     for run in serving:
         own = ends.get((run.instance, run.request_id), [])
-        if AnswerEnd.BROKEN_OFF in own:
+        if AnswerEnd.BROKEN_OFF in own or AnswerEnd.ENDLESS in own:
             return True
         if len(own) < sum(other.instance == run.instance for other in runs):
             return True
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -50,6 +50,8 @@
         leaves_after: The number of events after which the caller closes its connection; 0 never.
         crashing_part: The part of the prompt that crashes replicas; empty for none.
         deadline_at: When the time that the request names is over.
+        settled_at: When the answer or the connection had ended; later than `ended_at` if the caller
+            had given up before, and infinite if neither came.
     """
 
     request_id: str
@@ -76,6 +78,7 @@
     leaves_after: int = 0
     crashing_part: str = ""
     deadline_at: float = float("inf")
+    settled_at: float = 0.0
 
     @property
     def path(self) -> str:
@@ -170,6 +173,14 @@
     lasted_s: float
 
 
+class BoxMemory(Struct, frozen=True, kw_only=True):
+    """The most memory that a box's process has held up to some time."""
+
+    box: str
+    at: float
+    peak_mb: float
+
+
 class QuietSpan(Struct, frozen=True):
     """A span without any fault; it begins when the last fault ended."""
 
@@ -193,6 +204,7 @@
     pauses: list[Pause]
     quiets: list[QuietSpan]
     replica_names: dict[str, str] = {}
+    memory: list[BoxMemory] = []
 
     def is_by_earlier_build(self, attempt: Attempt) -> bool:
         """Whether the box of an attempt ran the build of the last release meanwhile."""
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -11,6 +11,7 @@
 from bench.soak.callers import Callers
 from bench.soak.deployment import SoakDeployment
 from bench.soak.faults import FAULTS
+from bench.soak.memory import MemoryMeter
 from bench.soak.observations import FaultSpan, Observations, QuietSpan
 from bench.soak.pauses import PauseMeter
 from bench.soak.schedule import PlannedFault, Schedule
@@ -57,8 +58,10 @@
         deployment.box_command = (without, "entry", "--settings")
     with deployment:
         meter = PauseMeter()
+        memory_meter = MemoryMeter(deployment.processes, shape.boxes)
         callers = Callers(deployment.clients, seed=schedule.seed)
         meter.start()
+        memory_meter.start()
         callers.start()
         began_at = monotonic()
         try:
@@ -66,6 +69,7 @@
             _sleep_until(began_at + schedule.seconds)
         finally:
             callers.stop()
+            memory_meter.stop()
             meter.stop()
         deployment.dump_stacks_of_silent_boxes()
         return Observations(
@@ -78,6 +82,7 @@
             pauses=meter.pauses,
             quiets=_quiets_of(schedule, spans, began_at),
             replica_names=deployment.replica_names(),
+            memory=memory_meter.samples,
         )
 
 
