Soak: a mutation without the bounds of answers

`answer_bounds` gives each read of a replica's answer the timeout of the whole step again, any number of bytes, and no turn for other tasks.

--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -228,3 +228,21 @@
         return data
 
     Answer.read = _read  # type: ignore[method-assign]
+
+
+@_disables("answer_bounds")
+def _bound_each_read_alone() -> None:
+    from springrock import bounded_reader
+
+    def _begin_step(self: Any, deadline: Any, max_bytes: int) -> None:
+        self.step_bytes = 0
+        self.timeout_s = max(0.001, deadline.left_s)
+
+    def _readinto(self: Any, buffer: Any) -> int:
+        self._socket.settimeout(self.timeout_s)
+        size = int(self._socket.recv_into(buffer))
+        self.step_bytes += size
+        return size
+
+    kind: Any = bounded_reader._BoundedSocket
+    kind.begin_step, kind.readinto = _begin_step, _readinto
