--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -42,6 +42,16 @@
         """
         self._bounded.begin_step(deadline, max_bytes)
 
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Return as many bytes as asked for, or less at the end of the connection.
+
+        Raises:
+            TooManyBytes: If the step cannot have that many, before any memory is taken for them.
+        """
+        if size is not None and size > self._bounded.left_bytes + io.DEFAULT_BUFFER_SIZE:
+            raise TooManyBytes(f"{size} bytes, of which {self._bounded.left_bytes} are left")
+        return super().read(size)
+
     def begin_turn(self) -> None:
         """Begin a turn, as the task has waited for something else than this reader."""
         self._bounded.turn.begin()
@@ -68,6 +78,11 @@
         self._max_bytes = max_bytes
         self.step_bytes = 0
 
+    @property
+    def left_bytes(self) -> int:
+        """Number of bytes that may still be read in this step."""
+        return self._max_bytes - self.step_bytes
+
     def readable(self) -> bool:
         """Return that the stream can be read."""
         return True
@@ -82,7 +97,7 @@
         left_s = None if self._deadline is None else self._deadline.left_s
         if left_s is not None and left_s <= 0.0:
             raise TimeoutError("timed out")
-        left_bytes = self._max_bytes - self.step_bytes
+        left_bytes = self.left_bytes
         if left_bytes <= 0:
             raise TooManyBytes(f"more than {self._max_bytes} bytes")
         self.turn.pause_if_over()
--- a/tests/test_bounded_reader.py
+++ b/tests/test_bounded_reader.py
@@ -75,6 +75,14 @@
         assert reader.read(20) == b"x" * 20
 
 
+def test_no_memory_is_taken_for_a_stated_length_beyond_the_bound() -> None:
+    with sending(b"x", pause_s=0.0) as connection:
+        reader = BoundedReader(connection)
+        reader.begin_step(deadline=Deadline(5.0), max_bytes=1000)
+        with pytest.raises(TooManyBytes):
+            reader.read(2**50)
+
+
 def test_nothing_is_read_before_a_step_begins() -> None:
     with sending(b"x", pause_s=0.0) as connection, pytest.raises(TimeoutError):
         BoundedReader(connection).read(1)
