serve: streams and calls of engines are bounded, and complete streams are not drained

With `springrock serve`, an engine that sent interim heads, trailers, a chunk's size or a report on end kept a task reading for as long as it sent; other tasks had no turn meanwhile. The reason of a refusal was read without any timeout, as that of a stream had been removed. A request waited 15 s for the head of its answer, and three times 15 s more to find its stream, though its permit had ended.

The driver had urllib3's own pool, whose timeout is one for each read, and dropped the timeout once a head had arrived. It joined the bytes of an event that had not ended anew for each piece.

The driver now has a strict pool: heads, reports, orders' answers and reasons have one deadline and a number of bytes; each piece of a stream has 128 KB with its framing or its trailers, and no deadline, as the watch of the answer ends it. `abort` ends the step of the reader, too: a connection that is shut down can still be read while bytes keep coming. Heads are waited for until the permit ends.

--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -10,6 +10,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from springrock.clock import Deadline
 from springrock.errors import (
     OrderFailed,
     StaleFence,
@@ -22,6 +23,7 @@
 from springrock.plugins import drivers
 from springrock.retry_after import retry_after_in
 from springrock.settings import UpstreamSection, split_address
+from springrock.strict_http import reader_of, strict_pool
 from springrock.wire import engine as wire
 
 T = TypeVar("T")
@@ -29,9 +31,17 @@
 _CONNECTIONS = 64
 _CONNECT_TIMEOUT_S = 2.0
 _FIRST_ANSWER_TIMEOUT_S = 15.0
+_MIN_TIMEOUT_S = 0.001
 _REPORT_TIMEOUT_S = 2.0
 _LOAD_TIMEOUT_S = 30.0
 _MAX_EVENT_BYTES = 1_048_576
+_MAX_ANSWER_BYTES = 1_048_576
+"""The most bytes of an answer that is no stream."""
+
+_MAX_REASON_BYTES = 65_536
+_MAX_PIECE_BYTES = 131_072
+"""The most bytes between two pieces of a stream: one piece and its framing, or the trailers."""
+
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
 _NOT_RUN_STATUSES = frozenset({404, 409, 429, 503})
@@ -52,9 +62,36 @@
     chunk: wire.Chunk | None
 
 
+class _EventBuffer:
+    """Splits a stream into events."""
+
+    def __init__(self) -> None:
+        self._rest = bytearray()
+
+    def add(self, data: bytes) -> list[bytes]:
+        """Add the next bytes of the stream; return the events that they complete."""
+        # The end of an event may have begun with the last byte before these.
+        searched = max(0, len(self._rest) - len(_EVENT_END) + 1)
+        self._rest += data
+        raw_events = []
+        begin = 0
+        while (end := self._rest.find(_EVENT_END, searched)) >= 0:
+            raw_events.append(bytes(self._rest[begin:end]))
+            begin = searched = end + len(_EVENT_END)
+        del self._rest[:begin]
+        return raw_events
+
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the event that has begun exceeds the size limit."""
+        return len(self._rest) > _MAX_EVENT_BYTES
+
+
 class EngineStream:
     """The stream of one answer; checks that each event belongs to the request.
 
+    The stream may last; another task ends it with `abort`.
+
     Attributes:
         position: The position of the next token.
         is_complete: Whether the last token arrived and the closing event was yielded.
@@ -64,6 +101,8 @@
         self, response: urllib3.BaseHTTPResponse, request: wire.EngineRequest, position: int
     ) -> None:
         self._response = response
+        self._reader = reader_of(response)
+        self._aborted = False
         self._request = request
         self._has_last_token = False
         self.position = position
@@ -84,31 +123,39 @@
         yield StreamEvent(wire.encode_event(wire.DONE), None)
 
     def _read_events(self) -> Iterator[StreamEvent]:
-        buffer = b""
-        for data in self._response.stream():
-            buffer += data
-            *raw_events, buffer = buffer.split(_EVENT_END)
-            for raw in raw_events:
+        buffer = _EventBuffer()
+        for data in self._read_pieces():
+            for raw in buffer.add(data):
                 event = self._check_event(raw)
                 if event is not None:
                     yield event
             if self.is_complete:
                 return
-            if len(buffer) > _MAX_EVENT_BYTES:
+            if buffer.is_too_long:
                 raise UpstreamGarbage("an event exceeds the size limit")
 
+    def _read_pieces(self) -> Iterator[bytes]:
+        pieces = self._response.stream()
+        while not self._aborted:
+            # Without a deadline: a timer for each read is a tenth of a chunk's cost.
+            self._reader.begin_step(deadline=None, max_bytes=_MAX_PIECE_BYTES)
+            data = next(pieces, None)
+            if data is None:
+                return
+            yield data
+        raise OSError("aborted")
+
     def abort(self) -> None:
         """End the stream from another task; its reader sees the connection break."""
+        self._aborted = True
+        # A connection that is shut down can still be read while bytes keep coming.
+        self._reader.begin_step(deadline=Deadline(0.0), max_bytes=0)
         with contextlib.suppress(OSError, ValueError, RuntimeError):
             self._response.shutdown()
 
     def close(self) -> None:
-        """Return the connection to the pool, or close it if the answer is incomplete."""
-        if self.is_complete:
-            self._response.drain_conn()
-            self._response.release_conn()
-        else:
-            self._response.close()
+        """Close the connection; the engine may go on sending, even after a complete answer."""
+        self._response.close()
 
     def _check_event(self, raw: bytes) -> StreamEvent | None:
         if not raw.startswith(_DATA_PREFIX):
@@ -148,11 +195,19 @@
 
     def __init__(self, upstream: UpstreamSection) -> None:
         host, port = split_address(upstream.address)
-        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=_CONNECTIONS, retries=False)
+        self._pool = strict_pool(
+            host, port, max_answer_bytes=_MAX_ANSWER_BYTES, maxsize=_CONNECTIONS
+        )
 
-    def begin(self, request: wire.EngineRequest) -> EngineStream:
+    def begin(
+        self, request: wire.EngineRequest, *, timeout_s: float = _FIRST_ANSWER_TIMEOUT_S
+    ) -> EngineStream:
         """Send a request and return the stream of its answer.
 
+        Args:
+            request: The request.
+            timeout_s: How long to wait for the head of the answer; 15 s at most.
+
         Raises:
             UpstreamUnreachable: If no connection could be made, so that nothing was sent.
             UpstreamSaidNo: If the engine refused before running it.
@@ -160,7 +215,8 @@
         """
         path = wire.COMPLETIONS_PATH if request.messages is None else wire.CHAT_PATH
         headers = _JSON_HEADERS if request.repeatable else _SINGLE_USE_HEADERS
-        timeout = urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=_FIRST_ANSWER_TIMEOUT_S)
+        timeout_s = min(_FIRST_ANSWER_TIMEOUT_S, max(_MIN_TIMEOUT_S, timeout_s))
+        timeout = urllib3.Timeout(total=timeout_s, connect=min(_CONNECT_TIMEOUT_S, timeout_s))
         response = self._send(
             "POST", path, body=msgspec.json.encode(request), headers=headers, timeout=timeout
         )
@@ -171,13 +227,20 @@
             raise UpstreamSaidNo(reason, retry_after_in(response.headers))
         raise UpstreamBroke(f"status {response.status}: {reason}")
 
-    def resume(self, request: wire.EngineRequest, position: int) -> EngineStream:
-        """Resume the stream that the engine has retained for an earlier request.
+    def resume(
+        self,
+        request: wire.EngineRequest,
+        position: int,
+        *,
+        timeout_s: float = _FIRST_ANSWER_TIMEOUT_S,
+    ) -> EngineStream:
+        """Resume the stream that the engine has retained for an earlier request; see `begin`.
 
         Raises:
             UpstreamUnreachable, UpstreamSaidNo, UpstreamBroke: If the stream cannot be resumed.
         """
-        return self.begin(msgspec.structs.replace(request, resume_from=position))
+        resumed = msgspec.structs.replace(request, resume_from=position)
+        return self.begin(resumed, timeout_s=timeout_s)
 
     def cancel(self, request_id: str) -> bool:
         """Cancel a request; return whether the engine confirmed it."""
@@ -228,7 +291,7 @@
     ) -> urllib3.BaseHTTPResponse:
         is_stream = path in (wire.COMPLETIONS_PATH, wire.CHAT_PATH)
         try:
-            response = self._pool.urlopen(
+            return self._pool.urlopen(
                 method,
                 path,
                 body=body,
@@ -237,25 +300,12 @@
                 retries=False,
                 redirect=False,
                 preload_content=not is_stream,
+                decode_content=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise UpstreamUnreachable(str(error)) from None
         except (HTTPError, OSError) as error:
             raise UpstreamBroke(str(error)) from None
-        if is_stream:
-            _disable_read_timeout(response)
-        return response
-
-
-def _disable_read_timeout(response: urllib3.BaseHTTPResponse) -> None:
-    """Remove the timeout of a stream's socket: a timer for each read is a tenth of a chunk's cost.
-
-    The reader of the stream monitors its progress instead.
-    """
-    connection = response.connection
-    sock = getattr(connection, "sock", None)
-    if sock is not None:
-        sock.settimeout(None)
 
 
 def _decode(response: urllib3.BaseHTTPResponse, kind: type[T]) -> T:
@@ -266,8 +316,10 @@
 
 
 def _reason_of(response: urllib3.BaseHTTPResponse) -> str:
+    deadline = Deadline(_REPORT_TIMEOUT_S)
+    reader_of(response).begin_step(deadline=deadline, max_bytes=_MAX_PIECE_BYTES)
     try:
-        body = msgspec.json.decode(response.read(65_536), type=dict[str, str])
+        body = msgspec.json.decode(response.read(_MAX_REASON_BYTES), type=dict[str, str])
     except (msgspec.MsgspecError, HTTPError, OSError):
         return "no reason given"
     finally:
--- a/springrock/serving/answer.py
+++ b/springrock/serving/answer.py
@@ -160,7 +160,9 @@
         self._stream.close()
         gevent.sleep(RESUME_PAUSE_S)
         try:
-            stream = self._driver.resume(self._request, position)
+            stream = self._driver.resume(
+                self._request, position, timeout_s=self._ends_at - monotonic()
+            )
         except (UpstreamUnreachable, UpstreamSaidNo) as error:
             raise UpstreamBroke(f"{break_error}; {error}") from None
         self._log.info(
--- a/springrock/serving/relay.py
+++ b/springrock/serving/relay.py
@@ -145,7 +145,7 @@
         sent = request.to_engine()
         claim.sent = True
         try:
-            stream = driver.begin(sent)
+            stream = driver.begin(sent, timeout_s=permitted.held.ends_at - monotonic())
         except UpstreamUnreachable as error:
             claim.sent = False
             refund(0)
@@ -157,7 +157,7 @@
                 _not_run_refusal(Cause.UPSTREAM_REFUSED, error.reason, error.retry_after_s or 1.0)
             )
         except UpstreamBroke as error:
-            started_stream = _find_started_stream(driver, sent)
+            started_stream = _find_started_stream(driver, sent, permitted.held.ends_at)
             if started_stream is None:
                 gevent.spawn(
                     cancel_until_confirmed,
@@ -228,11 +228,15 @@
             self.release()
 
 
-def _find_started_stream(driver: EngineDriver, sent: EngineRequest) -> EngineStream | None:
+def _find_started_stream(
+    driver: EngineDriver, sent: EngineRequest, ends_at: float
+) -> EngineStream | None:
     """Return the stream of a request whose response was lost, if the engine has started it."""
     for _ in range(MAX_RESUMES_WITHOUT_PROGRESS):
+        if monotonic() >= ends_at:
+            return None
         try:
-            return driver.resume(sent, 0)
+            return driver.resume(sent, 0, timeout_s=ends_at - monotonic())
         except UpstreamBroke:
             gevent.sleep(RESUME_PAUSE_S)
         except (UpstreamUnreachable, UpstreamSaidNo):
--- a/springrock/strict_http.py
+++ b/springrock/strict_http.py
@@ -139,6 +139,26 @@
     ConnectionCls = _StrictConnection
 
 
+def strict_pool(
+    host: str, port: int, *, max_answer_bytes: int, maxsize: int = 1
+) -> HTTPConnectionPool:
+    """Return such a pool for one address; see `strict_pool_manager`."""
+    return _StrictConnectionPool(
+        host, port, maxsize=maxsize, retries=False, max_answer_bytes=max_answer_bytes
+    )
+
+
+def reader_of(response: urllib3.BaseHTTPResponse) -> BoundedReader:
+    """Return the reader of an answer of such a pool that was not read yet.
+
+    The answer keeps the bounds of its pool until another step of the reader begins.
+    """
+    connection = response.connection
+    assert isinstance(connection, _StrictConnection)
+    assert connection.answer is not None
+    return connection.answer.reader
+
+
 def strict_pool_manager(
     *, max_answer_bytes: int, maxsize: int = 1, num_pools: int = 10
 ) -> urllib3.PoolManager:
