The clients of the platform's services and of the operators' interface have bounds

An answer of the platform's table, list or objects that kept coming held the task of a box of `springrock serve` that read it, and an answer of a box held `springrock` at the operator's terminal, each for as long as it came.

Both used urllib3's own pool, whose timeout is one for each read. They now use strict pools: `request_timeout_s` and the operator's timeout bound the whole answer, and pages and statements' answers have 64 MB.

--- a/springrock/operator_client.py
+++ b/springrock/operator_client.py
@@ -10,9 +10,11 @@
 
 from springrock.errors import StatementError
 from springrock.ids import new_id
+from springrock.strict_http import strict_pool_manager
 from springrock.wire.operator import STATEMENTS_PATH, StatementAnswer, StatementRequest
 
 _TIMEOUT_S = 30.0
+_MAX_ANSWER_BYTES = 67_108_864
 _MAX_ATTEMPTS = 3
 
 
@@ -45,7 +47,7 @@
     Raises:
         StatementError: If the statement was refused or the box cannot be reached.
     """
-    pool = urllib3.PoolManager(retries=False)
+    pool = strict_pool_manager(max_answer_bytes=_MAX_ANSWER_BYTES)
     headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
     for attempts_left in reversed(range(_MAX_ATTEMPTS)):
         try:
@@ -55,6 +57,7 @@
                 body=msgspec.json.encode(request),
                 headers=headers,
                 timeout=_TIMEOUT_S + request.wait_s,
+                decode_content=False,
             )
             break
         except urllib3.exceptions.HTTPError as error:
--- a/springrock/platform_clients/http.py
+++ b/springrock/platform_clients/http.py
@@ -9,14 +9,22 @@
 import msgspec
 import urllib3
 
+from springrock.clock import Deadline
 from springrock.errors import PlatformGarbage, PlatformUnavailable
 from springrock.plugins import platforms
 from springrock.settings import PlatformSection
+from springrock.strict_http import reader_of, strict_pool_manager
 from springrock.wire import platform as wire
 
 T = TypeVar("T")
 _CONNECTIONS = 8
 _MAX_CACHED_PAGES = 8
+_MAX_PAGE_BYTES = 67_108_864
+_MAX_OBJECT_BYTES = 268_435_456
+"""Far above the snapshot of a catalog of a million adapters."""
+
+_OBJECT_TIMEOUT_S = 30.0
+"""How long an object may take after its head, as its size is not known."""
 
 
 class _CachedPage(NamedTuple):
@@ -32,7 +40,7 @@
 
     def __init__(self, settings: PlatformSection) -> None:
         self._settings = settings
-        self._pool = urllib3.PoolManager(retries=False, maxsize=_CONNECTIONS)
+        self._pool = strict_pool_manager(max_answer_bytes=_MAX_PAGE_BYTES, maxsize=_CONNECTIONS)
         self._cache: OrderedDict[str, _CachedPage] = OrderedDict()
 
     def transact(self, transaction: wire.Transaction) -> wire.TransactionAnswer:
@@ -52,8 +60,18 @@
 
     def get_object(self, name: str) -> bytes | None:
         """Read an object; None if it does not exist."""
-        response = self._request("GET", self._object_url(name))
-        return None if response.status == 404 else _require_ok(response)
+        url = self._object_url(name)
+        response = self._request("GET", url, preload_content=False)
+        deadline = Deadline(_OBJECT_TIMEOUT_S)
+        reader_of(response).begin_step(deadline=deadline, max_bytes=_MAX_OBJECT_BYTES)
+        try:
+            data = response.read()
+        except urllib3.exceptions.HTTPError as error:
+            raise PlatformUnavailable(f"{url}: {error}") from None
+        if response.status == 404:
+            return None
+        _require_status_ok(response)
+        return data
 
     def put_object(self, name: str, data: bytes) -> None:
         """Write an object."""
@@ -97,18 +115,30 @@
         *,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        preload_content: bool = True,
     ) -> urllib3.BaseHTTPResponse:
-        timeout = self._settings.request_timeout_s
         try:
-            return self._pool.request(method, url, body=body, headers=headers, timeout=timeout)
+            return self._pool.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=self._settings.request_timeout_s,
+                preload_content=preload_content,
+                decode_content=False,
+            )
         except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailable(f"{url}: {error}") from None
 
 
 def _require_ok(response: urllib3.BaseHTTPResponse) -> bytes:
+    _require_status_ok(response)
+    return response.data
+
+
+def _require_status_ok(response: urllib3.BaseHTTPResponse) -> None:
     if response.status != 200:
         raise PlatformUnavailable(f"status {response.status}")
-    return response.data
 
 
 def _decode(body: bytes, kind: type[T]) -> T:
