Requests whose head breaks off are not run

What callers saw: a request whose connection ended within its head was run with the headers that had come; a number in the last one could be cut.

Cause: the parser of heads takes the end of the connection for the end of the head. `RequestReader` now raises there: 400, and a line.

The test failed before for two of its three heads (the application served them, 200); all of tests/test_httpd.py passed with the change.

--- a/springrock/errors.py
+++ b/springrock/errors.py
@@ -177,6 +177,8 @@
 
     HEAD_TIME = "head_time"
     HEAD_BYTES = "head_bytes"
+    HEAD_END = "head_end"
+    """The caller ended its connection within the head."""
     BODY_TIME = "body_time"
     BODY_BYTES = "body_bytes"
     """The body, with the framing of its chunks."""
@@ -190,6 +192,7 @@
 _STATUS_BY_BOUND = {
     ReadBound.HEAD_TIME: HTTPStatus.REQUEST_TIMEOUT,
     ReadBound.HEAD_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    ReadBound.HEAD_END: HTTPStatus.BAD_REQUEST,
     ReadBound.BODY_TIME: HTTPStatus.REQUEST_TIMEOUT,
     ReadBound.BODY_BYTES: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ReadBound.FRAMING_BYTES: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/springrock/request_reader.py
+++ b/springrock/request_reader.py
@@ -142,6 +142,9 @@
         if self._time_bound is not None and self._deadline.passed:
             raise self.error(self._time_bound)
         size = self._receive(memoryview(buffer)[:_BLOCK_BYTES])
+        if not size and self._time_bound is ReadBound.HEAD_TIME:
+            # The parser would take what it has for a whole head.
+            raise self.error(ReadBound.HEAD_END)
         self.read_bytes += size
         return size
 
--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -312,6 +312,22 @@
             assert _read_answer(caller) == (200, b"ignored")
 
 
+@pytest.mark.parametrize("head", [POST, POST[:-2], b"POST / HT"])
+def test_a_request_whose_head_breaks_off_is_not_run(head: bytes) -> None:
+    """Guards against a head that is taken for whole at the end of the connection."""
+    served: list[Any] = []
+
+    def _record(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        served.append(environ)
+        return _ignore(environ, start_response)
+
+    with _serving(_record, limits=LIMITS) as address, _connected(address) as caller:
+        caller.sendall(head)
+        caller.shutdown(socket.SHUT_WR)
+        assert caller.recv(1000).startswith(b"HTTP/1.1 400 ")
+    assert served == []
+
+
 def test_a_head_that_is_not_read_whole_is_reported_with_its_bound() -> None:
     errors: list[RequestNotRead] = []
     with (
