Requests: the deadline that a head states bounds the rest of the head

What callers saw: a head that came byte by byte was awaited for the time that the limits give to heads, although its caller, whose deadline an earlier line had named, had given up.

The lines of a head now pass `_HeadLines`, which tells the reader the deadline as soon as its line is there; it counts from the first byte of the request and bounds the body, too. So the doors need not read the head before the body.

tests/test_httpd.py: a head and a body that stay away after a line with a deadline of 0.3 s get 408 before 0.8 s, where the limits allow 5 s each.

--- a/springrock/doors/caller.py
+++ b/springrock/doors/caller.py
@@ -22,7 +22,6 @@
 from springrock.hosts import CallerDoorHost
 from springrock.httpd import SOCKET_KEY, HttpServer
 from springrock.ids import new_id
-from springrock.non_negative import read_non_negative
 from springrock.plugins import doors
 from springrock.request_reader import ReadLimits
 from springrock.serving.answer import Answer
@@ -67,6 +66,7 @@
             send_timeout_s=self._settings.send_timeout_s,
             read_limits=lambda: self._read_limits,
             on_unread_head=lambda error: self._log_unread(error, request=""),
+            deadline_header=wire.DEADLINE_HEADER,
         )
 
     def start(self) -> None:
@@ -167,9 +167,9 @@
         Raises:
             RequestNotRead: If the body did not come by the request's deadline, or is malformed.
         """
-        stated_ms = read_non_negative(bottle.request.headers.get(wire.DEADLINE_HEADER, ""))
-        deadline_s = stated_ms / 1000 if stated_ms else self._settings.default_deadline_s
-        return read_body(self._settings.body_limit_bytes, within_s=deadline_s)
+        has_deadline = wire.DEADLINE_HEADER in bottle.request.headers
+        within_s = None if has_deadline else self._settings.default_deadline_s
+        return read_body(self._settings.body_limit_bytes, within_s=within_s)
 
     def _parse_and_admit(self, *, chat: bool) -> Result[ServingRequest, Refusal]:
         body_bytes = self._read_body()
--- a/springrock/forwarding/dialect.py
+++ b/springrock/forwarding/dialect.py
@@ -89,7 +89,13 @@
 
 
 class Dialect(Protocol):
-    """Parses requests of clients, writes requests to replicas and interprets their answers."""
+    """Parses requests of clients, writes requests to replicas and interprets their answers.
+
+    Attributes:
+        deadline_header: The header in which clients state how many milliseconds they wait.
+    """
+
+    deadline_header: str
 
     def read_request(
         self, *, method: str, target: str, headers: Headers, body: bytes, received_at: float
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
-import msgspec
-
 from springrock.clock import monotonic
 from springrock.doors._watch import CallerWatch
 from springrock.errors import BadRequest, CallerGone, ReadBound, RequestNotRead
@@ -87,6 +85,7 @@
             send_timeout_s=_SEND_TIMEOUT_S,
             read_limits=self._read_limits,
             on_unread_head=lambda error: self._log_unread(error, request=""),
+            deadline_header=dialect.deadline_header,
         )
         self._open: set[_OpenRequest] = set()
         self.closing = False
@@ -136,8 +135,6 @@
         )
 
     def _read_and_reply(self, open_request: _OpenRequest, request_body: RequestBody) -> Reply:
-        if not request_body.at_end:
-            open_request.limit_reading(self._dialect)
         try:
             body = request_body.read(self._limits().body_bytes + 1)
         except RequestNotRead as error:
@@ -220,9 +217,8 @@
         self._door = door
         self._environ = environ
         self._log = log
-        self._reader: RequestReader = environ[READER_KEY]
-        self._received_at: float = self._reader.began_at
-        self._head: ClientRequest | None = None
+        reader: RequestReader = environ[READER_KEY]
+        self._received_at: float = reader.began_at
         self._logged = False
         self._response: Response = environ[RESPONSE_KEY]
         self._response.on_end = self._end
@@ -236,22 +232,12 @@
         """Seconds since the first byte of the request was received."""
         return monotonic() - self._received_at
 
-    def limit_reading(self, dialect: Dialect) -> None:
-        """Let the reading of the body end with the request's deadline."""
-        # What the head lacks is told once the body is read.
-        with contextlib.suppress(Exception):
-            self._head = self.parse(dialect, b"")
-            if self._head.deadline_s is not None:
-                self._reader.end_within(self._head.deadline_s)
-
     def parse(self, dialect: Dialect, body: bytes) -> ClientRequest:
         """Return the client's request.
 
         Raises:
             BadRequest: If it is malformed.
         """
-        if self._head is not None:
-            return msgspec.structs.replace(self._head, body=body)
         request = dialect.read_request(
             method=self._environ["REQUEST_METHOD"],
             target=self._environ[TARGET_KEY],
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -14,6 +14,7 @@
 
 from springrock.clock import Deadline
 from springrock.errors import AnswerCut, CallerGone, RequestNotRead
+from springrock.non_negative import read_non_negative
 from springrock.request_body import RequestBody
 from springrock.request_reader import ReadLimits, RequestReader
 from springrock.settings import split_address
@@ -73,6 +74,7 @@
         send_timeout_s: float,
         read_limits: Callable[[], ReadLimits],
         on_unread_head: Callable[[RequestNotRead], None],
+        deadline_header: str,
     ) -> None:
         # Without SERVER_NAME, gevent does a reverse DNS look-up of the address, which can be slow.
         environ = {"SERVER_NAME": address[0]}
@@ -82,6 +84,31 @@
         self.send_timeout_s = send_timeout_s
         self.read_limits = read_limits
         self.on_unread_head = on_unread_head
+        self.deadline_prefix = f"{deadline_header.lower()}:".encode() if deadline_header else b""
+
+
+class _HeadLines:
+    """The lines of a head; lets its reading end with the deadline that one of them states.
+
+    Args:
+        source: Where the lines come from.
+        reader: Reads from the connection, with bounds.
+        deadline_prefix: The name of the header with the milliseconds, in lower case with its colon;
+            empty for none.
+    """
+
+    def __init__(self, source: Any, reader: RequestReader, deadline_prefix: bytes) -> None:
+        self._source = source
+        self._reader = reader
+        self._deadline_prefix = deadline_prefix
+
+    def readline(self, size: int) -> bytes:
+        """Return the next line."""
+        line: bytes = self._source.readline(size)
+        if self._deadline_prefix and line.lower().startswith(self._deadline_prefix):
+            value = line[len(self._deadline_prefix) :].decode("latin-1")
+            self._reader.state_deadline((read_non_negative(value) or 0.0) / 1000)
+        return line
 
 
 class _Handler(WSGIHandler):
@@ -132,6 +159,11 @@
         self._reader.begin_head(self._limits)
         return begun
 
+    def MessageClass(self, source: Any, *arguments: Any) -> Any:
+        """Parse the headers of a request."""
+        lines = _HeadLines(source, self._reader, self._server.deadline_prefix)
+        return super().MessageClass(lines, *arguments)  # type: ignore[arg-type]
+
     def _handle_client_error(self, ex: Exception) -> Any:
         if isinstance(ex, RequestNotRead):
             return self._refuse_unread_head(ex)
@@ -274,6 +306,8 @@
         send_timeout_s: The connection of a client that accepts no bytes for this long is closed.
         read_limits: Returns what a client may send from now on, and how long it may take.
         on_unread_head: Called with the error of each head that was not read to its end.
+        deadline_header: The header in which requests state their deadline, in milliseconds from
+            their first byte; a request is read no longer than that. Empty for none.
     """
 
     def __init__(
@@ -284,6 +318,7 @@
         send_timeout_s: float = 20.0,
         read_limits: Callable[[], ReadLimits] = ReadLimits,
         on_unread_head: Callable[[RequestNotRead], None] = lambda error: None,
+        deadline_header: str = "",
     ) -> None:
         self._server = _Server(
             split_address(address),
@@ -291,6 +326,7 @@
             send_timeout_s=send_timeout_s,
             read_limits=read_limits,
             on_unread_head=on_unread_head,
+            deadline_header=deadline_header,
         )
 
     def start(self) -> None:
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -68,6 +68,8 @@
 class PlatformDialect:
     """Implements `springrock.forwarding.dialect.Dialect`."""
 
+    deadline_header = names.DEADLINE_MS
+
     def read_request(
         self, *, method: str, target: str, headers: Headers, body: bytes, received_at: float
     ) -> ClientRequest:
--- a/springrock/request_reader.py
+++ b/springrock/request_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import math
 from typing import Any
 
 import gevent
@@ -71,6 +72,7 @@
         super().__init__()
         self._connection = connection
         self._deadline = Deadline(0.0)
+        self._stated_s = math.inf
         self._at_most = 0
         self._time_bound: ReadBound | None = None
         self._bytes_bound = ReadBound.HEAD_BYTES
@@ -93,6 +95,7 @@
         self.began_at = monotonic()
         self._deadline = Deadline(limits.head_s)
         self._at_most = limits.head_bytes
+        self._stated_s = math.inf
         self._time_bound, self._bytes_bound = ReadBound.HEAD_TIME, ReadBound.HEAD_BYTES
 
     def begin_body(self, limits: ReadLimits) -> None:
@@ -100,12 +103,19 @@
         self._deadline = Deadline(limits.body_s)
         self._at_most = self.read_bytes + limits.framed_body_bytes
         self._time_bound, self._bytes_bound = ReadBound.BODY_TIME, ReadBound.BODY_BYTES
+        self.end_within(self._stated_s)
 
     def begin_rest(self) -> None:
         """Read what is left of a request that was answered, from now on."""
         self._deadline = Deadline(_REST_S)
         self._at_most = self.read_bytes + _REST_BYTES
 
+    def state_deadline(self, seconds: float) -> None:
+        """Shorten the time for the head and the body to the deadline of the request, if not 0."""
+        if seconds:
+            self._stated_s = seconds
+            self.end_within(seconds)
+
     def end_within(self, seconds: float) -> None:
         """Shorten the time for the current part to a time from the first byte of the request."""
         self._deadline.at = min(self._deadline.at, self.began_at + seconds)
--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -221,6 +221,19 @@
     assert monotonic() - begun_at < LIMITS.body_s + 0.5
 
 
+@pytest.mark.parametrize("rest", [b"X: ", b"Content-Length: 100\r\n\r\n"], ids=["head", "body"])
+def test_a_request_is_read_no_longer_than_the_deadline_that_its_head_states(rest: bytes) -> None:
+    limits = msgspec.structs.replace(LIMITS, head_s=5.0, body_s=5.0)
+    with (
+        _serving(_echo, limits=limits, deadline_header="Wait-Ms") as address,
+        _connected(address) as caller,
+    ):
+        begun_at = monotonic()
+        caller.sendall(POST + b"wait-ms: 300\r\n" + rest)
+        assert caller.recv(1000).startswith(b"HTTP/1.1 408 ")
+    assert 0.2 < monotonic() - begun_at < 0.8
+
+
 MALFORMED_REQUESTS = {
     "no size": b"\r\n",
     "no hexadecimal size": b"g\r\n",
