--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -221,6 +221,19 @@
     assert monotonic() - begun_at < LIMITS.body_s + 0.5
 
 
+@pytest.mark.parametrize("rest", [b"X: ", b"Content-Length: 100\r\n\r\n"], ids=["head", "body"])
+def test_a_request_is_read_no_longer_than_the_deadline_that_its_head_states(rest: bytes) -> None:
+    limits = msgspec.structs.replace(LIMITS, head_s=5.0, body_s=5.0)
+    with (
+        _serving(_echo, limits=limits, deadline_header="Wait-Ms") as address,
+        _connected(address) as caller,
+    ):
+        begun_at = monotonic()
+        caller.sendall(POST + b"wait-ms: 300\r\n" + rest)
+        assert caller.recv(1000).startswith(b"HTTP/1.1 408 ")
+    assert 0.2 < monotonic() - begun_at < 0.8
+
+
 MALFORMED_REQUESTS = {
     "no size": b"\r\n",
     "no hexadecimal size": b"g\r\n",
@@ -312,6 +325,22 @@
             assert _read_answer(caller) == (200, b"ignored")
 
 
+@pytest.mark.parametrize("head", [POST, POST[:-2], b"POST / HT"])
+def test_a_request_whose_head_breaks_off_is_not_run(head: bytes) -> None:
+    """Guards against a head that is taken for whole at the end of the connection."""
+    served: list[Any] = []
+
+    def _record(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        served.append(environ)
+        return _ignore(environ, start_response)
+
+    with _serving(_record, limits=LIMITS) as address, _connected(address) as caller:
+        caller.sendall(head)
+        caller.shutdown(socket.SHUT_WR)
+        assert caller.recv(1000).startswith(b"HTTP/1.1 400 ")
+    assert served == []
+
+
 def test_a_head_that_is_not_read_whole_is_reported_with_its_bound() -> None:
     errors: list[RequestNotRead] = []
     with (
