A kept connection is used again without a pause

What callers saw: each request over a kept connection waited a millisecond and a turn of the event loop before it was sent.

Cause: `Connection.is_usable` peeks at the reader, whose raw stream paused before it looked at the deadline: the last wait on that connection is always longer ago than a turn. For the same reason the first read of each answer paused. A task that was ended in that pause also lost the connection that it had taken from the pool.

Evidence: test_a_kept_connection_is_reused_without_a_pause failed before with one pause of 0.001 s in two requests.

Why it works: nothing is waited for in a step that may read nothing, and a request that is sent begins a turn; reads that find bytes at once pause as before. The time-out after a pause is never 0, which would make the socket non-blocking and break the answer.

--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -20,6 +20,9 @@
 _PAUSE_S = 0.001
 """A pause of 0 would resume the task before the event loop looks at its sockets and timers."""
 
+_MIN_TIMEOUT_S = 0.001
+"""A timeout of 0 would make the socket non-blocking."""
+
 
 class TooManyBytes(OSError):
     """The peer sent more bytes than a step of the exchange may have."""
@@ -45,6 +48,10 @@
         """
         self._bounded.begin_step(deadline, max_bytes)
 
+    def begin_turn(self) -> None:
+        """Record that the task has not read for a while, so that other tasks have run."""
+        self._bounded.begin_turn()
+
     @property
     def step_bytes(self) -> int:
         """Number of bytes read from the socket in this step."""
@@ -67,6 +74,10 @@
         self._max_bytes = max_bytes
         self.step_bytes = 0
 
+    def begin_turn(self) -> None:
+        """Record that other tasks have run."""
+        self._turn_began_at = monotonic()
+
     def readable(self) -> bool:
         """Return that the stream can be read."""
         return True
@@ -78,14 +89,13 @@
             TimeoutError: If the deadline of the step has passed.
             TooManyBytes: If the step has had all of its bytes.
         """
-        self._pause_after_turn()
-        left_s = self._deadline.left_s
-        if left_s <= 0.0:
+        if self._deadline.passed:
             raise TimeoutError("timed out")
         left_bytes = self._max_bytes - self.step_bytes
         if left_bytes <= 0:
             raise TooManyBytes(f"more than {self._max_bytes} bytes")
-        self._socket.settimeout(left_s)
+        self._pause_after_turn()
+        self._socket.settimeout(max(_MIN_TIMEOUT_S, self._deadline.left_s))
         began_at = monotonic()
         size = int(self._socket.recv_into(memoryview(buffer)[:left_bytes]))
         ended_at = monotonic()
@@ -97,4 +107,4 @@
     def _pause_after_turn(self) -> None:
         if monotonic() - self._turn_began_at >= _TURN_S:
             gevent.sleep(_PAUSE_S)
-            self._turn_began_at = monotonic()
+            self.begin_turn()
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -166,6 +166,7 @@
         self._method = method
         self._request_sent = False
         self.sent_bytes = len(head) + len(body)
+        self._reader.begin_turn()
         try:
             self._socket.settimeout(max(0.001, timeout_s))
             self._socket.sendall(head + body)
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from springrock import bounded_reader
 from springrock.clock import Deadline, monotonic
 from springrock.forwarding.connection import ConnectionPool
 from springrock.forwarding.dialect import SendTerms
@@ -681,3 +682,22 @@
             assert found.read_kept(2**20, deadline=Deadline(5.0)) == b"body"
         finally:
             found.close()
+
+
+def test_a_kept_connection_is_reused_without_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    pauses: list[float] = []
+    monkeypatch.setattr(bounded_reader.gevent, "sleep", pauses.append)
+
+    def _answer_twice(connection: socket.socket) -> None:
+        for request_id in ("r1", "r2"):
+            read_request(connection)
+            connection.sendall(answer(request_id, b"body"))
+        read_request(connection)
+
+    with ScriptedReplica(_answer_twice) as replica:
+        pool = ConnectionPool(replica.address)
+        for request_id in ("r1", "r2"):
+            assert body_of(send(pool, request_id)) == b"body"
+            time.sleep(0.05)
+        assert pool.opened == 1
+    assert pauses == []
