A replica that is paused inside a head is silent; its head is not without end

What callers saw: nothing at once; the box recorded a failure, a fact that lasts, for a replica that was paused after the first bytes of its answer's head until the deadline. Two of them in a row gave a sound replica a rest, and the box was not led to ask whether it still reaches replicas.

Evidence: test_a_replica_that_is_paused_inside_a_head_is_silent_and_sends_no_head_without_end failed before with `AnswerTooLarge: no head ended within the timeout, after 40 bytes`.

Why it works: what tells the two apart is whether bytes came lately. A head at one byte each 20 ms is too large as before.

--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -57,6 +57,11 @@
         """Number of bytes read from the socket in this step."""
         return self._bounded.step_bytes
 
+    @property
+    def quiet_s(self) -> float:
+        """Seconds since bytes were last read from the socket."""
+        return monotonic() - self._bounded.heard_at
+
 
 class _BoundedSocket(io.RawIOBase):
     """The raw stream of a `BoundedReader`."""
@@ -66,6 +71,7 @@
         self._deadline = Deadline(0.0)
         self._max_bytes = 0
         self._turn_began_at = monotonic()
+        self.heard_at = self._turn_began_at
         self.step_bytes = 0
 
     def begin_step(self, deadline: Deadline, max_bytes: int) -> None:
@@ -101,6 +107,7 @@
         ended_at = monotonic()
         if ended_at - began_at >= _PAUSE_S:
             self._turn_began_at = ended_at
+        self.heard_at = ended_at
         self.step_bytes += size
         return size
 
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -49,6 +49,9 @@
 """Raised by the socket and the parser when a connection or an answer is broken."""
 
 
+MIN_SILENCE_S = 0.5
+"""A replica that has sent something of an answer later than this before the timeout is at work."""
+
 _SWITCHING_PROTOCOLS = 101
 
 
@@ -183,7 +186,7 @@
         """Read the head of the next answer, and skip the interim answers before it (RFC 9110).
 
         Raises:
-            AnswerSilent: If no answer began within the timeout.
+            AnswerSilent: If no answer began within the timeout, or no more of its head arrived.
             AnswerBroken: If the connection ended, or the bytes received are not an HTTP answer.
             AnswerTooLarge: If the head has too many bytes, or did not end within the timeout.
         """
@@ -218,11 +221,14 @@
 
     def _late_head(self) -> AnswerSilent | AnswerTooLarge:
         """Return the error for a head that did not end in time."""
-        if not self._reader.step_bytes:
+        size = self._reader.step_bytes
+        if not size:
             return AnswerSilent("no answer began within the timeout")
-        return AnswerTooLarge(
-            f"no head ended within the timeout, after {self._reader.step_bytes} bytes"
-        )
+        if self._reader.quiet_s >= MIN_SILENCE_S:
+            return AnswerSilent(
+                f"no more of the head arrived within the timeout, after {size} bytes"
+            )
+        return AnswerTooLarge(f"no head ended within the timeout, after {size} bytes")
 
     def read(self, *, timeout_s: float) -> bytes:
         """Return the next bytes of the answer's body as they arrive; empty at its complete end.
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -701,3 +701,13 @@
             time.sleep(0.05)
         assert pool.opened == 1
     assert pauses == []
+
+
+def test_a_replica_that_is_paused_inside_a_head_is_silent_and_sends_no_head_without_end() -> None:
+    def _begin_and_pause(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(SUCCESS[:40])
+        time.sleep(3.0)
+
+    with ScriptedReplica(_begin_and_pause) as replica, pytest.raises(AnswerSilent):
+        send(ConnectionPool(replica.address))
