Inside a long answer, a replica is silent for as long as the box waits for it

What callers saw: nothing at once; the box recorded wrong evidence on sound replicas. One that was paused inside a long answer until the deadline had failed for good, instead of being suspected until it is heard.

Cause: a read that timed out at the deadline made an answer without end, however long nothing had come; the silence was measured from the last bytes read, the time of the client included.

Why it works: the silence begins with the read, and an answer has no end only if its bytes came until shortly before the deadline.

--- a/springrock/forwarding/plain_run.py
+++ b/springrock/forwarding/plain_run.py
@@ -7,6 +7,7 @@
 from springrock.clock import Deadline, monotonic
 from springrock.errors import AnswerCut
 from springrock.forwarding.choosing import ChosenReplica
+from springrock.forwarding.connection import MIN_SILENCE_S
 from springrock.forwarding.errors import (
     AnswerSilent,
     AnswerTooLarge,
@@ -50,7 +51,6 @@
         self._answer: Answer | None = None
         self._kept = b""
         self._sent_bytes = 0
-        self._heard_at = monotonic()
         self._closed = False
 
     def open(self) -> Reply:
@@ -112,21 +112,25 @@
         self._sender.finish_attempt(self._chosen, self._attempt)
 
     def _read(self, answer: Answer, *, waited_for_client: bool) -> bytes:
+        """Return the next bytes of the answer; record a break.
+
+        Raises:
+            AnswerCut: If it broke off, or was not complete by the deadline.
+        """
+        waiting_since = monotonic()
         try:
-            data = answer.read(timeout_s=self._progress.left_s)
+            return answer.read(timeout_s=self._progress.left_s)
         except OutcomeUnknown as error:
-            raise AnswerCut(str(self._record_break(error, waited_for_client))) from None
-        self._heard_at = monotonic()
-        return data
-
-    def _record_break(self, error: OutcomeUnknown, waited_for_client: bool) -> OutcomeUnknown:
-        """Record that the answer broke off, or has no end by the deadline; return the error."""
-        if isinstance(error, AnswerSilent) and self._progress.left_s <= 0 and not waited_for_client:
-            error = AnswerTooLarge(f"no end by the deadline, after {self._sent_bytes} bytes")
+            found = error
+        is_silent = isinstance(found, AnswerSilent)
+        was_at_work = not waited_for_client and _since(waiting_since) < MIN_SILENCE_S
+        if is_silent and was_at_work and self._progress.left_s <= 0:
+            found = AnswerTooLarge(f"no end by the deadline, after {self._sent_bytes} bytes")
+        # The replica was not silent while the client accepted nothing.
         self._sender.record_failure(
-            self._progress, self._replica, self._attempt, error, heard_at=self._heard_at
+            self._progress, self._replica, self._attempt, found, heard_at=waiting_since
         )
-        return error
+        raise AnswerCut(str(found))
 
     def _record_completion(self, answer: Answer) -> None:
         self._sender.record_completion(self._progress, answer.head)
