The beginning of a long answer is no success of its replica

What callers saw: a replica whose long answers never end, or always break off, was chosen again and again: each request of it was cut at its deadline or before.

Cause: a long answer was recorded as a success once its beginning was read, and as a failure when it broke off. The success in between undid the failure before it, so that the replica never got a rest.

Evidence: test_a_replica_whose_long_answers_have_no_end_gets_a_rest and test_a_replica_whose_long_answers_break_off_gets_a_rest failed before (not resting after two).

Why it works: a success is recorded when the answer is complete, as for a short one and as before long ones were sent on; until then the attempt is under way, which counts as one that may have run. A status of 500 or above is recorded at once, since the request may run elsewhere then.

--- a/springrock/forwarding/plain_run.py
+++ b/springrock/forwarding/plain_run.py
@@ -16,7 +16,7 @@
 )
 from springrock.forwarding.exchange import Answer
 from springrock.forwarding.reply import Reply, relayed_reply
-from springrock.forwarding.request_progress import RequestProgress
+from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.forwarding.sending import Sender
 
 
@@ -76,9 +76,11 @@
         except BaseException:
             self.close()
             raise
-        self._sender.record_answer(self._progress, self._replica, self._attempt, answer.head.status)
         if not answer.complete:
+            if answer.head.status >= 500:
+                self._record_answer(answer)
             return relayed_reply(answer.head, self)
+        self._record_answer(answer)
         self._record_completion(answer)
         self.close()
         return relayed_reply(answer.head, [self._kept])
@@ -100,6 +102,8 @@
             client_s += monotonic() - sending_at
             self._sent_bytes += len(data)
             data = self._read(self._answer, waited_for_client=2 * client_s > _since(began_at))
+        if self._attempt.outcome is AttemptOutcome.UNDER_WAY:
+            self._record_answer(self._answer)
         self._record_completion(self._answer)
 
     def close(self) -> None:
@@ -132,6 +136,11 @@
         )
         raise AnswerCut(str(found))
 
+    def _record_answer(self, answer: Answer) -> None:
+        """Record the status as evidence; the beginning of a success is none."""
+        status = answer.head.status
+        self._sender.record_answer(self._progress, self._replica, self._attempt, status)
+
     def _record_completion(self, answer: Answer) -> None:
         self._sender.record_completion(self._progress, answer.head)
 
--- a/tests/forwarding/test_plain_run.py
+++ b/tests/forwarding/test_plain_run.py
@@ -129,3 +129,25 @@
         with pytest.raises(AnswerCut):
             read_all(reply, client_pause_s=1.5)
     assert runs.replica.health.failure_rate == 0.0
+
+
+def test_a_replica_whose_long_answers_have_no_end_gets_a_rest() -> None:
+    with ScriptedReplica(trickle_without_end, trickle_without_end) as scripted:
+        runs = Runs(scripted.address)
+        for _ in range(2):
+            _, reply = runs.open(deadline_s=0.7)
+            with pytest.raises(AnswerCut):
+                read_all(reply)
+    assert runs.replica.health.resting
+
+
+def test_a_replica_whose_long_answers_break_off_gets_a_rest() -> None:
+    script = long_answer(sent_bytes=BEGINNING_BYTES)
+    with ScriptedReplica(script, script) as scripted:
+        runs = Runs(scripted.address)
+        for _ in range(2):
+            progress, reply = runs.open(deadline_s=5.0)
+            with pytest.raises(AnswerCut):
+                read_all(reply)
+            assert progress.attempts[0].outcome is AttemptOutcome.BROKEN
+    assert runs.replica.health.resting
