Events that keep coming do not outlast the deadline of their stream

What callers saw: a stream whose events came without a pause went on for as long as its caller read, however long ago the deadline of the whole answer was.

Cause: each read of events had 20 ms after the deadline, from that read on.

Evidence: test_events_without_end_are_cut_at_the_deadline (an event each 5 ms) failed before: events still came 0.5 s after the deadline.

Why it works: reads after the deadline have 0.25 s in all, counted from the first of them, so that what arrived while the box was paused is still sent on. Nothing new is recorded of the replica: whether it or its client was slow is not known here.

--- a/springrock/forwarding/stream_run.py
+++ b/springrock/forwarding/stream_run.py
@@ -16,6 +16,9 @@
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
 
+_MAX_LATE_S = 0.25
+"""For how long events that arrive without a pause are sent on after the deadline."""
+
 OnBegun = Callable[[RequestProgress, str], None]
 
 
@@ -60,6 +63,7 @@
         self.began_at = monotonic()
         self._heard_at = self.began_at
         self._answer: Answer | None = None
+        self._late: Deadline | None = None
 
     @property
     def instance(self) -> str:
@@ -207,7 +211,7 @@
 
         Raises:
             AnswerBroken: If the stream broke off.
-            AnswerSilent: If no event was complete by the deadline.
+            AnswerSilent: If no event was complete by the deadline, or the stream goes on after it.
             AnswerTooLarge: If an event, or the framing of the stream, has too many bytes.
         """
         deadline = Deadline(max(MIN_SEND_TIME_S, self._progress.left_s))
@@ -216,9 +220,26 @@
             if not data:
                 return self._read_end(answer)
             events = self._splitter.feed(data)
+            self._require_in_time()
             if events:
                 return events
 
+    def _require_in_time(self) -> None:
+        """Raise if the stream has gone on for too long after the deadline.
+
+        What arrived while this box was paused is sent on nevertheless.
+
+        Raises:
+            AnswerSilent: If it has.
+        """
+        if self._progress.left_s > 0:
+            return
+        if self._late is None:
+            self._late = Deadline(_MAX_LATE_S)
+        elif self._late.passed:
+            self._record_heard()
+            raise AnswerSilent("the stream did not end by the deadline")
+
     def _record_begun(self) -> None:
         """Restrict the stream to the replica's version once it can go on after an event."""
         if self._begun or not self._progress.resuming:
--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 from collections.abc import Callable, Iterator
@@ -9,6 +10,7 @@
 import gevent.socket
 import pytest
 
+from springrock.clock import monotonic
 from springrock.errors import AnswerCut
 from springrock.forwarding import connection as connection_module
 from springrock.forwarding.choosing import ChosenReplica
@@ -276,3 +278,26 @@
         received, cut = collect(stream.events())
     assert b"".join(received) == b"".join(EVENTS)
     assert not cut
+
+
+def test_events_without_end_are_cut_at_the_deadline() -> None:
+    def _send_on(connection: socket.socket) -> None:
+        read_request(connection)
+        with contextlib.suppress(OSError):
+            connection.sendall(HEAD + b"\r\n")
+            while True:
+                connection.sendall(b"data: token\n\n")
+                time.sleep(0.005)
+
+    with ScriptedReplica(_send_on) as replica:
+        stream = Stream(replica.address, resumable=False)
+        began_at = monotonic()
+        ends_at = stream.progress.ends_at
+        cut = False
+        try:
+            for _ in stream.events():
+                assert monotonic() < ends_at + 0.5
+        except AnswerCut:
+            cut = True
+    assert cut
+    assert monotonic() - began_at < 5.5
