An idle timeout that is no number does not harm its answer

What callers saw: a request that its replica had answered failed by a fault of the box when the answer named an idle timeout such as `²`, a digit that is no decimal one.

Cause: `str.isdigit` accepts digits that `float` does not; the error is not one of an exchange, so that the request was given up, and nothing recorded.

Evidence: test_an_idle_timeout_that_is_no_number_does_not_harm_its_answer failed before with `ValueError: could not convert string to float: '²'`.

Why it works: what `str.isdecimal` accepts is a number to `float`.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -326,7 +326,7 @@
             return
         for part in keep_alive.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
+            if name.lower() == "timeout" and value.strip().isdecimal():
                 self.idle_timeout_s = float(value)
 
     def _has_unread_input(self) -> bool:
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -711,3 +711,12 @@
 
     with ScriptedReplica(_begin_and_pause) as replica, pytest.raises(AnswerSilent):
         send(ConnectionPool(replica.address))
+
+
+@pytest.mark.parametrize("value", ["\xb2", "9" * 400, "1.5", ""])
+def test_an_idle_timeout_that_is_no_number_does_not_harm_its_answer(value: str) -> None:
+    before = b"Content-Length"
+    line = f"Keep-Alive: timeout={value}\r\n".encode("latin-1")
+    data = answer("r1", b"own").replace(before, line + before)
+    with ScriptedReplica(script_sending(data)) as replica:
+        assert body_of(send(ConnectionPool(replica.address))) == b"own"
