--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -16,6 +16,9 @@
 _WAIT_S = 0.001
 """A read that took less found bytes and did not wait."""
 
+_MIN_TIMEOUT_S = 0.001
+"""A timeout of 0 would make the socket non-blocking."""
+
 
 class TooManyBytes(OSError):
     """The peer sent more bytes than a step of the exchange may have."""
@@ -61,6 +64,11 @@
         """Number of bytes read from the socket in this step."""
         return self._bounded.step_bytes
 
+    @property
+    def quiet_s(self) -> float:
+        """Seconds since bytes were last read from the socket."""
+        return monotonic() - self._bounded.heard_at
+
 
 class _BoundedSocket(io.RawIOBase):
     """The raw stream of a `BoundedReader`."""
@@ -70,6 +78,7 @@
         self._deadline: Deadline | None = Deadline(0.0)
         self._max_bytes = 0
         self.turn = Turn()
+        self.heard_at = monotonic()
         self.step_bytes = 0
 
     def begin_step(self, deadline: Deadline | None, max_bytes: int) -> None:
@@ -94,17 +103,20 @@
             TimeoutError: If the deadline of the step has passed.
             TooManyBytes: If the step has had all of its bytes.
         """
-        left_s = None if self._deadline is None else self._deadline.left_s
-        if left_s is not None and left_s <= 0.0:
+        if self._deadline is not None and self._deadline.passed:
             raise TimeoutError("timed out")
         left_bytes = self.left_bytes
         if left_bytes <= 0:
             raise TooManyBytes(f"more than {self._max_bytes} bytes")
         self.turn.pause_if_over()
-        self._socket.settimeout(left_s)
+        self._socket.settimeout(self._timeout_s())
         began_at = monotonic()
         size = int(self._socket.recv_into(memoryview(buffer)[:left_bytes]))
-        if monotonic() - began_at >= _WAIT_S:
+        self.heard_at = monotonic()
+        if self.heard_at - began_at >= _WAIT_S:
             self.turn.begin()
         self.step_bytes += size
         return size
+
+    def _timeout_s(self) -> float | None:
+        return None if self._deadline is None else max(_MIN_TIMEOUT_S, self._deadline.left_s)
--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -32,6 +32,7 @@
 _CONNECT_TIMEOUT_S = 2.0
 _FIRST_ANSWER_TIMEOUT_S = 15.0
 _MIN_TIMEOUT_S = 0.001
+_END_TIMEOUT_S = 0.05
 _REPORT_TIMEOUT_S = 2.0
 _LOAD_TIMEOUT_S = 30.0
 _MAX_EVENT_BYTES = 1_048_576
@@ -154,8 +155,13 @@
             self._response.shutdown()
 
     def close(self) -> None:
-        """Close the connection; the engine may go on sending, even after a complete answer."""
-        self._response.close()
+        """Return the connection to the pool, or close it if the answer does not end at once."""
+        if not self.is_complete:
+            self._response.close()
+            return
+        self._reader.begin_step(deadline=Deadline(_END_TIMEOUT_S), max_bytes=_MAX_PIECE_BYTES)
+        self._response.drain_conn()
+        self._response.release_conn()
 
     def _check_event(self, raw: bytes) -> StreamEvent | None:
         if not raw.startswith(_DATA_PREFIX):
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -49,6 +49,9 @@
 """Raised by the socket and the parser when a connection or an answer is broken."""
 
 
+MIN_SILENCE_S = 0.5
+"""A replica that has sent something of an answer later than this before the timeout is at work."""
+
 _SWITCHING_PROTOCOLS = 101
 
 
@@ -165,8 +168,8 @@
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         self._method = method
         self._request_sent = False
-        self._reader.begin_turn()
         self.sent_bytes = len(head) + len(body)
+        self._reader.begin_turn()
         try:
             self._socket.settimeout(max(0.001, timeout_s))
             self._socket.sendall(head + body)
@@ -183,7 +186,7 @@
         """Read the head of the next answer, and skip the interim answers before it (RFC 9110).
 
         Raises:
-            AnswerSilent: If no answer began within the timeout.
+            AnswerSilent: If no answer began within the timeout, or no more of its head arrived.
             AnswerBroken: If the connection ended, or the bytes received are not an HTTP answer.
             AnswerTooLarge: If the head has too many bytes, or did not end within the timeout.
         """
@@ -218,11 +221,14 @@
 
     def _late_head(self) -> AnswerSilent | AnswerTooLarge:
         """Return the error for a head that did not end in time."""
-        if not self._reader.step_bytes:
+        size = self._reader.step_bytes
+        if not size:
             return AnswerSilent("no answer began within the timeout")
-        return AnswerTooLarge(
-            f"no head ended within the timeout, after {self._reader.step_bytes} bytes"
-        )
+        if self._reader.quiet_s >= MIN_SILENCE_S:
+            return AnswerSilent(
+                f"no more of the head arrived within the timeout, after {size} bytes"
+            )
+        return AnswerTooLarge(f"no head ended within the timeout, after {size} bytes")
 
     def read(self, *, timeout_s: float) -> bytes:
         """Return the next bytes of the answer's body as they arrive; empty at its complete end.
@@ -320,7 +326,7 @@
             return
         for part in keep_alive.split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
+            if name.lower() == "timeout" and value.strip().isdecimal():
                 self.idle_timeout_s = float(value)
 
     def _has_unread_input(self) -> bool:
--- a/tests/forwarding/test_exchange.py
+++ b/tests/forwarding/test_exchange.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from springrock import turn
 from springrock.clock import Deadline, monotonic
 from springrock.forwarding.connection import ConnectionPool
 from springrock.forwarding.dialect import SendTerms
@@ -681,3 +682,41 @@
             assert found.read_kept(2**20, deadline=Deadline(5.0)) == b"body"
         finally:
             found.close()
+
+
+def test_a_kept_connection_is_reused_without_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    pauses: list[float] = []
+    monkeypatch.setattr(turn.gevent, "sleep", pauses.append)
+
+    def _answer_twice(connection: socket.socket) -> None:
+        for request_id in ("r1", "r2"):
+            read_request(connection)
+            connection.sendall(answer(request_id, b"body"))
+        read_request(connection)
+
+    with ScriptedReplica(_answer_twice) as replica:
+        pool = ConnectionPool(replica.address)
+        for request_id in ("r1", "r2"):
+            assert body_of(send(pool, request_id)) == b"body"
+            time.sleep(0.05)
+        assert pool.opened == 1
+    assert pauses == []
+
+
+def test_a_replica_that_is_paused_inside_a_head_is_silent_and_sends_no_head_without_end() -> None:
+    def _begin_and_pause(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(SUCCESS[:40])
+        time.sleep(3.0)
+
+    with ScriptedReplica(_begin_and_pause) as replica, pytest.raises(AnswerSilent):
+        send(ConnectionPool(replica.address))
+
+
+@pytest.mark.parametrize("value", ["\xb2", "9" * 400, "1.5", ""])
+def test_an_idle_timeout_that_is_no_number_does_not_harm_its_answer(value: str) -> None:
+    before = b"Content-Length"
+    line = f"Keep-Alive: timeout={value}\r\n".encode("latin-1")
+    data = answer("r1", b"own").replace(before, line + before)
+    with ScriptedReplica(script_sending(data)) as replica:
+        assert body_of(send(ConnectionPool(replica.address))) == b"own"
