A caller that reads its answer on and on is given up after its deadline

A caller that accepted a byte now and then held its connection, and that of the replica behind a long answer, for ever: each part that it accepted began the send timeout anew. A caller that reads slowly up to then is unharmed, as before.

--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -118,6 +118,8 @@
         if self.closing or not request_body.at_end:
             headers.append(("Connection", "close"))  # type: ignore[arg-type]
         open_request.reply = reply
+        response: Response = environ[RESPONSE_KEY]
+        response.due_at = reply.due_at
         start_response(f"{reply.head.status} {reply.head.reason}", headers)
         if isinstance(reply.body, list):
             open_request.watch.stop()
--- a/springrock/forwarding/forwarder.py
+++ b/springrock/forwarding/forwarder.py
@@ -145,11 +145,11 @@
         if self._passing_on.is_due(progress) and not self._chooser.is_quarantined(progress):
             passed_on = self._passing_on.forward(progress)
             if passed_on is not None:
-                return passed_on
+                return passed_on._replace(due_at=progress.ends_at)
         self._chooser.record_request(progress)
         reply = self._charge_and_forward(progress)
         self._log_reply(progress, reply, version)
-        return reply
+        return reply._replace(due_at=progress.ends_at)
 
     def _charge_and_forward(self, progress: RequestProgress) -> Reply:
         """Charge a request to its team and forward it; refund the charge if it never ran."""
--- a/springrock/forwarding/reply.py
+++ b/springrock/forwarding/reply.py
@@ -31,11 +31,13 @@
     Attributes:
         body: The body: a list if it is complete, else an iterator that yields it as it arrives.
         reason: One word for logs if this box generated the reply; else empty.
+        due_at: When the client waits no longer, on the local monotonic clock.
     """
 
     head: AnswerHead
     body: Iterable[bytes]
     reason: str = ""
+    due_at: float = math.inf
 
 
 def own_reply(status: int, reason: str, *, retry_after_s: float | None = None) -> Reply:
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import io
+import math
 import socket
 import struct
 from collections.abc import Callable
@@ -12,7 +13,7 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from springrock.clock import Deadline
+from springrock.clock import Deadline, monotonic
 from springrock.errors import AnswerCut, CallerGone, RequestNotRead
 from springrock.non_negative import read_non_negative
 from springrock.request_body import RequestBody
@@ -49,9 +50,12 @@
         sent_bytes: Bytes sent to the caller, head and framing included.
         send_error: The error of the caller's connection that ended the sending, if any.
         on_end: Called once when the response has ended, with what broke it off, or None.
+        due_at: When the caller waits no longer, on the clock `monotonic`. It may take the send
+            timeout more to accept the response.
     """
 
     def __init__(self) -> None:
+        self.due_at = math.inf
         self.sent_bytes = 0
         self.send_error: OSError | None = None
         self.on_end: Callable[[BaseException | None], None] | None = None
@@ -256,10 +260,14 @@
         The timeout of `sendall` is for all of the data, and goes by a clock that can jump.
 
         Raises:
-            OSError: If the connection failed, or the caller accepted nothing within the timeout.
+            OSError: If the connection failed, or the caller accepted nothing within the timeout, or
+                not all within the timeout after it was due.
         """
         deadline = Deadline(self._server.send_timeout_s)
+        ends_at = self._response.due_at + self._server.send_timeout_s
         while data:
+            if monotonic() >= ends_at:
+                raise TimeoutError("the caller did not accept the response in time")
             sent = self._send_part(data, timeout_s=min(_SEND_PERIOD_S, deadline.left_s))
             if sent:
                 deadline = Deadline(self._server.send_timeout_s)
--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -83,6 +83,30 @@
             gevent.sleep(1.5 * len(data) / len(body))
 
 
+def test_a_caller_that_reads_on_slowly_is_given_up_after_its_reply_was_due() -> None:
+    """Guards against callers that hold a connection for ever by a byte now and then."""
+
+    def _reply(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
+        environ[RESPONSE_KEY].on_end = errors.append
+        environ[RESPONSE_KEY].due_at = monotonic() + 0.3
+        start_response("200 OK", [])
+        return [b"x" * 40_000_000]
+
+    errors: list[BaseException | None] = []
+    with (
+        _serving(_reply, send_timeout_s=0.5) as address,
+        socket.create_connection(address, timeout=5) as caller,
+    ):
+        began_at = monotonic()
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        with gevent.Timeout(3.0):
+            while not errors:
+                caller.recv(300_000)
+                gevent.sleep(0.1)
+        assert monotonic() - began_at > 0.7
+    assert isinstance(errors[0], TimeoutError)
+
+
 def test_a_caller_that_stops_reading_is_given_up_after_the_send_timeout() -> None:
     def _reply(environ: dict[str, Any], start_response: Callable[..., Any]) -> list[bytes]:
         environ[RESPONSE_KEY].on_end = errors.append
