Links between boxes let other tasks run while a peer keeps sending

A peer that sent empty pings on end held a whole box for as long as it sent, and one that sent frames held it for about a second at a time. A caller at the address of links could take 10 s for its handshake.

The library's task reads up to 64 KB, handles all of its frames, and waits for the socket again; while bytes are there, that wait lets no other task run. 64 KB hold 32,768 empty pings. It bounds heads, lines, frames and their queue itself, and its timeouts work as soon as other tasks have their turn.

The wait now takes a turn first, and 8 KB are read at once. Handshakes of incoming links have 2 s, as long as a box that dials waits at most.

--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -89,6 +89,7 @@
             process_request=self._check_key,
             compression=None,
             max_size=self._settings.frame_limit_bytes,
+            open_timeout=_DIAL_TIMEOUT_S,
             ping_interval=_PING_INTERVAL_S,
             ping_timeout=_PING_TIMEOUT_S,
             close_timeout=_CLOSE_TIMEOUT_S,
--- a/springrock/gevent_websockets.py
+++ b/springrock/gevent_websockets.py
@@ -1,9 +1,10 @@
-"""Patches the websockets library so that closing a connection is safe under gevent.
+"""Patches the websockets library so that connections are safe and fair under gevent.
 
 The library's threads wait in a selector, and other threads close the socket while it is registered
 there. gevent keeps watching a registered descriptor, and closing it then can crash the process
 (see tests/test_gevent_websockets.py). gevent does end a wait on the socket itself when the socket
-is closed. Importing this module replaces the library's selectors by such a wait.
+is closed. Importing this module replaces the library's selectors by such a wait. While bytes keep
+coming, no wait lets other tasks run, so the wait also takes turns with them.
 """
 
 from __future__ import annotations
@@ -13,9 +14,16 @@
 from types import SimpleNamespace
 from typing import Any
 
+import gevent
 from websockets.sync import connection as _connection
 from websockets.sync import server as _server
 
+_TURN_S = 1e-6
+"""Any time above 0 lets the loop look for timers and sockets."""
+
+_READ_BYTES = 8_192
+"""How much of a link is read between two turns: 64 KB may hold 32,768 frames."""
+
 _READABLE = "socket"
 """The `data` value with which the library registers the socket that it reads."""
 
@@ -37,13 +45,14 @@
         self._keys.append(selectors.SelectorKey(fileobj, fileobj.fileno(), events, data))
 
     def select(self) -> list[tuple[selectors.SelectorKey, int]]:
-        """Wait until the socket is readable; return nothing if it was closed.
+        """Let other tasks run and wait until the socket is readable; return nothing if closed.
 
         Does not wait for a listening socket: its `accept` blocks until the socket is closed.
         """
         key = next((key for key in self._keys if key.data == _READABLE), None)
         if key is None:
             return []
+        gevent.sleep(_TURN_S)
         while True:
             try:
                 key.fileobj.recv(1, socket.MSG_PEEK)  # type: ignore[union-attr]
@@ -59,5 +68,6 @@
 
 
 _selectors = SimpleNamespace(DefaultSelector=_SocketSelector, EVENT_READ=selectors.EVENT_READ)
+_connection.Connection.recv_bufsize = _READ_BYTES
 _connection.selectors = _selectors  # type: ignore[attr-defined, assignment]
 _server.selectors = _selectors  # type: ignore[attr-defined, assignment]
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -366,6 +366,7 @@
             port,
             compression=None,
             max_size=FRAME_LIMIT_BYTES,
+            open_timeout=_HELLO_TIMEOUT_S,
             ping_interval=None,
             close_timeout=CLOSE_TIMEOUT_S,
         )
