Test: answers that announce more than fits into memory

A report with a length of 2**50 raised MemoryError, which is no HTTPError and ended the task that places on that engine: it was never used again.

--- a/tests/test_strict_http.py
+++ b/tests/test_strict_http.py
@@ -83,6 +83,26 @@
         get(replica)
 
 
+@pytest.mark.parametrize("size", [2**33, 2**50, 2**63])
+@pytest.mark.parametrize(
+    "head",
+    [
+        "HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{size:x}\r\n",
+    ],
+    ids=["length", "chunk"],
+)
+def test_an_answer_that_announces_more_than_fits_into_memory_is_too_large(
+    head: str, size: int
+) -> None:
+    data = head.format(size=size).encode()
+    with (
+        ScriptedReplica(_answering(data)) as replica,
+        pytest.raises(urllib3.exceptions.HTTPError, match=f"{size} bytes, of which"),
+    ):
+        get(replica)
+
+
 def test_the_error_names_the_bound_in_time() -> None:
     with (
         ScriptedReplica(endless(CHUNKED, b"1\r\n \r\n", 0.02)) as replica,
