--- a/bench/soak/mechanisms.py
+++ b/bench/soak/mechanisms.py
@@ -236,7 +236,7 @@
 
     def _begin_step(self: Any, deadline: Any, max_bytes: int) -> None:
         self.step_bytes = 0
-        self.timeout_s = max(0.001, deadline.left_s)
+        self.timeout_s = None if deadline is None else max(0.001, deadline.left_s)
 
     def _readinto(self: Any, buffer: Any) -> int:
         self._socket.settimeout(self.timeout_s)
