Links take turns by the same rule as all readers

The selector now pauses only after 2 ms in which it found bytes at each wait, as BoundedReader does. Not measured again; the tests of links with frames, pings and heads without end pass.

--- a/springrock/gevent_websockets.py
+++ b/springrock/gevent_websockets.py
@@ -14,12 +14,14 @@
 from types import SimpleNamespace
 from typing import Any
 
-import gevent
 from websockets.sync import connection as _connection
 from websockets.sync import server as _server
 
-_TURN_S = 1e-6
-"""Any time above 0 lets the loop look for timers and sockets."""
+from springrock.clock import monotonic
+from springrock.turn import Turn
+
+_WAIT_S = 0.001
+"""A wait that took less found bytes."""
 
 _READ_BYTES = 8_192
 """How much of a link is read between two turns: 64 KB may hold 32,768 frames."""
@@ -33,6 +35,7 @@
 
     def __init__(self) -> None:
         self._keys: list[selectors.SelectorKey] = []
+        self._turn = Turn()
 
     def register(self, fileobj: Any, events: int, data: Any = None) -> None:
         """Register a socket.
@@ -52,7 +55,8 @@
         key = next((key for key in self._keys if key.data == _READABLE), None)
         if key is None:
             return []
-        gevent.sleep(_TURN_S)
+        self._turn.pause_if_over()
+        began_at = monotonic()
         while True:
             try:
                 key.fileobj.recv(1, socket.MSG_PEEK)  # type: ignore[union-attr]
@@ -60,6 +64,8 @@
                 continue
             except OSError:
                 return []
+            if monotonic() - began_at >= _WAIT_S:
+                self._turn.begin()
             return [(key, selectors.EVENT_READ)]
 
     def close(self) -> None:
