Soak: callers see the end of a long answer when it comes

The rest of an answer beyond 1 MB, more than any sound one has, is now read unparsed. The judge and its bound are unchanged.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -264,14 +264,14 @@
     connection.request("POST", attempt.path, body=BODY, headers=_headers_of(attempt, left_s))
     sock = connection.sock
     try:
-        _receive(attempt, connection)
+        _receive(attempt, connection, sock)
     except TimeoutError:
         attempt.ended_at = monotonic()
         attempt.settled_at = _settled_at(attempt, sock)
         raise
 
 
-def _receive(attempt: Attempt, connection: http.client.HTTPConnection) -> None:
+def _receive(attempt: Attempt, connection: http.client.HTTPConnection, sock: socket.socket) -> None:
     response = connection.getresponse()
     attempt.status = response.status
     attempt.seal = response.getheader("Springrock-Response-Seal", "")
@@ -282,17 +282,32 @@
     attempt.retry_after_s = None if retry_after is None else float(retry_after)
     attempt.framing = _framing_of(response)
     while block := response.read1(_READ_BYTES):
-        if len(attempt.body) < _MAX_KEPT_BYTES:
-            attempt.body += block
+        attempt.body += block
         if attempt.leaves_after and len(event_ids(attempt.body)) >= attempt.leaves_after:
             attempt.error = LEFT
             return
+        if len(attempt.body) >= _MAX_KEPT_BYTES:
+            attempt.is_complete = _skip_rest(attempt, sock)
+            return
         if monotonic() > attempt.deadline_at + LATE_S:
             raise TimeoutError("the answer goes on after its deadline")
     attempt.is_complete = attempt.framing is Framing.CHUNKS or response.length == 0
     response.close()
 
 
+def _skip_rest(attempt: Attempt, sock: socket.socket) -> bool:
+    """Read an answer that is longer than any sound one; return whether it has a last chunk.
+
+    It is not parsed, as many callers that parse long answers lag behind what their boxes send.
+    """
+    while (left_s := attempt.deadline_at + LATE_S - monotonic()) > 0:
+        sock.settimeout(left_s)
+        data = sock.recv(_MAX_KEPT_BYTES)
+        if not data or data.endswith(_LAST_CHUNK):
+            return bool(data)
+    raise TimeoutError("the answer goes on after its deadline")
+
+
 def _settled_at(attempt: Attempt, sock: socket.socket) -> float:
     """Return when an answer began or, if it had, its connection ended; infinite if it did not."""
     while (left_s := attempt.deadline_at + LATE_S - monotonic()) > 0:
--- a/tests/soak/test_endless.py
+++ b/tests/soak/test_endless.py
@@ -216,3 +216,12 @@
 def test_an_attempt_settles_as_it_ends() -> None:
     made = attempt_at(HEAD, b"text", pause_s=0.0, closes=True)
     assert made.settled_at == made.ended_at
+
+
+@pytest.mark.parametrize("end", [b"", b"0\r\n\r\n"])
+def test_the_end_of_an_answer_that_is_longer_than_any_sound_one_is_seen(end: bytes) -> None:
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunk = b"%x\r\n%s\r\n" % (2**16, bytes(2**16))
+    made = attempt_at(head, *[chunk] * 40, end, pause_s=0.001, closes=True)
+    assert (made.error, made.is_complete) == ("", bool(end))
+    assert made.settled_at == made.ended_at
