--- a/tests/soak/test_endless.py
+++ b/tests/soak/test_endless.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from bench.soak.callers import LATE_S, attempt_once
+from bench.soak.callers import BODY, LATE_S, attempt_once
 from bench.soak.faults.endless import EndlessAnswers
 from bench.soak.judges.endless import ANSWER_WITHIN_S, MAX_MEMORY_MB, TARGET_S
 from bench.soak.judges.service import RECOVERY_S
@@ -173,7 +173,9 @@
     def _answer(listener: socket.socket) -> None:
         connection, _ = listener.accept()
         with connection, contextlib.suppress(BrokenPipeError):
-            connection.recv(65_536)
+            request = b""
+            while not request.endswith(BODY):
+                request += connection.recv(65_536)
             for block in blocks:
                 time.sleep(pause_s)
                 connection.sendall(block)
