A client that accepts nothing of a long answer holds no place at its replica after the deadline

What callers saw: replicas counted as busy, and one connection to each stayed open, for as long as a client of a long answer accepted a byte every 20 s; other requests went elsewhere or waited.

Cause: the rest of a long answer is read as the client accepts it, and the deadline was looked at by reads alone. A run that waits for its client never reads.

Why it works: at the deadline a run that waits for its client ends its attempt and closes the connection; the client gets no more than what it is being sent, and the answer is cut. One that has arrived whole by then is still sent to its end. No evidence on the replica is recorded.

--- a/springrock/forwarding/plain_run.py
+++ b/springrock/forwarding/plain_run.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Iterator
+from typing import Any
+
+import gevent
 
 from springrock.clock import Deadline, monotonic
 from springrock.errors import AnswerCut
@@ -19,6 +23,8 @@
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
 from springrock.forwarding.sending import Sender
 
+_RELEASE_PAUSE_S = 0.1
+
 
 class PlainRun:
     """One run of a request with a plain answer at one replica.
@@ -51,6 +57,8 @@
         self._answer: Answer | None = None
         self._kept = b""
         self._sent_bytes = 0
+        self._sending = False
+        self._release: gevent.Greenlet[..., Any] | None = None
         self._closed = False
 
     def open(self) -> Reply:
@@ -92,13 +100,17 @@
             AnswerCut: If it broke off, or was not complete by the deadline.
         """
         assert self._answer is not None
+        # A client that accepts nothing must not hold a place at the replica.
+        self._release = gevent.spawn_later(max(0.0, self._progress.left_s), self._release_late)
         began_at = monotonic()
         client_s = 0.0
         data = self._kept
         self._kept = b""
         while data:
             sending_at = monotonic()
+            self._sending = True
             yield data
+            self._sending = False
             client_s += monotonic() - sending_at
             self._sent_bytes += len(data)
             data = self._read(self._answer, waited_for_client=2 * client_s > _since(began_at))
@@ -111,16 +123,30 @@
         if self._closed:
             return
         self._closed = True
+        if self._release is not None:
+            self._release.kill(block=False)
         if self._answer is not None:
             self._answer.close()
         self._sender.finish_attempt(self._chosen, self._attempt)
 
+    def _release_late(self) -> None:
+        """Finish the attempt after the deadline, once the client is waited for."""
+        while not self._sending:
+            gevent.sleep(_RELEASE_PAUSE_S)
+        assert self._answer is not None
+        with contextlib.suppress(OutcomeUnknown):
+            # The client may still accept the last part of an answer that has arrived whole.
+            self._answer.read(timeout_s=0.0)
+        self.close()
+
     def _read(self, answer: Answer, *, waited_for_client: bool) -> bytes:
         """Return the next bytes of the answer; record a break.
 
         Raises:
             AnswerCut: If it broke off, or was not complete by the deadline.
         """
+        if self._closed and not answer.complete:
+            raise AnswerCut("not complete by the deadline, as the client accepted too little")
         waiting_since = monotonic()
         try:
             return answer.read(timeout_s=self._progress.left_s)
--- a/tests/forwarding/test_plain_run.py
+++ b/tests/forwarding/test_plain_run.py
@@ -151,3 +151,35 @@
                 read_all(reply)
             assert progress.attempts[0].outcome is AttemptOutcome.BROKEN
     assert runs.replica.health.resting
+
+
+def test_a_client_that_accepts_nothing_does_not_hold_a_place_at_the_replica_for_ever() -> None:
+    with ScriptedReplica(long_answer(sent_bytes=LONG_BYTES)) as scripted:
+        runs = Runs(scripted.address)
+        _, reply = runs.open(deadline_s=0.5)
+        parts = iter(reply.body)
+        assert next(parts)
+        assert runs.replica.running == 1
+        gevent.sleep(1.0)
+        assert runs.replica.running == 0
+        with pytest.raises(AnswerCut):
+            next(parts)
+    assert runs.replica.health.failure_rate == 0.0
+
+
+def test_the_last_part_of_a_long_answer_may_be_accepted_after_the_deadline() -> None:
+    def _send(connection: socket.socket) -> None:
+        read_request(connection)
+        connection.sendall(SUCCESS + b"Content-Length: %d\r\n\r\n" % BEGINNING_BYTES)
+        connection.sendall(b"x" * BEGINNING_BYTES)
+
+    with ScriptedReplica(_send) as scripted:
+        runs = Runs(scripted.address)
+        _, reply = runs.open(deadline_s=0.5)
+        size = 0
+        for data in reply.body:
+            size += len(data)
+            if size == BEGINNING_BYTES:
+                gevent.sleep(1.0)
+    assert size == BEGINNING_BYTES
+    assert runs.replica.running == 0
