Lengths in a prompt's header with other digits are malformed; large surplus answers are discarded

A caller whose header of prompt parts held a digit that is no ASCII one, or thousands of digits, ended its request with a fault of the box, which counts against its readiness; the header is ignored now, as any malformed one. A surplus answer of over 1 MB cost the answer behind it; it may have 64 MB, and nothing of it is kept.

--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -32,7 +32,7 @@
 _MAX_FRAMING_BYTES = 65_536
 """The sizes of chunks and the trailers, for each part of a body."""
 
-_MAX_DISCARDED_BYTES = 1_048_576
+_MAX_DISCARDED_BYTES = 67_108_864
 
 _IDLE_MARGIN_S = 0.7
 """An idle connection is not reused this shortly before the replica may close it."""
--- a/springrock/platform/dialect.py
+++ b/springrock/platform/dialect.py
@@ -49,8 +49,8 @@
 _MAX_TOKENS = 1_000_000_000
 """Exceeds any real prompt or answer; a larger count is rejected as malformed."""
 
-_MAX_VERSION_DIGITS = 18
-"""A version with more digits is rejected as malformed."""
+_MAX_DIGITS = 18
+"""A version or a length with more digits is malformed."""
 
 _MISDIRECTED = 421
 _NOT_EXECUTED_STATUSES = frozenset({400, 408, 429, 503})
@@ -154,7 +154,7 @@
         stated = head.headers.get(names.CONFIGURATION) or ""
         kept = head.headers.without((names.PASSED_ON, names.CONFIGURATION))
         return PassedOnReply(
-            handling, int(stated) if _is_version(stated) else 0, head._replace(headers=kept)
+            handling, int(stated) if _is_whole_number(stated) else 0, head._replace(headers=kept)
         )
 
     def reply_to_passed_on(
@@ -207,13 +207,13 @@
     return Headers((Header("Host", host), *restored)), required
 
 
-def _is_version(text: str) -> bool:
-    return text.isascii() and text.isdigit() and len(text) <= _MAX_VERSION_DIGITS
+def _is_whole_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
 
 
 def _parse_version(text: str) -> int:
-    if not _is_version(text):
-        raise BadRequest(f"{text[:_MAX_VERSION_DIGITS]!r} is not a version")
+    if not _is_whole_number(text):
+        raise BadRequest(f"{text[:_MAX_DIGITS]!r} is not a version")
     return int(text)
 
 
@@ -251,7 +251,7 @@
     parts = []
     for text in value.split(","):
         part_id, _, tokens = text.strip().partition(":")
-        if not tokens.isdigit():
+        if not _is_whole_number(tokens):
             return ()
         parts.append(PromptPart(_canonical_id(part_id), int(tokens)))
     return tuple(parts)
