--- a/springrock/turn.py
+++ b/springrock/turn.py
@@ -6,7 +6,7 @@
 
 from springrock.clock import monotonic
 
-_TURN_S = 0.002
+_TURN_S = 0.005
 _PAUSE_S = 0.001
 """A pause of 0 would resume the task before the event loop looks at its sockets and timers."""
 
