--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -43,6 +44,8 @@
         self.started_at = time.monotonic()
         self._record = (case / "record.txt").open("w")
         self._version = 0
+        self.max_fds = 0
+        """The descriptors that the platform gives to each box; 0 for the machine's own limit."""
 
     def note(self, text: str) -> None:
         """Write a line to the record, with the seconds since the start."""
@@ -61,13 +64,19 @@
 
     # Processes.
 
-    def _spawn(self, name: str, words: list[str], variables: dict[str, str]) -> None:
+    def spawn(
+        self, name: str, words: list[str], variables: dict[str, str], *, max_fds: int = 0
+    ) -> None:
+        def _limit() -> None:
+            if max_fds:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (max_fds, max_fds))
+
         kept = ("PATH", "HOME", "JAVA_HOME", "LANG")
         environment = {key: os.environ[key] for key in kept if key in os.environ}
         environment |= {"PYTHONPATH": str(ROOT / "target" / "deps"), **variables}
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                words, cwd=ROOT, env=environment, stdout=log, stderr=log
+                words, cwd=ROOT, env=environment, stdout=log, stderr=log, preexec_fn=_limit
             )
 
     def standin(self, name: str, kind: str, **settings: Any) -> None:
@@ -75,7 +84,7 @@
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.addresses[name] = settings["address"]
-        self._spawn(name, ["python3", "-m", "springrock", "standin", kind, str(path)], {})
+        self.spawn(name, ["python3", "-m", "springrock", "standin", kind, str(path)], {})
         self.note(f"started the stand-in {name}")
 
     def store(self) -> None:
@@ -142,7 +151,7 @@
     def start_box(self, name: str, path: Path) -> None:
         """Start a box with a settings file."""
         command = ["python3", "-m", "springrock", "entry"]
-        self._spawn(name, command, {"SPRINGROCK_BOOT": str(path)})
+        self.spawn(name, command, {"SPRINGROCK_BOOT": str(path)}, max_fds=self.max_fds)
         self.note(f"started the box {name}")
 
     # The operator and the platform.
