--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import re
 import socket
 import sys
@@ -12,7 +11,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from common2.deployment import HOST, CannotRun, Deployment, route  # noqa: E402
+from common2.deployment import HOST, Deployment, route, run_case  # noqa: E402
 
 ZONE = "zone-a"
 BOXES = ("box-1", "box-2")
@@ -111,16 +110,5 @@
     return 1 if changed else 0
 
 
-def main() -> int:
-    world = Deployment(HERE)
-    try:
-        return play(world, trouble=os.environ.get("TROUBLE", "1") != "0")
-    except CannotRun as error:
-        world.note(f"could not run: {error}")
-        return 2
-    finally:
-        world.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, play))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http.client
-import os
 import signal
 import sys
 import threading
@@ -13,7 +12,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from common2.deployment import HOST, CannotRun, Deployment, route  # noqa: E402
+from common2.deployment import HOST, Deployment, route, run_case  # noqa: E402
 
 ZONE = "zone-a"
 ENGINES = (1, 2, 3, 4)
@@ -185,16 +184,5 @@
     return 1 if lost else 0
 
 
-def main() -> int:
-    world = Deployment(HERE)
-    try:
-        return play(world, trouble=os.environ.get("TROUBLE", "1") != "0")
-    except CannotRun as error:
-        world.note(f"could not run: {error}")
-        return 2
-    finally:
-        world.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(HERE, play))
--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -13,12 +13,17 @@
 import subprocess
 import tempfile
 import time
+import traceback
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "orders.example"
 
+LIMIT_S = 115
+"""A case that takes longer could not run."""
+
 
 class CannotRun(Exception):
     """The case could not run."""
@@ -234,3 +239,23 @@
         "service": service,
         **fields,
     }
+
+
+def run_case(case: Path, play: Callable[..., int]) -> int:
+    """Play a case; return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+
+    def _stop(number: int, frame: object) -> None:
+        raise CannotRun(f"ended by signal {number}")
+
+    signal.signal(signal.SIGALRM, _stop)
+    signal.signal(signal.SIGTERM, _stop)
+    signal.alarm(LIMIT_S)
+    world = Deployment(case)
+    try:
+        return play(world, trouble=os.environ.get("TROUBLE", "1") != "0")
+    except Exception:
+        world.note(f"could not run: {traceback.format_exc()}")
+        return 2
+    finally:
+        signal.alarm(0)
+        world.close()
