A body is held to one limit, and is forwarded whole or not at all

Cause: ForwardingDoor read up to one byte more than the limit in force when the body began to come, and compared the length with the limit in force at its end. The length was the only sign that the body was not whole. Ruled out: the connection to the replica and the framing of chunks; the record of the case shows the same request whole whenever the configuration arrives before its head.

Change: RequestBody is given its longest length when it is made, and raises; it returns whole bodies only.

--- a/springrock/errors.py
+++ b/springrock/errors.py
@@ -181,7 +181,7 @@
     """The caller ended its connection within the head."""
     BODY_TIME = "body_time"
     BODY_BYTES = "body_bytes"
-    """The body, with the framing of its chunks."""
+    """The body, or the body with the framing of its chunks."""
     FRAMING_BYTES = "framing_bytes"
     """The framing of chunks, compared to their content."""
     TRAILER_BYTES = "trailer_bytes"
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -138,7 +138,7 @@
 
     def _read_and_reply(self, open_request: _OpenRequest, request_body: RequestBody) -> Reply:
         try:
-            body = request_body.read(self._limits().body_bytes + 1)
+            body = request_body.read()
         except RequestNotRead as error:
             self._log_unread(error, request=self.request_id_of(open_request))
             return own_reply(error.status, _REASON_BY_BOUND[error.bound])
@@ -165,8 +165,6 @@
     def _reply(self, open_request: _OpenRequest, body: bytes) -> Reply:
         if self.refusing:
             return own_reply(503, "stopping", retry_after_s=0.0)
-        if len(body) > self._limits().body_bytes:
-            return own_reply(413, "body_too_large")
         try:
             request = open_request.parse(self._dialect, body)
         except BadRequest as error:
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -154,12 +154,13 @@
 
     def _wait_for_request(self) -> bool:
         """Return whether a request begins before the connection has rested for too long."""
-        self._limits = self._server.read_limits()
-        self._reader.begin_wait(self._limits)
+        self._reader.begin_wait(self._server.read_limits())
         try:
             begun = bool(self.rfile.peek(1))
         except OSError:
             return False
+        # The limits may have changed while the connection rested.
+        self._limits = self._server.read_limits()
         self._reader.begin_head(self._limits)
         return begun
 
@@ -199,6 +200,7 @@
             self._reader,
             length=self.content_length,
             chunked=environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked",
+            max_bytes=self._limits.body_bytes,
             max_trailer_bytes=self._limits.head_bytes,
             invite=self._send_continue if expects else None,
         )
--- a/springrock/request_body.py
+++ b/springrock/request_body.py
@@ -24,6 +24,7 @@
         reader: Reads from the connection, with bounds.
         length: The stated length; None if none is stated, so that there is no body.
         chunked: Whether the body is in chunks, of whatever length.
+        max_bytes: The longest body. It holds for the whole of the body, whatever changes meanwhile.
         max_trailer_bytes: The longest trailers.
         invite: Asks the caller for the body before the first read; None if it need not be asked.
     """
@@ -35,6 +36,7 @@
         *,
         length: int | None,
         chunked: bool,
+        max_bytes: int,
         max_trailer_bytes: int,
         invite: Callable[[], None] | None,
     ) -> None:
@@ -45,6 +47,8 @@
         self._left = 0 if chunked else length or 0
         self._spare_framing_bytes = FRAMING_BYTES
         self._ended = not chunked and not self._left
+        self._max_bytes = max_bytes
+        self._chunks_bytes = 0
         self._max_trailer_bytes = max_trailer_bytes
         self._invite = invite
         self._abandoned = False
@@ -67,6 +71,8 @@
         """
         if self._ended or size == 0:
             return b""
+        if not self._chunked and self._left > self._max_bytes:
+            raise self._over(ReadBound.BODY_BYTES)
         if self._invite is not None:
             invite, self._invite = self._invite, None
             invite()
@@ -125,6 +131,9 @@
         if stated is None:
             raise self._malformed()
         self._left = int(stated[1], 16)
+        self._chunks_bytes += self._left
+        if self._chunks_bytes > self._max_bytes:
+            raise self._over(ReadBound.BODY_BYTES)
         self._spare_framing_bytes -= len(line)
         if self._spare_framing_bytes < 0:
             raise self._over(ReadBound.FRAMING_BYTES)
