A planned stop answers the requests that wait in the box

Cause: a wait for a grant ended by the grant or by the client's patience; the stop was known to the door alone, which left open requests to the end of the process. Ruled out: the handover of the placer's role (with the wait bounded and the handover as it was, the case holds).

DemandBook ends waits in time for a run, and at once where the forecast lies after the stop. The refusal is 503 `stopping` with Retry-After 0, and the request has not run.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -28,6 +28,7 @@
 from springrock.forwarding.pages import MetricsPage, ReadinessPage
 from springrock.forwarding.passed_on import PassedOnRequests
 from springrock.forwarding.passing_on import PassingOn
+from springrock.forwarding.planned_stop import PlannedStop
 from springrock.forwarding.reach_probe import ReachProbe
 from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
 from springrock.forwarding.sending import Sender
@@ -111,6 +112,7 @@
         self.stopped = Event()
         self._stopping = False
         self._log = self._log_of("box")
+        self._planned_stop = PlannedStop()
         self._loop_watch = LoopWatch(
             self._log_of("loop"), observe=self.metrics.loop_late_seconds.observe
         )
@@ -195,7 +197,8 @@
         self._door.closing = True
         deadline = Deadline(self.settings.stop.within_s - _END_MARGIN_S)
         self._log.info("Planned stop begins.", open_requests=self._door.open_requests)
-        self._placement.hand_over()
+        self._planned_stop.begin(ends_at=deadline.at)
+        self._placement.begin_stop(ends_at=deadline.at)
         gevent.sleep(self.settings.stop.notice_s)
         self._door.refusing = True
         while not deadline.passed and not self._wait_idle():
@@ -411,6 +414,7 @@
                 progress.admission, progress.request.key_digest
             ),
             quarantine=self._quarantine.book,
+            stop=self._planned_stop,
         )
         log = self._log_of("forwarder")
         limits = settings.answers.limits
--- a/springrock/forwarding/adapters.py
+++ b/springrock/forwarding/adapters.py
@@ -19,12 +19,15 @@
         until: When the client gives up, on the local monotonic clock.
         retry_within_s: The longest delay after which the client retries if it is asked to; 0 if
             no retry is expected.
+        run_s: Seconds that the request needs after the wait. A box that is being stopped does not
+            let it wait longer than that leaves time for.
     """
 
     worth: float
     target_at: float
     until: float
     retry_within_s: float
+    run_s: float = 0.0
 
 
 class AdapterRequest(NamedTuple):
--- a/springrock/placement/demand.py
+++ b/springrock/placement/demand.py
@@ -165,6 +165,7 @@
         self.origin_questions = OriginQuestions(on_update=lambda: self._mark_changed(urgent=True))
         self._begun: dict[Origin, list[str]] = {}
         self.stopping = False
+        self._ends_at = math.inf
         self.changed = Event()
         self.urgent = Event()
 
@@ -195,6 +196,18 @@
             if requester.number not in self._uses:
                 self._end_ask(requester.number)
 
+    def begin_stop(self, *, ends_at: float) -> None:
+        """Let no request wait longer than it can and still end before this box does.
+
+        Args:
+            ends_at: When this box ends, on the local monotonic clock.
+        """
+        self.stopping = True
+        self._ends_at = ends_at
+        for requester in self._requesters.values():
+            requester.changed.set()
+        self._mark_changed()
+
     def use(self, instance: str, key: AdapterKey) -> EngineUse:
         """Start a use of an engine that no placer granted."""
         number = next(self._numbers)
@@ -241,6 +254,8 @@
         """Raise if a request should not wait for its grant any longer."""
         now = monotonic()
         terms = requester.adapter_request.terms
+        if now >= self._ends_at - terms.run_s:
+            raise NoReplica("stopping", 0.0)
         if now >= terms.until:
             raise NoReplica("adapter_not_in_time", _DEFAULT_RETRY_S)
         if requester.elsewhere:
@@ -250,8 +265,11 @@
             if now - requester.began_at >= _PLACER_TIMEOUT_S or not self._has_placer():
                 raise PlacerSilent()
             return
-        if max(ready_at, now) + _FIRST_EVENT_DELAY_S > terms.until:
+        starts_at = max(ready_at, now)
+        if starts_at + _FIRST_EVENT_DELAY_S > terms.until:
             self._reject(requester.adapter_request, max(0.0, ready_at - now))
+        if starts_at > self._ends_at - terms.run_s:
+            raise NoReplica("stopping", 0.0)
 
     def _reject(self, adapter_request: AdapterRequest, ready_in_s: float) -> NoReturn:
         """Raise `NoReplica` for a request whose adapter is not ready before its deadline.
@@ -273,6 +291,7 @@
     def _next_check_s(self, requester: _Requester) -> float:
         now = monotonic()
         check_times = [
+            self._ends_at - requester.adapter_request.terms.run_s,
             requester.adapter_request.terms.until,
             requester.adapter_request.terms.until - _FIRST_EVENT_DELAY_S,
         ]
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -202,11 +202,16 @@
         self._limits.on_limit_report.append(self._notify_limit)
         self._brittle.words.on_limit_report.append(self._notify_brittle)
 
-    def hand_over(self) -> None:
-        """Hand this box's placer roles over to other boxes, before it stops."""
+    def begin_stop(self, *, ends_at: float) -> None:
+        """Hand this box's placer roles over to other boxes, before it stops.
+
+        Args:
+            ends_at: When this box ends, on the local monotonic clock. No request waits here for
+                longer than it can and still end before that.
+        """
         self._stopping = True
         for zone in self._zones.values():
-            zone.hand_over()
+            zone.begin_stop(ends_at=ends_at)
 
     def stop(self) -> None:
         """Stop all tasks and links."""
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -208,10 +208,9 @@
         """Start taking part in the election."""
         self._tasks.append(gevent.spawn(self._election.run))
 
-    def hand_over(self) -> None:
+    def begin_stop(self, *, ends_at: float) -> None:
         """Hand the placer role over to another box before this one stops."""
-        self.demand.stopping = True
-        self.demand.changed.set()
+        self.demand.begin_stop(ends_at=ends_at)
         self._election.stop()
 
     def stop(self) -> None:
--- a/tests/placement/test_demand.py
+++ b/tests/placement/test_demand.py
@@ -207,3 +207,43 @@
     task.get(timeout=10).end(UseOutcome.FULL, backoff_s=2.0005)
     [ended] = decode(encode(book.drain_updates())).ended
     assert (ended.outcome, ended.backoff_ms) == (Outcome.FULL, 2001)
+
+
+def stopping_within(book: DemandBook, seconds: float) -> None:
+    book.begin_stop(ends_at=monotonic() + seconds)
+
+
+@pytest.mark.parametrize("known", [False, True], ids=["without a forecast", "with a forecast"])
+def test_a_request_waits_no_longer_than_it_can_and_still_end_before_the_box(known: bool) -> None:
+    """Guards against waits that only the client's patience bounds."""
+    book = make_book()
+    terms = adapter_request().terms._replace(run_s=1.0)
+    task = start_request(book, adapter_request()._replace(terms=terms))
+    if known:
+        book.record_forecast(KEY, 0.1)
+    began_at = monotonic()
+    stopping_within(book, 1.2)
+    with pytest.raises(NoReplica) as raised:
+        task.get(timeout=5)
+    assert (raised.value.reason, raised.value.retry_after_s) == ("stopping", 0.0)
+    assert 0.1 < monotonic() - began_at < 0.6
+    assert book.drain_updates().asks == []
+
+
+def test_a_request_whose_adapter_comes_after_the_stop_is_refused_at_once() -> None:
+    book = make_book()
+    task = start_request(book, adapter_request())
+    book.record_forecast(KEY, 4.0)
+    began_at = monotonic()
+    stopping_within(book, 2.0)
+    with pytest.raises(NoReplica, match="stopping"):
+        task.get(timeout=5)
+    assert monotonic() - began_at < 0.2
+
+
+def test_a_request_that_can_end_before_the_stop_waits_for_its_grant() -> None:
+    book = make_book()
+    task = start_request(book, adapter_request())
+    stopping_within(book, 2.0)
+    book.record_grant(book.drain_updates().asks[0].number, "i-1")
+    assert task.get(timeout=1).instance == "i-1"
