A stopping box passes on no call that would end after it

What callers saw, in a report from another system: calls that came late in a planned stop were passed on and cut without an answer at its end, among them calls that may not be repeated (LOST). It happens here as well.

Cause: nothing compared the time that a run takes with the time that the box has left.

Change: RunTimes learns the durations of each route's runs, PlannedStop keeps that long for one, at most up to its deadline and at least 1 s. The refusal is 503 `stopping`; the request has not run.

Evidence: test_a_call_that_cannot_end_before_the_box_stops_is_refused_and_not_run, before: run once, no answer; now 503 and not run. Calls that can end are served as before (same file).

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -31,6 +31,7 @@
 from springrock.forwarding.planned_stop import PlannedStop
 from springrock.forwarding.reach_probe import ReachProbe
 from springrock.forwarding.retry_limits import OwnRetryLimits, RetryTerms
+from springrock.forwarding.run_times import RunTimes
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.software_history import SoftwareHistory
 from springrock.forwarding.stream_origins import OriginBook, StreamOrigins
@@ -112,7 +113,8 @@
         self.stopped = Event()
         self._stopping = False
         self._log = self._log_of("box")
-        self._planned_stop = PlannedStop()
+        self._run_times = RunTimes()
+        self._planned_stop = PlannedStop(self._run_times)
         self._loop_watch = LoopWatch(
             self._log_of("loop"), observe=self.metrics.loop_late_seconds.observe
         )
@@ -423,6 +425,7 @@
             adapters=self._placement,
             warmup=self._warmup,
             may_send=chooser.may_send,
+            run_times=self._run_times,
             byte_counters=CrossZoneBytes(self.metrics, self._topology),
             log=log,
             crash_detector=self._quarantine.crash_detector,
--- a/springrock/forwarding/choosing.py
+++ b/springrock/forwarding/choosing.py
@@ -16,8 +16,9 @@
 from springrock.forwarding.eligibility import ANYWHERE, METERED, Obstacle
 from springrock.forwarding.errors import NoReplica, Quarantined
 from springrock.forwarding.message import AdapterKey
-from springrock.forwarding.planned_stop import LEAST_RUN_S, PlannedStop
+from springrock.forwarding.planned_stop import PlannedStop
 from springrock.forwarding.request_progress import RequestProgress
+from springrock.forwarding.run_times import RunTimes
 from springrock.forwarding.suspects import Suspects
 from springrock.permits.choice import PermitRequester, Pick, pick
 from springrock.permits.terms import MIN_PERMIT_LEFT_S
@@ -149,7 +150,7 @@
         quarantine: Quarantine = NO_QUARANTINE,
         stop: PlannedStop | None = None,
     ) -> None:
-        self._stop = stop or PlannedStop()
+        self._stop = stop or PlannedStop(RunTimes())
         self._check_key = check_key
         self._quarantine = quarantine
         self._configuration = configuration
@@ -184,7 +185,7 @@
             Quarantined: If the request crashes the replicas that run it.
         """
         self._check_quarantine(progress)
-        self._check_stop(progress)
+        self._stop.check(progress)
         if progress.left_s < MIN_SEND_TIME_S:
             raise NoReplica("out_of_time", RETRY_AFTER_S)
         if not progress.may_run_again:
@@ -209,7 +210,7 @@
 
         Checked right before sending, as the wait for a connection may have taken long.
         """
-        if self.is_quarantined(progress) or not self._may_end(progress):
+        if self.is_quarantined(progress) or not self._stop.leaves_time_for(progress):
             return False
         return self._obstacle(progress, chosen) is None
 
@@ -224,7 +225,7 @@
         if obstacle is not None:
             raise NoReplica(obstacle, RETRY_AFTER_S)
         self._check_quarantine(progress)
-        self._check_stop(progress)
+        self._stop.check(progress)
         if not progress.resuming:
             self._check_key(progress)
         if progress.arrivals and not self._may_retry(progress):
@@ -242,14 +243,6 @@
         if progress.runs and not self._quarantine.may_be_retried(progress.suspects):
             raise NoReplica("crashes_suspected", RETRY_AFTER_S)
 
-    def _check_stop(self, progress: RequestProgress) -> None:
-        """Raise if the box ends before the request would; a stream that has begun goes on."""
-        if not progress.resuming:
-            self._stop.check(run_s=LEAST_RUN_S)
-
-    def _may_end(self, progress: RequestProgress) -> bool:
-        return progress.resuming or self._stop.leaves_time_for(LEAST_RUN_S)
-
     def _find(self, progress: RequestProgress, *, until: float) -> ChosenReplica:
         key = progress.request.adapter_key
         self._check_bounds(progress)
@@ -442,7 +435,7 @@
             target_at=progress.target_at,
             until=until,
             retry_within_s=0.0 if is_last_try else progress.left_s * _MAX_RETRY_WAIT_FRACTION,
-            run_s=LEAST_RUN_S,
+            run_s=self._stop.run_s_of(progress),
         )
 
     def _has_engines(self, service: str) -> bool:
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -26,6 +26,7 @@
 from springrock.forwarding.message import AnswerHead
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.request_progress import Attempt, AttemptOutcome, RequestProgress
+from springrock.forwarding.run_times import RunTimes
 from springrock.log import Log
 from springrock.permits.messages import PermitStage
 from springrock.permits.warmup import WarmupTracker
@@ -73,6 +74,7 @@
         crash_detector: Receives the outcomes that show whether a request crashes replicas.
         notices: Receives what the heads of answers say about their replicas.
         reach: Receives what shows whether this box reaches replicas of a service at all.
+        run_times: Receives how long whole runs took.
         is_brittle: Whether a replica may fall over for the requests that it turns away.
         record_use: Called with a replica, the client's id of a request and what became of it.
         count_attempt: Called with the outcome of each attempt.
@@ -90,6 +92,7 @@
         crash_detector: CrashDetector,
         notices: ReplicaNotices,
         reach: BoxReach,
+        run_times: RunTimes | None = None,
         is_brittle: Callable[[ReplicaRecord], bool] = lambda record: False,
         record_use: RecordUse = lambda record, request, stage: None,
         count_attempt: Callable[[AttemptOutcome], None] = lambda outcome: None,
@@ -103,6 +106,7 @@
         self._crash_detector = crash_detector
         self._notices = notices
         self._reach = reach
+        self._run_times = run_times or RunTimes()
         self._is_brittle = is_brittle
         self._record_use = record_use
         self._count_attempt = count_attempt
@@ -233,6 +237,9 @@
 
     def record_completion(self, progress: RequestProgress, head: AnswerHead) -> None:
         """Record that a replica completed the request without crashing."""
+        if head.succeeded:
+            run_s = progress.age_s - progress.attempts[-1].began_s
+            self._run_times.record(progress.route.name, run_s)
         self._crash_detector.record_completion(progress.suspects.whole)
         self.record_writing(progress, head)
 
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from springrock.clock import monotonic
 from tests.processes import wait_until
 from tests.routed.deployment import ROUTES, Deployment, route
 
@@ -112,6 +113,22 @@
     assert deployment.processes["box-1"].wait(timeout=STOP_WITHIN_S) == 0
 
 
+def test_a_call_that_cannot_end_before_the_box_stops_is_refused_and_not_run(
+    deployment: Deployment,
+) -> None:
+    """Guards against a call that is passed on late in a stop and ends without an answer."""
+    first = send(deployment, "box-1", "/report/x", request_id=deployment.new_id())
+    assert first.status == 200
+    deployment.processes.signal("box-1", signal.SIGTERM)
+    signalled_at = monotonic()
+    time.sleep(0.7)
+    request_id = deployment.new_id()
+    ended = send(deployment, "box-1", "/report/x", request_id=request_id)
+    assert (ended.status, deployment.runs(request_id)) == (503, 0)
+    assert monotonic() - signalled_at < STOP_WITHIN_S - 0.5
+    assert send(deployment, "box-2", "/report/x", request_id=deployment.new_id()).status == 200
+
+
 def test_a_call_that_can_end_before_the_box_stops_is_served(deployment: Deployment) -> None:
     deployment.processes.signal("box-1", signal.SIGTERM)
     time.sleep(0.7)
