What all connections hold together is bounded by the machine

What callers saw, in a trial with clients that keep to no limits: a process ran out of memory under many large bodies at once, whole, piece by piece or in chunks, most of which stopped just short of their end and stayed open; the requests of all its other clients ended with it.

Cause: every bound was that of one request. Nothing bounded the sum over connections, of bytes or of descriptors, and a client that stopped short held both until its deadline.

Change: Intake is the sum over all connections, and RequestReader, below all parsers, the one place that adds to it. Its bounds follow from memory and descriptors; the connection that has rested for the longest gives way, a request that was read whole never does. Setting `intake`, reason `too_much_at_once`, metrics. Less memory besides: no block for each wait, no copy of a long body for a replica that reads slowly, 128 KiB at most in the system for a connection that is not read, one buffer for what is dropped.

--- a/springrock/box.py
+++ b/springrock/box.py
@@ -20,6 +20,7 @@
 from springrock.coordination.standalone import Standalone
 from springrock.coordination.steward import Steward
 from springrock.drivers.engine import EngineDriver
+from springrock.intake import Intake
 from springrock.kernel import Part, load_plugins
 from springrock.log import Journal, Log
 from springrock.metrics import Metrics
@@ -57,6 +58,7 @@
         self.journal = Journal()
         self.metrics = Metrics()
         self.open_requests = OpenRequests(self.metrics)
+        self.intake = Intake(settings.intake.limits)
         self.refusing = False
         self.stopping = False
         self.stopped = Event()
--- a/springrock/doors/caller.py
+++ b/springrock/doors/caller.py
@@ -37,7 +37,9 @@
     ReadBound.FRAMING_BYTES: Cause.BODY_TOO_LARGE,
     ReadBound.TRAILER_BYTES: Cause.BODY_TOO_LARGE,
     ReadBound.FRAMING: Cause.MALFORMED_REQUEST,
+    ReadBound.CROWD: Cause.QUEUE_FULL,
 }
+_RETRY_AFTER_CROWD_S = 1
 
 
 @doors.register("caller")
@@ -67,6 +69,7 @@
             read_limits=lambda: self._read_limits,
             on_unread_head=lambda error: self._log_unread(error, request=""),
             deadline_header=wire.DEADLINE_HEADER,
+            intake=host.intake,
         )
 
     def start(self) -> None:
@@ -357,6 +360,8 @@
         refusal = wire.make_refusal(_CAUSE_BY_BOUND[error.bound], str(error))
         self._count(refusal.run_state, refusal.cause)
         headers = {wire.RUN_STATE_HEADER: refusal.run_state, wire.BOX_HEADER: self._host.name}
+        if error.bound is ReadBound.CROWD:
+            headers["Retry-After"] = str(_RETRY_AFTER_CROWD_S)
         body = wire.error_body(refusal, request_id)
         return json_response(body, status=error.status, headers=headers)
 
--- a/springrock/doors/operator.py
+++ b/springrock/doors/operator.py
@@ -17,6 +17,7 @@
 )
 from springrock.hosts import OperatorDoorHost
 from springrock.httpd import HttpServer
+from springrock.intake import Intake, IntakeLimits
 from springrock.language import parse
 from springrock.plugins import doors
 from springrock.request_reader import ReadLimits
@@ -29,6 +30,9 @@
 )
 
 _BODY_LIMIT_BYTES = 65_536
+_INTAKE_LIMITS = IntakeLimits(held_bytes=4 * _BODY_LIMIT_BYTES, connections=64)
+"""Callers of the other doors, however many, must not keep operators out."""
+
 _READ_LIMITS = ReadLimits(head_s=10.0, body_s=10.0, body_bytes=_BODY_LIMIT_BYTES)
 
 
@@ -51,6 +55,7 @@
             host.settings.operator_door.address,
             read_limits=lambda: _READ_LIMITS,
             on_unread_head=self._log_unread,
+            intake=Intake(_INTAKE_LIMITS),
         )
 
     def start(self) -> None:
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -36,6 +36,7 @@
 from springrock.forwarding.software_history import SoftwareHistory
 from springrock.forwarding.stream_origins import OriginBook, StreamOrigins
 from springrock.forwarding.streaming import StreamRelay
+from springrock.intake import Intake
 from springrock.kept_rows import operator_row_retention, own_row_retention, replica_retention
 from springrock.log import Log
 from springrock.loop_watch import LoopWatch
@@ -114,6 +115,11 @@
         self._stopping = False
         self._log = self._log_of("box")
         self._run_times = RunTimes()
+        self._intake = Intake(
+            settings.intake.limits, on_given_way=self.metrics.intake_given_way.inc
+        )
+        self.metrics.intake_bytes.set_function(lambda: float(self._intake.held_bytes))
+        self.metrics.intake_connections.set_function(lambda: float(self._intake.connections))
         self._planned_stop = PlannedStop(self._run_times)
         self._loop_watch = LoopWatch(
             self._log_of("loop"), observe=self.metrics.loop_late_seconds.observe
@@ -212,6 +218,7 @@
         """Apply changed settings; changed addresses take effect only after a restart."""
         self._log.info("Reload.")
         self.settings = settings
+        self._intake.limits = settings.intake.limits
 
     def _wait_idle(self) -> bool:
         """Wait for a short time; return whether no request was open at its start and its end."""
@@ -480,6 +487,7 @@
             limits=lambda: self._routes.configuration.limits,
             log=self._log_of("door"),
             metrics=self.metrics,
+            intake=self._intake,
         )
         self.metrics.open_requests.set_function(lambda: float(self._door.open_requests))
         self._readiness = ReadinessPage(
--- a/springrock/entry_settings.py
+++ b/springrock/entry_settings.py
@@ -12,7 +12,7 @@
 from springrock.forwarding.keys import KeyTerms
 from springrock.permits.terms import SlowStartTerms
 from springrock.quarantine.terms import QuarantineTerms
-from springrock.settings import Section
+from springrock.settings import IntakeSection, Section
 from springrock.topology import Topology
 
 
@@ -279,5 +279,6 @@
     evacuation: EvacuationSection = field(default_factory=EvacuationSection)
     quarantine: QuarantineSection = field(default_factory=QuarantineSection)
     answers: AnswerSection = field(default_factory=AnswerSection)
+    intake: IntakeSection = field(default_factory=IntakeSection)
     start: StartSection = field(default_factory=StartSection)
     stop: StopSection = field(default_factory=StopSection)
--- a/springrock/errors.py
+++ b/springrock/errors.py
@@ -187,6 +187,8 @@
     TRAILER_BYTES = "trailer_bytes"
     FRAMING = "framing"
     """The chunks of the body are malformed."""
+    CROWD = "crowd"
+    """All callers together sent more than the process can hold."""
 
 
 _STATUS_BY_BOUND = {
@@ -198,6 +200,7 @@
     ReadBound.FRAMING_BYTES: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ReadBound.TRAILER_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     ReadBound.FRAMING: HTTPStatus.BAD_REQUEST,
+    ReadBound.CROWD: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -33,6 +33,7 @@
 """The sizes of chunks and the trailers, for each part of a body."""
 
 _MAX_DISCARDED_BYTES = 67_108_864
+_MAX_COPIED_BODY_BYTES = 65_536
 
 _IDLE_MARGIN_S = 0.7
 """An idle connection is not reused this shortly before the replica may close it."""
@@ -171,8 +172,7 @@
         self.sent_bytes = len(head) + len(body)
         self._reader.begin_turn()
         try:
-            self._socket.settimeout(max(0.001, timeout_s))
-            self._socket.sendall(head + body)
+            self._send_all(head, body, deadline=Deadline(timeout_s))
             self._request_sent = True
         except OSError as error:
             # A replica may answer and close before it has read a long body.
@@ -182,6 +182,13 @@
                 raise AnswerSilent("the request was not read within the timeout") from None
             raise AnswerBroken(f"sending failed: {error}") from None
 
+    def _send_all(self, head: bytes, body: bytes, *, deadline: Deadline) -> None:
+        """Send a request in one piece if it is short; a long body is not copied for that."""
+        parts = [head + body] if len(body) <= _MAX_COPIED_BODY_BYTES else [head, body]
+        for part in parts:
+            self._socket.settimeout(max(0.001, deadline.left_s))
+            self._socket.sendall(part)
+
     def receive_head(self, *, timeout_s: float) -> AnswerHead:
         """Read the head of the next answer, and skip the interim answers before it (RFC 9110).
 
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -26,6 +26,7 @@
     HttpServer,
     Response,
 )
+from springrock.intake import Intake
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.request_body import RequestBody
@@ -42,7 +43,9 @@
     ReadBound.FRAMING_BYTES: "body_too_large",
     ReadBound.TRAILER_BYTES: "trailers_too_large",
     ReadBound.FRAMING: "malformed_request",
+    ReadBound.CROWD: "too_much_at_once",
 }
+_RETRY_AFTER_CROWD_S = 1.0
 _LOGGED_FRAMES = 3
 _MAX_LOGGED_ERROR = 200
 
@@ -57,6 +60,7 @@
         limits: Returns the limits for clients.
         log: The log to write to.
         metrics: The metrics to count in.
+        intake: Bounds what all connections hold together.
 
     Attributes:
         closing: Whether each reply asks the client to close its connection.
@@ -73,6 +77,7 @@
         limits: Callable[[], ClientLimits],
         log: Log,
         metrics: ForwardingMetrics,
+        intake: Intake | None = None,
     ) -> None:
         self._forwarder = forwarder
         self._dialect = dialect
@@ -86,6 +91,7 @@
             read_limits=self._read_limits,
             on_unread_head=lambda error: self._log_unread(error, request=""),
             deadline_header=dialect.deadline_header,
+            intake=intake,
         )
         self._open: set[_OpenRequest] = set()
         self.closing = False
@@ -141,7 +147,10 @@
             body = request_body.read()
         except RequestNotRead as error:
             self._log_unread(error, request=self.request_id_of(open_request))
-            return own_reply(error.status, _REASON_BY_BOUND[error.bound])
+            retry_after_s = _RETRY_AFTER_CROWD_S if error.bound is ReadBound.CROWD else None
+            return own_reply(
+                error.status, _REASON_BY_BOUND[error.bound], retry_after_s=retry_after_s
+            )
         open_request.reading = False
         # From here on only the watch reads from the socket.
         open_request.watch.start()
--- a/springrock/forwarding/pages.py
+++ b/springrock/forwarding/pages.py
@@ -11,11 +11,15 @@
 from typing import Any, NamedTuple
 
 from springrock.httpd import HttpServer
+from springrock.intake import Intake, IntakeLimits
 from springrock.metrics import ForwardingMetrics
 from springrock.request_reader import ReadLimits
 
 _TEXT = "text/plain; charset=utf-8"
 _METRICS_TEXT = "text/plain; version=0.0.4"
+_INTAKE_LIMITS = IntakeLimits(held_bytes=1_048_576, connections=64)
+"""For each page: clients of the box, however many, must not keep the balancer out."""
+
 _READ_LIMITS = ReadLimits(head_s=5.0, head_bytes=16_384, body_s=5.0, body_bytes=65_536)
 
 
@@ -37,7 +41,12 @@
     def __init__(self, address: str, path: str, respond: Callable[[], _Response]) -> None:
         self._path = path
         self._respond = respond
-        self._server = HttpServer(self._serve, address, read_limits=lambda: _READ_LIMITS)
+        self._server = HttpServer(
+            self._serve,
+            address,
+            read_limits=lambda: _READ_LIMITS,
+            intake=Intake(_INTAKE_LIMITS),
+        )
 
     def start(self) -> None:
         """Start listening."""
--- a/springrock/hosts.py
+++ b/springrock/hosts.py
@@ -11,6 +11,7 @@
 from springrock.coordination.feed import Feed
 from springrock.coordination.members import Members
 from springrock.coordination.peers import Peers
+from springrock.intake import Intake
 from springrock.log import Journal, Log
 from springrock.metrics import Metrics
 from springrock.open_requests import OpenRequests
@@ -72,6 +73,7 @@
     settings: BoxSettings
     metrics: Metrics
     open_requests: OpenRequests
+    intake: Intake
     admission: Admission
     relay: Relay
     services: Services
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -14,7 +14,8 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from springrock.clock import Deadline, monotonic
-from springrock.errors import AnswerCut, CallerGone, RequestNotRead
+from springrock.errors import AnswerCut, CallerGone, ReadBound, RequestNotRead
+from springrock.intake import Hold, Intake, IntakeLimits, NoRoom
 from springrock.non_negative import read_non_negative
 from springrock.request_body import RequestBody
 from springrock.request_reader import ReadLimits, RequestReader
@@ -36,6 +37,11 @@
 
 _READ_BUFFER_BYTES = 8_192
 
+_RECEIVE_BUFFER_BYTES = 65_536
+"""What the system keeps of a connection that is not read; it takes up to twice as much."""
+
+_RETRY_AFTER_CROWD_S = 1
+
 _SEND_PERIOD_S = 1.0
 """How often to try to send: a system that has little room does not report that it has some."""
 
@@ -70,6 +76,9 @@
 class _Server(WSGIServer):
     """A WSGI server with bounds for what is read from its connections and sent on them."""
 
+    # More at once could take all descriptors before any connection gives way.
+    max_accept = 16
+
     def __init__(
         self,
         address: tuple[str, int],
@@ -79,17 +88,38 @@
         read_limits: Callable[[], ReadLimits],
         on_unread_head: Callable[[RequestNotRead], None],
         deadline_header: str,
+        intake: Intake,
     ) -> None:
         # Without SERVER_NAME, gevent does a reverse DNS look-up of the address, which can be slow.
         environ = {"SERVER_NAME": address[0]}
         super().__init__(
             address, app, handler_class=_Handler, log=None, error_log=None, environ=environ
         )
+        self.intake = intake
         self.send_timeout_s = send_timeout_s
         self.read_limits = read_limits
         self.on_unread_head = on_unread_head
         self.deadline_prefix = f"{deadline_header.lower()}:".encode() if deadline_header else b""
 
+    @classmethod
+    def get_listener(cls, *arguments: Any, **options: Any) -> Any:
+        """Return a socket that listens; its connections inherit the size of their buffers."""
+        listener = super().get_listener(*arguments, **options)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+        return listener
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serve a connection; close it if there are too many that cannot give way."""
+        try:
+            hold = self.intake.open(lambda: _end_reading(sock))
+        except NoRoom:
+            sock.close()
+            return
+        try:
+            _Handler(sock, address, self, hold).handle()
+        finally:
+            hold.close()
+
 
 class _HeadLines:
     """The lines of a head; lets its reading end with the deadline that one of them states.
@@ -121,8 +151,8 @@
     The application needs the socket to detect that the caller disconnected.
     """
 
-    def __init__(self, connection: Any, address: Any, server: _Server) -> None:
-        self._reader = RequestReader(connection)
+    def __init__(self, connection: Any, address: Any, server: _Server, hold: Hold) -> None:
+        self._reader = RequestReader(connection, hold)
         super().__init__(
             connection, address, server, io.BufferedReader(self._reader, _READ_BUFFER_BYTES)
         )  # type: ignore[call-arg]
@@ -178,6 +208,8 @@
         self._server.on_unread_head(error)
         status = error.status
         head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+        if error.bound is ReadBound.CROWD:
+            head += f"Retry-After: {_RETRY_AFTER_CROWD_S}\r\n"
         with contextlib.suppress(OSError):
             self.socket.settimeout(self._server.send_timeout_s)
             self.socket.sendall(f"{head}Connection: close\r\nContent-Length: 0\r\n\r\n".encode())
@@ -298,6 +330,12 @@
         super().handle_error(kind, value, traceback)
 
 
+def _end_reading(connection: Any) -> None:
+    """End a wait for bytes of a connection, as if its client had closed it."""
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RD)
+
+
 def _reset_on_close(connection: Any) -> None:
     """Make the close of a connection a reset.
 
@@ -318,6 +356,8 @@
         on_unread_head: Called with the error of each head that was not read to its end.
         deadline_header: The header in which requests state their deadline, in milliseconds from
             their first byte; a request is read no longer than that. Empty for none.
+        intake: Bounds what the connections of several servers hold together; None to bound those of
+            this one by the machine.
     """
 
     def __init__(
@@ -329,6 +369,7 @@
         read_limits: Callable[[], ReadLimits] = ReadLimits,
         on_unread_head: Callable[[RequestNotRead], None] = lambda error: None,
         deadline_header: str = "",
+        intake: Intake | None = None,
     ) -> None:
         self._server = _Server(
             split_address(address),
@@ -337,6 +378,7 @@
             read_limits=read_limits,
             on_unread_head=on_unread_head,
             deadline_header=deadline_header,
+            intake=intake or Intake(IntakeLimits.from_machine()),
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/springrock/intake.py
@@ -0,0 +1,232 @@
+"""Bounds what all connections of a process hold together, of requests and of descriptors.
+
+Each connection is bounded for itself, but a crowd of clients can make a process hold the largest
+request on each of its connections. When a bound of the sum is reached, the connection that has
+rested for the longest has to give way, so that clients that stop short of the end of their requests
+do not keep others out. A request that was read whole never gives way.
+"""
+
+from __future__ import annotations
+
+import resource
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from itertools import chain
+
+from msgspec import Struct
+
+from springrock.memory_size import memory_bytes
+
+LARGE_BYTES = 65_536
+"""A request of which more has been read counts as large."""
+
+_LARGE_SHARE = 0.75
+"""The share of the bytes that large requests may hold, so that others always find room."""
+
+_MEMORY_SHARE = 0.2
+_MOST_HELD_BYTES = 64 * 1_048_576
+_CONNECTION_BYTES = 32_768
+"""What a connection takes besides its request."""
+
+_CONNECTIONS_MEMORY_SHARE = 0.25
+_DESCRIPTOR_SHARE = 2 / 3
+"""The rest is for replicas, the store, and other boxes."""
+
+
+class IntakeLimits(Struct, frozen=True, kw_only=True):
+    """What all connections together may hold.
+
+    Attributes:
+        held_bytes: Bytes of requests. A single request may be longer.
+        connections: Open connections.
+    """
+
+    held_bytes: int
+    connections: int
+
+    @classmethod
+    def from_machine(
+        cls, *, memory: int | None = None, descriptors: int | None = None
+    ) -> IntakeLimits:
+        """Return the limits for a process that has a machine to itself.
+
+        Args:
+            memory: Bytes of memory that the process may use; None for what the machine has.
+            descriptors: Descriptors that it may open; None for the limit of the process.
+        """
+        if memory is None:
+            memory = memory_bytes()
+        if descriptors is None:
+            descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        by_memory = int(memory * _CONNECTIONS_MEMORY_SHARE) // _CONNECTION_BYTES
+        return cls(
+            held_bytes=min(_MOST_HELD_BYTES, int(memory * _MEMORY_SHARE)),
+            connections=max(1, min(int(descriptors * _DESCRIPTOR_SHARE), by_memory)),
+        )
+
+
+class NoRoom(Exception):
+    """There is no room for more of a request, as none of the others can give way."""
+
+
+class Hold:
+    """What one connection holds.
+
+    Args:
+        intake: The sum that it is a part of.
+        interrupt: Ends a wait for bytes of the connection's client.
+
+    Attributes:
+        held_bytes: Bytes of the current request.
+        gave_way: Whether the connection had to give way, and is to be closed.
+    """
+
+    def __init__(self, intake: Intake, interrupt: Callable[[], None]) -> None:
+        self._intake = intake
+        self._interrupt = interrupt
+        self.held_bytes = 0
+        self.gave_way = False
+
+    def rest(self) -> None:
+        """Hold nothing, as the connection waits for a request from now on."""
+        self._intake.rest(self)
+
+    def take(self, size: int) -> None:
+        """Hold more bytes of a request.
+
+        Raises:
+            NoRoom: If there is no room for them.
+        """
+        self._intake.take(self, size)
+
+    def keep(self) -> None:
+        """Keep what is held until the connection rests, as the request was read whole."""
+        self._intake.keep(self)
+
+    def close(self) -> None:
+        """Hold nothing, as the connection is closed; safe to call again."""
+        self._intake.close(self)
+
+    def give_way(self) -> None:
+        """Let the task of the connection end it."""
+        self.gave_way = True
+        self._interrupt()
+
+
+class Intake:
+    """The sum of what all connections hold.
+
+    Args:
+        limits: The bounds of the sum.
+        on_given_way: Called for each connection that had to give way.
+    """
+
+    def __init__(
+        self, limits: IntakeLimits, *, on_given_way: Callable[[], None] = lambda: None
+    ) -> None:
+        self.limits = limits
+        self._on_given_way = on_given_way
+        # In the order in which connections have rested, or sent bytes, for the longest.
+        self._resting: OrderedDict[Hold, None] = OrderedDict()
+        self._reading: OrderedDict[Hold, None] = OrderedDict()
+        self._large_reading: OrderedDict[Hold, None] = OrderedDict()
+        self._kept: set[Hold] = set()
+        self._held_bytes = 0
+        self._large_bytes = 0
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections that did not have to give way."""
+        return len(self._resting) + len(self._reading) + len(self._kept)
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests that are held."""
+        return self._held_bytes
+
+    def open(self, interrupt: Callable[[], None]) -> Hold:
+        """Return the hold of a new connection.
+
+        Raises:
+            NoRoom: If there are too many connections, and none of them can give way.
+        """
+        if self.connections >= self.limits.connections:
+            self._end_one_of(chain(self._resting, self._reading))
+        hold = Hold(self, interrupt)
+        self._resting[hold] = None
+        return hold
+
+    # Called by holds.
+
+    def rest(self, hold: Hold) -> None:
+        """Record that a connection holds nothing and waits for a request."""
+        self.close(hold)
+        if not hold.gave_way:
+            self._resting[hold] = None
+
+    def take(self, hold: Hold, size: int) -> None:
+        """Record that more of a request was read, and let others give way if that is too much."""
+        if hold.gave_way:
+            return
+        self._resting.pop(hold, None)
+        self._add(hold, size)
+        if hold not in self._kept:
+            self._reading[hold] = None
+            self._reading.move_to_end(hold)
+        is_large = hold.held_bytes > LARGE_BYTES
+        if is_large and hold not in self._kept:
+            self._large_reading[hold] = None
+            self._large_reading.move_to_end(hold)
+        if is_large:
+            self._make_room_for_large(hold)
+        self._make_room(hold)
+
+    def keep(self, hold: Hold) -> None:
+        """Record that a request was read whole and gives way to no other."""
+        if hold.gave_way:
+            return
+        self._resting.pop(hold, None)
+        self._reading.pop(hold, None)
+        self._large_reading.pop(hold, None)
+        self._kept.add(hold)
+
+    def close(self, hold: Hold) -> None:
+        """Record that a connection holds nothing any more."""
+        self._add(hold, -hold.held_bytes)
+        self._resting.pop(hold, None)
+        self._reading.pop(hold, None)
+        self._large_reading.pop(hold, None)
+        self._kept.discard(hold)
+
+    def _add(self, hold: Hold, size: int) -> None:
+        before = hold.held_bytes
+        hold.held_bytes += size
+        self._held_bytes += size
+        self._large_bytes += _large_part(hold.held_bytes) - _large_part(before)
+
+    def _make_room_for_large(self, hold: Hold) -> None:
+        at_most = int(self.limits.held_bytes * _LARGE_SHARE)
+        while self._large_bytes > max(at_most, hold.held_bytes):
+            self._end_one_of(self._large_reading, besides=hold)
+
+    def _make_room(self, hold: Hold) -> None:
+        while self._held_bytes > max(self.limits.held_bytes, hold.held_bytes):
+            self._end_one_of(chain(self._large_reading, self._reading), besides=hold)
+
+    def _end_one_of(self, holds: Iterable[Hold], *, besides: Hold | None = None) -> None:
+        """Let the first connection give way.
+
+        Raises:
+            NoRoom: If there is no other one.
+        """
+        found = next((hold for hold in holds if hold is not besides), None)
+        if found is None:
+            raise NoRoom()
+        self.close(found)
+        self._on_given_way()
+        found.give_way()
+
+
+def _large_part(held_bytes: int) -> int:
+    """Return what a hold counts among large requests."""
+    return held_bytes if held_bytes > LARGE_BYTES else 0
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -150,6 +150,19 @@
         self.replicas = Gauge(
             "springrock_forwarding_replicas", "Replicas that may get work.", registry=registry
         )
+        self.intake_bytes = Gauge(
+            "springrock_intake_bytes",
+            "Bytes of requests that all connections of clients hold together.",
+            registry=registry,
+        )
+        self.intake_connections = Gauge(
+            "springrock_intake_connections", "Open connections of clients.", registry=registry
+        )
+        self.intake_given_way = Counter(
+            "springrock_intake_given_way",
+            "Connections that were ended as all together held too much.",
+            registry=registry,
+        )
         self.malformed_replica_rows = Counter(
             "springrock_forwarding_replica_rows_passed_over",
             "Rows in the replicas' table that name no replica to use, by cause.",
--- a/springrock/request_body.py
+++ b/springrock/request_body.py
@@ -5,7 +5,6 @@
 import io
 import re
 from collections.abc import Callable
-from typing import BinaryIO
 
 from springrock.errors import ReadBound, RequestNotRead
 from springrock.request_reader import FRAMING_BYTES, RequestReader
@@ -31,7 +30,7 @@
 
     def __init__(
         self,
-        source: BinaryIO,
+        source: io.BufferedReader,
         reader: RequestReader,
         *,
         length: int | None,
@@ -52,6 +51,8 @@
         self._max_trailer_bytes = max_trailer_bytes
         self._invite = invite
         self._abandoned = False
+        if self._ended:
+            reader.end_request()
 
     @property
     def at_end(self) -> bool:
@@ -100,11 +101,13 @@
     _discard = discard_rest
 
     def _read_stated(self, limit: int | None) -> bytes:
-        if limit is None:
-            return b"".join(iter(lambda: self._read_stated(_BLOCK_BYTES), b""))
-        data = self._take(min(limit, self._left))
-        self._ended = not self._left
-        return data
+        wanted = self._left if limit is None else min(limit, self._left)
+        data = bytearray()
+        while len(data) < wanted:
+            data += self._take(wanted - len(data))
+        if not self._left:
+            self._end()
+        return bytes(data)
 
     def _read_chunks(self, limit: int | None) -> bytes:
         data = bytearray()
@@ -112,17 +115,26 @@
             if not self._left:
                 self._begin_chunk()
                 continue
-            wanted = min(self._left, _BLOCK_BYTES)
-            data += self._take_of_chunk(wanted if limit is None else min(wanted, limit - len(data)))
+            wanted = self._left if limit is None else min(self._left, limit - len(data))
+            data += self._take_of_chunk(wanted)
         return bytes(data)
 
     def _take(self, size: int) -> bytes:
-        data = self._source.read(size)
-        if len(data) < size:
+        """Return bytes of the body as they arrive, at most a number of them.
+
+        The wait for them needs no memory but the buffer of the source.
+        """
+        arrived = len(self._source.peek(1))
+        if not arrived:
             raise self._cut()
-        self._left -= size
+        data = self._source.read1(min(size, arrived))
+        self._left -= len(data)
         return data
 
+    def _end(self) -> None:
+        self._ended = True
+        self._reader.end_request()
+
     # The framing of chunks.
 
     def _begin_chunk(self) -> None:
@@ -139,20 +151,22 @@
             raise self._over(ReadBound.FRAMING_BYTES)
         if not self._left:
             self._skip_trailers()
-            self._ended = True
+            self._end()
 
     def _take_of_chunk(self, size: int) -> bytes:
         """Read a part of a chunk, and the end of the chunk with its last part."""
-        self._spare_framing_bytes += size
-        if size < self._left:
-            return self._take(size)
-        data = self._source.read(size + 2)
-        if len(data) < size + 2:
+        data = self._take(size)
+        self._spare_framing_bytes += len(data)
+        if not self._left:
+            self._read_end_of_chunk()
+        return data
+
+    def _read_end_of_chunk(self) -> None:
+        end = self._source.read(2)
+        if len(end) < 2:
             raise self._cut()
-        if not data.endswith(b"\r\n"):
+        if end != b"\r\n":
             raise self._malformed()
-        self._left = 0
-        return data[:-2]
 
     def _skip_trailers(self) -> None:
         skipped_bytes = 0
--- a/springrock/request_reader.py
+++ b/springrock/request_reader.py
@@ -10,9 +10,13 @@
 
 from springrock.clock import Deadline, monotonic
 from springrock.errors import ReadBound, RequestNotRead
+from springrock.intake import Hold, NoRoom
 from springrock.turn import Turn
 
 _BLOCK_BYTES = 65_536
+_DROPPED = bytearray(_BLOCK_BYTES)
+"""Where all connections read what is dropped."""
+
 _WAIT_PERIOD_S = 1.0
 """How often a wait checks the clock, as timers do not count a suspension of the machine."""
 
@@ -55,6 +59,7 @@
 
     Args:
         connection: The caller's socket, a gevent one.
+        hold: What the connection holds of what all connections of the process may hold together.
 
     Attributes:
         read_bytes: Bytes read since the connection began to wait for the request.
@@ -62,9 +67,11 @@
         began_at: When the first byte of the request was there, on the clock `monotonic`.
     """
 
-    def __init__(self, connection: Any) -> None:
+    def __init__(self, connection: Any, hold: Hold) -> None:
         super().__init__()
         self._connection = connection
+        self._hold = hold
+        self._drops = False
         self._deadline = Deadline(0.0)
         self._stated_s = math.inf
         self._at_most = 0
@@ -79,6 +86,8 @@
 
     def begin_wait(self, limits: ReadLimits) -> None:
         """Wait for a request from now on; `TimeoutError` is raised if none comes."""
+        self._hold.rest()
+        self._drops = False
         self.read_bytes = 0
         self._deadline = Deadline(limits.idle_s)
         self._at_most = limits.head_bytes
@@ -86,6 +95,8 @@
 
     def begin_head(self, limits: ReadLimits) -> None:
         """Read a head from now on."""
+        # The request may have come with the one before.
+        self._hold.take(0)
         self.began_at = monotonic()
         self._deadline = Deadline(limits.head_s)
         self._at_most = limits.head_bytes
@@ -99,8 +110,13 @@
         self._time_bound, self._bytes_bound = ReadBound.BODY_TIME, ReadBound.BODY_BYTES
         self.end_within(self._stated_s)
 
+    def end_request(self) -> None:
+        """Record that the request was read whole."""
+        self._hold.keep()
+
     def begin_rest(self) -> None:
-        """Read what is left of a request that was answered, from now on."""
+        """Read what is left of a request that was answered, and is dropped, from now on."""
+        self._drops = True
         self._deadline = Deadline(_REST_S)
         self._at_most = self.read_bytes + _REST_BYTES
 
@@ -121,9 +137,8 @@
         answer.
         """
         self.begin_rest()
-        block = bytearray(_BLOCK_BYTES)
         try:
-            while self.readinto(block):
+            while self.readinto(_DROPPED):
                 continue
         except (OSError, RequestNotRead):
             return
@@ -146,12 +161,22 @@
         if self._time_bound is not None and self._deadline.passed:
             raise self.error(self._time_bound)
         size = self._receive(memoryview(buffer)[:_BLOCK_BYTES])
+        if self._hold.gave_way and self._time_bound is not None:
+            raise self.error(ReadBound.CROWD)
         if not size and self._time_bound is ReadBound.HEAD_TIME:
             # The parser would take what it has for a whole head.
             raise self.error(ReadBound.HEAD_END)
         self.read_bytes += size
+        if not self._drops:
+            self._take(size)
         return size
 
+    def _take(self, size: int) -> None:
+        try:
+            self._hold.take(size)
+        except NoRoom:
+            raise self.error(ReadBound.CROWD) from None
+
     def error(self, bound: ReadBound) -> RequestNotRead:
         """Return the error for a request that is over a bound, and which is read no further."""
         self.failed = True
--- a/springrock/settings.py
+++ b/springrock/settings.py
@@ -9,12 +9,13 @@
 import re
 from pathlib import Path as FilePath
 from types import UnionType
-from typing import Any, NamedTuple, TypeVar, Union, get_args, get_origin, get_type_hints
+from typing import Annotated, Any, NamedTuple, TypeVar, Union, get_args, get_origin, get_type_hints
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from springrock.errors import SettingsError
+from springrock.intake import IntakeLimits
 from springrock.jsonc import Document, JsoncError, Path, parse
 
 S = TypeVar("S", bound=Struct)
@@ -174,6 +175,29 @@
     loads_per_s: float = 2.0
 
 
+class IntakeSection(Section, frozen=True, kw_only=True):
+    """What all clients together may hold of this box, derived from what the box has.
+
+    A fifth of the memory, 64 MiB at most, may hold requests, of which large ones (over 64 KiB) may
+    take three quarters. A quarter of the memory, at 32 KiB each, and two thirds of the descriptors
+    may be taken by connections. Beyond that the connection that has rested for the longest is
+    closed, or a request that is still being read is refused.
+
+    Attributes:
+        memory_mb: Megabytes of memory that the process may use; null for what the machine has.
+        descriptors: Descriptors that the process may open; null for the limit of the process.
+    """
+
+    memory_mb: Annotated[float, Meta(gt=0)] | None = None
+    descriptors: Annotated[int, Meta(ge=1)] | None = None
+
+    @property
+    def limits(self) -> IntakeLimits:
+        """The limits of what all connections together hold."""
+        memory = None if self.memory_mb is None else int(self.memory_mb * 1_000_000)
+        return IntakeLimits.from_machine(memory=memory, descriptors=self.descriptors)
+
+
 class BoxSettings(Section, frozen=True, kw_only=True):
     """The settings of an entry box that runs `springrock serve`."""
 
@@ -186,6 +210,7 @@
     lease: LeaseSection = field(default_factory=LeaseSection)
     configuration: ConfigurationSection = field(default_factory=ConfigurationSection)
     policy: PolicySection = field(default_factory=PolicySection)
+    intake: IntakeSection = field(default_factory=IntakeSection)
 
 
 class Problem(NamedTuple):
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,239 @@
+"""What all connections hold together: its bounds, and who has to give way."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from springrock.intake import LARGE_BYTES, Hold, Intake, IntakeLimits, NoRoom
+from springrock.memory_size import memory_bytes
+
+KB = 1_024
+LIMIT = 1_024 * KB
+LARGE_LIMIT = 768 * KB
+
+
+class Crowd:
+    """An intake and its holds; a hold that has to give way is noted."""
+
+    def __init__(self, *, connections: int = 100) -> None:
+        self.intake = Intake(IntakeLimits(held_bytes=LIMIT, connections=connections))
+        self.interrupted: list[int] = []
+        self.holds: list[Hold] = []
+
+    def open(self, *, held: int = 0, whole: bool = False) -> Hold:
+        number = len(self.holds)
+        hold = self.intake.open(lambda: self.interrupted.append(number))
+        self.holds.append(hold)
+        if held:
+            hold.take(held)
+        if whole:
+            hold.keep()
+        return hold
+
+
+def test_the_large_request_that_has_rested_for_the_longest_gives_way() -> None:
+    crowd = Crowd()
+    first, second = crowd.open(held=300 * KB), crowd.open(held=300 * KB)
+    first.take(KB)
+    crowd.open(held=300 * KB)
+    assert (crowd.interrupted, second.gave_way) == ([1], True)
+    assert crowd.intake.held_bytes == 601 * KB
+
+
+def test_small_requests_find_room_beside_large_ones_that_were_read_whole() -> None:
+    """Guards against requests that wait for replicas and keep all other callers out."""
+    crowd = Crowd()
+    for _ in range(2):
+        crowd.open(held=384 * KB, whole=True)
+    with pytest.raises(NoRoom):
+        crowd.open(held=100 * KB)
+    crowd.holds[-1].close()
+    for _ in range(10):
+        crowd.open(held=20 * KB, whole=True)
+    assert crowd.interrupted == []
+
+
+def test_a_large_request_gives_way_to_a_small_one_before_small_ones_do() -> None:
+    crowd = Crowd()
+    for _ in range(32):
+        crowd.open(held=10 * KB)
+    crowd.open(held=700 * KB)
+    crowd.open(held=10 * KB)
+    assert crowd.interrupted == [32]
+
+
+def test_many_small_requests_give_way_to_each_other() -> None:
+    crowd = Crowd(connections=1_000)
+    for _ in range(40):
+        crowd.open(held=32 * KB)
+    assert crowd.interrupted == list(range(8))
+
+
+def test_a_request_that_was_read_whole_gives_way_to_none() -> None:
+    crowd = Crowd()
+    for _ in range(32):
+        crowd.open(held=32 * KB, whole=True)
+    with pytest.raises(NoRoom):
+        crowd.open(held=KB)
+    assert crowd.interrupted == []
+
+
+def test_a_single_request_may_be_longer_than_the_limit() -> None:
+    crowd = Crowd()
+    hold = crowd.open(held=3 * LIMIT)
+    hold.keep()
+    assert not hold.gave_way
+
+
+def test_a_connection_holds_nothing_while_it_rests() -> None:
+    crowd = Crowd()
+    hold = crowd.open(held=500 * KB, whole=True)
+    hold.rest()
+    assert (crowd.intake.held_bytes, crowd.intake.connections) == (0, 1)
+    hold.close()
+    hold.close()
+    assert crowd.intake.connections == 0
+
+
+def test_the_connection_that_has_rested_for_the_longest_gives_way_to_a_new_one() -> None:
+    crowd = Crowd(connections=3)
+    crowd.open(whole=True, held=KB)
+    crowd.open(held=KB)
+    crowd.open()
+    crowd.open()
+    assert crowd.interrupted == [2]
+    crowd.holds[3].take(KB)
+    crowd.open()
+    assert crowd.interrupted == [2, 1]
+
+
+def test_no_connection_is_taken_while_all_others_are_served() -> None:
+    crowd = Crowd(connections=2)
+    crowd.open(held=KB, whole=True)
+    crowd.open(held=KB, whole=True)
+    with pytest.raises(NoRoom):
+        crowd.open()
+    assert crowd.intake.connections == 2
+
+
+def test_a_request_that_came_with_the_one_before_does_not_rest() -> None:
+    """Guards against a request that is served while its connection counts as resting."""
+    crowd = Crowd(connections=1)
+    hold = crowd.open(held=KB, whole=True)
+    hold.rest()
+    hold.take(0)
+    hold.keep()
+    with pytest.raises(NoRoom):
+        crowd.open()
+
+
+@pytest.mark.parametrize(
+    ("memory", "descriptors", "held", "connections"),
+    [
+        (300_000_000, 4_100, 60_000_000, 2_288),
+        (160_000_000, 1_638, 32_000_000, 1_092),
+        (64_000_000_000, 1_000_000, 64 * 1_048_576, 488_281),
+        (1_000_000, 2, 200_000, 1),
+    ],
+)
+def test_the_limits_follow_from_the_machine(
+    memory: int, descriptors: int, held: int, connections: int
+) -> None:
+    limits = IntakeLimits.from_machine(memory=memory, descriptors=descriptors)
+    assert (limits.held_bytes, limits.connections) == (held, connections)
+
+
+@pytest.mark.parametrize(
+    ("content", "limited"), [("1000000\n", True), ("max\n", False), (None, False)]
+)
+def test_the_memory_is_that_of_the_control_group_if_it_has_less(
+    tmp_path: Path, content: str | None, limited: bool
+) -> None:
+    path = tmp_path / "memory.max"
+    if content is not None:
+        path.write_text(content)
+    found = memory_bytes(cgroup_limit=path)
+    assert (found == 1_000_000) is limited
+    assert found > 0
+
+
+class IntakeMachine(RuleBasedStateMachine):
+    """Any order of what connections do; the sums hold at each step."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.crowd = Crowd(connections=8)
+        self.whole: set[Hold] = set()
+
+    def _pick(self, number: int) -> Hold | None:
+        live = [hold for hold in self.crowd.holds if not hold.gave_way]
+        return live[number % len(live)] if live else None
+
+    @rule()
+    def open(self) -> None:
+        try:
+            self.crowd.open()
+        except NoRoom:
+            assert len(self.whole) == 8
+
+    @rule(number=strategies.integers(0, 99), size=strategies.integers(0, 400 * KB))
+    def take(self, number: int, size: int) -> None:
+        hold = self._pick(number)
+        if hold is None or hold in self.whole:
+            return
+        try:
+            hold.take(size)
+        except NoRoom:
+            self._drop(hold)
+
+    @rule(number=strategies.integers(0, 99))
+    def keep(self, number: int) -> None:
+        hold = self._pick(number)
+        if hold is not None and hold.held_bytes:
+            hold.keep()
+            self.whole.add(hold)
+
+    @rule(number=strategies.integers(0, 99))
+    def rest(self, number: int) -> None:
+        hold = self._pick(number)
+        if hold is not None:
+            hold.rest()
+            self.whole.discard(hold)
+
+    @rule(number=strategies.integers(0, 99))
+    def close(self, number: int) -> None:
+        hold = self._pick(number)
+        if hold is not None:
+            self._drop(hold)
+
+    def _drop(self, hold: Hold) -> None:
+        hold.close()
+        self.whole.discard(hold)
+        self.crowd.holds.remove(hold)
+
+    @invariant()
+    def sums_are_right(self) -> None:
+        held = [hold.held_bytes for hold in self.crowd.holds]
+        assert self.crowd.intake.held_bytes == sum(held)
+        live = sum(not hold.gave_way for hold in self.crowd.holds)
+        assert self.crowd.intake.connections == live
+
+    @invariant()
+    def bounds_hold(self) -> None:
+        held = [hold.held_bytes for hold in self.crowd.holds]
+        large = [size for size in held if size > LARGE_BYTES]
+        assert sum(held) <= max([LIMIT, *held])
+        assert sum(large) <= max([LARGE_LIMIT, *large])
+        assert self.crowd.intake.connections <= 8
+
+    @invariant()
+    def none_that_was_read_whole_gave_way(self) -> None:
+        assert not any(hold.gave_way for hold in self.whole)
+
+
+TestIntakeMachine = IntakeMachine.TestCase
+TestIntakeMachine.settings = settings(max_examples=80, stateful_step_count=40, deadline=None)
