Links are accepted again after a box had no descriptor left

What callers saw: all boxes were killed; the one that was back first ran out of descriptors for a moment.

Cause: the websockets library's accept loop ends at the first error of accept, here EMFILE, and the box ran it in a task that nothing watched; it kept the lease of its zone meanwhile.

Change: a listening socket whose accept outlasts errors that may pass, for the links of entry and of serve boxes, with a log line.

--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -21,6 +21,7 @@
 from springrock import gevent_websockets as _  # noqa: F401
 from springrock.coordination.link import SOCKET_FAILURES, Link
 from springrock.coordination.members import Member, Members
+from springrock.enduring_listener import EnduringListener
 from springrock.errors import PeerRejected, PeerUnreachable
 from springrock.ids import rendezvous_order
 from springrock.log import Log
@@ -84,8 +85,7 @@
         host, port = split_address(self._settings.address)
         self._server = serve(
             self._serve_link,
-            host,
-            port,
+            sock=EnduringListener.from_address(host, port, on_failure=self._log_failed_accept),
             process_request=self._check_key,
             compression=None,
             max_size=self._settings.frame_limit_bytes,
@@ -97,6 +97,9 @@
         self._tasks.append(gevent.spawn(self._server.serve_forever))
         self._tasks.append(gevent.spawn(self._dial_loop))
 
+    def _log_failed_accept(self, error: OSError) -> None:
+        self._log.info("Could not accept a link; trying again.", error=str(error))
+
     @property
     def address(self) -> str:
         """The address that the server is bound to."""
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -14,6 +14,7 @@
 
 from springrock import gevent_websockets as _  # noqa: F401
 from springrock.clock import monotonic
+from springrock.enduring_listener import EnduringListener
 from springrock.errors import PeerRejected
 from springrock.log import Log
 from springrock.metrics import ignore_count
@@ -362,8 +363,7 @@
         host, port = split_address(self._address)
         self._server = serve(
             self._serve_box,
-            host,
-            port,
+            sock=EnduringListener.from_address(host, port, on_failure=self._log_failed_accept),
             compression=None,
             max_size=FRAME_LIMIT_BYTES,
             open_timeout=_HELLO_TIMEOUT_S,
@@ -377,6 +377,9 @@
         if self._server is not None:
             self._server.shutdown()
 
+    def _log_failed_accept(self, error: OSError) -> None:
+        self._log.info("Could not accept a link; trying again.", error=str(error))
+
     def _serve_box(self, connection: ServerConnection) -> None:
         try:
             hello = decode(connection.recv(timeout=_HELLO_TIMEOUT_S))
