A planned stop answers requests that still come in

What callers saw: a request whose body was still coming in at the end of a planned stop had its connection closed without an answer.

Cause: the reading of a request ended by its deadline alone; the stop did not reach it.

Change: the door ends reading 1.5 s before the box ends, for requests that are being read and for later ones; they get 503 `stopping` with Retry-After 0, and have not run.

Evidence: test_a_request_that_still_comes_in_at_the_end_of_a_stop_is_refused (real processes): no answer before, 503 now; two tests of the door without processes.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -74,6 +74,9 @@
 _END_MARGIN_S = 0.5
 """A stopping box ends by itself this long before the platform would kill it."""
 
+_READ_MARGIN_S = 1.5
+"""A request that is not read whole this long before the end of a stop is refused."""
+
 _CONFIGURATION_PAUSE_S = 0.1
 _CONFIGURATION_POLLS_PER_TRUST_PERIOD = 5
 """How many polls fit into the period for which keys are trusted.
@@ -207,6 +210,7 @@
         self._log.info("Planned stop begins.", open_requests=self._door.open_requests)
         self._planned_stop.begin(ends_at=deadline.at)
         self._placement.begin_stop(ends_at=deadline.at)
+        self._door.end_reading(at=deadline.at - _READ_MARGIN_S)
         gevent.sleep(self.settings.stop.notice_s)
         self._door.refusing = True
         while not deadline.passed and not self._wait_idle():
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import traceback
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
@@ -94,6 +95,7 @@
             intake=intake,
         )
         self._open: set[_OpenRequest] = set()
+        self._reading_ends_at = math.inf
         self.closing = False
         self.refusing = False
         self.faults = FaultWatch()
@@ -107,6 +109,17 @@
         """Start listening."""
         self._server.start()
 
+    def end_reading(self, *, at: float) -> None:
+        """Refuse the requests that are not read whole by a time, as the box ends soon after.
+
+        Args:
+            at: The time, on the local monotonic clock; they are refused within a second of it.
+        """
+        self._reading_ends_at = at
+        for open_request in self._open:
+            if open_request.reading:
+                open_request.reader.end_by(at)
+
     def stop(self) -> None:
         """Stop listening; the requests that are still open end with the process."""
         self._server.stop(finish_within_s=0.2)
@@ -143,10 +156,13 @@
         )
 
     def _read_and_reply(self, open_request: _OpenRequest, request_body: RequestBody) -> Reply:
+        open_request.reader.end_by(self._reading_ends_at)
         try:
             body = request_body.read()
         except RequestNotRead as error:
             self._log_unread(error, request=self.request_id_of(open_request))
+            if error.bound is ReadBound.BODY_TIME and monotonic() >= self._reading_ends_at:
+                return own_reply(503, "stopping", retry_after_s=0.0)
             retry_after_s = _RETRY_AFTER_CROWD_S if error.bound is ReadBound.CROWD else None
             return own_reply(
                 error.status, _REASON_BY_BOUND[error.bound], retry_after_s=retry_after_s
@@ -216,6 +232,7 @@
         log: The log to write to.
 
     Attributes:
+        reader: Reads the request.
         watch: Watches for the client's leaving.
         reading: Whether the request is still being read.
         request_id: The client's id of the request; empty until it is parsed.
@@ -226,8 +243,8 @@
         self._door = door
         self._environ = environ
         self._log = log
-        reader: RequestReader = environ[READER_KEY]
-        self._received_at: float = reader.began_at
+        self.reader: RequestReader = environ[READER_KEY]
+        self._received_at: float = self.reader.began_at
         self._logged = False
         self._response: Response = environ[RESPONSE_KEY]
         self._response.on_end = self._end
--- a/springrock/request_reader.py
+++ b/springrock/request_reader.py
@@ -128,7 +128,11 @@
 
     def end_within(self, seconds: float) -> None:
         """Shorten the time for the current part to a time from the first byte of the request."""
-        self._deadline.at = min(self._deadline.at, self.began_at + seconds)
+        self.end_by(self.began_at + seconds)
+
+    def end_by(self, at: float) -> None:
+        """Shorten the time for the current part to a time on the clock `monotonic`."""
+        self._deadline.at = min(self._deadline.at, at)
 
     def drain(self) -> None:
         """Drop what the caller sends until it closes the connection or a bound is reached.
--- a/tests/forwarding/test_changing_limits.py
+++ b/tests/forwarding/test_changing_limits.py
@@ -10,6 +10,7 @@
 import pytest
 from gevent import socket
 
+from springrock.clock import monotonic
 from springrock.emulator.ports import free_addresses
 from springrock.forwarding.configuration import ClientLimits
 from springrock.forwarding.door import ForwardingDoor
@@ -117,6 +118,36 @@
     assert box.forwarder.bodies == [BODY[:500], BODY]
 
 
+HALF = framed(BODY, "length")[:-1_500]
+
+
+def test_a_request_that_still_comes_in_when_the_box_stops_is_refused_and_not_forwarded() -> None:
+    """Guards against a stop that ends the connection of a request that is being read."""
+    with running(HIGH) as box:
+        with socket.create_connection(box.address, timeout=5.0) as client:
+            client.sendall(HALF)
+            gevent.sleep(0.05)
+            box.door.end_reading(at=monotonic() + 0.2)
+            answer = client.recv(65_536)
+        with socket.create_connection(box.address, timeout=5.0) as client:
+            client.sendall(HALF)
+            later_answer = client.recv(65_536)
+    for received in (answer, later_answer):
+        assert received.startswith(b"HTTP/1.1 503 ")
+        assert b'"stopping"' in received
+        assert b"Retry-After: 0" in received
+    assert box.forwarder.bodies == []
+
+
+def test_a_request_that_comes_in_before_the_box_stops_is_served() -> None:
+    with running(HIGH) as box, socket.create_connection(box.address, timeout=5.0) as client:
+        client.sendall(HALF)
+        gevent.sleep(0.05)
+        box.door.end_reading(at=monotonic() + 2.0)
+        client.sendall(framed(BODY, "length")[len(HALF) :])
+        assert _status(client) == 200
+
+
 def _status(client: Any) -> int:
     received = b""
     while not received.endswith(b"done"):
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -6,6 +6,7 @@
 import http.client
 import itertools
 import signal
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -15,8 +16,9 @@
 import pytest
 
 from springrock.clock import monotonic
+from springrock.settings import split_address
 from tests.processes import wait_until
-from tests.routed.deployment import ROUTES, Deployment, route
+from tests.routed.deployment import HOST, ROUTES, Deployment, route
 
 STOP_WITHIN_S = 4.0
 """Time for a stop; the box ends half a second earlier by itself."""
@@ -135,3 +137,22 @@
     for path in ("/lookup/x", "/join/x"):
         assert send(deployment, "box-1", path, request_id=deployment.new_id()).status == 200
     wait_until(lambda: deployment.processes["box-1"].poll() == 0, what="box-1 has ended")
+
+
+def test_a_request_that_still_comes_in_at_the_end_of_a_stop_is_refused(
+    deployment: Deployment,
+) -> None:
+    """Guards against a stop that ends the connection of a request that is being read."""
+    request_id = deployment.new_id()
+    beginning = (
+        f"POST /join/x HTTP/1.1\r\nHost: {HOST}\r\nSpringrock-Request-Id: {request_id}\r\n"
+        f"Springrock-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 100\r\n\r\npart"
+    )
+    address = split_address(deployment.clients["box-1"])
+    with socket.create_connection(address, timeout=2 * STOP_WITHIN_S) as connection:
+        connection.sendall(beginning.encode())
+        deployment.processes.signal("box-1", signal.SIGTERM)
+        answer = connection.recv(65_536)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert deployment.runs(request_id) == 0
+    assert deployment.processes["box-1"].wait(timeout=STOP_WITHIN_S) == 0
