Pass a request on in a planned stop only if the other box can answer in time

What callers saw: a box that is cut off from replicas and is being stopped passed a request on to another box late in its stop, waited for that box up to the request's own deadline, and ended meanwhile: the connection was closed without an answer, whatever the other box had done.

Cause: `PassingOn` is asked before the chooser is, and only the chooser knows `PlannedStop`; the deadline that the other box was told was the request's.

Ruled out: requests that are sent to replicas (bounded by the chooser since the stop knows run times), and streams that have begun (they are never passed on).

Change: what cannot be answered before the end of the stop is not passed on, so that the chooser refuses it as `stopping`; the other box is told no more time than the stop leaves, and its silence is answered for 0.2 s before the end. A request that was passed on before the stop began keeps its deadline.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -473,6 +473,7 @@
                 dialect=dialect,
                 log=log,
                 limits=limits,
+                stop=self._planned_stop,
             ),
             passed_on=PassedOnRequests(
                 newest_adapter=self._versions.newest,
--- a/springrock/forwarding/passing_on.py
+++ b/springrock/forwarding/passing_on.py
@@ -22,8 +22,10 @@
 )
 from springrock.forwarding.events import EventSplitter
 from springrock.forwarding.exchange import Answer
+from springrock.forwarding.planned_stop import PlannedStop
 from springrock.forwarding.reply import Reply, own_reply, relayed_reply
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
+from springrock.forwarding.run_times import RunTimes
 from springrock.log import Log
 
 _MAX_BOXES_TRIED = 2
@@ -58,6 +60,7 @@
         dialect: Writes the request to the other box.
         log: The log to write to.
         limits: How much of an answer is kept.
+        stop: The planned stop of this box, within which the other box must answer.
     """
 
     def __init__(
@@ -68,8 +71,10 @@
         dialect: Dialect,
         log: Log,
         limits: AnswerLimits = DEFAULT_LIMITS,
+        stop: PlannedStop | None = None,
     ) -> None:
         self._limits = limits
+        self._stop = stop or PlannedStop(RunTimes())
         self._reach = reach
         self._peers = peers
         self._dialect = dialect
@@ -98,7 +103,11 @@
         )
 
     def _may_pass(self, progress: RequestProgress) -> bool:
-        return not progress.arrivals and not progress.request.passed_on
+        return (
+            not progress.arrivals
+            and not progress.request.passed_on
+            and self._stop.leaves_time_for(progress)
+        )
 
     def forward(self, progress: RequestProgress) -> Reply | None:
         """Return the reply of another box; None if no box has handled the request or will."""
@@ -154,7 +163,8 @@
         request = progress.request
         pool = self._pools.get(address) or ConnectionPool(address)
         self._pools.record(address, pool)
-        deadline = Deadline(progress.left_s)
+        left_s = self._stop.left_s_for(progress)
+        deadline = Deadline(left_s)
         connection = pool.acquire(
             request.request_id,
             conservative=not progress.route.repeatable,
@@ -166,7 +176,7 @@
                 method=request.method,
                 target=request.target,
                 headers=self._dialect.passed_on_headers(
-                    request, left_s=progress.left_s, required=progress.known
+                    request, left_s=left_s, required=progress.known
                 ),
                 body=request.body,
                 timeout_s=deadline.left_s,
@@ -181,7 +191,8 @@
         if progress.streaming and answer.head.succeeded:
             return relayed_reply(answer.head, self._relay(progress, answer))
         try:
-            kept = answer.read_kept(self._limits.kept_bytes, deadline=Deadline(progress.left_s))
+            deadline = Deadline(self._stop.left_s_for(progress))
+            kept = answer.read_kept(self._limits.kept_bytes, deadline=deadline)
         except OutcomeUnknown:
             answer.close()
             return own_reply(502, "outcome_unknown")
--- a/springrock/forwarding/planned_stop.py
+++ b/springrock/forwarding/planned_stop.py
@@ -12,6 +12,9 @@
 _LEAST_RUN_S = 1.0
 """Time that is kept for the run of a request, and for the waits for it that are not bounded."""
 
+_REPLY_MARGIN_S = 0.2
+"""Time that is kept for sending a reply to the client."""
+
 
 class PlannedStop:
     """The planned stop of this box; until one begins, everything may be sent.
@@ -54,3 +57,7 @@
         """Return the seconds to keep for a run: what it usually takes, at most its deadline."""
         usual_s = self._run_times.usual_s(progress.route.name)
         return max(_LEAST_RUN_S, min(usual_s, progress.left_s))
+
+    def left_s_for(self, progress: RequestProgress) -> float:
+        """Return the seconds within which another box must answer a request."""
+        return min(progress.left_s, self.ends_at - _REPLY_MARGIN_S - monotonic())
--- a/tests/forwarding/test_passing_on.py
+++ b/tests/forwarding/test_passing_on.py
@@ -18,8 +18,10 @@
 from springrock.forwarding.errors import NoReplica, Quarantined, Rejection
 from springrock.forwarding.message import Header, Headers, Knowledge
 from springrock.forwarding.passing_on import PassingOn
+from springrock.forwarding.planned_stop import PlannedStop
 from springrock.forwarding.reply import Reply
 from springrock.forwarding.request_progress import AttemptOutcome, RequestProgress
+from springrock.forwarding.run_times import RunTimes
 from springrock.log import Log
 from springrock.platform import names
 from springrock.platform.dialect import PlatformDialect
@@ -76,11 +78,15 @@
         connection.sendall(self._answer)
 
 
-def make_passing_on(peers: ScriptedPeers, *, cut_off: bool = True) -> PassingOn:
+def make_passing_on(
+    peers: ScriptedPeers, *, cut_off: bool = True, stop: PlannedStop | None = None
+) -> PassingOn:
     reach = make_reach("s")
     if cut_off:
         reach.of("s").record_probes(reached=0, probed=4)
-    return PassingOn(reach=reach, peers=peers, dialect=PlatformDialect(), log=Log("test", "box-1"))
+    return PassingOn(
+        reach=reach, peers=peers, dialect=PlatformDialect(), log=Log("test", "box-1"), stop=stop
+    )
 
 
 def progress_of(
@@ -337,3 +343,45 @@
         reply = make_passing_on(ScriptedPeers(box.address)).forward(progress)
     assert reply is not None
     assert (reply.head.status, b"".join(reply.body)) == (200, b"hi")
+
+
+def stop_in(seconds: float) -> PlannedStop:
+    stop = PlannedStop(RunTimes())
+    stop.begin(ends_at=monotonic() + seconds)
+    return stop
+
+
+def test_a_request_is_not_passed_on_too_late_in_a_planned_stop() -> None:
+    """It would end with this box, without an answer, whatever the other box does."""
+    late = make_passing_on(ScriptedPeers("box:1"), stop=stop_in(0.5))
+    assert not late.is_due(progress_of())
+    unreachable = attempted(AttemptOutcome.UNREACHABLE)
+    assert not late.is_last_resort(unreachable, NoReplica("no_replica", 0.5))
+    assert make_passing_on(ScriptedPeers("box:1"), stop=stop_in(5.0)).is_due(progress_of())
+
+
+def test_another_box_is_given_no_more_time_than_the_planned_stop_leaves() -> None:
+    script = Script(SERVED)
+    with ScriptedReplica(script) as box:
+        passing_on = make_passing_on(ScriptedPeers(box.address), stop=stop_in(1.5))
+        assert passing_on.forward(progress_of()) is not None
+    [deadline] = [
+        line
+        for line in script.received[0].decode().split("\r\n")
+        if line.startswith(names.DEADLINE_MS)
+    ]
+    assert int(deadline.split()[1]) < 1500
+
+
+def test_a_silent_other_box_is_answered_for_before_the_planned_stop_ends() -> None:
+    def _stay_silent(connection: socket.socket) -> None:
+        read_request(connection)
+        time.sleep(2.0)
+
+    with ScriptedReplica(_stay_silent) as box:
+        began_at = monotonic()
+        passing_on = make_passing_on(ScriptedPeers(box.address), stop=stop_in(1.2))
+        reply = passing_on.forward(progress_of())
+    assert reply is not None
+    assert reply.reason == "outcome_unknown"
+    assert monotonic() - began_at < 1.2
