A box that is being stopped dials no placer that it does not need

In the logs a box ended its planned stop 0.05 s after it had lost a placer and begun to dial it again.

Cause: the election of a stopping box goes on until the process ends, also when no request is open and none may come in any more; the process then ends within the handshake.

Ruled out: a fault of the placer that accepts (its peer's process had ended), a link that is closed without a close frame in a stop (links that are open are closed in order).

Change: once the door refuses and no request is open, no placer is dialed. While requests are open, or may come in, links are restored as before, as they may wait for a grant.

Evidence: test_a_box_that_is_being_stopped_dials_no_placer_that_it_does_not_need fails without the condition and passes with it.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -209,7 +209,7 @@
         deadline = Deadline(self.settings.stop.within_s - _END_MARGIN_S)
         self._log.info("Planned stop begins.", open_requests=self._door.open_requests)
         self._planned_stop.begin(ends_at=deadline.at)
-        self._placement.begin_stop(ends_at=deadline.at)
+        self._placement.begin_stop(ends_at=deadline.at, needs_placer=self._may_serve)
         self._door.end_reading(at=deadline.at - _READ_MARGIN_S)
         gevent.sleep(self.settings.stop.notice_s)
         self._door.refusing = True
@@ -224,6 +224,10 @@
         self.settings = settings
         self._intake.limits = settings.intake.limits
 
+    def _may_serve(self) -> bool:
+        """Whether requests are open or may still come in."""
+        return not self._door.refusing or self._door.open_requests > 0
+
     def _wait_idle(self) -> bool:
         """Wait for a short time; return whether no request was open at its start and its end."""
         if self._door.open_requests:
--- a/springrock/placement/election.py
+++ b/springrock/placement/election.py
@@ -111,6 +111,7 @@
         self._cut_off = cut_off
         self._poll_interval_s = _POLL_INTERVAL_S
         self._stopping = False
+        self._needs_placer: Callable[[], bool] = lambda: True
         self._wake = Event()
 
     def run(self) -> None:
@@ -130,8 +131,14 @@
             else:
                 self._find_placer()
 
-    def stop(self) -> None:
-        """Stop being the placer once another box can take over, and stay linked to that box."""
+    def stop(self, *, needs_placer: Callable[[], bool]) -> None:
+        """Stop being the placer once another box can take over, and stay linked to that box.
+
+        Args:
+            needs_placer: Returns whether this box may still need a placer; without it no placer is
+                dialed, as the process might end within the handshake.
+        """
+        self._needs_placer = needs_placer
         self._stopping = True
         self._wake.set()
 
@@ -223,7 +230,12 @@
     def _find_placer(self) -> None:
         existing = self._lease.known_row()
         holder = self._board.holder(key_of(self._zone))
-        if holder is not None and self._is_other(holder) and self._link_to(holder):
+        if (
+            holder is not None
+            and self._is_other(holder)
+            and self._needs_placer()
+            and self._link_to(holder)
+        ):
             return
         takeover_delay_s = self.takeover_delay_s()
         if not self._stopping and self._lease.challenge(
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -202,16 +202,17 @@
         self._limits.on_limit_report.append(self._notify_limit)
         self._brittle.words.on_limit_report.append(self._notify_brittle)
 
-    def begin_stop(self, *, ends_at: float) -> None:
+    def begin_stop(self, *, ends_at: float, needs_placer: Callable[[], bool]) -> None:
         """Hand this box's placer roles over to other boxes, before it stops.
 
         Args:
             ends_at: When this box ends, on the local monotonic clock. No request waits here for
                 longer than it can and still end before that.
+            needs_placer: Returns whether requests may still need the placers.
         """
         self._stopping = True
         for zone in self._zones.values():
-            zone.begin_stop(ends_at=ends_at)
+            zone.begin_stop(ends_at=ends_at, needs_placer=needs_placer)
 
     def stop(self) -> None:
         """Stop all tasks and links."""
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -208,10 +208,10 @@
         """Start taking part in the election."""
         self._tasks.append(gevent.spawn(self._election.run))
 
-    def begin_stop(self, *, ends_at: float) -> None:
+    def begin_stop(self, *, ends_at: float, needs_placer: Callable[[], bool]) -> None:
         """Hand the placer role over to another box before this one stops."""
         self.demand.begin_stop(ends_at=ends_at)
-        self._election.stop()
+        self._election.stop(needs_placer=needs_placer)
 
     def stop(self) -> None:
         """Stop all tasks and close all links."""
--- a/tests/placement/test_election.py
+++ b/tests/placement/test_election.py
@@ -91,11 +91,16 @@
     strength: float = 2.0,
     lease_s: float = 3.0,
     cut_off: Callable[[], bool] = lambda: False,
+    links: NoLinks | None = None,
+    needs_placer: Callable[[], bool] | None = None,
 ) -> PlacerLease:
-    """Start a box's part in the election before it has read the rows; return its lease."""
+    """Start a box's part in the election before it has read the rows; return its lease.
+
+    A box with `needs_placer` is being stopped.
+    """
     board = PlacerBoard(age_s=lambda: 0.0)
     store.boards.append(board)
-    links = NoLinks()
+    links = links or NoLinks()
     lease = PlacerLease(
         store,
         zone=ZONE,
@@ -118,6 +123,8 @@
         role=RecordingRole(box, placing),
         cut_off=cut_off,
     )
+    if needs_placer is not None:
+        election.stop(needs_placer=needs_placer)
     gevent.spawn(election.run)
     return lease
 
@@ -187,3 +194,21 @@
     # It takes the lease again at once, as no other box is there.
     wait_until(lambda: len(placing) > 1)
     assert monotonic() - taken_at >= lease_s
+
+
+def test_a_box_that_is_being_stopped_dials_no_placer_that_it_does_not_need() -> None:
+    """Its process may end within the handshake, which the placer takes for a broken link."""
+    store = CountingStore()
+    placing: list[str] = []
+    links = NoLinks()
+    needed: list[str] = []
+    start_box(store, "box-1", placing)
+    start_box(store, "box-2", placing, links=links, needs_placer=lambda: bool(needed))
+    for board in store.boards:
+        board.replace([])
+    wait_until(lambda: placing == ["box-1"])
+    gevent.sleep(1.0)
+    assert not links.linked
+    needed.append("a request")
+    wait_until(lambda: links.linked)
+    assert placing == ["box-1"]
