Count and log connections that are closed for want of room

What was seen: a new connection that found no room, as all others ran requests, was closed without a line or a count, and a resting one that gave way left a count alone, so that nothing told a crowd from clients that close.

Change: `springrock_intake_refused`, and two lines of `intake`, one when new connections begin to find no room of their own and one when there is room for a tenth of them again. One line for each connection was ruled out: a crowd opens thousands a second.

Evidence: test_connections_without_room_are_counted_and_logged_once (new parameters, so it could not run before).

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -38,7 +38,7 @@
 from springrock.forwarding.streaming import StreamRelay
 from springrock.intake import Intake
 from springrock.kept_rows import operator_row_retention, own_row_retention, replica_retention
-from springrock.log import Log
+from springrock.log import Condition, Log
 from springrock.loop_watch import LoopWatch
 from springrock.metrics import ForwardingMetrics
 from springrock.permits.brittle import BrittleReplicas, RefusalShares
@@ -119,7 +119,14 @@
         self._log = self._log_of("box")
         self._run_times = RunTimes()
         self._intake = Intake(
-            settings.intake.limits, on_given_way=self.metrics.intake_given_way.inc
+            settings.intake.limits,
+            on_given_way=self.metrics.intake_given_way.inc,
+            on_refused=self.metrics.intake_refused.inc,
+            crowded=Condition(
+                self._log_of("intake"),
+                begins="There are too many connections.",
+                ends="There is room for connections again.",
+            ),
         )
         self.metrics.intake_bytes.set_function(lambda: float(self._intake.held_bytes))
         self.metrics.intake_connections.set_function(lambda: float(self._intake.connections))
--- a/springrock/intake.py
+++ b/springrock/intake.py
@@ -15,6 +15,7 @@
 
 from msgspec import Struct
 
+from springrock.log import Condition
 from springrock.memory_size import memory_bytes
 
 LARGE_BYTES = 65_536
@@ -29,6 +30,9 @@
 """What a connection takes besides its request."""
 
 _CONNECTIONS_MEMORY_SHARE = 0.25
+_CALM_SHARE = 0.9
+"""The share of the connections below which there is room for all again."""
+
 _DESCRIPTOR_SHARE = 2 / 3
 """The rest is for replicas, the store, and other boxes."""
 
@@ -119,13 +123,22 @@
     Args:
         limits: The bounds of the sum.
         on_given_way: Called for each connection that had to give way.
+        on_refused: Called for each new connection that there was no room for.
+        crowded: Holds while new connections find no room, or only that of others.
     """
 
     def __init__(
-        self, limits: IntakeLimits, *, on_given_way: Callable[[], None] = lambda: None
+        self,
+        limits: IntakeLimits,
+        *,
+        on_given_way: Callable[[], None] = lambda: None,
+        on_refused: Callable[[], None] = lambda: None,
+        crowded: Condition | None = None,
     ) -> None:
         self.limits = limits
         self._on_given_way = on_given_way
+        self._on_refused = on_refused
+        self._crowded = crowded
         # In the order in which connections have rested, or sent bytes, for the longest.
         self._resting: OrderedDict[Hold, None] = OrderedDict()
         self._reading: OrderedDict[Hold, None] = OrderedDict()
@@ -151,7 +164,9 @@
             NoRoom: If there are too many connections, and none of them can give way.
         """
         if self.connections >= self.limits.connections:
-            self._end_one_of(chain(self._resting, self._reading))
+            self._make_room_for_connection()
+        elif self._crowded and self.connections < _CALM_SHARE * self.limits.connections:
+            self._crowded.end(connections=self.connections)
         hold = Hold(self, interrupt)
         self._resting[hold] = None
         return hold
@@ -198,6 +213,20 @@
         self._large_reading.pop(hold, None)
         self._kept.discard(hold)
 
+    def _make_room_for_connection(self) -> None:
+        if self._crowded:
+            self._crowded.begin(
+                resting=len(self._resting),
+                reading=len(self._reading),
+                running=len(self._kept),
+                most=self.limits.connections,
+            )
+        try:
+            self._end_one_of(chain(self._resting, self._reading))
+        except NoRoom:
+            self._on_refused()
+            raise
+
     def _add(self, hold: Hold, size: int) -> None:
         before = hold.held_bytes
         hold.held_bytes += size
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -163,6 +163,11 @@
             "Connections that were ended as all together held too much.",
             registry=registry,
         )
+        self.intake_refused = Counter(
+            "springrock_intake_refused",
+            "New connections that were closed unread, as none of the others could give way.",
+            registry=registry,
+        )
         self.malformed_replica_rows = Counter(
             "springrock_forwarding_replica_rows_passed_over",
             "Rows in the replicas' table that name no replica to use, by cause.",
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from springrock.intake import LARGE_BYTES, Hold, Intake, IntakeLimits, NoRoom
+from springrock.log import Condition, Journal, Line, Log
 from springrock.memory_size import memory_bytes
 
 KB = 1_024
@@ -237,3 +238,38 @@
 
 TestIntakeMachine = IntakeMachine.TestCase
 TestIntakeMachine.settings = settings(max_examples=80, stateful_step_count=40, deadline=None)
+
+
+class Texts(Journal):
+    """A journal that keeps the text of all lines."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.all: list[str] = []
+
+    def add(self, line: Line) -> None:
+        self.all.append(line.text)
+
+
+def test_connections_without_room_are_counted_and_logged_once() -> None:
+    texts = Texts()
+    refused: list[None] = []
+    intake = Intake(
+        IntakeLimits(held_bytes=LIMIT, connections=10),
+        on_refused=lambda: refused.append(None),
+        crowded=Condition(Log("intake", "box-1", texts), begins="Too many.", ends="Room."),
+    )
+    holds = [intake.open(lambda: None) for _ in range(12)]
+    assert texts.all == ["intake: Too many."]
+    assert not refused, "resting connections gave way"
+    for hold in holds:
+        hold.take(1)
+        hold.keep()
+    for _ in range(3):
+        with pytest.raises(NoRoom):
+            intake.open(lambda: None)
+    assert len(refused) == 3
+    for hold in holds[2:5]:
+        hold.close()
+    intake.open(lambda: None)
+    assert texts.all == ["intake: Too many.", "intake: Room."]
