Origins of streams outlive all boxes in the store

Cause: which version began a stream was known to its box and to the placers of two zones alone, and all of them were lost at once.

Ruled out: guessing by the rows of replicas (joins two versions), the placers' own rows (followed by all boxes), a write by each box (390 a second at 195 boxes), event ids of our own (seals).

No message changed; boxes of the last release neither write nor read the table.

--- a/springrock/forwarding/stream_origins.py
+++ b/springrock/forwarding/stream_origins.py
@@ -40,6 +40,8 @@
     """No replica of the service had another version within the life of the stream."""
     ASKED = "asked"
     """Another box knew it."""
+    STORED = "stored"
+    """The store kept it, while no box knew it any more."""
     UNKNOWN = "unknown"
 
 
@@ -85,6 +87,9 @@
     def ask_origin(self, request_id: str, service: str) -> Origin | None:
         """Ask other boxes for the origin of a stream; None if none knows it."""
 
+    def stored_origin(self, request_id: str) -> Origin | None:
+        """Return the origin that other boxes have saved in the store; None if none did."""
+
 
 class StreamOrigins:
     """Records the origins of this box's streams and finds those of streams that are taken up.
@@ -152,7 +157,12 @@
         only = self._history.only_version(service)
         if only is not None:
             return Origin(service, only), OriginSource.ONLY_VERSION
-        told = self._other_boxes.ask_origin(request_id, service) if request_id else None
+        if not request_id:
+            return None, OriginSource.UNKNOWN
+        told = self._other_boxes.ask_origin(request_id, service)
         if told is not None and progress.route.serves(told.service):
             return told, OriginSource.ASKED
+        stored = self._other_boxes.stored_origin(request_id)
+        if stored is not None and progress.route.serves(stored.service):
+            return stored, OriginSource.STORED
         return None, OriginSource.UNKNOWN
--- a/springrock/placement/origin_exchange.py
+++ b/springrock/placement/origin_exchange.py
@@ -1,7 +1,8 @@
 """Keeps the origins of streams at other boxes, which outlive the box that serves them.
 
 A box tells the origins of its streams to the placers of two zones, as long as a service has had
-several software versions lately, or may have had. It asks the placers of all zones.
+several software versions lately, or may have had. It asks the placers of all zones. The placers
+save what they are told in the store, which outlives them.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 from springrock.forwarding.stream_origins import Origin, OriginBook
 from springrock.placement.messages import BegunStreams, OriginFound, OriginQuestion
 from springrock.placement.origin_questions import OriginQuestions
+from springrock.placement.origin_rows import OriginRows
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import SoftwareReport
 from springrock.store_clock import StoreClock
@@ -44,6 +46,10 @@
     def keeps_origins(self) -> bool:
         """Whether the zone's placer is reached, is another box, and keeps origins."""
 
+    @property
+    def placing(self) -> bool:
+        """Whether this box is the zone's placer."""
+
     def tell(self, origins: Iterable[tuple[str, Origin]]) -> None:
         """Tell the placer the origins of streams, by the ids of their requests."""
 
@@ -55,6 +61,8 @@
 
     Args:
         own: The origins of this box's own streams.
+        of_others: The origins that other boxes have told this one.
+        rows: Saves what this box is told.
         history: The versions that replicas have had lately.
         links: Returns the links by zone, those first whose placers are preferably told.
         board: The placers' rows, whose reports outlive the boxes that wrote them.
@@ -65,6 +73,8 @@
         self,
         *,
         own: OriginBook,
+        of_others: OriginBook,
+        rows: OriginRows,
         history: SoftwareHistory,
         links: Callable[[], dict[str, PlacerLink]],
         board: PlacerBoard,
@@ -75,7 +85,8 @@
         self._own = own
         self._history = history
         self._links = links
-        self._of_others = OriginBook()
+        self._of_others = of_others
+        self._rows = rows
         self._informed: set[tuple[str, str]] = set()
 
     def run(self) -> None:
@@ -134,13 +145,22 @@
         """Tell other boxes the origin of a stream, unless the service has only one version."""
         if self._history.only_version(origin.service) is not None:
             return
-        for zone, link in self._chosen().items():
+        chosen = self._chosen()
+        if not chosen:
+            self._save_own(request_id, origin)
+        for zone, link in chosen.items():
             if (zone, origin.service) in self._informed:
                 link.tell([(request_id, origin)])
             else:
                 self._tell_all(link, origin.service)
                 self._informed.add((zone, origin.service))
 
+    def _save_own(self, request_id: str, origin: Origin) -> None:
+        """Save the origin of a stream of this box, if it is the only placer that is reached."""
+        placed = next((zone for zone, link in self._links().items() if link.placing), None)
+        if placed is not None:
+            self._rows.add(placed, request_id, origin)
+
     def told_origin(self, request_id: str) -> Origin | None:
         """Return the origin that another box told this one; None if none did."""
         return self._of_others.find(request_id)
@@ -163,6 +183,10 @@
         known = {Origin(service, software) for software in self._history.versions(service)}
         return next(iter(vouched)) if len(vouched | known) == 1 and vouched else None
 
+    def stored_origin(self, request_id: str) -> Origin | None:
+        """Return the origin that a placer has saved in the store; None if none did."""
+        return self._rows.find(request_id)
+
     def _answers(self, request_id: str, service: str) -> Generator[OriginFound, None, None]:
         """Yield the answers of placers as they arrive in time."""
         answers: Queue[OriginFound | None] = Queue()
@@ -185,10 +209,18 @@
 
     # Called while this box places.
 
-    def keep(self, begun: BegunStreams) -> None:
-        """Keep the origins of streams of another box."""
+    def keep(self, begun: BegunStreams, *, zone: str) -> None:
+        """Keep the origins of streams of another box.
+
+        Args:
+            begun: The streams.
+            zone: The zone that this box was told as the placer of.
+        """
+        origin = Origin(begun.service, begun.software)
         for request_id in begun.requests:
-            self._of_others.record(request_id, Origin(begun.service, begun.software))
+            if self._of_others.find(request_id) is None:
+                self._rows.add(zone, request_id, origin)
+            self._of_others.record(request_id, origin)
 
     def answer(self, question: OriginQuestion) -> OriginFound:
         """Return the answer to a question of another box."""
--- a/springrock/placement/placement.py
+++ b/springrock/placement/placement.py
@@ -37,6 +37,7 @@
 from springrock.placement.link_server import BoxLinks, LinkServer
 from springrock.placement.messages import Hello, KnownState, TableNews
 from springrock.placement.origin_exchange import OriginExchange, PlacerLink
+from springrock.placement.origin_rows import OriginRows
 from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
@@ -137,8 +138,12 @@
             settings.clients_address, distance=lambda zone: routing_state().topology.distance(zone)
         )
         self._box_count = BoxCount(len(routing_state().topology.zones))
+        told = OriginBook()
+        self._origin_rows = OriginRows(store, book=told, clock=clock, log=log_of("origins"))
         self.origins = OriginExchange(
             own=origins,
+            of_others=told,
+            rows=self._origin_rows,
             history=software_history,
             links=self._placer_links,
             board=board,
@@ -197,6 +202,7 @@
         """Start to accept links and to join zones as replicas become known."""
         self._server.start()
         self._origins_task = gevent.spawn(self.origins.run)
+        self._origin_rows_task = gevent.spawn(self._origin_rows.run)
         self._directory.on_change.append(self._replica_changed)
         self._warmup.on_observation.append(self._notify_observation)
         self._limits.on_limit_report.append(self._notify_limit)
@@ -217,6 +223,7 @@
     def stop(self) -> None:
         """Stop all tasks and links."""
         self._origins_task.kill()
+        self._origin_rows_task.kill()
         for zone in self._zones.values():
             zone.stop()
         self._server.stop()
--- a/springrock/placement/zone.py
+++ b/springrock/placement/zone.py
@@ -265,7 +265,7 @@
         for report in demand.limits:
             self._limits.apply_limit_report(report)
         for begun in demand.begun:
-            self._origins.keep(begun)
+            self._origins.keep(begun, zone=self._zone)
         for question in demand.origin_questions:
             self._send(box, self._origins.answer(question))
         for report in demand.brittle:
--- a/springrock/store_clock.py
+++ b/springrock/store_clock.py
@@ -29,6 +29,11 @@
         self._max_offset_s = 0.0
         self._recorded_at = 0.0
 
+    @property
+    def era(self) -> int:
+        """The store's era that the bounds are of."""
+        return self._era
+
     def record(
         self, store_s: float, *, sent_at: float, received_at: float, era: int = UNKNOWN_ERA
     ) -> None:
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -134,6 +134,9 @@
         self.asked.append(request_id)
         return self.known.get(request_id)
 
+    def stored_origin(self, request_id: str) -> Origin | None:
+        return None
+
 
 class Box:
     """The parts of a box that forward streams to the replicas in its directory."""
--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -13,6 +13,7 @@
 from springrock.forwarding import software_history
 from springrock.forwarding.configuration import RouteKind
 from springrock.forwarding.directory import ReplicaRecord
+from springrock.forwarding.errors import StreamOriginUnknown
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.software_history import (
     STREAM_LIFE_S,
@@ -24,11 +25,13 @@
 from springrock.placement.messages import BegunStreams, Demand, OriginFound, encode
 from springrock.placement.origin_exchange import OriginExchange
 from springrock.placement.origin_questions import OriginQuestions
+from springrock.placement.origin_rows import OriginRows
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.placer_row import PlacerRow, key_of
 from springrock.rows import Row
 from springrock.store_clock import StoreClock
 from tests.forwarding.test_values import make_request, make_route
+from tests.placement.test_origin_rows import RowsStore
 
 V1, V2 = Origin("s", "v1"), Origin("s", "v2")
 
@@ -36,7 +39,7 @@
 class Box:
     """One box with its part of the exchange; it may be the placer of zones."""
 
-    def __init__(self, *versions: str) -> None:
+    def __init__(self, *versions: str, store: RowsStore | None = None) -> None:
         self.own = OriginBook()
         self.history = SoftwareHistory(age_s=lambda: 0.0)
         for number, software in enumerate(versions):
@@ -48,8 +51,13 @@
         self.board = PlacerBoard(age_s=lambda: 0.0)
         clock = StoreClock()
         clock.record(monotonic(), sent_at=monotonic(), received_at=monotonic())
+        told = OriginBook()
+        self.store = store or RowsStore()
+        self.rows = OriginRows(self.store, book=told, clock=clock, log=Log("origins", "box"))
         self.exchange = OriginExchange(
             own=self.own,
+            of_others=told,
+            rows=self.rows,
             history=self.history,
             links=lambda: dict(self.links),
             board=self.board,
@@ -78,6 +86,7 @@
         self._placer = placer
         self._answers = answers
         self.keeps_origins = True
+        self.placing = False
         self.placer = f"box-{id(placer)}"
         self.told: list[str] = []
         self.questions = OriginQuestions(on_update=lambda: gevent.spawn(self._deliver) and None)
@@ -85,7 +94,7 @@
     def tell(self, origins: Iterable[tuple[str, Origin]]) -> None:
         for request_id, origin in origins:
             self.told.append(request_id)
-            self._placer.exchange.keep(BegunStreams(*origin, [request_id]))
+            self._placer.exchange.keep(BegunStreams(*origin, [request_id]), zone="zone-1")
 
     def _deliver(self) -> None:
         for question in self.questions.drain_updates():
@@ -120,7 +129,7 @@
     lagging, told = Box("v1"), Box("v1", "v2")
     lagging.history.update()
     monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
-    told.exchange.keep(BegunStreams("s", "v2", ["r0"]))
+    told.exchange.keep(BegunStreams("s", "v2", ["r0"]), zone="zone-1")
     for box in (Box("v1"), Box("v1", "v2")):
         assert linked(box, [lagging, told]).exchange.ask_origin("r0", "s") == V2
 
@@ -153,7 +162,7 @@
     box = Box("v1")
     box.history.update()
     monkeypatch.setattr(software_history, "monotonic", lambda: started_at + STREAM_LIFE_S + 1)
-    box.exchange.keep(BegunStreams("s", "v2", ["r0"]))
+    box.exchange.keep(BegunStreams("s", "v2", ["r0"]), zone="zone-1")
     assert box.version_for("r0") == "v2"
 
 
@@ -236,6 +245,27 @@
     assert Box("v1").exchange.report() is None
 
 
+def test_what_placers_are_told_outlives_all_boxes() -> None:
+    placer = Box("v1", "v2")
+    linked(Box("v1", "v2"), [placer]).begin("r0", V2)
+    placer.rows.save()
+    assert len(placer.store.rows) == 1
+    started_again = Box("v1", "v2", store=placer.store)
+    assert started_again.version_for("r0") == "v2"
+    with pytest.raises(StreamOriginUnknown):
+        started_again.version_for("r1")
+
+
+def test_the_only_placer_saves_its_own_streams() -> None:
+    box = Box("v1", "v2")
+    box.links = {"zone-1": Link(box)}
+    box.links["zone-1"].keeps_origins = False
+    box.links["zone-1"].placing = True
+    box.begin("r0", V2)
+    box.rows.save()
+    assert Box("v1", "v2", store=box.store).version_for("r0") == "v2"
+
+
 def test_silent_placers_delay_a_request_only_briefly() -> None:
     box = Box("v1", "v2")
     box.links = {"zone-0": Link(Box(), answers=False), "zone-1": Link(Box(), answers=False)}
--- a/tests/routed/test_software_versions.py
+++ b/tests/routed/test_software_versions.py
@@ -154,6 +154,26 @@
     assert statuses.count(200) >= len(begun) / 2
 
 
+def test_streams_go_on_after_all_boxes_were_killed_in_a_release(deployment: Deployment) -> None:
+    """Guards against origins that are lost with the boxes that know them."""
+    begun = begin_streams(deployment, "box-2")
+    assert len(begun) >= STREAMS / 2
+    deployment.processes.restart("box-2")
+    deployment.wait_ready(replicas=REPLICAS + 2)
+    time.sleep(1.0)
+    restart_all_boxes(deployment)
+    deployment.wait_ready(replicas=REPLICAS + 2)
+    for box in deployment.clients:
+        deployment.send_until_served(box, "/items/x", adapter="a1")
+    went_on = 0
+    for number, (request_id, first) in enumerate(begun.items()):
+        rest = take_up(deployment, f"box-{1 + number % 4}", request_id, first)
+        if rest.status == 200:
+            went_on += 1
+            assert len({*first.event_software, *rest.event_software}) == 1
+    assert went_on >= len(begun) / 2
+
+
 def restart_all_boxes(deployment: Deployment) -> None:
     """Kill all boxes at once, then start them again."""
     for box in deployment.clients:
