Ask replicas whether they are at work while two runs of a stream are open

Cause: `Overlap` takes a replica that was not heard for a second for paused, and a slow one with a single stream is heard as rarely.

Ruled out: a late check of overlaps, a connection that closes late.

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -17,7 +17,7 @@
 from springrock.forwarding.choosing import ReplicaChooser
 from springrock.forwarding.configuration import Configuration, RouteTable
 from springrock.forwarding.cross_zone_bytes import CrossZoneBytes
-from springrock.forwarding.directory import Directory, ReplicaRecord
+from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
 from springrock.forwarding.door import ForwardingDoor
 from springrock.forwarding.eligibility import RoutingState
 from springrock.forwarding.evacuation_watch import EvacuationWatch
@@ -36,6 +36,7 @@
 from springrock.forwarding.software_history import SoftwareHistory
 from springrock.forwarding.stream_origins import OriginBook, StreamOrigins
 from springrock.forwarding.streaming import StreamRelay
+from springrock.forwarding.work_probe import WorkProbe
 from springrock.intake import Intake
 from springrock.kept_rows import operator_row_retention, own_row_retention, replica_retention
 from springrock.log import Condition, Log
@@ -46,6 +47,7 @@
 from springrock.permits.own_shares import OwnShares
 from springrock.permits.permits import Permits
 from springrock.permits.warmup import WarmupTracker
+from springrock.placement.control import ControlUnanswered, EngineControl
 from springrock.placement.messages import Hello, KnownState
 from springrock.placement.placement import Placement
 from springrock.placement.placer_board import PlacerBoard
@@ -441,6 +443,7 @@
             stop=self._planned_stop,
         )
         log = self._log_of("forwarder")
+        probed = PlatformEngines(notice_handler_for=self._notices.notice_handler)
         limits = settings.answers.limits
         sender = Sender(
             dialect=dialect,
@@ -448,6 +451,7 @@
             warmup=self._warmup,
             may_send=chooser.may_send,
             run_times=self._run_times,
+            work_probe=WorkProbe(lambda replica: _answers_report(probed, replica)),
             byte_counters=CrossZoneBytes(self.metrics, self._topology),
             log=log,
             crash_detector=self._quarantine.crash_detector,
@@ -637,3 +641,12 @@
     def _retry_terms(self) -> RetryTerms:
         retries = self.settings.retries
         return RetryTerms(retries.ratio, retries.allowance, retries.window_s, retries.boxes)
+
+
+def _answers_report(engines: EngineControl, replica: Replica) -> bool:
+    """Whether a model replica answers a call that takes it no time."""
+    try:
+        engines.report(replica.record.address, instance=replica.record.replica_id)
+    except ControlUnanswered:
+        return False
+    return True
--- a/springrock/forwarding/directory.py
+++ b/springrock/forwarding/directory.py
@@ -115,6 +115,8 @@
         pool: The connections of this box to the replica.
         running: The number of requests of this box that the replica is running.
         heard_at: When it last sent a part of an answer, on the local monotonic clock.
+        at_work_at: When it last answered a probe of `WorkProbe`, on the same clock.
+        probed_at: When that probe was last sent.
     """
 
     def __init__(self, record: ReplicaRecord, backoff: Backoff | None = None) -> None:
@@ -125,6 +127,8 @@
         self.pool = ConnectionPool(record.address)
         self.running = 0
         self.heard_at = float("-inf")
+        self.at_work_at = float("-inf")
+        self.probed_at = float("-inf")
 
     @property
     def instance(self) -> str:
--- a/springrock/forwarding/overlap.py
+++ b/springrock/forwarding/overlap.py
@@ -12,8 +12,8 @@
     """The time in which two replicas are both at work on one stream.
 
     A paused replica works on nothing, so its run may be kept for as long as it takes. One that is
-    heard on any connection is at work. The earlier of two such runs is given up: it alone has had
-    the time to go on.
+    heard on any connection, or answers a probe, is at work. The earlier of two such runs is given
+    up: it alone has had the time to go on.
     """
 
     def __init__(self) -> None:
--- a/springrock/forwarding/resumption.py
+++ b/springrock/forwarding/resumption.py
@@ -199,9 +199,16 @@
 
     def _add_open_run(self, open_run: _OpenRun) -> None:
         self._open_runs.append(open_run)
+        self._probe_open_runs()
         if self._overlap_watch is None:
             self._overlap_watch = gevent.spawn(self._watch_overlaps)
 
+    def _probe_open_runs(self) -> None:
+        """Find out which replicas are at work, as a slow one is heard as rarely as a paused one."""
+        if len(self._open_runs) > 1:
+            for open_run in self._open_runs:
+                open_run.run.probe()
+
     def _watch_overlaps(self) -> None:
         while not self._ended:
             gevent.sleep(_OVERLAP_CHECK_S)
@@ -209,6 +216,7 @@
 
     def _give_up_earlier_runs(self) -> None:
         """Give up each run whose replica is at work beside that of the run that was begun next."""
+        self._probe_open_runs()
         for earlier, later in list(zip(self._open_runs, self._open_runs[1:], strict=False)):
             if earlier.overlap.is_too_long(
                 now=monotonic(),
--- a/springrock/forwarding/sending.py
+++ b/springrock/forwarding/sending.py
@@ -27,6 +27,7 @@
 from springrock.forwarding.notices import ReplicaNotices
 from springrock.forwarding.request_progress import Attempt, AttemptOutcome, RequestProgress
 from springrock.forwarding.run_times import RunTimes
+from springrock.forwarding.work_probe import WorkProbe
 from springrock.log import Log
 from springrock.permits.messages import PermitStage
 from springrock.permits.warmup import WarmupTracker
@@ -75,6 +76,7 @@
         notices: Receives what the heads of answers say about their replicas.
         reach: Receives what shows whether this box reaches replicas of a service at all.
         run_times: Receives how long whole runs took.
+        work_probe: Finds out whether a replica that is not heard is at work.
         is_brittle: Whether a replica may fall over for the requests that it turns away.
         record_use: Called with a replica, the client's id of a request and what became of it.
         count_attempt: Called with the outcome of each attempt.
@@ -93,6 +95,7 @@
         notices: ReplicaNotices,
         reach: BoxReach,
         run_times: RunTimes | None = None,
+        work_probe: WorkProbe | None = None,
         is_brittle: Callable[[ReplicaRecord], bool] = lambda record: False,
         record_use: RecordUse = lambda record, request, stage: None,
         count_attempt: Callable[[AttemptOutcome], None] = lambda outcome: None,
@@ -107,6 +110,7 @@
         self._notices = notices
         self._reach = reach
         self._run_times = run_times or RunTimes()
+        self.work_probe = work_probe or WorkProbe()
         self._is_brittle = is_brittle
         self._record_use = record_use
         self._count_attempt = count_attempt
--- a/springrock/forwarding/stream_run.py
+++ b/springrock/forwarding/stream_run.py
@@ -82,8 +82,15 @@
 
     @property
     def replica_heard_at(self) -> float:
-        """When the replica last sent a part of any answer, on the local monotonic clock."""
-        return self._replica.heard_at
+        """When the replica last sent a part of any answer, or answered a probe.
+
+        On the local monotonic clock.
+        """
+        return max(self._replica.heard_at, self._replica.at_work_at)
+
+    def probe(self) -> None:
+        """Find out whether the replica is at work, unless it was heard lately."""
+        self._sender.work_probe.ask(self._replica)
 
     def open(self, *, silent_after_s: float) -> AnswerHead:
         """Send the request, read up to the first complete event, and return the head.
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import socket
 import time
 
 import gevent
 import gevent.socket
+import msgspec
 import pytest
 
 from springrock.clock import monotonic
@@ -26,12 +28,13 @@
 )
 from springrock.forwarding.connection import Connection, ConnectionPool
 from springrock.forwarding.dialect import SendTerms
-from springrock.forwarding.directory import Directory, ReplicaRecord
+from springrock.forwarding.directory import Directory, Replica, ReplicaRecord
 from springrock.forwarding.errors import AnswerSilent, NoReplica, OutcomeUnknown
 from springrock.forwarding.exchange import exchange
 from springrock.forwarding.message import Headers
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.stream_run import StreamRun
+from springrock.forwarding.work_probe import WorkProbe
 from springrock.log import Log
 from springrock.permits.choice import NoPermits
 from springrock.permits.permits import Permit
@@ -42,6 +45,7 @@
 from tests.forwarding.test_silent_replicas import (
     BEGUN,
     CHUNKED_HEAD,
+    LAST_CHUNK,
     REST,
     STALL_S,
     WHOLE,
@@ -76,9 +80,14 @@
 
 
 def stream_of(
-    *replicas: ScriptedReplica, deadline_s: float = 5.0, attempts: int = 2, resumable: bool = True
+    *replicas: ScriptedReplica,
+    deadline_s: float = 5.0,
+    attempts: int = 2,
+    resumable: bool = True,
+    work_probe: WorkProbe | None = None,
 ) -> Stream:
-    stream = Stream(*[replica.address for replica in replicas], resumable=resumable)
+    addresses = [replica.address for replica in replicas]
+    stream = Stream(*addresses, resumable=resumable, work_probe=work_probe)
     route = make_route(kind=RouteKind.STREAMING, attempts=attempts, resumable=resumable)
     stream.progress = RequestProgress(make_request(deadline_s=deadline_s), route, "s")
     return stream
@@ -139,6 +148,74 @@
     assert second.closed_at < third.sent_at[0] - 1.5 + 0.5
 
 
+class BeginsAndWaits(Playing):
+    """A script that sends the beginning of a stream and waits for the end of its connection."""
+
+    def __call__(self, connection: socket.socket) -> None:
+        self.request = read_request(connection)
+        connection.sendall(CHUNKED_HEAD + chunk(BEGUN))
+        connection.settimeout(5.0)
+        with contextlib.suppress(OSError):
+            connection.recv(1)
+        self.closed_at = monotonic()
+
+
+class BeginsLate(Playing):
+    """A script that sends nothing of a stream, not even its head, for a second."""
+
+    def __call__(self, connection: socket.socket) -> None:
+        self.request = read_request(connection)
+        time.sleep(1.0)
+        connection.sendall(CHUNKED_HEAD + chunk(REST) + LAST_CHUNK)
+        self.sent_at.append(monotonic())
+        connection.recv(1)
+
+
+def engines_stream(one: ScriptedReplica, two: ScriptedReplica, *, answering: set[int]) -> Stream:
+    """Return a stream over two engines, of which some answer probes."""
+
+    def _answers(replica: Replica) -> bool:
+        return stream.chooser.replicas.index(replica) in answering
+
+    stream = stream_of(one, two, work_probe=WorkProbe(_answers))
+    for replica in stream.chooser.replicas:
+        replica.record = msgspec.structs.replace(replica.record, models=frozenset({"base"}))
+    return stream
+
+
+def play_slow_and_late(
+    monkeypatch: pytest.MonkeyPatch, *, answering: set[int]
+) -> tuple[float, float]:
+    """Play a stream whose replica is silent, and another one that is late with its first event.
+
+    Returns:
+        When the run at the silent replica was closed, and when the other one sent its first event.
+    """
+    monkeypatch.setattr(silence_guard, "STALL_TIMEOUT_S", 1.5)
+    silent, late = BeginsAndWaits(), BeginsLate()
+    with ScriptedReplica(silent) as one, ScriptedReplica(late) as two:
+        received, cut = collect(engines_stream(one, two, answering=answering).events())
+    assert (b"".join(received), cut) == (WHOLE, False)
+    assert silent.closed_at is not None
+    return silent.closed_at, late.sent_at[0]
+
+
+def test_a_run_at_a_replica_that_works_slowly_is_not_kept_beside_another_for_400_ms(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against taking a replica for paused that is heard rarely, as it works slowly."""
+    closed_at, event_at = play_slow_and_late(monkeypatch, answering={0, 1})
+    assert closed_at < event_at - 1.0 + 0.4
+
+
+@pytest.mark.parametrize("answering", [set(), {0}, {1}])
+def test_a_run_is_kept_until_another_goes_on_unless_both_replicas_answer(
+    monkeypatch: pytest.MonkeyPatch, answering: set[int]
+) -> None:
+    closed_at, event_at = play_slow_and_late(monkeypatch, answering=answering)
+    assert closed_at >= event_at
+
+
 def test_a_sound_replica_is_not_given_up_for_one_that_then_refuses() -> None:
     def _refuse_late(connection: socket.socket) -> None:
         read_request(connection)
--- a/tests/forwarding/test_streaming.py
+++ b/tests/forwarding/test_streaming.py
@@ -21,6 +21,7 @@
 from springrock.forwarding.request_progress import RequestProgress
 from springrock.forwarding.sending import Sender
 from springrock.forwarding.streaming import StreamRelay
+from springrock.forwarding.work_probe import WorkProbe
 from springrock.log import Log
 from springrock.metrics import ForwardingMetrics
 from springrock.platform.dialect import PlatformDialect
@@ -82,7 +83,9 @@
 class Stream:
     """A stream that a relay reads from scripted replicas."""
 
-    def __init__(self, *addresses: str, resumable: bool) -> None:
+    def __init__(
+        self, *addresses: str, resumable: bool, work_probe: WorkProbe | None = None
+    ) -> None:
         self.chooser = ScriptedChooser(*addresses)
         log = Log("test", "box-1")
         sender = Sender(
@@ -93,6 +96,7 @@
             notices=make_notices(),
             reach=make_reach(),
             may_send=lambda progress, chosen: True,
+            work_probe=work_probe,
             log=log,
             byte_counters=CrossZoneBytes(ForwardingMetrics(), Topology(home="zone-1")),
         )
