Rename the parts of the bound on all connections by the field's usual terms

`Hold` is a `Reservation`, which is evicted and does not give way; `ReadBound.CROWD` is `OVERLOAD`, as the log's `ended_by` says; `EnduringListener` is `RetryingListener`; the metric is `springrock_intake_evicted`. Behaviour is unchanged.

--- a/springrock/coordination/peers.py
+++ b/springrock/coordination/peers.py
@@ -21,11 +21,11 @@
 from springrock import gevent_websockets as _  # noqa: F401
 from springrock.coordination.link import SOCKET_FAILURES, Link
 from springrock.coordination.members import Member, Members
-from springrock.enduring_listener import EnduringListener
 from springrock.errors import PeerRejected, PeerUnreachable
 from springrock.ids import rendezvous_order
 from springrock.log import Log
 from springrock.metrics import Metrics
+from springrock.retrying_listener import RetryingListener
 from springrock.settings import PeersSection, split_address
 from springrock.unknown_messages import UnknownKind, UnknownMessages
 from springrock.wire import peer as wire
@@ -85,7 +85,7 @@
         host, port = split_address(self._settings.address)
         self._server = serve(
             self._serve_link,
-            sock=EnduringListener.from_address(host, port, on_failure=self._log_failed_accept),
+            sock=RetryingListener.from_address(host, port, on_failure=self._log_failed_accept),
             process_request=self._check_key,
             compression=None,
             max_size=self._settings.frame_limit_bytes,
--- a/springrock/doors/caller.py
+++ b/springrock/doors/caller.py
@@ -37,9 +37,9 @@
     ReadBound.FRAMING_BYTES: Cause.BODY_TOO_LARGE,
     ReadBound.TRAILER_BYTES: Cause.BODY_TOO_LARGE,
     ReadBound.FRAMING: Cause.MALFORMED_REQUEST,
-    ReadBound.CROWD: Cause.QUEUE_FULL,
+    ReadBound.OVERLOAD: Cause.QUEUE_FULL,
 }
-_RETRY_AFTER_CROWD_S = 1
+_RETRY_AFTER_OVERLOAD_S = 1
 
 
 @doors.register("caller")
@@ -360,8 +360,8 @@
         refusal = wire.make_refusal(_CAUSE_BY_BOUND[error.bound], str(error))
         self._count(refusal.run_state, refusal.cause)
         headers = {wire.RUN_STATE_HEADER: refusal.run_state, wire.BOX_HEADER: self._host.name}
-        if error.bound is ReadBound.CROWD:
-            headers["Retry-After"] = str(_RETRY_AFTER_CROWD_S)
+        if error.bound is ReadBound.OVERLOAD:
+            headers["Retry-After"] = str(_RETRY_AFTER_OVERLOAD_S)
         body = wire.error_body(refusal, request_id)
         return json_response(body, status=error.status, headers=headers)
 
--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -122,7 +122,7 @@
         self._run_times = RunTimes()
         self._intake = Intake(
             settings.intake.limits,
-            on_given_way=self.metrics.intake_given_way.inc,
+            on_evicted=self.metrics.intake_evicted.inc,
             on_refused=self.metrics.intake_refused.inc,
             crowded=Condition(
                 self._log_of("intake"),
--- a/springrock/errors.py
+++ b/springrock/errors.py
@@ -187,7 +187,7 @@
     TRAILER_BYTES = "trailer_bytes"
     FRAMING = "framing"
     """The chunks of the body are malformed."""
-    CROWD = "crowd"
+    OVERLOAD = "overload"
     """All callers together sent more than the process can hold."""
 
 
@@ -200,7 +200,7 @@
     ReadBound.FRAMING_BYTES: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     ReadBound.TRAILER_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     ReadBound.FRAMING: HTTPStatus.BAD_REQUEST,
-    ReadBound.CROWD: HTTPStatus.SERVICE_UNAVAILABLE,
+    ReadBound.OVERLOAD: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 
--- a/springrock/forwarding/door.py
+++ b/springrock/forwarding/door.py
@@ -44,9 +44,9 @@
     ReadBound.FRAMING_BYTES: "body_too_large",
     ReadBound.TRAILER_BYTES: "trailers_too_large",
     ReadBound.FRAMING: "malformed_request",
-    ReadBound.CROWD: "too_much_at_once",
+    ReadBound.OVERLOAD: "too_much_at_once",
 }
-_RETRY_AFTER_CROWD_S = 1.0
+_RETRY_AFTER_OVERLOAD_S = 1.0
 _LOGGED_FRAMES = 3
 _MAX_LOGGED_ERROR = 200
 
@@ -163,7 +163,7 @@
             self._log_unread(error, request=self.request_id_of(open_request))
             if error.bound is ReadBound.BODY_TIME and monotonic() >= self._reading_ends_at:
                 return own_reply(503, "stopping", retry_after_s=0.0)
-            retry_after_s = _RETRY_AFTER_CROWD_S if error.bound is ReadBound.CROWD else None
+            retry_after_s = _RETRY_AFTER_OVERLOAD_S if error.bound is ReadBound.OVERLOAD else None
             return own_reply(
                 error.status, _REASON_BY_BOUND[error.bound], retry_after_s=retry_after_s
             )
--- a/springrock/httpd.py
+++ b/springrock/httpd.py
@@ -15,7 +15,7 @@
 
 from springrock.clock import Deadline, monotonic
 from springrock.errors import AnswerCut, CallerGone, ReadBound, RequestNotRead
-from springrock.intake import Hold, Intake, IntakeLimits, NoRoom
+from springrock.intake import Intake, IntakeLimits, NoRoom, Reservation
 from springrock.non_negative import read_non_negative
 from springrock.request_body import RequestBody
 from springrock.request_reader import ReadLimits, RequestReader
@@ -40,7 +40,7 @@
 _RECEIVE_BUFFER_BYTES = 65_536
 """What the system keeps of a connection that is not read; it takes up to twice as much."""
 
-_RETRY_AFTER_CROWD_S = 1
+_RETRY_AFTER_OVERLOAD_S = 1
 
 _SEND_PERIOD_S = 1.0
 """How often to try to send: a system that has little room does not report that it has some."""
@@ -76,7 +76,7 @@
 class _Server(WSGIServer):
     """A WSGI server with bounds for what is read from its connections and sent on them."""
 
-    # More at once could take all descriptors before any connection gives way.
+    # More at once could take all descriptors before any connection is evicted.
     max_accept = 16
 
     def __init__(
@@ -109,16 +109,16 @@
         return listener
 
     def handle(self, sock: Any, address: Any) -> None:
-        """Serve a connection; close it if there are too many that cannot give way."""
+        """Serve a connection; close it if there are too many that cannot be evicted."""
         try:
-            hold = self.intake.open(lambda: _end_reading(sock))
+            reservation = self.intake.open(lambda: _end_reading(sock))
         except NoRoom:
             sock.close()
             return
         try:
-            _Handler(sock, address, self, hold).handle()
+            _Handler(sock, address, self, reservation).handle()
         finally:
-            hold.close()
+            reservation.close()
 
 
 class _HeadLines:
@@ -151,8 +151,10 @@
     The application needs the socket to detect that the caller disconnected.
     """
 
-    def __init__(self, connection: Any, address: Any, server: _Server, hold: Hold) -> None:
-        self._reader = RequestReader(connection, hold)
+    def __init__(
+        self, connection: Any, address: Any, server: _Server, reservation: Reservation
+    ) -> None:
+        self._reader = RequestReader(connection, reservation)
         super().__init__(
             connection, address, server, io.BufferedReader(self._reader, _READ_BUFFER_BYTES)
         )  # type: ignore[call-arg]
@@ -208,8 +210,8 @@
         self._server.on_unread_head(error)
         status = error.status
         head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        if error.bound is ReadBound.CROWD:
-            head += f"Retry-After: {_RETRY_AFTER_CROWD_S}\r\n"
+        if error.bound is ReadBound.OVERLOAD:
+            head += f"Retry-After: {_RETRY_AFTER_OVERLOAD_S}\r\n"
         with contextlib.suppress(OSError):
             self.socket.settimeout(self._server.send_timeout_s)
             self.socket.sendall(f"{head}Connection: close\r\nContent-Length: 0\r\n\r\n".encode())
--- a/springrock/intake.py
+++ b/springrock/intake.py
@@ -2,8 +2,8 @@
 
 Each connection is bounded for itself, but a crowd of clients can make a process hold the largest
 request on each of its connections. When a bound of the sum is reached, the connection that has
-rested for the longest has to give way, so that clients that stop short of the end of their requests
-do not keep others out. A request that was read whole never gives way.
+rested for the longest is evicted, so that clients that stop short of the end of their requests
+do not keep others out. A request that was read whole is never evicted.
 """
 
 from __future__ import annotations
@@ -70,10 +70,10 @@
 
 
 class NoRoom(Exception):
-    """There is no room for more of a request, as none of the others can give way."""
+    """There is no room for more of a request, as none of the others can be evicted."""
 
 
-class Hold:
+class Reservation:
     """What one connection holds.
 
     Args:
@@ -82,14 +82,14 @@
 
     Attributes:
         held_bytes: Bytes of the current request.
-        gave_way: Whether the connection had to give way, and is to be closed.
+        evicted: Whether the connection was evicted, and is to be closed.
     """
 
     def __init__(self, intake: Intake, interrupt: Callable[[], None]) -> None:
         self._intake = intake
         self._interrupt = interrupt
         self.held_bytes = 0
-        self.gave_way = False
+        self.evicted = False
 
     def rest(self) -> None:
         """Hold nothing, as the connection waits for a request from now on."""
@@ -111,9 +111,9 @@
         """Hold nothing, as the connection is closed; safe to call again."""
         self._intake.close(self)
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Let the task of the connection end it."""
-        self.gave_way = True
+        self.evicted = True
         self._interrupt()
 
 
@@ -122,7 +122,7 @@
 
     Args:
         limits: The bounds of the sum.
-        on_given_way: Called for each connection that had to give way.
+        on_evicted: Called for each connection that is evicted.
         on_refused: Called for each new connection that there was no room for.
         crowded: Holds while new connections find no room, or only that of others.
     """
@@ -131,25 +131,25 @@
         self,
         limits: IntakeLimits,
         *,
-        on_given_way: Callable[[], None] = lambda: None,
+        on_evicted: Callable[[], None] = lambda: None,
         on_refused: Callable[[], None] = lambda: None,
         crowded: Condition | None = None,
     ) -> None:
         self.limits = limits
-        self._on_given_way = on_given_way
+        self._on_evicted = on_evicted
         self._on_refused = on_refused
         self._crowded = crowded
         # In the order in which connections have rested, or sent bytes, for the longest.
-        self._resting: OrderedDict[Hold, None] = OrderedDict()
-        self._reading: OrderedDict[Hold, None] = OrderedDict()
-        self._large_reading: OrderedDict[Hold, None] = OrderedDict()
-        self._kept: set[Hold] = set()
+        self._resting: OrderedDict[Reservation, None] = OrderedDict()
+        self._reading: OrderedDict[Reservation, None] = OrderedDict()
+        self._large_reading: OrderedDict[Reservation, None] = OrderedDict()
+        self._kept: set[Reservation] = set()
         self._held_bytes = 0
         self._large_bytes = 0
 
     @property
     def connections(self) -> int:
-        """Number of open connections that did not have to give way."""
+        """Number of open connections that were not evicted."""
         return len(self._resting) + len(self._reading) + len(self._kept)
 
     @property
@@ -157,61 +157,61 @@
         """Bytes of requests that are held."""
         return self._held_bytes
 
-    def open(self, interrupt: Callable[[], None]) -> Hold:
+    def open(self, interrupt: Callable[[], None]) -> Reservation:
         """Return the hold of a new connection.
 
         Raises:
-            NoRoom: If there are too many connections, and none of them can give way.
+            NoRoom: If there are too many connections, and none of them can be evicted.
         """
         if self.connections >= self.limits.connections:
             self._make_room_for_connection()
         elif self._crowded and self.connections < _CALM_SHARE * self.limits.connections:
             self._crowded.end(connections=self.connections)
-        hold = Hold(self, interrupt)
-        self._resting[hold] = None
-        return hold
+        reservation = Reservation(self, interrupt)
+        self._resting[reservation] = None
+        return reservation
 
-    # Called by holds.
+    # Called by reservations.
 
-    def rest(self, hold: Hold) -> None:
+    def rest(self, reservation: Reservation) -> None:
         """Record that a connection holds nothing and waits for a request."""
-        self.close(hold)
-        if not hold.gave_way:
-            self._resting[hold] = None
+        self.close(reservation)
+        if not reservation.evicted:
+            self._resting[reservation] = None
 
-    def take(self, hold: Hold, size: int) -> None:
-        """Record that more of a request was read, and let others give way if that is too much."""
-        if hold.gave_way:
+    def take(self, reservation: Reservation, size: int) -> None:
+        """Record that more of a request was read, and evict others if that is too much."""
+        if reservation.evicted:
             return
-        self._resting.pop(hold, None)
-        self._add(hold, size)
-        if hold not in self._kept:
-            self._reading[hold] = None
-            self._reading.move_to_end(hold)
-        is_large = hold.held_bytes > LARGE_BYTES
-        if is_large and hold not in self._kept:
-            self._large_reading[hold] = None
-            self._large_reading.move_to_end(hold)
+        self._resting.pop(reservation, None)
+        self._add(reservation, size)
+        if reservation not in self._kept:
+            self._reading[reservation] = None
+            self._reading.move_to_end(reservation)
+        is_large = reservation.held_bytes > LARGE_BYTES
+        if is_large and reservation not in self._kept:
+            self._large_reading[reservation] = None
+            self._large_reading.move_to_end(reservation)
         if is_large:
-            self._make_room_for_large(hold)
-        self._make_room(hold)
+            self._make_room_for_large(reservation)
+        self._make_room(reservation)
 
-    def keep(self, hold: Hold) -> None:
-        """Record that a request was read whole and gives way to no other."""
-        if hold.gave_way:
+    def keep(self, reservation: Reservation) -> None:
+        """Record that a request was read whole and is not evicted."""
+        if reservation.evicted:
             return
-        self._resting.pop(hold, None)
-        self._reading.pop(hold, None)
-        self._large_reading.pop(hold, None)
-        self._kept.add(hold)
+        self._resting.pop(reservation, None)
+        self._reading.pop(reservation, None)
+        self._large_reading.pop(reservation, None)
+        self._kept.add(reservation)
 
-    def close(self, hold: Hold) -> None:
+    def close(self, reservation: Reservation) -> None:
         """Record that a connection holds nothing any more."""
-        self._add(hold, -hold.held_bytes)
-        self._resting.pop(hold, None)
-        self._reading.pop(hold, None)
-        self._large_reading.pop(hold, None)
-        self._kept.discard(hold)
+        self._add(reservation, -reservation.held_bytes)
+        self._resting.pop(reservation, None)
+        self._reading.pop(reservation, None)
+        self._large_reading.pop(reservation, None)
+        self._kept.discard(reservation)
 
     def _make_room_for_connection(self) -> None:
         if self._crowded:
@@ -222,40 +222,44 @@
                 most=self.limits.connections,
             )
         try:
-            self._end_one_of(chain(self._resting, self._reading))
+            self._evict_one_of(chain(self._resting, self._reading))
         except NoRoom:
             self._on_refused()
             raise
 
-    def _add(self, hold: Hold, size: int) -> None:
-        before = hold.held_bytes
-        hold.held_bytes += size
+    def _add(self, reservation: Reservation, size: int) -> None:
+        before = reservation.held_bytes
+        reservation.held_bytes += size
         self._held_bytes += size
-        self._large_bytes += _large_part(hold.held_bytes) - _large_part(before)
+        self._large_bytes += _large_part(reservation.held_bytes) - _large_part(before)
 
-    def _make_room_for_large(self, hold: Hold) -> None:
+    def _make_room_for_large(self, reservation: Reservation) -> None:
         at_most = int(self.limits.held_bytes * _LARGE_SHARE)
-        while self._large_bytes > max(at_most, hold.held_bytes):
-            self._end_one_of(self._large_reading, besides=hold)
+        while self._large_bytes > max(at_most, reservation.held_bytes):
+            self._evict_one_of(self._large_reading, besides=reservation)
 
-    def _make_room(self, hold: Hold) -> None:
-        while self._held_bytes > max(self.limits.held_bytes, hold.held_bytes):
-            self._end_one_of(chain(self._large_reading, self._reading), besides=hold)
+    def _make_room(self, reservation: Reservation) -> None:
+        while self._held_bytes > max(self.limits.held_bytes, reservation.held_bytes):
+            self._evict_one_of(chain(self._large_reading, self._reading), besides=reservation)
 
-    def _end_one_of(self, holds: Iterable[Hold], *, besides: Hold | None = None) -> None:
-        """Let the first connection give way.
+    def _evict_one_of(
+        self, reservations: Iterable[Reservation], *, besides: Reservation | None = None
+    ) -> None:
+        """Evict the first connection.
 
         Raises:
             NoRoom: If there is no other one.
         """
-        found = next((hold for hold in holds if hold is not besides), None)
+        found = next(
+            (reservation for reservation in reservations if reservation is not besides), None
+        )
         if found is None:
             raise NoRoom()
         self.close(found)
-        self._on_given_way()
-        found.give_way()
+        self._on_evicted()
+        found.evict()
 
 
 def _large_part(held_bytes: int) -> int:
-    """Return what a hold counts among large requests."""
+    """Return what a reservation counts among large requests."""
     return held_bytes if held_bytes > LARGE_BYTES else 0
--- a/springrock/metrics.py
+++ b/springrock/metrics.py
@@ -158,14 +158,14 @@
         self.intake_connections = Gauge(
             "springrock_intake_connections", "Open connections of clients.", registry=registry
         )
-        self.intake_given_way = Counter(
-            "springrock_intake_given_way",
+        self.intake_evicted = Counter(
+            "springrock_intake_evicted",
             "Connections that were ended as all together held too much.",
             registry=registry,
         )
         self.intake_refused = Counter(
             "springrock_intake_refused",
-            "New connections that were closed unread, as none of the others could give way.",
+            "New connections that were closed unread, as none of the others could be evicted.",
             registry=registry,
         )
         self.malformed_replica_rows = Counter(
--- a/springrock/placement/link_server.py
+++ b/springrock/placement/link_server.py
@@ -14,7 +14,6 @@
 
 from springrock import gevent_websockets as _  # noqa: F401
 from springrock.clock import monotonic
-from springrock.enduring_listener import EnduringListener
 from springrock.errors import PeerRejected
 from springrock.log import Log
 from springrock.metrics import ignore_count
@@ -29,6 +28,7 @@
     encode,
 )
 from springrock.placement.succession import HandoverTarget
+from springrock.retrying_listener import RetryingListener
 from springrock.settings import split_address
 from springrock.unknown_messages import UnknownKind, UnknownMessages
 
@@ -363,7 +363,7 @@
         host, port = split_address(self._address)
         self._server = serve(
             self._serve_box,
-            sock=EnduringListener.from_address(host, port, on_failure=self._log_failed_accept),
+            sock=RetryingListener.from_address(host, port, on_failure=self._log_failed_accept),
             compression=None,
             max_size=FRAME_LIMIT_BYTES,
             open_timeout=_HELLO_TIMEOUT_S,
--- a/springrock/request_reader.py
+++ b/springrock/request_reader.py
@@ -10,7 +10,7 @@
 
 from springrock.clock import Deadline, monotonic
 from springrock.errors import ReadBound, RequestNotRead
-from springrock.intake import Hold, NoRoom
+from springrock.intake import NoRoom, Reservation
 from springrock.turn import Turn
 
 _BLOCK_BYTES = 65_536
@@ -59,7 +59,8 @@
 
     Args:
         connection: The caller's socket, a gevent one.
-        hold: What the connection holds of what all connections of the process may hold together.
+        reservation: What the connection holds of the bytes that all connections of the process may
+            hold together.
 
     Attributes:
         read_bytes: Bytes read since the connection began to wait for the request.
@@ -67,10 +68,10 @@
         began_at: When the first byte of the request was there, on the clock `monotonic`.
     """
 
-    def __init__(self, connection: Any, hold: Hold) -> None:
+    def __init__(self, connection: Any, reservation: Reservation) -> None:
         super().__init__()
         self._connection = connection
-        self._hold = hold
+        self._reservation = reservation
         self._drops = False
         self._deadline = Deadline(0.0)
         self._stated_s = math.inf
@@ -86,7 +87,7 @@
 
     def begin_wait(self, limits: ReadLimits) -> None:
         """Wait for a request from now on; `TimeoutError` is raised if none comes."""
-        self._hold.rest()
+        self._reservation.rest()
         self._drops = False
         self.read_bytes = 0
         self._deadline = Deadline(limits.idle_s)
@@ -96,7 +97,7 @@
     def begin_head(self, limits: ReadLimits) -> None:
         """Read a head from now on."""
         # The request may have come with the one before.
-        self._hold.take(0)
+        self._reservation.take(0)
         self.began_at = monotonic()
         self._deadline = Deadline(limits.head_s)
         self._at_most = limits.head_bytes
@@ -112,7 +113,7 @@
 
     def end_request(self) -> None:
         """Record that the request was read whole."""
-        self._hold.keep()
+        self._reservation.keep()
 
     def begin_rest(self) -> None:
         """Read what is left of a request that was answered, and is dropped, from now on."""
@@ -165,8 +166,8 @@
         if self._time_bound is not None and self._deadline.passed:
             raise self.error(self._time_bound)
         size = self._receive(memoryview(buffer)[:_BLOCK_BYTES])
-        if self._hold.gave_way and self._time_bound is not None:
-            raise self.error(ReadBound.CROWD)
+        if self._reservation.evicted and self._time_bound is not None:
+            raise self.error(ReadBound.OVERLOAD)
         if not size and self._time_bound is ReadBound.HEAD_TIME:
             # The parser would take what it has for a whole head.
             raise self.error(ReadBound.HEAD_END)
@@ -177,9 +178,9 @@
 
     def _take(self, size: int) -> None:
         try:
-            self._hold.take(size)
+            self._reservation.take(size)
         except NoRoom:
-            raise self.error(ReadBound.CROWD) from None
+            raise self.error(ReadBound.OVERLOAD) from None
 
     def error(self, bound: ReadBound) -> RequestNotRead:
         """Return the error for a request that is over a bound, and which is read no further."""
--- a/springrock/enduring_listener.py
+++ b/springrock/retrying_listener.py
@@ -1,4 +1,4 @@
-"""A listening socket whose `accept` outlasts a passing lack of resources.
+"""A listening socket that accepts again after a passing lack of resources.
 
 The accept loop of the websockets library ends for good at the first error, as it takes every error
 for the close of its socket.
@@ -27,7 +27,7 @@
 """Errors of one `accept` (Linux, accept(2)); the next one may succeed."""
 
 
-class EnduringListener(socket.socket):
+class RetryingListener(socket.socket):
     """A listening socket that accepts on after an error that may pass.
 
     Attributes:
@@ -39,7 +39,7 @@
     @classmethod
     def from_address(
         cls, host: str, port: int, *, on_failure: Callable[[OSError], None]
-    ) -> EnduringListener:
+    ) -> RetryingListener:
         """Return a socket that listens at an address."""
         listener = cls(fileno=socket.create_server((host, port)).detach())
         listener.on_failure = on_failure
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -1,4 +1,4 @@
-"""What all connections hold together: its bounds, and who has to give way."""
+"""What all connections hold together: its bounds, and which is evicted."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from springrock.intake import LARGE_BYTES, Hold, Intake, IntakeLimits, NoRoom
+from springrock.intake import LARGE_BYTES, Intake, IntakeLimits, NoRoom, Reservation
 from springrock.log import Condition, Journal, Line, Log
 from springrock.memory_size import memory_bytes
 
@@ -18,22 +18,22 @@
 
 
 class Crowd:
-    """An intake and its holds; a hold that has to give way is noted."""
+    """An intake and its reservations; one that is evicted is noted."""
 
     def __init__(self, *, connections: int = 100) -> None:
         self.intake = Intake(IntakeLimits(held_bytes=LIMIT, connections=connections))
         self.interrupted: list[int] = []
-        self.holds: list[Hold] = []
+        self.reservations: list[Reservation] = []
 
-    def open(self, *, held: int = 0, whole: bool = False) -> Hold:
-        number = len(self.holds)
-        hold = self.intake.open(lambda: self.interrupted.append(number))
-        self.holds.append(hold)
+    def open(self, *, held: int = 0, whole: bool = False) -> Reservation:
+        number = len(self.reservations)
+        reservation = self.intake.open(lambda: self.interrupted.append(number))
+        self.reservations.append(reservation)
         if held:
-            hold.take(held)
+            reservation.take(held)
         if whole:
-            hold.keep()
-        return hold
+            reservation.keep()
+        return reservation
 
 
 def test_the_large_request_that_has_rested_for_the_longest_gives_way() -> None:
@@ -41,7 +41,7 @@
     first, second = crowd.open(held=300 * KB), crowd.open(held=300 * KB)
     first.take(KB)
     crowd.open(held=300 * KB)
-    assert (crowd.interrupted, second.gave_way) == ([1], True)
+    assert (crowd.interrupted, second.evicted) == ([1], True)
     assert crowd.intake.held_bytes == 601 * KB
 
 
@@ -52,7 +52,7 @@
         crowd.open(held=384 * KB, whole=True)
     with pytest.raises(NoRoom):
         crowd.open(held=100 * KB)
-    crowd.holds[-1].close()
+    crowd.reservations[-1].close()
     for _ in range(10):
         crowd.open(held=20 * KB, whole=True)
     assert crowd.interrupted == []
@@ -85,18 +85,18 @@
 
 def test_a_single_request_may_be_longer_than_the_limit() -> None:
     crowd = Crowd()
-    hold = crowd.open(held=3 * LIMIT)
-    hold.keep()
-    assert not hold.gave_way
+    reservation = crowd.open(held=3 * LIMIT)
+    reservation.keep()
+    assert not reservation.evicted
 
 
 def test_a_connection_holds_nothing_while_it_rests() -> None:
     crowd = Crowd()
-    hold = crowd.open(held=500 * KB, whole=True)
-    hold.rest()
+    reservation = crowd.open(held=500 * KB, whole=True)
+    reservation.rest()
     assert (crowd.intake.held_bytes, crowd.intake.connections) == (0, 1)
-    hold.close()
-    hold.close()
+    reservation.close()
+    reservation.close()
     assert crowd.intake.connections == 0
 
 
@@ -107,7 +107,7 @@
     crowd.open()
     crowd.open()
     assert crowd.interrupted == [2]
-    crowd.holds[3].take(KB)
+    crowd.reservations[3].take(KB)
     crowd.open()
     assert crowd.interrupted == [2, 1]
 
@@ -124,10 +124,10 @@
 def test_a_request_that_came_with_the_one_before_does_not_rest() -> None:
     """Guards against a request that is served while its connection counts as resting."""
     crowd = Crowd(connections=1)
-    hold = crowd.open(held=KB, whole=True)
-    hold.rest()
-    hold.take(0)
-    hold.keep()
+    reservation = crowd.open(held=KB, whole=True)
+    reservation.rest()
+    reservation.take(0)
+    reservation.keep()
     with pytest.raises(NoRoom):
         crowd.open()
 
@@ -168,10 +168,10 @@
     @initialize()
     def begin(self) -> None:
         self.crowd = Crowd(connections=8)
-        self.whole: set[Hold] = set()
+        self.whole: set[Reservation] = set()
 
-    def _pick(self, number: int) -> Hold | None:
-        live = [hold for hold in self.crowd.holds if not hold.gave_way]
+    def _pick(self, number: int) -> Reservation | None:
+        live = [reservation for reservation in self.crowd.reservations if not reservation.evicted]
         return live[number % len(live)] if live else None
 
     @rule()
@@ -183,57 +183,57 @@
 
     @rule(number=strategies.integers(0, 99), size=strategies.integers(0, 400 * KB))
     def take(self, number: int, size: int) -> None:
-        hold = self._pick(number)
-        if hold is None or hold in self.whole:
+        reservation = self._pick(number)
+        if reservation is None or reservation in self.whole:
             return
         try:
-            hold.take(size)
+            reservation.take(size)
         except NoRoom:
-            self._drop(hold)
+            self._drop(reservation)
 
     @rule(number=strategies.integers(0, 99))
     def keep(self, number: int) -> None:
-        hold = self._pick(number)
-        if hold is not None and hold.held_bytes:
-            hold.keep()
-            self.whole.add(hold)
+        reservation = self._pick(number)
+        if reservation is not None and reservation.held_bytes:
+            reservation.keep()
+            self.whole.add(reservation)
 
     @rule(number=strategies.integers(0, 99))
     def rest(self, number: int) -> None:
-        hold = self._pick(number)
-        if hold is not None:
-            hold.rest()
-            self.whole.discard(hold)
+        reservation = self._pick(number)
+        if reservation is not None:
+            reservation.rest()
+            self.whole.discard(reservation)
 
     @rule(number=strategies.integers(0, 99))
     def close(self, number: int) -> None:
-        hold = self._pick(number)
-        if hold is not None:
-            self._drop(hold)
+        reservation = self._pick(number)
+        if reservation is not None:
+            self._drop(reservation)
 
-    def _drop(self, hold: Hold) -> None:
-        hold.close()
-        self.whole.discard(hold)
-        self.crowd.holds.remove(hold)
+    def _drop(self, reservation: Reservation) -> None:
+        reservation.close()
+        self.whole.discard(reservation)
+        self.crowd.reservations.remove(reservation)
 
     @invariant()
     def sums_are_right(self) -> None:
-        held = [hold.held_bytes for hold in self.crowd.holds]
+        held = [reservation.held_bytes for reservation in self.crowd.reservations]
         assert self.crowd.intake.held_bytes == sum(held)
-        live = sum(not hold.gave_way for hold in self.crowd.holds)
+        live = sum(not reservation.evicted for reservation in self.crowd.reservations)
         assert self.crowd.intake.connections == live
 
     @invariant()
     def bounds_hold(self) -> None:
-        held = [hold.held_bytes for hold in self.crowd.holds]
+        held = [reservation.held_bytes for reservation in self.crowd.reservations]
         large = [size for size in held if size > LARGE_BYTES]
         assert sum(held) <= max([LIMIT, *held])
         assert sum(large) <= max([LARGE_LIMIT, *large])
         assert self.crowd.intake.connections <= 8
 
     @invariant()
-    def none_that_was_read_whole_gave_way(self) -> None:
-        assert not any(hold.gave_way for hold in self.whole)
+    def none_that_was_read_whole_is_evicted(self) -> None:
+        assert not any(reservation.evicted for reservation in self.whole)
 
 
 TestIntakeMachine = IntakeMachine.TestCase
@@ -259,17 +259,17 @@
         on_refused=lambda: refused.append(None),
         crowded=Condition(Log("intake", "box-1", texts), begins="Too many.", ends="Room."),
     )
-    holds = [intake.open(lambda: None) for _ in range(12)]
+    reservations = [intake.open(lambda: None) for _ in range(12)]
     assert texts.all == ["intake: Too many."]
-    assert not refused, "resting connections gave way"
-    for hold in holds:
-        hold.take(1)
-        hold.keep()
+    assert not refused, "resting connections were evicted"
+    for reservation in reservations:
+        reservation.take(1)
+        reservation.keep()
     for _ in range(3):
         with pytest.raises(NoRoom):
             intake.open(lambda: None)
     assert len(refused) == 3
-    for hold in holds[2:5]:
-        hold.close()
+    for reservation in reservations[2:5]:
+        reservation.close()
     intake.open(lambda: None)
     assert texts.all == ["intake: Too many.", "intake: Room."]
