Tests of planned stops in which something else happens

A second SIGTERM, a SIGHUP, a store that turns the box away and the kill of another box within the stop: waiting requests still get their answers or refusals, and the box ends in time.

--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -9,7 +9,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import NamedTuple
 
@@ -86,8 +86,29 @@
             time.sleep(0.05)
 
 
+def _signal_again(deployment: Deployment) -> None:
+    deployment.processes.signal("box-1", signal.SIGTERM)
+
+
+def _reload(deployment: Deployment) -> None:
+    deployment.processes.signal("box-1", signal.SIGHUP)
+
+
+def _lose_store(deployment: Deployment) -> None:
+    deployment.fault("store", busy=True)
+
+
+def _kill_other_box(deployment: Deployment) -> None:
+    deployment.processes.kill("box-2")
+
+
+@pytest.mark.parametrize(
+    "meanwhile",
+    [lambda deployment: None, _signal_again, _reload, _lose_store, _kill_other_box],
+    ids=["nothing", "SIGTERM", "SIGHUP", "store", "other box"],
+)
 def test_requests_that_wait_for_a_place_get_an_answer_before_the_box_stops(
-    deployment: Deployment,
+    deployment: Deployment, meanwhile: Callable[[Deployment], None]
 ) -> None:
     """Guards against a stop that ends the connections of waiting requests without an answer."""
     deployment.send_until_served("box-1", "/items/x", adapter="a1")
@@ -106,6 +127,7 @@
                 send, deployment, "box-1", "/digest/x", request_id=request_id, adapter=adapter
             )
             batch.append((request_id, sent))
+        meanwhile(deployment)
         ended = [(request_id, sent.result()) for request_id, sent in batch]
         stop.set()
     assert [item for _, item in ended if item.status not in (200, 503)] == []
