Allocate large blocks of memory apart, so that they are returned once freed

Cause: the C library raises its threshold for blocks of their own as large blocks are freed; bodies that grow at the same time then leave gaps in the heap.

Change: the threshold is fixed at its initial value at the start of `entry` and `serve`.

--- a/springrock/cli.py
+++ b/springrock/cli.py
@@ -9,6 +9,7 @@
 import gevent
 
 from springrock import __version__, startup
+from springrock.allocator import separate_large_blocks
 from springrock.errors import SettingsError, SpringrockError
 from springrock.log import log_to
 from springrock.settings import BoxSettings, read_settings
@@ -23,6 +24,7 @@
     """
     from springrock.box import Box
 
+    separate_large_blocks()
     box = Box(read_settings(settings, BoxSettings))
     log_to(sys.stderr)
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/springrock/entry_process.py
+++ b/springrock/entry_process.py
@@ -11,6 +11,7 @@
 import gevent
 
 from springrock import startup
+from springrock.allocator import separate_large_blocks
 from springrock.entry import EntryBox
 from springrock.entry_settings import EntrySettings
 from springrock.errors import SettingsError
@@ -31,6 +32,7 @@
         SettingsError: If the settings cannot be used.
     """
     faulthandler.enable()
+    separate_large_blocks()
     path = settings_path or os.environ.get(SETTINGS_VARIABLE, "")
     settings = read_settings(path, EntrySettings)
     lines = BoundedLines(sys.stdout.fileno())
