--- a/springrock/settings.py
+++ b/springrock/settings.py
@@ -188,7 +188,7 @@
         descriptors: Descriptors that the process may open; null for the limit of the process.
     """
 
-    memory_mb: Annotated[float, Meta(gt=0)] | None = None
+    memory_mb: Annotated[float, Meta(gt=0.0)] | None = None
     descriptors: Annotated[int, Meta(ge=1)] | None = None
 
     @property
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 import socket
+import threading
 import time
 
 import gevent
@@ -151,6 +152,10 @@
 class BeginsAndWaits(Playing):
     """A script that sends the beginning of a stream and waits for the end of its connection."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.ended = threading.Event()
+
     def __call__(self, connection: socket.socket) -> None:
         self.request = read_request(connection)
         connection.sendall(CHUNKED_HEAD + chunk(BEGUN))
@@ -158,6 +163,7 @@
         with contextlib.suppress(OSError):
             connection.recv(1)
         self.closed_at = monotonic()
+        self.ended.set()
 
 
 class BeginsLate(Playing):
@@ -195,7 +201,8 @@
     silent, late = BeginsAndWaits(), BeginsLate()
     with ScriptedReplica(silent) as one, ScriptedReplica(late) as two:
         received, cut = collect(engines_stream(one, two, answering=answering).events())
-    assert (b"".join(received), cut) == (WHOLE, False)
+        assert (b"".join(received), cut) == (WHOLE, False)
+        assert silent.ended.wait(5.0)
     assert silent.closed_at is not None
     return silent.closed_at, late.sent_at[0]
 
--- a/tests/placement/test_zone.py
+++ b/tests/placement/test_zone.py
@@ -15,6 +15,7 @@
 from springrock.placement.box_count import BoxCount
 from springrock.placement.messages import Demand, Heartbeat, TableNews, TableRow, decode, encode
 from springrock.placement.origin_exchange import OriginExchange
+from springrock.placement.origin_rows import OriginRows
 from springrock.placement.peer_boxes import PeerBoxes
 from springrock.placement.placer_board import PlacerBoard
 from springrock.placement.residency import Residency, Versions
@@ -27,6 +28,7 @@
 from springrock.topology import Distance
 from tests.factories import make_brittle, make_limits, make_routing_state, make_warmup
 from tests.placement.test_lease import Store
+from tests.placement.test_origin_rows import RowsStore
 from tests.placement.test_placer import SlowEngine
 
 RECORD = ReplicaRecord(instance="i-1", service="s", address="127.0.0.1:1", zone="zone-2")
@@ -58,6 +60,10 @@
         cut_off=lambda: False,
         origins=OriginExchange(
             own=OriginBook(),
+            of_others=OriginBook(),
+            rows=OriginRows(
+                RowsStore(), book=OriginBook(), clock=StoreClock(), log=Log("origins", "box-1")
+            ),
             history=SoftwareHistory(age_s=lambda: 0.0),
             links=dict,
             board=PlacerBoard(age_s=lambda: 0.0),
