Tests: bring the event loop's time up to date before each test

Cause: gevent's loop reads the clock only while it runs. Tests whose sockets block the thread leave it behind, so that the first timers of the test after them expire too early: after `time.sleep(2)`, a timer of 1 s fired after 0.4 ms, and after 1.0 s with the time brought up to date.

Seen: tests/forwarding/test_resumption.py, test_a_replica_that_is_silent_in_a_stream_that_may_not_go_on_elsewhere_is_avoided, 7 of 7 runs of `pytest tests/test_bounded_reader.py tests/forwarding -n 4` while new tests were written; on one of two such runs failed at test_a_run_is_kept_until_another_goes_on_unless_both_replicas_answer.

Ruled out: the product, whose loop runs all the time; the load, which was below 3 on 8 cores.

No check was changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+import gevent
 import pytest
 
 _LIST_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -54,3 +55,13 @@
     """Print the list after the results."""
     for known in known_failures():
         terminalreporter.write_line(f"KNOWN-RED: {known.test}: {known.cause}")
+
+
+@pytest.fixture(autouse=True)
+def current_loop_time() -> None:
+    """Bring the event loop's time up to date.
+
+    The loop reads the clock only while it runs. After a test that blocked the thread, timers would
+    otherwise expire too early by as long as that took.
+    """
+    gevent.get_hub().loop.update_now()
