Break an early answer without length whose connection is reset

What callers saw: a replica answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was being written; the caller got that part as a complete answer (MIXED). Streams and failures in the same way.

Cause: the system reports a reset once. The write got it, its error was dropped as an answer was still to be read, and the read after the part returned an end in order. The replica lives on, so that the end of its answer was confirmed. urllib3 drops the same error: the services of `springrock serve`, the store, orders, reports and the operator's client are read through it.

Answers whose framing is complete, and those without length that end in order, were whole before and are kept so by tests. Ruled out: a reset after the whole body was written, which the read does raise.

Change: `BoundedReader`, below all parsers, is told of the error of sending and raises it where the connection ends. A broken pipe is none: the system reports it if the peer had closed its side in order before the reset.

--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import io
 from typing import Any
 
@@ -59,6 +60,16 @@
         """Begin a turn, as the task has waited for something else than this reader."""
         self._bounded.turn.begin()
 
+    def record_send_error(self, error: OSError) -> None:
+        """Record that sending on the same connection failed.
+
+        The system reports a reset once. If the sender was told, reads end after the bytes that
+        arrived before it as if the peer had closed the connection in order, and have to raise it.
+        A broken pipe is no such error: the peer had closed the connection in order before.
+        """
+        if error.errno not in (None, errno.EPIPE):
+            self._bounded.send_error = error
+
     @property
     def step_bytes(self) -> int:
         """Number of bytes read from the socket in this step."""
@@ -71,13 +82,18 @@
 
 
 class _BoundedSocket(io.RawIOBase):
-    """The raw stream of a `BoundedReader`."""
+    """The raw stream of a `BoundedReader`.
+
+    Attributes:
+        send_error: The error that ended the connection, if sending was told of it.
+    """
 
     def __init__(self, connection: Any) -> None:
         self._socket = connection
         self._deadline: Deadline | None = Deadline(0.0)
         self._max_bytes = 0
         self.turn = Turn()
+        self.send_error: OSError | None = None
         self.heard_at = monotonic()
         self.step_bytes = 0
 
@@ -102,6 +118,7 @@
         Raises:
             TimeoutError: If the deadline of the step has passed.
             TooManyBytes: If the step has had all of its bytes.
+            OSError: If the connection failed.
         """
         if self._deadline is not None and self._deadline.passed:
             raise TimeoutError("timed out")
@@ -116,6 +133,8 @@
         if self.heard_at - began_at >= _WAIT_S:
             self.turn.begin()
         self.step_bytes += size
+        if not size and self.send_error is not None:
+            raise self.send_error
         return size
 
     def _timeout_s(self) -> float | None:
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -177,6 +177,7 @@
         except OSError as error:
             # A replica may answer and close before it has read a long body.
             if self._has_unread_input():
+                self._reader.record_send_error(error)
                 return
             if isinstance(error, TimeoutError):
                 raise AnswerSilent("the request was not read within the timeout") from None
--- a/springrock/strict_http.py
+++ b/springrock/strict_http.py
@@ -79,6 +79,7 @@
         url: str | None = None,
         *,
         max_answer_bytes: int,
+        send_error: OSError | None,
     ) -> None:
         super().__init__(sock, debuglevel, method, url)
         self.fp.close()
@@ -86,6 +87,8 @@
         self._deadline = None if timeout_s is None else Deadline(timeout_s)
         self._max_answer_bytes = max_answer_bytes
         self.reader = _LineReader(sock)
+        if send_error is not None:
+            self.reader.record_send_error(send_error)
         self.fp = self.reader
 
     def begin(self) -> None:
@@ -123,15 +126,38 @@
     def __init__(self, *args: Any, max_answer_bytes: int, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._max_answer_bytes = max_answer_bytes
+        self._send_error: OSError | None = None
         self.answer: _StrictResponse | None = None
 
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self._send_error = None
+
+    def send(self, data: Any) -> None:
+        """Send a part of a request; urllib3 reads an answer although the connection was reset.
+
+        Raises:
+            OSError: If the connection failed.
+        """
+        try:
+            super().send(data)
+        except OSError as error:
+            self._send_error = error
+            raise
+
     @property
     def response_class(self) -> Callable[..., _StrictResponse]:  # type: ignore[override]
         """What the standard library calls to begin an answer."""
         return self._begin_answer
 
     def _begin_answer(self, sock: socket.socket, method: str | None = None) -> _StrictResponse:
-        self.answer = _StrictResponse(sock, method=method, max_answer_bytes=self._max_answer_bytes)
+        self.answer = _StrictResponse(
+            sock,
+            method=method,
+            max_answer_bytes=self._max_answer_bytes,
+            send_error=self._send_error,
+        )
         return self.answer
 
 
--- a/tests/drivers/test_service.py
+++ b/tests/drivers/test_service.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 import pytest
 
 from springrock.drivers.service import ServiceDriver
 from springrock.errors import UpstreamBroke
 from springrock.settings import UpstreamSection
+from tests.early import LONG_UPLOAD, RESETS, EarlyReplica, answering_early
 from tests.endless import (
     CHUNKED,
     ENDLESS,
@@ -68,6 +70,23 @@
     assert found.body == b"body"
 
 
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize("status", ["200 OK", "500 Internal Server Error"])
+def test_an_early_answer_without_length_that_is_reset_is_broken(
+    status: str, end: Callable[[socket.socket], None]
+) -> None:
+    data = f"HTTP/1.1 {status}\r\n\r\npart".encode()
+
+    def _accept(connection: socket.socket) -> None:
+        read_request(connection)
+
+    with (
+        EarlyReplica(answering_early(data, end), _accept) as service,
+        pytest.raises(UpstreamBroke),
+    ):
+        driver_for(service).call("POST", "/x", body=LONG_UPLOAD, headers={}, timeout_s=5.0)
+
+
 def call_service_that_dies(method: str, data: bytes) -> bytes:
     """Call a service that answers and is gone at the end of its answer; return the body."""
 
--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -22,15 +22,24 @@
     Args:
         scripts: The scripts, in the order of the connections.
         concurrent: Whether a connection is accepted while the scripts of earlier ones run.
+        receive_buffer_bytes: What the system keeps of a connection that is not read; None for its
+            default.
 
     Attributes:
         ended: Number of connections that it has closed.
     """
 
-    def __init__(self, *scripts: Script, concurrent: bool = False) -> None:
+    def __init__(
+        self,
+        *scripts: Script,
+        concurrent: bool = False,
+        receive_buffer_bytes: int | None = None,
+    ) -> None:
         self._scripts = scripts
         self._concurrent = concurrent
         self._listener = socket.create_server(("127.0.0.1", 0))
+        if receive_buffer_bytes is not None:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         host, port = self._listener.getsockname()
         self.address = f"{host}:{port}"
         self.ended = 0
--- a/tests/test_bounded_reader.py
+++ b/tests/test_bounded_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import threading
 from collections.abc import Iterator
@@ -128,3 +129,29 @@
                 continue
         task.kill()
     assert turns > 10
+
+
+@pytest.mark.parametrize("number", [errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH])
+def test_the_error_that_sending_was_told_of_is_raised_where_the_bytes_end(number: int) -> None:
+    local, peer = socket.socketpair()
+    with local, peer:
+        peer.sendall(b"line\nrest")
+        peer.close()
+        reader = BoundedReader(local)
+        reader.record_send_error(OSError(number, "failed"))
+        reader.begin_step(deadline=Deadline(1.0), max_bytes=100)
+        assert reader.readline() == b"line\n"
+        with pytest.raises(OSError, match="failed"):
+            reader.read()
+
+
+@pytest.mark.parametrize("error", [BrokenPipeError(errno.EPIPE, "pipe"), TimeoutError("late")])
+def test_an_end_in_order_is_none_although_sending_failed(error: OSError) -> None:
+    local, peer = socket.socketpair()
+    with local, peer:
+        peer.sendall(b"all")
+        peer.close()
+        reader = BoundedReader(local)
+        reader.record_send_error(error)
+        reader.begin_step(deadline=Deadline(1.0), max_bytes=100)
+        assert reader.read() == b"all"
--- a/tests/test_strict_http.py
+++ b/tests/test_strict_http.py
@@ -4,11 +4,19 @@
 
 import socket
 import tracemalloc
+from collections.abc import Callable
 
 import pytest
 import urllib3
 
 from springrock.strict_http import strict_pool_manager
+from tests.early import (
+    ENDS_IN_ORDER,
+    LONG_UPLOAD,
+    RESETS,
+    EarlyReplica,
+    answering_early,
+)
 from tests.endless import (
     CHUNKED,
     ENDLESS,
@@ -164,3 +172,46 @@
             found = pool.request("GET", f"http://{replica.address}/", timeout=5.0)
             assert found.data == LARGE
     assert len(opened) == 1
+
+
+End = Callable[[socket.socket], None]
+
+
+def upload(data: bytes, end: End) -> bytes:
+    """Return the body of an answer that arrives while a long upload is being sent."""
+    with EarlyReplica(answering_early(data, end)) as replica:
+        pool = strict_pool_manager(max_answer_bytes=MAX_ANSWER_BYTES)
+        url = f"http://{replica.address}/"
+        return pool.request("POST", url, body=LONG_UPLOAD, timeout=5.0).data
+
+
+@pytest.mark.parametrize("end", RESETS)
+@pytest.mark.parametrize("body", [b"part", b""], ids=["part", "no part"])
+def test_an_early_answer_without_length_that_is_reset_is_broken(body: bytes, end: End) -> None:
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        upload(b"HTTP/1.1 200 OK\r\n\r\n" + body, end)
+
+
+@pytest.mark.parametrize("end", [*RESETS, *ENDS_IN_ORDER])
+@pytest.mark.parametrize(
+    "data",
+    [answer("", b"whole"), CHUNKED + b"5\r\nwhole\r\n0\r\n\r\n"],
+    ids=["length", "chunks"],
+)
+def test_an_early_answer_whose_framing_is_complete_is_whole(data: bytes, end: End) -> None:
+    assert upload(data, end) == b"whole"
+
+
+@pytest.mark.parametrize("end", ENDS_IN_ORDER)
+def test_an_early_answer_without_length_that_ends_in_order_is_whole(end: End) -> None:
+    assert upload(b"HTTP/1.1 200 OK\r\n\r\nwhole", end) == b"whole"
+
+
+def test_a_reset_of_one_connection_does_not_break_answers_on_the_next() -> None:
+    early = answering_early(b"HTTP/1.1 200 OK\r\n\r\npart", RESETS[0])
+    with EarlyReplica(early, _answering(b"HTTP/1.1 200 OK\r\n\r\nwhole")) as replica:
+        pool = strict_pool_manager(max_answer_bytes=MAX_ANSWER_BYTES)
+        url = f"http://{replica.address}/"
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            pool.request("POST", url, body=LONG_UPLOAD, timeout=5.0)
+        assert pool.request("GET", url, timeout=5.0).data == b"whole"
