Break an answer whose head a lone line feed would end

Cause: a lone line feed is accepted as the end of a line, so that one at the beginning of a line is an empty line, which ends the head. Nothing looked at whether the lines of a head end alike.

Change: the lines of a head all end as its status line does. Weighed: to require a carriage return, which would break answers of servers that end all lines with a line feed; these are read as before (test).

--- a/springrock/answer_head.py
+++ b/springrock/answer_head.py
@@ -11,9 +11,9 @@
 
 from springrock.errors import SpringrockError
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?\r?\n")
-_HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r?\n")
-_END = (b"\r\n", b"\n")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?(\r?\n)")
+
+_HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*(\r?\n)")
 _MAX_QUOTED = 40
 
 
@@ -24,18 +24,22 @@
 def check_lines(lines: Sequence[bytes]) -> None:
     """Raise `MalformedHead` unless each line of a head is one.
 
+    All lines of a head have to end alike. A lone line feed among lines that end with a carriage
+    return too would end the head before its other headers, which would begin the body.
+
     Args:
         lines: The lines with their ends, the empty ones included. Interim answers may come first.
     """
-    is_first = True
+    line_end: bytes | None = None
     for line in lines:
-        if line in _END:
-            is_first = True
+        if line == line_end:
+            line_end = None
             continue
-        pattern = _STATUS_LINE if is_first else _HEADER_LINE
-        if pattern.fullmatch(line) is None:
+        pattern = _STATUS_LINE if line_end is None else _HEADER_LINE
+        match = pattern.fullmatch(line)
+        if match is None or line_end not in (None, match[1]):
             raise MalformedHead(f"malformed head of the answer: {line[:_MAX_QUOTED]!r}")
-        is_first = False
+        line_end = match[1]
 
 
 def check_framing(headers: Iterable[tuple[str, str]]) -> None:
--- a/tests/broken_heads.py
+++ b/tests/broken_heads.py
@@ -24,14 +24,14 @@
 """What no status line may state."""
 
 _NAME_CHARACTERS = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
-_ODD_BYTES = [bytes([code]) for code in range(256) if code not in _NAME_CHARACTERS + b":\n"]
+_ODD_BYTES = [bytes([code]) for code in range(256) if code not in _NAME_CHARACTERS + b":"]
 
 ODD_LINES = [
     line
     for odd in _ODD_BYTES
     for line in (odd + b"X-Odd: 1\r\n", b"X-" + odd + b"Odd: 1\r\n", b"X-Odd" + odd + b": 1\r\n")
 ]
-"""Lines of a head with a byte in their name, at its beginning or its end, that names may not have."""
+"""Lines of a head with a byte that names may not have before the name, in it and after it."""
 
 SOME_ODD_LINES = (
     b"X Odd: 1\r\n",
@@ -40,6 +40,7 @@
     b"X-\x01Odd: 1\r\n",
     b"X-Odd\x00: 1\r\n",
     b"\rX-Odd: 1\r\n",
+    b"\nX-Odd: 1\r\n",
     b"X-Odd\n: 1\r\n",
 )
 
--- a/tests/routed/test_broken_answers.py
+++ b/tests/routed/test_broken_answers.py
@@ -45,6 +45,7 @@
     "blank": sending(with_line(b"X Odd: 1\r\n", EVENTS)[1]),
     "blank-at-the-end": sending(with_line(b"X-Odd : 1\r\n", EVENTS)[1]),
     "control-byte": sending(with_line(b"X-\x01Odd: 1\r\n", EVENTS)[1]),
+    "line-feed": sending(with_line(b"\nX-Odd: 1\r\n", EVENTS)[1]),
     "cut-in-a-line": sending(cut_heads()[-10]),
     "cut-between-lines": sending(SUCCESS),
     "cut-at-the-end": sending(cut_heads()[-1]),
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -10,7 +10,7 @@
 import pytest
 import urllib3
 
-from springrock.answer_head import check_lines
+from springrock.answer_head import MalformedHead, check_lines
 from springrock.clock import Deadline
 from springrock.drivers.engine import EngineDriver
 from springrock.drivers.service import ServiceDriver
@@ -246,7 +246,7 @@
 
 
 @every_reader
-@pytest.mark.parametrize("line", [b"X Odd: 1\r\n"])
+@pytest.mark.parametrize("line", [b"\nX-Odd: 1\r\n", b"X Odd: 1\r\n"])
 def test_an_odd_name_in_the_head_of_an_answer_without_length_breaks_it(
     reader: Reader, line: bytes
 ) -> None:
@@ -273,6 +273,21 @@
     assert read(reader, with_status("200", b"body").replace(b"\r\n", b"\n")) == b"body"
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [b"HTTP/1.1 200 OK\r\n", b"A: 1\n", b"\r\n"],
+        [b"HTTP/1.1 200 OK\n", b"A: 1\r\n", b"\n"],
+        [b"HTTP/1.1 200 OK\r\n", b"A: 1\r\n", b"\n"],
+        [b"HTTP/1.1 200 OK\n", b"A: 1\n", b"\r\n"],
+        [b"HTTP/1.1 103 Hints\n", b"\n", b"HTTP/1.1 200 OK\r\n", b"\n"],
+    ],
+)
+def test_the_lines_of_a_head_end_alike(lines: list[bytes]) -> None:
+    with pytest.raises(MalformedHead):
+        check_lines(lines)
+
+
 def test_each_head_has_line_ends_of_its_own() -> None:
     check_lines([b"HTTP/1.1 103 Hints\n", b"\n", b"HTTP/1.1 200 OK\r\n", b"A: 1\r\n", b"\r\n"])
 
