Break an answer that switches protocols

Cause: 101 is the one status below 200 after which no answer follows, and was let through for that. Requests are sent without `Upgrade`, so that no replica has been asked to switch.

Change: a status line with 101 is malformed. Links between boxes are opened by the websockets library, which reads their heads itself.

--- a/springrock/answer_head.py
+++ b/springrock/answer_head.py
@@ -11,7 +11,8 @@
 
 from springrock.errors import SpringrockError
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?(\r?\n)")
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (?!101)[1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?(\r?\n)")
+"""Of a final or an interim answer; 101 is none, as no request asks to switch protocols."""
 
 _HEADER_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*(\r?\n)")
 _MAX_QUOTED = 40
--- a/tests/broken_heads.py
+++ b/tests/broken_heads.py
@@ -8,6 +8,7 @@
     "000",
     "001",
     "099",
+    "101",
     "600",
     "999",
     "",
@@ -21,7 +22,7 @@
     "2x0",
     " 200",
 )
-"""What no status line may state."""
+"""What no status line may state; no request asks to switch protocols."""
 
 _NAME_CHARACTERS = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 _ODD_BYTES = [bytes([code]) for code in range(256) if code not in _NAME_CHARACTERS + b":"]
--- a/tests/routed/test_broken_answers.py
+++ b/tests/routed/test_broken_answers.py
@@ -42,6 +42,7 @@
 }
 BROKEN_HEADS = {
     "status-000": sending(with_status("000", EVENTS)),
+    "status-101": sending(with_status("101", EVENTS)),
     "blank": sending(with_line(b"X Odd: 1\r\n", EVENTS)[1]),
     "blank-at-the-end": sending(with_line(b"X-Odd : 1\r\n", EVENTS)[1]),
     "control-byte": sending(with_line(b"X-\x01Odd: 1\r\n", EVENTS)[1]),
