Read the replicas once more before a stream is taken up by the only known version

What callers saw: during a release, one box stood still for two seconds while replicas of a new version joined. Streams that had begun on these replicas through other boxes were taken up at that box and went on at a replica of the old version (ORDER). Reported by operators of other systems; it can happen here.

Cause: the replicas' rows count as current for 3 s after a reading, so that a box whose rows name one version decided by them (`only_version`) before it asked the placers, which had been told of the stream. That no other version is known is no proof that none has begun a stream.

Ruled out: placers that were not told; the same stream goes on at its version once the box has read the row.

Change: the table is read once more when a stream is taken up whose origin the box does not know, and only a read that began after the request had arrived decides; the store's answers are linearizable. Requests that wait at the same time share one read, which is waited for at most 0.3 s, and not within 1 s after one that failed; then the placers are asked as before. Weighed: to ask the placers first, which a box that is cut off from all others does not reach; a shorter trust in the rows, which leaves a shorter gap.

A poll that is answered after a later read is passed over, as it could remove a row that was written again since (test).

--- a/springrock/entry.py
+++ b/springrock/entry.py
@@ -92,6 +92,9 @@
 Replicas write several times a second, as their adapters change. This box needs only the changes of
 whether a replica is leaving, and a delay of this length is acceptable for those."""
 
+_REFRESH_TIMEOUT_S = 0.3
+"""How long a request waits for the store when the replicas' table has to be up to date."""
+
 _PLACERS_PAUSE_S = 0.5
 """Pause between reads of the placers' table.
 
@@ -464,6 +467,7 @@
         origins = StreamOrigins(
             own=self._own_origins,
             history=self._software_history,
+            refresh_replicas=lambda: self._replica_table.refresh(timeout_s=_REFRESH_TIMEOUT_S),
             other_boxes=self._placement.origins,
             log=log,
             count=lambda source: self.metrics.stream_origins.labels(source).inc(),
--- a/springrock/forwarding/stream_origins.py
+++ b/springrock/forwarding/stream_origins.py
@@ -97,6 +97,7 @@
     Args:
         own: The origins of this box's own streams.
         history: The versions that replicas have had lately.
+        refresh_replicas: Brings the replicas' rows up to date; returns whether they are.
         other_boxes: The boxes that keep origins for each other.
         log: The log to write to.
         count: Called with the source of each origin that was looked for.
@@ -107,12 +108,14 @@
         *,
         own: OriginBook,
         history: SoftwareHistory,
+        refresh_replicas: Callable[[], bool],
         other_boxes: OtherBoxes,
         log: Log,
         count: Callable[[OriginSource], None] = lambda source: None,
     ) -> None:
         self._own = own
         self._history = history
+        self._refresh_replicas = refresh_replicas
         self._other_boxes = other_boxes
         self._log = log
         self._count = count
@@ -154,7 +157,7 @@
         recorded = self._own.find(request_id) or self._other_boxes.told_origin(request_id)
         if recorded is not None and progress.route.serves(recorded.service):
             return recorded, OriginSource.RECORDED
-        only = self._history.only_version(service)
+        only = self._only_version(service)
         if only is not None:
             return Origin(service, only), OriginSource.ONLY_VERSION
         if not request_id:
@@ -166,3 +169,10 @@
         if stored is not None and progress.route.serves(stored.service):
             return stored, OriginSource.STORED
         return None, OriginSource.UNKNOWN
+
+    def _only_version(self, service: str) -> str | None:
+        """Return the version of every stream that can have begun by now; None if not certain.
+
+        Another box may have begun the stream at a replica whose row this one has not read yet.
+        """
+        return self._history.only_version(service) if self._refresh_replicas() else None
--- a/springrock/table_follower.py
+++ b/springrock/table_follower.py
@@ -23,6 +23,7 @@
     TableListener,
     TableReading,
 )
+from springrock.shared_read import SharedRead
 from springrock.store_clock import StoreClock
 from springrock.unconfirmed_rows import RetentionPeriods, UnconfirmedRows
 
@@ -57,6 +58,9 @@
 
 _FIRST_RETRY_S = 0.25
 _MAX_RETRY_S = 1.0
+_REFRESH_RETRY_S = 1.0
+"""For how long after a failed read the table is not read on demand, so that nobody waits for it."""
+
 _MAX_UNKNOWN_TABLE_RETRY_S = 0.4
 """A box that does not know a table yet cannot serve requests, and so retries more often."""
 
@@ -134,6 +138,8 @@
             ends=f"Another box sends current versions of the table {table} again.",
         )
         self._resume_reads = Event()
+        self._read_on_demand = SharedRead(self._read_now)
+        self._failed_at = float("-inf")
         self.read_at: float | None = None
         self.publishes: Callable[[], bool] = lambda: False
         self.publisher: Callable[[TableReading, bool], None] = lambda reading, is_own: None
@@ -252,6 +258,31 @@
         self._newest_at = max(self._newest_at, newest_at)
         self.read_at = newest_at if self.read_at is None else max(self.read_at, newest_at)
 
+    def refresh(self, *, timeout_s: float) -> bool:
+        """Bring the table up to date, unless a read has failed lately.
+
+        Args:
+            timeout_s: How long to wait for the store.
+
+        Returns:
+            Whether all that was written before this call is known.
+        """
+        called_at = monotonic()
+        if self.is_known and called_at - self._failed_at >= _REFRESH_RETRY_S:
+            self._read_on_demand.wait(timeout_s=timeout_s)
+        return self._newest_at >= called_at
+
+    def _read_now(self) -> None:
+        """Read the store without waiting for a change; the regular reads deal with its errors."""
+        try:
+            self._read_and_apply(wait_s=0.0)
+        except HistoryGone:
+            return
+        except RowStoreUnavailable:
+            self._failed_at = monotonic()
+            return
+        self.read_at = monotonic()
+
     def resume_reads(self) -> None:
         """Read the store again at once, as no other box sends readings any more."""
         self._skip_reads_until = 0.0
@@ -276,15 +307,17 @@
             except HistoryGone:
                 self._full_read_due = True
             except RowStoreUnavailable as error:
+                self._failed_at = monotonic()
                 self._read_failing.begin(error=str(error), age_s=round(self.age_s, 1))
                 gevent.sleep(retry_s * random.uniform(0.8, 1.0))
                 is_known = self._version is not None
                 max_retry_s = _MAX_RETRY_S if is_known else _MAX_UNKNOWN_TABLE_RETRY_S
                 retry_s = min(max_retry_s, retry_s * 1.5)
 
-    def _read_and_apply(self) -> None:
+    def _read_and_apply(self, *, wait_s: float | None = None) -> None:
+        """Read the store, which waits for a change for as long as usual unless given."""
         sent_at = monotonic()
-        reading, store_s = self._read()
+        reading, store_s = self._read(wait_s=self._poll_length_s() if wait_s is None else wait_s)
         if self._is_peer_copy and not self._may_replace_copy(reading):
             return
         self._reject_earlier_era(reading)
@@ -299,7 +332,7 @@
             as_of_s = self._clock.earliest_store(sent_at)
             self.publisher(reading._replace(as_of_s=as_of_s), True)
 
-    def _read(self) -> tuple[TableReading, float | None]:
+    def _read(self, *, wait_s: float) -> tuple[TableReading, float | None]:
         """Read the store; return the reading, and the time on the store's clock if it gave one."""
         after = self._version
         if after is None or self._is_peer_copy or self._full_read_due:
@@ -309,7 +342,6 @@
                 self.table, 0, snapshot.version, snapshot.rows, is_full_table=True
             )
             return reading, snapshot.store_s
-        wait_s = _PUBLISHER_POLL_WAIT_S if self.publishes() else self._poll_wait_s()
         read = self._store.changes(self.table, after=after, wait_s=wait_s)
         changes = _without_overtaken_removals(read.changes)
         return TableReading(self.table, after, read.version, changes), read.store_s
@@ -391,6 +423,9 @@
 
     def _apply_changes(self, reading: TableReading) -> None:
         known = self.version
+        if reading.version < known:
+            # Another read that was sent later has overtaken this one.
+            return
         for change in reading.changes:
             if not change.version or change.version > known:
                 self._apply_change(change)
@@ -423,6 +458,9 @@
         )
         self.on_lost(lost)
 
+    def _poll_length_s(self) -> float:
+        return _PUBLISHER_POLL_WAIT_S if self.publishes() else self._poll_wait_s()
+
     def _current_pause_s(self) -> float:
         return min(self._pause_s, _PUBLISHER_MAX_PAUSE_S) if self.publishes() else self._pause_s
 
--- a/tests/forwarding/test_software_versions.py
+++ b/tests/forwarding/test_software_versions.py
@@ -5,7 +5,7 @@
 import random
 import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 
 import msgspec
@@ -167,8 +167,13 @@
         self.history = SoftwareHistory(age_s=lambda: self.row_age_s)
         self.directory.on_change.append(self.history.apply_record)
         self.others = ScriptedBoxes()
+        self.refresh_replicas: Callable[[], bool] = lambda: True
         self.origins = StreamOrigins(
-            own=OriginBook(), history=self.history, other_boxes=self.others, log=log
+            own=OriginBook(),
+            history=self.history,
+            refresh_replicas=lambda: self.refresh_replicas(),
+            other_boxes=self.others,
+            log=log,
         )
         self.relay = StreamRelay(
             chooser=self.chooser, sender=sender, log=log, on_begun=self.origins.record_begun
@@ -349,6 +354,55 @@
             assert box.others.asked == []
 
 
+@contextmanager
+def one_version_known(monkeypatch: pytest.MonkeyPatch, box: Box) -> Iterator[None]:
+    """Let a box have known the versions in its directory for the life of a stream."""
+    box.history.update()
+    with monkeypatch.context() as patched:
+        later = monotonic() + STREAM_LIFE_S
+        patched.setattr(software_history, "monotonic", lambda: later)
+        yield
+
+
+def test_a_box_that_is_out_of_step_does_not_decide_by_the_versions_that_it_has_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stream of a new version that goes on at the only one this box knows."""
+    with box_with(("v1", writing("v1"))) as box, one_version_known(monkeypatch, box):
+        box.refresh_replicas = lambda: False
+        box.others.known["r0"] = Origin("s", "v2")
+        assert take_up(box) == (503, b'{"error":"other_software"}')
+        box.others.known.clear()
+        assert take_up(box) == (503, b'{"error":"stream_origin_unknown"}')
+        assert take_up(box, resumes="") == (503, b'{"error":"stream_origin_unknown"}')
+
+
+def test_a_new_version_is_read_before_a_stream_is_taken_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with (
+        ScriptedReplica(writing("v2")) as new,
+        box_with(("v1", writing("v1"))) as box,
+        one_version_known(monkeypatch, box),
+    ):
+
+        def _read_new() -> bool:
+            box.add("i-2", new, "v2")
+            return True
+
+        box.refresh_replicas = _read_new
+        box.others.known["r0"] = Origin("s", "v2")
+        assert take_up(box) == (200, rest_from("v2"))
+
+
+def test_a_stream_of_this_box_needs_no_new_reading() -> None:
+    with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
+        box.refresh_replicas = lambda: False
+        progress = RequestProgress(make_request(request_id="r0"), ROUTE, "s")
+        box.origins.record_begun(progress, "v2")
+        assert take_up(box) == (200, rest_from("v2"))
+
+
 def test_a_request_that_takes_nothing_up_needs_no_origin() -> None:
     with box_with(("v1", writing("v1")), ("v2", writing("v2"))) as box:
         assert take_up(box, resumes="", last_event_id="")[0] == 200
--- a/tests/placement/test_origin_exchange.py
+++ b/tests/placement/test_origin_exchange.py
@@ -71,7 +71,11 @@
     def version_for(self, resumes: str) -> str | None:
         """Return the version that a client's request for a stream is restricted to."""
         origins = StreamOrigins(
-            own=self.own, history=self.history, other_boxes=self.exchange, log=Log("test", "box")
+            own=self.own,
+            history=self.history,
+            refresh_replicas=lambda: True,
+            other_boxes=self.exchange,
+            log=Log("test", "box"),
         )
         request = make_request(resumes=resumes, last_event_id="2")
         progress = RequestProgress(request, make_route(kind=RouteKind.STREAMING), "s")
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -6,6 +6,7 @@
 
 import gevent
 import pytest
+from gevent.event import AsyncResult
 
 from springrock import table_follower as follower_module
 from springrock.clock import monotonic
@@ -539,3 +540,103 @@
     assert listener.rows == {"a": b"later"}
     assert follower.staleness_s > 0.05
     follower.stop()
+
+
+class HeldStore:
+    """A store whose polls are held, while reads that ask for no wait are answered.
+
+    Attributes:
+        changed: What these answer.
+        reads: How many of these were begun.
+        failing: Whether these fail.
+        takes_s: How long these take.
+        poll_answer: What a poll is answered once it is set.
+    """
+
+    def __init__(self) -> None:
+        self.changed = Changes([Removed("a"), Row("a", b"2", 3)], 3)
+        self.reads = 0
+        self.failing = False
+        self.takes_s = 0.0
+        self.poll_answer: AsyncResult[Changes] = AsyncResult()
+
+    def read_all(self, table: str) -> Snapshot:
+        return Snapshot([Row("a", b"1", 1)], 1)
+
+    def changes(self, table: str, *, after: int, wait_s: float) -> Changes:
+        if wait_s:
+            answer: Changes = self.poll_answer.get()
+            self.poll_answer = AsyncResult()
+            return answer
+        self.reads += 1
+        gevent.sleep(self.takes_s)
+        if self.failing:
+            raise RowStoreUnavailable("down")
+        return self.changed
+
+    def write(self, table: str, key: str, value: bytes, *, expected: int) -> int:
+        raise NotImplementedError
+
+
+def start_held() -> tuple[HeldStore, TableFollower, Listener]:
+    store = HeldStore()
+    follower, listener = start_follower(store)
+    wait_for_calls(listener, count=1)
+    gevent.sleep(0.01)
+    return store, follower, listener
+
+
+def test_a_table_is_brought_up_to_date_while_a_poll_is_held() -> None:
+    _, follower, listener = start_held()
+    assert follower.refresh(timeout_s=1.0)
+    assert listener.rows == {"a": b"2"}
+    assert follower.staleness_s < 0.5
+    follower.stop()
+
+
+def test_a_poll_that_is_answered_after_a_later_read_undoes_nothing() -> None:
+    """Guards against a removal without a version, of a row that was written again since."""
+    store, follower, listener = start_held()
+    assert follower.refresh(timeout_s=1.0)
+    store.poll_answer.set(Changes([Removed("a")], 2))
+    gevent.sleep(0.01)
+    assert listener.rows == {"a": b"2"}
+    assert follower.version == 3
+    follower.stop()
+
+
+def test_callers_at_the_same_time_share_a_read_that_began_after_their_calls() -> None:
+    store, follower, _ = start_held()
+    store.takes_s = 0.1
+    calls = [gevent.spawn(follower.refresh, timeout_s=1.0) for _ in range(5)]
+    gevent.sleep(0.05)
+    calls += [gevent.spawn(follower.refresh, timeout_s=1.0) for _ in range(5)]
+    gevent.joinall(calls)
+    assert [call.value for call in calls] == [True] * 10
+    assert store.reads == 2
+    follower.stop()
+
+
+def test_a_store_that_does_not_answer_is_waited_for_briefly() -> None:
+    store, follower, _ = start_held()
+    store.takes_s = 5.0
+    began_at = monotonic()
+    assert not follower.refresh(timeout_s=0.1)
+    assert monotonic() - began_at < 0.5
+    follower.stop()
+
+
+def test_a_read_that_failed_is_not_repeated_at_once() -> None:
+    store, follower, _ = start_held()
+    store.failing = True
+    assert not follower.refresh(timeout_s=1.0)
+    assert not follower.refresh(timeout_s=1.0)
+    assert store.reads == 1
+    follower.stop()
+
+
+def test_a_table_that_is_not_known_is_not_read_on_demand() -> None:
+    store = HeldStore()
+    follower = TableFollower(store, TABLE, Listener(), pause_s=0.0, log=Log("test", "box"))
+    assert not follower.refresh(timeout_s=1.0)
+    assert store.reads == 0
