Take JSON that is nested too deeply for malformed, wherever it is decoded

What is seen: one row of a placer, a crash report or an adapter's version with a deeply nested field, also one that no build knows, ended the task that follows its table, so that the box learned of no placer or configuration any more (LOST).

Cause: the decoder raises `RecursionError` for nesting, also in fields that it skips, and errors of its own for all else. Each place that decodes named the errors that it expects; the one for replicas' rows alone named this one.

The boxes' logs name `TableFollower._follow`.

Change: `decode_json` has one error for all that can be wrong, and is used for rows, pages, reports, events, reasons, requests, statements and what boxes of `springrock serve` keep in the table, where a malformed session row is passed over and any other one counts as an answer that violates the platform's protocol. Messages between boxes are CBOR, whose library bounds the depth.

--- a/springrock/coordination/claims.py
+++ b/springrock/coordination/claims.py
@@ -14,6 +14,7 @@
 from expression import Error, Ok, Result
 from gevent.event import AsyncResult, Event
 
+from springrock.coordination.stored import stored_value
 from springrock.errors import Cause, PlatformUnavailable, Refusal, RunState
 from springrock.ids import new_id
 from springrock.plugins import Platform
@@ -50,7 +51,7 @@
     def resolve(self, rows: dict[str, Row]) -> None:
         """Set the result from the existing claim row: Ok if this claim wrote it."""
         row = rows[self.key]
-        existing = msgspec.json.decode(row.value, type=ClaimValue)
+        existing = stored_value(row.value, ClaimValue)
         if existing.nonce == self.value.nonce:
             self.result.set(Ok(None))
         else:
@@ -104,7 +105,7 @@
             row = rows.get(key)
             if row is None:
                 return
-            if msgspec.json.decode(row.value, type=ClaimValue).box != self._box:
+            if stored_value(row.value, ClaimValue).box != self._box:
                 return
             self._platform.transact(Transaction(checks=[Check(key, row.version)], deletes=[key]))
         except PlatformUnavailable:
@@ -168,7 +169,7 @@
                 row = rows.get(pending.key)
                 if row is None:
                     return
-                if msgspec.json.decode(row.value, type=ClaimValue) != pending.value:
+                if stored_value(row.value, ClaimValue) != pending.value:
                     return
                 check = Check(pending.key, row.version)
                 self._platform.transact(Transaction(checks=[check], deletes=[pending.key]))
--- a/springrock/coordination/feed.py
+++ b/springrock/coordination/feed.py
@@ -21,6 +21,7 @@
 from springrock.coordination.link import Link
 from springrock.coordination.members import Members
 from springrock.coordination.peers import Peers
+from springrock.coordination.stored import stored_value
 from springrock.errors import (
     ConfigurationConflict,
     PeerUnreachable,
@@ -141,7 +142,7 @@
             rows = self._platform.rows(HEAD_KEY)
             if rows:
                 self._head_version = rows[0].version
-                self._head = msgspec.json.decode(rows[0].value, type=HeadValue)
+                self._head = stored_value(rows[0].value, HeadValue)
             if self.catalog.revision < self._head.snapshot_revision:
                 self._load_snapshot()
             if self.catalog.revision < self._head.revision:
@@ -242,13 +243,13 @@
     def _restore_recent_changes(self) -> None:
         """Add the changes that the snapshot includes, so that `find_command` finds retries."""
         for row in self._platform.rows(CHANGE_PREFIX):
-            change = msgspec.json.decode(row.value, type=Change)
+            change = stored_value(row.value, Change)
             if change.revision <= self.catalog.revision:
                 self.recent.append(change)
 
     def _load_changes(self) -> None:
         for row in self._change_rows():
-            self._apply(msgspec.json.decode(row.value, type=Change))
+            self._apply(stored_value(row.value, Change))
 
     def _change_rows(self) -> list[Row]:
         """Read the rows of newer changes, by the longest prefix that their keys share."""
@@ -329,7 +330,7 @@
                 continue
             with self._lock:
                 for encoded in answer.changes:
-                    self._apply(msgspec.json.decode(encoded, type=Change))
+                    self._apply(stored_value(encoded, Change))
                 self._record_known(self.catalog.revision)
 
 
--- a/springrock/coordination/members.py
+++ b/springrock/coordination/members.py
@@ -6,18 +6,20 @@
 from typing import Any, NamedTuple
 
 import gevent
-import msgspec
 from gevent.event import Event
 
+from springrock.bounded_dict import BoundedDict
 from springrock.clock import monotonic
 from springrock.coordination.session import SESSION_PREFIX, SessionValue
-from springrock.errors import PlatformUnavailable
+from springrock.coordination.stored import stored_value
+from springrock.errors import PlatformGarbage, PlatformUnavailable
 from springrock.log import Condition, Log
 from springrock.plugins import Platform
 from springrock.settings import LeaseSection
 from springrock.wire.platform import Row
 
 _MIN_SCAN_PAUSE_S = 0.1
+_MAX_REMEMBERED_ROWS = 1_000
 
 
 class Member(NamedTuple):
@@ -84,6 +86,7 @@
             log, begins="Cannot read the session rows.", ends="The session rows are readable again."
         )
         self._members: dict[str, Member] = {}
+        self._malformed_versions: BoundedDict[int] = BoundedDict(at_most=_MAX_REMEMBERED_ROWS)
         self._task: gevent.Greenlet[..., Any] | None = None
         self._wake = Event()
         self.scanned_at = 0.0
@@ -151,7 +154,8 @@
         }
         for row in rows:
             member = self._member_of(row, now)
-            members[member.value.incarnation] = member
+            if member is not None:
+                members[member.value.incarnation] = member
         self._members = members
         self.scanned_at = now
         if all_zones:
@@ -163,8 +167,15 @@
             self._log.info("The set of live boxes changed.", live=sorted(box for box, _ in after))
             self._on_change()
 
-    def _member_of(self, row: Row, now: float) -> Member:
-        value = msgspec.json.decode(row.value, type=SessionValue)
+    def _member_of(self, row: Row, now: float) -> Member | None:
+        """Return the member of a row; None if the row is malformed, as others may write there."""
+        try:
+            value = stored_value(row.value, SessionValue)
+        except PlatformGarbage as error:
+            if self._malformed_versions.get(row.key) != row.version:
+                self._malformed_versions.record(row.key, row.version)
+                self._log.info("Ignored a malformed session row.", key=row.key, error=str(error))
+            return None
         known = self._members.get(value.incarnation)
         if known is None or known.version != row.version:
             return Member(value, row.version, now)
--- a/springrock/coordination/ownership.py
+++ b/springrock/coordination/ownership.py
@@ -19,6 +19,7 @@
 from springrock.coordination.peers import Peers
 from springrock.coordination.session import Session, key_of
 from springrock.coordination.standalone import PROBE_TIMEOUT_S
+from springrock.coordination.stored import stored_value
 from springrock.errors import PeerUnreachable, PlatformUnavailable, TransactionConflict
 from springrock.ids import rendezvous_order
 from springrock.log import Condition, Log
@@ -209,9 +210,7 @@
         """Delete the zone's lapsed sessions that own no replica, if this box is chosen for it."""
         if self._preferred_owner("session sweep") != self._session.box:
             return
-        owners = {
-            msgspec.json.decode(row.value, type=ReplicaValue).incarnation for row in rows.values()
-        }
+        owners = {stored_value(row.value, ReplicaValue).incarnation for row in rows.values()}
         for member in self._members.all():
             unused = member.value.incarnation not in owners
             if member.zone == self.zone and unused and self._members.lapsed(member):
@@ -254,7 +253,7 @@
             if self._preferred_owner(name) == self._session.box:
                 self._take_over(upstream, row, None, previous="")
             return
-        value = msgspec.json.decode(row.value, type=ReplicaValue)
+        value = stored_value(row.value, ReplicaValue)
         if value.incarnation == self._session.incarnation:
             self._reconcile_own(upstream, row, value)
             return
@@ -310,7 +309,7 @@
     ) -> None:
         fence = 1
         if row.version != ABSENT:
-            fence = msgspec.json.decode(row.value, type=ReplicaValue).fence + 1
+            fence = stored_value(row.value, ReplicaValue).fence + 1
         value = ReplicaValue(
             upstream.settings.name, self._session.box, self._session.incarnation, fence
         )
@@ -334,7 +333,7 @@
 
     def _hand_over(self, row: Row, handover_target: str | None) -> None:
         """Write the new owner to the replica's row and notify the new owner."""
-        value = msgspec.json.decode(row.value, type=ReplicaValue)
+        value = stored_value(row.value, ReplicaValue)
         member = self._members.find(handover_target) if handover_target else None
         if (
             handover_target is None
--- a/springrock/coordination/relayed.py
+++ b/springrock/coordination/relayed.py
@@ -10,9 +10,11 @@
 from springrock.clock import monotonic
 from springrock.coordination.link import Link
 from springrock.coordination.peers import Peers
+from springrock.coordination.stored import stored_value
 from springrock.errors import PeerUnreachable, PlatformUnavailable
 from springrock.metrics import Metrics
 from springrock.plugins import Platform
+from springrock.strict_json import MalformedJson, decode_json
 from springrock.wire import peer as peer_wire
 from springrock.wire import platform as wire
 
@@ -135,7 +137,7 @@
                 continue
             if answer.body:
                 self._count("relayed", "done")
-                return msgspec.json.decode(answer.body, type=kind)
+                return stored_value(answer.body, kind)
         raise PlatformUnavailable("neither this box nor its peers reach the table")
 
     def _on_relay_call(self, _: Link, call: peer_wire.RelayCall) -> peer_wire.RelayAnswer:
@@ -144,12 +146,12 @@
             return peer_wire.RelayAnswer(call.number, b"")
         try:
             body = self._execute(call)
-        except (PlatformUnavailable, msgspec.MsgspecError):
+        except (PlatformUnavailable, MalformedJson):
             body = b""
         return peer_wire.RelayAnswer(call.number, body)
 
     def _execute(self, call: peer_wire.RelayCall) -> bytes:
         if not call.transaction:
             return msgspec.json.encode(wire.Rows(rows=self._direct.rows(call.prefix)))
-        transaction = msgspec.json.decode(call.transaction, type=wire.Transaction)
+        transaction = decode_json(call.transaction, wire.Transaction)
         return msgspec.json.encode(self._direct.transact(transaction))
--- a/springrock/coordination/session.py
+++ b/springrock/coordination/session.py
@@ -17,6 +17,7 @@
 from gevent.lock import RLock
 
 from springrock.clock import monotonic
+from springrock.coordination.stored import stored_value
 from springrock.errors import PlatformUnavailable, TransactionConflict
 from springrock.ids import new_id
 from springrock.log import Condition, Log
@@ -180,7 +181,7 @@
             if row.version == ABSENT:
                 self._restart()
                 return
-            existing = msgspec.json.decode(row.value, type=SessionValue)
+            existing = stored_value(row.value, SessionValue)
             self._version = row.version
             self.value = msgspec.structs.replace(self.value, renewal=existing.renewal)
 
--- a/springrock/doors/operator.py
+++ b/springrock/doors/operator.py
@@ -22,6 +22,7 @@
 from springrock.plugins import doors
 from springrock.request_reader import ReadLimits
 from springrock.statements import Requester
+from springrock.strict_json import MalformedJson, decode_json
 from springrock.wire.operator import (
     STATEMENTS_PATH,
     StatementAnswer,
@@ -82,8 +83,8 @@
             self._log_unread(error)
             return _failure(error.status, type(error).__name__, str(error))
         try:
-            request = msgspec.json.decode(body_bytes or b"", type=StatementRequest)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            request = decode_json(body_bytes or b"", StatementRequest)
+        except MalformedJson as error:
             return _failure(400, "MalformedRequest", str(error))
         self._log.info(
             f"{operator} sent a statement: {request.statement}",
--- a/springrock/drivers/engine.py
+++ b/springrock/drivers/engine.py
@@ -24,6 +24,7 @@
 from springrock.retry_after import retry_after_in
 from springrock.settings import UpstreamSection, split_address
 from springrock.strict_http import reader_of, strict_pool
+from springrock.strict_json import MalformedJson, decode_json
 from springrock.wire import engine as wire
 
 T = TypeVar("T")
@@ -174,7 +175,7 @@
             return StreamEvent(raw + _EVENT_END, None)
         try:
             chunk = wire.decode_chunk(data)
-        except msgspec.MsgspecError as error:
+        except MalformedJson as error:
             raise UpstreamGarbage(f"malformed chunk: {error}") from None
         return self._check_chunk(chunk, raw)
 
@@ -316,8 +317,8 @@
 
 def _decode(response: urllib3.BaseHTTPResponse, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(response.data, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(response.data, kind)
+    except MalformedJson as error:
         raise UpstreamGarbage(str(error)) from None
 
 
@@ -325,8 +326,8 @@
     deadline = Deadline(_REPORT_TIMEOUT_S)
     reader_of(response).begin_step(deadline=deadline, max_bytes=_MAX_PIECE_BYTES)
     try:
-        body = msgspec.json.decode(response.read(_MAX_REASON_BYTES), type=dict[str, str])
-    except (msgspec.MsgspecError, HTTPError, OSError):
+        body = decode_json(response.read(_MAX_REASON_BYTES), dict[str, str])
+    except (MalformedJson, HTTPError, OSError):
         return "no reason given"
     finally:
         response.close()
--- a/springrock/operator_client.py
+++ b/springrock/operator_client.py
@@ -11,6 +11,7 @@
 from springrock.errors import StatementError
 from springrock.ids import new_id
 from springrock.strict_http import strict_pool_manager
+from springrock.strict_json import MalformedJson, decode_json
 from springrock.wire.operator import STATEMENTS_PATH, StatementAnswer, StatementRequest
 
 _TIMEOUT_S = 30.0
@@ -65,7 +66,10 @@
                 raise StatementError(f"{box} cannot be reached: {error}") from None
     if response.status != 200:
         raise StatementError(response.data.decode(errors="replace").strip())
-    return msgspec.json.decode(response.data, type=StatementAnswer)
+    try:
+        return decode_json(response.data, StatementAnswer)
+    except MalformedJson as error:
+        raise StatementError(f"{box} sent a malformed answer: {error}") from None
 
 
 def as_table(answer: StatementAnswer) -> str:
--- a/springrock/placement/origin_rows.py
+++ b/springrock/placement/origin_rows.py
@@ -20,6 +20,7 @@
 from springrock.log import Condition, Log
 from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
 from springrock.store_clock import StoreClock
+from springrock.strict_json import MalformedJson, decode_json
 
 TABLE = "springrock-origins"
 
@@ -231,6 +232,6 @@
 
 def _decode(row: Row) -> OriginRow | None:
     try:
-        return msgspec.json.decode(row.value, type=OriginRow)
-    except msgspec.DecodeError:
+        return decode_json(row.value, OriginRow)
+    except MalformedJson:
         return None
--- a/springrock/placement/placer_row.py
+++ b/springrock/placement/placer_row.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import msgspec
 from msgspec import Struct
 
 from springrock.rows import Row
+from springrock.strict_json import MalformedJson, decode_json
 
 TABLE = "springrock"
 KEY_PREFIX = "placer/"
@@ -58,6 +58,6 @@
 def placer_row_from(row: Row) -> PlacerRow | None:
     """Return the content of a row; None if it cannot be decoded, so that no box acquires it."""
     try:
-        return msgspec.json.decode(row.value, type=PlacerRow)
-    except msgspec.DecodeError:
+        return decode_json(row.value, PlacerRow)
+    except MalformedJson:
         return None
--- a/springrock/platform/engine.py
+++ b/springrock/platform/engine.py
@@ -23,6 +23,7 @@
 from springrock.platform.notices import notice_from
 from springrock.platform.records import HeldModel, held_adapters, split_version
 from springrock.strict_http import strict_pool_manager
+from springrock.strict_json import MalformedJson, decode_json
 
 _MAX_ENGINES = 64
 """How many engines have kept connections."""
@@ -132,8 +133,8 @@
                 f"the engine answered the report call with status {response.status}"
             )
         try:
-            report = msgspec.json.decode(response.data, type=_Report)
-        except msgspec.DecodeError as error:
+            report = decode_json(response.data, _Report)
+        except MalformedJson as error:
             raise ControlUnanswered(f"malformed engine report: {error}") from None
         return EngineState(
             sequence=report.sequence,
--- a/springrock/platform/records.py
+++ b/springrock/platform/records.py
@@ -5,7 +5,6 @@
 import math
 from typing import TypeVar
 
-import msgspec
 from msgspec import Struct, field
 
 from springrock.forwarding import configuration as own
@@ -14,6 +13,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.platform import names
 from springrock.rows import Row
+from springrock.strict_json import MalformedJson, decode_json
 
 T = TypeVar("T")
 
@@ -269,7 +269,6 @@
 
 def _decode(row: Row, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(row.value, type=kind)
-    except msgspec.DecodeError as error:
-        # The decoder's error names the field and the expected type, but quotes no value.
+        return decode_json(row.value, kind)
+    except MalformedJson as error:
         raise MalformedRecord(f"{row.key}: {error}") from None
--- a/springrock/platform/replica_rows.py
+++ b/springrock/platform/replica_rows.py
@@ -13,6 +13,7 @@
 from springrock.forwarding.directory import ReplicaRecord, incarnation_of
 from springrock.platform.records import HeldModel, held_adapters
 from springrock.rows import Row
+from springrock.strict_json import MalformedJson, decode_json
 
 
 class RowFault(StrEnum):
@@ -173,12 +174,9 @@
 
 def _decode_fields(value: bytes) -> dict[str, Any]:
     try:
-        decoded = msgspec.json.decode(value)
-    except (msgspec.DecodeError, UnicodeError, RecursionError):
+        return decode_json(value, dict[str, Any])
+    except MalformedJson:
         raise ReplicaRowMalformed(RowFault.UNREADABLE) from None
-    if not isinstance(decoded, dict):
-        raise ReplicaRowMalformed(RowFault.UNREADABLE)
-    return decoded
 
 
 def _check_id(replica_id: str, born_ms: int | None) -> None:
--- a/springrock/platform/store.py
+++ b/springrock/platform/store.py
@@ -31,6 +31,7 @@
     WrittenInAnotherEra,
 )
 from springrock.strict_http import strict_pool_manager
+from springrock.strict_json import MalformedJson, decode_json
 
 T = TypeVar("T")
 
@@ -252,8 +253,8 @@
 
 def _decode(response: urllib3.BaseHTTPResponse, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(response.data, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(response.data, kind)
+    except MalformedJson as error:
         raise RowStoreUnavailable(f"malformed answer of the store: {error}") from None
 
 
--- a/springrock/platform_clients/http.py
+++ b/springrock/platform_clients/http.py
@@ -14,6 +14,7 @@
 from springrock.plugins import platforms
 from springrock.settings import PlatformSection
 from springrock.strict_http import reader_of, strict_pool_manager
+from springrock.strict_json import MalformedJson, decode_json
 from springrock.wire import platform as wire
 
 T = TypeVar("T")
@@ -143,6 +144,6 @@
 
 def _decode(body: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, kind)
+    except MalformedJson as error:
         raise PlatformGarbage(str(error)) from None
--- a/springrock/quarantine/report.py
+++ b/springrock/quarantine/report.py
@@ -4,12 +4,12 @@
 
 from typing import Annotated
 
-import msgspec
 from msgspec import Meta, Struct
 
 from springrock.forwarding.fingerprint import FINGERPRINT_DIGITS, Fingerprint
 from springrock.ids import new_id
 from springrock.rows import Row
+from springrock.strict_json import MalformedJson, decode_json
 
 KEY_PREFIX = "crash/"
 
@@ -54,6 +54,6 @@
 def report_from(row: Row) -> CrashReport | None:
     """Decode the report in a row; return None if it is malformed."""
     try:
-        return msgspec.json.decode(row.value, type=CrashReport)
-    except msgspec.DecodeError:
+        return decode_json(row.value, CrashReport)
+    except MalformedJson:
         return None
--- a/springrock/wire/caller.py
+++ b/springrock/wire/caller.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from springrock.errors import Cause, Refusal, RunState
+from springrock.strict_json import MalformedJson, decode_json
 
 DEADLINE_HEADER = "Springrock-Deadline-Ms"
 WORTH_HEADER = "Springrock-Worth"
@@ -97,8 +98,8 @@
 def parse_body(raw: bytes, *, chat: bool) -> Result[CompletionBody, Refusal]:
     """Parse the body of a completion request."""
     try:
-        body = msgspec.json.decode(raw, type=CompletionBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        body = decode_json(raw, CompletionBody)
+    except MalformedJson as error:
         return Error(make_refusal(Cause.MALFORMED_REQUEST, f"the body is not a request: {error}"))
     if chat and not body.messages:
         return Error(make_refusal(Cause.MALFORMED_REQUEST, "a chat completion needs messages"))
--- a/springrock/wire/engine.py
+++ b/springrock/wire/engine.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from springrock.strict_json import decode_json
+
 COMPLETIONS_PATH = "/v1/completions"
 CHAT_PATH = "/v1/chat/completions"
 ORDERS_PATH = "/v1/orders"
@@ -125,16 +127,13 @@
     choices: list[Choice]
 
 
-_chunk_decoder = msgspec.json.Decoder(Chunk)
-
-
 def decode_chunk(data: bytes) -> Chunk:
     """Decode the data of one event.
 
     Raises:
-        msgspec.MsgspecError: If it is not a chunk.
+        MalformedJson: If it is not a chunk.
     """
-    return _chunk_decoder.decode(data)
+    return decode_json(data, Chunk)
 
 
 def encode_event(data: bytes) -> bytes:
--- a/tests/coordination/test_members.py
+++ b/tests/coordination/test_members.py
@@ -8,7 +8,7 @@
 from springrock.coordination import members as members_module
 from springrock.coordination.members import Members
 from springrock.coordination.session import SESSION_PREFIX, SessionValue
-from springrock.log import Log
+from springrock.log import Journal, Log
 from springrock.settings import LeaseSection
 from springrock.wire.platform import Row
 
@@ -86,3 +86,22 @@
     early = [at for at in table.full_reads_at if at < began_at + 32.0]
     assert len(early) <= 7
     assert len(table.full_reads_at) - len(early) <= 300.0 / LEASE.all_zones_scan_every_s
+
+
+@pytest.mark.parametrize("value", [b"no JSON", b'{"box":1}', b'{"more":' + b"[" * 100_000])
+def test_a_malformed_row_hides_no_other_box_and_is_logged_once(value: bytes) -> None:
+    table = ScriptedTable()
+    table.add("zone-2-a", "zone-2")
+    key = f"{SESSION_PREFIX}zone-2/odd"
+    table.rows_by_key[key] = Row(key=key, value=value, version=1)
+    journal = Journal()
+    members = Members(
+        table,  # type: ignore[arg-type]
+        LEASE,
+        zone="zone-2",
+        log=Log("members", "zone-2-b", journal),
+    )
+    members.scan()
+    members.scan()
+    assert [member.box for member in members.live()] == ["zone-2-a"]
+    assert len(journal.lines_with("key", key)) == 1
--- a/tests/routed/test_odd_rows.py
+++ b/tests/routed/test_odd_rows.py
@@ -8,7 +8,9 @@
 import pytest
 
 from springrock.emulator.ports import free_addresses
+from springrock.placement import origin_rows, placer_row
 from springrock.platform import names
+from springrock.quarantine import report
 from tests.odd_values import NESTED, NUMBERS, PORTS, with_value
 from tests.processes import wait_until
 from tests.routed.deployment import REPLICAS, Deployment
@@ -66,3 +68,31 @@
         deployment.write_row(names.REPLICA_TABLE, f"odd-{number}", value)
     followed(deployment, "last-1")
     assert_no_fault(deployment)
+
+
+@pytest.mark.parametrize(
+    ("table", "key"),
+    [
+        (placer_row.TABLE, placer_row.key_of("zone-9")),
+        (placer_row.TABLE, f"{report.KEY_PREFIX}odd"),
+        (origin_rows.TABLE, "zone-1/5"),
+        (names.OPERATOR_TABLE, f"{names.VERSION_KEY_PREFIX}{'base'}.odd"),
+    ],
+    ids=["placer", "crash report", "origins", "adapter version"],
+)
+@pytest.mark.parametrize("value", NESTED.values(), ids=NESTED)
+def test_a_deeply_nested_row_harms_nobody(
+    deployment: Deployment, table: str, key: str, value: bytes
+) -> None:
+    deployment.write_row(table, key, value)
+    refused = deployment.send(
+        "box-1",
+        "/items/x",
+        adapter="a1",
+        extra_headers={"Resumes": "ffffffffffffffff", "Last-Event-Id": "3"},
+    )
+    assert refused.status == 503
+    followed(deployment, "last-2")
+    placers = {zone for zone in deployment.zones if zone in deployment.placers()}
+    assert placers == set(deployment.zones)
+    assert_no_fault(deployment)
