Bound the integers of rows by what is done with them

What is seen: a row of origins whose time has 400 digits kept all other rows from being read, so that streams whose origins stand there were refused as unknown (LOST).

Cause: integers have no bound in the language, while floats, messages and headers have; the conversion to a time raised `OverflowError`.

Read in the code, not played: reports of placers, and adapters' versions in headers.

Change: `Int64` bounds the integers of placers' rows, rows of origins, named versions and the configuration's version; a row with a larger one is malformed.

--- a/springrock/placement/origin_rows.py
+++ b/springrock/placement/origin_rows.py
@@ -20,7 +20,7 @@
 from springrock.log import Condition, Log
 from springrock.rows import ABSENT_VERSION, Row, RowConflict, RowStore, RowStoreUnavailable
 from springrock.store_clock import StoreClock
-from springrock.strict_json import MalformedJson, decode_json
+from springrock.strict_json import Int64, MalformedJson, decode_json
 
 TABLE = "springrock-origins"
 
@@ -58,8 +58,8 @@
         begun: The streams, by origin.
     """
 
-    as_of_ms: int
-    era: int
+    as_of_ms: Int64
+    era: Int64
     begun: list[SavedStreams]
 
     @classmethod
--- a/springrock/placement/placer_row.py
+++ b/springrock/placement/placer_row.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from springrock.rows import Row
-from springrock.strict_json import MalformedJson, decode_json
+from springrock.strict_json import Int64, MalformedJson, decode_json
 
 TABLE = "springrock"
 KEY_PREFIX = "placer/"
@@ -22,8 +22,8 @@
         versions: The versions of each service.
     """
 
-    as_of_ms: int
-    era: int
+    as_of_ms: Int64
+    era: Int64
     versions: dict[str, list[str]]
 
 
@@ -43,10 +43,10 @@
     box: str
     incarnation: str
     address: str
-    fence: int
-    renewal: int = 0
+    fence: Int64
+    renewal: Int64 = 0
     successor: bool = True
-    era: int = 0
+    era: Int64 = 0
     software: SoftwareReport | None = None
 
 
--- a/springrock/platform/records.py
+++ b/springrock/platform/records.py
@@ -13,7 +13,7 @@
 from springrock.forwarding.message import AdapterKey
 from springrock.platform import names
 from springrock.rows import Row
-from springrock.strict_json import MalformedJson, decode_json
+from springrock.strict_json import Int64, MalformedJson, decode_json
 
 T = TypeVar("T")
 
@@ -88,7 +88,7 @@
 
 
 class _Configuration(Struct, rename="camel"):
-    version: int
+    version: Int64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = field(default_factory=_Limits)
@@ -105,7 +105,7 @@
 
 class _NamedVersion(Struct, rename="camel"):
     model: str
-    version: int
+    version: Int64
     adapter: str = ""
 
 
--- a/tests/placement/test_origin_rows.py
+++ b/tests/placement/test_origin_rows.py
@@ -13,6 +13,7 @@
 from springrock.placement.origin_rows import TABLE, OriginRows
 from springrock.rows import Changes, Row, RowConflict, RowStoreUnavailable, Snapshot
 from springrock.store_clock import StoreClock
+from tests.odd_values import NUMBERS, with_value
 
 V1, V2 = Origin("s", "v1"), Origin("s", "v2")
 IDS = [f"{number:016x}" for number in range(1, 4)]
@@ -163,6 +164,18 @@
     assert make_rows(store, now_s=1_090.0).find(IDS[0]) is None
 
 
+@pytest.mark.parametrize("name", ["as_of_ms", "era"])
+def test_a_row_with_a_number_that_is_too_large_hides_no_other(name: str) -> None:
+    store = RowsStore()
+    writer = make_rows(store)
+    writer.add("zone-1", IDS[0], V1)
+    writer.save()
+    fields = {"as_of_ms": b"1", "era": b"0", "begun": b"[]"}
+    value = with_value(fields, name, NUMBERS["beyond a float"])
+    store.rows["zone-1/9"] = Row("zone-1/9", value, 9)
+    assert make_rows(store).find(IDS[0]) == V1
+
+
 def test_rows_that_cannot_be_decoded_are_passed_over_and_overwritten_last() -> None:
     store = RowsStore()
     store.rows["zone-1/0"] = Row("zone-1/0", b"\xff", 1)
--- a/tests/test_strict_json.py
+++ b/tests/test_strict_json.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import msgspec
 import pytest
 
@@ -69,10 +71,43 @@
         decode_chunk(nested)
 
 
+PLACER = {
+    "box": b'"b"',
+    "incarnation": b'"i"',
+    "address": b'"a:1"',
+    "fence": b"1",
+    "renewal": b"1",
+    "era": b"1",
+}
+REPORT = {"as_of_ms": b"1", "era": b"1", "versions": b"{}"}
+VERSION = {"model": b'"m"', "adapter": b'"a"', "version": b"1"}
+
+
+@pytest.mark.parametrize("value", NUMBERS.values(), ids=NUMBERS)
+def test_a_number_that_is_too_large_is_malformed(value: bytes) -> None:
+    """Guards against errors where times are converted, and against headers of 400 digits."""
+    for name in ("fence", "renewal", "era"):
+        assert placer_row_from(Row("placer/z", with_value(PLACER, name, value), 1)) is None
+    for name in ("as_of_ms", "era"):
+        row = with_value(PLACER, "software", with_value(REPORT, name, value))
+        assert placer_row_from(Row("placer/z", row, 1)) is None
+    with pytest.raises(MalformedRecord):
+        version_from(Row("version/m.a", with_value(VERSION, "version", value), 1))
+
+
+def test_rows_with_the_largest_numbers_are_read() -> None:
+    largest = b"%d" % (2**63 - 1)
+    software = with_value(REPORT, "as_of_ms", largest)
+    placer = placer_row_from(Row("placer/z", with_value(PLACER, "software", software), 1))
+    assert placer is not None
+    assert placer.software is not None
+    assert placer.software.as_of_ms / 1000 > 0
+    row = Row("version/m.a", with_value(VERSION, "version", largest), 1)
+    assert version_from(row)[1] == 2**63 - 1
+
+
 @pytest.mark.parametrize("value", NUMBERS.values(), ids=NUMBERS)
 def test_a_number_is_decoded_or_malformed(value: bytes) -> None:
     for name in ("number", "share"):
-        try:
+        with contextlib.suppress(MalformedJson):
             decode_json(with_value({}, name, value), Fields)
-        except MalformedJson:
-            continue
