Break an answer whose chunks are malformed

Not seen in operation.

Cause: as with heads, the parsers' idea of framing was trusted. `http.client` and urllib3 convert the size of a chunk by the language's rules for numbers, and discard whatever two bytes follow a chunk.

Evidence: 29 cases of tests/test_broken_heads.py failed before, of replicas and of pools, whole and in parts. Sound bodies with extensions, trailers and line feeds were read before and are.

Change: `ChunkFraming` follows the reads of a body in chunks in `BoundedReader`, below both parsers.

--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -11,6 +11,7 @@
 import io
 from typing import Any
 
+from springrock.chunk_framing import ChunkFraming
 from springrock.clock import Deadline, monotonic
 from springrock.turn import Turn
 
@@ -34,6 +35,7 @@
 
     def __init__(self, connection: Any) -> None:
         self._bounded = _BoundedSocket(connection)
+        self._chunks: ChunkFraming | None = None
         super().__init__(self._bounded)
 
     def begin_step(self, *, deadline: Deadline | None, max_bytes: int) -> None:
@@ -51,10 +53,40 @@
 
         Raises:
             TooManyBytes: If the step cannot have that many, before any memory is taken for them.
+            MalformedChunk: If they break the framing of a body in chunks.
         """
         if size is not None and size > self._bounded.left_bytes + io.DEFAULT_BUFFER_SIZE:
             raise TooManyBytes(f"{size} bytes, of which {self._bounded.left_bytes} are left")
-        return super().read(size)
+        data = super().read(size)
+        if self._chunks is not None:
+            self._chunks.check_data(data)
+        return data
+
+    def read1(self, size: int = -1, /) -> bytes:
+        """Return bytes that have arrived, after at most one read of the socket.
+
+        Raises:
+            MalformedChunk: If they break the framing of a body in chunks.
+        """
+        data = super().read1(size)
+        if self._chunks is not None:
+            self._chunks.check_data(data)
+        return data
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line, up to a size.
+
+        Raises:
+            MalformedChunk: If it breaks the framing of a body in chunks.
+        """
+        line = super().readline(size)
+        if self._chunks is not None and line.endswith(b"\n"):
+            self._chunks.check_line(line)
+        return line
+
+    def begin_chunks(self, framing: ChunkFraming | None) -> None:
+        """Check the framing of a body in chunks from now on; None for a body of another kind."""
+        self._chunks = framing
 
     def begin_turn(self) -> None:
         """Begin a turn, as the task has waited for something else than this reader."""
--- a/springrock/forwarding/connection.py
+++ b/springrock/forwarding/connection.py
@@ -14,6 +14,7 @@
 
 from springrock.answer_head import MalformedHead, check_framing, check_lines
 from springrock.bounded_reader import BoundedReader, TooManyBytes
+from springrock.chunk_framing import ChunkFraming
 from springrock.clock import Deadline, monotonic
 from springrock.forwarding.errors import (
     AnswerBroken,
@@ -199,6 +200,7 @@
             AnswerTooLarge: If the head has too many bytes, or did not end within the timeout.
         """
         self._reader.begin_step(deadline=Deadline(timeout_s), max_bytes=_MAX_HEAD_BYTES)
+        self._reader.begin_chunks(None)
         lines = self._reader.head = []
         try:
             response = self._read_final_head()
@@ -216,6 +218,8 @@
             check_framing(headers)
         except MalformedHead as error:
             raise AnswerBroken(str(error)) from None
+        if response.chunked:
+            self._reader.begin_chunks(ChunkFraming())
         self._response = response
         self._record_idle_timeout(headers.get("keep-alive"))
         return AnswerHead(response.status, response.reason, headers, _body_end_of(response))
--- a/springrock/strict_http.py
+++ b/springrock/strict_http.py
@@ -18,6 +18,7 @@
 
 from springrock.answer_head import MalformedHead, check_framing, check_lines
 from springrock.bounded_reader import BoundedReader
+from springrock.chunk_framing import ChunkFraming
 from springrock.clock import Deadline
 
 _MAX_HEAD_BYTES = 65_536
@@ -113,6 +114,8 @@
             check_framing(self.getheaders())
         except MalformedHead as error:
             raise HTTPException(str(error)) from None
+        if self.chunked:
+            self.reader.begin_chunks(ChunkFraming())
         self.reader.begin_step(deadline=self._deadline, max_bytes=self._max_answer_bytes)
 
 
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -268,6 +268,54 @@
         assert_none_read(reader, head[:size])
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\n" + HEADERS + b"Transfer-Encoding: chunked\r\n\r\n"
+BROKEN_CHUNKS = {
+    "prefix": b"0x4\r\nbody\r\n0\r\n\r\n",
+    "sign": b"+4\r\nbody\r\n0\r\n\r\n",
+    "underscore": b"0_4\r\nbody\r\n0\r\n\r\n",
+    "blank before": b" 4\r\nbody\r\n0\r\n\r\n",
+    "form feed": b"4\x0c\r\nbody\r\n0\r\n\r\n",
+    "negative": b"-4\r\nbody\r\n0\r\n\r\n",
+    "last with a sign": b"2\r\nbo\r\n-0\r\n\r\ndy\r\n",
+    "last with a prefix": b"2\r\nbo\r\n0x0\r\n\r\ndy\r\n",
+    "no end of a chunk": b"4\r\nbodyXX0\r\n\r\n",
+    "a size that is too small": b"2\r\nbody0\r\n\r\n",
+    "a line feed after a chunk": b"4\r\nbody\n0\r\n\r\n",
+}
+
+
+@both_parsers
+@pytest.mark.parametrize("body", BROKEN_CHUNKS.values(), ids=BROKEN_CHUNKS)
+def test_an_answer_with_broken_chunks_is_broken(reader: Reader, body: bytes) -> None:
+    assert_none_read(reader, CHUNKED + body)
+
+
+@pytest.mark.parametrize("body", BROKEN_CHUNKS.values(), ids=BROKEN_CHUNKS)
+def test_an_answer_that_is_read_in_parts_with_broken_chunks_is_broken(body: bytes) -> None:
+    def _read_in_parts(address: str) -> bytes:
+        pool = strict_pool_manager(max_answer_bytes=1_000)
+        response = pool.request("GET", f"http://{address}/", timeout=2.0, preload_content=False)
+        return b"".join(response.stream(3))
+
+    assert_none_read(READERS["pool"]._replace(read=_read_in_parts), CHUNKED + body)
+
+
+@both_parsers
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"4\r\nbody\r\n0\r\n\r\n",
+        b"2\r\nbo\r\n02\r\ndy\r\n000\r\n\r\n",
+        b"4 ;name=value\r\nbody\r\n0;last\r\n\r\n",
+        b"1\r\nb\r\n3\r\nody\r\n0\r\nTrailer: 1\r\n\r\n",
+        b"4\nbody\r\n0\n\n",
+    ],
+    ids=["one", "two", "extensions", "trailer", "line feeds"],
+)
+def test_an_answer_in_chunks_is_read(reader: Reader, body: bytes) -> None:
+    assert read(reader, CHUNKED + body) == b"body"
+
+
 @both_parsers
 def test_an_answer_whose_lines_all_end_with_a_line_feed_is_whole(reader: Reader) -> None:
     assert read(reader, with_status("200", b"body").replace(b"\r\n", b"\n")) == b"body"
