--- a/tests/routed/test_odd_rows.py
+++ b/tests/routed/test_odd_rows.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterator
 
 import pytest
 
-from springrock.emulator.ports import free_addresses
 from springrock.placement import origin_rows, placer_row
 from springrock.platform import names
 from springrock.quarantine import report
 from tests.odd_values import NESTED, NUMBERS, PORTS, with_value
 from tests.processes import wait_until
-from tests.routed.deployment import REPLICAS, Deployment
+from tests.routed.deployment import REPLICAS, ROUTES, Deployment, route
 
 REPLICA = {
     "service": b'"rosters"',
@@ -41,23 +39,23 @@
         yield deployment
 
 
-def followed(deployment: Deployment, name: str) -> None:
-    """Wait until every box has read a row that was written after all others, and serves."""
-    [address] = free_addresses(1)
-    row = {key: json.loads(value) for key, value in REPLICA.items()} | {"address": address}
-    before = deployment.metric("box-1", "springrock_forwarding_replicas")
-    deployment.write_row(names.REPLICA_TABLE, name, json.dumps(row).encode())
-    for box in deployment.clients:
-        wait_until(
-            lambda box=box: deployment.metric(box, "springrock_forwarding_replicas") > before,
-            what=f"{box} reads rows that follow",
-        )
-    deployment.remove_row(names.REPLICA_TABLE, name)
+def assert_followed(deployment: Deployment) -> None:
+    """Assert that every box reads what is written to each table from now on, and serves."""
+    name = f"route-{deployment.version}"
+    deployment.configure([*ROUTES, route(name, "safe", "rosters")])
     for box in deployment.clients:
+        deployment.send_until_served(box, f"/{name}/x")
         deployment.send_until_served(box, "/items/x", adapter="a1")
-
-
-def assert_no_fault(deployment: Deployment) -> None:
+        for table in ("replicas", "placers"):
+            metric = f'springrock_forwarding_table_version{{table="{table}"}}'
+            before = deployment.metric(box, metric)
+            wait_until(
+                lambda box=box, metric=metric, before=before: (
+                    deployment.metric(box, metric) > before
+                ),
+                what=f"{box} reads later rows of {table}",
+            )
+    deployment.placer_and_other(deployment.zones[0])
     for box in deployment.clients:
         assert deployment.processes[box].poll() is None, f"{box} has ended"
         assert "Traceback" not in deployment.log(box)
@@ -66,8 +64,7 @@
 def test_an_odd_row_of_a_replica_harms_nobody(deployment: Deployment) -> None:
     for number, value in enumerate(ODD_REPLICAS):
         deployment.write_row(names.REPLICA_TABLE, f"odd-{number}", value)
-    followed(deployment, "last-1")
-    assert_no_fault(deployment)
+    assert_followed(deployment)
 
 
 @pytest.mark.parametrize(
@@ -92,7 +89,12 @@
         extra_headers={"Resumes": "ffffffffffffffff", "Last-Event-Id": "3"},
     )
     assert refused.status == 503
-    followed(deployment, "last-2")
-    placers = {zone for zone in deployment.zones if zone in deployment.placers()}
-    assert placers == set(deployment.zones)
-    assert_no_fault(deployment)
+    assert_followed(deployment)
+
+
+def test_a_box_that_starts_beside_odd_rows_serves(deployment: Deployment) -> None:
+    """Its first reading has all of these rows at once."""
+    deployment.processes.kill("box-2")
+    deployment.processes.restart("box-2")
+    deployment.wait_ready(replicas=REPLICAS)
+    assert_followed(deployment)
