Refuse only the request whose claim is malformed

What is seen: with a claim row of another writer that cannot be decoded, the task that writes claims ended (before `decode_json`), or refused the whole batch and tried to delete the claim again and again (since), as the row was taken for a platform that does not answer.

Cause: a malformed row is an answer about one request, not a failure of the table.

Change: such a row counts as a claim of nobody known: its own request is refused as claimed before, and it is never released or deleted.

--- a/springrock/coordination/claims.py
+++ b/springrock/coordination/claims.py
@@ -14,10 +14,10 @@
 from expression import Error, Ok, Result
 from gevent.event import AsyncResult, Event
 
-from springrock.coordination.stored import stored_value
 from springrock.errors import Cause, PlatformUnavailable, Refusal, RunState
 from springrock.ids import new_id
 from springrock.plugins import Platform
+from springrock.strict_json import MalformedJson, decode_json
 from springrock.wire.platform import ABSENT, Check, Put, Row, Transaction
 
 CLAIM_PREFIX = "claim/"
@@ -51,8 +51,8 @@
     def resolve(self, rows: dict[str, Row]) -> None:
         """Set the result from the existing claim row: Ok if this claim wrote it."""
         row = rows[self.key]
-        existing = stored_value(row.value, ClaimValue)
-        if existing.nonce == self.value.nonce:
+        existing = _claim_in(row)
+        if existing is not None and existing.nonce == self.value.nonce:
             self.result.set(Ok(None))
         else:
             self.result.set(Error(_already_claimed_refusal(existing)))
@@ -105,7 +105,8 @@
             row = rows.get(key)
             if row is None:
                 return
-            if stored_value(row.value, ClaimValue).box != self._box:
+            claim = _claim_in(row)
+            if claim is None or claim.box != self._box:
                 return
             self._platform.transact(Transaction(checks=[Check(key, row.version)], deletes=[key]))
         except PlatformUnavailable:
@@ -169,7 +170,7 @@
                 row = rows.get(pending.key)
                 if row is None:
                     return
-                if stored_value(row.value, ClaimValue) != pending.value:
+                if _claim_in(row) != pending.value:
                     return
                 check = Check(pending.key, row.version)
                 self._platform.transact(Transaction(checks=[check], deletes=[pending.key]))
@@ -188,11 +189,21 @@
     return list(first.values())
 
 
-def _already_claimed_refusal(existing: ClaimValue) -> Refusal:
-    detail = f"the request was taken before, by box {existing.box}; its outcome is not known here"
+def _already_claimed_refusal(existing: ClaimValue | None) -> Refusal:
+    """Return the refusal of a request whose row holds a claim, or None for a malformed one."""
+    holder = "a malformed row" if existing is None else f"box {existing.box}"
+    detail = f"the request was taken before, by {holder}; its outcome is not known here"
     return Refusal(Cause.ALREADY_CLAIMED, detail, RunState.UNKNOWN)
 
 
 def _platform_unavailable_refusal() -> Refusal:
     detail = "a request that is not repeatable cannot be claimed while the platform is unavailable"
     return Refusal(Cause.PLATFORM_UNAVAILABLE, detail, RunState.NOT_RUN, _OUTAGE_RETRY_AFTER_S)
+
+
+def _claim_in(row: Row) -> ClaimValue | None:
+    """Return the claim in a row; None if it is malformed, and so none that a box has written."""
+    try:
+        return decode_json(row.value, ClaimValue)
+    except MalformedJson:
+        return None
