--- a/tests/builds.py
+++ b/tests/builds.py
@@ -7,7 +7,7 @@
 from io import BytesIO
 from pathlib import Path
 
-LAST_RELEASE = "1f63fa684813"
+LAST_RELEASE = "a8434609a7bb"
 """The previous release, which users upgrade from."""
 
 BEFORE_COMPARING = "37c928e27cbe"
