Tests: end the thread of a scripted replica with it

Cause: closing a listener does not end the wait of a thread that accepts on it, so that each scripted replica left a thread behind: 7,004 after tests/test_broken_heads.py, which runs as many replicas. Their listener is shut down first now: 1 thread is left.

--- a/tests/forwarding/scripted.py
+++ b/tests/forwarding/scripted.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 import threading
@@ -51,6 +52,9 @@
 
     def stop_listening(self) -> None:
         """Refuse all further connections, as after a crash."""
+        # A close alone does not end the wait of the thread that accepts.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def __exit__(
@@ -59,7 +63,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._listener.close()
+        self.stop_listening()
 
     def _serve(self) -> None:
         for script in self._scripts:
