Keep no traceback with the error of sending

Cause: the error of a failed send is kept for the reader, and with its traceback the frames of the send and the body of the request, for as long as the connection. Read in the code, not measured. A copy without a traceback is kept now; the tests of early answers pass as before.

--- a/springrock/bounded_reader.py
+++ b/springrock/bounded_reader.py
@@ -100,7 +100,8 @@
         A broken pipe is no such error: the peer had closed the connection in order before.
         """
         if error.errno not in (None, errno.EPIPE):
-            self._bounded.send_error = error
+            # The traceback of the error itself would keep the body of the request.
+            self._bounded.send_error = OSError(error.errno, error.strerror)
 
     @property
     def step_bytes(self) -> int:
--- a/springrock/strict_http.py
+++ b/springrock/strict_http.py
@@ -146,7 +146,7 @@
         try:
             super().send(data)
         except OSError as error:
-            self._send_error = error
+            self._send_error = OSError(error.errno, error.strerror) if error.errno else None
             raise
 
     @property
